--- /dev/null
+++ b/internal/core/claim.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"time"
+
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/ticket"
+)
+
+const (
+	// claimAgainAfter repeats an unanswered claim; claimTimeout gives it up.
+	claimAgainAfter = 300 * time.Millisecond
+	claimTimeout    = 2 * time.Second
+)
+
+// holder names one try of one caller: a second try has another request id.
+func (c *Core) holder(r *request) string { return c.opt.Self.ID + "/" + r.ID }
+
+// claim asks the ticket's home for the one permission to run. Nothing is dispatched without it.
+func (c *Core) claim(r *request) {
+	r.phase = claiming
+	r.asked = c.now
+	if r.Ticket.Home == c.opt.Self.ID {
+		c.claimed(r, c.tickets.Claim(c.now, *r.Ticket, r.Workspace, c.holder(r)))
+		return
+	}
+	if !c.sendClaim(r) {
+		c.finish(r, fault.New(fault.TicketHomeGone, "host %s is unknown here", r.Ticket.Home))
+		return
+	}
+	c.wakeAt(r, c.now+claimAgainAfter)
+}
+
+func (c *Core) sendClaim(r *request) bool {
+	return c.send(r.Ticket.Home, &peerpb.Message{Body: &peerpb.Message_ClaimTicket{ClaimTicket: &peerpb.ClaimTicket{
+		Ticket: r.Ticket.String(), Workspace: r.Workspace, Request: r.ID}}})
+}
+
+func (c *Core) claimAgain(r *request) {
+	if c.now-r.asked >= claimTimeout {
+		c.finish(r, fault.New(fault.TicketHomeGone, "host %s does not answer", r.Ticket.Home))
+		return
+	}
+	c.sendClaim(r)
+	c.wakeAt(r, c.now+claimAgainAfter)
+}
+
+// claimTicket answers as a home.
+func (c *Core) claimTicket(from string, m *peerpb.ClaimTicket) {
+	verdict := ticket.Expired
+	if t, err := ticket.Parse(m.Ticket); err == nil {
+		verdict = c.tickets.Claim(c.now, t, m.Workspace, from+"/"+m.Request)
+	}
+	c.send(from, &peerpb.Message{Body: &peerpb.Message_ClaimAnswer{ClaimAnswer: &peerpb.ClaimAnswer{
+		Request: m.Request, Claim: peerpb.Claim(verdict)}}})
+}
+
+func (c *Core) claimAnswer(from string, m *peerpb.ClaimAnswer) {
+	r, ok := c.entry.requests[m.Request]
+	if !ok || r.phase != claiming || r.Ticket.Home != from {
+		return
+	}
+	c.claimed(r, ticket.Verdict(m.Claim))
+}
+
+func (c *Core) claimed(r *request, v ticket.Verdict) {
+	switch v {
+	case ticket.Yours:
+		c.trace(r, "holds its ticket")
+		c.seek(r)
+	case ticket.InProgress:
+		c.finish(r, fault.New(fault.TicketInProgress, "an earlier try holds the ticket"))
+	case ticket.Done:
+		c.finish(r, fault.New(fault.TicketDone, "the ticket's work ran"))
+	case ticket.OtherIncarnation:
+		c.finish(r, fault.New(fault.TicketHomeGone, "host %s was replaced since it issued the ticket", r.Ticket.Home))
+	default:
+		c.finish(r, fault.New(fault.TicketExpired, "the ticket is older than %s", ticket.TTL))
+	}
+}
+
+// settle tells the home how a claim ended.
+func (c *Core) settle(r *request, notRun bool) {
+	if r.Ticket.Home == c.opt.Self.ID {
+		c.tickets.Settle(*r.Ticket, r.Workspace, c.holder(r), notRun)
+		return
+	}
+	c.send(r.Ticket.Home, &peerpb.Message{Body: &peerpb.Message_SettleTicket{SettleTicket: &peerpb.SettleTicket{
+		Ticket: r.Ticket.String(), Workspace: r.Workspace, Request: r.ID, NotRun: notRun}}})
+}
+
+func (c *Core) settleTicket(from string, m *peerpb.SettleTicket) {
+	if t, err := ticket.Parse(m.Ticket); err == nil {
+		c.tickets.Settle(t, m.Workspace, from+"/"+m.Request, m.NotRun)
+	}
+}
--- /dev/null
+++ b/internal/core/duty.go
@@ -0,0 +1,366 @@
+package core
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/record"
+	"fireflyshift/internal/sched"
+)
+
+const (
+	// maxGroup is the most backend servers in one group: one scheduler hears them all.
+	maxGroup = 32
+	// readersPerZone is how many hosts of a zone watch the configuration service.
+	readersPerZone = 2
+	// delegates is how many hosts of a zone speak to each other zone.
+	delegates = 2
+	// digestEvery is how often zones tell each other of their load and configuration.
+	digestEvery = 500 * time.Millisecond
+	// digestStale is when another zone's word no longer counts.
+	digestStale = 5 * time.Second
+	// liveEvery is how often deaths are looked for.
+	liveEvery = 50 * time.Millisecond
+	// readersSilent is when a host reads the platform itself, since no live host says it does.
+	readersSilent = time.Second
+	forgetEvery   = time.Second
+)
+
+// dutyState is what this host computes from its membership view.
+type dutyState struct {
+	live     []string
+	liveAt   time.Duration
+	forgotAt time.Duration
+	shards   map[string]uint32     // shards of each service with backend servers in this zone
+	owners   map[GroupKey]string   // scheduler of each group of this zone
+	summary  map[GroupKey]groupRow // what schedulers of this zone tell
+	groupOf  map[string]GroupKey   // group of each backend server of this zone
+	reading  bool
+}
+
+// groupRow is a scheduler's latest summary of a group.
+type groupRow struct {
+	*peerpb.ServiceSummary
+	at time.Duration
+}
+
+// zoneState is the latest word of another zone.
+type zoneState struct {
+	digest *peerpb.ZoneDigest
+	at     time.Duration
+}
+
+func newDutyState() dutyState {
+	return dutyState{shards: map[string]uint32{}, owners: map[GroupKey]string{}, summary: map[GroupKey]groupRow{}}
+}
+
+func (c *Core) tickDuties() {
+	if c.now-c.duty.liveAt >= liveEvery {
+		c.duty.liveAt = c.now
+		if live := c.view.Live(c.now); !slices.Equal(live, c.duty.live) {
+			c.refreshDuties()
+		}
+		c.refreshReading()
+	}
+	if c.now-c.duty.forgotAt >= forgetEvery {
+		c.duty.forgotAt = c.now
+		c.view.Forget(c.now)
+	}
+}
+
+// refreshDuties computes again which host schedules which group.
+func (c *Core) refreshDuties() {
+	before := c.duty.live
+	c.duty.live = c.view.Live(c.now)
+	specs := c.zoneBackends()
+	c.countShards(specs)
+	changed := c.reassign()
+	c.refreshGroups(specs)
+	for _, id := range before {
+		if !c.view.Reachable(c.now, id) {
+			c.hostLost(id)
+		}
+	}
+	c.regroup()
+	for _, k := range changed {
+		c.ownerChanged(k)
+	}
+	c.refreshReading()
+}
+
+// zoneBackends lists the backend servers of this zone by service, with the host list's word on
+// leaving taken in.
+func (c *Core) zoneBackends() map[string][]record.Backend {
+	out := map[string][]record.Backend{}
+	for _, b := range c.conf.Backends() {
+		if b.Zone != c.opt.Self.Zone {
+			continue
+		}
+		spec := *b
+		spec.Leaving = spec.Leaving || c.leaving[spec.Addr]
+		out[spec.Service] = append(out[spec.Service], spec)
+	}
+	return out
+}
+
+func (c *Core) countShards(specs map[string][]record.Backend) {
+	c.duty.shards = map[string]uint32{}
+	c.duty.groupOf = map[string]GroupKey{}
+	for service, list := range specs {
+		n := uint32((len(list) + maxGroup - 1) / maxGroup)
+		c.duty.shards[service] = n
+		for i, b := range list {
+			c.duty.groupOf[b.Name] = GroupKey{service, shardOf(i, n)}
+		}
+	}
+}
+
+// shardOf deals a service's servers, sorted by name, into equal groups.
+func shardOf(index int, shards uint32) uint32 { return uint32(index) % shards }
+
+// reassign computes the schedulers and returns the groups whose scheduler changed, in order.
+func (c *Core) reassign() []GroupKey {
+	owners := map[GroupKey]string{}
+	var changed []GroupKey
+	for service, n := range c.duty.shards {
+		for shard := uint32(0); shard < n; shard++ {
+			k := GroupKey{service, shard}
+			owners[k] = member.Owner(fmt.Sprintf("sched/%s/%d", service, shard), c.duty.live)
+			if owners[k] != c.duty.owners[k] {
+				changed = append(changed, k)
+			}
+		}
+	}
+	c.duty.owners = owners
+	sortGroupKeys(changed)
+	return changed
+}
+
+func sortGroupKeys(keys []GroupKey) {
+	slices.SortFunc(keys, func(a, b GroupKey) int {
+		if a.Service != b.Service {
+			if a.Service < b.Service {
+				return -1
+			}
+			return 1
+		}
+		return int(a.Shard) - int(b.Shard)
+	})
+}
+
+// refreshGroups starts, updates and gives up the groups that this host schedules.
+func (c *Core) refreshGroups(specs map[string][]record.Backend) {
+	for _, k := range c.groupKeys() {
+		if c.duty.owners[k] != c.opt.Self.ID {
+			c.decide(k, c.groups[k].Dissolve())
+			delete(c.groups, k)
+		}
+	}
+	mine := make([]GroupKey, 0, len(c.duty.owners))
+	for k, owner := range c.duty.owners {
+		if owner == c.opt.Self.ID {
+			mine = append(mine, k)
+		}
+	}
+	sortGroupKeys(mine)
+	var watch []record.Backend
+	for _, k := range mine {
+		watch = append(watch, c.refreshGroup(k, specs[k.Service])...)
+	}
+	c.emit(WatchEngines{watch})
+}
+
+func (c *Core) refreshGroup(k GroupKey, all []record.Backend) []record.Backend {
+	service := record.Service{Name: k.Service, Kind: record.ServiceModel, Policy: record.Policies[0]}
+	if s := c.conf.Service(k.Service); s != nil {
+		service = *s
+	}
+	g, ok := c.groups[k]
+	if !ok {
+		others := slices.DeleteFunc(slices.Clone(c.duty.live), func(id string) bool { return id == c.opt.Self.ID })
+		g = sched.NewGroup(c.now, c.opt.Sched, service, others, &c.inv)
+		c.groups[k] = g
+	}
+	g.SetService(service)
+	g.SetTiers(c.conf.Tiers())
+	var specs []record.Backend
+	for i, b := range all {
+		if shardOf(i, c.duty.shards[k.Service]) == k.Shard {
+			specs = append(specs, b)
+		}
+	}
+	c.decide(k, g.SetBackends(c.now, specs))
+	if service.Kind != record.ServiceModel {
+		return nil
+	}
+	return specs
+}
+
+func (c *Core) groupKeys() []GroupKey {
+	keys := make([]GroupKey, 0, len(c.groups))
+	for k := range c.groups {
+		keys = append(keys, k)
+	}
+	sortGroupKeys(keys)
+	return keys
+}
+
+// refreshReading decides whether this host watches the configuration service: the first two of the
+// zone do, and any host does while no live host says that it reaches the service.
+//
+// The second rule guards against both readers being cut off from the platform while others are
+// not: no host of the zone would hear a change. It holds since every host judges by itself.
+func (c *Core) refreshReading() {
+	readers := member.Top("reader/"+c.opt.Self.Zone, c.duty.live, readersPerZone)
+	silent := c.now-c.gossip.readElsewhere > readersSilent
+	on := silent || slices.Contains(readers, c.opt.Self.ID)
+	if on != c.duty.reading {
+		c.duty.reading = on
+		c.emit(ReadPlatform{on})
+	}
+}
+
+func (c *Core) hostLost(id string) {
+	for _, k := range c.groupKeys() {
+		c.decide(k, c.groups[k].HostLost(c.now, id))
+	}
+}
+
+func (c *Core) tickGossip() {
+	if c.now-c.gossip.beatAt >= member.HeartbeatEvery {
+		c.sendHeartbeats()
+	}
+	if c.now-c.gossip.digestAt >= digestEvery {
+		c.gossip.digestAt = c.now
+		c.sendDigests()
+	}
+}
+
+func (c *Core) sendHeartbeats() {
+	c.gossip.beatAt = c.now
+	beat := &peerpb.Heartbeat{
+		SentMs:         c.nowMS(),
+		Draining:       c.drain,
+		ConfigRevision: c.conf.Revision(),
+		ConfigDigest:   c.conf.Digest(),
+		Groups:         c.ownSummaries(),
+		Synced:         c.gossip.synced,
+		ReadsPlatform:  c.gossip.everRead && c.now-c.gossip.readOK < platformAway,
+	}
+	for _, h := range c.view.Zone() {
+		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: beat}})
+	}
+}
+
+func (c *Core) ownSummaries() []*peerpb.ServiceSummary {
+	var out []*peerpb.ServiceSummary
+	for _, k := range c.groupKeys() {
+		s := c.groups[k].Summary(c.now)
+		out = append(out, &peerpb.ServiceSummary{Service: k.Service, Shard: k.Shard, Free: uint32(s.Free),
+			Waiting: uint32(s.Waiting), LowestRunning: uint32(s.LowestRunning + 1)})
+	}
+	return out
+}
+
+func (c *Core) heartbeat(from string, h *peerpb.Heartbeat) {
+	inc := c.view.Incarnation(from)
+	wasLive := c.view.Alive(c.now, from)
+	c.view.Heard(c.now, from, inc, h.SentMs, h.Draining)
+	for _, s := range h.Groups {
+		s.Scheduler = from
+		c.duty.summary[GroupKey{s.Service, s.Shard}] = groupRow{s, c.now}
+	}
+	if h.ReadsPlatform {
+		c.gossip.readElsewhere = c.now
+	}
+	if c.view.Alive(c.now, from) != wasLive {
+		c.refreshDuties()
+	}
+	c.compareConfig(from, h.ConfigRevision, h.ConfigDigest)
+	c.syncedByPeer(h)
+}
+
+// sendDigests tells other zones of this one. Two hosts a zone speak to each other zone, to two
+// hosts there that change with time, so that a dead one costs one beat.
+func (c *Core) sendDigests() {
+	groups := c.zoneSummaries()
+	for _, zone := range c.view.OtherZones() {
+		if !slices.Contains(member.Top("delegate/"+zone, c.duty.live, delegates), c.opt.Self.ID) {
+			continue
+		}
+		digest := &peerpb.ZoneDigest{Zone: c.opt.Self.Zone, Sequence: c.nowMS(), Origin: c.opt.Self.ID,
+			Groups: groups, ConfigRevision: c.conf.Revision(), ConfigDigest: c.conf.Digest()}
+		for _, id := range c.digestTargets(zone) {
+			c.send(id, &peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: digest}})
+		}
+	}
+}
+
+func (c *Core) digestTargets(zone string) []string {
+	var ids []string
+	for _, h := range c.view.InZone(zone) {
+		ids = append(ids, h.ID)
+	}
+	turn := uint64(c.now / digestEvery)
+	return member.Top(fmt.Sprintf("digest/%s/%d", c.opt.Self.ID, turn), ids, delegates)
+}
+
+// zoneSummaries gives one row a service: the group with the most room speaks for the zone.
+func (c *Core) zoneSummaries() []*peerpb.ServiceSummary {
+	best := map[string]*peerpb.ServiceSummary{}
+	consider := func(s *peerpb.ServiceSummary, scheduler string) {
+		old, ok := best[s.Service]
+		if !ok || s.Free > old.Free {
+			best[s.Service] = &peerpb.ServiceSummary{Service: s.Service, Shard: s.Shard, Scheduler: scheduler,
+				Free: s.Free, Waiting: s.Waiting, LowestRunning: s.LowestRunning}
+		}
+	}
+	for _, s := range c.ownSummaries() {
+		consider(s, c.opt.Self.ID)
+	}
+	keys := make([]GroupKey, 0, len(c.duty.summary))
+	for k := range c.duty.summary {
+		keys = append(keys, k)
+	}
+	sortGroupKeys(keys)
+	for _, k := range keys {
+		row := c.duty.summary[k]
+		if c.now-row.at <= digestStale && row.Scheduler == c.duty.owners[k] {
+			consider(row.ServiceSummary, row.Scheduler)
+		}
+	}
+	services := make([]string, 0, len(best))
+	for name := range best {
+		services = append(services, name)
+	}
+	slices.Sort(services)
+	out := make([]*peerpb.ServiceSummary, len(services))
+	for i, name := range services {
+		out[i] = best[name]
+	}
+	return out
+}
+
+// zoneDigest keeps the newest word of another zone and relays it inside this one.
+func (c *Core) zoneDigest(from string, d *peerpb.ZoneDigest) {
+	if d.Zone == c.opt.Self.Zone || d.Zone == "" {
+		return
+	}
+	old, ok := c.gossip.zones[d.Zone]
+	if ok && old.digest.Origin == d.Origin && d.Sequence <= old.digest.Sequence && c.now-old.at < digestStale {
+		return
+	}
+	c.gossip.zones[d.Zone] = &zoneState{d, c.now}
+	if d.Relayed {
+		return
+	}
+	relay := &peerpb.ZoneDigest{Zone: d.Zone, Sequence: d.Sequence, Origin: d.Origin, Groups: d.Groups,
+		ConfigRevision: d.ConfigRevision, ConfigDigest: d.ConfigDigest, Relayed: true}
+	for _, h := range c.view.Zone() {
+		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: relay}})
+	}
+	c.compareConfig(from, d.ConfigRevision, d.ConfigDigest)
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"fireflyshift/internal/sched"
+)
+
+// Status is what operators see of a host.
+type Status struct {
+	Host        string        `json:"host"`
+	Zone        string        `json:"zone"`
+	Incarnation uint64        `json:"incarnation"`
+	Ready       bool          `json:"ready"`
+	Draining    bool          `json:"draining"`
+	UptimeMS    int64         `json:"uptime_ms"`
+	Revision    uint64        `json:"config_revision"`
+	Digest      uint64        `json:"config_digest"`
+	Reading     bool          `json:"reads_platform"`
+	PlatformOK  bool          `json:"platform_ok"`
+	Requests    int           `json:"requests"`
+	Violations  int           `json:"invariant_violations"`
+	Peers       []PeerStatus  `json:"peers"`
+	Groups      []GroupStatus `json:"groups"`
+	Refused     []Refused     `json:"refused_records"`
+	Tickets     int           `json:"ticket_claims"`
+}
+
+// PeerStatus is another host as this one sees it.
+type PeerStatus struct {
+	Host  string `json:"host"`
+	Zone  string `json:"zone"`
+	Addr  string `json:"addr"`
+	Alive bool   `json:"alive"`
+}
+
+// GroupStatus is a group that this host schedules.
+type GroupStatus struct {
+	Service  string                `json:"service"`
+	Shard    uint32                `json:"shard"`
+	Waiting  int                   `json:"waiting"`
+	Backends []sched.BackendStatus `json:"backends"`
+}
+
+// Refused is a published record that is not in force, and why.
+type Refused struct {
+	Record   string `json:"record"`
+	Revision uint64 `json:"revision"`
+	InForce  uint64 `json:"revision_in_force"`
+	Reason   string `json:"reason"`
+}
+
+// Status gathers what operators see.
+func (c *Core) Status() Status {
+	s := Status{
+		Host:        c.opt.Self.ID,
+		Zone:        c.opt.Self.Zone,
+		Incarnation: c.opt.Incarnation,
+		Ready:       c.Ready(),
+		Draining:    c.drain,
+		UptimeMS:    c.now.Milliseconds(),
+		Revision:    c.conf.Revision(),
+		Digest:      c.conf.Digest(),
+		Reading:     c.duty.reading,
+		PlatformOK:  c.gossip.everRead && !c.gossip.failing,
+		Requests:    len(c.entry.requests),
+		Violations:  c.inv.Total(),
+		Tickets:     c.tickets.Len(),
+	}
+	for _, h := range c.view.Zone() {
+		s.Peers = append(s.Peers, PeerStatus{h.ID, h.Zone, h.Addr, c.view.Alive(c.now, h.ID)})
+	}
+	for _, k := range c.groupKeys() {
+		g := c.groups[k]
+		s.Groups = append(s.Groups, GroupStatus{k.Service, k.Shard, g.Summary(c.now).Waiting, g.Status(c.now)})
+	}
+	for _, r := range c.conf.RefusedRecords() {
+		s.Refused = append(s.Refused, Refused{r.Key.String(), r.Revision, c.conf.RevisionOf(r.Key), r.Reason})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/core/wake.go
@@ -0,0 +1,192 @@
+package core
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/peer/peerpb"
+)
+
+// wakeHeap orders requests by the next moment at which time itself is an event for them.
+type wakeHeap []*request
+
+func (h wakeHeap) Len() int { return len(h) }
+func (h wakeHeap) Less(i, j int) bool {
+	if h[i].wake != h[j].wake {
+		return h[i].wake < h[j].wake
+	}
+	return h[i].ID < h[j].ID
+}
+func (h wakeHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *wakeHeap) Push(x any) {
+	r := x.(*request)
+	r.index = len(*h)
+	*h = append(*h, r)
+}
+func (h *wakeHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return r
+}
+
+func hashString(s string) uint64 { return xxhash.Sum64String(s) }
+
+// wakeAt sets the next moment to look at a request, its deadline at the latest.
+func (c *Core) wakeAt(r *request, at time.Duration) {
+	r.wake = min(at, r.deadline)
+	heap.Fix(&c.entry.wakes, r.index)
+}
+
+func (c *Core) tickEntry() {
+	for len(c.entry.wakes) > 0 && c.entry.wakes[0].wake <= c.now {
+		c.woken(c.entry.wakes[0])
+		c.deliverLocal()
+	}
+	if c.now-c.entry.heldAt >= holdEvery {
+		c.entry.heldAt = c.now
+		c.sendAllHoldings()
+	}
+}
+
+func (c *Core) woken(r *request) {
+	if c.now >= r.deadline {
+		c.pastDeadline(r)
+		return
+	}
+	switch r.phase {
+	case claiming:
+		c.claimAgain(r)
+	case seeking:
+		c.sendAcquire(r)
+	case pausing:
+		c.seek(r)
+	default:
+		c.wakeAt(r, r.deadline)
+	}
+}
+
+// pastDeadline gives the final answer at once. Work that runs is canceled by the traffic side when
+// it sees Finish.
+func (c *Core) pastDeadline(r *request) {
+	switch {
+	case r.phase == dispatched || r.phase == suspending:
+		c.sendRelease(r, Ended{Outcome: Canceled})
+		c.finish(r, fault.New(fault.DeadlineExceeded, "the deadline passed while %s worked", r.backend))
+	case r.resume:
+		c.abandon(r)
+		c.finish(r, fault.New(fault.Displaced, "the deadline passed while the work was suspended"))
+	default:
+		c.abandon(r)
+		c.finish(r, fault.New(fault.DeadlineUnmeetable, "no slot came free in time"))
+	}
+}
+
+// askAgain repeats what a cut link may have lost.
+func (c *Core) askAgain(host string) {
+	for _, r := range c.requestsWhere(func(r *request) bool { return r.phase == seeking && r.target.scheduler == host }) {
+		c.sendAcquire(r)
+	}
+}
+
+// regroup follows running requests whose backend server is dealt to another group.
+func (c *Core) regroup() {
+	for _, r := range c.entry.requests {
+		k, ok := c.duty.groupOf[r.backend]
+		if r.runs() && ok && k != r.target.group {
+			r.target = target{k, c.duty.owners[k], c.opt.Self.Zone}
+		}
+	}
+}
+
+// ownerChanged moves what waits for a group to its new scheduler and tells it what runs.
+func (c *Core) ownerChanged(k GroupKey) {
+	moved := c.requestsWhere(func(r *request) bool {
+		return r.target.group == k && r.target.zone == c.opt.Self.Zone && r.target.scheduler != c.duty.owners[k]
+	})
+	for _, r := range moved {
+		switch r.phase {
+		case seeking:
+			c.abandon(r)
+			c.seek(r)
+		case dispatched, suspending:
+			r.target.scheduler = c.duty.owners[k]
+		}
+	}
+	if owner := c.duty.owners[k]; owner != "" {
+		c.sendHoldings(target{k, owner, c.opt.Self.Zone})
+	}
+}
+
+func (c *Core) requestsWhere(want func(*request) bool) []*request {
+	var out []*request
+	for _, r := range c.entry.requests {
+		if want(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, func(a, b *request) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func (r *request) runs() bool { return r.phase == dispatched || r.phase == suspending }
+
+// sendAllHoldings tells each scheduler what this host runs under it; one that it had told of runs
+// hears of their end once more, in case a Release was lost.
+func (c *Core) sendAllHoldings() {
+	now := map[target]bool{}
+	for _, r := range c.entry.requests {
+		if r.runs() {
+			now[r.target] = true
+		}
+	}
+	all := make([]target, 0, len(now))
+	for t := range now {
+		all = append(all, t)
+	}
+	for t := range c.entry.held {
+		if !now[t] {
+			all = append(all, t)
+		}
+	}
+	slices.SortFunc(all, func(a, b target) int {
+		if a.group != b.group {
+			keys := []GroupKey{a.group, b.group}
+			sortGroupKeys(keys)
+			if keys[0] == a.group {
+				return -1
+			}
+			return 1
+		}
+		if a.scheduler < b.scheduler {
+			return -1
+		}
+		return 1
+	})
+	for _, t := range all {
+		c.sendHoldings(t)
+	}
+	c.entry.held = now
+}
+
+func (c *Core) sendHoldings(t target) {
+	m := &peerpb.Holdings{Service: t.group.Service, Shard: t.group.Shard, SentMs: c.nowMS()}
+	for _, r := range c.requestsWhere(func(r *request) bool { return r.runs() && r.target == t }) {
+		m.Held = append(m.Held, &peerpb.Held{Request: r.ID, Attempt: r.attempt, Backend: r.backend, Priority: r.Priority,
+			Workspace: r.Workspace, OutputTokens: r.OutputTokens, NonIdempotent: r.NonIdempotent})
+	}
+	c.send(t.scheduler, &peerpb.Message{Body: &peerpb.Message_Holdings{Holdings: m}})
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,254 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"fireflyshift/internal/admin"
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/edge"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/platform"
+	"fireflyshift/internal/sched"
+	"fireflyshift/internal/settings"
+	"fireflyshift/internal/telemetry"
+)
+
+const (
+	queryTimeout  = time.Second
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+	drainPoll     = 20 * time.Millisecond
+	closeTimeout  = 2 * time.Second
+)
+
+// Daemon is one running host.
+type Daemon struct {
+	set     *settings.Settings
+	log     zerolog.Logger
+	tracing *telemetry.Tracing
+	metrics telemetry.Metrics
+	control *control
+	sender  *peer.Sender
+	peers   *grpc.Server
+	callers *http.Server
+	admin   *http.Server
+	reader  *toggle
+	engines *engineWatch
+	started time.Time
+}
+
+// Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
+// stops at once.
+func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger) error {
+	work, stop := context.WithCancel(hard)
+	defer stop()
+	d, err := build(work, set, log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	listeners, err := d.listen()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	g, _ := errgroup.WithContext(work)
+	d.serve(work, g, listeners)
+	d.log.Info().Str("host", set.Host.ID).Str("zone", set.Host.Zone).Str("callers", set.Listen.Callers).Msg("Serving.")
+	select {
+	case <-ctx.Done():
+		d.drain(hard)
+	case <-hard.Done():
+	case <-work.Done():
+	}
+	d.close()
+	stop()
+	err = g.Wait()
+	d.sender.Wait()
+	return trace.Wrap(err)
+}
+
+func build(ctx context.Context, set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+	serverCreds, clientCreds, err := peer.Credentials(set.TLS.PeersCert, set.TLS.PeersKey, set.TLS.PeersRoot)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	tracing, err := telemetry.NewTracing(ctx, telemetry.TraceOptions{Exporter: set.Traces.Exporter, Endpoint: set.Traces.Endpoint,
+		Ratio: set.Traces.Ratio, Host: set.Host.ID, Zone: set.Host.Zone, Out: log})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	m := telemetry.NewMetrics()
+	self := member.Host{ID: set.Host.ID, Zone: set.Host.Zone, Addr: set.Listen.AdvertisePeers}
+	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
+	ctl := newControl(c, m, telemetry.For(log, "control"))
+	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl, started: time.Now()}
+	d.sender = peer.NewSender(ctx, &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr}, clientCreds,
+		peer.Counters{SentMessages: m.Counter("peer.sent_messages"), SentBytes: m.Counter("peer.sent_bytes"), Dropped: m.Counter("peer.dropped")},
+		func(host string) { ctl.Post(core.LinkOpened{Host: host}) })
+	d.peers = peer.NewServer(serverCreds, ctl, m.Counter("peer.received_bytes"))
+	client := platform.NewClient(set.Platform.URL, set.Platform.WatchWait)
+	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context) { client.WatchRecords(ctx, ctl.Post) }}
+	d.engines = newEngineWatch(ctx, ctl.Post)
+	ctl.out = outlets{send: d.sender.Send, readPlatform: d.reader.set, watchEngines: d.engines.set, spans: newSlotSpans(tracing)}
+	d.buildServers(incarnation, log)
+	go client.WatchHosts(ctx, ctl.Post)
+	return d, nil
+}
+
+// newIncarnation is random, so that a clock set back cannot make two starts of a host look alike.
+func newIncarnation() (uint64, error) {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return 0, trace.Wrap(err)
+	}
+	return binary.BigEndian.Uint64(b[:])>>11 | 1, nil
+}
+
+func (d *Daemon) buildServers(incarnation uint64, log zerolog.Logger) {
+	e := edge.New(edge.Options{
+		Host:           d.set.Host.ID,
+		Incarnation:    incarnation,
+		MaxBodyBytes:   d.set.Limits.MaxBodyBytes,
+		MaxAnswerBytes: d.set.Limits.MaxAnswerBytes,
+		BodyTimeout:    d.set.Limits.BodyTimeout,
+	}, d.control, d.tracing, d.metrics, telemetry.For(log, "edge"))
+	d.callers = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
+	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout}
+}
+
+type listeners struct{ callers, peers, admin net.Listener }
+
+func (d *Daemon) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = d.listenOn("callers", d.set.Listen.Callers); err != nil {
+		return l, err
+	}
+	if d.set.TLS.CallersCert != "" {
+		pair, err := tls.LoadX509KeyPair(d.set.TLS.CallersCert, d.set.TLS.CallersKey)
+		if err != nil {
+			return l, fault.Invalidf("[tls] callers_cert, callers_key", "give a PEM certificate and its key", "%v", err)
+		}
+		l.callers = tls.NewListener(l.callers, &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12})
+	}
+	if l.peers, err = d.listenOn("peers", d.set.Listen.Peers); err != nil {
+		return l, err
+	}
+	l.admin, err = d.listenOn("admin", d.set.Listen.Admin)
+	return l, err
+}
+
+func (d *Daemon) listenOn(key, addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fault.Invalidf("[listen] "+key, "free the port or name another", "%v", err)
+	}
+	return l, nil
+}
+
+func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, l listeners) {
+	g.Go(func() error { d.control.run(ctx); return nil })
+	g.Go(func() error { return ignoreClosed(d.callers.Serve(l.callers)) })
+	g.Go(func() error { return ignoreClosed(d.admin.Serve(l.admin)) })
+	g.Go(func() error { return trace.Wrap(d.peers.Serve(l.peers)) })
+	if len(d.set.Peers) > 0 {
+		var hosts core.HostList
+		for _, h := range d.set.Peers {
+			hosts.Hosts = append(hosts.Hosts, core.ListedHost{Host: h})
+		}
+		d.control.Post(hosts)
+	}
+}
+
+func ignoreClosed(err error) error {
+	if err == http.ErrServerClosed {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+// drain is the graceful shutdown. Readiness goes first, so that the balancer looks elsewhere, and
+// requests are still taken for the grace; then new ones are refused and duties move; then it waits
+// for the answers in flight. Drain.Limit or a second signal ends the wait.
+func (d *Daemon) drain(hard context.Context) {
+	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal stops at once.")
+	d.control.unready()
+	if !sleep(hard, d.set.Drain.Grace) {
+		return
+	}
+	d.control.Post(core.Drain{})
+	until := time.Now().Add(d.set.Drain.Limit)
+	for time.Now().Before(until) {
+		held := 1
+		d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
+		if held == 0 {
+			d.log.Info().Msg("Drained.")
+			return
+		}
+		if !sleep(hard, drainPoll) {
+			d.log.Warn().Int("cut", held).Msg("Second signal. Answers are cut.")
+			return
+		}
+	}
+	d.log.Warn().Int64("cut", d.control.held.Load()).Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
+}
+
+func sleep(ctx context.Context, t time.Duration) bool {
+	timer := time.NewTimer(t)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (d *Daemon) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = d.callers.Shutdown(ctx)
+	_ = d.callers.Close()
+	_ = d.admin.Close()
+	d.peers.Stop()
+	_ = d.tracing.Close(ctx)
+}
+
+// Ready implements admin.Source.
+func (d *Daemon) Ready() bool { return d.control.ready.Load() && !d.control.leaving.Load() }
+
+// Healthy implements admin.Source: the control thread answers.
+func (d *Daemon) Healthy() bool { return d.control.query(queryTimeout, func(*core.Core) {}) }
+
+// Status implements admin.Source.
+func (d *Daemon) Status() (core.Status, bool) {
+	var s core.Status
+	ok := d.control.query(queryTimeout, func(c *core.Core) { s = c.Status() })
+	s.Ready = s.Ready && !d.control.leaving.Load()
+	return s, ok
+}
+
+// Explain implements admin.Source.
+func (d *Daemon) Explain(id string) ([]core.Hop, bool) {
+	var trail []core.Hop
+	ok := d.control.query(queryTimeout, func(c *core.Core) { trail = append(trail, c.Trail(id)...) })
+	return trail, ok
+}
--- /dev/null
+++ b/internal/edge/body.go
@@ -0,0 +1,101 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"fireflyshift/internal/engine"
+	"fireflyshift/internal/fault"
+)
+
+// defaultOutputTokens is assumed where a caller sets no bound.
+const defaultOutputTokens = 256
+
+// readBody reads the whole body within size and time limits, so that a slow caller holds nothing
+// but its own connection: no slot is asked for before the body is here.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, fault.New(fault.BodyTooLarge, "the body has more than %d bytes", s.opt.MaxBodyBytes)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.New(fault.SlowBody, "the body did not come within %s", s.opt.BodyTimeout)
+	case err != nil:
+		return nil, fault.New(fault.BadBody, "the body could not be read: %v", err)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return data, nil
+}
+
+// chatBody is the part of a chat-completions body that the system reads.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Stream    bool          `json:"stream"`
+	MaxTokens uint32        `json:"max_tokens"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func parseChat(data []byte) (chatBody, *fault.Error) {
+	var b chatBody
+	if err := json.Unmarshal(data, &b); err != nil {
+		return b, fault.New(fault.BadBody, "the JSON is malformed: %v", err)
+	}
+	if b.Model == "" || len(b.Messages) == 0 {
+		return b, fault.New(fault.BadBody, "model or messages is missing")
+	}
+	if b.MaxTokens == 0 {
+		b.MaxTokens = defaultOutputTokens
+	}
+	return b, nil
+}
+
+// prompt is the text whose prefixes engines cache.
+func (b chatBody) prompt() string {
+	var out strings.Builder
+	for _, m := range b.Messages {
+		out.WriteString(m.Role)
+		out.WriteByte('\n')
+		out.WriteString(m.text())
+		out.WriteByte('\n')
+	}
+	return out.String()
+}
+
+// text is the content as a string, or as JSON where it has parts.
+func (m chatMessage) text() string {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s
+	}
+	return string(m.Content)
+}
+
+func tokens(text string) uint32 { return uint32(len(text)/engine.BytesPerToken + 1) }
+
+// engineBody is the caller's body with streaming on: an answer has to be watched as it comes, to
+// be resumed when it is cut.
+func engineBody(data []byte) ([]byte, *fault.Error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return nil, fault.New(fault.BadBody, "the JSON is malformed: %v", err)
+	}
+	fields["stream"] = json.RawMessage("true")
+	out, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fault.New(fault.BadBody, "the JSON cannot be passed on: %v", err)
+	}
+	return bytes.Clone(out), nil
+}
--- /dev/null
+++ b/internal/edge/chat.go
@@ -0,0 +1,252 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/engine"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/record"
+)
+
+const (
+	// reattachTries bounds the attempts to take up a cut stream; the pauses double.
+	reattachTries = 5
+	reattachFirst = 20 * time.Millisecond
+	suspendWait   = 3 * time.Second
+)
+
+// chat serves POST /v1/chat/completions.
+func (s *Server) chat(w http.ResponseWriter, c *call) *fault.Error {
+	data, f := s.readBody(w, c.Request)
+	if f != nil {
+		return f
+	}
+	b, f := parseChat(data)
+	if f != nil {
+		return f
+	}
+	sub, f := s.submission(c, b.Model)
+	if f != nil {
+		return f
+	}
+	if c.config.Service(b.Model).Kind != record.ServiceModel {
+		return fault.New(fault.UnknownService, "service %q is not a model service; use /services/%s/", b.Model, b.Model)
+	}
+	body, f := engineBody(data)
+	if f != nil {
+		return f
+	}
+	prompt := b.prompt()
+	sub.PromptTokens, sub.OutputTokens, sub.Prefix = tokens(prompt), b.MaxTokens, engine.PrefixHashes(prompt)
+	s.fly(c, sub, &modelAttempt{server: s, call: c, body: body, sink: newSink(w, c, b.Stream, s.opt.MaxAnswerBytes),
+		exported: make(chan *engine.KV, 1)})
+	return nil
+}
+
+// modelAttempt carries a request over its dispatch to an engine, with re-attachment after cuts and
+// suspension for more urgent work.
+type modelAttempt struct {
+	server   *Server
+	call     *call
+	body     []byte
+	sink     sink
+	addr     string
+	offset   int // next token that the caller lacks
+	kv       *engine.KV
+	exported chan *engine.KV
+	timing   timing
+}
+
+// timing measures a dispatch for the scheduler's estimates.
+type timing struct {
+	started, first, last time.Time
+	tokens               int
+}
+
+func (t *timing) token(now time.Time) {
+	if t.tokens == 0 {
+		t.first = now
+	}
+	t.last = now
+	t.tokens++
+}
+
+func (t *timing) fill(e core.Ended) core.Ended {
+	if t.tokens > 0 {
+		e.FirstToken = t.first.Sub(t.started)
+	}
+	if t.tokens > 1 {
+		e.Interval = t.last.Sub(t.first) / time.Duration(t.tokens-1)
+	}
+	e.Tokens = uint32(t.tokens)
+	return e
+}
+
+func (m *modelAttempt) run(ctx context.Context, d core.Dispatch) core.Ended {
+	m.addr = d.Backend.Addr
+	m.timing = timing{started: time.Now()}
+	m.dropOldExport()
+	m.sink.setBackend(d.Backend.Name)
+	st, sent, err := m.open(ctx, d)
+	if err != nil {
+		return m.openFailed(ctx, d, sent, err)
+	}
+	e := m.follow(ctx, st)
+	if e.Outcome == core.Canceled || e.Outcome == core.Failed {
+		m.server.engines.Cancel(m.addr, m.call.id)
+	}
+	return m.timing.fill(e)
+}
+
+// dropOldExport forgets an export that came after its stream had ended another way.
+func (m *modelAttempt) dropOldExport() {
+	select {
+	case <-m.exported:
+	default:
+	}
+}
+
+func (m *modelAttempt) open(ctx context.Context, d core.Dispatch) (*engine.Stream, bool, error) {
+	h := http.Header{}
+	m.server.tracing.Inject(ctx, carrier(h))
+	if d.Resume {
+		return m.server.engines.Import(ctx, m.addr, m.call.id, m.kv, carrier(h))
+	}
+	return m.server.engines.Start(ctx, m.addr, m.call.id, m.body, carrier(h))
+}
+
+func (m *modelAttempt) openFailed(ctx context.Context, d core.Dispatch, sent bool, err error) core.Ended {
+	if !sent || notAdmitted(err) {
+		return core.Ended{Outcome: core.NotSent}
+	}
+	if ctx.Err() != nil {
+		m.server.engines.Cancel(m.addr, m.call.id)
+		return core.Ended{Outcome: core.Canceled}
+	}
+	// The request was written and its answer lost: the engine may have it. Asking for the stream
+	// is not a second dispatch; an engine that never got the request answers that it is unknown.
+	if !d.Resume {
+		if st := m.reattach(ctx); st != nil {
+			return m.timing.fill(m.follow(ctx, st))
+		}
+	}
+	return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
+}
+
+// notAdmitted tells that the engine itself says that it has not begun the work.
+func notAdmitted(err error) bool {
+	var s *engine.StatusError
+	if !errors.As(err, &s) {
+		return false
+	}
+	return s.Status == http.StatusTooManyRequests || s.Status == http.StatusServiceUnavailable
+}
+
+// follow reads the stream to its end, over cuts.
+func (m *modelAttempt) follow(ctx context.Context, st *engine.Stream) core.Ended {
+	for {
+		e, cut := m.read(ctx, st)
+		st.Close()
+		if !cut {
+			return e
+		}
+		if st = m.reattach(ctx); st == nil {
+			if ctx.Err() != nil {
+				return core.Ended{Outcome: core.Canceled}
+			}
+			return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "after %d tokens", m.offset)}
+		}
+		m.server.metrics.Count("edge.reattached", 1)
+	}
+}
+
+// read passes chunks on until the answer is whole or the stream is cut.
+//
+// The checks of id and offset guard against crossed and torn answers: a chunk of another request,
+// or one that skips tokens, counts as a cut, and the stream is taken up at the right place.
+func (m *modelAttempt) read(ctx context.Context, st *engine.Stream) (e core.Ended, cut bool) {
+	finished := false
+	for {
+		c, err := st.Next()
+		if errors.Is(err, engine.ErrDone) && finished {
+			return m.deliver()
+		}
+		if err != nil || c.ID != m.call.id {
+			return core.Ended{Outcome: core.Canceled}, ctx.Err() == nil
+		}
+		if c.Suspended() {
+			return m.suspended(), false
+		}
+		if c.Offset < m.offset {
+			continue // a repeat after re-attachment
+		}
+		if c.Offset > m.offset {
+			return core.Ended{}, true
+		}
+		if c.Finished() != "" {
+			finished = true
+		} else {
+			m.offset++
+			m.timing.token(time.Now())
+		}
+		if err := m.sink.chunk(c); err != nil {
+			return core.Ended{Outcome: core.Canceled}, false
+		}
+	}
+}
+
+func (m *modelAttempt) deliver() (core.Ended, bool) {
+	if err := m.sink.done(); err != nil {
+		return core.Ended{Outcome: core.Canceled}, false
+	}
+	return core.Ended{Outcome: core.Done}, false
+}
+
+// suspended waits for the export whose end mark the stream has shown.
+func (m *modelAttempt) suspended() core.Ended {
+	select {
+	case kv := <-m.exported:
+		m.kv = kv
+		m.kv.Offset = m.offset
+		return core.Ended{Outcome: core.Suspended}
+	case <-time.After(suspendWait):
+		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "the exported stream was lost")}
+	}
+}
+
+func (m *modelAttempt) reattach(ctx context.Context) *engine.Stream {
+	pause := reattachFirst
+	for i := 0; i < reattachTries && ctx.Err() == nil; i++ {
+		st, err := m.server.engines.Reattach(ctx, m.addr, m.call.id, m.offset)
+		if err == nil {
+			return st
+		}
+		var refused *engine.StatusError
+		if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause *= 3
+	}
+	return nil
+}
+
+func (m *modelAttempt) suspend(ctx context.Context) {
+	kv, err := m.server.engines.Suspend(ctx, m.addr, m.call.id)
+	if err != nil {
+		m.server.metrics.Count("edge.suspend_failed", 1)
+		return
+	}
+	m.server.metrics.Count("edge.suspended", 1)
+	m.dropOldExport()
+	m.exported <- kv
+}
+
+func (m *modelAttempt) conclude(f *fault.Error) { m.sink.fault(f) }
--- /dev/null
+++ b/internal/edge/flight.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/fault"
+)
+
+// effectBuffer is more than the reducer ever has outstanding for one request.
+const effectBuffer = 16
+
+// attempt carries out the dispatches of one request, one at a time.
+type attempt interface {
+	// run makes the call and writes the answer as it comes. It returns when the dispatch has ended.
+	run(ctx context.Context, d core.Dispatch) core.Ended
+	// suspend asks the backend server to export the stream that run reads.
+	suspend(ctx context.Context)
+	// conclude writes the fault as far as the answer has not begun; it may abort the connection.
+	conclude(f *fault.Error)
+}
+
+// fly hands a request to the reducer and carries out its effects until it is finished.
+func (s *Server) fly(c *call, sub core.Submit, a attempt) {
+	effects := make(chan core.Effect, effectBuffer)
+	ended := make(chan core.Ended, 1)
+	ctx, cancel := context.WithCancel(c.Context())
+	defer cancel()
+	ctx, wait := s.tracing.Start(ctx, "host to host: slot")
+	defer wait.End()
+	sub.Traceparent = s.tracing.Traceparent(ctx)
+	s.control.Submit(sub, effects)
+	running := false
+	gone := c.Context().Done()
+	for {
+		select {
+		case e := <-effects:
+			switch e := e.(type) {
+			case core.Dispatch:
+				running = true
+				go s.dispatch(ctx, a, e, ended)
+			case core.Suspend:
+				go a.suspend(background(ctx))
+			case core.Finish:
+				cancel()
+				if running {
+					<-ended
+				}
+				a.conclude(e.Fault)
+				if e.Fault != nil {
+					s.metrics.Count("edge.refused."+string(e.Fault.Kind), 1)
+				}
+				return
+			}
+		case e := <-ended:
+			running = false
+			s.control.Post(e)
+		case <-gone:
+			gone = nil
+			s.control.Post(core.Gone{ID: sub.ID})
+		}
+	}
+}
+
+// dispatch makes the call unless the permission has run out on this host's own clock. The check
+// guards against a process that was paused between the decision and this line: it would dispatch
+// on a lease that others count as ended.
+func (s *Server) dispatch(ctx context.Context, a attempt, d core.Dispatch, ended chan<- core.Ended) {
+	if s.control.Now() > d.ValidUntil {
+		ended <- core.Ended{ID: d.ID, Attempt: d.Attempt, Outcome: core.NotSent}
+		return
+	}
+	ctx, span := s.tracing.Start(ctx, "host to backend server")
+	defer span.End()
+	e := a.run(ctx, d)
+	e.ID, e.Attempt = d.ID, d.Attempt
+	ended <- e
+}
+
+// abort ends the connection so that the caller cannot take a short answer for a whole one.
+func abort() { panic(http.ErrAbortHandler) }
--- /dev/null
+++ b/internal/edge/pass.go
@@ -0,0 +1,151 @@
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/record"
+	"fireflyshift/internal/wire"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade"}
+
+// pass serves /services/NAME/... for plain services.
+func (s *Server) pass(w http.ResponseWriter, c *call) *fault.Error {
+	name := c.PathValue("service")
+	sub, f := s.submission(c, name)
+	if f != nil {
+		return f
+	}
+	if c.config.Service(name).Kind != record.ServicePlain {
+		return fault.New(fault.UnknownService, "service %q is a model service; use /v1/chat/completions", name)
+	}
+	body, f := s.readBody(w, c.Request)
+	if f != nil {
+		return f
+	}
+	sub.PromptTokens, sub.OutputTokens = 0, 1
+	s.fly(c, sub, &plainAttempt{server: s, call: c, w: w, body: body, deadline: time.Now().Add(sub.Deadline)})
+	return nil
+}
+
+// plainAttempt carries a request over its dispatch to a plain service.
+type plainAttempt struct {
+	server   *Server
+	call     *call
+	w        http.ResponseWriter
+	body     []byte
+	deadline time.Time
+	begun    bool
+}
+
+func (p *plainAttempt) run(ctx context.Context, d core.Dispatch) core.Ended {
+	started := time.Now()
+	req, err := p.request(ctx, d.Backend.Addr)
+	if err != nil {
+		return core.Ended{Outcome: core.NotSent}
+	}
+	resp, sent, err := wire.Do(p.server.plain, req)
+	if err != nil {
+		return p.failed(ctx, d, sent, err)
+	}
+	defer resp.Body.Close()
+	if err := p.copy(d, resp); err != nil {
+		if ctx.Err() != nil {
+			return core.Ended{Outcome: core.Canceled}
+		}
+		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "backend server %s: %v", d.Backend.Name, err)}
+	}
+	took := time.Since(started)
+	return core.Ended{Outcome: core.Done, FirstToken: took, Interval: took, Tokens: 1}
+}
+
+func (p *plainAttempt) request(ctx context.Context, addr string) (*http.Request, error) {
+	u := *p.call.URL
+	u.Scheme, u.Host = "http", addr
+	u.Path = "/" + p.call.PathValue("path")
+	u.RawPath = ""
+	req, err := http.NewRequestWithContext(ctx, p.call.Method, u.String(), bytes.NewReader(p.body))
+	if err != nil {
+		return nil, err
+	}
+	if len(p.body) == 0 {
+		req.Body = nil
+	}
+	req.Header = p.call.Header.Clone()
+	dropHopHeaders(req.Header)
+	req.Header.Del("Authorization") // the workspace's key is for this system alone
+	req.Header.Set(headerBackendID, p.call.id)
+	left := max(time.Until(p.deadline), time.Millisecond)
+	req.Header.Set(headerDeadline, formatMS(left))
+	p.server.tracing.Inject(ctx, carrier(req.Header))
+	return req, nil
+}
+
+func (p *plainAttempt) failed(ctx context.Context, d core.Dispatch, sent bool, err error) core.Ended {
+	switch {
+	case !sent:
+		return core.Ended{Outcome: core.NotSent}
+	case ctx.Err() != nil:
+		return core.Ended{Outcome: core.Canceled}
+	default:
+		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
+	}
+}
+
+// copy passes the answer on. net/http reports a body that ends before its declared length as an
+// error, so a short answer is never taken for a whole one.
+func (p *plainAttempt) copy(d core.Dispatch, resp *http.Response) error {
+	h := p.w.Header()
+	for k, v := range resp.Header {
+		h[k] = v
+	}
+	dropHopHeaders(h)
+	h.Set(headerRequest, p.call.id)
+	h.Set(headerBackend, d.Backend.Name)
+	p.begun = true
+	p.w.WriteHeader(resp.StatusCode)
+	_, err := io.Copy(deadlineWriter{p.w}, resp.Body)
+	return err
+}
+
+// deadlineWriter ends callers that do not read.
+type deadlineWriter struct{ http.ResponseWriter }
+
+// Write allows writeTimeout for each piece.
+func (d deadlineWriter) Write(b []byte) (int, error) {
+	_ = http.NewResponseController(d.ResponseWriter).SetWriteDeadline(time.Now().Add(writeTimeout))
+	return d.ResponseWriter.Write(b)
+}
+
+// suspend does nothing: a plain service cannot give up work that has begun.
+func (p *plainAttempt) suspend(context.Context) {}
+
+func (p *plainAttempt) conclude(f *fault.Error) {
+	if f == nil {
+		return
+	}
+	if p.begun {
+		abort()
+	}
+	writeFault(p.w, f)
+}
+
+func dropHopHeaders(h http.Header) {
+	for _, name := range h.Values("Connection") {
+		for _, k := range strings.Split(name, ",") {
+			h.Del(strings.TrimSpace(k))
+		}
+	}
+	for _, k := range hopHeaders {
+		h.Del(k)
+	}
+}
--- /dev/null
+++ b/internal/edge/server.go
@@ -0,0 +1,180 @@
+// Package edge serves callers over HTTP: it checks who they are and what they ask, hands the
+// request to the reducer, carries out its effects, and writes the answer. Bytes of answers stay
+// here; the control thread never sees them.
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	"fireflyshift/internal/confstate"
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/engine"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/ticket"
+	"fireflyshift/internal/wire"
+)
+
+// Control is the control thread as the edge sees it. Methods are safe for concurrent use.
+type Control interface {
+	// Submit passes a request on; its effects come on the channel, which must not be left unread.
+	Submit(core.Submit, chan<- core.Effect)
+	Post(core.Event)
+	// Now is the host's monotonic clock.
+	Now() time.Duration
+	// Config is the configuration in force.
+	Config() *confstate.Snapshot
+}
+
+// Options are the limits and the identity of an edge.
+type Options struct {
+	Host           string
+	Incarnation    uint64
+	MaxBodyBytes   int64
+	MaxAnswerBytes int64
+	BodyTimeout    time.Duration
+}
+
+// Server is the edge of one host.
+type Server struct {
+	opt     Options
+	control Control
+	engines *engine.Client
+	plain   *http.Client
+	tracing *telemetry.Tracing
+	metrics telemetry.Metrics
+	log     zerolog.Logger
+}
+
+// New returns an edge.
+func New(opt Options, c Control, tracing *telemetry.Tracing, m telemetry.Metrics, log zerolog.Logger) *Server {
+	return &Server{opt: opt, control: c, engines: engine.NewClient(), tracing: tracing, metrics: m, log: log,
+		plain: &http.Client{Transport: wire.NewTransport(), CheckRedirect: noRedirect}}
+}
+
+// noRedirect passes redirects to the caller: following one would be a second dispatch.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// Handler routes callers' requests.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/chat/completions", s.handler(s.chat))
+	mux.Handle("POST /fireflyshift/v1/tickets", s.handler(s.issueTicket))
+	mux.Handle("/services/{service}/{path...}", s.handler(s.pass))
+	mux.Handle("/", s.handler(func(http.ResponseWriter, *call) *fault.Error {
+		return fault.New(fault.UnknownService, "no such path; use /v1/chat/completions or /services/NAME/...")
+	}))
+	return mux
+}
+
+// call is one caller's request with what the headers say.
+type call struct {
+	*http.Request
+	id      string
+	headers headers
+	config  *confstate.Snapshot
+}
+
+// handler checks the key and the headers, then runs next; a fault becomes the answer.
+func (s *Server) handler(next func(http.ResponseWriter, *call) *fault.Error) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started := time.Now()
+		ctx, span := s.tracing.Start(s.tracing.Extract(r.Context(), carrier(r.Header)), "caller to host")
+		defer span.End()
+		c := &call{Request: r.WithContext(ctx), id: newID(), config: s.control.Config()}
+		w.Header().Set(headerRequest, c.id)
+		f := s.identify(c)
+		if f == nil {
+			f = next(w, c)
+		}
+		if f != nil {
+			writeFault(w, f)
+			s.metrics.Count("edge.refused."+string(f.Kind), 1)
+		}
+		s.metrics.Timer("edge.request").UpdateSince(started)
+	})
+}
+
+// newID is a request id: unique over all hosts, ordered by time for people who read logs.
+func newID() string { return uuid.Must(uuid.NewV7()).String() }
+
+func (s *Server) identify(c *call) *fault.Error {
+	h, f := parseHeaders(c.Request)
+	if f != nil {
+		return f
+	}
+	h.workspace = c.config.WorkspaceByKey(hashKey(h.key))
+	if h.workspace == nil {
+		return fault.New(fault.UnknownKey, "no workspace has this key")
+	}
+	c.headers = h
+	return nil
+}
+
+// submission checks service and tier and builds the event.
+func (s *Server) submission(c *call, serviceName string) (core.Submit, *fault.Error) {
+	h := c.headers
+	service := c.config.Service(serviceName)
+	if service == nil {
+		return core.Submit{}, fault.New(fault.UnknownService, "service %q has no record", serviceName)
+	}
+	tierName := h.tier
+	if tierName == "" {
+		tierName = service.DefaultTier
+	}
+	tier := c.config.Tier(tierName)
+	if tier == nil {
+		return core.Submit{}, fault.New(fault.UnknownTier, "tier %q has no record", tierName)
+	}
+	if !h.workspace.Grants(tier.Name) {
+		return core.Submit{}, fault.New(fault.TierNotGranted, "workspace %s is not granted tier %s", h.workspace.Name, tier.Name)
+	}
+	if f := s.needTicket(h); f != nil {
+		return core.Submit{}, f
+	}
+	deadline := tier.Deadline
+	if h.deadline > 0 {
+		deadline = h.deadline
+	}
+	return core.Submit{
+		ID:            c.id,
+		Workspace:     h.workspace.Name,
+		Service:       service.Name,
+		Tier:          tier.Name,
+		Priority:      tier.Priority,
+		Deadline:      deadline,
+		NonIdempotent: h.nonIdempotent,
+		Ticket:        h.ticket,
+		Traceparent:   s.tracing.Traceparent(c.Context()),
+	}, nil
+}
+
+// needTicket refuses non-idempotent work that the caller means to be able to ask for again: its own
+// id would be unknown to the host that a balancer picks for the second try.
+func (s *Server) needTicket(h headers) *fault.Error {
+	if !h.nonIdempotent || h.callerID == "" || h.ticket != nil {
+		return nil
+	}
+	f := fault.New(fault.TicketRequired, "non-idempotent request %s has an id of the caller's and no ticket", h.callerID)
+	f.Ticket = s.newTicket()
+	return f
+}
+
+func (s *Server) newTicket() string {
+	t := ticket.Ticket{Home: s.opt.Host, Incarnation: s.opt.Incarnation, Issued: s.control.Now(), Nonce: uuid.NewString()[:13]}
+	return t.String()
+}
+
+// issueTicket gives a caller a ticket before its first try.
+func (s *Server) issueTicket(w http.ResponseWriter, _ *call) *fault.Error {
+	writeJSON(w, http.StatusOK, map[string]any{"ticket": s.newTicket(), "valid_ms": ticket.TTL.Milliseconds()})
+	return nil
+}
+
+// background is a context that outlives the caller's, for clean-up calls.
+func background(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
--- /dev/null
+++ b/internal/engine/prefix.go
@@ -0,0 +1,25 @@
+package engine
+
+import "github.com/cespare/xxhash/v2"
+
+// Prefixes are hashed at lengths that double, from firstPrefix bytes: about 64 to 8,192 tokens.
+const (
+	firstPrefix   = 256
+	prefixLengths = 8
+	// BytesPerToken converts text to tokens where no tokenizer is at hand.
+	BytesPerToken = 4
+)
+
+// PrefixHashes gives the hash of each prefix of a prompt, shortest first. Engines name their cache
+// entries by the same hashes.
+func PrefixHashes(prompt string) []uint64 {
+	var out []uint64
+	for i := 0; i < prefixLengths; i++ {
+		n := firstPrefix << i
+		if n > len(prompt) {
+			break
+		}
+		out = append(out, xxhash.Sum64String(prompt[:n]))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,277 @@
+// Package member keeps one host's view of the other hosts: the platform's lagging list says who
+// may exist, heartbeats say who lives. Duties are computed from the view by rendezvous hashing, so
+// no host holds one by election.
+package member
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Times of the failure detector. A host is dead for duties after DeadAfter without a heartbeat.
+const (
+	HeartbeatEvery = 200 * time.Millisecond
+	DeadAfter      = 1200 * time.Millisecond
+	// ListedGrace keeps an unlisted host that still sends heartbeats: the platform's list lags.
+	ListedGrace = 30 * time.Second
+)
+
+// Host is what the platform's list, the settings or a link say of a host.
+type Host struct {
+	ID      string
+	Zone    string
+	Addr    string
+	Leaving bool
+}
+
+// peer is the live state of another host.
+type peer struct {
+	Host
+	listed      bool
+	incarnation uint64
+	heardAt     time.Duration
+	heard       bool
+	seenAt      time.Duration // latest link or heartbeat
+	echo        uint64        // the peer's clock in its latest heartbeat, ms
+	draining    bool
+}
+
+// View is one host's membership view. It is not safe for concurrent use.
+type View struct {
+	self     Host
+	draining bool
+	peers    map[string]*peer
+	version  uint64
+	listed   int
+}
+
+// NewView returns a view that knows only the host itself.
+func NewView(self Host) *View {
+	return &View{self: self, peers: map[string]*peer{}}
+}
+
+// SetList takes the platform's list of entry hosts. Absence from it is not death: an unlisted
+// host that heartbeats stays.
+func (v *View) SetList(hosts []Host) {
+	for _, p := range v.peers {
+		p.listed = false
+	}
+	for _, h := range hosts {
+		if h.ID == v.self.ID {
+			continue
+		}
+		p := v.at(h.ID)
+		p.Host, p.listed = h, true
+	}
+	v.listed = len(hosts)
+	v.version++
+}
+
+// Learn adds a host that opened a link to us. The incarnation of the latest link counts: it is
+// random, so a clock set back on the peer cannot make a restarted host look old.
+func (v *View) Learn(now time.Duration, h Host, incarnation uint64) {
+	if h.ID == v.self.ID {
+		return
+	}
+	p := v.at(h.ID)
+	if incarnation != p.incarnation {
+		p.echo, p.heard = 0, false
+		v.version++
+	}
+	p.incarnation = incarnation
+	p.seenAt = now
+	p.Addr, p.Zone = h.Addr, h.Zone
+}
+
+func (v *View) at(id string) *peer {
+	p, ok := v.peers[id]
+	if !ok {
+		p = &peer{Host: Host{ID: id}}
+		v.peers[id] = p
+	}
+	return p
+}
+
+// Heard notes a heartbeat: it was sent when the peer's clock showed sentMS.
+func (v *View) Heard(now time.Duration, id string, incarnation, sentMS uint64, draining bool) {
+	p, ok := v.peers[id]
+	if !ok || p.incarnation != incarnation {
+		return
+	}
+	was := v.alive(now, p)
+	p.heard, p.heardAt, p.seenAt, p.draining = true, now, now, draining
+	if sentMS > p.echo {
+		p.echo = sentMS
+	}
+	if was != v.alive(now, p) {
+		v.version++
+	}
+}
+
+// Echo gives the latest clock reading and incarnation had from a peer.
+func (v *View) Echo(id string) (ms, incarnation uint64) {
+	p, ok := v.peers[id]
+	if !ok {
+		return 0, 0
+	}
+	return p.echo, p.incarnation
+}
+
+// Incarnation is the peer's latest known incarnation, zero if none.
+func (v *View) Incarnation(id string) uint64 {
+	_, inc := v.Echo(id)
+	return inc
+}
+
+// SetDraining marks this host itself as leaving.
+func (v *View) SetDraining() {
+	v.draining = true
+	v.version++
+}
+
+func (v *View) alive(now time.Duration, p *peer) bool {
+	return p.heard && now-p.heardAt <= DeadAfter && !p.draining
+}
+
+// Alive tells whether a host answers heartbeats and takes duties.
+func (v *View) Alive(now time.Duration, id string) bool {
+	if id == v.self.ID {
+		return !v.draining
+	}
+	p, ok := v.peers[id]
+	return ok && v.alive(now, p)
+}
+
+// Reachable is Alive without the regard to draining: a draining host still finishes its streams.
+func (v *View) Reachable(now time.Duration, id string) bool {
+	if id == v.self.ID {
+		return true
+	}
+	p, ok := v.peers[id]
+	return ok && p.heard && now-p.heardAt <= DeadAfter
+}
+
+// Known finds a host by id.
+func (v *View) Known(id string) (Host, bool) {
+	if id == v.self.ID {
+		return v.self, true
+	}
+	p, ok := v.peers[id]
+	if !ok {
+		return Host{}, false
+	}
+	return p.Host, true
+}
+
+// Zone lists the other hosts of this availability zone, by id.
+func (v *View) Zone() []Host {
+	return v.pick(func(p *peer) bool { return p.Zone == v.self.Zone })
+}
+
+// InZone lists the known hosts of any availability zone but ours, by id.
+func (v *View) InZone(zone string) []Host {
+	return v.pick(func(p *peer) bool { return p.Zone == zone && !p.Leaving })
+}
+
+// OtherZones lists the other availability zones that have hosts, by name.
+func (v *View) OtherZones() []string {
+	seen := map[string]bool{v.self.Zone: true}
+	var out []string
+	for _, p := range v.peers {
+		if !seen[p.Zone] && p.Zone != "" {
+			seen[p.Zone] = true
+			out = append(out, p.Zone)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+func (v *View) pick(want func(*peer) bool) []Host {
+	var out []Host
+	for _, p := range v.peers {
+		if p.Addr != "" && want(p) {
+			out = append(out, p.Host)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// Live lists the ids of the live hosts of this zone, this one included unless it drains, by id.
+func (v *View) Live(now time.Duration) []string {
+	var out []string
+	if !v.draining {
+		out = append(out, v.self.ID)
+	}
+	for id, p := range v.peers {
+		if p.Zone == v.self.Zone && v.alive(now, p) {
+			out = append(out, id)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// FleetSize is the number of hosts that share a fleet-wide limit. It comes from the platform's
+// list and not from heartbeats: during a partition heartbeats would count few hosts on each side,
+// and each side would hand out the whole limit.
+func (v *View) FleetSize() int {
+	if v.listed > 0 {
+		return v.listed
+	}
+	return len(v.peers) + 1
+}
+
+// Forget drops hosts that are neither listed nor heard for ListedGrace.
+func (v *View) Forget(now time.Duration) {
+	for id, p := range v.peers {
+		if !p.listed && now-p.seenAt > ListedGrace {
+			delete(v.peers, id)
+		}
+	}
+}
+
+// Version grows with changes that come from messages. Deaths are a matter of time: compare Live.
+func (v *View) Version() uint64 { return v.version }
+
+// Top returns the n hosts that rank first for a duty, best first (rendezvous hashing).
+func Top(duty string, hosts []string, n int) []string {
+	type ranked struct {
+		id    string
+		score uint64
+	}
+	all := make([]ranked, len(hosts))
+	for i, id := range hosts {
+		all[i] = ranked{id, xxhash.Sum64String(duty + "\x00" + id)}
+	}
+	sort.Slice(all, func(i, j int) bool {
+		if all[i].score != all[j].score {
+			return all[i].score > all[j].score
+		}
+		return all[i].id < all[j].id
+	})
+	out := make([]string, 0, n)
+	for i := 0; i < n && i < len(all); i++ {
+		out = append(out, all[i].id)
+	}
+	return out
+}
+
+// Owner returns the host that ranks first for a duty, empty if there is none.
+func Owner(duty string, hosts []string) string {
+	top := Top(duty, hosts, 1)
+	if len(top) == 0 {
+		return ""
+	}
+	return top[0]
+}
+
+// NoteEcho keeps a peer's clock reading that came with another message than a heartbeat.
+func (v *View) NoteEcho(id string, sentMS uint64) {
+	if p, ok := v.peers[id]; ok && sentMS > p.echo {
+		p.echo = sentMS
+	}
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,187 @@
+// Package peer carries messages between hosts over gRPC. It knows nothing of what they mean.
+// Messages to a host go on one stream that this host dials; they are coalesced into batches, and
+// dropped when a queue is full: every message of the protocol is repeated or repaired if lost.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer/peerpb"
+)
+
+const (
+	queueLength   = 8192
+	maxBatch      = 512
+	redialFirst   = 50 * time.Millisecond
+	redialMost    = time.Second
+	dialTimeout   = 2 * time.Second
+	keepaliveTime = 10 * time.Second
+	maxMessage    = 4 << 20
+	// idleClose ends links that nothing uses, as those to schedulers of other zones.
+	idleClose = 30 * time.Second
+)
+
+// Counter counts bytes and messages; the daemon passes metrics in.
+type Counter interface{ Inc(int64) }
+
+// Counters are what a Sender reports.
+type Counters struct {
+	SentMessages, SentBytes, Dropped Counter
+}
+
+// Sender keeps a link to each host that messages go to.
+type Sender struct {
+	ctx    context.Context
+	self   *peerpb.Sender
+	creds  credentials.TransportCredentials
+	opened func(host string)
+	count  Counters
+	mu     sync.Mutex
+	links  map[string]*link
+	wg     sync.WaitGroup
+}
+
+// NewSender returns a sender. opened is called each time that a link is open anew.
+func NewSender(ctx context.Context, self *peerpb.Sender, creds credentials.TransportCredentials, count Counters, opened func(host string)) *Sender {
+	return &Sender{ctx: ctx, self: self, creds: creds, opened: opened, count: count, links: map[string]*link{}}
+}
+
+// Send queues a message. It never blocks: the control thread calls it.
+func (s *Sender) Send(to member.Host, m *peerpb.Message) {
+	select {
+	case s.linkTo(to).queue <- m:
+	default:
+		s.count.Dropped.Inc(1)
+	}
+}
+
+func (s *Sender) linkTo(to member.Host) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, ok := s.links[to.ID]
+	if ok && l.addr == to.Addr {
+		return l
+	}
+	if ok {
+		l.cancel() // the host was replaced at another address
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	l = &link{sender: s, host: to.ID, addr: to.Addr, queue: make(chan *peerpb.Message, queueLength), cancel: cancel}
+	s.links[to.ID] = l
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		l.run(ctx)
+	}()
+	return l
+}
+
+// drop forgets a link that closed by itself.
+func (s *Sender) drop(l *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.links[l.host] == l {
+		delete(s.links, l.host)
+	}
+}
+
+// Wait returns when all links have ended; the context given to NewSender ends them.
+func (s *Sender) Wait() { s.wg.Wait() }
+
+// link is the outgoing stream to one host.
+type link struct {
+	sender *Sender
+	host   string
+	addr   string
+	queue  chan *peerpb.Message
+	cancel context.CancelFunc
+}
+
+func (l *link) run(ctx context.Context) {
+	defer l.cancel()
+	defer l.sender.drop(l)
+	conn, err := grpc.NewClient("passthrough:///"+l.addr,
+		grpc.WithTransportCredentials(l.sender.creds),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: redialFirst, Multiplier: 2, Jitter: 0.2, MaxDelay: redialMost},
+			MinConnectTimeout: dialTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: 2 * time.Second}),
+		grpc.WithReadBufferSize(4<<10), grpc.WithWriteBufferSize(16<<10))
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	wait := redialFirst
+	for ctx.Err() == nil {
+		idle, used := l.stream(ctx, conn)
+		if idle {
+			return
+		}
+		if used {
+			wait = redialFirst
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(wait):
+		}
+		wait = min(2*wait, redialMost)
+	}
+}
+
+// stream sends until an error or until the link is idle; used tells that it was open for a while.
+func (l *link) stream(ctx context.Context, conn *grpc.ClientConn) (idle, used bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	st, err := peerpb.NewPeerClient(conn).Link(ctx, grpc.WaitForReady(false))
+	if err != nil {
+		return false, false
+	}
+	if err := st.Send(&peerpb.Batch{From: l.sender.self}); err != nil {
+		return false, false
+	}
+	l.sender.opened(l.host)
+	timer := time.NewTimer(idleClose)
+	defer timer.Stop()
+	for {
+		select {
+		case <-st.Context().Done():
+			return false, true
+		case <-timer.C:
+			_, _ = st.CloseAndRecv()
+			return true, true
+		case m := <-l.queue:
+			batch := l.coalesce(m)
+			if err := st.Send(batch); err != nil {
+				return false, true
+			}
+			timer.Reset(idleClose)
+		}
+	}
+}
+
+// coalesce takes what else waits, so that a burst costs one write.
+func (l *link) coalesce(first *peerpb.Message) *peerpb.Batch {
+	b := &peerpb.Batch{Messages: []*peerpb.Message{first}}
+	for len(b.Messages) < maxBatch {
+		select {
+		case m := <-l.queue:
+			b.Messages = append(b.Messages, m)
+		default:
+			l.sender.count.SentMessages.Inc(int64(len(b.Messages)))
+			l.sender.count.SentBytes.Inc(int64(sizeOf(b)))
+			return b
+		}
+	}
+	l.sender.count.SentMessages.Inc(int64(len(b.Messages)))
+	l.sender.count.SentBytes.Inc(int64(sizeOf(b)))
+	return b
+}
--- /dev/null
+++ b/internal/sched/backend.go
@@ -0,0 +1,145 @@
+package sched
+
+import (
+	"time"
+
+	"fireflyshift/internal/record"
+)
+
+// Learned quantities start here until a backend server has shown its own.
+const (
+	firstInterval  = 10 * time.Millisecond  // between tokens
+	firstPrefill   = 200 * time.Microsecond // per uncached prompt token
+	ewmaGain       = 0.2
+	slowFactor     = 1.6 // interval over its own best that calls for a smaller window
+	windowDecrease = 0.85
+	baselineDrift  = 1.001 // lets the best interval follow a lasting change
+	coolDownFirst  = 500 * time.Millisecond
+	coolDownMost   = 10 * time.Second
+	tokensPerBlock = 64 // tokens in the shortest prefix that a host hashes
+)
+
+// run is a granted or running request.
+type run struct {
+	Held
+	granted    time.Duration
+	confirmed  time.Duration // latest time that its entry host named it
+	preempted  time.Duration
+	displacing bool
+	orphanAt   time.Duration // when its entry host was lost; zero if it was not
+	cost       float64
+}
+
+// backend is what the scheduler knows of one backend server.
+type backend struct {
+	spec     record.Backend
+	runs     map[Key]*run
+	window   float64
+	interval float64 // learned, ms between tokens
+	best     float64 // the least it has shown of late
+	prefill  float64 // learned, ms per uncached prompt token
+	prefix   *prefixCache
+	failures int
+	coolTill time.Duration
+	// reported is the engine's own lagging word on its load.
+	reported   int
+	reportedAt time.Duration
+}
+
+func newBackend(spec record.Backend) *backend {
+	return &backend{
+		spec:     spec,
+		runs:     map[Key]*run{},
+		window:   float64(spec.Slots),
+		interval: ms(firstInterval),
+		prefill:  ms(firstPrefill),
+		prefix:   newPrefixCache(),
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+func fromMS(v float64) time.Duration { return time.Duration(v * float64(time.Millisecond)) }
+
+// limit is how many requests may be outstanding now.
+func (b *backend) limit() int { return max(1, int(b.window)) }
+
+// limitFor leaves the slots that more urgent tiers have reserved.
+func (b *backend) limitFor(reservePercent int) int {
+	reserved := (b.limit()*reservePercent + 99) / 100
+	return max(1, b.limit()-reserved)
+}
+
+// estimate is the time that a request would take from grant to last token.
+func (b *backend) estimate(r *Request) float64 {
+	uncached := float64(r.PromptTokens) - float64(b.prefix.matched(r.Prefix, r.PromptTokens))
+	if r.Resume {
+		uncached = 0
+	}
+	return uncached*b.prefill + float64(r.OutputTokens)*b.interval
+}
+
+// learn takes a finished dispatch into the estimates and the window.
+//
+// The window guards against a backend server that slows down without warning: the engine admits
+// whatever it is sent, so every request in it would miss its time. It shows as token intervals far
+// above the server's own best; the window then shrinks by a factor, and grows by one per window.
+func (b *backend) learn(now time.Duration, res Result, modelService bool) {
+	if res.Outcome == Failed {
+		b.coolDown(now)
+		return
+	}
+	if res.Outcome != Done {
+		return
+	}
+	b.failures = 0
+	if res.FirstToken > 0 && res.Prompt > 0 {
+		sample := ms(res.FirstToken) / float64(res.Prompt)
+		b.prefill += ewmaGain * (sample - b.prefill)
+	}
+	if res.Interval <= 0 {
+		return
+	}
+	sample := ms(res.Interval)
+	b.interval += ewmaGain * (sample - b.interval)
+	b.best = b.best * baselineDrift
+	if b.best == 0 || sample < b.best {
+		b.best = sample
+	}
+	if !modelService {
+		return
+	}
+	if sample > slowFactor*b.best {
+		b.window = max(1, b.window*windowDecrease)
+		return
+	}
+	if len(b.runs)+1 >= b.limit() {
+		b.window = min(float64(b.spec.Slots), b.window+1/b.window)
+	}
+}
+
+// coolDown keeps new work off a backend server that failed, for longer each time in a row.
+func (b *backend) coolDown(now time.Duration) {
+	d := coolDownFirst << min(b.failures, 5)
+	b.coolTill = now + min(d, coolDownMost)
+	b.failures++
+}
+
+// ready tells whether the server may get work. After a failure it gets one request at a time.
+func (b *backend) ready(now time.Duration) bool {
+	if b.spec.Leaving || now < b.coolTill {
+		return false
+	}
+	return b.failures == 0 || len(b.runs) == 0
+}
+
+// lowestRunning is the least priority that runs here, -1 when idle.
+func (b *backend) lowestRunning() int {
+	lowest := -1
+	for _, r := range b.runs {
+		if lowest < 0 || int(r.Priority) < lowest {
+			lowest = int(r.Priority)
+		}
+	}
+	return lowest
+}
--- /dev/null
+++ b/internal/sched/policy.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// scorer ranks the backend servers that passed the filter; the least score wins, ties go by name.
+// A policy is named in the service record. All but "cost" are baselines to measure it against.
+type scorer func(g *Group, r *Request, b *backend) float64
+
+var scorers = map[string]scorer{
+	"cost":         scoreCost,
+	"first-come":   scoreCost,
+	"round-robin":  scoreRoundRobin,
+	"random":       scoreRandom,
+	"least-loaded": scoreReported,
+	"two-choices":  scoreTwoChoices,
+	"prefix":       scorePrefix,
+}
+
+// ignoresTiers tells whether a policy serves first come, first served.
+func ignoresTiers(policy string) bool { return policy != "cost" }
+
+// crowding weighs how much a filling engine slows the rest of an answer.
+const crowding = 0.5
+
+// scoreCost estimates the finish: uncached prefill, then tokens at the server's learned interval,
+// slower as the server fills.
+func scoreCost(_ *Group, r *Request, b *backend) float64 {
+	fill := float64(len(b.runs)) / float64(b.limit())
+	return b.estimate(r) * (1 + crowding*fill)
+}
+
+func scoreRoundRobin(g *Group, _ *Request, b *backend) float64 {
+	n := len(g.order)
+	return float64((g.position(b.spec.Name) - int(g.grants%uint64(n)) + n) % n)
+}
+
+func scoreRandom(g *Group, _ *Request, b *backend) float64 {
+	seed := binary.BigEndian.AppendUint64([]byte(b.spec.Name), g.grants)
+	return float64(xxhash.Sum64(seed))
+}
+
+func scoreReported(_ *Group, _ *Request, b *backend) float64 {
+	return float64(b.reported) / float64(b.spec.Slots)
+}
+
+// scoreTwoChoices compares the reported load of two servers drawn at random.
+func scoreTwoChoices(g *Group, r *Request, b *backend) float64 {
+	const notDrawn = 1e9
+	better := 0
+	mine := scoreRandom(g, r, b)
+	for _, name := range g.order {
+		if scoreRandom(g, r, g.backends[name]) < mine {
+			better++
+		}
+	}
+	if better >= 2 {
+		return notDrawn + float64(better)
+	}
+	return scoreReported(g, r, b)
+}
+
+func scorePrefix(_ *Group, r *Request, b *backend) float64 {
+	return -float64(b.prefix.matched(r.Prefix, r.PromptTokens))
+}
--- /dev/null
+++ b/internal/sched/queue.go
@@ -0,0 +1,272 @@
+package sched
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+)
+
+// waiting is a request in the queue.
+type waiting struct {
+	Request
+	arrived time.Duration
+	// latest is the last moment at which a start could still meet the deadline.
+	latest  time.Duration
+	cost    float64 // estimated slot-milliseconds
+	element *list.Element
+	owner   *workspaceQueue
+	index   int // in the expiry heap
+}
+
+// workspaceQueue is the line of one workspace inside one tier.
+type workspaceQueue struct {
+	name    string
+	weight  float64
+	line    *list.List
+	virtual float64 // weighted work served; the least is served next
+	index   [2]int  // positions in the two heaps
+}
+
+// backlog is what the longest-line eviction compares.
+func (w *workspaceQueue) backlog() float64 { return float64(w.line.Len()) / w.weight }
+
+// workspaceHeap orders workspaces by one of two measures.
+type workspaceHeap struct {
+	items []*workspaceQueue
+	which int
+	less  func(a, b *workspaceQueue) bool
+}
+
+func (h *workspaceHeap) Len() int { return len(h.items) }
+func (h *workspaceHeap) Less(i, j int) bool {
+	a, b := h.items[i], h.items[j]
+	if h.less(a, b) != h.less(b, a) {
+		return h.less(a, b)
+	}
+	return a.name < b.name
+}
+func (h *workspaceHeap) Swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].index[h.which] = i
+	h.items[j].index[h.which] = j
+}
+func (h *workspaceHeap) Push(x any) {
+	w := x.(*workspaceQueue)
+	w.index[h.which] = len(h.items)
+	h.items = append(h.items, w)
+}
+func (h *workspaceHeap) Pop() any {
+	last := len(h.items) - 1
+	w := h.items[last]
+	h.items[last] = nil
+	h.items = h.items[:last]
+	return w
+}
+
+// tierQueue serves the workspaces of one tier by weighted fair queuing.
+type tierQueue struct {
+	workspaces map[string]*workspaceQueue
+	next       workspaceHeap // by virtual time
+	longest    workspaceHeap // by backlog
+	floor      float64       // virtual time of the latest service
+	count      int
+	cost       float64
+}
+
+// maxIdleWorkspaces bounds the workspaces remembered without work in the queue.
+const maxIdleWorkspaces = 4096
+
+func newTierQueue() *tierQueue {
+	return &tierQueue{
+		workspaces: map[string]*workspaceQueue{},
+		next:       workspaceHeap{which: 0, less: func(a, b *workspaceQueue) bool { return a.virtual < b.virtual }},
+		longest:    workspaceHeap{which: 1, less: func(a, b *workspaceQueue) bool { return a.backlog() > b.backlog() }},
+	}
+}
+
+func (t *tierQueue) push(w *waiting) {
+	q, ok := t.workspaces[w.Workspace]
+	if !ok {
+		t.dropIdle()
+		q = &workspaceQueue{name: w.Workspace, line: list.New()}
+		t.workspaces[w.Workspace] = q
+	}
+	q.weight = max(w.Weight, 0.01)
+	if q.line.Len() == 0 {
+		q.virtual = max(q.virtual, t.floor)
+		heap.Push(&t.next, q)
+		heap.Push(&t.longest, q)
+	}
+	w.element = q.line.PushBack(w)
+	w.owner = q
+	t.count++
+	t.cost += w.cost
+	t.fix(q)
+}
+
+func (t *tierQueue) fix(q *workspaceQueue) {
+	heap.Fix(&t.next, q.index[0])
+	heap.Fix(&t.longest, q.index[1])
+}
+
+func (t *tierQueue) remove(w *waiting) {
+	q := w.owner
+	q.line.Remove(w.element)
+	t.count--
+	t.cost -= w.cost
+	if q.line.Len() == 0 {
+		heap.Remove(&t.next, q.index[0])
+		heap.Remove(&t.longest, q.index[1])
+		return
+	}
+	t.fix(q)
+}
+
+// head is the request to serve next, nil if none waits.
+func (t *tierQueue) head() *waiting {
+	if t.count == 0 {
+		return nil
+	}
+	return t.next.items[0].line.Front().Value.(*waiting)
+}
+
+// tail is the request to shed first: the newest of the workspace with the greatest weighted backlog.
+func (t *tierQueue) tail() *waiting {
+	if t.count == 0 {
+		return nil
+	}
+	return t.longest.items[0].line.Back().Value.(*waiting)
+}
+
+// serve removes the head and charges its workspace.
+func (t *tierQueue) serve(w *waiting) {
+	q := w.owner
+	t.floor = max(t.floor, q.virtual)
+	q.virtual += w.cost / q.weight
+	t.remove(w)
+}
+
+func (t *tierQueue) dropIdle() {
+	if len(t.workspaces) < maxIdleWorkspaces {
+		return
+	}
+	for name, q := range t.workspaces {
+		if q.line.Len() == 0 && q.virtual <= t.floor {
+			delete(t.workspaces, name)
+		}
+	}
+}
+
+// expiryHeap orders waiting requests by the last useful start.
+type expiryHeap []*waiting
+
+func (h expiryHeap) Len() int { return len(h) }
+func (h expiryHeap) Less(i, j int) bool {
+	if h[i].latest != h[j].latest {
+		return h[i].latest < h[j].latest
+	}
+	return h[i].Key.Less(h[j].Key)
+}
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *expiryHeap) Push(x any) {
+	w := x.(*waiting)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+func (h *expiryHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
+
+// queue holds all that waits in a group. Every operation costs at most the logarithm of its size.
+// Suspended requests have lines of their own: they need a server that imports KV cache, and must
+// not hold up fresh work that other servers could take.
+type queue struct {
+	fresh   [Priorities]*tierQueue
+	resumed [Priorities]*tierQueue
+	byKey   map[Key]*waiting
+	expiry  expiryHeap
+}
+
+func newQueue() *queue {
+	q := &queue{byKey: map[Key]*waiting{}}
+	for i := range q.fresh {
+		q.fresh[i] = newTierQueue()
+		q.resumed[i] = newTierQueue()
+	}
+	return q
+}
+
+func (q *queue) len() int { return len(q.byKey) }
+
+func (q *queue) lineOf(w *waiting) *tierQueue {
+	if w.Resume {
+		return q.resumed[w.Priority]
+	}
+	return q.fresh[w.Priority]
+}
+
+func (q *queue) push(w *waiting) {
+	q.byKey[w.Key] = w
+	q.lineOf(w).push(w)
+	heap.Push(&q.expiry, w)
+}
+
+func (q *queue) remove(w *waiting) {
+	q.lineOf(w).remove(w)
+	q.forget(w)
+}
+
+func (q *queue) serve(w *waiting) {
+	q.lineOf(w).serve(w)
+	q.forget(w)
+}
+
+func (q *queue) forget(w *waiting) {
+	delete(q.byKey, w.Key)
+	heap.Remove(&q.expiry, w.index)
+}
+
+// countAt is how many requests wait at a priority.
+func (q *queue) countAt(priority uint32) int {
+	return q.fresh[priority].count + q.resumed[priority].count
+}
+
+// last is the request to shed first: fresh work of the lowest tier before suspended work of it.
+func (q *queue) last() *waiting {
+	for p := 0; p < Priorities; p++ {
+		if w := q.fresh[p].tail(); w != nil {
+			return w
+		}
+		if w := q.resumed[p].tail(); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+// oldest is the request that came first, whatever its tier.
+func (q *queue) oldest() *waiting {
+	var oldest *waiting
+	for _, t := range q.fresh {
+		if w := t.head(); w != nil && (oldest == nil || w.arrived < oldest.arrived) {
+			oldest = w
+		}
+	}
+	return oldest
+}
+
+// costFrom is the estimated work that waits at a priority or above.
+func (q *queue) costFrom(priority uint32) float64 {
+	sum := 0.0
+	for p := int(priority); p < Priorities; p++ {
+		sum += q.fresh[p].cost + q.resumed[p].cost
+	}
+	return sum
+}
