--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -99,9 +99,13 @@
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.For(log, "control"))
 	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl, started: time.Now()}
-	d.sender = peer.NewSender(ctx, &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr}, clientCreds,
-		peer.Counters{SentMessages: m.Counter("peer.sent_messages"), SentBytes: m.Counter("peer.sent_bytes"), Dropped: m.Counter("peer.dropped")},
-		func(host string) { ctl.Post(core.LinkOpened{Host: host}) })
+	d.sender = peer.NewSender(ctx, peer.Options{
+		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
+		Creds:  clientCreds,
+		Routes: set.Routes,
+		Count:  peer.Counters{SentMessages: m.Counter("peer.sent_messages"), SentBytes: m.Counter("peer.sent_bytes"), Dropped: m.Counter("peer.dropped")},
+		Opened: func(host string) { ctl.Post(core.LinkOpened{Host: host}) },
+	})
 	d.peers = peer.NewServer(serverCreds, ctl, m.Counter("peer.received_bytes"))
 	client := platform.NewClient(set.Platform.URL, set.Platform.WatchWait)
 	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context) { client.WatchRecords(ctx, ctl.Post) }}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -42,6 +42,7 @@
 	ctx    context.Context
 	self   *peerpb.Sender
 	creds  credentials.TransportCredentials
+	routes map[string]string
 	opened func(host string)
 	count  Counters
 	mu     sync.Mutex
@@ -49,9 +50,20 @@
 	wg     sync.WaitGroup
 }
 
-// NewSender returns a sender. opened is called each time that a link is open anew.
-func NewSender(ctx context.Context, self *peerpb.Sender, creds credentials.TransportCredentials, count Counters, opened func(host string)) *Sender {
-	return &Sender{ctx: ctx, self: self, creds: creds, opened: opened, count: count, links: map[string]*link{}}
+// Options of a Sender.
+type Options struct {
+	Self  *peerpb.Sender
+	Creds credentials.TransportCredentials
+	// Routes gives other addresses to dial hosts at than they advertise.
+	Routes map[string]string
+	Count  Counters
+	// Opened is called each time that a link is open anew.
+	Opened func(host string)
+}
+
+// NewSender returns a sender whose links end with ctx.
+func NewSender(ctx context.Context, o Options) *Sender {
+	return &Sender{ctx: ctx, self: o.Self, creds: o.Creds, routes: o.Routes, opened: o.Opened, count: o.Count, links: map[string]*link{}}
 }
 
 // Send queues a message. It never blocks: the control thread calls it.
@@ -64,6 +76,9 @@
 }
 
 func (s *Sender) linkTo(to member.Host) *link {
+	if other, ok := s.routes[to.ID]; ok {
+		to.Addr = other
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, ok := s.links[to.ID]
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,9 @@
 	Listen   Listen
 	Platform Platform
 	Peers    []member.Host
+	// Routes gives other addresses to dial hosts at than they advertise, by host id: for address
+	// translation between availability zones.
+	Routes map[string]string
 	Limits   Limits
 	Drain    Drain
 	TLS      TLS
@@ -95,7 +98,7 @@
 	"host":     {"id", "zone"},
 	"listen":   {"callers", "peers", "admin", "advertise_peers"},
 	"platform": {"url", "watch_wait"},
-	"peers":    {"seeds"},
+	"peers":    {"seeds", "routes"},
 	"limits":   {"max_body_bytes", "max_header_bytes", "max_requests", "body_timeout", "max_answer_bytes"},
 	"drain":    {"grace", "limit"},
 	"tls":      {"callers_cert", "callers_key", "peers_cert", "peers_key", "peers_root"},
@@ -177,6 +180,7 @@
 	s.Listen.AdvertisePeers = r.addr("listen", "advertise_peers", s.Listen.Peers)
 	s.Platform = Platform{r.url("platform", "url"), r.duration("platform", "watch_wait", 20*time.Second, time.Second, 5*time.Minute)}
 	s.Peers = r.seeds()
+	s.Routes = r.routes()
 	s.Limits = Limits{
 		MaxBodyBytes:   r.number("limits", "max_body_bytes", 1<<20, 1<<10, 64<<20),
 		MaxHeaderBytes: int(r.number("limits", "max_header_bytes", 16<<10, 1<<10, 1<<20)),
@@ -302,6 +306,20 @@
 	return out
 }
 
+// routes reads ID=IP:PORT, separated by commas.
+func (r *reader) routes() map[string]string {
+	out := map[string]string{}
+	for _, item := range r.ini.Section("peers").Key("routes").Strings(",") {
+		id, addr, ok := strings.Cut(item, "=")
+		if _, err := netip.ParseAddrPort(addr); !ok || err != nil || !idPattern.MatchString(id) {
+			r.bad("peers", "routes", "give ID=IP:PORT, separated by commas", "%q is malformed", item)
+			continue
+		}
+		out[id] = addr
+	}
+	return out
+}
+
 func (r *reader) tls() TLS {
 	t := TLS{r.text("tls", "callers_cert"), r.text("tls", "callers_key"),
 		r.text("tls", "peers_cert"), r.text("tls", "peers_key"), r.text("tls", "peers_root")}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -124,6 +124,7 @@
 	Advertise             string
 	Platform              string
 	Seeds                 []string
+	Routes                []string // ID=IP:PORT
 	Extra                 string // further INI text
 }
 
@@ -151,10 +152,11 @@
 watch_wait = 5s
 [peers]
 seeds = %s
+routes = %s
 [drain]
 grace = 300ms
 %s
-`, h.ID, h.Zone, h.Callers, h.Peers, h.Admin, advertise, h.Platform, strings.Join(h.Seeds, ","), h.Extra)
+`, h.ID, h.Zone, h.Callers, h.Peers, h.Admin, advertise, h.Platform, strings.Join(h.Seeds, ","), strings.Join(h.Routes, ","), h.Extra)
 }
 
 // StartHost writes the settings into dir and runs the daemon.
