--- a/internal/sched/backend.go
+++ b/internal/sched/backend.go
@@ -70,13 +70,20 @@
 	return max(1, b.limit()-reserved)
 }
 
-// estimate is the time that a request would take from grant to last token.
-func (b *backend) estimate(r *Request) float64 {
+// estimate is the time that a request would take from grant to last token, in ms. A share of the
+// output bound is expected, since most answers end before their bound.
+func (b *backend) estimate(r *Request, share float64) float64 {
 	uncached := float64(r.PromptTokens) - float64(b.prefix.matched(r.Prefix, r.PromptTokens))
 	if r.Resume {
 		uncached = 0
 	}
-	return uncached*b.prefill + float64(r.OutputTokens)*b.interval
+	return uncached*b.prefill + float64(r.OutputTokens)*share*b.interval
+}
+
+// least is the shortest time that the server has shown it could take; zero before it has shown any.
+// A guess must never refuse a request.
+func (b *backend) least(r *Request, share float64) float64 {
+	return float64(r.OutputTokens) * share * b.best
 }
 
 // learn takes a finished dispatch into the estimates and the window.
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -24,6 +24,7 @@
 	reserve  [Priorities]int // percent of slots that tiers above each priority reserve
 	running  [Priorities]int // how many run at each priority
 	grants   uint64
+	answered float64 // share of the output bound that answers come to; zero before the first
 	settled  bool
 	settleAt time.Duration
 	sweptAt  time.Duration
@@ -164,22 +165,44 @@
 
 func (g *Group) newWaiting(now time.Duration, r Request) *waiting {
 	w := &waiting{Request: r, arrived: now}
-	w.cost = g.fastest(&r)
-	w.latest = r.Deadline - fromMS(w.cost)
+	w.cost = g.overServers(func(b *backend) float64 { return b.estimate(&r, g.share()) })
+	least := g.overServers(func(b *backend) float64 { return b.least(&r, g.answered) })
+	w.latest = r.Deadline - fromMS(least)
 	return w
 }
 
-// fastest is the least time that any server would take, in ms.
-func (g *Group) fastest(r *Request) float64 {
+// overServers is the least of a quantity over the servers, zero if there are none.
+func (g *Group) overServers(quantity func(*backend) float64) float64 {
 	least := -1.0
 	for _, name := range g.order {
-		if e := g.backends[name].estimate(r); least < 0 || e < least {
-			least = e
+		if v := quantity(g.backends[name]); least < 0 || v < least {
+			least = v
 		}
 	}
 	return max(least, 0)
 }
 
+// share is the part of the output bound that answers come to, learned from those that ended.
+func (g *Group) share() float64 {
+	if g.answered == 0 {
+		return 1
+	}
+	return g.answered
+}
+
+// learnShare takes the length of a whole answer.
+func (g *Group) learnShare(r *run, res Result) {
+	if res.Outcome != Done || r.OutputTokens == 0 || res.Tokens == 0 {
+		return
+	}
+	sample := min(1, float64(res.Tokens)/float64(r.OutputTokens))
+	if g.answered == 0 {
+		g.answered = sample
+		return
+	}
+	g.answered += ewmaGain * (sample - g.answered)
+}
+
 // Withdraw forgets a request whose caller has gone or whose entry host gave it up.
 func (g *Group) Withdraw(now time.Duration, k Key, attempt uint32) []Decision {
 	if w, ok := g.queue.byKey[k]; ok && w.Attempt <= attempt {
@@ -199,6 +222,7 @@
 		b.learn(now, res, g.service.Kind == record.ServiceModel)
 	}
 	if r := g.find(res.Key); r != nil && r.Attempt <= res.Attempt {
+		g.learnShare(r, res)
 		g.free(r)
 	}
 	g.pump(now)
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -28,9 +28,9 @@
 
 // scoreCost estimates the finish: uncached prefill, then tokens at the server's learned interval,
 // slower as the server fills.
-func scoreCost(_ *Group, r *Request, b *backend) float64 {
+func scoreCost(g *Group, r *Request, b *backend) float64 {
 	fill := float64(len(b.runs)) / float64(b.limit())
-	return b.estimate(r) * (1 + crowding*fill)
+	return b.estimate(r, g.share()) * (1 + crowding*fill)
 }
 
 func scoreRoundRobin(g *Group, _ *Request, b *backend) float64 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,11 +26,11 @@
 	// Routes gives other addresses to dial hosts at than they advertise, by host id: for address
 	// translation between availability zones.
 	Routes map[string]string
-	Limits   Limits
-	Drain    Drain
-	TLS      TLS
-	Log      Log
-	Traces   Traces
+	Limits Limits
+	Drain  Drain
+	TLS    TLS
+	Log    Log
+	Traces Traces
 }
 
 // Host names this host.
--- a/internal/standin/fleet/caller.go
+++ b/internal/standin/fleet/caller.go
@@ -66,6 +66,11 @@
 	return c.do(ctx, method, "http://"+host+"/services/"+service+"/"+path, body, false)
 }
 
+// Raw sends any request.
+func (c *Caller) Raw(ctx context.Context, method, url string, body []byte) Answer {
+	return c.do(ctx, method, url, body, false)
+}
+
 // Ticket asks a host for a ticket.
 func (c *Caller) Ticket(ctx context.Context, host string) string {
 	a := c.do(ctx, http.MethodPost, "http://"+host+"/fireflyshift/v1/tickets", nil, false)
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -125,7 +125,7 @@
 	Platform              string
 	Seeds                 []string
 	Routes                []string // ID=IP:PORT
-	Extra                 string // further INI text
+	Extra                 string   // further INI text
 }
 
 // NewHostSpec fills the addresses.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -30,18 +30,18 @@
 
 // Mode is how the service misbehaves.
 type Mode struct {
-	Down   bool `json:"down"`
-	Stale  bool `json:"stale"` // serve what was there when staleness began
-	SlowMS int  `json:"slow_ms"`
-	LagMS  int  `json:"hosts_lag_ms"`
+	Down bool `json:"down"`
+	// StaleBefore serves what stood before a revision; zero serves what stands.
+	StaleBefore uint64 `json:"stale_before"`
+	SlowMS      int    `json:"slow_ms"`
+	LagMS       int    `json:"hosts_lag_ms"`
 }
 
 // Platform is the stand-in. Its methods are safe for concurrent use.
 type Platform struct {
 	mu       sync.Mutex
 	revision uint64
-	records  map[record.Key]record.Raw
-	frozen   []record.Raw
+	log      []record.Raw
 	hosts    []hostVersion
 	mode     Mode
 	changed  chan struct{}
@@ -58,7 +58,7 @@
 
 // New returns an empty platform.
 func New() *Platform {
-	return &Platform{records: map[record.Key]record.Raw{}, changed: make(chan struct{}),
+	return &Platform{changed: make(chan struct{}),
 		limit: rate.NewLimiter(callsPerSecond, callsPerSecond), hosts: []hostVersion{{}}}
 }
 
@@ -77,7 +77,7 @@
 	defer p.mu.Unlock()
 	p.revision++
 	r.Revision = p.revision
-	p.records[r.Key()] = r
+	p.log = append(p.log, r)
 	p.wake()
 	return p.revision
 }
@@ -100,9 +100,6 @@
 func (p *Platform) SetMode(m Mode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if m.Stale && !p.mode.Stale {
-		p.frozen = p.all()
-	}
 	p.mode = m
 	p.wake()
 }
@@ -119,13 +116,21 @@
 	p.changed = make(chan struct{})
 }
 
-func (p *Platform) all() []record.Raw {
-	out := make([]record.Raw, 0, len(p.records))
-	for _, r := range p.records {
-		out = append(out, r)
+// visible lists the newest revision of each record, as far as the mode lets readers see.
+func (p *Platform) visible() (records []record.Raw, revision uint64) {
+	latest := map[record.Key]record.Raw{}
+	for _, r := range p.log {
+		if p.mode.StaleBefore > 0 && r.Revision >= p.mode.StaleBefore {
+			break
+		}
+		latest[r.Key()] = r
+		revision = r.Revision
+	}
+	for _, r := range latest {
+		records = append(records, r)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Revision < out[j].Revision })
-	return out
+	sort.Slice(records, func(i, j int) bool { return records[i].Revision < records[j].Revision })
+	return records, revision
 }
 
 // Handler serves readers under /v1 and the test's commands under /control.
@@ -175,13 +180,7 @@
 	deadline := time.Now().Add(wait)
 	for {
 		p.mu.Lock()
-		all, revision := p.all(), p.revision
-		if p.mode.Stale {
-			all, revision = p.frozen, 0
-			for _, f := range p.frozen {
-				revision = max(revision, f.Revision)
-			}
-		}
+		all, revision := p.visible()
 		down, changed := p.mode.Down, p.changed
 		p.mu.Unlock()
 		if down {
--- /dev/null
+++ b/test/tiers_test.go
@@ -0,0 +1,240 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/standin/fleet"
+)
+
+// All engines write long listing tags when a push check's hint is asked for at the end of a lesson.
+// The class would wait for a tag to end; instead a tag is suspended, and still gets all its text.
+func TestUrgentWorkDisplacesAndTheDisplacedWorkIsWhole(t *testing.T) {
+	b := newBed(t, "a1", "a2")
+	o := fastEngine()
+	o.Batch = 2
+	b.addEngine("e1", "zone-a", o)
+	b.addEngine("e2", "zone-a", o)
+	b.start()
+	low := make(chan fleet.Answer, 4)
+	for i := 0; i < 4; i++ {
+		go func() {
+			prompt := fmt.Sprint("tag ", i)
+			a := tiered("low").Chat(ctx(t), b.callers([]string{"a1", "a2"}[i%2]), "notes", prompt, 1500, true)
+			if a.OK() && a.Text != expected(prompt, 1500) {
+				a.Err = fmt.Errorf("torn text")
+			}
+			low <- a
+		}()
+	}
+	require.True(t, fleet.Until(patience, func() bool { return len(b.engineRuns()) == 4 }))
+	time.Sleep(100 * time.Millisecond)
+	a := tiered("top").Chat(ctx(t), b.callers("a1"), "notes", "urgent", 10, true)
+	require.True(t, a.OK(), "%+v", a)
+	require.Equal(t, expected("urgent", 10), a.Text)
+	suspended := 0
+	for _, e := range b.engines {
+		suspended += e.Stats().Suspended
+	}
+	require.Positive(t, suspended, "the urgent request waited for a natural slot")
+	for i := 0; i < 4; i++ {
+		answer := <-low
+		require.True(t, answer.OK(), "%+v", answer.Err)
+	}
+	b.requireOnce()
+}
+
+// A burst of three times the capacity, over all tiers, at the end of a lesson. Work of the top tier
+// must all be answered; what is shed is shed from the bottom, at once, with a time to come back.
+func TestBurstShedsFromTheBottom(t *testing.T) {
+	b := newBed(t, "a1", "a2")
+	o := fastEngine()
+	o.Batch = 4
+	b.addEngine("e1", "zone-a", o)
+	b.start()
+	type result struct {
+		tier string
+		fleet.Answer
+	}
+	results := make(chan result, 300)
+	tiers := []string{"low", "mid", "top"}
+	for i := 0; i < 300; i++ {
+		tier := tiers[min(2, i%10/4)] // 4 low, 4 mid, 2 top in ten
+		go func() {
+			c := tiered(tier).With("Fireflyshift-Deadline-Ms", "6000")
+			results <- result{tier, c.Chat(ctx(t), b.callers([]string{"a1", "a2"}[i%2]), "notes", fmt.Sprint("p", i), 20, true)}
+		}()
+	}
+	whole, refused := map[string]int{}, map[string]int{}
+	for i := 0; i < 300; i++ {
+		r := <-results
+		if r.OK() {
+			whole[r.tier]++
+			continue
+		}
+		refused[r.tier]++
+		require.NotEmpty(t, r.Kind, "%+v", r.Answer)
+		if r.Work == "not run" {
+			require.NotEmpty(t, r.RetryAfter, "%+v", r.Answer)
+			require.Zero(t, b.engineRuns()[r.Request])
+		}
+	}
+	require.Equal(t, 60, whole["top"], "whole %v, refused %v", whole, refused)
+	require.GreaterOrEqual(t, whole["mid"], whole["low"])
+	b.requireOnce()
+}
+
+// The host that schedules the engines dies in the middle of a burst. Callers of other hosts must
+// all get an answer: their streams go on, what waits moves to the next scheduler.
+func TestSchedulerDiesInTheMiddleOfABurst(t *testing.T) {
+	b := newBed(t, "a1", "a2", "a3")
+	b.addEngine("e1", "zone-a", fastEngine())
+	b.start()
+	old := b.scheduler("notes", "zone-a")
+	entry := b.other("zone-a", old)
+	answers := make(chan fleet.Answer, 60)
+	for i := 0; i < 60; i++ {
+		go func() {
+			prompt := fmt.Sprint("p", i)
+			a := tiered("mid").Chat(ctx(t), b.callers(entry), "notes", prompt, 100, true)
+			if a.OK() && a.Text != expected(prompt, 100) {
+				a.Err = fmt.Errorf("torn text")
+			}
+			answers <- a
+		}()
+	}
+	require.True(t, fleet.Until(patience, func() bool { return len(b.engineRuns()) > 10 }))
+	b.hosts[old].Kill()
+	for i := 0; i < 60; i++ {
+		a := <-answers
+		require.True(t, a.OK(), "%+v", a)
+	}
+	b.requireOnce()
+}
+
+// Thousands of callers return at once after an outage. The host must answer each at once, with
+// bounded memory, and serve again as if nothing had been.
+func TestThunderingReturnOfCallers(t *testing.T) {
+	b := newBed(t, "a1")
+	b.extra = "[limits]\nmax_requests = 200\n"
+	o := fastEngine()
+	o.Batch = 4
+	b.addEngine("e1", "zone-a", o)
+	b.start()
+	const callers = 2000
+	results := make(chan fleet.Answer, callers)
+	c := tiered("mid").With("Fireflyshift-Deadline-Ms", "5000")
+	c.Client.Transport.(*http.Transport).MaxConnsPerHost = 500
+	for i := 0; i < callers; i++ {
+		go func() { results <- c.Chat(ctx(t), b.callers("a1"), "notes", fmt.Sprint("p", i), 5, false) }()
+	}
+	var all []fleet.Answer
+	for i := 0; i < callers; i++ {
+		all = append(all, <-results)
+	}
+	for _, a := range all {
+		require.True(t, a.OK() || a.Kind != "", "%+v", a)
+	}
+	require.Less(t, residentKB(t, b.hosts["a1"].Pid()), 300_000)
+	a := tiered("mid").Chat(ctx(t), b.callers("a1"), "notes", "after", 5, false)
+	require.True(t, a.OK(), "%+v", a)
+	b.requireOnce()
+}
+
+func residentKB(t *testing.T, pid int) int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	require.NoError(t, err)
+	for _, line := range strings.Split(string(data), "\n") {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, err := strconv.Atoi(strings.Fields(rest)[0])
+			require.NoError(t, err)
+			return n
+		}
+	}
+	t.Fatal("no VmRSS")
+	return 0
+}
+
+// Callers with broken clients open connections and send bodies byte by byte, or never. Others must
+// not wait for them, and each of them is told what was wrong.
+func TestSlowCallersCostOthersNothing(t *testing.T) {
+	b := newBed(t, "a1")
+	b.extra = "[limits]\nbody_timeout = 500ms\nmax_requests = 10\n"
+	b.addEngine("e1", "zone-a", fastEngine())
+	b.start()
+	slow := make(chan string, 50)
+	for i := 0; i < 50; i++ {
+		go func() { slow <- halfBody(b.callers("a1")) }()
+	}
+	for i := 0; i < 10; i++ {
+		a := tiered("mid").Chat(ctx(t), b.callers("a1"), "notes", "p", 5, false)
+		require.True(t, a.OK(), "%+v", a)
+	}
+	for i := 0; i < 50; i++ {
+		require.Contains(t, <-slow, "slow_body")
+	}
+}
+
+// halfBody sends half a body, then waits for what the host says.
+func halfBody(addr string) string {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		return err.Error()
+	}
+	defer conn.Close()
+	fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 1000\r\n\r\n{", school)
+	_ = conn.SetReadDeadline(time.Now().Add(patience))
+	data, _ := io.ReadAll(conn)
+	return string(data)
+}
+
+// A caller goes away while its request waits or runs. Its slot must go to others soon.
+func TestCallerWhoLeavesGivesItsSlotBack(t *testing.T) {
+	b := newBed(t, "a1")
+	o := fastEngine()
+	o.Batch = 1
+	b.addEngine("e1", "zone-a", o)
+	b.start()
+	for i := 0; i < 3; i++ {
+		c, cancel := context.WithCancel(context.Background())
+		go tiered("mid").Chat(c, b.callers("a1"), "notes", fmt.Sprint("leaves ", i), 4000, true)
+		require.True(t, fleet.Until(patience, func() bool { return len(b.engineRuns()) == 2*i+1 }))
+		cancel()
+		a := tiered("mid").Chat(ctx(t), b.callers("a1"), "notes", "stays", 5, false)
+		require.True(t, a.OK(), "%+v", a)
+	}
+	b.requireOnce()
+}
+
+// A workspace is over its published rate. It is refused at once with a time to come back, and the
+// other workspaces do not notice.
+func TestWorkspaceOverItsRate(t *testing.T) {
+	b := newBed(t, "a1")
+	b.addPlain("git-1", "zone-a", time.Millisecond)
+	r := fleet.Workspace("greedy", "greedy-key", []string{"top"}, 1)
+	r.Body = bytes.Replace(r.Body, []byte(`"weight":1`), []byte(`"weight":1,"limits":{"requests_per_second":0.5,"burst":3}`), 1)
+	b.platform.PublishRaw(r)
+	b.start()
+	refused := 0
+	for i := 0; i < 10; i++ {
+		a := fleet.NewCaller("greedy-key").With("Fireflyshift-Tier", "top").Call(ctx(t), "GET", b.callers("a1"), "git", "x", nil)
+		if a.Kind == "rate_limited" {
+			refused++
+			require.Equal(t, http.StatusTooManyRequests, a.Status)
+			require.NotEmpty(t, a.RetryAfter)
+		}
+		require.True(t, tiered("top").Call(ctx(t), "GET", b.callers("a1"), "git", "x", nil).OK())
+	}
+	require.GreaterOrEqual(t, refused, 6)
+}
