--- /dev/null
+++ b/internal/core/guards_test.go
@@ -0,0 +1,210 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/record"
+	"fireflyshift/internal/sched"
+)
+
+// lone is one reducer that a test speaks to message by message. Host "peer" schedules its groups.
+type lone struct {
+	t    *testing.T
+	core *core.Core
+	now  time.Duration
+}
+
+const (
+	selfIncarnation = 7
+	peerIncarnation = 9
+)
+
+func newLone(t *testing.T, records ...record.Raw) *lone {
+	l := &lone{t: t, now: time.Second}
+	l.core = core.New(core.Options{Self: member.Host{ID: "self", Zone: "z", Addr: "a"}, Incarnation: selfIncarnation,
+		Sched: sched.DefaultOptions(), MaxRequests: 100})
+	l.feed(core.PeerLinked{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}, Incarnation: peerIncarnation})
+	l.beat()
+	base := []record.Raw{
+		{Kind: record.KindService, Name: service, Schema: 1, Revision: 1, Body: []byte(`{"kind":"plain"}`)},
+		backendRecord("b0", 2, "active"),
+	}
+	l.feed(core.PlatformRecords{Records: append(base, records...), Current: true})
+	return l
+}
+
+func backendRecord(name string, revision uint64, state string) record.Raw {
+	return record.Raw{Kind: record.KindBackend, Name: name, Schema: 1, Revision: revision,
+		Body: []byte(fmt.Sprintf(`{"service":%q,"zone":"z","addr":"10.0.0.1:80","slots":4,"state":%q}`, service, state))}
+}
+
+func (l *lone) feed(e core.Event) []core.Effect {
+	l.t.Helper()
+	out := l.core.Reduce(l.now, e)
+	require.Empty(l.t, l.core.Violations())
+	return out
+}
+
+func (l *lone) beat() {
+	l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond)}}})
+}
+
+func (l *lone) message(m *peerpb.Message) []core.Effect {
+	return l.feed(core.PeerMessage{From: "peer", Incarnation: peerIncarnation, Message: m})
+}
+
+// submit sends a request and returns what the peer is asked.
+func (l *lone) submit(id string) *peerpb.Acquire {
+	l.t.Helper()
+	effects := l.feed(core.Submit{ID: id, Workspace: "w", Service: service, Priority: 1, Deadline: time.Minute, OutputTokens: 1})
+	for _, e := range effects {
+		if s, ok := e.(core.Send); ok && s.Message.GetAcquire() != nil {
+			return s.Message.GetAcquire()
+		}
+	}
+	l.t.Fatalf("no Acquire was sent: %v", effects)
+	return nil
+}
+
+func (l *lone) grant(a *peerpb.Acquire, backend string, echo time.Duration, incarnation uint64) []core.Effect {
+	return l.message(&peerpb.Message{Body: &peerpb.Message_Grant{Grant: &peerpb.Grant{Request: a.Request, Attempt: a.Attempt,
+		Backend: backend, LeaseMs: 2000, EchoMs: uint64(echo / time.Millisecond), EchoIncarnation: incarnation}}})
+}
+
+func dispatches(effects []core.Effect) []core.Dispatch {
+	var out []core.Dispatch
+	for _, e := range effects {
+		if d, ok := e.(core.Dispatch); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// service is one whose group the peer schedules: duties go by hash.
+var service = func() string {
+	for i := 0; ; i++ {
+		name := fmt.Sprint("s", i)
+		if member.Owner("sched/"+name+"/0", []string{"peer", "self"}) == "peer" {
+			return name
+		}
+	}
+}()
+
+// A process is paused with a grant in its socket buffer and wakes up seconds later. By then others
+// count the lease as ended, and the server may have been given away or told to leave.
+func TestGrantThatWaitedOutAPauseIsNotUsed(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	echo := l.now
+	l.now += 3 * time.Second
+	l.beat()
+	require.Empty(t, dispatches(l.grant(a, "b0", echo, selfIncarnation)))
+}
+
+// The scheduler sends a grant just before it hears that a server leaves; this host has heard it
+// already. The server must get no new work from here.
+func TestGrantThatCrossedTheNewsOfLeavingIsNotUsed(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	l.feed(core.PlatformRecords{Records: []record.Raw{backendRecord("b0", 3, "leaving")}, Current: true})
+	require.Empty(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)))
+}
+
+// The host list alone shows a server's machine leaving; its record is not changed.
+func TestGrantOnAMachineThatTheHostListShowsLeaving(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	l.feed(core.HostList{Hosts: []core.ListedHost{{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}},
+		{Host: member.Host{ID: "m", Addr: "10.0.0.1:80", Leaving: true}, Backend: true}}})
+	require.Empty(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)))
+}
+
+// A host was replaced under the same name. A grant meant for its forerunner, or for an attempt that
+// it has given up, would be a dispatch that nobody counts.
+func TestGrantForAnotherIncarnationOrAttempt(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	require.Empty(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation+1)))
+	l.now += time.Second
+	l.beat()
+	l.feed(core.Tick{})
+	old := &peerpb.Acquire{Request: "r", Attempt: a.Attempt}
+	require.Empty(t, dispatches(l.grant(old, "b0", l.now, selfIncarnation)), "the attempt was given up")
+}
+
+// The scheduler repeats a grant, since an answer may have been lost. The work must not be sent
+// twice.
+func TestRepeatedGrantIsDispatchedOnce(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	require.Len(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)), 1)
+	require.Empty(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)))
+}
+
+// A process that was replaced wakes up and its old links still deliver. What it says is of the
+// past: it must change nothing.
+func TestMessageOfAReplacedProcessIsDropped(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	l.feed(core.PeerLinked{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}, Incarnation: peerIncarnation + 1})
+	require.Empty(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)))
+}
+
+// All servers of a service refuse connections for a while. Every request tries again at once and
+// at once again, and the network is full of tries; the retry budget ends them after a share.
+func TestRetryBudgetEndsARetryStorm(t *testing.T) {
+	l := newLone(t)
+	tries, refused := 0, 0
+	for i := 0; i < 90; i++ {
+		a := l.submit(fmt.Sprint("r", i))
+		for a != nil {
+			require.Len(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)), 1)
+			tries++
+			effects := l.feed(core.Ended{ID: a.Request, Attempt: a.Attempt, Outcome: core.NotSent})
+			a = nil
+			for _, e := range effects {
+				if s, ok := e.(core.Send); ok && s.Message.GetAcquire() != nil {
+					a = s.Message.GetAcquire()
+				}
+				if f, ok := e.(core.Finish); ok {
+					refused++
+					require.Equal(t, fault.NotRun, f.Fault.Ran)
+				}
+			}
+		}
+	}
+	require.Equal(t, 90, refused)
+	require.LessOrEqual(t, tries, 90+50+9, "one try each, the saved budget, and a tenth")
+}
+
+// A host is cut off from all others. Were the workspace's rate divided by the hosts it still sees,
+// each side of a partition would hand out the whole rate.
+func TestPartitionDoesNotMultiplyARate(t *testing.T) {
+	workspace := record.Raw{Kind: record.KindWorkspace, Name: "w", Schema: 1, Revision: 9, Body: []byte(
+		`{"key_sha256":["` + fmt.Sprintf("%064d", 1) + `"],"tiers":["t"],"limits":{"requests_per_second":40,"burst":40}}`)}
+	l := newLone(t, workspace)
+	list := core.HostList{}
+	for i := 0; i < 8; i++ {
+		list.Hosts = append(list.Hosts, core.ListedHost{Host: member.Host{ID: fmt.Sprint("h", i), Zone: "other", Addr: "x"}})
+	}
+	l.feed(list)
+	accepted := 0
+	for i := 0; i < 100; i++ {
+		for _, e := range l.feed(core.Submit{ID: fmt.Sprint("r", i), Workspace: "w", Service: service, Deadline: time.Minute}) {
+			if s, ok := e.(core.Send); ok && s.Message.GetAcquire() != nil {
+				accepted++
+			}
+		}
+	}
+	require.LessOrEqual(t, accepted, 8, "its part of 40 over 8 hosts, with slack for the balancer")
+	require.Positive(t, accepted)
+}
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -54,6 +54,9 @@
 		return w.backends[rapid.SampledFrom([]string{"za-m1", "za-m2", "za-p1", "zb-m1", "zb-m2", "zb-p1"}).Draw(rt, "backend")]
 	}
 	zone := func(rt *rapid.T) string { return rapid.SampledFrom(fakeZones).Draw(rt, "zone") }
+	some := func(rt *rapid.T) []string {
+		return rapid.SliceOfNDistinct(rapid.SampledFrom(w.ids), 1, 6, rapid.ID).Draw(rt, "hosts")
+	}
 	faulty := func(f func(*rapid.T)) func(*rapid.T) {
 		return func(rt *rapid.T) { w.faults++; w.quietAt = w.now; f(rt) }
 	}
@@ -64,6 +67,7 @@
 		"wait long": func(rt *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 6).Draw(rt, "seconds")) * time.Second)
 		},
+		"wait very long": func(*rapid.T) { w.advance(18 * time.Second) },
 		"burst": func(rt *rapid.T) {
 			service := rapid.SampledFrom([]string{modelService, plainService}).Draw(rt, "service")
 			for i := rapid.IntRange(1, 12).Draw(rt, "size"); i > 0; i-- {
@@ -118,10 +122,15 @@
 		"cut inside": faulty(func(rt *rapid.T) { z := zone(rt); w.cut[[2]string{z, z}] = true }),
 		"heal cuts":  func(*rapid.T) { w.cut = map[[2]string]bool{} },
 		"platform down": faulty(func(rt *rapid.T) {
-			w.platform.down[zone(rt)] = true
+			for _, id := range some(rt) {
+				w.platform.down[id] = true
+			}
 		}),
 		"platform stale": faulty(func(rt *rapid.T) {
-			w.platform.stale[zone(rt)] = len(w.platform.log) - rapid.IntRange(0, 5).Draw(rt, "behind")
+			behind := rapid.IntRange(0, 5).Draw(rt, "behind")
+			for _, id := range some(rt) {
+				w.platform.stale[id] = len(w.platform.log) - behind
+			}
 		}),
 		"platform back": func(*rapid.T) {
 			w.platform.down, w.platform.stale = map[string]bool{}, map[string]int{}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -32,6 +32,8 @@
 	ops      []*operation
 	seq      int
 	quietAt  time.Duration // latest moment at which a fault was active
+	newsAt   time.Duration // latest moment at which news could not get everywhere
+	history  []published
 	steps    int
 	faults   int
 }
@@ -61,8 +63,8 @@
 
 type fakePlatform struct {
 	log   []record.Raw
-	down  map[string]bool // by zone
-	stale map[string]int  // by zone: how much of the log is seen
+	down  map[string]bool // by host
+	stale map[string]int  // by host: how much of the log is seen
 }
 
 type fakeBackend struct {
@@ -93,7 +95,14 @@
 	tries  []*fakeRequest
 }
 
+// published is when the platform had a revision.
+type published struct {
+	at       time.Duration
+	revision uint64
+}
+
 const (
+	inForceBound = 16 * time.Second
 	modelService = "notes"
 	plainService = "git"
 	leaveBound   = 4 * time.Second
@@ -130,6 +139,7 @@
 	data, _ := json.Marshal(body)
 	r := record.Raw{Kind: kind, Name: name, Schema: 1, Revision: uint64(len(w.platform.log) + 1), Body: data, Deleted: body == nil}
 	w.platform.log = append(w.platform.log, r)
+	w.history = append(w.history, published{w.now, r.Revision})
 	return r.Revision
 }
 
@@ -328,12 +338,48 @@
 		if w.disturbed() {
 			w.quietAt = w.now
 		}
+		if w.newsBlocked() {
+			w.newsAt = w.now
+		}
 		w.deliver()
 		w.work()
 		for _, id := range w.ids {
 			w.tick(w.hosts[id])
 		}
 	}
+	w.checkInForce()
+}
+
+// newsBlocked tells that some host could not hear of a change: it is cut off, paused or dead, or no
+// host at all reads the platform as it is.
+func (w *world) newsBlocked() bool {
+	readers := 0
+	for _, id := range w.ids {
+		h := w.hosts[id]
+		_, stale := w.platform.stale[id]
+		if h.paused || !h.alive || len(w.cut) > 0 {
+			return true
+		}
+		if !w.platform.down[id] && !stale {
+			readers++
+		}
+	}
+	return readers == 0
+}
+
+// checkInForce asserts that a change is in force everywhere within the bound, also where only one
+// host can read the platform.
+func (w *world) checkInForce() {
+	for _, p := range w.history {
+		if max(p.at, w.newsAt)+inForceBound > w.now {
+			continue
+		}
+		for _, id := range w.ids {
+			if got := w.hosts[id].core.Config().Revision(); got < p.revision {
+				w.fail("host %s has revision %d in force; revision %d is %s old", id, got, p.revision, w.now-p.at)
+			}
+		}
+	}
 }
 
 func (w *world) disturbed() bool {
@@ -365,12 +411,12 @@
 }
 
 func (w *world) read(h *fakeHost) {
-	if w.platform.down[h.zone] {
+	if w.platform.down[h.id] {
 		w.feed(h, core.PlatformFailed{})
 		return
 	}
 	log := w.platform.log
-	if n, ok := w.platform.stale[h.zone]; ok {
+	if n, ok := w.platform.stale[h.id]; ok {
 		log = log[:n]
 	}
 	latest := map[record.Key]record.Raw{}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -165,11 +165,11 @@
 			if mode.CutEvery > 0 && sent >= mode.CutEvery {
 				panic(http.ErrAbortHandler)
 			}
-			id := s.id
+			id, text := s.id, Token(s.seed, offset)
 			if mode.Crossed && sent == 2 {
-				id = "another-request"
+				id, text = "another-request", "another workspace's text"
 			}
-			e.chunk(w, id, offset, Token(s.seed, offset), "")
+			e.chunk(w, id, offset, text, "")
 			sent++
 			if mode.Short && offset == 3 && !s.imported {
 				s.imported = true // only once, so that the reader can take the stream up again
