Control bytes fit the target; a ticket proved not run is free again

Cause, by sums for 45 hosts a zone and 33 requests a second a host: ids of 36 characters in three messages a request, a trace context nobody records, full lists of running work twice a second, and heartbeats at a fixed 200 ms would have taken over 30 KB/s. Ruled out: dropping Holdings (lost releases would leak slots) and longer leases (leaving servers would get work longer). Change: numbers in place of ids, prefix hashes of 32 bits, trace context only where sampled, a digest of the running work inside the heartbeat with the full list on a difference, and heartbeats that slow down as the zone grows, with a broken link as the quick sign of a dead process.

A new test failed first: a claim that was settled as not run stayed 'in progress' for every other host until it expired, so a caller told 'not run' could not use its ticket again. Now it is free.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,14 @@
 generate:
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift --go-grpc_out=. --go-grpc_opt=module=fireflyshift internal/peer/peerpb/peer.proto
+
+.PHONY: soak mutants capacity measure
+
+# Long randomised runs with fresh seeds: make soak CHECKS=20000
+CHECKS ?= 3000
+soak:
+	FIREFLYSHIFT_SOAK=1 $(GO) test ./internal/core ./internal/sched -count=1 -timeout 0 -v -run 'Promises|TierOrder' -rapid.checks=$(CHECKS) -rapid.steps=80
+
+# Takes each guard away in a scratch copy and shows which test notices.
+mutants:
+	$(GO) run ./internal/tools/mutants
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,8 @@
 		c.fromPeer(e)
 	case PeerLinked:
 		c.view.Learn(c.now, e.Host, e.Incarnation)
+	case PeerUnlinked:
+		c.view.Unlinked(c.now, e.Host, e.Incarnation)
 	case LinkOpened:
 		c.askAgain(e.Host)
 	case PlatformRecords:
@@ -146,6 +148,8 @@
 		c.release(from, b.Release)
 	case *peerpb.Message_Holdings:
 		c.holdings(from, b.Holdings)
+	case *peerpb.Message_HoldingsPull:
+		c.holdingsPull(from, b.HoldingsPull)
 	case *peerpb.Message_Grant:
 		c.grant(from, b.Grant)
 	case *peerpb.Message_Refusal:
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -24,8 +24,9 @@
 	digestStale = 5 * time.Second
 	// liveEvery is how often deaths are looked for.
 	liveEvery = 50 * time.Millisecond
-	// readersSilent is when a host reads the platform itself, since no live host says it does.
-	readersSilent = time.Second
+	// readersSilent is when a host reads the platform itself, since no live host has said for so
+	// many heartbeats that it does.
+	readersSilent = 5
 	forgetEvery   = time.Second
 )
 
@@ -215,7 +216,7 @@
 // not: no host of the zone would hear a change. It holds since every host judges by itself.
 func (c *Core) refreshReading() {
 	readers := member.Top("reader/"+c.opt.Self.Zone, c.duty.live, readersPerZone)
-	silent := c.now-c.gossip.readElsewhere > readersSilent
+	silent := c.now-c.gossip.readElsewhere > readersSilent*c.view.Interval()
 	on := silent || slices.Contains(readers, c.opt.Self.ID)
 	if on != c.duty.reading {
 		c.duty.reading = on
@@ -230,7 +231,7 @@
 }
 
 func (c *Core) tickGossip() {
-	if c.now-c.gossip.beatAt >= member.HeartbeatEvery {
+	if c.now-c.gossip.beatAt >= c.view.Interval() {
 		c.sendHeartbeats()
 	}
 	if c.now-c.gossip.digestAt >= digestEvery {
@@ -241,18 +242,20 @@
 
 func (c *Core) sendHeartbeats() {
 	c.gossip.beatAt = c.now
-	beat := &peerpb.Heartbeat{
-		SentMs:         c.nowMS(),
-		Draining:       c.drain,
-		ConfigRevision: c.conf.Revision(),
-		ConfigDigest:   c.conf.Digest(),
-		Groups:         c.ownSummaries(),
-		Synced:         c.gossip.synced,
-		ReadsPlatform:  c.gossip.everRead && c.now-c.gossip.readOK < platformAway,
-	}
+	groups, held := c.ownSummaries(), c.heldUnder()
 	for _, h := range c.view.Zone() {
-		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: beat}})
-	}
+		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+			SentMs:         c.nowMS(),
+			Draining:       c.drain,
+			ConfigRevision: c.conf.Revision(),
+			ConfigDigest:   c.conf.Digest(),
+			Groups:         groups,
+			Synced:         c.gossip.synced,
+			ReadsPlatform:  c.gossip.everRead && c.now-c.gossip.readOK < platformAway,
+			Held:           c.heldBy(held, h.ID),
+		}}})
+	}
+	c.confirmHeld(c.opt.Self.ID, c.heldBy(held, c.opt.Self.ID))
 }
 
 func (c *Core) ownSummaries() []*peerpb.ServiceSummary {
@@ -279,6 +282,7 @@
 	if c.view.Alive(c.now, from) != wasLive {
 		c.refreshDuties()
 	}
+	c.confirmHeld(from, h.Held)
 	c.compareConfig(from, h.ConfigRevision, h.ConfigDigest)
 	c.syncedByPeer(h)
 }
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -24,8 +24,9 @@
 	// retryShare of the requests may be retried, with retryBurst saved up at most.
 	retryShare = 0.1
 	retryBurst = 50.0
-	// holdEvery is how often Holdings are sent; it must be well under sched.Options.Unconfirmed.
-	holdEvery = 500 * time.Millisecond
+	// holdEvery is how often Holdings go to other zones; it must be well under
+	// sched.Options.Unconfirmed.
+	holdEvery = time.Second
 	// maxFinished bounds what fireflyctl explain can look back on.
 	maxFinished = 4096
 	// rateSlack allows for a balancer that spreads a workspace unevenly over the hosts.
@@ -53,6 +54,8 @@
 // request is one caller's request at its entry host.
 type request struct {
 	Submit
+	// number names the request in messages between hosts: it costs a few bytes where an id has 36.
+	number   uint64
 	deadline time.Duration
 	weight   float64
 	phase    phase
@@ -80,6 +83,8 @@
 // entryState is what an entry host keeps for its callers.
 type entryState struct {
 	requests map[string]*request
+	byNumber map[uint64]*request
+	latest   uint64 // the latest number given
 	wakes    wakeHeap
 	limits   map[string]*rate.Limiter
 	budget   float64
@@ -92,6 +97,7 @@
 func newEntryState() entryState {
 	return entryState{
 		requests: map[string]*request{},
+		byNumber: map[uint64]*request{},
 		limits:   map[string]*rate.Limiter{},
 		budget:   retryBurst,
 		held:     map[target]bool{},
@@ -106,7 +112,10 @@
 		return
 	}
 	c.entry.budget = min(retryBurst, c.entry.budget+retryShare)
+	c.entry.latest++
+	r.number = c.entry.latest
 	c.entry.requests[e.ID] = r
+	c.entry.byNumber[r.number] = r
 	heap.Push(&c.entry.wakes, r)
 	c.trace(r, "accepted: workspace %s, tier %s, service %s", e.Workspace, e.Tier, e.Service)
 	if e.Ticket != nil {
@@ -197,10 +206,13 @@
 	return a, true
 }
 
+// spread makes 64 bits of a 32-bit hash.
+const spread = 0x9E3779B97F4A7C15
+
 // locality is equal for requests that share their first prompt block.
 func (r *request) locality() uint64 {
 	if len(r.Prefix) > 0 {
-		return r.Prefix[0]
+		return uint64(r.Prefix[0]) * spread
 	}
 	return hashString(r.ID)
 }
@@ -232,7 +244,7 @@
 	r.asked = c.now
 	c.wakeAt(r, c.now+askAgainAfter)
 	c.send(r.target.scheduler, &peerpb.Message{Body: &peerpb.Message_Acquire{Acquire: &peerpb.Acquire{
-		Request:       r.ID,
+		Request:       r.number,
 		Attempt:       r.attempt,
 		Service:       r.target.group.Service,
 		Shard:         r.target.group.Shard,
@@ -325,7 +337,7 @@
 // The checks guard against a grant that crossed the news of a server's leaving, or that waited out
 // a pause of this process: the host's own configuration and its own clock decide, not the sender's.
 func (c *Core) grant(from string, m *peerpb.Grant) {
-	r, ok := c.entry.requests[m.Request]
+	r, ok := c.entry.byNumber[m.Request]
 	if !ok || r.phase != seeking || r.attempt != m.Attempt || r.target.scheduler != from {
 		c.returnGrant(from, m)
 		return
@@ -349,7 +361,7 @@
 }
 
 func (c *Core) returnGrant(from string, m *peerpb.Grant) {
-	r, ok := c.entry.requests[m.Request]
+	r, ok := c.entry.byNumber[m.Request]
 	if ok && r.attempt == m.Attempt && (r.phase == dispatched || r.phase == suspending) {
 		return // a repeated answer to a repeated question: the slot is in use
 	}
@@ -363,7 +375,7 @@
 }
 
 func (c *Core) refusal(from string, m *peerpb.Refusal) {
-	r, ok := c.entry.requests[m.Request]
+	r, ok := c.entry.byNumber[m.Request]
 	if !ok || r.phase != seeking || r.attempt != m.Attempt || r.target.scheduler != from {
 		return
 	}
@@ -377,7 +389,7 @@
 }
 
 func (c *Core) preempt(from string, m *peerpb.Preempt) {
-	r, ok := c.entry.requests[m.Request]
+	r, ok := c.entry.byNumber[m.Request]
 	if !ok || r.phase != dispatched || r.attempt != m.Attempt || r.target.scheduler != from {
 		return
 	}
@@ -431,7 +443,7 @@
 
 func (c *Core) sendRelease(r *request, e Ended) {
 	c.send(r.target.scheduler, &peerpb.Message{Body: &peerpb.Message_Release{Release: &peerpb.Release{
-		Request:         r.ID,
+		Request:         r.number,
 		Attempt:         r.attempt,
 		Service:         r.target.group.Service,
 		Shard:           r.target.group.Shard,
@@ -465,7 +477,7 @@
 		return
 	}
 	c.send(r.target.scheduler, &peerpb.Message{Body: &peerpb.Message_Withdraw{Withdraw: &peerpb.Withdraw{
-		Request: r.ID, Attempt: r.attempt, Service: r.target.group.Service, Shard: r.target.group.Shard}}})
+		Request: r.number, Attempt: r.attempt, Service: r.target.group.Service, Shard: r.target.group.Shard}}})
 }
 
 // finish ends a request once and for all.
@@ -479,6 +491,7 @@
 	}
 	heap.Remove(&c.entry.wakes, r.index)
 	delete(c.entry.requests, r.ID)
+	delete(c.entry.byNumber, r.number)
 	c.settleOwn(r, f)
 	c.remember(r)
 	c.emit(Finish{r.ID, f})
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -26,7 +26,7 @@
 	Priority      uint32
 	PromptTokens  uint32
 	OutputTokens  uint32
-	Prefix        []uint64
+	Prefix        []uint32
 	Deadline      time.Duration // time left
 	NonIdempotent bool
 	Ticket        *ticket.Ticket
@@ -73,6 +73,12 @@
 	Incarnation uint64
 }
 
+// PeerUnlinked tells that a link from a host has broken.
+type PeerUnlinked struct {
+	Host        string
+	Incarnation uint64
+}
+
 // LinkOpened tells that this host's link to a peer is open again: messages may have been lost.
 type LinkOpened struct{ Host string }
 
@@ -104,7 +110,7 @@
 // CacheEvicted is an engine's late word on its prefix cache.
 type CacheEvicted struct {
 	Backend string
-	Hashes  []uint64
+	Hashes  []uint32
 }
 
 // Drain begins the graceful shutdown: the host's duties move at once, new requests are refused.
@@ -116,6 +122,7 @@
 func (Ended) event()           {}
 func (PeerMessage) event()     {}
 func (PeerLinked) event()      {}
+func (PeerUnlinked) event()    {}
 func (LinkOpened) event()      {}
 func (PlatformRecords) event() {}
 func (PlatformFailed) event()  {}
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -105,6 +105,23 @@
 	c.decide(k, g.Hold(c.now, from, held))
 }
 
+// confirmHeld compares what an entry host says it runs here with what this host believes, and asks
+// for the full list where they differ. A group that the host does not name must hold nothing of it.
+func (c *Core) confirmHeld(from string, held []*peerpb.HeldDigest) {
+	for _, k := range c.groupKeys() {
+		count, digest := 0, uint64(0)
+		for _, d := range held {
+			if d.Service == k.Service && d.Shard == k.Shard {
+				count, digest = int(d.Count), d.Digest
+			}
+		}
+		if !c.groups[k].Confirm(c.now, from, count, digest) {
+			c.send(from, &peerpb.Message{Body: &peerpb.Message_HoldingsPull{
+				HoldingsPull: &peerpb.HoldingsPull{Service: k.Service, Shard: k.Shard}}})
+		}
+	}
+}
+
 // decide turns the decisions of a group into messages to the entry hosts.
 func (c *Core) decide(k GroupKey, decisions []sched.Decision) {
 	for _, d := range decisions {
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -137,7 +137,7 @@
 	l.now += time.Second
 	l.beat()
 	l.feed(core.Tick{})
-	old := &peerpb.Acquire{Request: "r", Attempt: a.Attempt}
+	old := &peerpb.Acquire{Request: a.Request, Attempt: a.Attempt}
 	require.Empty(t, dispatches(l.grant(old, "b0", l.now, selfIncarnation)), "the attempt was given up")
 }
 
@@ -169,7 +169,7 @@
 		for a != nil {
 			require.Len(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)), 1)
 			tries++
-			effects := l.feed(core.Ended{ID: a.Request, Attempt: a.Attempt, Outcome: core.NotSent})
+			effects := l.feed(core.Ended{ID: fmt.Sprint("r", i), Attempt: a.Attempt, Outcome: core.NotSent})
 			a = nil
 			for _, e := range effects {
 				if s, ok := e.(core.Send); ok && s.Message.GetAcquire() != nil {
--- a/internal/core/wake.go
+++ b/internal/core/wake.go
@@ -2,13 +2,16 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/sched"
 )
 
 // wakeHeap orders requests by the next moment at which time itself is an event for them.
@@ -53,7 +56,7 @@
 	}
 	if c.now-c.entry.heldAt >= holdEvery {
 		c.entry.heldAt = c.now
-		c.sendAllHoldings()
+		c.sendFarHoldings()
 	}
 }
 
@@ -144,12 +147,12 @@
 
 func (r *request) runs() bool { return r.phase == dispatched || r.phase == suspending }
 
-// sendAllHoldings tells each scheduler what this host runs under it; one that it had told of runs
-// hears of their end once more, in case a Release was lost.
-func (c *Core) sendAllHoldings() {
+// sendFarHoldings tells the schedulers of other zones what this host runs under them. Those of this
+// zone hear it as a digest in each heartbeat.
+func (c *Core) sendFarHoldings() {
 	now := map[target]bool{}
 	for _, r := range c.entry.requests {
-		if r.runs() {
+		if r.runs() && r.target.zone != c.opt.Self.Zone {
 			now[r.target] = true
 		}
 	}
@@ -159,33 +162,62 @@
 	}
 	for t := range c.entry.held {
 		if !now[t] {
-			all = append(all, t)
+			all = append(all, t) // hears of the end once more, in case a Release was lost
 		}
 	}
-	slices.SortFunc(all, func(a, b target) int {
-		if a.group != b.group {
-			keys := []GroupKey{a.group, b.group}
-			sortGroupKeys(keys)
-			if keys[0] == a.group {
-				return -1
-			}
-			return 1
-		}
-		if a.scheduler < b.scheduler {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b target) int { return strings.Compare(a.key(), b.key()) })
 	for _, t := range all {
 		c.sendHoldings(t)
 	}
 	c.entry.held = now
 }
 
+func (t target) key() string {
+	return fmt.Sprintf("%s/%s/%d", t.scheduler, t.group.Service, t.group.Shard)
+}
+
+// heldUnder sums up what this host runs under each group of its own zone.
+func (c *Core) heldUnder() map[GroupKey]*peerpb.HeldDigest {
+	out := map[GroupKey]*peerpb.HeldDigest{}
+	for _, r := range c.entry.requests {
+		if !r.runs() || r.target.zone != c.opt.Self.Zone {
+			continue
+		}
+		d, ok := out[r.target.group]
+		if !ok {
+			d = &peerpb.HeldDigest{Service: r.target.group.Service, Shard: r.target.group.Shard}
+			out[r.target.group] = d
+		}
+		d.Count++
+		d.Digest ^= sched.HeldStamp(r.number, r.attempt)
+	}
+	return out
+}
+
+// heldBy lists, of these, the digests for one scheduler.
+func (c *Core) heldBy(all map[GroupKey]*peerpb.HeldDigest, scheduler string) []*peerpb.HeldDigest {
+	var keys []GroupKey
+	for k := range all {
+		if c.duty.owners[k] == scheduler {
+			keys = append(keys, k)
+		}
+	}
+	sortGroupKeys(keys)
+	out := make([]*peerpb.HeldDigest, len(keys))
+	for i, k := range keys {
+		out[i] = all[k]
+	}
+	return out
+}
+
+func (c *Core) holdingsPull(from string, m *peerpb.HoldingsPull) {
+	c.sendHoldings(target{GroupKey{m.Service, m.Shard}, from, c.opt.Self.Zone})
+}
+
 func (c *Core) sendHoldings(t target) {
 	m := &peerpb.Holdings{Service: t.group.Service, Shard: t.group.Shard, SentMs: c.nowMS()}
 	for _, r := range c.requestsWhere(func(r *request) bool { return r.runs() && r.target == t }) {
-		m.Held = append(m.Held, &peerpb.Held{Request: r.ID, Attempt: r.attempt, Backend: r.backend, Priority: r.Priority,
+		m.Held = append(m.Held, &peerpb.Held{Request: r.number, Attempt: r.attempt, Backend: r.backend, Priority: r.Priority,
 			Workspace: r.Workspace, OutputTokens: r.OutputTokens, NonIdempotent: r.NonIdempotent})
 	}
 	c.send(t.scheduler, &peerpb.Message{Body: &peerpb.Message_Holdings{Holdings: m}})
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -191,6 +191,7 @@
 // link opens the stream from one host to another; what was under way on an older one is lost.
 func (w *world) link(from, to *fakeHost) {
 	delete(w.links, [2]string{from.id, to.id})
+	w.feed(to, core.PeerUnlinked{Host: from.id, Incarnation: from.incarnation})
 	w.feed(to, core.PeerLinked{Host: member.Host{ID: from.id, Zone: from.zone, Addr: "addr-" + from.id}, Incarnation: from.incarnation})
 	w.feed(from, core.LinkOpened{Host: to.id})
 }
@@ -198,6 +199,9 @@
 // kill ends a host with all it held.
 func (w *world) kill(h *fakeHost) {
 	h.alive = false
+	for _, id := range w.ids {
+		w.feed(w.hosts[id], core.PeerUnlinked{Host: h.id, Incarnation: h.incarnation})
+	}
 	for _, r := range w.requests {
 		if r.host == h {
 			r.lost = true
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -150,7 +150,7 @@
 	switch e := eff.(type) {
 	case core.Send:
 		c.out.send(e.To, e.Message)
-		c.out.spans.sent(e.Message)
+		c.out.spans.sent(e.To.ID, e.Message)
 	case core.Dispatch:
 		c.metrics.Count("dispatch", 1)
 		c.toCaller(e.ID, e)
@@ -199,8 +199,13 @@
 	c.Post(core.PeerLinked{Host: h, Incarnation: incarnation})
 }
 
+// Unlinked implements peer.Receiver.
+func (c *control) Unlinked(host string, incarnation uint64) {
+	c.Post(core.PeerUnlinked{Host: host, Incarnation: incarnation})
+}
+
 // Message implements peer.Receiver.
 func (c *control) Message(from string, incarnation uint64, m *peerpb.Message) {
-	c.out.spans.received(m)
+	c.out.spans.received(from, m)
 	c.Post(core.PeerMessage{From: from, Incarnation: incarnation, Message: m})
 }
--- a/internal/daemon/spans.go
+++ b/internal/daemon/spans.go
@@ -13,46 +13,54 @@
 // maxSpans bounds the spans of requests that wait at this scheduler.
 const maxSpans = 20_000
 
+// slotKey names a request at its entry host.
+type slotKey struct {
+	host    string
+	request uint64
+}
+
 // slotSpans makes the scheduler's hop visible: from Acquire to Grant or Refusal.
 type slotSpans struct {
 	tracing *telemetry.Tracing
 	mu      sync.Mutex
-	open    map[string]oteltrace.Span
+	open    map[slotKey]oteltrace.Span
 }
 
 func newSlotSpans(t *telemetry.Tracing) *slotSpans {
-	return &slotSpans{tracing: t, open: map[string]oteltrace.Span{}}
+	return &slotSpans{tracing: t, open: map[slotKey]oteltrace.Span{}}
 }
 
-func (s *slotSpans) received(m *peerpb.Message) {
+func (s *slotSpans) received(from string, m *peerpb.Message) {
 	a := m.GetAcquire()
 	if a == nil || a.Traceparent == "" {
 		return
 	}
+	k := slotKey{from, a.Request}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, waits := s.open[a.Request]; waits || len(s.open) >= maxSpans {
+	if _, waits := s.open[k]; waits || len(s.open) >= maxSpans {
 		return
 	}
 	_, span := s.tracing.Start(s.tracing.FromTraceparent(context.Background(), a.Traceparent), "scheduler: wait for slot")
-	if !span.IsRecording() {
-		return
+	if span.IsRecording() {
+		s.open[k] = span
 	}
-	s.open[a.Request] = span
 }
 
-func (s *slotSpans) sent(m *peerpb.Message) {
-	id := m.GetGrant().GetRequest()
-	if id == "" {
-		id = m.GetRefusal().GetRequest()
-	}
-	if id == "" {
+func (s *slotSpans) sent(to string, m *peerpb.Message) {
+	k := slotKey{host: to}
+	switch b := m.Body.(type) {
+	case *peerpb.Message_Grant:
+		k.request = b.Grant.Request
+	case *peerpb.Message_Refusal:
+		k.request = b.Refusal.Request
+	default:
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if span, ok := s.open[id]; ok {
+	if span, ok := s.open[k]; ok {
 		span.End()
-		delete(s.open, id)
+		delete(s.open, k)
 	}
 }
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -98,7 +98,7 @@
 		if ev, err := w.client.Evictions(ctx, addr, after); err == nil {
 			after = ev.Next
 			if len(ev.Evicted) > 0 {
-				w.post(core.CacheEvicted{Backend: name, Hashes: ev.Evicted})
+				w.post(core.CacheEvicted{Backend: name, Hashes: engine.Short(ev.Evicted)})
 			}
 		}
 		select {
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -41,7 +41,7 @@
 		return f
 	}
 	prompt := b.prompt()
-	sub.PromptTokens, sub.OutputTokens, sub.Prefix = tokens(prompt), b.MaxTokens, engine.PrefixHashes(prompt)
+	sub.PromptTokens, sub.OutputTokens, sub.Prefix = tokens(prompt), b.MaxTokens, engine.Short(engine.PrefixHashes(prompt))
 	s.fly(c, sub, &modelAttempt{server: s, call: c, body: body, sink: newSink(w, c, b.Stream, s.opt.MaxAnswerBytes),
 		exported: make(chan *engine.KV, 1)})
 	return nil
--- /dev/null
+++ b/internal/edge/flight_test.go
@@ -0,0 +1,55 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/confstate"
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/telemetry"
+)
+
+// lateClock is a control thread whose clock a test sets.
+type lateClock struct{ now time.Duration }
+
+func (lateClock) Submit(core.Submit, chan<- core.Effect) {}
+func (lateClock) Post(core.Event)                        {}
+func (c lateClock) Now() time.Duration                   { return c.now }
+func (lateClock) Config() *confstate.Snapshot            { return confstate.New().Snapshot() }
+
+// countingAttempt counts the calls that reach a backend server.
+type countingAttempt struct{ calls int }
+
+func (a *countingAttempt) run(context.Context, core.Dispatch) core.Ended {
+	a.calls++
+	return core.Ended{Outcome: core.Done}
+}
+func (*countingAttempt) suspend(context.Context) {}
+func (*countingAttempt) conclude(*fault.Error)   {}
+
+// A process is paused between the reducer's decision and the write to the backend server. When it
+// wakes, its lease is over: others may have given the slot away, or the server has left. It has to
+// notice on its own clock before it writes.
+func TestPauseBetweenDecisionAndWrite(t *testing.T) {
+	tracing, err := telemetry.NewTracing(context.Background(), telemetry.TraceOptions{Exporter: "none"})
+	require.NoError(t, err)
+	for _, c := range []struct {
+		now     time.Duration
+		calls   int
+		outcome core.Outcome
+	}{{time.Second, 1, core.Done}, {5 * time.Second, 0, core.NotSent}} {
+		s := New(Options{}, lateClock{c.now}, tracing, telemetry.NewMetrics(), zerolog.Nop())
+		a := &countingAttempt{}
+		ended := make(chan core.Ended, 1)
+		s.dispatch(context.Background(), a, core.Dispatch{ID: "r", Attempt: 3, ValidUntil: 2 * time.Second}, ended)
+		e := <-ended
+		require.Equal(t, c.calls, a.calls)
+		require.Equal(t, c.outcome, e.Outcome)
+		require.EqualValues(t, 3, e.Attempt)
+	}
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -10,10 +10,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Times of the failure detector. A host is dead for duties after DeadAfter without a heartbeat.
+// Times of the failure detector.
 const (
-	HeartbeatEvery = 200 * time.Millisecond
-	DeadAfter      = 1200 * time.Millisecond
+	// Heartbeats slow down as a zone grows, so that their bytes per host stay level.
+	intervalPerHost = 25 * time.Millisecond
+	intervalLeast   = 200 * time.Millisecond
+	intervalMost    = 2 * time.Second
+	// A host is dead for duties after deadIntervals without a heartbeat and a little more, or
+	// unlinkedGrace after its last link broke: a process that dies closes its links at once, and
+	// only a dead machine or a cut has to be waited for.
+	deadIntervals = 4
+	deadExtra     = 400 * time.Millisecond
+	unlinkedGrace = 300 * time.Millisecond
 	// ListedGrace keeps an unlisted host that still sends heartbeats: the platform's list lags.
 	ListedGrace = 30 * time.Second
 )
@@ -36,6 +44,8 @@
 	seenAt      time.Duration // latest link or heartbeat
 	echo        uint64        // the peer's clock in its latest heartbeat, ms
 	draining    bool
+	links       int // open links from the peer
+	unlinkedAt  time.Duration
 }
 
 // View is one host's membership view. It is not safe for concurrent use.
@@ -45,6 +55,7 @@
 	peers    map[string]*peer
 	version  uint64
 	listed   int
+	zoneSize int
 }
 
 // NewView returns a view that knows only the host itself.
@@ -67,8 +78,26 @@
 	}
 	v.listed = len(hosts)
 	v.version++
+	v.countZone()
 }
 
+func (v *View) countZone() {
+	v.zoneSize = 1
+	for _, p := range v.peers {
+		if p.Zone == v.self.Zone {
+			v.zoneSize++
+		}
+	}
+}
+
+// Interval is the time between heartbeats.
+func (v *View) Interval() time.Duration {
+	return min(max(time.Duration(v.zoneSize)*intervalPerHost, intervalLeast), intervalMost)
+}
+
+// DeadAfter is how long a linked host may be silent.
+func (v *View) DeadAfter() time.Duration { return deadIntervals*v.Interval() + deadExtra }
+
 // Learn adds a host that opened a link to us. The incarnation of the latest link counts: it is
 // random, so a clock set back on the peer cannot make a restarted host look old.
 func (v *View) Learn(now time.Duration, h Host, incarnation uint64) {
@@ -77,12 +106,24 @@
 	}
 	p := v.at(h.ID)
 	if incarnation != p.incarnation {
-		p.echo, p.heard = 0, false
+		p.echo, p.heard, p.links = 0, false, 0
 		v.version++
 	}
+	p.links++
 	p.incarnation = incarnation
 	p.seenAt = now
 	p.Addr, p.Zone = h.Addr, h.Zone
+	v.countZone()
+}
+
+// Unlinked notes that a link from a peer has broken.
+func (v *View) Unlinked(now time.Duration, id string, incarnation uint64) {
+	p, ok := v.peers[id]
+	if !ok || p.incarnation != incarnation || p.links == 0 {
+		return
+	}
+	p.links--
+	p.unlinkedAt = now
 }
 
 func (v *View) at(id string) *peer {
@@ -132,7 +173,12 @@
 }
 
 func (v *View) alive(now time.Duration, p *peer) bool {
-	return p.heard && now-p.heardAt <= DeadAfter && !p.draining
+	return v.reachable(now, p) && !p.draining
+}
+
+func (v *View) reachable(now time.Duration, p *peer) bool {
+	linked := p.links > 0 || now-p.unlinkedAt <= unlinkedGrace
+	return p.heard && linked && now-p.heardAt <= v.DeadAfter()
 }
 
 // Alive tells whether a host answers heartbeats and takes duties.
@@ -150,7 +196,7 @@
 		return true
 	}
 	p, ok := v.peers[id]
-	return ok && p.heard && now-p.heardAt <= DeadAfter
+	return ok && v.reachable(now, p)
 }
 
 // Known finds a host by id.
@@ -232,6 +278,7 @@
 			delete(v.peers, id)
 		}
 	}
+	v.countZone()
 }
 
 // Version grows with changes that come from messages. Deaths are a matter of time: compare Live.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -24,6 +24,7 @@
 // Receiver takes what comes from other hosts. Its methods may block: that slows the sender down.
 type Receiver interface {
 	Linked(h member.Host, incarnation uint64)
+	Unlinked(host string, incarnation uint64)
 	Message(from string, incarnation uint64, m *peerpb.Message)
 }
 
@@ -58,6 +59,7 @@
 		return status.Error(codes.InvalidArgument, "the first batch names no sender; use the same protocol version")
 	}
 	s.to.Linked(member.Host{ID: from.Host, Zone: from.Zone, Addr: from.Addr}, from.Incarnation)
+	defer s.to.Unlinked(from.Host, from.Incarnation)
 	for {
 		b, err := st.Recv()
 		if errors.Is(err, io.EOF) {
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -20,7 +20,8 @@
 	backends map[string]*backend
 	order    []string // names, sorted
 	queue    *queue
-	runs     map[Key]*run    // over all backend servers
+	runs     map[Key]*run // over all backend servers
+	hosts    map[string]*entryHost
 	reserve  [Priorities]int // percent of slots that tiers above each priority reserve
 	running  [Priorities]int // how many run at each priority
 	grants   uint64
@@ -44,6 +45,7 @@
 		backends: map[string]*backend{},
 		queue:    newQueue(),
 		runs:     map[Key]*run{},
+		hosts:    map[string]*entryHost{},
 		settleAt: now + opt.Settle,
 		awaiting: map[string]bool{},
 		inv:      inv,
@@ -238,7 +240,7 @@
 	}
 	for _, r := range g.runsOf(host) {
 		// A grant may be on its way while the list is on its own: wait out the lease.
-		if !named[r.Key] && now-max(r.granted, r.confirmed) > g.opt.Lease {
+		if !named[r.Key] && now-r.granted > g.opt.Lease {
 			g.free(r)
 		}
 	}
@@ -328,7 +330,7 @@
 func (g *Group) dropLost(now time.Duration) {
 	lost := g.pickRuns(func(r *run) bool {
 		orphan := r.orphanAt > 0 && now-r.orphanAt > g.opt.OrphanGrace
-		return orphan || now-r.confirmed > g.opt.Unconfirmed
+		return orphan || now-max(r.confirmed, g.hosts[r.Key.Host].confirmed) > g.opt.Unconfirmed
 	})
 	for _, r := range lost {
 		g.free(r)
@@ -343,7 +345,7 @@
 }
 
 // Evicted takes cache events of an engine.
-func (g *Group) Evicted(name string, hashes []uint64) {
+func (g *Group) Evicted(name string, hashes []uint32) {
 	b, ok := g.backends[name]
 	if !ok {
 		return
@@ -375,6 +377,13 @@
 	b.runs[r.Key] = r
 	g.runs[r.Key] = r
 	g.running[r.Priority]++
+	h, ok := g.hosts[r.Key.Host]
+	if !ok {
+		h = &entryHost{}
+		g.hosts[r.Key.Host] = h
+	}
+	h.count++
+	h.digest ^= HeldStamp(r.Key.Request, r.Attempt)
 }
 
 func (g *Group) free(r *run) {
@@ -383,6 +392,12 @@
 	}
 	delete(g.runs, r.Key)
 	g.running[r.Priority]--
+	h := g.hosts[r.Key.Host]
+	h.count--
+	h.digest ^= HeldStamp(r.Key.Request, r.Attempt)
+	if h.count == 0 {
+		delete(g.hosts, r.Key.Host)
+	}
 	if b, ok := g.backends[r.Backend]; ok {
 		delete(b.runs, r.Key)
 	}
--- a/internal/sched/group_test.go
+++ b/internal/sched/group_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -34,8 +35,11 @@
 	return g
 }
 
+// number makes a request number of a test's name for it.
+func number(id string) uint64 { return xxhash.Sum64String(id) }
+
 func testRequest(id string, priority uint32, workspace string) Request {
-	return Request{Key: Key{"h", id}, Attempt: 1, Workspace: workspace, Weight: 1, Priority: priority,
+	return Request{Key: Key{"h", number(id)}, Attempt: 1, Workspace: workspace, Weight: 1, Priority: priority,
 		PromptTokens: 100, OutputTokens: 20, Deadline: time.Hour}
 }
 
@@ -161,7 +165,8 @@
 					priority := g.runs[k].Priority
 					delete(c.running, k)
 					c.take(g.Release(now, Result{Key: k, Attempt: d.Attempt, Backend: d.Backend, Outcome: Suspended}))
-					r := testRequest(k.Request, priority, "a")
+					r := testRequest("", priority, "a")
+					r.Key = k
 					r.Attempt, r.Resume, r.Deadline = d.Attempt+1, true, now+10*time.Second
 					c.waiting[k] = r
 					c.take(g.Acquire(now, r))
@@ -243,12 +248,12 @@
 	g := NewGroup(0, DefaultOptions(), record.Service{Name: "s", Kind: record.ServiceModel, Policy: "cost"}, []string{"h1", "h2"}, &inv)
 	g.SetBackends(0, []record.Backend{{Name: "b", Service: "s", Slots: 2, CanSuspend: true}})
 	require.Empty(t, grants(g.Acquire(0, testRequest("new", 5, "w"))))
-	held := []Held{{Key: Key{"h1", "old1"}, Attempt: 1, Backend: "b"}, {Key: Key{"h1", "old2"}, Attempt: 1, Backend: "b"}}
+	held := []Held{{Key: Key{"h1", 1}, Attempt: 1, Backend: "b"}, {Key: Key{"h1", 2}, Attempt: 1, Backend: "b"}}
 	require.Empty(t, grants(g.Hold(0, "h1", held)))
 	require.Empty(t, grants(g.Hold(0, "h2", nil)), "both slots are in use")
-	got := grants(g.Release(0, Result{Key: Key{"h1", "old1"}, Attempt: 1, Backend: "b", Outcome: Done}))
+	got := grants(g.Release(0, Result{Key: Key{"h1", 1}, Attempt: 1, Backend: "b", Outcome: Done}))
 	require.Len(t, got, 1)
-	require.Equal(t, "new", got[0].Key.Request)
+	require.Equal(t, number("new"), got[0].Key.Request)
 }
 
 // One of the entry hosts is dead when a scheduler takes over. Callers of all others would wait for
@@ -271,7 +276,7 @@
 	require.Empty(t, grants(g.Hold(time.Second, "h", nil)), "the grant may still be on its way")
 	got := grants(g.Hold(3*time.Second, "h", nil))
 	require.Len(t, got, 1)
-	require.Equal(t, "b", got[0].Key.Request)
+	require.Equal(t, number("b"), got[0].Key.Request)
 }
 
 // A grant is lost with a cut link. The entry host asks again with the same attempt; a second slot,
@@ -292,11 +297,9 @@
 	g := newTestGroup(record.ServiceModel, 1, 8, &inv)
 	serve := func(n int, interval time.Duration) {
 		for i := 0; i < n; i++ {
-			k := Key{"h", fmt.Sprintf("%s-%d", interval, i)}
-			for j := 0; j < 8; j++ {
+			for j := 0; j < 9; j++ {
 				g.Acquire(0, testRequest(fmt.Sprintf("%s-%d-%d", interval, i, j), 1, "w"))
 			}
-			g.Acquire(0, testRequest(k.Request, 1, "w"))
 			for _, r := range g.pickRuns(func(*run) bool { return true }) {
 				g.Release(0, Result{Key: r.Key, Attempt: 1, Backend: "b000", Outcome: Done, Interval: interval, Prompt: 100, FirstToken: interval, Tokens: 20})
 			}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -104,7 +104,7 @@
 		granted: now, confirmed: now, cost: w.cost,
 	})
 	b.prefix.add(w.Prefix)
-	g.inv.Check(!b.spec.Leaving, "grant of %s on leaving backend server %s", w.Key.Request, b.spec.Name)
+	g.inv.Check(!b.spec.Leaving, "grant of %d on leaving backend server %s", w.Key.Request, b.spec.Name)
 	g.out = append(g.out, Grant{w.Key, w.Attempt, b.spec.Name, g.opt.Lease})
 }
 
@@ -204,7 +204,7 @@
 func (g *Group) shed(now time.Duration, w *waiting) {
 	if !ignoresTiers(g.service.Policy) {
 		r := g.displaceable(now, w)
-		g.inv.Check(r == nil, "shed %s at priority %d while lower work runs", w.Key.Request, w.Priority)
+		g.inv.Check(r == nil, "shed %d at priority %d while lower work runs", w.Key.Request, w.Priority)
 	}
 	wait := clampRetry(g.wait(w.Priority))
 	g.queue.remove(w)
--- a/internal/sched/prefix.go
+++ b/internal/sched/prefix.go
@@ -10,15 +10,15 @@
 // belief costs prefill that was not expected, never correctness.
 type prefixCache struct {
 	order *list.List
-	at    map[uint64]*list.Element
+	at    map[uint32]*list.Element
 }
 
 func newPrefixCache() *prefixCache {
-	return &prefixCache{order: list.New(), at: map[uint64]*list.Element{}}
+	return &prefixCache{order: list.New(), at: map[uint32]*list.Element{}}
 }
 
 // add notes that a prompt with these prefixes was sent.
-func (c *prefixCache) add(hashes []uint64) {
+func (c *prefixCache) add(hashes []uint32) {
 	for _, h := range hashes {
 		if e, ok := c.at[h]; ok {
 			c.order.MoveToBack(e)
@@ -26,13 +26,13 @@
 		}
 		c.at[h] = c.order.PushBack(h)
 		if c.order.Len() > maxBelievedPrefixes {
-			c.drop(c.order.Front().Value.(uint64))
+			c.drop(c.order.Front().Value.(uint32))
 		}
 	}
 }
 
 // drop notes an eviction.
-func (c *prefixCache) drop(hash uint64) {
+func (c *prefixCache) drop(hash uint32) {
 	if e, ok := c.at[hash]; ok {
 		c.order.Remove(e)
 		delete(c.at, hash)
@@ -40,7 +40,7 @@
 }
 
 // matched is how many prompt tokens are believed cached. Prefix i is tokensPerBlock<<i tokens long.
-func (c *prefixCache) matched(hashes []uint64, promptTokens uint32) uint32 {
+func (c *prefixCache) matched(hashes []uint32, promptTokens uint32) uint32 {
 	for i := len(hashes) - 1; i >= 0; i-- {
 		if _, ok := c.at[hashes[i]]; ok {
 			return min(promptTokens, uint32(tokensPerBlock)<<i)
--- a/internal/sched/types.go
+++ b/internal/sched/types.go
@@ -15,7 +15,7 @@
 // Key names a request at the entry host that took it.
 type Key struct {
 	Host    string
-	Request string
+	Request uint64
 }
 
 // Less orders keys, so that choices do not depend on map order.
@@ -35,7 +35,7 @@
 	Priority      uint32
 	PromptTokens  uint32
 	OutputTokens  uint32
-	Prefix        []uint64
+	Prefix        []uint32
 	Deadline      time.Duration
 	NonIdempotent bool
 	// Resume tells that the request was suspended and holds exported KV cache.
--- a/internal/telemetry/trace.go
+++ b/internal/telemetry/trace.go
@@ -77,8 +77,12 @@
 
 const traceparentKey = "traceparent"
 
-// Traceparent gives the span context of ctx as one string, for messages between hosts.
+// Traceparent gives the span context of ctx as one string, for messages between hosts; empty where
+// nothing is recorded, since those messages are counted by the byte.
 func (t *Tracing) Traceparent(ctx context.Context) string {
+	if !oteltrace.SpanContextFromContext(ctx).IsSampled() {
+		return ""
+	}
 	m := propagation.MapCarrier{}
 	t.carrier.Inject(ctx, m)
 	return m[traceparentKey]
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -118,6 +118,10 @@
 		return Yours
 	case c.done:
 		return Done
+	case c.holder == "":
+		c.holder = holder
+		h.claims[id] = c
+		return Yours
 	case c.holder == holder:
 		return Yours
 	default:
--- /dev/null
+++ b/internal/tools/mutants/table.go
@@ -0,0 +1,77 @@
+package main
+
+// mutant is one guard taken away.
+type mutant struct {
+	name    string
+	promise string
+	file    string
+	old     string
+	new     string
+	tests   []string // arguments of go test
+}
+
+var (
+	coreTests   = []string{"./internal/core", "-rapid.shrinktime=1s"}
+	ticketTests = []string{"./internal/ticket"}
+	schedTests  = []string{"./internal/sched", "-rapid.shrinktime=1s"}
+)
+
+func real(run string) []string { return []string{"./test", "-run", run} }
+
+// mutants has at least one row for each promise of the brief, numbered in its order.
+var mutants = []mutant{
+	{"dispatch-mark", "1", "internal/core/entry.go",
+		"if !ok || r.phase != seeking || r.attempt != m.Attempt || r.target.scheduler != from {\n\t\tc.returnGrant(from, m)",
+		"if !ok || r.attempt != m.Attempt || r.target.scheduler != from {\n\t\tc.returnGrant(from, m)", coreTests},
+	{"grant-attempt", "1", "internal/core/entry.go",
+		"if !ok || r.phase != seeking || r.attempt != m.Attempt || r.target.scheduler != from {\n\t\tc.returnGrant(from, m)",
+		"if !ok || r.phase != seeking || r.target.scheduler != from {\n\t\tc.returnGrant(from, m)", coreTests},
+	{"ticket-holder", "1", "internal/ticket/ticket.go",
+		"\tcase c.holder == holder:\n\t\treturn Yours\n\tdefault:\n\t\treturn InProgress", "\tdefault:\n\t\treturn Yours", coreTests},
+	{"ticket-incarnation", "1", "internal/ticket/ticket.go",
+		"if t.Home != h.host || t.Incarnation != h.incarnation {", "if t.Home != h.host {", ticketTests},
+	{"ticket-not-run", "1", "internal/ticket/ticket.go", "\tcase c.holder == \"\":\n", "\tcase false:\n", ticketTests},
+	{"ticket-expiry", "1", "internal/ticket/ticket.go", "if now > t.Issued+TTL || t.Issued > now {", "if false {", ticketTests},
+	{"ticket-done", "1", "internal/ticket/ticket.go", "\t\tc.done = true\n", "\t\tc.holder = \"\"\n", ticketTests},
+	{"unsent-proof", "1", "internal/wire/wire.go",
+		"sent = unknown.Load() || (c != nil && c.written.Load() != before.Load())", "sent = false", real("LostAnswer")},
+	{"library-repeats", "1", "internal/wire/wire.go",
+		"\treq.Body = onceBody{req.Body}\n\treq.GetBody = nil\n", "\treq.Body = http.NoBody\n", real("LostAnswer")},
+	{"old-incarnation", "1", "internal/core/core.go",
+		"if e.From != c.opt.Self.ID && e.Incarnation != c.view.Incarnation(e.From) {", "if false {", coreTests},
+	{"lease-on-waking", "1, 4", "internal/core/entry.go", "|| c.now > until {", "{", coreTests},
+	{"lease-before-write", "1, 4", "internal/edge/flight.go", "if s.control.Now() > d.ValidUntil {", "if false {", []string{"./internal/edge"}},
+	{"not-run-is-true", "1", "internal/core/entry.go", "if !r.resume {\n\t\tr.sent = false\n\t}", "", coreTests},
+	{"length-check", "2", "internal/engine/client.go", "return nil, io.ErrUnexpectedEOF", "return nil, ErrDone", real("Short|Cut")},
+	{"end-mark", "2", "internal/edge/chat.go", "errors.Is(err, engine.ErrDone) && finished", "errors.Is(err, engine.ErrDone) || err != nil", real("Short|Cut")},
+	{"answer-id", "2", "internal/edge/chat.go", "if err != nil || c.ID != m.call.id {", "if err != nil {", real("Crossed")},
+	{"resume-offset", "2", "internal/edge/chat.go", "m.server.engines.Reattach(ctx, m.addr, m.call.id, m.offset)",
+		"m.server.engines.Reattach(ctx, m.addr, m.call.id, m.offset+1)", real("CutStream")},
+	{"short-plain-body", "2", "internal/edge/pass.go", "\tif p.begun {\n\t\tabort()\n\t}\n", "\tif p.begun {\n\t\treturn\n\t}\n", real("ShortBody")},
+	{"tier-order", "3", "internal/sched/place.go", "for p := Priorities - 1; p >= 0; p-- {", "for p := 0; p < Priorities; p++ {", schedTests},
+	{"displace-before-shed", "3", "internal/sched/place.go", "\t\tg.displaceAllBelow(now, w)\n", "", schedTests},
+	{"over-the-bound", "3", "internal/sched/place.go", "if g.lowerRunning(w.Priority) > 0 && g.queue.len() <= hardQueueFactor*bound {", "if false {", schedTests},
+	{"displacement", "3", "internal/sched/displace.go", "if ignoresTiers(g.service.Policy) || now-w.arrived < g.opt.DisplaceAfter {",
+		"if true {", real("UrgentWork")},
+	{"resume-whole", "3", "internal/edge/chat.go", "m.kv.Offset = m.offset", "m.kv.Offset = 0", real("UrgentWork")},
+	{"leaving-filter", "4", "internal/sched/backend.go", "if b.spec.Leaving || now < b.coolTill {", "if now < b.coolTill {", coreTests},
+	{"leaving-at-dispatch", "4", "internal/core/core.go", "if b == nil || b.Leaving || c.leaving[b.Addr] {", "if b == nil {", coreTests},
+	{"leaving-host-list", "4", "internal/core/core.go", "b.Leaving || c.leaving[b.Addr]", "b.Leaving", coreTests},
+	{"drain-wait", "5", "internal/daemon/daemon.go", "if held == 0 {", "if held >= 0 {", real("ShutdownWaits")},
+	{"drain-grace", "5", "internal/daemon/daemon.go", "if !sleep(hard, d.set.Drain.Grace) {", "if !sleep(hard, 0) {", real("Roll")},
+	{"revision-comparison", "6", "internal/confstate/confstate.go", "if known && r.Revision <= old.raw.Revision {", "if false {", coreTests},
+	{"bad-record", "6", "internal/record/convert.go", "if priority == nil || *priority > MaxPriority {", "if priority == nil {", []string{"./test", "-run", "CheckFiles"}},
+	{"peers-repair", "6", "internal/core/config.go", "if digest == c.conf.Digest() || c.now-c.gossip.pulledAt < pullEvery {", "if true {", coreTests},
+	{"reader-stands-in", "6", "internal/core/duty.go", "silent := c.now-c.gossip.readElsewhere > readersSilent", "silent := false", coreTests},
+	{"synced-before-ready", "6", "internal/core/core.go", "return c.gossip.synced && !c.drain", "return !c.drain", real("Lone")},
+	{"rate-in-partition", "7", "internal/member/member.go", "\tif v.listed > 0 {\n\t\treturn v.listed\n\t}\n\treturn len(v.peers) + 1", "\treturn 1", coreTests},
+	{"spill-starts-at-once", "7", "internal/sched/place.go", "if w.Spilled && !g.takesSpill(w.Priority) {", "if false {", schedTests},
+	{"settle", "7", "internal/sched/group.go", "g.settled = len(g.awaiting) == 0\n", "g.settled = true\n", schedTests},
+	{"retry-budget", "8", "internal/core/entry.go", "if r.reseeks > maxReseeks || c.entry.budget < 1 {", "if r.reseeks > maxReseeks {", coreTests},
+	{"queue-bound", "8", "internal/sched/place.go", "for g.queue.len() > bound {", "for false {", schedTests},
+	{"lost-release", "8", "internal/sched/group.go", "\t\tif !named[r.Key] && now-max(r.granted, r.confirmed) > g.opt.Lease {\n\t\t\tg.free(r)\n\t\t}\n", "", schedTests},
+	{"slow-caller", "8", "internal/edge/body.go", "_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))", "", real("SlowCallers")},
+	{"link-loss", "3", "internal/member/member.go", "linked := p.links > 0 || now-p.unlinkedAt <= unlinkedGrace", "linked := true", []string{"./internal/member"}},
+	{"held-digest", "8", "internal/sched/held.go", "if h.count != count || h.digest != digest {", "if false {", coreTests},
+	{"one-answer", "1, 2", "internal/core/entry.go", "\tif !ok || !r.runs() || r.attempt != e.Attempt {\n", "\tif !ok {\n", coreTests},
+}
