--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,65 @@
+// Command measure runs the measurements of docs/MEASUREMENTS.md and docs/CAPACITY.md.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"fireflyshift/internal/measure"
+)
+
+type common struct {
+	Bin    string        `long:"bin" default:"bin" description:"folder with the built programs"`
+	Length time.Duration `long:"length" default:"8s" description:"length of each single run"`
+}
+
+type overheadCommand struct {
+	common
+	Rates []float64 `long:"rate" default:"200" default:"1000" default:"2000" default:"4000" default:"6000"`
+}
+
+// Execute compares calls through a host with direct ones.
+func (c *overheadCommand) Execute([]string) error {
+	return measure.Overhead(os.Stdout, c.Bin, c.Rates, c.Length)
+}
+
+type memoryCommand struct {
+	common
+}
+
+// Execute measures memory per request.
+func (c *memoryCommand) Execute([]string) error {
+	return measure.MemoryPerRequest(os.Stdout, c.Bin, []int{250, 500, 1000, 2000})
+}
+
+type capacityCommand struct {
+	common
+	Page string `long:"page" default:"docs/CAPACITY.md"`
+}
+
+// Execute measures the slopes of the capacity page.
+func (c *capacityCommand) Execute([]string) error {
+	fmt.Println(measure.Machine())
+	return measure.Capacity(os.Stdout, c.Bin, c.Page, c.Length)
+}
+
+func main() {
+	p := flags.NewParser(nil, flags.Default)
+	add := func(name, short string, c any) {
+		if _, err := p.AddCommand(name, short, "", c); err != nil {
+			panic(err)
+		}
+	}
+	add("overhead", "latency that a host adds to a direct call", &overheadCommand{})
+	add("memory", "memory per waiting request and open stream", &memoryCommand{})
+	add("capacity", "slopes of the capacity page", &capacityCommand{})
+	if _, err := p.Parse(); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(1)
+	}
+}
--- a/internal/sched/group_test.go
+++ b/internal/sched/group_test.go
@@ -114,13 +114,13 @@
 		c.t.Fatalf("refused %v, which does not wait", d.Key)
 	}
 	delete(c.waiting, d.Key)
-	if d.Kind != fault.Overloaded || c.g.service.Kind != record.ServiceModel {
+	if d.Kind != fault.Overloaded || len(c.waiting) >= hardQueueFactor*c.g.opt.MinQueue {
 		return
 	}
 	for k, run := range c.running {
-		b := c.g.backends[run.Backend]
-		if held := c.g.runs[k]; held != nil && held.Priority < r.Priority && !c.asked[k] && b.ready(0) {
-			c.t.Fatalf("priority %d was shed while priority %d runs untouched on %s", r.Priority, held.Priority, run.Backend)
+		held := c.g.runs[k]
+		if held != nil && held.Priority < r.Priority && c.g.backends[run.Backend].ready(0) {
+			c.t.Fatalf("priority %d was shed while priority %d runs on %s", r.Priority, held.Priority, run.Backend)
 		}
 	}
 }
@@ -134,7 +134,7 @@
 		kind := rapid.SampledFrom([]record.ServiceKind{record.ServiceModel, record.ServicePlain}).Draw(rt, "kind")
 		var inv invariant.Log
 		g := newTestGroup(kind, 3, 2, &inv)
-		g.opt.MinQueue, g.opt.QueuePerSlot = 6, 1
+		g.opt.MinQueue, g.opt.QueuePerSlot = 2, 0
 		c := &checker{rt, g, map[Key]Request{}, map[Key]Grant{}, map[Key]bool{}}
 		now, seq := time.Duration(0), 0
 		rt.Repeat(map[string]func(*rapid.T){
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -86,6 +86,8 @@
 	CutEvery int     `json:"cut_every"` // cuts the connection after this many tokens
 	Short    bool    `json:"short"`     // ends answers early without an end mark, once each
 	Crossed  bool    `json:"crossed"`   // sends one chunk under another request's id
+	Gap      bool    `json:"gap"`       // leaves one token out on each connection
+	EarlyEnd bool    `json:"early_end"` // sends [DONE] early, once each
 }
 
 // Engine is the stand-in. Its methods are safe for concurrent use.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -169,8 +169,15 @@
 			if mode.Crossed && sent == 2 {
 				id, text = "another-request", "another workspace's text"
 			}
-			e.chunk(w, id, offset, text, "")
+			if !mode.Gap || sent != 2 {
+				e.chunk(w, id, offset, text, "")
+			}
 			sent++
+			if mode.EarlyEnd && offset == 3 && !s.imported {
+				s.imported = true // only once
+				fmt.Fprint(w, "data: [DONE]\n\n")
+				return
+			}
 			if mode.Short && offset == 3 && !s.imported {
 				s.imported = true // only once, so that the reader can take the stream up again
 				return
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -14,6 +14,7 @@
 // Mode is how the service misbehaves.
 type Mode struct {
 	Short     bool `json:"short"`      // ends bodies before their declared length
+	Cut       bool `json:"cut"`        // cuts the connection in the middle of a body of unknown length
 	DieAfter  bool `json:"die_after"`  // runs the work, then cuts the connection without an answer
 	DieBefore bool `json:"die_before"` // cuts the connection before the work runs
 }
@@ -92,6 +93,11 @@
 		panic(http.ErrAbortHandler)
 	}
 	answer := fmt.Sprintf("%s %s body=%d run=%d", r.Method, r.URL.Path, len(body), n)
+	if mode.Cut {
+		_, _ = io.WriteString(w, answer[:len(answer)/2])
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	if mode.Short {
 		w.Header().Set("Content-Length", fmt.Sprint(len(answer)+100))
 	}
--- a/test/dispatch_test.go
+++ b/test/dispatch_test.go
@@ -181,34 +181,34 @@
 	b.requireOnce()
 }
 
-// An engine closes a body early without an error, or sends a chunk of somebody else's answer. A
-// caller would read a short answer as whole, or another workspace's text.
+// An engine closes a body early without an error, sends a chunk of somebody else's answer, leaves a
+// token out, or says too early that it is done. A caller would read a short or torn answer as
+// whole, or another workspace's text; the stream is taken up again at the right place.
 func TestShortAndCrossedAnswersAreNoticed(t *testing.T) {
 	b := newBed(t, "a1")
 	e := b.addEngine("e1", "zone-a", fastEngine())
 	b.start()
-	for i, mode := range []engine.Mode{{Short: true}, {Crossed: true}} {
+	for i, mode := range []engine.Mode{{Short: true}, {Crossed: true}, {Gap: true}, {EarlyEnd: true}} {
 		e.SetMode(mode)
 		prompt := fmt.Sprint("prompt ", i)
 		a := tiered("mid").With("Fireflyshift-Deadline-Ms", "8000").Chat(ctx(t), b.callers("a1"), "notes", prompt, 30, true)
-		if a.OK() {
-			require.Equal(t, expected(prompt, 30), a.Text)
-		} else {
-			require.NotEmpty(t, a.Kind, "%+v", a)
-		}
+		require.True(t, a.OK(), "%+v", a)
+		require.Equal(t, expected(prompt, 30), a.Text)
 	}
 	b.requireOnce()
 }
 
-// A plain service ends a body before its declared length. The buyer's page must show an error, not
+// A plain service ends a body before its declared length, or is cut in one of unknown length. The buyer's page must show an error, not
 // half a price list.
 func TestShortBodyOfAPlainServiceIsAnError(t *testing.T) {
 	b := newBed(t, "a1")
 	s := b.addPlain("git-1", "zone-a", time.Millisecond)
 	b.start()
-	s.SetMode(plain.Mode{Short: true})
-	a := tiered("top").Call(ctx(t), "GET", b.callers("a1"), "git", "prices", nil)
-	require.False(t, a.OK(), "%+v", a)
+	for _, mode := range []plain.Mode{{Short: true}, {Cut: true}} {
+		s.SetMode(mode)
+		a := tiered("top").Call(ctx(t), "GET", b.callers("a1"), "git", "prices", nil)
+		require.False(t, a.OK(), "%+v", a)
+	}
 	b.requireOnce()
 }
 
