--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -46,6 +46,26 @@
 	return measure.Capacity(os.Stdout, c.Bin, c.Page, c.Length)
 }
 
+type policyCommand struct {
+	common
+	Folder string `long:"out" default:"out" description:"folder for JSON and plots"`
+	Full   bool   `long:"full" description:"all loads, seeds and faults; up to half an hour"`
+	Only   string `long:"only" choice:"quick" choice:"loads" choice:"seeds" choice:"faults" choice:"untuned" description:"one plan of the full table"`
+}
+
+// Execute compares policies.
+func (c *policyCommand) Execute([]string) error {
+	plans := map[string]measure.Plan{"quick": measure.Quick, "loads": measure.Loads, "seeds": measure.Seeds, "faults": measure.Faults, "untuned": measure.Untuned}
+	chosen := []measure.Plan{measure.Quick}
+	if c.Full {
+		chosen = []measure.Plan{measure.Quick, measure.Loads, measure.Seeds, measure.Faults, measure.Untuned}
+	}
+	if c.Only != "" {
+		chosen = []measure.Plan{plans[c.Only]}
+	}
+	return measure.Policies(os.Stdout, c.Bin, c.Folder, c.Length, chosen...)
+}
+
 func main() {
 	p := flags.NewParser(nil, flags.Default)
 	add := func(name, short string, c any) {
@@ -56,6 +76,7 @@
 	add("overhead", "latency that a host adds to a direct call", &overheadCommand{})
 	add("memory", "memory per waiting request and open stream", &memoryCommand{})
 	add("capacity", "slopes of the capacity page", &capacityCommand{})
+	add("policy", "policies against each other and the bound", &policyCommand{})
 	if _, err := p.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -379,6 +379,9 @@
 			continue
 		}
 		for _, id := range w.ids {
+			if w.hosts[id].bornAt+inForceBound > w.now {
+				continue
+			}
 			if got := w.hosts[id].core.Config().Revision(); got < p.revision {
 				w.fail("host %s has revision %d in force; revision %d is %s old", id, got, p.revision, w.now-p.at)
 			}
--- /dev/null
+++ b/internal/measure/policy.go
@@ -0,0 +1,401 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"fireflyshift/internal/standin/engine"
+	"fireflyshift/internal/standin/fleet"
+	"fireflyshift/internal/standin/platform"
+)
+
+// trial is one run of a policy under a load and a fault.
+type trial struct {
+	Mix    string  `json:"mix"`
+	Policy string  `json:"policy"`
+	Load   float64 `json:"load"`
+	Fault  string  `json:"fault"`
+	Seed   uint64  `json:"seed"`
+}
+
+// tierResult is what became of one tier.
+type tierResult struct {
+	Tier    string  `json:"tier"`
+	Offered int     `json:"offered"`
+	Good    int     `json:"good"` // whole and in time
+	Goodput float64 `json:"goodput"`
+	Bound   float64 `json:"bound"` // what a clairvoyant could
+	Refused int     `json:"refused"`
+	Late    int     `json:"late_or_cut"`
+}
+
+// result is what one trial measured.
+type result struct {
+	trial
+	Tiers         []tierResult  `json:"tiers"`
+	Total         float64       `json:"total_goodput"`
+	TotalBound    float64       `json:"total_bound"`
+	WastedPrefill float64       `json:"wasted_prefill"`
+	Fairness      float64       `json:"least_share"` // least workspace's goodput over the mean's
+	First         [3]float64    `json:"top_first_token_ms"`
+	Gap           [3]float64    `json:"token_gap_ms"`
+	ControlBytes  float64       `json:"control_bytes_per_host_s"`
+	HostCPU       float64       `json:"cpu_per_host_percent"`
+	Recovery      time.Duration `json:"recovery"` // of the top tier after the fault; -1 if not in the run
+	Violations    int           `json:"invariant_violations"`
+}
+
+const (
+	faultAt     = 3 * time.Second
+	binLength   = 500 * time.Millisecond
+	recoveredAt = 0.95
+)
+
+// runner runs trials one after the other.
+type runner struct {
+	bin    string
+	length time.Duration
+	log    io.Writer
+}
+
+// outcome is one request's end.
+type outcome struct {
+	job  job
+	good bool
+	kind string
+}
+
+// collector gathers outcomes from many goroutines.
+type collector struct {
+	mu       sync.Mutex
+	outcomes []outcome
+	first    *hdrhistogram.Histogram
+	gap      *hdrhistogram.Histogram
+}
+
+func (c *collector) add(o outcome, a fleet.Answer, top bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
+	if top && o.good {
+		noteDuration(c.first, a.FirstToken)
+	}
+	for _, g := range a.Gaps {
+		noteDuration(c.gap, g)
+	}
+}
+
+func (x runner) run(m mix, t trial) (result, error) {
+	r, err := x.build(m, t.Policy)
+	if err != nil {
+		return result{}, err
+	}
+	defer r.close()
+	jobs := m.draw(t.Load, x.length, t.Seed)
+	before := x.usageOfAll(r)
+	c := &collector{first: newHistogram(), gap: newHistogram()}
+	lb := newReadyHosts(r)
+	defer lb.close()
+	go x.inject(r, m, t.Fault)
+	x.send(m, jobs, lb, c)
+	out := x.judge(m, t, jobs, c)
+	out.ControlBytes, out.HostCPU = x.spent(r, before)
+	out.WastedPrefill = wasted(r)
+	for _, s := range r.specs {
+		if st, err := r.status(s); err == nil {
+			out.Violations += st.Violations
+		}
+	}
+	return out, nil
+}
+
+func (x runner) build(m mix, policy string) (*rig, error) {
+	r, err := newRig(x.bin)
+	if err != nil {
+		return nil, err
+	}
+	r.publish(m.records(policy)...)
+	for z := 0; z < m.zones; z++ {
+		zone := fmt.Sprintf("zone-%d", z)
+		for i := 0; i < m.engines; i++ {
+			o := engine.DefaultOptions()
+			o.Step, o.Batch, o.CacheEntries = m.steps[i%len(m.steps)], m.batch, m.cache
+			r.addEngine(fmt.Sprintf("%s-e%d", zone, i), "notes", zone, o)
+		}
+		r.addHosts(zone, m.hosts)
+	}
+	for i := range r.specs {
+		r.specs[i].Extra = "limit = 20s\n"
+	}
+	if err := r.start(); err != nil {
+		r.close()
+		return nil, err
+	}
+	for _, e := range r.engines {
+		e.ResetStats()
+	}
+	return r, nil
+}
+
+// readyHosts stands in for the platform's balancer: it asks for readiness every 100 ms, and tries
+// another host when a connection is refused.
+type readyHosts struct {
+	mu    sync.Mutex
+	ready []string
+	next  int
+	stop  context.CancelFunc
+}
+
+func newReadyHosts(r *rig) *readyHosts {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &readyHosts{stop: stop}
+	l.check(r)
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(100 * time.Millisecond)
+			l.check(r)
+		}
+	}()
+	return l
+}
+
+func (l *readyHosts) close() { l.stop() }
+
+func (l *readyHosts) check(r *rig) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	up := map[string]bool{}
+	for _, s := range r.specs {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			code, _, err := fleet.Get("http://" + s.Admin + "/readyz")
+			mu.Lock()
+			defer mu.Unlock()
+			up[s.Callers] = err == nil && code == http.StatusOK
+		}()
+	}
+	wg.Wait()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.ready = l.ready[:0]
+	for _, s := range r.specs {
+		if up[s.Callers] {
+			l.ready = append(l.ready, s.Callers)
+		}
+	}
+}
+
+func (l *readyHosts) pick() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.ready) == 0 {
+		return "127.0.0.1:9"
+	}
+	l.next++
+	return l.ready[l.next%len(l.ready)]
+}
+
+// send plays the jobs at their times.
+func (x runner) send(m mix, jobs []job, lb *readyHosts, c *collector) {
+	ctx, cancel := context.WithTimeout(context.Background(), x.length+time.Minute)
+	defer cancel()
+	callers := map[[2]int]*fleet.Caller{}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}}
+	for w := range m.workspaces {
+		for t := range m.tiers {
+			call := fleet.NewCaller(fmt.Sprint("key-", w)).With("Fireflyshift-Tier", m.tiers[t].name)
+			call.Client = client
+			callers[[2]int{w, t}] = call
+		}
+	}
+	start := time.Now()
+	var wg sync.WaitGroup
+	for _, j := range jobs {
+		time.Sleep(time.Until(start.Add(j.at)))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			a := callers[[2]int{j.workspace, j.tier}].Chat(ctx, lb.pick(), "notes", j.prompt, j.tokens, true)
+			for try := 0; a.Err != nil && a.Status == 0 && try < 3; try++ {
+				// Refused connection or a host that died before it answered: the balancer tries another.
+				a = callers[[2]int{j.workspace, j.tier}].Chat(ctx, lb.pick(), "notes", j.prompt, j.tokens, true)
+			}
+			right := a.OK() && a.Text == engine.Answer("user\n"+j.prompt+"\n", j.tokens)
+			in := a.Took <= m.tiers[j.tier].deadline
+			c.add(outcome{job: j, good: right && in, kind: a.Kind}, a, j.tier == 0)
+		}()
+	}
+	wg.Wait()
+}
+
+// inject brings the trial's fault.
+func (x runner) inject(r *rig, m mix, fault string) {
+	time.Sleep(faultAt)
+	switch fault {
+	case "slow engine":
+		r.engines["zone-0-e0"].SetMode(engine.Mode{Slow: 4})
+	case "host killed":
+		s := r.specs[0]
+		r.hosts[s.ID].Kill()
+		time.Sleep(2 * time.Second)
+		_ = r.startHost(s)
+	case "platform outage":
+		r.platform.SetMode(platform.Mode{Down: true})
+	case "zone paused":
+		for _, s := range r.specs[:m.hosts] {
+			r.hosts[s.ID].Signal(syscall.SIGSTOP)
+		}
+		time.Sleep(2 * time.Second)
+		for _, s := range r.specs[:m.hosts] {
+			r.hosts[s.ID].Signal(syscall.SIGCONT)
+		}
+	case "roll":
+		for _, s := range r.specs[:m.hosts] {
+			r.hosts[s.ID].Signal(syscall.SIGTERM)
+			_ = r.hosts[s.ID].Wait(25 * time.Second)
+			_ = r.startHost(s)
+			fleet.Ready(startTimeout, s.Admin)
+		}
+	}
+}
+
+func (x runner) judge(m mix, t trial, jobs []job, c *collector) result {
+	out := result{trial: t}
+	bounds := m.bound(jobs, x.length)
+	good, bound := 0, 0.0
+	for i, tier := range m.tiers {
+		tr := tierResult{Tier: tier.name, Bound: bounds[i]}
+		for _, o := range c.outcomes {
+			if o.job.tier != i {
+				continue
+			}
+			tr.Offered++
+			switch {
+			case o.good:
+				tr.Good++
+			case o.kind != "" && o.kind != "answer_cut" && o.kind != "deadline_exceeded" && o.kind != "displaced":
+				tr.Refused++
+			default:
+				tr.Late++
+			}
+		}
+		tr.Goodput = float64(tr.Good) / float64(max(1, tr.Offered))
+		good += tr.Good
+		bound += tr.Bound * float64(tr.Offered)
+		out.Tiers = append(out.Tiers, tr)
+	}
+	out.Total, out.TotalBound = float64(good)/float64(len(jobs)), bound/float64(len(jobs))
+	out.Fairness = fairness(m, c.outcomes)
+	out.First = threeQuantiles(c.first)
+	out.Gap = threeQuantiles(c.gap)
+	out.Recovery = recovery(c.outcomes, x.length, t.Fault)
+	return out
+}
+
+func threeQuantiles(h *hdrhistogram.Histogram) [3]float64 {
+	return [3]float64{ms(quantile(h, 50)), ms(quantile(h, 95)), ms(quantile(h, 99))}
+}
+
+// fairness compares, in the lowest tier that was served at all, each workspace's share of answered
+// requests with the share of all: 1 is even, 0 is a workspace that got nothing.
+func fairness(m mix, outcomes []outcome) float64 {
+	for t := len(m.tiers) - 1; t >= 0; t-- {
+		offered, good := make([]float64, len(m.workspaces)), make([]float64, len(m.workspaces))
+		all, allGood := 0.0, 0.0
+		for _, o := range outcomes {
+			if o.job.tier != t {
+				continue
+			}
+			offered[o.job.workspace]++
+			all++
+			if o.good {
+				good[o.job.workspace]++
+				allGood++
+			}
+		}
+		if allGood == 0 {
+			continue
+		}
+		least := 1.0
+		for w := range offered {
+			if offered[w] >= 5 {
+				least = min(least, (good[w]/offered[w])/(allGood/all))
+			}
+		}
+		return least
+	}
+	return 0
+}
+
+// recovery is when the top tier's goodput, in bins by arrival, is back for good.
+func recovery(outcomes []outcome, length time.Duration, fault string) time.Duration {
+	if fault == "" {
+		return 0
+	}
+	bins := int(length / binLength)
+	offered, good := make([]float64, bins+1), make([]float64, bins+1)
+	for _, o := range outcomes {
+		if o.job.tier != 0 {
+			continue
+		}
+		i := int(o.job.at / binLength)
+		offered[i]++
+		if o.good {
+			good[i]++
+		}
+	}
+	latest := time.Duration(0)
+	for i := int(faultAt / binLength); i < bins; i++ {
+		if offered[i] > 0 && good[i]/offered[i] < recoveredAt {
+			latest = time.Duration(i+1)*binLength - faultAt
+		}
+	}
+	if latest >= length-faultAt {
+		return -1
+	}
+	return latest
+}
+
+func wasted(r *rig) float64 {
+	var computed, thrown int64
+	for _, e := range r.engines {
+		s := e.Stats()
+		computed += s.PrefillComputed
+		thrown += s.PrefillWasted
+	}
+	return float64(thrown) / float64(max(1, computed))
+}
+
+func (x runner) usageOfAll(r *rig) map[string]usage {
+	out := map[string]usage{}
+	for _, s := range r.specs {
+		if u, err := r.usage(s); err == nil {
+			out[s.ID] = u
+		}
+	}
+	return out
+}
+
+// spent averages control bytes and processor time over the hosts that ran all the time.
+func (x runner) spent(r *rig, before map[string]usage) (bytes, cpu float64) {
+	n := 0.0
+	for _, s := range r.specs {
+		after, err := r.usage(s)
+		if err != nil || after.cpu < before[s.ID].cpu || after.sent < before[s.ID].sent {
+			continue
+		}
+		o := since(before[s.ID], after)
+		bytes += o.sent
+		cpu += 100 * o.cpu
+		n++
+	}
+	return bytes / max(1, n), cpu / max(1, n)
+}
