Deadline-aware placement, shortest first inside a workspace, learned first-token time

Cause: at 2x load 8.4 % of computed prefill was thrown away, all of it work that was canceled at its deadline halfway: requests were granted that their server could not finish in time, and long answers went to slow servers. Ruled out: a shorter queue (waits were not the loss), a fixed safety time (the servers' paces differ by six). Change: a server that has shown its pace must be able to finish in time, with a margin of 15 %; a workspace's shortest request goes first; prefill pace is learned per uncached token.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -48,9 +48,10 @@
 
 type policyCommand struct {
 	common
-	Folder string `long:"out" default:"out" description:"folder for JSON and plots"`
-	Full   bool   `long:"full" description:"all loads, seeds and faults; up to half an hour"`
-	Only   string `long:"only" choice:"quick" choice:"loads" choice:"seeds" choice:"faults" choice:"untuned" description:"one plan of the full table"`
+	Folder string   `long:"out" default:"out" description:"folder for JSON and plots"`
+	Full   bool     `long:"full" description:"all loads, seeds and faults; up to half an hour"`
+	Policy []string `long:"policy" description:"only these policies"`
+	Only   string   `long:"only" choice:"quick" choice:"loads" choice:"seeds" choice:"faults" choice:"untuned" description:"one plan of the full table"`
 }
 
 // Execute compares policies.
@@ -63,6 +64,11 @@
 	if c.Only != "" {
 		chosen = []measure.Plan{plans[c.Only]}
 	}
+	if len(c.Policy) > 0 {
+		for i := range chosen {
+			chosen[i].Policies = c.Policy
+		}
+	}
 	return measure.Policies(os.Stdout, c.Bin, c.Folder, c.Length, chosen...)
 }
 
--- a/internal/sched/backend.go
+++ b/internal/sched/backend.go
@@ -16,12 +16,14 @@
 	baselineDrift  = 1.001 // lets the best interval follow a lasting change
 	coolDownFirst  = 500 * time.Millisecond
 	coolDownMost   = 10 * time.Second
+	fewTokens      = 128
 	tokensPerBlock = 64 // tokens in the shortest prefix that a host hashes
 )
 
 // run is a granted or running request.
 type run struct {
 	Held
+	uncached   float64 // prompt tokens believed not cached when it was granted; -1 if unknown
 	granted    time.Duration
 	confirmed  time.Duration // latest time that its entry host named it
 	preempted  time.Duration
@@ -38,6 +40,8 @@
 	interval float64 // learned, ms between tokens
 	best     float64 // the least it has shown of late
 	prefill  float64 // learned, ms per uncached prompt token
+	first    float64 // learned, ms to the first token of a cached prompt
+	samples  int
 	prefix   *prefixCache
 	failures int
 	coolTill time.Duration
@@ -70,20 +74,27 @@
 	return max(1, b.limit()-reserved)
 }
 
+// uncached is how many prompt tokens the server is believed to have to compute.
+func (b *backend) uncached(r *Request) float64 {
+	if r.Resume {
+		return 0
+	}
+	return float64(r.PromptTokens) - float64(b.prefix.matched(r.Prefix, r.PromptTokens))
+}
+
 // estimate is the time that a request would take from grant to last token, in ms. A share of the
 // output bound is expected, since most answers end before their bound.
 func (b *backend) estimate(r *Request, share float64) float64 {
-	uncached := float64(r.PromptTokens) - float64(b.prefix.matched(r.Prefix, r.PromptTokens))
-	if r.Resume {
-		uncached = 0
-	}
-	return uncached*b.prefill + float64(r.OutputTokens)*share*b.interval
+	return b.first + b.uncached(r)*b.prefill + float64(r.OutputTokens)*share*b.interval
 }
 
-// least is the shortest time that the server has shown it could take; zero before it has shown any.
-// A guess must never refuse a request.
-func (b *backend) least(r *Request, share float64) float64 {
-	return float64(r.OutputTokens) * share * b.best
+// shown is the estimate once the server has shown its pace, zero before: a guess may order servers,
+// but must never refuse a request.
+func (b *backend) shown(r *Request, share float64) float64 {
+	if b.samples == 0 {
+		return 0
+	}
+	return b.estimate(r, share)
 }
 
 // learn takes a finished dispatch into the estimates and the window.
@@ -91,7 +102,7 @@
 // The window guards against a backend server that slows down without warning: the engine admits
 // whatever it is sent, so every request in it would miss its time. It shows as token intervals far
 // above the server's own best; the window then shrinks by a factor, and grows by one per window.
-func (b *backend) learn(now time.Duration, res Result, modelService bool) {
+func (b *backend) learn(now time.Duration, res Result, uncached float64, modelService bool) {
 	if res.Outcome == Failed {
 		b.coolDown(now)
 		return
@@ -100,14 +111,15 @@
 		return
 	}
 	b.failures = 0
-	if res.FirstToken > 0 && res.Prompt > 0 {
-		sample := ms(res.FirstToken) / float64(res.Prompt)
-		b.prefill += ewmaGain * (sample - b.prefill)
-	}
+	b.learnFirst(res, uncached)
 	if res.Interval <= 0 {
 		return
 	}
 	sample := ms(res.Interval)
+	if b.samples == 0 {
+		b.interval = sample
+	}
+	b.samples++
 	b.interval += ewmaGain * (sample - b.interval)
 	b.best = b.best * baselineDrift
 	if b.best == 0 || sample < b.best {
@@ -125,6 +137,20 @@
 	}
 }
 
+// learnFirst splits the time to the first token: what a cached prompt takes, and what each uncached
+// token adds.
+func (b *backend) learnFirst(res Result, uncached float64) {
+	if res.FirstToken <= 0 || uncached < 0 {
+		return
+	}
+	if uncached < fewTokens {
+		b.first += ewmaGain * (ms(res.FirstToken) - b.first)
+		return
+	}
+	sample := max(0, ms(res.FirstToken)-b.first) / uncached
+	b.prefill += ewmaGain * (sample - b.prefill)
+}
+
 // coolDown keeps new work off a backend server that failed, for longer each time in a row.
 func (b *backend) coolDown(now time.Duration) {
 	d := coolDownFirst << min(b.failures, 5)
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -167,21 +167,16 @@
 
 func (g *Group) newWaiting(now time.Duration, r Request) *waiting {
 	w := &waiting{Request: r, arrived: now}
-	w.cost = g.overServers(func(b *backend) float64 { return b.estimate(&r, g.share()) })
-	least := g.overServers(func(b *backend) float64 { return b.least(&r, g.answered) })
-	w.latest = r.Deadline - fromMS(least)
-	return w
-}
-
-// overServers is the least of a quantity over the servers, zero if there are none.
-func (g *Group) overServers(quantity func(*backend) float64) float64 {
 	least := -1.0
 	for _, name := range g.order {
-		if v := quantity(g.backends[name]); least < 0 || v < least {
-			least = v
+		b := g.backends[name]
+		w.cost += b.estimate(&r, g.share()) / float64(len(g.order))
+		if shown := b.shown(&r, g.answered); least < 0 || shown < least {
+			least = shown
 		}
 	}
-	return max(least, 0)
+	w.latest = r.Deadline - fromMS(max(least, 0)*finishMargin)
+	return w
 }
 
 // share is the part of the output bound that answers come to, learned from those that ended.
@@ -220,13 +215,15 @@
 // Release takes the end of a dispatch.
 func (g *Group) Release(now time.Duration, res Result) []Decision {
 	b, ok := g.backends[res.Backend]
-	if ok {
-		b.learn(now, res, g.service.Kind == record.ServiceModel)
-	}
+	uncached := -1.0
 	if r := g.find(res.Key); r != nil && r.Attempt <= res.Attempt {
+		uncached = r.uncached
 		g.learnShare(r, res)
 		g.free(r)
 	}
+	if ok {
+		b.learn(now, res, uncached, g.service.Kind == record.ServiceModel)
+	}
 	g.pump(now)
 	return g.take()
 }
@@ -268,7 +265,7 @@
 		g.queue.remove(w)
 	}
 	h.Priority = min(h.Priority, Priorities-1)
-	g.start(b, &run{Held: h, granted: now, confirmed: now})
+	g.start(b, &run{Held: h, granted: now, confirmed: now, uncached: -1})
 }
 
 // HostLost drops what a dead entry host had waiting; its runs keep their slots for OrphanGrace,
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -13,6 +13,8 @@
 	retryMost  = 30 * time.Second
 	// hardQueueFactor bounds the queue absolutely, also while displaced work makes room.
 	hardQueueFactor = 4
+	// finishMargin is put on the estimate of a finish before it is held against a deadline.
+	finishMargin = 1.15
 )
 
 // pump grants as long as the most urgent waiting request fits somewhere, then displaces for it.
@@ -28,58 +30,92 @@
 func (g *Group) grantNext(now time.Duration) bool {
 	if ignoresTiers(g.service.Policy) {
 		w := g.queue.oldest()
-		return w != nil && g.tryGrant(now, w)
+		return w != nil && g.try(now, w) == granted
 	}
 	for p := Priorities - 1; p >= 0; p-- {
-		if w := g.queue.resumed[p].head(); w != nil {
-			if g.tryGrant(now, w) {
+		for _, line := range []*tierQueue{g.queue.resumed[p], g.queue.fresh[p]} {
+			switch g.grantFrom(now, line) {
+			case granted:
 				return true
+			case noRoom:
+				g.displace(now, line.head())
+				if line == g.queue.fresh[p] {
+					return false // what fresh urgent work could use, lower work must not take
+				}
 			}
-			g.displace(now, w)
-		}
-		if w := g.queue.fresh[p].head(); w != nil {
-			if g.tryGrant(now, w) {
-				return true
-			}
-			g.displace(now, w)
-			return false // what fresh urgent work cannot use, lower work must not take
 		}
 	}
 	return false
 }
 
-func (g *Group) tryGrant(now time.Duration, w *waiting) bool {
-	b := g.place(now, w)
-	if b == nil {
-		return false
+// verdict is what became of an attempt to place a request.
+type verdict int
+
+const (
+	granted verdict = iota + 1
+	// noRoom: no server that could serve it in time has a free slot.
+	noRoom
+	// tooSlow: free slots are left, on servers that would not finish it in time.
+	tooSlow
+	// nothing: nobody waits.
+	nothing
+)
+
+// headsTried is how many workspaces of a tier are looked at when the first one's work is too long
+// for the servers that are free.
+const headsTried = 8
+
+// grantFrom serves one tier: its next workspace, or another whose work fits the free servers.
+func (g *Group) grantFrom(now time.Duration, t *tierQueue) verdict {
+	out := nothing
+	for _, w := range t.heads(headsTried) {
+		switch g.try(now, w) {
+		case granted:
+			return granted
+		case noRoom:
+			return noRoom
+		default:
+			out = tooSlow
+		}
 	}
-	g.reserveSlot(now, w, b)
-	return true
+	return out
 }
 
-// place filters and scores; nil means that no server has room.
-func (g *Group) place(now time.Duration, w *waiting) *backend {
+// try grants a request if it can.
+func (g *Group) try(now time.Duration, w *waiting) verdict {
+	b, v := g.place(now, w)
+	if v == granted {
+		g.reserveSlot(now, w, b)
+	}
+	return v
+}
+
+// place filters and scores.
+func (g *Group) place(now time.Duration, w *waiting) (*backend, verdict) {
 	score := scorers[g.service.Policy]
 	if score == nil {
 		score = scoreCost
 	}
 	var best *backend
 	least := 0.0
+	v := noRoom
 	for _, name := range g.order {
 		b := g.backends[name]
-		if !g.fits(now, w, b) {
+		if !g.able(now, w, b) || len(b.runs) >= b.limitFor(g.reserveFor(w.Priority)) {
+			continue
+		}
+		if !g.inTime(now, w, b) {
+			v = tooSlow
 			continue
 		}
 		if s := score(g, &w.Request, b); best == nil || s < least {
 			best, least = b, s
 		}
 	}
-	return best
-}
-
-// fits is the filter.
-func (g *Group) fits(now time.Duration, w *waiting, b *backend) bool {
-	return g.able(now, w, b) && len(b.runs) < b.limitFor(g.reserveFor(w.Priority))
+	if best != nil {
+		v = granted
+	}
+	return best, v
 }
 
 // able tells whether the server could serve the request if it had room.
@@ -87,6 +123,15 @@
 	return b.ready(now) && (!w.Resume || b.spec.CanSuspend)
 }
 
+// inTime tells whether the server would finish the request before its deadline. It keeps long
+// answers off slow servers: they would be canceled halfway, and their prefill thrown away.
+func (g *Group) inTime(now time.Duration, w *waiting, b *backend) bool {
+	if ignoresTiers(g.service.Policy) {
+		return true
+	}
+	return now+fromMS(b.shown(&w.Request, g.answered)*finishMargin) <= w.Deadline
+}
+
 func (g *Group) reserveFor(priority uint32) int {
 	if ignoresTiers(g.service.Policy) {
 		return 0
@@ -101,7 +146,7 @@
 	g.start(b, &run{
 		Held: Held{Key: w.Key, Attempt: w.Attempt, Backend: b.spec.Name, Workspace: w.Workspace,
 			Priority: w.Priority, OutputTokens: w.OutputTokens, NonIdempotent: w.NonIdempotent},
-		granted: now, confirmed: now, cost: w.cost,
+		granted: now, confirmed: now, cost: w.cost, uncached: b.uncached(&w.Request),
 	})
 	b.prefix.add(w.Prefix)
 	g.inv.Check(!b.spec.Leaving, "grant of %d on leaving backend server %s", w.Key.Request, b.spec.Name)
@@ -126,7 +171,7 @@
 	if g.lowerRunning(w.Priority) > 0 {
 		return "", 0, true
 	}
-	if wait := g.wait(w.Priority); now+wait > w.latest {
+	if wait := g.wait(w); now+wait > w.latest {
 		return fault.DeadlineUnmeetable, clampRetry(wait), false
 	}
 	return "", 0, true
@@ -135,7 +180,7 @@
 // takesSpill tells whether work of another availability zone is welcome: only where it starts at
 // once, on a free slot or in the place of lower work. So two zones cannot fill each other's queues.
 func (g *Group) takesSpill(priority uint32) bool {
-	if g.queue.costFrom(priority) > 0 {
+	if g.queue.waitsFrom(priority) {
 		return false
 	}
 	return g.lowerRunning(priority) > 0 || g.slots() > len(g.runs)
@@ -150,13 +195,13 @@
 	return false
 }
 
-// wait estimates how long work at a priority waits before it starts.
-func (g *Group) wait(priority uint32) time.Duration {
+// wait estimates how long a request waits before it starts.
+func (g *Group) wait(w *waiting) time.Duration {
 	slots := g.slots()
 	if slots == 0 {
 		return retryMost
 	}
-	return fromMS(g.queue.costFrom(priority) / float64(slots))
+	return fromMS(g.queue.costAhead(w) / float64(slots))
 }
 
 func (g *Group) slots() int {
@@ -206,7 +251,7 @@
 		r := g.displaceable(now, w)
 		g.inv.Check(r == nil, "shed %d at priority %d while lower work runs", w.Key.Request, w.Priority)
 	}
-	wait := clampRetry(g.wait(w.Priority))
+	wait := clampRetry(g.wait(w))
 	g.queue.remove(w)
 	g.refuse(w, fault.Overloaded, wait)
 }
@@ -219,7 +264,7 @@
 func (g *Group) expire(now time.Duration) {
 	for g.queue.len() > 0 && g.queue.expiry[0].latest < now {
 		w := g.queue.expiry[0]
-		wait := clampRetry(g.wait(w.Priority))
+		wait := clampRetry(g.wait(w))
 		g.queue.remove(w)
 		g.refuse(w, fault.DeadlineUnmeetable, wait)
 	}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"container/list"
+	"math"
+	"math/bits"
 	"time"
 )
 
@@ -14,22 +16,57 @@
 	latest  time.Duration
 	cost    float64 // estimated slot-milliseconds
 	element *list.Element
+	came    *list.Element
 	owner   *workspaceQueue
 	index   int // in the expiry heap
+	place   int // in the workspace's heap by cost
 }
 
-// workspaceQueue is the line of one workspace inside one tier.
+// workspaceQueue is the line of one workspace inside one tier. The shortest work is served first:
+// where not all can be answered in time, most are answered so, and a short tag does not wait behind
+// a long summary. What is shed is the newest.
 type workspaceQueue struct {
 	name    string
 	weight  float64
-	line    *list.List
-	virtual float64 // weighted work served; the least is served next
-	index   [2]int  // positions in the two heaps
+	line    *list.List // by arrival
+	short   costHeap   // by cost
+	virtual float64    // weighted work served; the least is served next
+	index   [2]int     // positions in the two heaps
 }
 
 // backlog is what the longest-line eviction compares.
 func (w *workspaceQueue) backlog() float64 { return float64(w.line.Len()) / w.weight }
 
+// costHeap orders the requests of one workspace by estimated work, then by arrival.
+type costHeap []*waiting
+
+func (h costHeap) Len() int { return len(h) }
+func (h costHeap) Less(i, j int) bool {
+	if h[i].cost != h[j].cost {
+		return h[i].cost < h[j].cost
+	}
+	if h[i].arrived != h[j].arrived {
+		return h[i].arrived < h[j].arrived
+	}
+	return h[i].Key.Less(h[j].Key)
+}
+func (h costHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].place, h[j].place = i, j
+}
+func (h *costHeap) Push(x any) {
+	w := x.(*waiting)
+	w.place = len(*h)
+	*h = append(*h, w)
+}
+func (h *costHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return w
+}
+
 // workspaceHeap orders workspaces by one of two measures.
 type workspaceHeap struct {
 	items []*workspaceQueue
@@ -70,7 +107,23 @@
 	longest    workspaceHeap // by backlog
 	floor      float64       // virtual time of the latest service
 	count      int
-	cost       float64
+	cost       [costBuckets]float64 // waiting work by the size of its requests
+}
+
+// costBuckets are powers of two of estimated slot-milliseconds.
+const costBuckets = 32
+
+func bucketOf(cost float64) int {
+	return min(costBuckets-1, bits.Len64(uint64(max(cost, 0))))
+}
+
+// costUpTo is the work that waits in requests no longer than a given one, to a factor of two.
+func (t *tierQueue) costUpTo(cost float64) float64 {
+	sum := 0.0
+	for b := 0; b <= bucketOf(cost); b++ {
+		sum += t.cost[b]
+	}
+	return sum
 }
 
 // maxIdleWorkspaces bounds the workspaces remembered without work in the queue.
@@ -98,9 +151,10 @@
 		heap.Push(&t.longest, q)
 	}
 	w.element = q.line.PushBack(w)
+	heap.Push(&q.short, w)
 	w.owner = q
 	t.count++
-	t.cost += w.cost
+	t.cost[bucketOf(w.cost)] += w.cost
 	t.fix(q)
 }
 
@@ -112,8 +166,9 @@
 func (t *tierQueue) remove(w *waiting) {
 	q := w.owner
 	q.line.Remove(w.element)
+	heap.Remove(&q.short, w.place)
 	t.count--
-	t.cost -= w.cost
+	t.cost[bucketOf(w.cost)] -= w.cost
 	if q.line.Len() == 0 {
 		heap.Remove(&t.next, q.index[0])
 		heap.Remove(&t.longest, q.index[1])
@@ -127,7 +182,17 @@
 	if t.count == 0 {
 		return nil
 	}
-	return t.next.items[0].line.Front().Value.(*waiting)
+	return t.next.items[0].short[0]
+}
+
+// heads are the next requests of up to n workspaces, the one to serve next first.
+func (t *tierQueue) heads(n int) []*waiting {
+	n = min(n, len(t.next.items))
+	out := make([]*waiting, n)
+	for i := range out {
+		out[i] = t.next.items[i].short[0]
+	}
+	return out
 }
 
 // tail is the request to shed first: the newest of the workspace with the greatest weighted backlog.
@@ -192,10 +257,11 @@
 	resumed [Priorities]*tierQueue
 	byKey   map[Key]*waiting
 	expiry  expiryHeap
+	arrival *list.List // all, for the policy that serves first come, first served
 }
 
 func newQueue() *queue {
-	q := &queue{byKey: map[Key]*waiting{}}
+	q := &queue{byKey: map[Key]*waiting{}, arrival: list.New()}
 	for i := range q.fresh {
 		q.fresh[i] = newTierQueue()
 		q.resumed[i] = newTierQueue()
@@ -216,6 +282,7 @@
 	q.byKey[w.Key] = w
 	q.lineOf(w).push(w)
 	heap.Push(&q.expiry, w)
+	w.came = q.arrival.PushBack(w)
 }
 
 func (q *queue) remove(w *waiting) {
@@ -231,6 +298,7 @@
 func (q *queue) forget(w *waiting) {
 	delete(q.byKey, w.Key)
 	heap.Remove(&q.expiry, w.index)
+	q.arrival.Remove(w.came)
 }
 
 // countAt is how many requests wait at a priority.
@@ -251,22 +319,31 @@
 	return nil
 }
 
-// oldest is the request that came first, whatever its tier.
+// oldest is the request that came first, whatever its tier and workspace.
 func (q *queue) oldest() *waiting {
-	var oldest *waiting
-	for _, t := range q.fresh {
-		if w := t.head(); w != nil && (oldest == nil || w.arrived < oldest.arrived) {
-			oldest = w
-		}
+	e := q.arrival.Front()
+	if e == nil {
+		return nil
 	}
-	return oldest
+	return e.Value.(*waiting)
 }
 
-// costFrom is the estimated work that waits at a priority or above.
-func (q *queue) costFrom(priority uint32) float64 {
-	sum := 0.0
-	for p := int(priority); p < Priorities; p++ {
-		sum += q.fresh[p].cost + q.resumed[p].cost
+// costAhead is the estimated work that is served before a request: all of more urgent tiers, and of
+// its own what was suspended or is no longer than itself.
+func (q *queue) costAhead(w *waiting) float64 {
+	sum := q.resumed[w.Priority].costUpTo(math.MaxInt64) + q.fresh[w.Priority].costUpTo(w.cost)
+	for p := int(w.Priority) + 1; p < Priorities; p++ {
+		sum += q.fresh[p].costUpTo(math.MaxInt64) + q.resumed[p].costUpTo(math.MaxInt64)
 	}
 	return sum
 }
+
+// waitsFrom tells whether anything waits at a priority or above.
+func (q *queue) waitsFrom(priority uint32) bool {
+	for p := int(priority); p < Priorities; p++ {
+		if q.countAt(uint32(p)) > 0 {
+			return true
+		}
+	}
+	return false
+}
