A request that another zone refuses comes home

Cause: at 2x load 5 to 11 requests of the top tier were refused as overloaded while lower work ran. Ruled out: the queue bound (never reached for that tier) and deadlines (the kind was overloaded). Shown first by a test that fails without the change.

--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -68,10 +68,12 @@
 	resume  bool
 	reseeks int
 	spilled []string
-	asked   time.Duration
-	wake    time.Duration
-	index   int
-	trail   []Hop
+	// refusedHere tells that this zone's own scheduler has refused it.
+	refusedHere bool
+	asked       time.Duration
+	wake        time.Duration
+	index       int
+	trail       []Hop
 }
 
 // Hop is one step of a request's way, for operators.
@@ -180,7 +182,7 @@
 		c.pause(r)
 		return
 	}
-	if zone, s := c.pickSpill(r, true); s != nil && c.crowded(k) {
+	if zone, s := c.pickSpill(r, true); s != nil && len(r.spilled) == 0 && c.crowded(k) {
 		c.spill(r, zone, s)
 		return
 	}
@@ -385,6 +387,13 @@
 		c.pause(r)
 		return
 	}
+	// Another zone that has no room after all says nothing about this one.
+	if r.target.zone == c.opt.Self.Zone {
+		r.refusedHere = true
+	} else if _, ok := c.pickGroup(r); ok && !r.refusedHere {
+		c.seek(r)
+		return
+	}
 	c.spillOr(r, kind, time.Duration(m.RetryAfterMs)*time.Millisecond)
 }
 
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -208,3 +208,27 @@
 	require.LessOrEqual(t, accepted, 8, "its part of 40 over 8 hosts, with slack for the balancer")
 	require.Positive(t, accepted)
 }
+
+// This zone is crowded, so a push check goes to another zone that said it had room; it has none
+// after all and refuses. The caller was told "overloaded" while tags still ran at home: the request
+// has to come back and wait, or displace, where it belongs.
+func TestRequestRefusedByAnotherZoneComesBack(t *testing.T) {
+	l := newLone(t)
+	l.feed(core.HostList{Hosts: []core.ListedHost{{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}},
+		{Host: member.Host{ID: "far", Zone: "y", Addr: "f"}}}})
+	crowded := &peerpb.ServiceSummary{Service: service, Waiting: 10, LowestRunning: 1}
+	l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		SentMs: uint64(l.now / time.Millisecond), Groups: []*peerpb.ServiceSummary{crowded}}}})
+	l.message(&peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: &peerpb.ZoneDigest{Zone: "y", Origin: "far", Sequence: 1,
+		Relayed: true, Groups: []*peerpb.ServiceSummary{{Service: service, Scheduler: "far", Free: 5}}}}})
+	a := l.submit("r")
+	require.True(t, a.Spilled, "the other zone said that it had room")
+	l.feed(core.PeerLinked{Host: member.Host{ID: "far", Zone: "y", Addr: "f"}, Incarnation: 3})
+	effects := l.feed(core.PeerMessage{From: "far", Incarnation: 3, Message: &peerpb.Message{Body: &peerpb.Message_Refusal{
+		Refusal: &peerpb.Refusal{Request: a.Request, Attempt: a.Attempt, Kind: string(fault.Overloaded)}}}})
+	require.Len(t, effects, 1)
+	home, ok := effects[0].(core.Send)
+	require.True(t, ok, "%+v", effects[0])
+	require.Equal(t, "peer", home.To.ID)
+	require.False(t, home.Message.GetAcquire().Spilled)
+}
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -34,6 +34,8 @@
 	Bound   float64 `json:"bound"` // what a clairvoyant could
 	Refused int     `json:"refused"`
 	Late    int     `json:"late_or_cut"`
+	// Kinds counts the refusals by kind, "" being an answer after its deadline.
+	Kinds map[string]int `json:"kinds"`
 }
 
 // result is what one trial measured.
@@ -50,6 +52,8 @@
 	HostCPU       float64       `json:"cpu_per_host_percent"`
 	Recovery      time.Duration `json:"recovery"` // of the top tier after the fault; -1 if not in the run
 	Violations    int           `json:"invariant_violations"`
+	Suspended     int           `json:"suspended"`
+	Used          float64       `json:"slots_used"` // tokens made, as a share of what full batches could make
 }
 
 const (
@@ -104,10 +108,12 @@
 	lb := newReadyHosts(r)
 	defer lb.close()
 	go x.inject(r, m, t.Fault)
+	started := time.Now()
 	x.send(m, jobs, lb, c)
 	out := x.judge(m, t, jobs, c)
 	out.ControlBytes, out.HostCPU = x.spent(r, before)
 	out.WastedPrefill = wasted(r)
+	out.Suspended, out.Used = work(r, m, time.Since(started))
 	for _, s := range r.specs {
 		if st, err := r.status(s); err == nil {
 			out.Violations += st.Violations
@@ -272,12 +278,15 @@
 	bounds := m.bound(jobs, x.length)
 	good, bound := 0, 0.0
 	for i, tier := range m.tiers {
-		tr := tierResult{Tier: tier.name, Bound: bounds[i]}
+		tr := tierResult{Tier: tier.name, Bound: bounds[i], Kinds: map[string]int{}}
 		for _, o := range c.outcomes {
 			if o.job.tier != i {
 				continue
 			}
 			tr.Offered++
+			if !o.good {
+				tr.Kinds[o.kind]++
+			}
 			switch {
 			case o.good:
 				tr.Good++
@@ -393,6 +402,17 @@
 	return float64(thrown) / float64(max(1, computed))
 }
 
+// work sums up what the engines did.
+func work(r *rig, m mix, took time.Duration) (suspended int, used float64) {
+	tokens := int64(0)
+	for _, e := range r.engines {
+		s := e.Stats()
+		suspended += s.Suspended
+		tokens += s.TokensProduced
+	}
+	return suspended, float64(tokens) / (m.capacity() * took.Seconds())
+}
+
 func (x runner) usageOfAll(r *rig) map[string]usage {
 	out := map[string]usage{}
 	for _, s := range r.specs {
