Idle ticks, digests between zones and polls cut to the target's budget

Cause: the first run of the capacity page's slopes showed an idle host at 1.5 to 1.9 % of a core, of 3.5 % allowed, and 1,938 B/s for each other zone, of 18 KB/s for all. A profile of an idle host put 60 % of its time into waking threads. Ruled out: the reducer (14 % of the profile, with its metrics) and heartbeats. Change: a tick every 50 ms while nothing waits, a setting for the number of threads, zone digests that slow down with the number of zones and are relayed once, engines polled every second.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,14 @@
 # Takes each guard away in a scratch copy and shows which test notices.
 mutants:
 	$(GO) run ./internal/tools/mutants
+
+# The slopes of docs/CAPACITY.md, printed beside its figures.
+capacity: build
+	./$(BIN)/measure capacity
+
+# The tables of docs/MEASUREMENTS.md. FULL=--full adds all loads, seeds and faults.
+measure: build
+	./$(BIN)/measure overhead
+	./$(BIN)/measure memory
+	$(GO) test ./internal/sched -run xxx -bench Decision -benchtime 20000x
+	./$(BIN)/measure policy $(FULL)
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -37,13 +37,14 @@
 
 type capacityCommand struct {
 	common
-	Page string `long:"page" default:"docs/CAPACITY.md"`
+	Page string   `long:"page" default:"docs/CAPACITY.md"`
+	Only []string `long:"only" description:"only the slopes with these names"`
 }
 
 // Execute measures the slopes of the capacity page.
 func (c *capacityCommand) Execute([]string) error {
 	fmt.Println(measure.Machine())
-	return measure.Capacity(os.Stdout, c.Bin, c.Page, c.Length)
+	return measure.Capacity(os.Stdout, c.Bin, c.Page, c.Length, c.Only)
 }
 
 type policyCommand struct {
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 
 	"fireflyshift/internal/core"
 )
@@ -20,7 +21,8 @@
 // Handler serves
 //   - /healthz: 200 while the control thread answers; otherwise restart the process,
 //   - /readyz: 200 while the balancer should send callers here,
-//   - /status, /explain/ID and /metrics as JSON.
+//   - /status, /explain/ID and /metrics as JSON,
+//   - /debug/pprof/profile, heap and goroutine for 'go tool pprof'.
 func Handler(s Source, metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { yesNo(w, s.Healthy()) })
@@ -38,6 +40,9 @@
 		reply(w, ok, v)
 	})
 	mux.Handle("GET /metrics", metrics)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
+	mux.Handle("GET /debug/pprof/goroutine", pprof.Handler("goroutine"))
 	return mux
 }
 
--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -31,11 +31,12 @@
 	fullPulledAt  time.Duration
 	beatAt        time.Duration
 	digestAt      time.Duration
+	digestEvery   time.Duration
 	zones         map[string]*zoneState
 }
 
 func newGossipState() gossipState {
-	return gossipState{zones: map[string]*zoneState{}, pulledAt: -pullEvery, fullPulledAt: -fullPullEvery}
+	return gossipState{zones: map[string]*zoneState{}, digestEvery: digestLeast, pulledAt: -pullEvery, fullPulledAt: -fullPullEvery}
 }
 
 func (c *Core) platformRecords(e PlatformRecords) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -16,8 +16,12 @@
 	"fireflyshift/internal/ticket"
 )
 
-// TickEvery is how often the daemon sends Tick.
-const TickEvery = 10 * time.Millisecond
+// The daemon sends Tick every TickEvery while something waits, and every TickIdle otherwise: each
+// tick wakes a thread, which is most of what an idle host costs.
+const (
+	TickEvery = 10 * time.Millisecond
+	TickIdle  = 50 * time.Millisecond
+)
 
 // GroupKey names a group of backend servers in this host's availability zone.
 type GroupKey struct {
@@ -175,6 +179,19 @@
 	c.loop = nil
 }
 
+// NextTick is how long the daemon may wait until it sends the next Tick.
+func (c *Core) NextTick() time.Duration {
+	if len(c.entry.wakes) > 0 && c.entry.wakes[0].wake-c.now < TickIdle {
+		return TickEvery
+	}
+	for _, g := range c.groups {
+		if g.Busy() {
+			return TickEvery
+		}
+	}
+	return TickIdle
+}
+
 func (c *Core) emit(e Effect) { c.out = append(c.out, e) }
 
 // send passes a message to a host, which may be this one. It reports whether the host is known.
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -18,10 +18,13 @@
 	readersPerZone = 2
 	// delegates is how many hosts of a zone speak to each other zone.
 	delegates = 2
-	// digestEvery is how often zones tell each other of their load and configuration.
-	digestEvery = 500 * time.Millisecond
+	// Zones tell each other of their load and configuration less often the more there are, so that
+	// the bytes per host stay level.
+	digestPerZone = 200 * time.Millisecond
+	digestLeast   = 500 * time.Millisecond
+	digestMost    = 2 * time.Second
 	// digestStale is when another zone's word no longer counts.
-	digestStale = 5 * time.Second
+	digestStale = 3 * digestMost
 	// liveEvery is how often deaths are looked for.
 	liveEvery = 50 * time.Millisecond
 	// readersSilent is when a host reads the platform itself, since no live host has said for so
@@ -234,7 +237,7 @@
 	if c.now-c.gossip.beatAt >= c.view.Interval() {
 		c.sendHeartbeats()
 	}
-	if c.now-c.gossip.digestAt >= digestEvery {
+	if c.now-c.gossip.digestAt >= c.gossip.digestEvery {
 		c.gossip.digestAt = c.now
 		c.sendDigests()
 	}
@@ -290,8 +293,10 @@
 // sendDigests tells other zones of this one. Two hosts a zone speak to each other zone, to two
 // hosts there that change with time, so that a dead one costs one beat.
 func (c *Core) sendDigests() {
+	zones := c.view.OtherZones()
+	c.gossip.digestEvery = min(max(time.Duration(len(zones))*digestPerZone, digestLeast), digestMost)
 	groups := c.zoneSummaries()
-	for _, zone := range c.view.OtherZones() {
+	for _, zone := range zones {
 		if !slices.Contains(member.Top("delegate/"+zone, c.duty.live, delegates), c.opt.Self.ID) {
 			continue
 		}
@@ -308,7 +313,7 @@
 	for _, h := range c.view.InZone(zone) {
 		ids = append(ids, h.ID)
 	}
-	turn := uint64(c.now / digestEvery)
+	turn := uint64(c.now / c.gossip.digestEvery)
 	return member.Top(fmt.Sprintf("digest/%s/%d", c.opt.Self.ID, turn), ids, delegates)
 }
 
@@ -361,10 +366,13 @@
 	if d.Relayed {
 		return
 	}
+	c.compareConfig(from, d.ConfigRevision, d.ConfigDigest)
+	if ok && c.now-old.at < c.gossip.digestEvery/2 {
+		return // another host has just relayed this zone's word
+	}
 	relay := &peerpb.ZoneDigest{Zone: d.Zone, Sequence: d.Sequence, Origin: d.Origin, Groups: d.Groups,
 		ConfigRevision: d.ConfigRevision, ConfigDigest: d.ConfigDigest, Relayed: true}
 	for _, h := range c.view.Zone() {
 		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: relay}})
 	}
-	c.compareConfig(from, d.ConfigRevision, d.ConfigDigest)
 }
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -23,11 +23,11 @@
 		_ = flag.Set("rapid.checks", "60")
 	}
 	code := m.Run()
-	fmt.Printf("randomised runs: %d reducer steps, %d faults\n", totalSteps, totalFaults)
+	fmt.Printf("randomised runs: %d reducer steps, %d faults, %d requests shed\n", totalSteps, totalFaults, totalSheds)
 	os.Exit(code)
 }
 
-var totalSteps, totalFaults int
+var totalSteps, totalFaults, totalSheds int
 
 // TestPromisesUnderFaults lets callers, operators and faults act at random on six hosts in two
 // availability zones.
@@ -45,6 +45,7 @@
 		w.judge()
 		totalSteps += w.steps
 		totalFaults += w.faults
+		totalSheds += w.sheds
 	})
 }
 
@@ -70,7 +71,7 @@
 		"wait very long": func(*rapid.T) { w.advance(18 * time.Second) },
 		"burst": func(rt *rapid.T) {
 			service := rapid.SampledFrom([]string{modelService, plainService}).Draw(rt, "service")
-			for i := rapid.IntRange(1, 12).Draw(rt, "size"); i > 0; i-- {
+			for i := rapid.IntRange(1, 40).Draw(rt, "size"); i > 0; i-- {
 				op := &operation{id: len(w.ops)}
 				w.ops = append(w.ops, op)
 				w.submit(host(rt), op, service, uint32(rapid.IntRange(0, 2).Draw(rt, "priority")), false)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -36,6 +36,7 @@
 	history  []published
 	steps    int
 	faults   int
+	sheds    int
 }
 
 type fakeHost struct {
@@ -47,6 +48,7 @@
 	paused      bool
 	reading     bool
 	readAt      time.Duration
+	tickAt      time.Duration
 	inbox       []core.Event // what came while the process was paused
 	late        []func()     // effects that a pause has caught before they were carried out
 	revision    map[record.Key]uint64
@@ -79,14 +81,17 @@
 }
 
 type fakeRequest struct {
-	id      string
-	host    *fakeHost
-	born    uint64 // the host's incarnation
-	backend string
-	answers []*fault.Error
-	attempt uint32
-	lost    bool // its host was killed
-	until   time.Duration
+	id       string
+	service  string
+	priority uint32
+	began    time.Duration // on a backend server
+	host     *fakeHost
+	born     uint64 // the host's incarnation
+	backend  string
+	answers  []*fault.Error
+	attempt  uint32
+	lost     bool // its host was killed
+	until    time.Duration
 }
 
 type operation struct {
@@ -106,6 +111,7 @@
 	modelService = "notes"
 	plainService = "git"
 	leaveBound   = 4 * time.Second
+	shedCalm     = 2 * time.Second
 )
 
 var fakeZones = []string{"za", "zb"}
@@ -170,8 +176,10 @@
 		w.ids = append(w.ids, id)
 	}
 	w.hosts[id] = h
+	opt := sched.DefaultOptions()
+	opt.MinQueue, opt.QueuePerSlot = 4, 1 // small, so that bursts overflow
 	h.core = core.New(core.Options{Self: member.Host{ID: id, Zone: zone, Addr: "addr-" + id}, Incarnation: h.incarnation,
-		Sched: sched.DefaultOptions(), MaxRequests: 1000})
+		Sched: opt, MaxRequests: 1000})
 	var list core.HostList
 	for _, z := range fakeZones {
 		for i := 1; i <= 3; i++ {
@@ -300,6 +308,25 @@
 		b.runs[d.ID]++
 	}
 	b.running[d.ID] = w.now + work
+	r.began = w.now
+}
+
+// checkShed asserts that nothing was shed while lower work ran untouched on a server of its zone
+// that could have been interrupted for it. In times of faults a scheduler may not see all of it.
+func (w *world) checkShed(r *fakeRequest) {
+	if r.service != modelService || w.now-w.quietAt < shedCalm {
+		return
+	}
+	for _, b := range w.backends {
+		if b.service != r.service || b.zone != r.host.zone || b.leaving || b.down {
+			continue
+		}
+		for id := range b.running {
+			if o := w.requests[id]; o.priority < r.priority && w.now-o.began > shedCalm/4 {
+				w.fail("request %s at priority %d was shed while %s at %d ran on %s", r.id, r.priority, id, o.priority, b.name)
+			}
+		}
+	}
 }
 
 func (w *world) suspend(h *fakeHost, id string) {
@@ -319,6 +346,10 @@
 func (w *world) finish(h *fakeHost, e core.Finish) {
 	r := w.requests[e.ID]
 	r.answers = append(r.answers, e.Fault)
+	if e.Fault != nil && e.Fault.Kind == fault.Overloaded {
+		w.sheds++
+		w.checkShed(r)
+	}
 	if len(r.answers) > 1 {
 		w.fail("request %s was answered %d times", e.ID, len(r.answers))
 	}
@@ -410,7 +441,12 @@
 	for _, f := range late {
 		f()
 	}
-	w.feed(h, core.Tick{})
+	if w.now >= h.tickAt {
+		w.feed(h, core.Tick{})
+		h.tickAt = w.now + h.core.NextTick()
+	} else if h.core.NextTick() == core.TickEvery {
+		h.tickAt = min(h.tickAt, w.now+core.TickEvery)
+	}
 	if h.reading && w.now-h.readAt >= 100*time.Millisecond {
 		h.readAt = w.now
 		w.read(h)
@@ -494,7 +530,7 @@
 // submit sends one try of a caller.
 func (w *world) submit(h *fakeHost, op *operation, service string, priority uint32, nonIdempotent bool) *fakeRequest {
 	w.seq++
-	r := &fakeRequest{id: fmt.Sprintf("r%05d", w.seq), host: h, born: h.incarnation, until: w.now + 5*time.Second}
+	r := &fakeRequest{id: fmt.Sprintf("r%05d", w.seq), service: service, priority: priority, host: h, born: h.incarnation, until: w.now + 5*time.Second}
 	r.lost = !h.alive // the caller's connection is refused
 	w.requests[r.id] = r
 	op.tries = append(op.tries, r)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -103,22 +103,30 @@
 // run is the control thread.
 func (c *control) run(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(core.TickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(core.TickEvery)
+	defer timer.Stop()
 	latest := c.Now()
+	next := latest
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-c.queue:
 			c.step(e)
-		case <-ticker.C:
+			if soon := c.Now() + core.TickEvery; soon < next && c.core.NextTick() == core.TickEvery {
+				next = soon
+				timer.Reset(core.TickEvery)
+			}
+		case <-timer.C:
 			if gap := c.Now() - latest; gap > lateTick {
 				c.log.Warn().Dur("gap_ms", gap).Msg("The process was paused.")
 			}
 			latest = c.Now()
 			c.reduce(core.Tick{})
 			c.publish()
+			wait := c.core.NextTick()
+			next = c.Now() + wait
+			timer.Reset(wait)
 		}
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -54,6 +55,9 @@
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
 // stops at once.
 func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger) error {
+	if set.Host.Threads > 0 {
+		runtime.GOMAXPROCS(set.Host.Threads)
+	}
 	work, stop := context.WithCancel(hard)
 	defer stop()
 	d, err := build(work, set, log)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -11,7 +11,7 @@
 )
 
 // engineEvery is how often a scheduler hears each of its engines.
-const engineEvery = 500 * time.Millisecond
+const engineEvery = time.Second
 
 // toggle runs a function while it is on.
 type toggle struct {
--- a/internal/measure/capacity.go
+++ b/internal/measure/capacity.go
@@ -7,6 +7,7 @@
 	"os"
 	"regexp"
 	"runtime"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,10 +49,13 @@
 	{"zones", "other availability zones", []float64{1, 3, 6, 10}, []string{"cpu (% of a core)", "sent (B/s)", "received (B/s)"}, measureZones},
 }
 
-// Capacity measures every slope and prints it beside the page's figure.
-func Capacity(out io.Writer, bin, page string, length time.Duration) error {
+// Capacity measures every slope, or only those named, and prints it beside the page's figure.
+func Capacity(out io.Writer, bin, page string, length time.Duration, only []string) error {
 	written := readPage(page)
 	for _, s := range slopes {
+		if len(only) > 0 && !slices.Contains(only, s.name) {
+			continue
+		}
 		if err := s.run(out, bin, written, length); err != nil {
 			return fmt.Errorf("slope %s: %w", s.name, err)
 		}
--- a/internal/measure/rig.go
+++ b/internal/measure/rig.go
@@ -20,7 +20,11 @@
 	"fireflyshift/internal/standin/platform"
 )
 
-const startTimeout = 30 * time.Second
+const (
+	startTimeout = 30 * time.Second
+	// smallHost is the processors of an entry host: they are small machines.
+	smallHost = 2
+)
 
 // rig is a running fleet.
 type rig struct {
@@ -84,7 +88,9 @@
 // addHosts plans n hosts of a zone.
 func (r *rig) addHosts(zone string, n int) {
 	for i := 1; i <= n; i++ {
-		r.specs = append(r.specs, fleet.NewHostSpec(fmt.Sprintf("%s-h%d", zone, i), zone, r.platAddr))
+		s := fleet.NewHostSpec(fmt.Sprintf("%s-h%d", zone, i), zone, r.platAddr)
+		s.Threads = smallHost
+		r.specs = append(r.specs, s)
 	}
 }
 
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -323,6 +323,9 @@
 	return g.take()
 }
 
+// Busy tells whether time alone may change something soon: a request waits, or the group is new.
+func (g *Group) Busy() bool { return !g.settled || g.queue.len() > 0 }
+
 // dropLost frees the slots of runs whose entry host is dead or no longer names them.
 func (g *Group) dropLost(now time.Duration) {
 	lost := g.pickRuns(func(r *run) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -37,6 +37,9 @@
 type Host struct {
 	ID   string
 	Zone string
+	// Threads bounds the processors used at once; zero means all. On a large machine few threads
+	// save the wake-ups of many idle ones.
+	Threads int
 }
 
 // Listen holds the addresses, each an IP number and a port.
@@ -91,11 +94,13 @@
 	Ratio    float64
 }
 
+const maxThreads = 1024
+
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
 
 // known lists the keys of each section; others are refused, since a misspelt key would be ignored.
 var known = map[string][]string{
-	"host":     {"id", "zone"},
+	"host":     {"id", "zone", "threads"},
 	"listen":   {"callers", "peers", "admin", "advertise_peers"},
 	"platform": {"url", "watch_wait"},
 	"peers":    {"seeds", "routes"},
@@ -171,7 +176,7 @@
 
 func (r *reader) read() *Settings {
 	s := &Settings{}
-	s.Host = Host{r.id("host", "id"), r.id("host", "zone")}
+	s.Host = Host{r.id("host", "id"), r.id("host", "zone"), int(r.number("host", "threads", 0, 0, maxThreads))}
 	s.Listen = Listen{
 		Callers: r.addr("listen", "callers", ""),
 		Peers:   r.addr("listen", "peers", ""),
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -125,7 +125,8 @@
 	Platform              string
 	Seeds                 []string
 	Routes                []string // ID=IP:PORT
-	Extra                 string   // further INI text
+	Threads               int
+	Extra                 string // further INI text
 }
 
 // NewHostSpec fills the addresses.
@@ -142,6 +143,7 @@
 	return fmt.Sprintf(`[host]
 id = %s
 zone = %s
+threads = %d
 [listen]
 callers = %s
 peers = %s
@@ -156,7 +158,7 @@
 [drain]
 grace = 300ms
 %s
-`, h.ID, h.Zone, h.Callers, h.Peers, h.Admin, advertise, h.Platform, strings.Join(h.Seeds, ","), strings.Join(h.Routes, ","), h.Extra)
+`, h.ID, h.Zone, h.Threads, h.Callers, h.Peers, h.Admin, advertise, h.Platform, strings.Join(h.Seeds, ","), strings.Join(h.Routes, ","), h.Extra)
 }
 
 // StartHost writes the settings into dir and runs the daemon.
--- a/test/surface_test.go
+++ b/test/surface_test.go
@@ -145,7 +145,7 @@
 		"policy.json":   {`{"kind":"service","name":"w","schema":1,"body":{"kind":"plain","policy":"best"}}`, "round-robin"},
 		"a.ini":         {"[host]\nid = a1\nzone = z\n[listen]\ncallers = localhost:80\npeers = 127.0.0.1:0\n", "names are not looked up"},
 		"b.ini":         {"[hosts]\nid = a1\n", "unknown section"},
-		"c.ini":         {"[host]\nname = a1\n", "use one of id, zone"},
+		"c.ini":         {"[host]\nname = a1\n", "use one of id, zone, threads"},
 		"d.ini":         {"[drain]\ngrace = 5h\n", "out of range"},
 		"e.ini":         {"[tls]\npeers_cert = x\n", "all three or none"},
 		"f.ini":         {"[host\n", "correct the INI syntax"},
