Nothing is refused on a guess, also for a long queue; engines polled less

Shown first by a failing test. Now the wait refuses only when every server in use has shown its pace.

A host that cannot be reached no longer gets an old queue at the heal. Log lines begin with their part.

--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -170,14 +170,15 @@
 		}
 	}
 	sortGroupKeys(mine)
-	var watch []record.Backend
+	var watch []WatchedEngine
 	for _, k := range mine {
 		watch = append(watch, c.refreshGroup(k, specs[k.Service])...)
 	}
 	c.emit(WatchEngines{watch})
 }
 
-func (c *Core) refreshGroup(k GroupKey, all []record.Backend) []record.Backend {
+// refreshGroup returns the engines to hear for a group.
+func (c *Core) refreshGroup(k GroupKey, all []record.Backend) []WatchedEngine {
 	service := record.Service{Name: k.Service, Kind: record.ServiceModel, Policy: record.Policies[0]}
 	if s := c.conf.Service(k.Service); s != nil {
 		service = *s
@@ -200,7 +201,11 @@
 	if service.Kind != record.ServiceModel {
 		return nil
 	}
-	return specs
+	watch := make([]WatchedEngine, len(specs))
+	for i, b := range specs {
+		watch[i] = WatchedEngine{b.Name, b.Addr, sched.ReadsLoad(service.Policy)}
+	}
+	return watch
 }
 
 func (c *Core) groupKeys() []GroupKey {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -165,8 +165,16 @@
 // ReadPlatform turns the watch of the configuration service on or off.
 type ReadPlatform struct{ On bool }
 
-// WatchEngines names the engines whose load and cache events this host should hear.
-type WatchEngines struct{ Backends []record.Backend }
+// WatchEngines names the engines that this host should hear.
+type WatchEngines struct{ Engines []WatchedEngine }
+
+// WatchedEngine is an engine whose cache events are wanted, and its load reports only where the
+// service's policy reads them: each poll costs bytes.
+type WatchedEngine struct {
+	Name string
+	Addr string
+	Load bool
+}
 
 func (Send) effect()          {}
 func (Dispatch) effect()      {}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -13,7 +13,6 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer/peerpb"
-	"fireflyshift/internal/record"
 	"fireflyshift/internal/telemetry"
 )
 
@@ -34,7 +33,7 @@
 type outlets struct {
 	send         func(member.Host, *peerpb.Message)
 	readPlatform func(on bool)
-	watchEngines func([]record.Backend)
+	watchEngines func([]core.WatchedEngine)
 	spans        *slotSpans
 }
 
@@ -173,7 +172,7 @@
 	case core.ReadPlatform:
 		c.out.readPlatform(e.On)
 	case core.WatchEngines:
-		c.out.watchEngines(e.Backends)
+		c.out.watchEngines(e.Engines)
 	}
 }
 
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/engine"
-	"fireflyshift/internal/record"
 )
 
-// engineEvery is how often a scheduler hears each of its engines.
-const engineEvery = time.Second
+// How often a scheduler hears each of its engines.
+const (
+	loadEvery   = 500 * time.Millisecond
+	eventsEvery = 2 * time.Second
+)
 
 // toggle runs a function while it is on.
 type toggle struct {
@@ -46,65 +49,73 @@
 	client *engine.Client
 	post   func(core.Event)
 	mu     sync.Mutex
-	active map[string]watched // by backend server name
+	active map[core.WatchedEngine]context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-type watched struct {
-	addr   string
-	cancel context.CancelFunc
-}
-
 func newEngineWatch(ctx context.Context, post func(core.Event)) *engineWatch {
-	return &engineWatch{ctx: ctx, client: engine.NewClient(), post: post, active: map[string]watched{}}
+	return &engineWatch{ctx: ctx, client: engine.NewClient(), post: post, active: map[core.WatchedEngine]context.CancelFunc{}}
 }
 
 // set starts and ends watches so that exactly these engines are heard.
-func (w *engineWatch) set(backends []record.Backend) {
+func (w *engineWatch) set(engines []core.WatchedEngine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	want := map[string]string{}
-	for _, b := range backends {
-		want[b.Name] = b.Addr
-	}
-	for name, a := range w.active {
-		if want[name] != a.addr {
-			a.cancel()
-			delete(w.active, name)
+	for e, cancel := range w.active {
+		if !slices.Contains(engines, e) {
+			cancel()
+			delete(w.active, e)
 		}
 	}
-	for name, addr := range want {
-		if _, ok := w.active[name]; ok {
+	for _, e := range engines {
+		if _, ok := w.active[e]; ok {
 			continue
 		}
 		ctx, cancel := context.WithCancel(w.ctx)
-		w.active[name] = watched{addr, cancel}
-		w.wg.Add(1)
-		go func() {
-			defer w.wg.Done()
-			w.follow(ctx, name, addr)
-		}()
+		w.active[e] = cancel
+		w.repeat(ctx, eventsEvery, w.events(e))
+		if e.Load {
+			w.repeat(ctx, loadEvery, w.load(e))
+		}
 	}
 }
 
-func (w *engineWatch) follow(ctx context.Context, name, addr string) {
-	ticker := time.NewTicker(engineEvery)
-	defer ticker.Stop()
-	after := uint64(0)
-	for {
-		if load, err := w.client.Load(ctx, addr); err == nil {
-			w.post(core.LoadReport{Backend: name, Outstanding: load.Running + load.Waiting})
-		}
-		if ev, err := w.client.Evictions(ctx, addr, after); err == nil {
-			after = ev.Next
-			if len(ev.Evicted) > 0 {
-				w.post(core.CacheEvicted{Backend: name, Hashes: engine.Short(ev.Evicted)})
+// repeat calls f at once and then at every interval until ctx ends.
+func (w *engineWatch) repeat(ctx context.Context, every time.Duration, f func(context.Context)) {
+	w.wg.Add(1)
+	go func() {
+		defer w.wg.Done()
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for {
+			f(ctx)
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
 			}
 		}
-		select {
-		case <-ctx.Done():
+	}()
+}
+
+func (w *engineWatch) load(e core.WatchedEngine) func(context.Context) {
+	return func(ctx context.Context) {
+		if l, err := w.client.Load(ctx, e.Addr); err == nil {
+			w.post(core.LoadReport{Backend: e.Name, Outstanding: l.Running + l.Waiting})
+		}
+	}
+}
+
+func (w *engineWatch) events(e core.WatchedEngine) func(context.Context) {
+	after := uint64(0)
+	return func(ctx context.Context) {
+		ev, err := w.client.Evictions(ctx, e.Addr, after)
+		if err != nil {
 			return
-		case <-ticker.C:
+		}
+		after = ev.Next
+		if len(ev.Evicted) > 0 {
+			w.post(core.CacheEvicted{Backend: e.Name, Hashes: engine.Short(ev.Evicted)})
 		}
 	}
 }
--- a/internal/measure/rig.go
+++ b/internal/measure/rig.go
@@ -22,10 +22,11 @@
 
 const (
 	startTimeout = 30 * time.Second
-	// smallHost is the processors of an entry host: they are small machines.
-	smallHost = 2
 )
 
+// Threads is the processors of an entry host: they are small machines.
+var Threads = 2
+
 // rig is a running fleet.
 type rig struct {
 	bin      string
@@ -89,7 +90,7 @@
 func (r *rig) addHosts(zone string, n int) {
 	for i := 1; i <= n; i++ {
 		s := fleet.NewHostSpec(fmt.Sprintf("%s-h%d", zone, i), zone, r.platAddr)
-		s.Threads = smallHost
+		s.Threads = Threads
 		r.specs = append(r.specs, s)
 	}
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -143,6 +143,8 @@
 		}
 		if used {
 			wait = redialFirst
+		} else {
+			l.forget()
 		}
 		select {
 		case <-ctx.Done():
@@ -152,6 +154,20 @@
 	}
 }
 
+// forget drops what waits for a host that cannot be reached. Sent after a long cut, it would be
+// questions and answers of the past, all at once; what still matters is asked again by LinkOpened
+// and by digests.
+func (l *link) forget() {
+	for {
+		select {
+		case <-l.queue:
+			l.sender.count.Dropped.Inc(1)
+		default:
+			return
+		}
+	}
+}
+
 // stream sends until an error or until the link is idle; used tells that it was open for a while.
 func (l *link) stream(ctx context.Context, conn *grpc.ClientConn) (idle, used bool) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/sched/group_test.go
+++ b/internal/sched/group_test.go
@@ -373,3 +373,18 @@
 		}
 	}
 }
+
+// A group is new: no server has shown its pace. Callers with long answers were refused as if the
+// first guess of 10 ms a token were known, though the queue was short and the time ample.
+func TestNothingIsRefusedOnAGuess(t *testing.T) {
+	var inv invariant.Log
+	g := newTestGroup(record.ServiceModel, 1, 1, &inv)
+	for i := 0; i < 20; i++ {
+		r := testRequest(fmt.Sprint(i), 1, "w")
+		r.OutputTokens, r.Deadline = 100_000, 10*time.Minute
+		for _, d := range g.Acquire(0, r) {
+			_, refused := d.(Refuse)
+			require.False(t, refused, "request %d: %+v", i, d)
+		}
+	}
+}
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -171,7 +171,7 @@
 	if g.lowerRunning(w.Priority) > 0 {
 		return "", 0, true
 	}
-	if wait := g.wait(w); now+wait > w.latest {
+	if wait := g.wait(w); g.paceShown() && now+wait > w.latest {
 		return fault.DeadlineUnmeetable, clampRetry(wait), false
 	}
 	return "", 0, true
@@ -204,6 +204,16 @@
 	return fromMS(g.queue.costAhead(w) / float64(slots))
 }
 
+// paceShown tells whether the estimates rest on what every server in use has shown.
+func (g *Group) paceShown() bool {
+	for _, b := range g.backends {
+		if !b.spec.Leaving && b.samples == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Group) slots() int {
 	n := 0
 	for _, b := range g.backends {
--- a/internal/sched/policy.go
+++ b/internal/sched/policy.go
@@ -20,6 +20,9 @@
 	"prefix":       scorePrefix,
 }
 
+// ReadsLoad tells whether a policy goes by the engines' own load reports.
+func ReadsLoad(policy string) bool { return policy == "least-loaded" || policy == "two-choices" }
+
 // ignoresTiers tells whether a policy serves first come, first served.
 func ignoresTiers(policy string) bool { return policy != "cost" }
 
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -2,16 +2,25 @@
 package telemetry
 
 import (
+	"fmt"
 	"io"
 	"time"
 
 	"github.com/rs/zerolog"
 )
 
+const partField = "part"
+
 // NewLogger returns the root logger.
 func NewLogger(w io.Writer, level string, json bool) zerolog.Logger {
 	if !json {
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano}
+		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+			PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, partField, zerolog.MessageFieldName},
+			FieldsExclude: []string{partField},
+			FormatPartValueByName: func(value any, _ string) string {
+				return fmt.Sprintf("%v:", value)
+			},
+		}
 	}
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
@@ -27,7 +36,7 @@
 
 type prefixHook string
 
-// Run adds the part as a field: a fixed prefix that filters can match.
+// Run adds the part: in text a prefix of the sentence, in JSON a field.
 func (p prefixHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
-	e.Str("part", string(p))
+	e.Str(partField, string(p))
 }
