--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -181,7 +181,7 @@
 
 // NextTick is how long the daemon may wait until it sends the next Tick.
 func (c *Core) NextTick() time.Duration {
-	if len(c.entry.wakes) > 0 && c.entry.wakes[0].wake-c.now < TickIdle {
+	if c.entry.wakes.Len() > 0 && c.entry.wakes.Min().wake-c.now < TickIdle {
 		return TickEvery
 	}
 	for _, g := range c.groups {
--- a/internal/core/wake.go
+++ b/internal/core/wake.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,35 +9,22 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/indexheap"
 	"fireflyshift/internal/peer/peerpb"
 	"fireflyshift/internal/sched"
 )
 
 // wakeHeap orders requests by the next moment at which time itself is an event for them.
-type wakeHeap []*request
+type wakeHeap = *indexheap.Heap[*request]
 
-func (h wakeHeap) Len() int { return len(h) }
-func (h wakeHeap) Less(i, j int) bool {
-	if h[i].wake != h[j].wake {
-		return h[i].wake < h[j].wake
+func newWakeHeap() wakeHeap {
+	less := func(a, b *request) bool {
+		if a.wake != b.wake {
+			return a.wake < b.wake
+		}
+		return a.number < b.number
 	}
-	return h[i].ID < h[j].ID
-}
-func (h wakeHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *wakeHeap) Push(x any) {
-	r := x.(*request)
-	r.index = len(*h)
-	*h = append(*h, r)
-}
-func (h *wakeHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return r
+	return indexheap.New(less, func(r *request, i int) { r.index = i })
 }
 
 func hashString(s string) uint64 { return xxhash.Sum64String(s) }
@@ -46,12 +32,12 @@
 // wakeAt sets the next moment to look at a request, its deadline at the latest.
 func (c *Core) wakeAt(r *request, at time.Duration) {
 	r.wake = min(at, r.deadline)
-	heap.Fix(&c.entry.wakes, r.index)
+	c.entry.wakes.Fix(r.index)
 }
 
 func (c *Core) tickEntry() {
-	for len(c.entry.wakes) > 0 && c.entry.wakes[0].wake <= c.now {
-		c.woken(c.entry.wakes[0])
+	for c.entry.wakes.Len() > 0 && c.entry.wakes.Min().wake <= c.now {
+		c.woken(c.entry.wakes.Min())
 		c.deliverLocal()
 	}
 	if c.now-c.entry.heldAt >= holdEvery {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -62,49 +62,52 @@
 // WatchRecords reads all records, then watches for newer ones, until ctx ends. Each read that
 // succeeds or fails is posted. Every start reads from revision zero: what a platform says changed
 // while nobody watched is not taken on trust.
+//
+// A stale service may answer with a lower revision. It is followed, so that its records are read
+// again when it catches up; what is in force does not go back, see package confstate.
 func (c *Client) WatchRecords(ctx context.Context, post func(core.Event)) {
-	after := uint64(0)
-	first := true
-	c.loop(ctx, func(ctx context.Context) (bool, error) {
-		wait := c.wait
-		if first {
-			wait = 0
-		}
-		var reply recordsReply
-		if err := c.get(ctx, fmt.Sprintf("/v1/records?after=%d&wait=%d", after, wait.Milliseconds()), wait, &reply); err != nil {
-			post(core.PlatformFailed{})
-			first = true
-			return false, err
-		}
-		first = false
-		// A stale service may answer with a lower revision: follow it, so that its records are
-		// read again when it catches up. What is in force does not go back; see confstate.
-		after = reply.Revision
+	watch(ctx, c, "/v1/records", func(reply recordsReply, _ bool) uint64 {
 		post(core.PlatformRecords{Records: reply.Records, Current: true})
-		return true, nil
-	})
+		return reply.Revision
+	}, func() { post(core.PlatformFailed{}) })
 }
 
 // WatchHosts follows the host list until ctx ends.
 func (c *Client) WatchHosts(ctx context.Context, post func(core.Event)) {
-	after := uint64(0)
-	first := true
-	c.loop(ctx, func(ctx context.Context) (bool, error) {
+	latest := uint64(0)
+	watch(ctx, c, "/v1/hosts", func(reply hostsReply, first bool) uint64 {
+		if first || reply.Version != latest {
+			post(hostList(reply))
+		}
+		latest = reply.Version
+		return reply.Version
+	}, func() {})
+}
+
+// watch reads a path at once, then waits for what comes after the version that got returns, until
+// ctx ends: with growing pauses after failures, and from the start again.
+func watch[R any](ctx context.Context, c *Client, path string, got func(reply R, first bool) uint64, failed func()) {
+	after, first, pause := uint64(0), true, retryFirst
+	for ctx.Err() == nil {
 		wait := c.wait
 		if first {
 			wait = 0
 		}
-		var reply hostsReply
-		if err := c.get(ctx, fmt.Sprintf("/v1/hosts?after=%d&wait=%d", after, wait.Milliseconds()), wait, &reply); err != nil {
-			first = true
-			return false, err
+		var reply R
+		rest := minWatchGap
+		if err := c.get(ctx, fmt.Sprintf("%s?after=%d&wait=%d", path, after, wait.Milliseconds()), wait, &reply); err != nil {
+			failed()
+			first, rest = true, pause
+			pause = min(2*pause, retryMost)
+		} else {
+			after = got(reply, first)
+			first, pause = false, retryFirst
 		}
-		if first || reply.Version != after {
-			post(hostList(reply))
+		select {
+		case <-ctx.Done():
+		case <-time.After(rest):
 		}
-		first, after = false, reply.Version
-		return true, nil
-	})
+	}
 }
 
 func hostList(r hostsReply) core.HostList {
@@ -118,25 +121,6 @@
 	return out
 }
 
-// loop repeats a read: at once after a success, with growing pauses after failures.
-func (c *Client) loop(ctx context.Context, read func(context.Context) (bool, error)) {
-	pause := retryFirst
-	for ctx.Err() == nil {
-		ok, _ := read(ctx)
-		wait := minWatchGap
-		if !ok {
-			wait = pause
-			pause = min(2*pause, retryMost)
-		} else {
-			pause = retryFirst
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
-		}
-	}
-}
-
 func (c *Client) get(ctx context.Context, path string, wait time.Duration, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
 	defer cancel()
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -272,8 +272,8 @@
 
 // expire ends waits that can no longer meet their deadline; they are answered at once, not held.
 func (g *Group) expire(now time.Duration) {
-	for g.queue.len() > 0 && g.queue.expiry[0].latest < now {
-		w := g.queue.expiry[0]
+	for g.queue.len() > 0 && g.queue.expiry.Min().latest < now {
+		w := g.queue.expiry.Min()
 		wait := clampRetry(g.wait(w))
 		g.queue.remove(w)
 		g.refuse(w, fault.DeadlineUnmeetable, wait)
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -1,11 +1,12 @@
 package sched
 
 import (
-	"container/heap"
 	"container/list"
 	"math"
 	"math/bits"
 	"time"
+
+	"fireflyshift/internal/indexheap"
 )
 
 // waiting is a request in the queue.
@@ -38,66 +39,51 @@
 func (w *workspaceQueue) backlog() float64 { return float64(w.line.Len()) / w.weight }
 
 // costHeap orders the requests of one workspace by estimated work, then by arrival.
-type costHeap []*waiting
+type costHeap = *indexheap.Heap[*waiting]
 
-func (h costHeap) Len() int { return len(h) }
-func (h costHeap) Less(i, j int) bool {
-	if h[i].cost != h[j].cost {
-		return h[i].cost < h[j].cost
-	}
-	if h[i].arrived != h[j].arrived {
-		return h[i].arrived < h[j].arrived
+func newCostHeap() costHeap {
+	less := func(a, b *waiting) bool {
+		if a.cost != b.cost {
+			return a.cost < b.cost
+		}
+		if a.arrived != b.arrived {
+			return a.arrived < b.arrived
+		}
+		return a.Key.Less(b.Key)
 	}
-	return h[i].Key.Less(h[j].Key)
-}
-func (h costHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].place, h[j].place = i, j
-}
-func (h *costHeap) Push(x any) {
-	w := x.(*waiting)
-	w.place = len(*h)
-	*h = append(*h, w)
-}
-func (h *costHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
+	return indexheap.New(less, func(w *waiting, i int) { w.place = i })
 }
 
-// workspaceHeap orders workspaces by one of two measures.
-type workspaceHeap struct {
-	items []*workspaceQueue
-	which int
-	less  func(a, b *workspaceQueue) bool
-}
+// expiryHeap orders waiting requests by the last useful start.
+type expiryHeap = *indexheap.Heap[*waiting]
 
-func (h *workspaceHeap) Len() int { return len(h.items) }
-func (h *workspaceHeap) Less(i, j int) bool {
-	a, b := h.items[i], h.items[j]
-	if h.less(a, b) != h.less(b, a) {
-		return h.less(a, b)
+func newExpiryHeap() expiryHeap {
+	less := func(a, b *waiting) bool {
+		if a.latest != b.latest {
+			return a.latest < b.latest
+		}
+		return a.Key.Less(b.Key)
 	}
-	return a.name < b.name
+	return indexheap.New(less, func(w *waiting, i int) { w.index = i })
 }
-func (h *workspaceHeap) Swap(i, j int) {
-	h.items[i], h.items[j] = h.items[j], h.items[i]
-	h.items[i].index[h.which] = i
-	h.items[j].index[h.which] = j
-}
-func (h *workspaceHeap) Push(x any) {
-	w := x.(*workspaceQueue)
-	w.index[h.which] = len(h.items)
-	h.items = append(h.items, w)
-}
-func (h *workspaceHeap) Pop() any {
-	last := len(h.items) - 1
-	w := h.items[last]
-	h.items[last] = nil
-	h.items = h.items[:last]
-	return w
+
+// workspaceHeap orders the workspaces of a tier by one of two measures.
+type workspaceHeap = *indexheap.Heap[*workspaceQueue]
+
+const (
+	byVirtual = iota
+	byBacklog
+)
+
+func newWorkspaceHeap(which int, measure func(*workspaceQueue) float64) workspaceHeap {
+	less := func(a, b *workspaceQueue) bool {
+		x, y := measure(a), measure(b)
+		if x != y {
+			return x < y
+		}
+		return a.name < b.name
+	}
+	return indexheap.New(less, func(q *workspaceQueue, i int) { q.index[which] = i })
 }
 
 // tierQueue serves the workspaces of one tier by weighted fair queuing.
@@ -132,8 +118,8 @@
 func newTierQueue() *tierQueue {
 	return &tierQueue{
 		workspaces: map[string]*workspaceQueue{},
-		next:       workspaceHeap{which: 0, less: func(a, b *workspaceQueue) bool { return a.virtual < b.virtual }},
-		longest:    workspaceHeap{which: 1, less: func(a, b *workspaceQueue) bool { return a.backlog() > b.backlog() }},
+		next:       newWorkspaceHeap(byVirtual, func(q *workspaceQueue) float64 { return q.virtual }),
+		longest:    newWorkspaceHeap(byBacklog, func(q *workspaceQueue) float64 { return -q.backlog() }),
 	}
 }
 
@@ -141,17 +127,17 @@
 	q, ok := t.workspaces[w.Workspace]
 	if !ok {
 		t.dropIdle()
-		q = &workspaceQueue{name: w.Workspace, line: list.New()}
+		q = &workspaceQueue{name: w.Workspace, line: list.New(), short: newCostHeap()}
 		t.workspaces[w.Workspace] = q
 	}
 	q.weight = max(w.Weight, 0.01)
 	if q.line.Len() == 0 {
 		q.virtual = max(q.virtual, t.floor)
-		heap.Push(&t.next, q)
-		heap.Push(&t.longest, q)
+		t.next.Push(q)
+		t.longest.Push(q)
 	}
 	w.element = q.line.PushBack(w)
-	heap.Push(&q.short, w)
+	q.short.Push(w)
 	w.owner = q
 	t.count++
 	t.cost[bucketOf(w.cost)] += w.cost
@@ -159,19 +145,19 @@
 }
 
 func (t *tierQueue) fix(q *workspaceQueue) {
-	heap.Fix(&t.next, q.index[0])
-	heap.Fix(&t.longest, q.index[1])
+	t.next.Fix(q.index[byVirtual])
+	t.longest.Fix(q.index[byBacklog])
 }
 
 func (t *tierQueue) remove(w *waiting) {
 	q := w.owner
 	q.line.Remove(w.element)
-	heap.Remove(&q.short, w.place)
+	q.short.Remove(w.place)
 	t.count--
 	t.cost[bucketOf(w.cost)] -= w.cost
 	if q.line.Len() == 0 {
-		heap.Remove(&t.next, q.index[0])
-		heap.Remove(&t.longest, q.index[1])
+		t.next.Remove(q.index[byVirtual])
+		t.longest.Remove(q.index[byBacklog])
 		return
 	}
 	t.fix(q)
@@ -182,15 +168,14 @@
 	if t.count == 0 {
 		return nil
 	}
-	return t.next.items[0].short[0]
+	return t.next.Min().short.Min()
 }
 
 // heads are the next requests of up to n workspaces, the one to serve next first.
 func (t *tierQueue) heads(n int) []*waiting {
-	n = min(n, len(t.next.items))
-	out := make([]*waiting, n)
-	for i := range out {
-		out[i] = t.next.items[i].short[0]
+	var out []*waiting
+	for _, q := range t.next.Top(n) {
+		out = append(out, q.short.Min())
 	}
 	return out
 }
@@ -200,7 +185,7 @@
 	if t.count == 0 {
 		return nil
 	}
-	return t.longest.items[0].line.Back().Value.(*waiting)
+	return t.longest.Min().line.Back().Value.(*waiting)
 }
 
 // serve removes the head and charges its workspace.
@@ -222,33 +207,6 @@
 	}
 }
 
-// expiryHeap orders waiting requests by the last useful start.
-type expiryHeap []*waiting
-
-func (h expiryHeap) Len() int { return len(h) }
-func (h expiryHeap) Less(i, j int) bool {
-	if h[i].latest != h[j].latest {
-		return h[i].latest < h[j].latest
-	}
-	return h[i].Key.Less(h[j].Key)
-}
-func (h expiryHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index, h[j].index = i, j
-}
-func (h *expiryHeap) Push(x any) {
-	w := x.(*waiting)
-	w.index = len(*h)
-	*h = append(*h, w)
-}
-func (h *expiryHeap) Pop() any {
-	old := *h
-	w := old[len(old)-1]
-	old[len(old)-1] = nil
-	*h = old[:len(old)-1]
-	return w
-}
-
 // queue holds all that waits in a group. Every operation costs at most the logarithm of its size.
 // Suspended requests have lines of their own: they need a server that imports KV cache, and must
 // not hold up fresh work that other servers could take.
@@ -261,7 +219,7 @@
 }
 
 func newQueue() *queue {
-	q := &queue{byKey: map[Key]*waiting{}, arrival: list.New()}
+	q := &queue{byKey: map[Key]*waiting{}, arrival: list.New(), expiry: newExpiryHeap()}
 	for i := range q.fresh {
 		q.fresh[i] = newTierQueue()
 		q.resumed[i] = newTierQueue()
@@ -281,7 +239,7 @@
 func (q *queue) push(w *waiting) {
 	q.byKey[w.Key] = w
 	q.lineOf(w).push(w)
-	heap.Push(&q.expiry, w)
+	q.expiry.Push(w)
 	w.came = q.arrival.PushBack(w)
 }
 
@@ -297,7 +255,7 @@
 
 func (q *queue) forget(w *waiting) {
 	delete(q.byKey, w.Key)
-	heap.Remove(&q.expiry, w.index)
+	q.expiry.Remove(w.index)
 	q.arrival.Remove(w.came)
 }
 
