A request to another zone is not left with a dead scheduler

Cause: found by reading. News of another zone is up to 6 s old; a request sent to a scheduler that had died was asked for there every second until its deadline, with free servers at home. And a service that only another zone has was refused as if it had no server as soon as that zone was busy. Shown first by two failing tests. Now a request that has servers at home comes back after 500 ms of silence; one that has none may wait in the other zone, and follows the duty there to the next host.

--- a/internal/core/claim.go
+++ b/internal/core/claim.go
@@ -20,7 +20,7 @@
 // claim asks the ticket's home for the one permission to run. Nothing is dispatched without it.
 func (c *Core) claim(r *request) {
 	r.phase = claiming
-	r.asked = c.now
+	r.since = c.now
 	if r.Ticket.Home == c.opt.Self.ID {
 		c.claimed(r, c.tickets.Claim(c.now, *r.Ticket, r.Workspace, c.holder(r)))
 		return
@@ -38,7 +38,7 @@
 }
 
 func (c *Core) claimAgain(r *request) {
-	if c.now-r.asked >= claimTimeout {
+	if c.now-r.since >= claimTimeout {
 		c.finish(r, fault.New(fault.TicketHomeGone, "host %s does not answer", r.Ticket.Home))
 		return
 	}
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -62,7 +62,7 @@
 	spilled []string
 	// refusedHere tells that this zone's own scheduler has refused it.
 	refusedHere bool
-	asked       time.Duration
+	since       time.Duration // when the ticket, or the slot, was first asked for
 	wake        time.Duration
 	index       int
 	trail       []Hop
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -232,3 +232,50 @@
 	require.Equal(t, "peer", home.To.ID)
 	require.False(t, home.Message.GetAcquire().Spilled)
 }
+
+// farView tells a lone host of another zone that serves the test's service.
+func (l *lone) farView(s *peerpb.ServiceSummary) {
+	l.t.Helper()
+	l.feed(core.HostList{Hosts: []core.ListedHost{{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}},
+		{Host: member.Host{ID: "far", Zone: "y", Addr: "f"}}, {Host: member.Host{ID: "far2", Zone: "y", Addr: "f2"}}}})
+	l.message(&peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: &peerpb.ZoneDigest{Zone: "y", Origin: "far",
+		Sequence: uint64(l.now / time.Millisecond), Relayed: true, Groups: []*peerpb.ServiceSummary{s}}}})
+}
+
+// asked lists the hosts that a request is sent to by effects.
+func asked(effects []core.Effect) []string {
+	var out []string
+	for _, e := range effects {
+		if s, ok := e.(core.Send); ok && s.Message.GetAcquire() != nil {
+			out = append(out, s.To.ID)
+		}
+	}
+	return out
+}
+
+// The scheduler of the other zone is dead, and the news of it is seconds old. The caller's request
+// was asked for there again and again until its deadline, with free servers at home.
+func TestRequestToASilentZoneComesBack(t *testing.T) {
+	l := newLone(t)
+	l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond),
+		Groups: []*peerpb.ServiceSummary{{Service: service, Waiting: 10}}}}})
+	l.farView(&peerpb.ServiceSummary{Service: service, Scheduler: "far", Free: 5})
+	require.True(t, l.submit("r").Spilled)
+	l.now += 600 * time.Millisecond
+	l.beat()
+	require.Equal(t, []string{"peer"}, asked(l.feed(core.Tick{})))
+}
+
+// Only another zone has servers of a service, and they are busy. A buyer's request must wait there
+// as it would at home; it was refused as if no server existed.
+func TestServiceThatOnlyAnotherZoneHas(t *testing.T) {
+	l := newLone(t)
+	l.feed(core.PlatformRecords{Records: []record.Raw{{Kind: record.KindBackend, Name: "b0", Schema: 1, Revision: 20, Deleted: true}}, Current: true})
+	l.farView(&peerpb.ServiceSummary{Service: service, Scheduler: "far", Free: 0, Waiting: 3})
+	a := l.submit("r")
+	require.False(t, a.Spilled, "it may wait there")
+	l.now += 1100 * time.Millisecond
+	l.beat()
+	l.farView(&peerpb.ServiceSummary{Service: service, Scheduler: "far2", Free: 0, Waiting: 3})
+	require.Equal(t, []string{"far2"}, asked(l.feed(core.Tick{})), "it follows the duty to the next host")
+}
--- a/internal/core/seek.go
+++ b/internal/core/seek.go
@@ -13,6 +13,8 @@
 	askAgainAfter = time.Second
 	// movedPause is the wait before the next scheduler is asked, while views converge.
 	movedPause = 50 * time.Millisecond
+	// farPatience is how long another zone may leave a spilled request without an answer.
+	farPatience = 500 * time.Millisecond
 	// maxSpills is how many other zones a request may try.
 	maxSpills = 2
 )
@@ -21,7 +23,7 @@
 func (c *Core) seek(r *request) {
 	k, ok := c.pickGroup(r)
 	if !ok {
-		c.spillOr(r, fault.NoBackend, time.Second)
+		c.seekFar(r)
 		return
 	}
 	owner := c.duty.owners[k]
@@ -29,13 +31,50 @@
 		c.pause(r)
 		return
 	}
-	if zone, s := c.pickSpill(r, true); s != nil && len(r.spilled) == 0 && c.crowded(k) {
+	if zone, s := c.pickSpill(r, freeSlots); s != nil && len(r.spilled) == 0 && c.crowded(k) {
 		c.spill(r, zone, s)
 		return
 	}
 	c.ask(r, target{k, owner, c.opt.Self.Zone})
 }
 
+// seekFar asks another zone for a service that this one lacks. The request may wait there.
+func (c *Core) seekFar(r *request) {
+	zone, s := c.pickSpill(r, anyServer)
+	if s == nil {
+		c.finish(r, c.refusalOf(r, fault.NoBackend, time.Second))
+		return
+	}
+	r.spilled = append(r.spilled, zone)
+	c.ask(r, target{GroupKey{s.Service, s.Shard}, s.Scheduler, zone})
+}
+
+// seekAgain is for a request that has had no answer for a while. One that waits at home asks again.
+// One in another zone follows the duty there, or comes home: what was asked for there should have
+// started at once, and the news that led there may be of a host that is dead.
+func (c *Core) seekAgain(r *request) {
+	if r.target.zone == c.opt.Self.Zone {
+		c.sendAcquire(r)
+		return
+	}
+	z, known := c.gossip.zones[r.target.zone]
+	moved := known && !slices.ContainsFunc(z.digest.Groups, func(s *peerpb.ServiceSummary) bool {
+		return s.Service == r.Service && s.Scheduler == r.target.scheduler
+	})
+	_, atHome := c.pickGroup(r)
+	switch {
+	case moved && !atHome:
+		c.abandon(r)
+		r.spilled = slices.DeleteFunc(r.spilled, func(zone string) bool { return zone == r.target.zone })
+		c.seek(r)
+	case atHome && c.now-r.since >= farPatience:
+		c.abandon(r)
+		c.seek(r)
+	default:
+		c.sendAcquire(r)
+	}
+}
+
 // pickGroup chooses among the groups of a service: two by hash of workspace and prompt, so that
 // shared prefixes meet again, and of these the one with more room.
 func (c *Core) pickGroup(r *request) (GroupKey, bool) {
@@ -76,22 +115,25 @@
 	if !ok {
 		return 0
 	}
-	return int(row.Free) - int(row.Waiting)
+	return roomOf(row.ServiceSummary)
 }
 
 // crowded tells whether a group has more waiting than it could start soon.
 func (c *Core) crowded(k GroupKey) bool { return c.room(k) < 0 }
 
 func (c *Core) ask(r *request, t target) {
-	r.phase, r.target = seeking, t
+	r.phase, r.target, r.since = seeking, t, c.now
 	r.attempt++
 	c.trace(r, "asked %s for a slot of %s/%d in %s", t.scheduler, t.group.Service, t.group.Shard, t.zone)
 	c.sendAcquire(r)
 }
 
 func (c *Core) sendAcquire(r *request) {
-	r.asked = c.now
-	c.wakeAt(r, c.now+askAgainAfter)
+	again := askAgainAfter
+	if r.target.zone != c.opt.Self.Zone {
+		again = farPatience
+	}
+	c.wakeAt(r, c.now+again)
 	c.send(r.target.scheduler, &peerpb.Message{Body: &peerpb.Message_Acquire{Acquire: &peerpb.Acquire{
 		Request:       r.number,
 		Attempt:       r.attempt,
@@ -106,7 +148,7 @@
 		NonIdempotent: r.NonIdempotent,
 		Resume:        r.resume,
 		Traceparent:   r.Traceparent,
-		Spilled:       r.target.zone != c.opt.Self.Zone,
+		Spilled:       c.spilledFromHome(r),
 		SentMs:        c.nowMS(),
 	}}})
 }
@@ -117,9 +159,34 @@
 	c.wakeAt(r, c.now+movedPause)
 }
 
-// pickSpill finds another zone that could start the request now. While this zone only waits, a
-// free slot elsewhere is asked for; before a refusal, lower work elsewhere counts as room too.
-func (c *Core) pickSpill(r *request, freeOnly bool) (string, *peerpb.ServiceSummary) {
+// spilledFromHome tells whether a request is asked for in another zone although this one has
+// servers: it must start there at once or not at all.
+func (c *Core) spilledFromHome(r *request) bool {
+	_, atHome := c.pickGroup(r)
+	return atHome && r.target.zone != c.opt.Self.Zone
+}
+
+// roomFor is what another zone must say of itself to be asked.
+type roomFor func(r *request, s *peerpb.ServiceSummary) bool
+
+// spareSlots of those that a lagging word says are free may be gone.
+const spareSlots = 2
+
+// freeSlots is asked for while the request could also wait at home.
+func freeSlots(_ *request, s *peerpb.ServiceSummary) bool {
+	return s.Free >= spareSlots && s.Waiting == 0
+}
+
+// slotsOrLowerWork is asked for before the request is refused: lower work there would make room.
+func slotsOrLowerWork(r *request, s *peerpb.ServiceSummary) bool {
+	return freeSlots(r, s) || (s.LowestRunning > 0 && s.LowestRunning-1 < r.Priority)
+}
+
+// anyServer is asked for where this zone has none.
+func anyServer(*request, *peerpb.ServiceSummary) bool { return true }
+
+// pickSpill finds another zone for a request: of those with room, the one with most of it.
+func (c *Core) pickSpill(r *request, enough roomFor) (string, *peerpb.ServiceSummary) {
 	if r.resume || len(r.spilled) >= maxSpills {
 		return "", nil
 	}
@@ -131,10 +198,10 @@
 			continue
 		}
 		for _, s := range z.digest.Groups {
-			if s.Service != r.Service || s.Scheduler == "" || !c.hasRoom(r, s, freeOnly) {
+			if s.Service != r.Service || s.Scheduler == "" || !enough(r, s) {
 				continue
 			}
-			if best == nil || s.Free > best.Free {
+			if best == nil || roomOf(s) > roomOf(best) {
 				bestZone, best = zone, s
 			}
 		}
@@ -142,13 +209,8 @@
 	return bestZone, best
 }
 
-func (c *Core) hasRoom(r *request, s *peerpb.ServiceSummary, freeOnly bool) bool {
-	const spare = 2 // of the slots that a lagging word says are free
-	if s.Free >= spare && s.Waiting == 0 {
-		return true
-	}
-	return !freeOnly && s.LowestRunning > 0 && s.LowestRunning-1 < r.Priority
-}
+// roomOf is free slots less what waits.
+func roomOf(s *peerpb.ServiceSummary) int { return int(s.Free) - int(s.Waiting) }
 
 func (c *Core) zonesByName() []string {
 	out := make([]string, 0, len(c.gossip.zones))
@@ -166,10 +228,15 @@
 
 // spillOr tries another zone before it gives a request up.
 func (c *Core) spillOr(r *request, kind fault.Kind, after time.Duration) {
-	if zone, s := c.pickSpill(r, false); s != nil {
+	if zone, s := c.pickSpill(r, slotsOrLowerWork); s != nil {
 		c.spill(r, zone, s)
 		return
 	}
+	c.finish(r, c.refusalOf(r, kind, after))
+}
+
+// refusalOf words a final refusal. Suspended work has run in part, whatever the scheduler says.
+func (c *Core) refusalOf(r *request, kind fault.Kind, after time.Duration) *fault.Error {
 	f := fault.New(kind, "service %s", r.Service)
 	if r.resume {
 		f = fault.New(fault.Displaced, "the work was suspended and could not go on")
@@ -177,5 +244,5 @@
 	if after > 0 {
 		f = f.After(after)
 	}
-	c.finish(r, f)
+	return f
 }
--- a/internal/core/wake.go
+++ b/internal/core/wake.go
@@ -55,7 +55,7 @@
 	case claiming:
 		c.claimAgain(r)
 	case seeking:
-		c.sendAcquire(r)
+		c.seekAgain(r)
 	case pausing:
 		c.seek(r)
 	default:
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -67,6 +67,8 @@
 	{"rate-in-partition", "7", "internal/member/member.go", "\tif v.listed > 0 {\n\t\treturn v.listed\n\t}\n\treturn len(v.peers) + 1", "\treturn 1", coreTests},
 	{"spill-starts-at-once", "7", "internal/sched/place.go", "if w.Spilled && !g.takesSpill(w.Priority) {", "if false {", schedTests},
 	{"spill-comes-home", "3", "internal/core/entry.go", "} else if _, ok := c.pickGroup(r); ok && !r.refusedHere {", "} else if false {", coreTests},
+	{"far-patience", "7", "internal/core/seek.go", "case atHome && c.now-r.since >= farPatience:", "case false:", coreTests},
+	{"far-duty-moves", "7", "internal/core/seek.go", "case moved && !atHome:", "case false:", coreTests},
 	{"settle", "7", "internal/sched/group.go", "g.settled = len(g.awaiting) == 0\n", "g.settled = true\n", schedTests},
 	{"retry-budget", "8", "internal/core/entry.go", "if r.reseeks > maxReseeks || c.entry.budget < 1 {", "if r.reseeks > maxReseeks {", coreTests},
 	{"queue-bound", "8", "internal/sched/place.go", "for g.queue.len() > bound {", "for false {", schedTests},
