--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -192,12 +192,16 @@
 	c.emit(Dispatch{r.ID, r.attempt, spec, min(until, r.deadline), r.resume})
 }
 
+// returnGrant gives a slot back that will not be used.
 func (c *Core) returnGrant(from string, m *peerpb.Grant) {
-	r, ok := c.entry.byNumber[m.Request]
-	if ok && r.attempt == m.Attempt && (r.phase == dispatched || r.phase == suspending) {
+	r, known := c.entry.byNumber[m.Request]
+	if known && r.attempt == m.Attempt && r.runs() {
 		return // a repeated answer to a repeated question: the slot is in use
 	}
 	k, ok := c.duty.groupOf[m.Backend]
+	if known && r.target.scheduler == from {
+		k, ok = r.target.group, true
+	}
 	if !ok {
 		return // the scheduler frees the slot when Holdings do not name it
 	}
--- a/internal/sched/group_test.go
+++ b/internal/sched/group_test.go
@@ -388,3 +388,26 @@
 		}
 	}
 }
+
+// A large workspace has filled the queue with minutes of work. A small one's single request would be
+// next by fair shares, but was refused at once as if it had to wait for all of that.
+func TestSmallWorkspaceIsNotRefusedForTheFloodAheadOfIt(t *testing.T) {
+	var inv invariant.Log
+	g := newTestGroup(record.ServiceModel, 1, 2, &inv)
+	g.opt.MinQueue = 1000
+	g.Acquire(0, testRequest("first", 1, "large"))
+	g.Release(0, Result{Key: Key{"h", number("first")}, Attempt: 1, Backend: "b000", Outcome: Done,
+		FirstToken: 10 * time.Millisecond, Interval: 5 * time.Millisecond, Tokens: 20, Prompt: 100})
+	for i := 0; i < 500; i++ {
+		g.Acquire(0, testRequest(fmt.Sprint("flood", i), 1, "large"))
+	}
+	r := testRequest("small", 1, "small")
+	r.Deadline = time.Second
+	for _, d := range g.Acquire(0, r) {
+		_, refused := d.(Refuse)
+		require.False(t, refused, "%+v", d)
+	}
+	r = testRequest("one more of the flood", 1, "large")
+	r.Deadline = time.Second
+	require.Equal(t, fault.DeadlineUnmeetable, g.Acquire(0, r)[0].(Refuse).Kind)
+}
--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -31,6 +31,7 @@
 	weight  float64
 	line    *list.List // by arrival
 	short   costHeap   // by cost
+	cost    float64    // estimated work in the line
 	virtual float64    // weighted work served; the least is served next
 	index   [2]int     // positions in the two heaps
 }
@@ -93,9 +94,13 @@
 	longest    workspaceHeap // by backlog
 	floor      float64       // virtual time of the latest service
 	count      int
+	weight     float64              // of the workspaces that wait
 	cost       [costBuckets]float64 // waiting work by the size of its requests
 }
 
+// leastWeight is the least that a workspace record can give.
+const leastWeight = 0.01
+
 // costBuckets are powers of two of estimated slot-milliseconds.
 const costBuckets = 32
 
@@ -130,8 +135,9 @@
 		q = &workspaceQueue{name: w.Workspace, line: list.New(), short: newCostHeap()}
 		t.workspaces[w.Workspace] = q
 	}
-	q.weight = max(w.Weight, 0.01)
 	if q.line.Len() == 0 {
+		q.weight = max(w.Weight, leastWeight)
+		t.weight += q.weight
 		q.virtual = max(q.virtual, t.floor)
 		t.next.Push(q)
 		t.longest.Push(q)
@@ -141,6 +147,7 @@
 	w.owner = q
 	t.count++
 	t.cost[bucketOf(w.cost)] += w.cost
+	q.cost += w.cost
 	t.fix(q)
 }
 
@@ -155,7 +162,9 @@
 	q.short.Remove(w.place)
 	t.count--
 	t.cost[bucketOf(w.cost)] -= w.cost
+	q.cost -= w.cost
 	if q.line.Len() == 0 {
+		t.weight -= q.weight
 		t.next.Remove(q.index[byVirtual])
 		t.longest.Remove(q.index[byBacklog])
 		return
@@ -287,15 +296,28 @@
 }
 
 // costAhead is the estimated work that is served before a request: all of more urgent tiers, and of
-// its own what was suspended or is no longer than itself.
+// its own what was suspended and what fair shares put before it.
 func (q *queue) costAhead(w *waiting) float64 {
-	sum := q.resumed[w.Priority].costUpTo(math.MaxInt64) + q.fresh[w.Priority].costUpTo(w.cost)
+	sum := q.resumed[w.Priority].costUpTo(math.MaxInt64) + q.fresh[w.Priority].costBefore(w)
 	for p := int(w.Priority) + 1; p < Priorities; p++ {
 		sum += q.fresh[p].costUpTo(math.MaxInt64) + q.resumed[p].costUpTo(math.MaxInt64)
 	}
 	return sum
 }
 
+// costBefore is the work of a tier that is served before a request: at most what is no longer than
+// itself, and at most its workspace's own line stretched by the workspace's share of the slots.
+func (t *tierQueue) costBefore(w *waiting) float64 {
+	weight, own := t.weight, 0.0
+	if q, ok := t.workspaces[w.Workspace]; ok && q.line.Len() > 0 {
+		own = q.cost
+	} else {
+		weight += w.Weight
+	}
+	stretched := (own + w.cost) * weight / max(w.Weight, leastWeight)
+	return min(t.costUpTo(w.cost), stretched)
+}
+
 // waitsFrom tells whether anything waits at a priority or above.
 func (q *queue) waitsFrom(priority uint32) bool {
 	for p := int(priority); p < Priorities; p++ {
