A victim that was not suspended is asked again; no order of a map decides

Now the address comes with the call, and a victim is asked again after 1 s.

The failure did not replay: a dead host's waiting requests were removed in the order of a map, which changes the heaps that the next choice is made from. They are removed in a fixed order now.

--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -231,9 +231,11 @@
 	c.spillOr(r, kind, time.Duration(m.RetryAfterMs)*time.Millisecond)
 }
 
+// preempt suspends a running request. It may be asked for again: an engine refuses to export a stream
+// that it has not begun.
 func (c *Core) preempt(from string, m *peerpb.Preempt) {
 	r, ok := c.entry.byNumber[m.Request]
-	if !ok || r.phase != dispatched || r.attempt != m.Attempt || r.target.scheduler != from {
+	if !ok || !r.runs() || r.attempt != m.Attempt || r.target.scheduler != from {
 		return
 	}
 	c.trace(r, "suspending on %s for more urgent work", r.backend)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -332,6 +332,9 @@
 func (w *world) suspend(h *fakeHost, id string) {
 	r := w.requests[id]
 	b := w.backends[r.backend]
+	if b == nil {
+		return // asked for before the dispatch was carried out
+	}
 	end, ok := b.running[id]
 	if !ok {
 		return
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -238,8 +238,8 @@
 	return nil
 }
 
-func (m *modelAttempt) suspend(ctx context.Context) {
-	kv, err := m.server.engines.Suspend(ctx, m.addr, m.call.id)
+func (m *modelAttempt) suspend(ctx context.Context, addr string) {
+	kv, err := m.server.engines.Suspend(ctx, addr, m.call.id)
 	if err != nil {
 		m.server.metrics.Count("edge.suspend_failed", 1)
 		return
--- a/internal/edge/flight.go
+++ b/internal/edge/flight.go
@@ -15,8 +15,9 @@
 type attempt interface {
 	// run makes the call and writes the answer as it comes. It returns when the dispatch has ended.
 	run(ctx context.Context, d core.Dispatch) core.Ended
-	// suspend asks the backend server to export the stream that run reads.
-	suspend(ctx context.Context)
+	// suspend asks the backend server at addr to export the stream that run reads. It is called
+	// from another goroutine than run.
+	suspend(ctx context.Context, addr string)
 	// conclude writes the fault as far as the answer has not begun; it may abort the connection.
 	conclude(f *fault.Error)
 }
@@ -31,17 +32,17 @@
 	defer wait.End()
 	sub.Traceparent = s.tracing.Traceparent(ctx)
 	s.control.Submit(sub, effects)
-	running := false
+	running, addr := false, ""
 	gone := c.Context().Done()
 	for {
 		select {
 		case e := <-effects:
 			switch e := e.(type) {
 			case core.Dispatch:
-				running = true
+				running, addr = true, e.Backend.Addr
 				go s.dispatch(ctx, a, e, ended)
 			case core.Suspend:
-				go a.suspend(background(ctx))
+				go a.suspend(background(ctx), addr)
 			case core.Finish:
 				cancel()
 				if running {
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -127,7 +127,7 @@
 }
 
 // suspend does nothing: a plain service cannot give up work that has begun.
-func (p *plainAttempt) suspend(context.Context) {}
+func (p *plainAttempt) suspend(context.Context, string) {}
 
 func (p *plainAttempt) conclude(f *fault.Error) {
 	if f == nil {
--- a/internal/sched/displace.go
+++ b/internal/sched/displace.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// askVictimAgain is when a run that was asked to give way, and still runs, is asked again.
+const askVictimAgain = time.Second
+
 // displace makes room for waiting urgent work by suspending lower work, one slot for each request
 // that has waited longer than DisplaceAfter.
 func (g *Group) displace(now time.Duration, w *waiting) {
@@ -53,7 +56,8 @@
 			continue
 		}
 		for _, r := range b.runs {
-			if r.displacing || r.Priority >= w.Priority || r.orphanAt > 0 {
+			asked := r.displacing && now-r.preempted < askVictimAgain
+			if asked || r.Priority >= w.Priority || r.orphanAt > 0 {
 				continue
 			}
 			if victim == nil || betterVictim(r, victim) {
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -271,15 +271,11 @@
 // HostLost drops what a dead entry host had waiting; its runs keep their slots for OrphanGrace,
 // since the engines may not have noticed yet.
 func (g *Group) HostLost(now time.Duration, host string) []Decision {
-	var gone []*waiting
-	for _, w := range g.queue.byKey {
+	for _, w := range g.sorted() {
 		if w.Key.Host == host {
-			gone = append(gone, w)
+			g.queue.remove(w)
 		}
 	}
-	for _, w := range gone {
-		g.queue.remove(w)
-	}
 	for _, r := range g.runsOf(host) {
 		if r.orphanAt == 0 {
 			r.orphanAt = now
