--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -31,6 +31,8 @@
 	// many heartbeats that it does.
 	readersSilent = 5
 	forgetEvery   = time.Second
+	// auditTurn is how long each host of a zone in turn watches the platform besides its readers.
+	auditTurn = 4 * time.Second
 )
 
 // dutyState is what this host computes from its membership view.
@@ -42,7 +44,7 @@
 	owners   map[GroupKey]string   // scheduler of each group of this zone
 	summary  map[GroupKey]groupRow // what schedulers of this zone tell
 	groupOf  map[string]GroupKey   // group of each backend server of this zone
-	reading  bool
+	reading  readingMode
 }
 
 // groupRow is a scheduler's latest summary of a group.
@@ -217,18 +219,49 @@
 	return keys
 }
 
+// readingMode is why a host watches the configuration service.
+type readingMode int
+
+const (
+	notReading readingMode = iota
+	// auditing hosts look for what is newer than they have.
+	auditing
+	// onDuty hosts read everything, and then watch.
+	onDuty
+)
+
 // refreshReading decides whether this host watches the configuration service: the first two of the
-// zone do, and any host does while no live host says that it reaches the service.
+// zone do; any host does while no live host says that it reaches the service; and each takes a turn
+// now and then.
 //
 // The second rule guards against both readers being cut off from the platform while others are
-// not: no host of the zone would hear a change. It holds since every host judges by itself.
+// not, the third against both being answered by a stale copy of it: no host of the zone would hear
+// a change. They hold since every host judges by itself.
 func (c *Core) refreshReading() {
+	mode := notReading
+	if rank := slices.Index(c.duty.live, c.opt.Self.ID); rank >= 0 {
+		turn := int(c.now / auditTurn)
+		if turn%len(c.duty.live) == rank {
+			mode = auditing
+		}
+	}
 	readers := member.Top("reader/"+c.opt.Self.Zone, c.duty.live, readersPerZone)
 	silent := c.now-c.gossip.readElsewhere > readersSilent*c.view.Interval()
-	on := silent || slices.Contains(readers, c.opt.Self.ID)
-	if on != c.duty.reading {
-		c.duty.reading = on
-		c.emit(ReadPlatform{on})
+	if silent || slices.Contains(readers, c.opt.Self.ID) {
+		mode = onDuty
+	}
+	if mode == c.duty.reading {
+		return
+	}
+	if c.duty.reading != notReading {
+		c.emit(ReadPlatform{})
+	}
+	c.duty.reading = mode
+	switch mode {
+	case auditing:
+		c.emit(ReadPlatform{On: true, After: c.conf.Revision()})
+	case onDuty:
+		c.emit(ReadPlatform{On: true})
 	}
 }
 
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -162,8 +162,11 @@
 // ConfigChanged tells that the configuration in force has changed.
 type ConfigChanged struct{}
 
-// ReadPlatform turns the watch of the configuration service on or off.
-type ReadPlatform struct{ On bool }
+// ReadPlatform turns the watch of the configuration service on or off. It starts after a revision.
+type ReadPlatform struct {
+	On    bool
+	After uint64
+}
 
 // WatchEngines names the engines that this host should hear.
 type WatchEngines struct{ Engines []WatchedEngine }
--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -279,3 +280,30 @@
 	l.farView(&peerpb.ServiceSummary{Service: service, Scheduler: "far2", Free: 0, Waiting: 3})
 	require.Equal(t, []string{"far2"}, asked(l.feed(core.Tick{})), "it follows the duty to the next host")
 }
+
+// Both hosts of a zone that watch the platform are answered by a stale copy of it, and say truly that
+// they reach it. No host would hear of a change for as long as that lasts; each takes a turn.
+func TestEveryHostTakesATurnAtThePlatform(t *testing.T) {
+	l := newLone(t)
+	others := []string{"r0", "r1", "r2", "r3"}
+	for i := 4; slices.Contains(member.Top("reader/z", append([]string{"self", "peer"}, others...), 2), "self"); i++ {
+		others = append(others[1:], fmt.Sprint("r", i)) // until this host is not on duty itself
+	}
+	turns := 0
+	for i := 0; i < 32*5; i++ { // six hosts take a turn of 4 s each
+		l.now += 200 * time.Millisecond
+		l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+			SentMs: uint64(l.now / time.Millisecond), ReadsPlatform: true}}})
+		for _, h := range others {
+			l.feed(core.PeerLinked{Host: member.Host{ID: h, Zone: "z", Addr: "x"}, Incarnation: 1})
+			l.feed(core.PeerMessage{From: h, Incarnation: 1, Message: &peerpb.Message{Body: &peerpb.Message_Heartbeat{
+				Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond), ReadsPlatform: true}}}})
+		}
+		for _, e := range l.feed(core.Tick{}) {
+			if r, ok := e.(core.ReadPlatform); ok && r.On && r.After > 0 {
+				turns++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, turns, 1, "in 32 s")
+}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -59,7 +59,7 @@
 		UptimeMS:    c.now.Milliseconds(),
 		Revision:    c.conf.Revision(),
 		Digest:      c.conf.Digest(),
-		Reading:     c.duty.reading,
+		Reading:     c.duty.reading == onDuty,
 		PlatformOK:  c.gossip.everRead && !c.gossip.failing,
 		Requests:    len(c.entry.requests),
 		Violations:  c.inv.Total(),
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -32,7 +32,7 @@
 // outlets are where the control thread sends effects that are not for a caller.
 type outlets struct {
 	send         func(member.Host, *peerpb.Message)
-	readPlatform func(on bool)
+	readPlatform func(on bool, after uint64)
 	watchEngines func([]core.WatchedEngine)
 	spans        *slotSpans
 }
@@ -170,7 +170,7 @@
 		c.config.Store(c.core.Config().Snapshot())
 		c.log.Info().Uint64("revision", c.core.Config().Revision()).Msg("Configuration in force.")
 	case core.ReadPlatform:
-		c.out.readPlatform(e.On)
+		c.out.readPlatform(e.On, e.After)
 	case core.WatchEngines:
 		c.out.watchEngines(e.Engines)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -112,7 +112,7 @@
 	})
 	d.peers = peer.NewServer(serverCreds, ctl, m.Counter("peer.received_bytes"))
 	client := platform.NewClient(set.Platform.URL, set.Platform.WatchWait)
-	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context) { client.WatchRecords(ctx, ctl.Post) }}
+	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context, after uint64) { client.WatchRecords(ctx, after, ctl.Post) }}
 	d.engines = newEngineWatch(ctx, ctl.Post)
 	ctl.out = outlets{send: d.sender.Send, readPlatform: d.reader.set, watchEngines: d.engines.set, spans: newSlotSpans(tracing)}
 	d.buildServers(incarnation, log)
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -16,16 +16,16 @@
 	eventsEvery = 2 * time.Second
 )
 
-// toggle runs a function while it is on.
+// toggle runs the watch of the platform while it is on.
 type toggle struct {
 	ctx    context.Context
-	run    func(context.Context)
+	run    func(ctx context.Context, after uint64)
 	mu     sync.Mutex
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 }
 
-func (t *toggle) set(on bool) {
+func (t *toggle) set(on bool, after uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !on && t.cancel != nil {
@@ -38,7 +38,7 @@
 		t.wg.Add(1)
 		go func() {
 			defer t.wg.Done()
-			t.run(ctx)
+			t.run(ctx, after)
 		}()
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -59,14 +59,13 @@
 	return &Client{base: base, wait: wait, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
 }
 
-// WatchRecords reads all records, then watches for newer ones, until ctx ends. Each read that
-// succeeds or fails is posted. Every start reads from revision zero: what a platform says changed
-// while nobody watched is not taken on trust.
+// WatchRecords reads the records after a revision, then watches for newer ones, until ctx ends.
+// Each read that succeeds or fails is posted.
 //
 // A stale service may answer with a lower revision. It is followed, so that its records are read
 // again when it catches up; what is in force does not go back, see package confstate.
-func (c *Client) WatchRecords(ctx context.Context, post func(core.Event)) {
-	watch(ctx, c, "/v1/records", func(reply recordsReply, _ bool) uint64 {
+func (c *Client) WatchRecords(ctx context.Context, after uint64, post func(core.Event)) {
+	watch(ctx, c, "/v1/records", after, func(reply recordsReply, _ bool) uint64 {
 		post(core.PlatformRecords{Records: reply.Records, Current: true})
 		return reply.Revision
 	}, func() { post(core.PlatformFailed{}) })
@@ -75,7 +74,7 @@
 // WatchHosts follows the host list until ctx ends.
 func (c *Client) WatchHosts(ctx context.Context, post func(core.Event)) {
 	latest := uint64(0)
-	watch(ctx, c, "/v1/hosts", func(reply hostsReply, first bool) uint64 {
+	watch(ctx, c, "/v1/hosts", 0, func(reply hostsReply, first bool) uint64 {
 		if first || reply.Version != latest {
 			post(hostList(reply))
 		}
@@ -84,10 +83,10 @@
 	}, func() {})
 }
 
-// watch reads a path at once, then waits for what comes after the version that got returns, until
+// watch reads what a path has after a version, then waits for what comes after the one that got returns, until
 // ctx ends: with growing pauses after failures, and from the start again.
-func watch[R any](ctx context.Context, c *Client, path string, got func(reply R, first bool) uint64, failed func()) {
-	after, first, pause := uint64(0), true, retryFirst
+func watch[R any](ctx context.Context, c *Client, path string, after uint64, got func(reply R, first bool) uint64, failed func()) {
+	first, pause := true, retryFirst
 	for ctx.Err() == nil {
 		wait := c.wait
 		if first {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -63,6 +63,7 @@
 	{"bad-record", "6", "internal/record/convert.go", "if priority == nil || *priority > MaxPriority {", "if priority == nil {", []string{"./test", "-run", "CheckFiles"}},
 	{"peers-repair", "6", "internal/core/config.go", "if digest == c.conf.Digest() || c.now-c.gossip.pulledAt < pullEvery {", "if true {", coreTests},
 	{"reader-stands-in", "6", "internal/core/duty.go", "silent := c.now-c.gossip.readElsewhere > readersSilent*c.view.Interval()", "silent := false", coreTests},
+	{"audit-turns", "6", "internal/core/duty.go", "if turn%len(c.duty.live) == rank {", "if false {", coreTests},
 	{"synced-before-ready", "6", "internal/core/core.go", "return c.gossip.synced && !c.drain", "return !c.drain", real("Lone")},
 	{"rate-in-partition", "7", "internal/member/member.go", "\tif v.listed > 0 {\n\t\treturn v.listed\n\t}\n\treturn len(v.peers) + 1", "\treturn 1", coreTests},
 	{"spill-starts-at-once", "7", "internal/sched/place.go", "if w.Spilled && !g.takesSpill(w.Priority) {", "if false {", schedTests},
