--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -281,24 +281,34 @@
 	require.Equal(t, []string{"far2"}, asked(l.feed(core.Tick{})), "it follows the duty to the next host")
 }
 
+// zoneMates are hosts beside which this host is not one of the zone's readers of the platform.
+func zoneMates() []string {
+	others := []string{"r0", "r1", "r2", "r3"}
+	for i := 4; slices.Contains(member.Top("reader/z", append([]string{"self", "peer"}, others...), 2), "self"); i++ {
+		others = append(others[1:], fmt.Sprint("r", i))
+	}
+	return append(others, "peer")
+}
+
+// beatOf brings a heartbeat of each host.
+func (l *lone) beatOf(hosts []string, readsPlatform bool) {
+	l.t.Helper()
+	for _, h := range hosts {
+		l.feed(core.PeerLinked{Host: member.Host{ID: h, Zone: "z", Addr: "x"}, Incarnation: peerIncarnation})
+		l.feed(core.PeerMessage{From: h, Incarnation: peerIncarnation, Message: &peerpb.Message{Body: &peerpb.Message_Heartbeat{
+			Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond), ReadsPlatform: readsPlatform}}}})
+	}
+}
+
 // Both hosts of a zone that watch the platform are answered by a stale copy of it, and say truly that
 // they reach it. No host would hear of a change for as long as that lasts; each takes a turn.
 func TestEveryHostTakesATurnAtThePlatform(t *testing.T) {
 	l := newLone(t)
-	others := []string{"r0", "r1", "r2", "r3"}
-	for i := 4; slices.Contains(member.Top("reader/z", append([]string{"self", "peer"}, others...), 2), "self"); i++ {
-		others = append(others[1:], fmt.Sprint("r", i)) // until this host is not on duty itself
-	}
+	others := zoneMates()
 	turns := 0
 	for i := 0; i < 32*5; i++ { // six hosts take a turn of 4 s each
 		l.now += 200 * time.Millisecond
-		l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
-			SentMs: uint64(l.now / time.Millisecond), ReadsPlatform: true}}})
-		for _, h := range others {
-			l.feed(core.PeerLinked{Host: member.Host{ID: h, Zone: "z", Addr: "x"}, Incarnation: 1})
-			l.feed(core.PeerMessage{From: h, Incarnation: 1, Message: &peerpb.Message{Body: &peerpb.Message_Heartbeat{
-				Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond), ReadsPlatform: true}}}})
-		}
+		l.beatOf(others, true)
 		for _, e := range l.feed(core.Tick{}) {
 			if r, ok := e.(core.ReadPlatform); ok && r.On && r.After > 0 {
 				turns++
@@ -307,3 +317,34 @@
 	}
 	require.GreaterOrEqual(t, turns, 1, "in 32 s")
 }
+
+// A dispatch was proved not sent and the request waits again, when the traffic side's word on the
+// old attempt comes a second time. The caller would get an answer that nobody gave.
+func TestLateWordOnAnOldAttemptChangesNothing(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	require.Len(t, dispatches(l.grant(a, "b0", l.now, selfIncarnation)), 1)
+	l.feed(core.Ended{ID: "r", Attempt: a.Attempt, Outcome: core.NotSent})
+	require.Empty(t, l.feed(core.Ended{ID: "r", Attempt: a.Attempt, Outcome: core.Done}))
+	require.Equal(t, 1, l.core.Requests())
+}
+
+// The hosts that watch the platform are cut off from it. For as long as nobody says that he reaches
+// it, every host has to try for itself, within seconds and not in its turn.
+func TestHostReadsWhenNobodyElseDoes(t *testing.T) {
+	l := newLone(t)
+	others := zoneMates()
+	l.beatOf(others, true)
+	l.feed(core.Tick{})
+	on := false
+	for i := 0; i < 15; i++ { // three seconds
+		l.now += 200 * time.Millisecond
+		l.beatOf(others, false)
+		for _, e := range l.feed(core.Tick{}) {
+			if r, ok := e.(core.ReadPlatform); ok {
+				on = r.On && r.After == 0
+			}
+		}
+	}
+	require.True(t, on)
+}
--- a/internal/sched/group_test.go
+++ b/internal/sched/group_test.go
@@ -411,3 +411,47 @@
 	r.Deadline = time.Second
 	require.Equal(t, fault.DeadlineUnmeetable, g.Acquire(0, r)[0].(Refuse).Kind)
 }
+
+// A full queue, engines full of tags, and push checks that keep coming in one instant. None of them
+// may be shed while a tag runs: the tags are asked to give way at once, and the queue goes over its
+// bound meanwhile, but not without end.
+func TestOverflowDisplacesBeforeItSheds(t *testing.T) {
+	var inv invariant.Log
+	g := newTestGroup(record.ServiceModel, 1, 2, &inv)
+	g.opt.MinQueue, g.opt.QueuePerSlot = 2, 0
+	g.Acquire(0, testRequest("tag 1", 1, "w"))
+	g.Acquire(0, testRequest("tag 2", 1, "w"))
+	preempted, refused := 0, 0
+	for i := 0; i < 3*hardQueueFactor; i++ {
+		for _, d := range g.Acquire(0, testRequest(fmt.Sprint("push ", i), 5, "w")) {
+			switch d.(type) {
+			case Preempt:
+				preempted++
+			case Refuse:
+				refused++
+			}
+		}
+		switch {
+		case i == 2:
+			require.Equal(t, 2, preempted, "both tags, at the first request over the bound")
+		case i < hardQueueFactor*2:
+			require.Zero(t, refused, "request %d", i)
+		}
+	}
+	require.Equal(t, hardQueueFactor, refused, "memory goes first at last")
+	require.Empty(t, inv.Take())
+}
+
+// A grant and a release were lost together, so the counts agree and the sets do not. If they counted
+// as equal, one slot would be held for ever for a request that is long over.
+func TestDigestsOfUnlikeHoldingsDiffer(t *testing.T) {
+	var inv invariant.Log
+	g := newTestGroup(record.ServiceModel, 1, 2, &inv)
+	r := testRequest("runs", 1, "w")
+	g.Acquire(0, r)
+	require.True(t, g.Confirm(0, "h", 1, HeldStamp(r.Key.Request, 1)))
+	require.False(t, g.Confirm(0, "h", 1, HeldStamp(number("another"), 1)))
+	require.False(t, g.Confirm(0, "h", 1, HeldStamp(r.Key.Request, 2)))
+	require.False(t, g.Confirm(0, "h", 0, 0))
+	require.True(t, g.Confirm(0, "stranger", 0, 0))
+}
