--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -108,6 +108,11 @@
 				w.boot(h.id, h.zone)
 			}
 		},
+		"drain": func(rt *rapid.T) {
+			if h := host(rt); h.alive && !h.paused {
+				w.drain(h)
+			}
+		},
 		"pause": faulty(func(rt *rapid.T) { host(rt).paused = true }),
 		"wake":  func(rt *rapid.T) { w.wake(host(rt)) },
 		"cut zones": faulty(func(*rapid.T) {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -49,6 +49,7 @@
 	reading     bool
 	readAt      time.Duration
 	tickAt      time.Duration
+	draining    bool
 	inbox       []core.Event // what came while the process was paused
 	late        []func()     // effects that a pause has caught before they were carried out
 	revision    map[record.Key]uint64
@@ -435,10 +436,34 @@
 	return false
 }
 
+// drain tells a host to shut down gracefully.
+func (w *world) drain(h *fakeHost) {
+	h.draining = true
+	w.feed(h, core.Drain{})
+}
+
+// stopDrained ends a draining host that holds no request, as the daemon does, and replaces it.
+func (w *world) stopDrained(h *fakeHost) {
+	if !h.draining || h.core.Requests() > 0 {
+		return
+	}
+	for _, r := range w.requests {
+		if r.host == h && len(r.answers) == 0 {
+			w.fail("host %s ended its drain with request %s unanswered", h.id, r.id)
+		}
+	}
+	w.kill(h)
+	w.boot(h.id, h.zone)
+}
+
 func (w *world) tick(h *fakeHost) {
 	if !h.alive || h.paused {
 		return
 	}
+	w.stopDrained(h)
+	if !h.alive {
+		return
+	}
 	late := h.late
 	h.late = nil
 	for _, f := range late {
