Fields that nothing read, a copy on the way to engines, and a second 'contains' gone

Found on a last reading: a run's cost, a report's time and a daemon's start were written and never read; a body was copied once more after it had been built; a wrapper and a loop stood beside View.NoteEcho and slices.Contains. Behaviour is as before. Lint and the unit and randomised tests pass; of the tests with processes those of files, bad inputs, tiers, shutdown, partition and cut streams were run (24 s), not all.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -107,7 +107,7 @@
 	case HostList:
 		c.hostList(e)
 	case LoadReport:
-		c.eachGroupOf(e.Backend, func(g *sched.Group) { g.Report(c.now, e.Backend, e.Outstanding) })
+		c.eachGroupOf(e.Backend, func(g *sched.Group) { g.Report(e.Backend, e.Outstanding) })
 	case CacheEvicted:
 		c.eachGroupOf(e.Backend, func(g *sched.Group) { g.Evicted(e.Backend, e.Hashes) })
 	case Drain:
--- a/internal/core/group.go
+++ b/internal/core/group.go
@@ -35,7 +35,7 @@
 		c.sendRefusal(from, sched.Refuse{Key: sched.Key{Host: from, Request: m.Request}, Attempt: m.Attempt, Kind: fault.Moved})
 		return
 	}
-	c.noteEcho(from, m.SentMs)
+	c.view.NoteEcho(from, m.SentMs)
 	r := sched.Request{
 		Key:           sched.Key{Host: from, Request: m.Request},
 		Attempt:       m.Attempt,
@@ -53,11 +53,6 @@
 	c.decide(k, g.Acquire(c.now, r))
 }
 
-// noteEcho keeps the asking host's clock for its leases; hosts of other zones send no heartbeats.
-func (c *Core) noteEcho(from string, sentMS uint64) {
-	c.view.NoteEcho(from, sentMS)
-}
-
 func (c *Core) weightOf(workspace string) float64 {
 	if w := c.conf.Workspace(workspace); w != nil {
 		return w.Weight
@@ -96,7 +91,7 @@
 	if !ok {
 		return
 	}
-	c.noteEcho(from, m.SentMs)
+	c.view.NoteEcho(from, m.SentMs)
 	held := make([]sched.Held, len(m.Held))
 	for i, h := range m.Held {
 		held[i] = sched.Held{Key: sched.Key{Host: from, Request: h.Request}, Attempt: h.Attempt, Backend: h.Backend,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,7 +49,6 @@
 	admin   *http.Server
 	reader  *toggle
 	engines *engineWatch
-	started time.Time
 }
 
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
@@ -102,7 +101,7 @@
 	self := member.Host{ID: set.Host.ID, Zone: set.Host.Zone, Addr: set.Listen.AdvertisePeers}
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.For(log, "control"))
-	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl, started: time.Now()}
+	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl}
 	d.sender = peer.NewSender(ctx, peer.Options{
 		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
 		Creds:  clientCreds,
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"io"
@@ -97,5 +96,5 @@
 	if err != nil {
 		return nil, fault.New(fault.BadBody, "the JSON cannot be passed on: %v", err)
 	}
-	return bytes.Clone(out), nil
+	return out, nil
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -316,7 +316,8 @@
 	return top[0]
 }
 
-// NoteEcho keeps a peer's clock reading that came with another message than a heartbeat.
+// NoteEcho keeps a peer's clock reading that came with another message than a heartbeat: hosts of
+// other zones send none, and have leases too.
 func (v *View) NoteEcho(id string, sentMS uint64) {
 	if p, ok := v.peers[id]; ok && sentMS > p.echo {
 		p.echo = sentMS
--- a/internal/sched/backend.go
+++ b/internal/sched/backend.go
@@ -29,7 +29,6 @@
 	preempted  time.Duration
 	displacing bool
 	orphanAt   time.Duration // when its entry host was lost; zero if it was not
-	cost       float64
 }
 
 // backend is what the scheduler knows of one backend server.
@@ -46,8 +45,7 @@
 	failures int
 	coolTill time.Duration
 	// reported is the engine's own lagging word on its load.
-	reported   int
-	reportedAt time.Duration
+	reported int
 }
 
 func newBackend(spec record.Backend) *backend {
--- a/internal/sched/group.go
+++ b/internal/sched/group.go
@@ -334,9 +334,9 @@
 }
 
 // Report takes an engine's lagging word on its load.
-func (g *Group) Report(now time.Duration, name string, outstanding int) {
+func (g *Group) Report(name string, outstanding int) {
 	if b, ok := g.backends[name]; ok {
-		b.reported, b.reportedAt = outstanding, now
+		b.reported = outstanding
 	}
 }
 
--- a/internal/sched/place.go
+++ b/internal/sched/place.go
@@ -146,7 +146,7 @@
 	g.start(b, &run{
 		Held: Held{Key: w.Key, Attempt: w.Attempt, Backend: b.spec.Name, Workspace: w.Workspace,
 			Priority: w.Priority, OutputTokens: w.OutputTokens, NonIdempotent: w.NonIdempotent},
-		granted: now, confirmed: now, cost: w.cost, uncached: b.uncached(&w.Request),
+		granted: now, confirmed: now, uncached: b.uncached(&w.Request),
 	})
 	b.prefix.add(w.Prefix)
 	g.inv.Check(!b.spec.Leaving, "grant of %d on leaving backend server %s", w.Key.Request, b.spec.Name)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"time"
 
@@ -158,22 +159,13 @@
 			continue
 		}
 		for _, k := range s.Keys() {
-			if !contains(keys, k.Name()) {
+			if !slices.Contains(keys, k.Name()) {
 				r.bad(s.Name(), k.Name(), "use one of "+strings.Join(keys, ", "), "unknown key")
 			}
 		}
 	}
 }
 
-func contains(list []string, s string) bool {
-	for _, v := range list {
-		if v == s {
-			return true
-		}
-	}
-	return false
-}
-
 func (r *reader) read() *Settings {
 	s := &Settings{}
 	s.Host = Host{r.id("host", "id"), r.id("host", "zone"), int(r.number("host", "threads", 0, 0, maxThreads))}
@@ -287,7 +279,7 @@
 	if v == "" {
 		return fallback
 	}
-	if !contains(allowed, v) {
+	if !slices.Contains(allowed, v) {
 		r.bad(section, key, "use one of "+strings.Join(allowed, ", "), "%q is unknown", v)
 	}
 	return v
