--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -1,4 +1,5 @@
-// Command fireflyshiftd is the daemon: one process on every entry host.
+// Command fireflyshiftd is the daemon: one process on every entry host. With --settings it serves the
+// project's own interface; on the users' platform it takes the settings file that the platform names.
 package main
 
 import (
@@ -9,10 +10,14 @@
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
 
 	"fireflyshift/internal/daemon"
+	"fireflyshift/internal/node"
 	"fireflyshift/internal/settings"
 	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/upstream"
+	"fireflyshift/platform"
 )
 
 // Exit codes.
@@ -23,7 +28,8 @@
 )
 
 type options struct {
-	Settings string `short:"c" long:"settings" description:"INI file with this host's settings" required:"true"`
+	Settings string `short:"c" long:"settings" description:"INI file with this host's settings"`
+	Platform bool   `long:"platform" description:"serve the users' platform, with the settings file that the environment names"`
 	Check    bool   `long:"check-settings" description:"check the file, print what is wrong, and end"`
 }
 
@@ -35,18 +41,55 @@
 		}
 		os.Exit(exitUsage)
 	}
-	set, err := settings.Load(opt.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitSettings)
+	switch {
+	case opt.Platform:
+		runPlatform(opt)
+	case opt.Settings != "":
+		runOwn(opt)
+	default:
+		fmt.Fprintln(os.Stderr, "give --settings FILE, or --platform")
+		os.Exit(exitUsage)
 	}
+}
+
+func runOwn(opt options) {
+	set, err := settings.Load(opt.Settings)
+	refuse(err)
 	if opt.Check {
 		fmt.Printf("%s: settings are good\n", opt.Settings)
 		return
 	}
 	log := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON)
 	ctx, hard := signals()
-	if err := daemon.Run(ctx, hard, set, log); err != nil {
+	stopped(log, daemon.Run(ctx, hard, set, log))
+}
+
+func runPlatform(opt options) {
+	path := os.Getenv(platform.SettingsEnv)
+	set, err := platform.LoadSettings(path)
+	refuse(err)
+	if opt.Check {
+		fmt.Printf("%s: settings are good\n", path)
+		return
+	}
+	metrics := telemetry.NewMetrics()
+	log, flush := telemetry.NewBoundedLogger(os.Stdout, metrics)
+	ctx, _ := signals()
+	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.For(log, "store"))
+	err = node.Run(ctx, set, node.Parts{Store: store, Wire: platform.Wire{}}, log, metrics)
+	flush()
+	stopped(log, err)
+}
+
+func refuse(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+}
+
+func stopped(log zerolog.Logger, err error) {
+	if err != nil {
 		log.Error().Err(err).Msg("Stopped with an error.")
 		os.Exit(exitFailed)
 	}
--- /dev/null
+++ b/internal/gateway/answer.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"fireflyshift/internal/router"
+)
+
+func itoa(n int64) string { return strconv.FormatInt(n, 10) }
+
+// writeHead passes a backend server's status and headers on. A negative length leaves the framing
+// to the server: chunks.
+func (f *flight) writeHead(status int, from http.Header, length int64) {
+	h := f.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range from {
+		h[name] = values
+	}
+	dropHop(h)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if length >= 0 {
+		h.Set("Content-Length", itoa(length))
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // no guess of the library's
+	}
+	f.headWritten = true
+	f.w.WriteHeader(status)
+}
+
+func (f *flight) writeAnswer(a *heldAnswer) {
+	f.writeHead(a.status, a.header, int64(len(a.body)))
+	_, _ = f.w.Write(a.body)
+}
+
+// refusalBody is the JSON of an answer of the system's own.
+type refusalBody struct {
+	Error  string `json:"error"`
+	Remedy string `json:"remedy"`
+}
+
+var remedies = map[string]string{
+	"no_configuration":         "this host is starting; send the request again",
+	"no_route":                 "check host and path against the published routes",
+	"unknown_key":              "send a key that the configuration lists for a workspace",
+	"body_too_large":           "send a smaller body",
+	"slow_body":                "send the whole body in time",
+	string(router.OverQuota):   "slow down to the workspace's quota, or ask the operator to raise it",
+	string(router.Overloaded):  "come back after the time in Retry-After",
+	string(router.NoBackend):   "no backend server of this service can be reached; come back later",
+	string(router.ShutDown):    "this host is shutting down; send the request again on a new connection",
+	string(router.OutOfTime):   "allow more time",
+	string(router.BackendLost): "the backend server was lost after the request was sent; repeat it only if it is idempotent",
+}
+
+// refuse answers for the system itself.
+func (f *flight) refuse(status int, cause string, after time.Duration) {
+	h := f.w.Header()
+	if after > 0 {
+		h.Set("Retry-After", f.g.wire.RetryAfter(after))
+	}
+	data, err := json.Marshal(refusalBody{cause, remedies[cause]})
+	if err != nil {
+		f.g.log.Error().Err(err).Msg("Refusal without a body.")
+	}
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(data)))
+	f.headWritten = true
+	f.w.WriteHeader(status)
+	_, _ = f.w.Write(data)
+	f.logEnd(cause, status)
+}
+
+// refuseFor words a refusal of the reducer: nothing has run.
+func (f *flight) refuseFor(e router.Refuse) {
+	if f.headWritten {
+		f.logEnd(string(e.Cause), 0)
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusServiceUnavailable
+	if e.Cause == router.OverQuota {
+		status = http.StatusTooManyRequests
+	}
+	f.refuse(status, string(e.Cause), e.After)
+}
+
+// giveUp ends a request that may have run. An answer that has begun is cut off so that it cannot be
+// taken for a whole one.
+func (f *flight) giveUp(e router.GiveUp) {
+	switch {
+	case f.headWritten:
+		f.logEnd(string(e.Cause), 0)
+		panic(http.ErrAbortHandler)
+	case e.PassOn && f.held != nil:
+		f.writeAnswer(f.held)
+		f.logEnd("failure_passed_on", f.held.status)
+	case e.Cause == router.OutOfTime:
+		f.refuse(http.StatusGatewayTimeout, string(e.Cause), 0)
+	default:
+		f.refuse(http.StatusBadGateway, string(e.Cause), 0)
+	}
+}
+
+// logDispatch is the line of a decision to send.
+func (f *flight) logDispatch(d router.Dispatch) {
+	f.g.metrics.Count("requests.dispatched", 1)
+	if d.Attempt > 1 {
+		f.g.metrics.Count("requests.sent_again", 1)
+	}
+	f.g.log.Info().Str("id", f.call.AttemptID).Str("route", f.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
+		Int("in_flight", d.Grounds.InFlight).Int("limit", d.Grounds.Limit).Int64("belief_age_ms", d.Grounds.BeliefAge.Milliseconds()).
+		Uint64("config", d.Grounds.Version).Msg("Sent.")
+}
+
+// logEnd is the line of a request's end.
+func (f *flight) logEnd(outcome string, status int) {
+	f.g.metrics.Count("requests."+outcome, 1)
+	took := time.Since(f.began)
+	f.g.metrics.Timer("requests.time").Update(took)
+	e := f.g.log.Info().Str("id", f.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
+	if f.route != nil {
+		e = e.Str("route", f.route.Name).Int("priority", f.route.Priority)
+	}
+	if f.workspace != nil {
+		e = e.Str("workspace", f.workspace.Name)
+	}
+	if status != 0 {
+		e = e.Int("status", status)
+	}
+	if f.attempts > 0 {
+		e = e.Str("backend", f.backend).Int("attempts", f.attempts).Int64("first_ms", f.firstByte.Milliseconds()).Int64("last_event", f.lastEvent)
+	} else {
+		e = e.Int("in_flight", f.grounds.InFlight).Int("limit", f.grounds.Limit).Int64("belief_age_ms", f.grounds.BeliefAge.Milliseconds()).
+			Uint64("config", f.grounds.Version)
+	}
+	e.Msg("Ended.")
+}
--- /dev/null
+++ b/internal/gateway/flight.go
@@ -0,0 +1,369 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
+	"fireflyshift/internal/upstream"
+)
+
+// permissionFor is how long a decision to dispatch holds on the boot-time clock. A machine that was
+// suspended between the decision and the send would otherwise act on what it believed before.
+const permissionFor = 250 * time.Millisecond
+
+// flight is one caller's request on this host.
+type flight struct {
+	g         *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	call      Call
+	route     *routing.Route
+	workspace *routing.Workspace
+	id        uint64
+	began     time.Time
+	beganAt   time.Duration // on the control's clock
+	allowed   time.Duration // from began until the request is given up
+	deadline  time.Time
+	body      []byte
+	rest      io.Reader
+	// headWritten tells that the caller has got a status; lastEvent is the last event that it has.
+	headWritten bool
+	lastEvent   int64
+	held        *heldAnswer
+	grounds     router.Grounds
+	backend     string
+	attempts    int
+	firstByte   time.Duration
+}
+
+// heldAnswer is a failure of a backend server that is delivered if nothing better comes.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// setDeadline takes the caller's and the route's time, whichever ends first.
+func (f *flight) setDeadline() {
+	f.allowed = f.call.Deadline
+	if f.allowed == 0 {
+		f.allowed = defaultDeadline
+	}
+	if t := f.route.Timeout; t > 0 {
+		f.allowed = min(f.allowed, t)
+	}
+	f.deadline = f.began.Add(f.allowed)
+}
+
+// readBody buffers the body up to a bound, within the time of the request.
+func (f *flight) readBody(limit int64) bool {
+	if f.r.ContentLength == 0 {
+		return true
+	}
+	if limit > 0 {
+		f.r.Body = http.MaxBytesReader(f.w, f.r.Body, limit)
+	}
+	rc := http.NewResponseController(f.w)
+	_ = rc.SetReadDeadline(f.deadline)
+	body, err := io.ReadAll(io.LimitReader(f.r.Body, bodyBuffer))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		f.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.w.Header().Set("Connection", "close")
+		f.refuse(http.StatusRequestTimeout, "slow_body", 0)
+		return false
+	case err != nil:
+		// The caller left inside its own request: nobody is there to answer.
+		f.logEnd("body_broken", 0)
+		panic(http.ErrAbortHandler)
+	}
+	f.body = body
+	if len(body) == bodyBuffer {
+		f.rest = f.r.Body
+		return true
+	}
+	// Without this the deadline would also end the watch for the caller's leaving.
+	_ = rc.SetReadDeadline(time.Time{})
+	return true
+}
+
+// fly hands the request to the reducer and carries out its effects until it is finished.
+func (f *flight) fly() {
+	f.id = f.g.lastID.Add(1)
+	effects := make(chan router.Effect, effectBuffer)
+	f.g.control.Submit(f.submission(), effects)
+	for e := range effects {
+		switch e := e.(type) {
+		case router.Dispatch:
+			f.backend, f.attempts = e.Backend.ID, e.Attempt
+			if e.Attempt == 1 {
+				f.grounds = e.Grounds
+			}
+			f.logDispatch(e)
+			end := f.dispatch(e)
+			end.ID = f.id
+			f.g.control.Post(end)
+			if end.Outcome == router.Answered {
+				f.logEnd("answered", 0)
+				return
+			}
+			if end.Outcome == router.Canceled {
+				f.logEnd("caller_left", 0)
+				panic(http.ErrAbortHandler)
+			}
+		case router.Refuse:
+			f.grounds = e.Grounds
+			f.refuseFor(e)
+			return
+		case router.GiveUp:
+			f.giveUp(e)
+			return
+		}
+	}
+}
+
+func (f *flight) submission() router.Submit {
+	s := router.Submit{
+		ID: f.id, Route: f.route, Workspace: f.workspace, Priority: f.route.Priority,
+		PromptTok: f.call.PromptTokens, OutputTok: f.call.OutputTokens, PrefixPart: f.call.PrefixPart,
+		Deadline: f.beganAt + f.allowed, AllowedTime: f.call.Deadline,
+	}
+	if f.call.LengthHint > 0 {
+		s.OutputTok = min(s.OutputTok, f.call.LengthHint)
+	}
+	if w := f.workspace; w != nil {
+		s.Cost = router.CostOf(w, f.call.HasTokens, f.call.PromptTokens, f.call.OutputTokens)
+		if w.HasPriority {
+			s.Priority = w.Priority
+		}
+	}
+	return s
+}
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
+	"Upgrade", "Expect", "Content-Length", "Host"}
+
+func dropHop(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// dispatch sends the request once and carries the answer.
+func (f *flight) dispatch(d router.Dispatch) router.Ended {
+	now := f.g.control.Now()
+	if now > d.At+permissionFor || now >= f.beganAt+f.allowed {
+		return router.Ended{Outcome: router.NotSent}
+	}
+	ctx, cancel := context.WithCancel(f.r.Context())
+	defer cancel()
+	sentAt := time.Now()
+	resp, sent, err := f.g.pool.Do(ctx, d.Backend.Addr, f.request(d))
+	if err != nil {
+		return f.failed(sent, err)
+	}
+	defer resp.Close()
+	return f.carry(resp, sentAt)
+}
+
+func (f *flight) request(d router.Dispatch) *upstream.Request {
+	h := f.r.Header.Clone()
+	dropHop(h)
+	s := Send{Backend: d.Backend.ID, Left: time.Until(f.deadline)}
+	if f.workspace != nil {
+		s.Workspace = f.workspace.Name
+	}
+	if f.lastEvent > 0 {
+		s.LastEvent = itoa(f.lastEvent)
+	}
+	f.g.wire.Prepare(h, s)
+	req := &upstream.Request{
+		Method: f.r.Method, Target: f.r.RequestURI, Host: f.r.Host, Header: h,
+		Body: f.body, Rest: f.rest, Length: int64(len(f.body)), Deadline: f.deadline,
+		Own: func(h http.Header) bool {
+			id := f.g.wire.Classify(0, h).AttemptID
+			return id == "" || id == f.call.AttemptID
+		},
+	}
+	if f.rest != nil {
+		req.Length = f.r.ContentLength
+	}
+	return req
+}
+
+// failed classifies a call that brought no answer.
+func (f *flight) failed(sent bool, err error) router.Ended {
+	switch {
+	case f.r.Context().Err() != nil:
+		return router.Ended{Outcome: router.Canceled}
+	case !sent && !time.Now().Before(f.deadline):
+		return router.Ended{Outcome: router.NotSent}
+	case !sent:
+		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Err(err).Msg("Not sent.")
+		return router.Ended{Outcome: router.NotSent, Fault: true}
+	case !time.Now().Before(f.deadline):
+		return router.Ended{Outcome: router.TimedOut}
+	default:
+		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Err(err).Msg("Broken after the send.")
+		return router.Ended{Outcome: f.once(router.Broken), Fault: true, Delivered: f.headWritten}
+	}
+}
+
+// once keeps a request whose body could not be held from being repeated.
+func (f *flight) once(o router.Outcome) router.Outcome {
+	if f.rest != nil && o == router.Broken {
+		return router.TimedOut
+	}
+	return o
+}
+
+// carry classifies an answer and passes it on.
+func (f *flight) carry(resp *upstream.Response, sentAt time.Time) router.Ended {
+	info := f.g.wire.Classify(resp.Status, resp.Header)
+	success := resp.Status >= 200 && resp.Status < 300
+	switch {
+	case info.NotRun && resp.Status == http.StatusMisdirectedRequest:
+		return router.Ended{Outcome: router.WrongInstance, Delivered: f.headWritten}
+	case info.NotRun && !success:
+		return router.Ended{Outcome: router.Rejected, Delivered: f.headWritten}
+	case success && (!info.Signed || resp.Header.Get("Content-Encoding") != ""):
+		return router.Ended{Outcome: router.Broken, Fault: true, Delivered: f.headWritten}
+	case success && f.route.Kind == routing.Streaming:
+		return f.carryStream(resp, sentAt)
+	case f.headWritten:
+		// A stream that was to go on met a failure; the caller has a status already.
+		return router.Ended{Outcome: router.Broken, Fault: true, Delivered: true}
+	default:
+		return f.carryWhole(resp, sentAt)
+	}
+}
+
+// answerBuffer is how much of a plain answer is read before the caller gets its status: an answer
+// that breaks off within it never looks like one.
+const answerBuffer = 256 << 10
+
+// carryWhole passes a plain answer on, complete or not at all up to answerBuffer.
+func (f *flight) carryWhole(resp *upstream.Response, sentAt time.Time) router.Ended {
+	body, err := io.ReadAll(io.LimitReader(resp, answerBuffer))
+	if err != nil {
+		return f.failed(true, err)
+	}
+	first := time.Since(sentAt)
+	f.firstByte = time.Since(f.began)
+	if len(body) == answerBuffer {
+		return f.carryLong(resp, body, first)
+	}
+	if resp.Status >= http.StatusInternalServerError {
+		f.held = &heldAnswer{resp.Status, resp.Header, body}
+		return router.Ended{Outcome: router.Failed, First: first}
+	}
+	f.writeAnswer(&heldAnswer{resp.Status, resp.Header, body})
+	return router.Ended{Outcome: router.Answered, First: first}
+}
+
+func (f *flight) carryLong(resp *upstream.Response, begin []byte, first time.Duration) router.Ended {
+	f.writeHead(resp.Status, resp.Header, resp.Length)
+	if _, err := f.w.Write(begin); err != nil {
+		return router.Ended{Outcome: router.Canceled}
+	}
+	if _, err := io.Copy(f.w, resp); err != nil {
+		end := f.failed(true, err)
+		end.Delivered = true
+		return end
+	}
+	return router.Ended{Outcome: router.Answered, First: first}
+}
+
+// carryStream passes whole events on as they come, and skips those that the caller has already.
+func (f *flight) carryStream(resp *upstream.Response, sentAt time.Time) router.Ended {
+	rc := http.NewResponseController(f.w)
+	events := newEventReader(resp)
+	t := streamTiming{sent: sentAt}
+	for {
+		chunk, err := events.next()
+		if err == io.EOF {
+			if !f.headWritten {
+				f.writeHead(resp.Status, resp.Header, -1)
+			}
+			return t.fill(router.Ended{Outcome: router.Answered})
+		}
+		if err != nil {
+			end := f.failed(true, err)
+			end.Delivered = f.headWritten
+			return t.fill(end)
+		}
+		out := f.fresh(chunk, &t)
+		if len(out) == 0 {
+			continue
+		}
+		if !f.headWritten {
+			f.firstByte = time.Since(f.began)
+			f.writeHead(resp.Status, resp.Header, -1)
+			_ = rc.SetWriteDeadline(f.deadline)
+			f.g.control.Post(router.Began{ID: f.id})
+		}
+		if _, err := f.w.Write(out); err != nil {
+			return router.Ended{Outcome: router.Canceled}
+		}
+		if err := rc.Flush(); err != nil {
+			return router.Ended{Outcome: router.Canceled}
+		}
+	}
+}
+
+// fresh returns the events of a chunk that the caller does not have.
+func (f *flight) fresh(chunk []byte, t *streamTiming) []byte {
+	skip := 0
+	cutEvents(chunk, func(event []byte, id int64) {
+		t.event(time.Now())
+		switch {
+		case id < 0:
+		case id <= f.lastEvent:
+			skip += len(event)
+		default:
+			f.lastEvent = id
+		}
+	})
+	return chunk[skip:]
+}
+
+// streamTiming measures a stream for the reducer's estimates.
+type streamTiming struct {
+	sent, first, last time.Time
+	events            int
+}
+
+func (t *streamTiming) event(now time.Time) {
+	if t.events == 0 {
+		t.first = now
+	}
+	t.last = now
+	t.events++
+}
+
+func (t *streamTiming) fill(e router.Ended) router.Ended {
+	e.Events = t.events
+	if t.events > 0 {
+		e.First = t.first.Sub(t.sent)
+	}
+	if t.events > 1 {
+		e.Interval = t.last.Sub(t.first) / time.Duration(t.events-1)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
+	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/upstream"
+)
+
+const (
+	// defaultDeadline holds where neither the caller nor the route names one.
+	defaultDeadline = 30 * time.Second
+	// bodyBuffer is how much of a body is held for a repeat; a longer body is passed through, and
+	// then sent once only.
+	bodyBuffer = 512 << 10
+	// effectBuffer is more than the reducer ever has outstanding for one request.
+	effectBuffer = 8
+	// notReadyBack is when to come back to a host that knows no configuration yet.
+	notReadyBack = 300 * time.Millisecond
+)
+
+// Control is the control thread.
+type Control interface {
+	// Submit hands a request to the reducer; its effects come over the channel.
+	Submit(s router.Submit, effects chan<- router.Effect)
+	Post(ev router.Event)
+	// Now is the boot-time clock that the reducer counts by.
+	Now() time.Duration
+	// Table is the configuration in force, or nil.
+	Table() *routing.Table
+	Draining() bool
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	control Control
+	wire    Wire
+	pool    *upstream.Pool
+	log     zerolog.Logger
+	metrics telemetry.Metrics
+	lastID  atomic.Uint64
+}
+
+// New returns a gateway.
+func New(c Control, w Wire, p *upstream.Pool, log zerolog.Logger, m telemetry.Metrics) *Gateway {
+	return &Gateway{control: c, wire: w, pool: p, log: log, metrics: m}
+}
+
+// ServeHTTP implements http.Handler. It stands without a ServeMux, which would rewrite paths.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if g.control.Draining() {
+		// The caller's next request goes to another host; this one is answered in full.
+		w.Header().Set("Connection", "close")
+	}
+	f := &flight{g: g, w: w, r: r, call: g.wire.Read(r.Header), began: time.Now(), beganAt: g.control.Now()}
+	table := g.control.Table()
+	if table == nil {
+		f.refuse(http.StatusServiceUnavailable, "no_configuration", notReadyBack)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	f.route = table.Match(r.Host, path)
+	if f.route == nil {
+		f.refuse(http.StatusNotFound, "no_route", 0)
+		return
+	}
+	if !f.route.Public && table.HasWorkspaces() {
+		f.workspace = table.Workspace(f.call.Key)
+		if f.workspace == nil {
+			f.refuse(http.StatusUnauthorized, "unknown_key", 0)
+			return
+		}
+	}
+	f.setDeadline()
+	if !f.readBody(table.Config.Limits.BodyBytes) {
+		return
+	}
+	f.fly()
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
+	"fireflyshift/internal/telemetry"
+)
+
+const (
+	// tickEvery paces heartbeats and the ends of waits.
+	tickEvery = 50 * time.Millisecond
+	// queueLength bounds events that wait for the control thread; traffic waits when it is full.
+	queueLength  = 4096
+	queryTimeout = time.Second
+)
+
+// outlets carry out the effects that leave the host. They must not block.
+type outlets struct {
+	beat func(to []string, b *gossippb.Beat)
+	pull func(host string)
+	drop func(addr string)
+}
+
+// control is the one thread that owns the reducer.
+type control struct {
+	router  *router.Router
+	clock   *bootClock
+	out     outlets
+	log     zerolog.Logger
+	metrics telemetry.Metrics
+	queue   chan any
+	// callers are the traffic side's channels, by request.
+	callers  map[uint64]chan<- router.Effect
+	table    atomic.Pointer[routing.Table]
+	ready    atomic.Bool
+	draining atomic.Bool
+	held     atomic.Int64
+}
+
+// submission is a request with the channel for its effects.
+type submission struct {
+	router.Submit
+	effects chan<- router.Effect
+}
+
+// query runs a function on the control thread.
+type query struct {
+	run  func(*router.Router)
+	done chan struct{}
+}
+
+func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
+	return &control{router: r, clock: newBootClock(), log: log, metrics: m,
+		queue: make(chan any, queueLength), callers: map[uint64]chan<- router.Effect{}}
+}
+
+// run handles events until ctx ends.
+func (c *control) run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	c.step(router.Tick{})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.step(router.Tick{})
+		case ev := <-c.queue:
+			c.take(ev)
+		}
+	}
+}
+
+func (c *control) take(ev any) {
+	switch e := ev.(type) {
+	case submission:
+		c.callers[e.ID] = e.effects
+		c.step(e.Submit)
+	case query:
+		e.run(c.router)
+		close(e.done)
+	case router.Event:
+		c.step(e)
+		if end, ok := e.(router.Ended); ok && (end.Outcome == router.Answered || end.Outcome == router.Canceled) {
+			delete(c.callers, end.ID)
+		}
+	}
+}
+
+func (c *control) step(ev router.Event) {
+	for _, eff := range c.router.Reduce(c.clock.Now(), ev) {
+		c.carryOut(eff)
+	}
+	for _, v := range c.router.Violations() {
+		c.metrics.Count("invariant.violations", 1)
+		c.log.Error().Str("violation", v).Msg("An invariant does not hold. Report this with the log.")
+	}
+	c.ready.Store(c.router.Ready())
+	c.held.Store(int64(c.router.Requests()))
+}
+
+func (c *control) carryOut(eff router.Effect) {
+	switch e := eff.(type) {
+	case router.Dispatch:
+		c.toCaller(e.ID, e)
+	case router.Refuse:
+		c.toCaller(e.ID, e)
+		delete(c.callers, e.ID)
+	case router.GiveUp:
+		c.toCaller(e.ID, e)
+		delete(c.callers, e.ID)
+	case router.SendBeat:
+		c.out.beat(e.To, e.Beat)
+	case router.Pull:
+		c.out.pull(e.Host)
+	case router.InForce:
+		c.table.Store(e.Table)
+		c.log.Info().Uint64("version", e.Table.Config.Version).Int("routes", len(e.Table.Config.Routes)).Msg("Configuration in force.")
+	case router.BackendGone:
+		c.out.drop(e.Backend.Addr)
+	case router.Note:
+		c.metrics.Count("beliefs.changed", 1)
+		c.log.Info().Str("what", e.What).Str("subject", e.Subject).Str("detail", e.Detail).Int64("age_ms", e.Age.Milliseconds()).Msg("Belief changed.")
+	}
+}
+
+func (c *control) toCaller(id uint64, e router.Effect) {
+	ch, ok := c.callers[id]
+	if !ok {
+		return
+	}
+	select {
+	case ch <- e:
+	default:
+		c.log.Error().Uint64("request", id).Msg("A request did not take its effects.")
+	}
+}
+
+// Submit implements gateway.Control.
+func (c *control) Submit(s router.Submit, effects chan<- router.Effect) {
+	c.queue <- submission{s, effects}
+}
+
+// Post implements gateway.Control.
+func (c *control) Post(ev router.Event) { c.queue <- ev }
+
+// Now implements gateway.Control.
+func (c *control) Now() time.Duration { return c.clock.Now() }
+
+// Table implements gateway.Control.
+func (c *control) Table() *routing.Table { return c.table.Load() }
+
+// Draining implements gateway.Control.
+func (c *control) Draining() bool { return c.draining.Load() }
+
+// ask runs f on the control thread and reports whether it was run in time.
+func (c *control) ask(f func(*router.Router)) bool {
+	q := query{f, make(chan struct{})}
+	timer := time.NewTimer(queryTimeout)
+	defer timer.Stop()
+	select {
+	case c.queue <- q:
+	case <-timer.C:
+		return false
+	}
+	select {
+	case <-q.done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// Snapshot implements gossip.Source.
+func (c *control) Snapshot() (router.News, bool) {
+	var n router.News
+	ok := c.ask(func(r *router.Router) { n = r.Snapshot() })
+	return n, ok
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,227 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"fireflyshift/internal/gateway"
+	"fireflyshift/internal/gossip"
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/upstream"
+)
+
+const (
+	// headerTimeout and headerBytes bound a caller's head where no configuration says so yet.
+	headerTimeout = 10 * time.Second
+	headerBytes   = 64 << 10
+	// memoryShare of the machine's memory is the runtime's soft limit; the rest is for what the
+	// kernel holds unread and for stacks.
+	memoryShare = 0.7
+	// drainLeast is how long a stopping host stays: the balancer needs two failed probes, a second
+	// apart, and callers finish on the connections that they have.
+	drainLeast = 2500 * time.Millisecond
+	// quietFor is how long a stopping host must have had no request before it ends.
+	quietFor = 400 * time.Millisecond
+	// endMargin is kept before the platform's SIGKILL.
+	endMargin  = 400 * time.Millisecond
+	drainPoll  = 50 * time.Millisecond
+	expireIdle = 500 * time.Millisecond
+)
+
+// Parts are what the adapter brings.
+type Parts struct {
+	Store Store
+	Wire  gateway.Wire
+}
+
+// Node is one running host.
+type Node struct {
+	set     *Settings
+	log     zerolog.Logger
+	metrics telemetry.Metrics
+	control *control
+	pool    *upstream.Pool
+	socket  *gossip.Socket
+	callers *http.Server
+	others  []*http.Server
+}
+
+// Run serves until ctx ends, then shuts down within the grace.
+func Run(ctx context.Context, set *Settings, parts Parts, log zerolog.Logger, m telemetry.Metrics) error {
+	runtime.GOMAXPROCS(1)
+	if set.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.MemoryMB) * memoryShare * (1 << 20)))
+	}
+	n, err := build(set, log, m)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, _ := errgroup.WithContext(work)
+	if err := n.start(work, g, parts); err != nil {
+		return trace.Wrap(err)
+	}
+	n.log.Info().Str("host", set.Name).Str("zone", set.Zone).Str("callers", set.Callers).Msg("Serving.")
+	<-ctx.Done()
+	n.drain()
+	n.close()
+	stop()
+	n.log.Info().Msg("Stopped.")
+	return trace.Wrap(g.Wait())
+}
+
+func build(set *Settings, log zerolog.Logger, m telemetry.Metrics) (*Node, error) {
+	var seed [16]byte
+	if _, err := rand.Read(seed[:]); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	socket, err := gossip.Listen(set.IP, set.PeerPort)
+	if err != nil {
+		return nil, err
+	}
+	r := router.New(router.Options{
+		Host: set.IP, Zone: set.Zone, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
+		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
+	})
+	n := &Node{set: set, log: telemetry.For(log, "node"), metrics: m, socket: socket}
+	n.control = newControl(r, telemetry.For(log, "control"), m)
+	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
+	return n, nil
+}
+
+func (n *Node) start(ctx context.Context, g *errgroup.Group, parts Parts) error {
+	puller := gossip.NewPuller(n.set.PeerPort)
+	n.control.out = outlets{
+		beat: n.sendBeat,
+		pull: func(host string) { go n.pull(ctx, puller, host) },
+		drop: n.pool.Drop,
+	}
+	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.log, "gateway"), n.metrics)
+	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ErrorLog: nil}
+	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
+		return err
+	}
+	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
+		return err
+	}
+	if err := n.serve(g, gossip.Handler(n.control), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
+		return err
+	}
+	reader := &storeReader{store: parts.Store, post: n.control.Post, log: telemetry.For(n.log, "store"), metrics: n.metrics}
+	g.Go(func() error { n.control.run(ctx); return nil })
+	g.Go(func() error { reader.run(ctx); return nil })
+	g.Go(func() error { n.expire(ctx); return nil })
+	g.Go(func() error {
+		n.socket.Receive(func(b *gossippb.Beat) { n.control.Post(router.Heard{Beat: b}) }, func() { n.metrics.Count("beats.malformed", 1) })
+		return nil
+	})
+	return nil
+}
+
+func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	n.others = append(n.others, s)
+	return n.listen(g, s, addr)
+}
+
+func (n *Node) listen(g *errgroup.Group, s *http.Server, addr string) error {
+	lc := net.ListenConfig{KeepAliveConfig: upstream.KeepAlive(), Control: upstream.SetUserTimeout}
+	l, err := lc.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return trace.Wrap(err, "listen on %s; free the port or correct the settings", addr)
+	}
+	g.Go(func() error {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return trace.Wrap(err)
+		}
+		return nil
+	})
+	return nil
+}
+
+// readyz answers the balancer.
+func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !n.control.ready.Load() || n.control.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (n *Node) sendBeat(to []string, b *gossippb.Beat) {
+	n.metrics.Count("beats.sent", int64(len(to)))
+	if failed, err := n.socket.Send(to, b); failed > 0 {
+		n.metrics.Count("beats.failed", int64(failed))
+		n.log.Debug().Err(err).Int("failed", failed).Msg("Beats not sent.")
+	}
+}
+
+func (n *Node) pull(ctx context.Context, p *gossip.Puller, host string) {
+	news, err := p.Pull(ctx, host)
+	if err != nil {
+		n.log.Warn().Err(err).Str("from", host).Msg("No news from a peer.")
+		return
+	}
+	n.log.Info().Str("from", host).Uint64("revision", news.Revision).Msg("News from a peer.")
+	news.FromStore, news.Full = false, false
+	n.control.Post(news)
+}
+
+func (n *Node) expire(ctx context.Context) {
+	t := time.NewTicker(expireIdle)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			n.pool.Expire(now)
+		}
+	}
+}
+
+// drain is the graceful shutdown: out of the balancer at once, answers with 'Connection: close',
+// and an end when nothing is in flight any more, at the latest just before the platform's SIGKILL.
+func (n *Node) drain() {
+	n.log.Info().Dur("grace", n.set.Grace).Msg("Stopping.")
+	n.control.draining.Store(true)
+	began := time.Now()
+	n.control.Post(router.Drain{Until: n.control.Now() + n.set.Grace - endMargin, Grace: n.set.Grace - endMargin})
+	quietSince := began
+	for time.Since(began) < n.set.Grace-endMargin {
+		time.Sleep(drainPoll)
+		if n.control.held.Load() > 0 {
+			quietSince = time.Now()
+		}
+		if time.Since(began) > drainLeast && time.Since(quietSince) > quietFor {
+			return
+		}
+	}
+	n.log.Warn().Int64("cut", n.control.held.Load()).Msg("The grace is over. Answers are cut.")
+}
+
+func (n *Node) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
+	defer cancel()
+	_ = n.callers.Shutdown(ctx)
+	_ = n.callers.Close()
+	for _, s := range n.others {
+		_ = s.Close()
+	}
+	_ = n.socket.Close()
+}
--- /dev/null
+++ b/internal/node/store.go
@@ -0,0 +1,114 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
+	"fireflyshift/internal/telemetry"
+)
+
+// Listing is what the platform's store says: everything at once, or what has changed.
+type Listing struct {
+	routing.Changes
+	// AsOf is the store's revision; a watch goes on from it.
+	AsOf uint64
+}
+
+// Store is the platform's metadata store, which can only be read.
+type Store interface {
+	List(ctx context.Context) (Listing, error)
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
+	// Compacted tells that a watch failed because its history is gone.
+	Compacted(err error) bool
+}
+
+const (
+	// watchWait is how long a watch stays open, and watchSpread the random part: a watch whose
+	// answer was lost hears nothing more, and hosts that watch at unlike times still hear of each
+	// other what one of them missed.
+	watchWait   = 2 * time.Second
+	watchSpread = 1 * time.Second
+	// retryFirst to retryMost pace the calls to a store that fails.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+	// watchPause spaces the calls of a busy watch: each is paid for.
+	watchPause = 40 * time.Millisecond
+)
+
+// storeReader keeps the reducer told of what the store says.
+type storeReader struct {
+	store   Store
+	post    func(router.Event)
+	log     zerolog.Logger
+	metrics telemetry.Metrics
+}
+
+// run lists and then watches, until ctx ends.
+func (s *storeReader) run(ctx context.Context) {
+	pause := retryFirst
+	for ctx.Err() == nil {
+		err := s.follow(ctx, func() { pause = retryFirst })
+		if ctx.Err() != nil {
+			return
+		}
+		s.metrics.Count("store.failures", 1)
+		s.log.Warn().Err(err).Dur("pause", pause).Msg("The store gave no news.")
+		s.post(router.StoreContact{OK: s.store.Compacted(err)})
+		if s.store.Compacted(err) {
+			continue
+		}
+		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		pause = min(retryMost, pause*2)
+	}
+}
+
+// follow lists once and watches from there until a call fails. A failed watch leads to a new
+// listing: the store may have changed meanwhile in a way that a watch no longer tells.
+func (s *storeReader) follow(ctx context.Context, worked func()) error {
+	s.metrics.Count("store.calls", 2)
+	all, err := s.store.List(ctx)
+	if err != nil {
+		return err
+	}
+	worked()
+	s.post(router.News{Changes: all.Changes, Full: true, Revision: all.AsOf, FromStore: true})
+	after := all.AsOf
+	for ctx.Err() == nil {
+		s.metrics.Count("store.calls", 1)
+		wait := watchWait + time.Duration(rand.Int64N(int64(watchSpread)))
+		l, err := s.store.Watch(ctx, after, wait)
+		if err != nil {
+			return err
+		}
+		after = max(after, l.AsOf)
+		s.post(router.News{Changes: l.Changes, Revision: revisionOf(l.Changes), FromStore: true})
+		if len(l.Backends) > 0 || l.Config != nil {
+			sleep(ctx, watchPause)
+		}
+	}
+	return nil
+}
+
+// revisionOf is the highest revision among changes. The store's own revision also moves for keys
+// that hosts do not follow, and would make hosts look unlike that know the same.
+func revisionOf(c routing.Changes) uint64 {
+	var rev uint64
+	for _, b := range c.Backends {
+		rev = max(rev, b.Revision)
+	}
+	return rev
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/router/backends.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"time"
+
+	"fireflyshift/internal/routing"
+)
+
+// priorities is how many ranks are told apart; less urgent ones count as the last.
+const priorities = 4
+
+const (
+	// learnRate is the weight of a new observation of an engine's speed: about the last ten count.
+	learnRate = 0.1
+	// failuresToAvoid in a row make a backend server suspect; a single failure is everyday.
+	failuresToAvoid = 2
+	// avoidFirst and avoidMost bound how long a suspect is left alone; the time doubles.
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 3 * time.Second
+)
+
+// backend is what this host believes of one backend server.
+type backend struct {
+	routing.Backend
+	revision   uint64
+	removed    bool
+	removedAt  time.Duration
+	doubtUntil time.Duration
+	// own and others are requests in flight by priority: this host's, and the other hosts' by their
+	// latest beats.
+	own, others [priorities]int
+	// interval is the learned time between the events of a stream, or to the answer of a plain call.
+	interval time.Duration
+	samples  int
+	// failures in a row, and until when the backend server is avoided because of them.
+	failures   int
+	avoidUntil time.Duration
+	avoidFor   time.Duration
+	joinedAt   time.Duration
+}
+
+func newBackend(b routing.Backend, now time.Duration) *backend {
+	return &backend{Backend: b, joinedAt: now}
+}
+
+func (b *backend) total(counts [priorities]int) int {
+	n := 0
+	for _, c := range counts {
+		n += c
+	}
+	return n
+}
+
+// inFlight is how many requests the backend server is believed to hold.
+func (b *backend) inFlight() int { return b.total(b.own) + max(0, b.total(b.others)) }
+
+func (b *backend) suspect(now time.Duration) bool { return now < b.avoidUntil }
+
+// onProbation tells that the backend server failed lately and has not answered since: it gets one
+// request at a time until it does.
+func (b *backend) onProbation() bool { return b.avoidUntil > 0 }
+
+// usable tells whether new work may go there, and whether only for want of others.
+func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
+	if b.Draining {
+		return false, false
+	}
+	if b.removed {
+		return now < b.doubtUntil, true
+	}
+	return true, false
+}
+
+// succeeded ends suspicion and learns the speed.
+func (b *backend) succeeded(pace time.Duration) {
+	b.failures, b.avoidUntil, b.avoidFor = 0, 0, 0
+	if pace <= 0 {
+		return
+	}
+	b.samples++
+	if b.interval == 0 {
+		b.interval = pace
+		return
+	}
+	b.interval += time.Duration(learnRate * float64(pace-b.interval))
+}
+
+// failed counts a fault of the backend server; hard ones, as a refused connection, suffice alone.
+func (b *backend) failed(now time.Duration, hard bool) {
+	b.failures++
+	if b.failures < failuresToAvoid && !hard {
+		return
+	}
+	b.avoidFor = min(avoidMost, max(avoidFirst, 2*b.avoidFor))
+	b.avoidUntil = now + b.avoidFor
+}
--- /dev/null
+++ b/internal/router/event.go
@@ -0,0 +1,187 @@
+package router
+
+import (
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// Event is an input of the reducer.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Submit is a caller's request whose route and key the traffic side has checked.
+type Submit struct {
+	// ID names the request on this host.
+	ID          uint64
+	Route       *routing.Route
+	Workspace   *routing.Workspace // nil on public routes
+	Priority    int
+	PromptTok   int
+	OutputTok   int
+	Cost        float64 // what the quota counts
+	PrefixPart  string
+	Deadline    time.Duration // moment on the reducer's clock at which the answer is of no more use
+	AllowedTime time.Duration // what the caller said it would wait
+}
+
+// Began tells that a stream's first event has come: its prompt is read.
+type Began struct{ ID uint64 }
+
+// Gone tells that the caller left before the answer was complete.
+type Gone struct{ ID uint64 }
+
+// Outcome is how a dispatch ended.
+type Outcome int
+
+// The outcomes, by what they prove.
+const (
+	// Answered: the answer, of whatever status, went to the caller in full.
+	Answered Outcome = iota + 1
+	// Failed: the backend server answered with a failure of its own, which is held back.
+	Failed
+	// NotSent: no byte of the request left this host.
+	NotSent
+	// Rejected: the backend server says that it has not run the request.
+	Rejected
+	// WrongInstance: another backend server has the address, and has not run the request.
+	WrongInstance
+	// Broken: the connection or the answer broke; the request may have run.
+	Broken
+	// TimedOut: the request's time ended first; it may have run.
+	TimedOut
+	// Canceled: the caller left; the request may have run.
+	Canceled
+)
+
+// Ended tells how a dispatch ended.
+type Ended struct {
+	ID      uint64
+	Outcome Outcome
+	// Delivered tells that bytes of the answer have reached the caller: only a stream that goes on
+	// at its last event can still be repeated.
+	Delivered bool
+	// First is the time to the first byte of the answer, Interval the mean time between events, and
+	// Events their number; zero where unknown.
+	First    time.Duration
+	Interval time.Duration
+	Events   int
+	// Fault tells that the backend server was at fault, so that it is avoided.
+	Fault bool
+}
+
+// Heard is a heartbeat of another host.
+type Heard struct{ Beat *gossippb.Beat }
+
+// News are changes read from the platform's store or from another host.
+type News struct {
+	routing.Changes
+	// Full tells that the listing is complete as of Revision: what it lacks is gone.
+	Full     bool
+	Revision uint64
+	// FromStore tells the store's word from a peer's.
+	FromStore bool
+}
+
+// StoreContact tells that the store answers, or does not.
+type StoreContact struct{ OK bool }
+
+// Drain begins the shutdown; at Until, which is Grace later, the process ends.
+type Drain struct{ Until, Grace time.Duration }
+
+func (Tick) event()         {}
+func (Submit) event()       {}
+func (Began) event()        {}
+func (Gone) event()         {}
+func (Ended) event()        {}
+func (Heard) event()        {}
+func (News) event()         {}
+func (StoreContact) event() {}
+func (Drain) event()        {}
+
+// Effect is an output of the reducer, for the node to carry out.
+type Effect interface{ effect() }
+
+// Grounds are what a decision was based on, for logs.
+type Grounds struct {
+	InFlight  int           // believed at the chosen backend server, or the least of the service
+	Limit     int           // for this priority there
+	BeliefAge time.Duration // of the oldest heartbeat that was counted
+	Version   uint64        // of the configuration
+}
+
+// Dispatch sends, or sends once more, a request to a backend server.
+type Dispatch struct {
+	ID      uint64
+	Backend routing.Backend
+	// Attempt counts the sends of this request from 1.
+	Attempt int
+	// At is when it was decided: the permission is short-lived.
+	At      time.Duration
+	Grounds Grounds
+}
+
+// Cause is why a request ends without a backend server's answer.
+type Cause string
+
+// The causes.
+const (
+	OverQuota   Cause = "over_quota"
+	Overloaded  Cause = "overloaded"
+	NoBackend   Cause = "no_backend"
+	ShutDown    Cause = "shutting_down"
+	OutOfTime   Cause = "out_of_time"
+	BackendLost Cause = "backend_lost"
+)
+
+// Refuse ends a request that has not run, with the time to come back.
+type Refuse struct {
+	ID      uint64
+	Cause   Cause
+	After   time.Duration
+	Grounds Grounds
+}
+
+// GiveUp ends a request that may have run. PassOn delivers the failure that a backend server gave
+// and that was held back for a repeat which did not happen.
+type GiveUp struct {
+	ID     uint64
+	Cause  Cause
+	PassOn bool
+}
+
+// SendBeat sends a heartbeat to hosts by their IP numbers.
+type SendBeat struct {
+	To   []string
+	Beat *gossippb.Beat
+}
+
+// Pull asks another host for its news.
+type Pull struct{ Host string }
+
+// InForce tells that a newer configuration is in force.
+type InForce struct{ Table *routing.Table }
+
+// BackendGone tells that a backend server is not to be used any more, so that connections to it
+// can be closed.
+type BackendGone struct{ Backend routing.Backend }
+
+// Note is a change of belief, for logs.
+type Note struct {
+	What    string
+	Subject string
+	Detail  string
+	Age     time.Duration
+}
+
+func (Dispatch) effect()    {}
+func (Refuse) effect()      {}
+func (GiveUp) effect()      {}
+func (SendBeat) effect()    {}
+func (Pull) effect()        {}
+func (InForce) effect()     {}
+func (BackendGone) effect() {}
+func (Note) effect()        {}
--- /dev/null
+++ b/internal/router/members.go
@@ -0,0 +1,171 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+const (
+	// silentAfter is when a host's counts are no longer added: what it had in flight has most
+	// likely ended, and a dead host's connections are closed. Three times the beat and some loss.
+	silentAfter = 800 * time.Millisecond
+	// forgetAfter is when a silent host no longer counts for shares of limits. A cut between zones
+	// looks like a death at first and lasts for seconds; a host that is only cut off still spends.
+	forgetAfter = 15 * time.Second
+	// greetEvery is how often seeds and silent hosts are sent a beat.
+	greetEvery = time.Second
+)
+
+// member is another host as its beats show it.
+type member struct {
+	host        string
+	zone        string
+	incarnation uint64
+	// replaced is the incarnation before, whose last datagrams may still be under way.
+	replaced uint64
+	seq      uint64
+	heardAt  time.Duration
+	leaving  bool
+	loads    map[string]*gossippb.Load
+	spent    map[string]uint64
+	// differsSince is when its news first differed from this host's; zero while they agree.
+	differsSince time.Duration
+	silent       bool
+}
+
+func (m *member) key() string { return m.host + "/" + itoa(m.incarnation) }
+
+type members struct {
+	byHost map[string]*member
+	order  []string // sorted, so that no order of a map decides
+	greet  map[string]time.Duration
+}
+
+func newMembers() members {
+	return members{byHost: map[string]*member{}, greet: map[string]time.Duration{}}
+}
+
+// hosts counts this host and those that are not forgotten.
+func (r *Router) hosts() int { return len(r.members.byHost) + 1 }
+
+// heardShare is the part of the known hosts that is heard, this one included.
+func (r *Router) heardShare() float64 {
+	n := 1
+	for _, h := range r.members.order {
+		if !r.members.byHost[h].silent {
+			n++
+		}
+	}
+	return float64(n) / float64(r.hosts())
+}
+
+// heard takes a beat. Beats of the incarnation before are from a process that was replaced while
+// its datagrams were under way; beats out of order carry older counts.
+func (r *Router) heard(b *gossippb.Beat) {
+	if b.Host == r.opt.Host || b.Host == "" {
+		return
+	}
+	m, known := r.members.byHost[b.Host]
+	if known && b.Incarnation == m.incarnation && b.Seq <= m.seq {
+		return
+	}
+	var replaced uint64
+	if known && b.Incarnation != m.incarnation {
+		if b.Incarnation == m.replaced {
+			return
+		}
+		replaced = m.incarnation
+		r.dropMember(m)
+		known = false
+	}
+	if !known {
+		m = &member{host: b.Host, zone: b.Zone, incarnation: b.Incarnation, replaced: replaced}
+		r.members.byHost[b.Host] = m
+		r.members.order = append(r.members.order, b.Host)
+		slices.Sort(r.members.order)
+		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
+	}
+	if m.silent {
+		m.silent = false
+		r.emit(Note{What: "host heard again", Subject: m.host, Age: r.now - m.heardAt})
+	}
+	m.seq, m.heardAt, m.leaving = b.Seq, r.now, b.Leaving
+	r.takeLoads(m, b.Loads)
+	r.takeSpent(m, b.Spent)
+	r.compareNews(m, b)
+	for _, p := range b.Peers {
+		r.meet(p.Host)
+	}
+}
+
+// meet greets a host that a peer names and this one does not know.
+func (r *Router) meet(host string) {
+	if host == r.opt.Host || r.members.byHost[host] != nil {
+		return
+	}
+	if _, ok := r.members.greet[host]; !ok {
+		r.members.greet[host] = 0
+	}
+}
+
+func (r *Router) takeLoads(m *member, loads []*gossippb.Load) {
+	r.countLoads(m, -1)
+	m.loads = map[string]*gossippb.Load{}
+	for _, l := range loads {
+		m.loads[l.Backend] = l
+	}
+	r.countLoads(m, 1)
+}
+
+// countLoads adds a member's counts to the beliefs, or takes them away again.
+func (r *Router) countLoads(m *member, sign int) {
+	for id, l := range m.loads {
+		b, ok := r.backends[id]
+		if !ok {
+			continue
+		}
+		for p, n := range l.InFlight {
+			b.others[min(p, priorities-1)] += sign * int(n)
+		}
+	}
+}
+
+func (r *Router) takeSpent(m *member, spent []*gossippb.Spent) {
+	m.spent = map[string]uint64{}
+	for _, s := range spent {
+		m.spent[s.Workspace] = s.Amount
+		if q, ok := r.quotas[s.Workspace]; ok {
+			q.Heard(m.key(), float64(s.Amount))
+		}
+	}
+}
+
+// expireMembers stops counting what silent hosts said, and later forgets them.
+func (r *Router) expireMembers() {
+	for _, host := range slices.Clone(r.members.order) {
+		m := r.members.byHost[host]
+		quiet := r.now - m.heardAt
+		if quiet > silentAfter && !m.silent {
+			m.silent = true
+			r.countLoads(m, -1)
+			m.loads = nil
+			r.emit(Note{What: "host silent", Subject: host, Age: quiet})
+		}
+		if quiet > forgetAfter || (m.silent && m.leaving) {
+			r.dropMember(m)
+			r.members.greet[host] = r.now
+			r.emit(Note{What: "host forgotten", Subject: host, Age: quiet})
+		}
+	}
+}
+
+func (r *Router) dropMember(m *member) {
+	r.countLoads(m, -1)
+	for _, q := range r.quotas {
+		q.Forget(m.key())
+	}
+	delete(r.members.byHost, m.host)
+	r.members.order = slices.DeleteFunc(r.members.order, func(h string) bool { return h == m.host })
+}
--- /dev/null
+++ b/internal/router/news.go
@@ -0,0 +1,249 @@
+package router
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/limit"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	// storePatience is how long a host that has a peer's configuration waits for the store before
+	// it takes callers.
+	storePatience = 1200 * time.Millisecond
+	// pullAfter is how long a peer may know more before this host asks it: the store's own news
+	// mostly come within milliseconds, so that an earlier question would be wasted.
+	pullAfter = 250 * time.Millisecond
+	// pullEvery spaces the questions.
+	pullEvery = 300 * time.Millisecond
+	// pullEqual spaces questions to hosts that differ without knowing more.
+	pullEqual = 3 * time.Second
+	// tombstoneFor keeps the memory of removed backend servers: longer than any cut after which a
+	// peer may bring an old registration back.
+	tombstoneFor = 2 * time.Minute
+	// doubtFor is how long a registration that lapsed around an outage of the store may still be
+	// used: a live backend server is registered again within two seconds of the store's return.
+	doubtFor = 1800 * time.Millisecond
+	// outageEcho is how long after the store's return removals are taken for lapses.
+	outageEcho = 3 * time.Second
+)
+
+type newsState struct {
+	revision uint64 // highest revision known
+	digest   uint64 // of all live registrations and the version
+	synced   bool   // the store has been read since the start
+	triedAt  time.Duration
+	lost     bool
+	backAt   time.Duration
+	pulledAt time.Duration
+}
+
+func newNewsState() newsState {
+	return newsState{lost: true}
+}
+
+func (r *Router) version() uint64 {
+	if r.table == nil {
+		return 0
+	}
+	return r.table.Config.Version
+}
+
+func (r *Router) storeContact(ok bool) {
+	if r.news.triedAt == 0 {
+		r.news.triedAt = max(1, r.now)
+	}
+	if ok == !r.news.lost {
+		return
+	}
+	r.news.lost = !ok
+	if ok {
+		r.news.backAt = r.now
+		r.emit(Note{What: "store answers"})
+		return
+	}
+	r.emit(Note{What: "store does not answer"})
+}
+
+// takeNews merges news from anywhere. What decides is the version of the configuration and the
+// revision of each registration, so that the order in which news come does not matter and an older
+// peer or a stale read cannot take anything back.
+func (r *Router) takeNews(n News) {
+	if n.FromStore {
+		r.storeContact(true)
+		r.news.synced = true
+	}
+	if n.Config != nil && n.Config.Version > r.version() {
+		r.adopt(n.Config)
+	}
+	for _, ch := range n.Backends {
+		r.takeBackend(ch)
+	}
+	if n.Full {
+		r.removeUnlisted(n)
+	}
+	r.news.revision = max(r.news.revision, n.Revision)
+	r.news.digest = r.digest()
+}
+
+func (r *Router) adopt(c *routing.Config) {
+	r.inv.Check(c.Version > r.version(), "configuration goes back from %d to %d", r.version(), c.Version)
+	r.table = routing.NewTable(c)
+	for i := range c.Workspaces {
+		r.setQuota(&c.Workspaces[i])
+	}
+	r.emit(InForce{r.table})
+}
+
+func (r *Router) setQuota(w *routing.Workspace) {
+	q, ok := r.quotas[w.Name]
+	if w.Rate <= 0 {
+		delete(r.quotas, w.Name)
+		return
+	}
+	if ok {
+		q.Set(w.Rate, w.Burst)
+		return
+	}
+	b := r.opt.Bounds
+	q = limit.NewQuota(r.now, w.Rate, w.Burst, limit.Allowance{Window: b.QuotaWindow, Over: b.QuotaOver, Slack: b.QuotaSlack})
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if s, ok := m.spent[w.Name]; ok {
+			q.Heard(m.key(), float64(s))
+		}
+	}
+	r.quotas[w.Name] = q
+}
+
+func (r *Router) takeBackend(ch routing.BackendChange) {
+	b, known := r.backends[ch.ID]
+	if known && ch.Revision <= b.revision {
+		return
+	}
+	if ch.Removed {
+		if known {
+			r.remove(b, ch.Revision)
+		}
+		return
+	}
+	r.news.revision = max(r.news.revision, ch.Revision)
+	if !known {
+		b = newBackend(ch.Backend, r.now)
+		r.backends[ch.ID] = b
+		for _, h := range r.members.order {
+			m := r.members.byHost[h]
+			if l, ok := m.loads[ch.ID]; ok {
+				for p, n := range l.InFlight {
+					b.others[min(p, priorities-1)] += int(n)
+				}
+			}
+		}
+		r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: ch.Service + " " + ch.Addr})
+	} else if ch.Draining && !b.Draining {
+		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
+	}
+	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false
+}
+
+// remove marks a registration as gone. One that lapsed while the store was away is usable a little
+// longer: the backend server mostly lives and is about to register again.
+func (r *Router) remove(b *backend, revision uint64) {
+	b.revision = revision
+	if b.removed {
+		return
+	}
+	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
+	if !b.Draining && (r.news.lost || r.now-r.news.backAt < outageEcho) {
+		b.doubtUntil = r.now + doubtFor
+	}
+	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t", b.Service, b.doubtUntil > 0)})
+	r.emit(BackendGone{b.Backend})
+}
+
+func (r *Router) removeUnlisted(n News) {
+	listed := map[string]bool{}
+	for _, ch := range n.Backends {
+		listed[ch.ID] = true
+	}
+	for _, id := range r.backendIDs() {
+		b := r.backends[id]
+		if !listed[id] && !b.removed && b.revision <= n.Revision {
+			r.remove(b, n.Revision)
+		}
+	}
+}
+
+func (r *Router) expireNews() {
+	for _, id := range r.backendIDs() {
+		b := r.backends[id]
+		if b.removed && r.now-b.removedAt > tombstoneFor && b.total(b.own) == 0 {
+			delete(r.backends, id)
+		}
+	}
+}
+
+func (r *Router) backendIDs() []string {
+	ids := make([]string, 0, len(r.backends))
+	for id := range r.backends {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// digest is equal on hosts that hold the same news.
+func (r *Router) digest() uint64 {
+	sum := r.version() * 0x9E3779B97F4A7C15
+	for id, b := range r.backends {
+		if b.removed {
+			continue
+		}
+		sum += xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(id), b.revision))
+	}
+	return sum
+}
+
+// compareNews asks a peer for its news if it has held others for a while: the store may be out of
+// this host's reach, or may refuse this host alone.
+func (r *Router) compareNews(m *member, b *gossippb.Beat) {
+	if b.Digest == r.news.digest {
+		m.differsSince = 0
+		return
+	}
+	if m.differsSince == 0 {
+		m.differsSince = max(1, r.now)
+	}
+	newer := b.ConfigVersion > r.version() || b.Revision > r.news.revision
+	wait, every := pullAfter, pullEvery
+	if !newer {
+		wait, every = pullEqual, pullEqual
+	}
+	if r.table == nil {
+		wait = 0
+	}
+	if b.Digest == 0 || r.now-m.differsSince < wait || (r.news.pulledAt > 0 && r.now-r.news.pulledAt < every) {
+		return
+	}
+	r.news.pulledAt = r.now
+	r.emit(Pull{m.host})
+}
+
+// Snapshot is all that this host knows, for a peer that asks.
+func (r *Router) Snapshot() News {
+	n := News{Revision: r.news.revision}
+	if r.table != nil {
+		n.Config = r.table.Config
+	}
+	for _, id := range r.backendIDs() {
+		b := r.backends[id]
+		n.Backends = append(n.Backends, routing.BackendChange{Backend: b.Backend, Revision: b.revision, Removed: b.removed})
+	}
+	return n
+}
--- /dev/null
+++ b/internal/router/place.go
@@ -0,0 +1,173 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"fireflyshift/internal/limit"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	// headroom is how many requests above its slots an engine gets for the most urgent priority, and
+	// perRank how many fewer for each rank below: engines admit in order of arrival and know no
+	// priorities, so what may queue there is what ranks. Measured against limits without ranks,
+	// this serves a tenth more of the worth on the heaviest days.
+	headroom = 3
+	perRank  = 2
+	// plainDepth is how many requests a slot a plain service's server may hold: answers there take
+	// a few tens of milliseconds against an objective several times that.
+	plainDepth = 2
+	// farPenalty makes a backend server of another zone count as that much busier: at equal load
+	// the bytes stay in the zone.
+	farPenalty = 1.08
+	// unknownPace stands for a backend server's speed until any has been observed.
+	unknownPace = 20 * time.Millisecond
+)
+
+// service is what this host believes of one service as a whole.
+type service struct {
+	// pace is the learned mean of its backend servers' intervals.
+	pace   time.Duration
+	budget *limit.Budget
+}
+
+// candidate is a backend server that passed the filter, with its score: lower is better.
+type candidate struct {
+	b     *backend
+	score float64
+	far   bool
+}
+
+// chooseService draws one of the route's services by weight, among those with a usable backend
+// server.
+func (r *Router) chooseService(route *routing.Route) string {
+	sum := 0.0
+	var open []routing.Share
+	for _, s := range route.Shares {
+		if s.Weight > 0 && r.hasBackend(s.Service) {
+			open = append(open, s)
+			sum += s.Weight
+		}
+	}
+	at := r.rng.Float64() * sum
+	for _, s := range open {
+		if at -= s.Weight; at <= 0 {
+			return s.Service
+		}
+	}
+	if len(open) > 0 {
+		return open[len(open)-1].Service
+	}
+	if len(route.Shares) > 0 {
+		return route.Shares[0].Service
+	}
+	return ""
+}
+
+func (r *Router) hasBackend(name string) bool {
+	for _, b := range r.backends {
+		if ok, _ := b.usable(r.now); ok && b.Service == name {
+			return true
+		}
+	}
+	return false
+}
+
+// limitFor is how many requests a backend server may hold for one of this priority to join.
+func (r *Router) limitFor(b *backend, q *request) int {
+	slots := max(1, b.Slots)
+	if q.Route.Kind != routing.Streaming {
+		return slots * plainDepth
+	}
+	rank := min(q.Priority, priorities-1)
+	return max(1, slots+headroom-perRank*rank)
+}
+
+// place chooses a backend server: filter, score, reserve. It returns nil where none has room, with
+// the grounds of the least loaded one.
+func (r *Router) place(q *request) (*backend, Grounds) {
+	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
+	best, doubtful, suspect := candidate{}, candidate{}, candidate{}
+	for _, id := range r.backendIDs() {
+		b := r.backends[id]
+		ok, doubt := b.usable(r.now)
+		if !ok || b.Service != q.service || slices.Contains(q.tried, id) {
+			continue
+		}
+		held, limit := b.inFlight(), r.limitFor(b, q)
+		if g.InFlight < 0 || held < g.InFlight {
+			g.InFlight, g.Limit = held, limit
+		}
+		if held >= limit {
+			continue
+		}
+		c := candidate{b, r.score(b, held), b.Zone != r.opt.Zone}
+		switch {
+		case doubt:
+			doubtful = better(doubtful, c)
+		case b.suspect(r.now) || (b.onProbation() && b.total(b.own) > 0):
+			suspect = better(suspect, c)
+		default:
+			best = better(best, c)
+		}
+	}
+	for _, c := range []candidate{best, doubtful, suspect} {
+		if c.b != nil {
+			g.InFlight, g.Limit = c.b.inFlight(), r.limitFor(c.b, q)
+			return c.b, g
+		}
+	}
+	return nil, g
+}
+
+func better(a, b candidate) candidate {
+	if a.b == nil || b.score < a.score {
+		return b
+	}
+	return a
+}
+
+// score estimates how long a request will share the backend server with what is there: what it
+// holds, by how slowly it makes an event.
+func (r *Router) score(b *backend, held int) float64 {
+	pace := b.interval
+	if pace == 0 {
+		pace = r.paceOf(b.Service)
+	}
+	s := float64(held+1) * float64(pace)
+	if b.Zone != r.opt.Zone {
+		s *= farPenalty
+	}
+	return s
+}
+
+func (r *Router) paceOf(name string) time.Duration {
+	if s, ok := r.services[name]; ok && s.pace > 0 {
+		return s.pace
+	}
+	return unknownPace
+}
+
+func (r *Router) learnPace(name string, pace time.Duration) {
+	if pace <= 0 {
+		return
+	}
+	s, ok := r.services[name]
+	if !ok {
+		s = &service{pace: pace}
+		r.services[name] = s
+	}
+	s.pace += time.Duration(learnRate * float64(pace-s.pace))
+}
+
+// oldestBelief is the age of the oldest beat whose counts are in use.
+func (r *Router) oldestBelief() time.Duration {
+	var age time.Duration
+	for _, h := range r.members.order {
+		if m := r.members.byHost[h]; !m.silent {
+			age = max(age, r.now-m.heardAt)
+		}
+	}
+	return age
+}
--- /dev/null
+++ b/internal/router/requests.go
@@ -0,0 +1,263 @@
+package router
+
+import (
+	"math"
+	"time"
+
+	"fireflyshift/internal/limit"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	// maxSends bounds the sends of one request that were proved not to have run.
+	maxSends = 4
+	// backThird: callers wait as told up to a third of the time they have left.
+	backThird = 3
+	// backFirst is the least time to come back, backRank what each rank of priority adds, and
+	// backSpread the random part, so that those who are refused together do not return together.
+	backFirst  = 150 * time.Millisecond
+	backRank   = 250 * time.Millisecond
+	backSpread = 300 * time.Millisecond
+	// takeWhileDraining is how long after its stop signal a host takes new requests as ever: until
+	// the balancer has seen two probes fail.
+	takeWhileDraining = 3 * time.Second
+	// lastPlain is how long before its end a draining host still takes plain calls.
+	lastPlain = 1500 * time.Millisecond
+)
+
+// request is one caller's request at this host.
+type request struct {
+	Submit
+	service string
+	backend *backend
+	attempt int
+	tried   []string
+	// ran is the at-most-once mark: it is set before a dispatch leaves the reducer and taken back
+	// only on proof that the backend server has not run it.
+	ran     bool
+	runs    int
+	charged bool
+}
+
+func (r *Router) submit(e Submit) {
+	q := &request{Submit: e}
+	if left := r.drainLeft(e); left {
+		r.emit(Refuse{ID: e.ID, Cause: ShutDown, After: r.comeBack(q)})
+		return
+	}
+	if e.Deadline <= r.now {
+		r.emit(Refuse{ID: e.ID, Cause: OutOfTime, After: 0})
+		return
+	}
+	if r.requests[e.ID] != nil {
+		r.inv.Check(false, "request %d submitted twice", e.ID)
+		return
+	}
+	q.service = r.chooseService(e.Route)
+	if back, ok := r.charge(q); !ok {
+		r.emit(Refuse{ID: e.ID, Cause: OverQuota, After: back, Grounds: Grounds{Version: r.version(), BeliefAge: r.oldestBelief()}})
+		return
+	}
+	r.requests[e.ID] = q
+	r.budgetOf(q.service).Earn(r.now, r.hosts())
+	r.dispatch(q)
+}
+
+// drainLeft tells whether a draining host should no longer take a request.
+func (r *Router) drainLeft(e Submit) bool {
+	if r.drain == nil {
+		return false
+	}
+	started := r.drain.Until - r.drain.Grace
+	if r.now < started+takeWhileDraining {
+		return false
+	}
+	return e.Route.Kind == routing.Streaming || r.now > r.drain.Until-lastPlain
+}
+
+func (r *Router) dispatch(q *request) {
+	b, g := r.place(q)
+	if b == nil {
+		r.refuse(q, g)
+		return
+	}
+	q.attempt++
+	q.backend = b
+	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
+	q.ran = true
+	q.runs++
+	b.own[min(q.Priority, priorities-1)]++
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, At: r.now, Grounds: g})
+}
+
+// refuse ends a request for which there is no place, truly: only what has not run is called so.
+func (r *Router) refuse(q *request, g Grounds) {
+	cause := Overloaded
+	if g.InFlight < 0 {
+		cause = NoBackend
+	}
+	r.close(q)
+	if q.ran {
+		r.emit(GiveUp{ID: q.ID, Cause: cause, PassOn: true})
+		return
+	}
+	r.emit(Refuse{ID: q.ID, Cause: cause, After: r.comeBack(q), Grounds: g})
+}
+
+// comeBack is when a refused caller should return: the most urgent first, spread, and within the
+// part of its time that callers are willing to wait.
+func (r *Router) comeBack(q *request) time.Duration {
+	rank := time.Duration(min(q.Priority, priorities-1))
+	back := backFirst + rank*backRank + time.Duration(r.rng.Float64()*float64(backSpread))
+	return max(0, min(back, (q.Deadline-r.now)/backThird))
+}
+
+func (r *Router) began(id uint64) {}
+
+// gone ends a request whose caller left; the traffic side stops the work.
+func (r *Router) gone(id uint64) {
+	if q, ok := r.requests[id]; ok {
+		r.release(q)
+		r.close(q)
+	}
+}
+
+func (r *Router) ended(e Ended) {
+	q, ok := r.requests[e.ID]
+	if !ok {
+		return
+	}
+	b := q.backend
+	r.release(q)
+	r.judge(b, q, e)
+	switch e.Outcome {
+	case Answered, Canceled:
+		r.close(q)
+	case TimedOut:
+		r.close(q)
+		r.emit(GiveUp{ID: q.ID, Cause: OutOfTime, PassOn: true})
+	case NotSent, Rejected, WrongInstance:
+		q.ran = q.runs > 1
+		q.runs--
+		r.sendElsewhere(q, e)
+	default:
+		r.repeat(q, e)
+	}
+}
+
+// judge learns from how a dispatch ended.
+func (r *Router) judge(b *backend, q *request, e Ended) {
+	switch e.Outcome {
+	case Answered:
+		pace := e.Interval
+		if q.Route.Kind != routing.Streaming {
+			pace = e.First
+		}
+		b.succeeded(pace)
+		r.learnPace(b.Service, pace)
+	case NotSent:
+		b.failed(r.now, true)
+	case WrongInstance:
+		// The address belongs to another: this backend server is gone, whatever the store says.
+		b.avoidFor = avoidMost
+		b.failed(r.now, true)
+	case Broken, Failed:
+		if e.Fault {
+			b.failed(r.now, false)
+		}
+	}
+}
+
+// sendElsewhere tries the next backend server after proof that nothing ran. What reached the first
+// one counts as an arrival all the same, so that a rejected send costs retry budget.
+func (r *Router) sendElsewhere(q *request, e Ended) {
+	q.tried = append(q.tried, q.backend.ID)
+	reached := e.Outcome != NotSent
+	if q.attempt >= maxSends || r.now >= q.Deadline || (reached && !r.budgetOf(q.service).Spend(r.now, r.hosts())) {
+		r.refuse(q, Grounds{Version: r.version()})
+		return
+	}
+	r.dispatch(q)
+}
+
+// repeat runs a request again where its kind, its route's bound and the retry budget allow it.
+func (r *Router) repeat(q *request, e Ended) {
+	q.tried = append(q.tried, q.backend.ID)
+	allowed := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now < q.Deadline
+	if e.Delivered && q.Route.Kind != routing.Streaming {
+		allowed = false
+	}
+	if allowed && r.budgetOf(q.service).Spend(r.now, r.hosts()) {
+		if b, _ := r.place(q); b != nil {
+			r.dispatch(q)
+			return
+		}
+	}
+	r.close(q)
+	r.emit(GiveUp{ID: q.ID, Cause: BackendLost, PassOn: true})
+}
+
+// release takes a request out of the counts of its backend server.
+func (r *Router) release(q *request) {
+	if q.backend == nil {
+		return
+	}
+	p := min(q.Priority, priorities-1)
+	q.backend.own[p]--
+	r.inv.Check(q.backend.own[p] >= 0, "backend server %s has %d in flight", q.backend.ID, q.backend.own[p])
+}
+
+func (r *Router) close(q *request) {
+	r.refund(q)
+	delete(r.requests, q.ID)
+}
+
+// charge takes a request's cost from its workspace's quota.
+func (r *Router) charge(q *request) (back time.Duration, ok bool) {
+	if q.Workspace == nil {
+		return 0, true
+	}
+	quota, limited := r.quotas[q.Workspace.Name]
+	if !limited {
+		return 0, true
+	}
+	ok, back = quota.Admit(r.now, q.Cost, r.heardShare())
+	q.charged = ok
+	return back, ok
+}
+
+// refund gives the cost back of what has not run.
+func (r *Router) refund(q *request) {
+	if !q.charged || q.ran {
+		return
+	}
+	q.charged = false
+	if quota, ok := r.quotas[q.Workspace.Name]; ok {
+		quota.Refund(q.Cost)
+	}
+}
+
+func (r *Router) budgetOf(name string) *limit.Budget {
+	s, ok := r.services[name]
+	if !ok {
+		s = &service{}
+		r.services[name] = s
+	}
+	if s.budget == nil {
+		b := r.opt.Bounds
+		s.budget = limit.NewBudget(b.RetryRatio, b.RetryExtra, b.RetryWindow)
+	}
+	return s.budget
+}
+
+// CostOf is what a request counts against a workspace's quota.
+func CostOf(w *routing.Workspace, hasTokens bool, prompt, output int) float64 {
+	switch {
+	case !w.InTokens:
+		return 1
+	case hasTokens:
+		return float64(prompt) + float64(output)
+	default:
+		return math.Max(1, float64(w.PlainTokens))
+	}
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,128 @@
+// Package router is the reducer of a host on the platform's path: every event goes in, effects come
+// out as data. Each host decides alone where its requests go, from beliefs that hosts spread in
+// heartbeats; no message is exchanged for a request. There is no I/O, clock, goroutine or unseeded
+// choice inside.
+//
+// One file is one concern: members (who else is there), news (configuration and backend servers),
+// backends (what is believed of each), place (where a request goes), requests (their lives), beats.
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"fireflyshift/internal/invariant"
+	"fireflyshift/internal/limit"
+	"fireflyshift/internal/routing"
+)
+
+// Bounds are the operators' figures that hosts keep together.
+type Bounds struct {
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetryExtra  float64 // repeats beyond the ratio, over all hosts, a window
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
+}
+
+// Options are the fixed settings of a reducer.
+type Options struct {
+	Host        string // IP number
+	Zone        string
+	Incarnation uint64
+	Seeds       []string
+	Bounds      Bounds
+	Seed        uint64
+}
+
+// Router is the state of one host. Only one goroutine may use it.
+type Router struct {
+	opt      Options
+	now      time.Duration
+	rng      *rand.Rand
+	inv      invariant.Log
+	out      []Effect
+	table    *routing.Table
+	members  members
+	news     newsState
+	backends map[string]*backend
+	services map[string]*service
+	requests map[uint64]*request
+	quotas   map[string]*limit.Quota
+	beatAt   time.Duration
+	seq      uint64
+	drain    *Drain
+}
+
+// New returns a reducer in its first state: no configuration, no peers.
+func New(opt Options) *Router {
+	return &Router{
+		opt:      opt,
+		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
+		members:  newMembers(),
+		news:     newNewsState(),
+		backends: map[string]*backend{},
+		services: map[string]*service{},
+		requests: map[uint64]*request{},
+		quotas:   map[string]*limit.Quota{},
+	}
+}
+
+// Reduce takes one event at a moment of the host's boot-time clock, which goes on while the machine
+// is suspended, and returns the work to do.
+func (r *Router) Reduce(now time.Duration, ev Event) []Effect {
+	r.now = max(r.now, now)
+	switch e := ev.(type) {
+	case Tick:
+		r.tick()
+	case Submit:
+		r.submit(e)
+	case Began:
+		r.began(e.ID)
+	case Gone:
+		r.gone(e.ID)
+	case Ended:
+		r.ended(e)
+	case Heard:
+		r.heard(e.Beat)
+	case News:
+		r.takeNews(e)
+	case StoreContact:
+		r.storeContact(e.OK)
+	case Drain:
+		r.drain = &e
+		r.sendBeats()
+	}
+	out := r.out
+	r.out = nil
+	return out
+}
+
+func (r *Router) emit(e Effect) { r.out = append(r.out, e) }
+
+func (r *Router) tick() {
+	r.expireMembers()
+	r.expireNews()
+	if r.now >= r.beatAt {
+		r.sendBeats()
+	}
+}
+
+// Violations takes the invariant violations since the last call.
+func (r *Router) Violations() []string { return r.inv.Take() }
+
+// Table is the configuration in force, or nil.
+func (r *Router) Table() *routing.Table { return r.table }
+
+// Requests is how many requests are in the host's hands.
+func (r *Router) Requests() int { return len(r.requests) }
+
+// Ready tells whether the balancer should send callers here: the configuration is known from the
+// store, or from a peer while the store does not answer, and the host is not shutting down.
+func (r *Router) Ready() bool {
+	if r.table == nil || r.drain != nil {
+		return false
+	}
+	return r.news.synced || r.now-r.news.triedAt >= storePatience
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,195 @@
+// Package routing holds the configuration of the platform's path in the project's own terms: routes,
+// services, workspaces and limits, and the table that finds a request's route and workspace.
+// Everything here is a value: once built, a Table is shared between goroutines and never changed.
+package routing
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind tells what may be repeated of a route's requests.
+type Kind int
+
+// The kinds. A Streaming request is repeatable only where the route is resumable.
+const (
+	Idempotent Kind = iota + 1
+	NonIdempotent
+	Streaming
+)
+
+// Share is one service that a route sends requests to, with its weight among the others.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route is one entry of the routing table.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	Shares []Share
+	// Timeout is how long a request may stay unanswered; zero means only the caller's deadline.
+	Timeout time.Duration
+	// Target is the latency objective: to the whole answer, or to a stream's first event.
+	Target time.Duration
+	// MaxGap is the longest pause between events of a stream that still counts as on time.
+	MaxGap time.Duration
+	// Priority is the rank of the route's requests: 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the backend servers that one caller's attempt may be sent to.
+	MaxAttempts int
+	// Public routes need no key.
+	Public bool
+	// Resumable streams may go on at another backend server after their last event.
+	Resumable bool
+}
+
+// Repeatable tells whether a second run of a request is allowed.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Service is a pool of interchangeable backend servers.
+type Service struct {
+	Name string
+	// Model tells that the backend servers are model engines, which batch and stream.
+	Model bool
+	// MaxConns bounds a backend server's connections from all callers together.
+	MaxConns int
+	// KVTokens is an engine's memory; zero where unknown.
+	KVTokens int
+	// PinMax and HoldMax bound what an engine keeps for a caller; zero where it offers neither.
+	PinMax, HoldMax time.Duration
+	// Moves and Backups tell whether a run's memory can be copied to another engine.
+	Moves, Backups bool
+}
+
+// Workspace is a customer with its keys and its quota.
+type Workspace struct {
+	Name string
+	Keys []string
+	// Priority replaces the route's priority where HasPriority is set.
+	Priority    int
+	HasPriority bool
+	// InTokens tells that Rate and Burst count tokens, otherwise requests.
+	InTokens bool
+	// PlainTokens is the cost of a request that states no tokens.
+	PlainTokens int
+	// Rate is the quota a second over all hosts; zero means no limit. Burst is what it may exceed
+	// that by at once.
+	Rate, Burst float64
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	// Version rises with each change; a host never goes back to a lower one.
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+}
+
+// Backend is one backend server as it has registered itself.
+type Backend struct {
+	// ID is new with each start of the backend server.
+	ID       string
+	Addr     string
+	Zone     string
+	Service  string
+	Slots    int
+	Draining bool
+	// Cold is how much longer it is slow after its start, at the time of its registration.
+	Cold time.Duration
+}
+
+// Table is a configuration prepared for look-ups.
+type Table struct {
+	Config   *Config
+	hosts    map[string][]*Route
+	keys     map[string]*Workspace
+	services map[string]*Service
+}
+
+// NewTable prepares a configuration, which must not change afterwards.
+func NewTable(c *Config) *Table {
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[string]*Workspace{}, services: map[string]*Service{}}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
+	}
+	for i := range c.Workspaces {
+		w := &c.Workspaces[i]
+		for _, k := range w.Keys {
+			t.keys[k] = w
+		}
+	}
+	for i := range c.Services {
+		t.services[c.Services[i].Name] = &c.Services[i]
+	}
+	return t
+}
+
+// Match finds the route with the longest prefix of a path as it was sent; nil if there is none.
+func (t *Table) Match(host, path string) *Route {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Workspace finds the holder of a key; nil if no workspace holds it.
+func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
+
+// WorkspaceNamed finds a workspace by name; nil if it is not configured.
+func (t *Table) WorkspaceNamed(name string) *Workspace {
+	for i := range t.Config.Workspaces {
+		if t.Config.Workspaces[i].Name == name {
+			return &t.Config.Workspaces[i]
+		}
+	}
+	return nil
+}
+
+// HasWorkspaces tells whether routes that are not public need a key.
+func (t *Table) HasWorkspaces() bool { return len(t.Config.Workspaces) > 0 }
+
+// Service finds a service by name; nil if it is not configured.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// BackendChange is a backend server's registration or its removal.
+type BackendChange struct {
+	Backend
+	// Revision orders the changes of one backend server; it is the same on every host.
+	Revision uint64
+	Removed  bool
+}
+
+// Changes are news of the configuration and of the backend servers.
+type Changes struct {
+	// Config is nil where it has not changed.
+	Config   *Config
+	Backends []BackendChange
+}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 const partField = "part"
@@ -40,3 +41,30 @@
 func (p prefixHook) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
 	e.Str(partField, string(p))
 }
+
+const (
+	// logBuffer is how many lines may wait for a slow reader; later ones push the oldest out.
+	logBuffer = 4096
+	// burstLines a burstPeriod are written of the lines below a warning; the rest are counted.
+	burstLines  = 400
+	burstPeriod = time.Second
+)
+
+// NewBoundedLogger writes JSON lines without ever making the caller wait: lines that the reader does
+// not take in time are dropped, and counted in "log.dropped"; lines beyond a rate in "log.sampled".
+func NewBoundedLogger(w io.Writer, m Metrics) (zerolog.Logger, func()) {
+	dw := diode.NewWriter(w, logBuffer, 0, func(missed int) { m.Count("log.dropped", int64(missed)) })
+	l := zerolog.New(dw).Level(zerolog.InfoLevel).With().Timestamp().Logger()
+	l = l.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: burstLines, Period: burstPeriod,
+		NextSampler: countingSampler{m}}})
+	return l, func() { _ = dw.Close() }
+}
+
+// countingSampler drops lines and counts them.
+type countingSampler struct{ m Metrics }
+
+// Sample implements zerolog.Sampler.
+func (s countingSampler) Sample(zerolog.Level) bool {
+	s.m.Count("log.sampled", 1)
+	return false
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,101 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	dialer  *net.Dialer
+	mu      sync.Mutex
+	idle    map[string][]*conn
+	dialed  func()
+	maxIdle int
+}
+
+// maxIdlePerServer bounds the kept connections to one server; this many requests in flight from
+// one host are above any server's slots.
+const maxIdlePerServer = 16
+
+// NewPool returns an empty pool; dialed is called for each new connection.
+func NewPool(dialed func()) *Pool {
+	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, dialed: dialed, maxIdle: maxIdlePerServer}
+}
+
+// get takes the idle connection that was used last, or dials.
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			break
+		}
+		if c.clean() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	p.dialed()
+	return dial(ctx, p.dialer, addr)
+}
+
+func (p *Pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) put(addr string, c *conn, keep time.Duration) {
+	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	c.until = time.Now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[addr]) >= p.maxIdle {
+		_ = c.Close()
+		return
+	}
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// Drop closes the idle connections to an address that is not used any more.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	list := p.idle[addr]
+	delete(p.idle, addr)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// Expire closes connections that have been idle for as long as they may.
+func (p *Pool) Expire(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.After(c.until) {
+				_ = c.Close()
+				continue
+			}
+			kept = append(kept, c)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, addr)
+			continue
+		}
+		p.idle[addr] = kept
+	}
+}
