Above 16 hosts beats stay in the zone, sums go between zones, few hosts read

Change: zone sums by two speakers a zone pair, passed on inside; three readers of the store a zone, pushed changes; a host's own part (three times the even one) of each quota.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -15,6 +15,10 @@
 	// what they admit before they have heard of each other: a beat's age times the demand.
 	useOver  = 0.3
 	useSlack = 0.35
+	// skew is how many times its even part of a quota one host may use: the balancer spreads callers
+	// by a hash, and workspaces unevenly. It bounds what all hosts together admit within a beat's
+	// age when a workspace suddenly asks for many times its quota.
+	skew = 3
 	// waitMost bounds the time to come back that an exhausted quota names.
 	waitMost = 10 * time.Second
 )
@@ -27,7 +31,11 @@
 	level       float64
 	at          time.Duration
 	spent       float64 // by this host, since its start; what its beats tell
+	zone        float64 // by the hosts of this zone, as heard since its start, this one included
 	heard       map[string]float64
+	// share is this host's own bucket, which bounds what it admits before it has heard of others.
+	share   float64
+	shareAt time.Duration
 }
 
 // NewQuota returns a full bucket.
@@ -35,6 +43,7 @@
 	q := &Quota{allow: a, at: now, heard: map[string]float64{}}
 	q.Set(rate, burst)
 	q.level = q.cap()
+	q.share, q.shareAt = q.cap(), now
 	return q
 }
 
@@ -56,34 +65,67 @@
 	}
 }
 
-// Admit takes cost from the bucket, or tells when to come back.
-func (q *Quota) Admit(now time.Duration, cost, heardShare float64) (ok bool, back time.Duration) {
+// refillShare lets time pass in this host's own bucket.
+func (q *Quota) refillShare(now time.Duration, hosts int) {
+	part := min(1, skew/float64(max(1, hosts)))
+	most := q.cap() * part
+	q.share = min(most, q.share+q.rate*(1+q.allow.Over*useOver)*part*max(0, (now-q.shareAt).Seconds()))
+	q.shareAt = max(q.shareAt, now)
+}
+
+// Admit takes cost from the bucket, or tells when to come back. hosts is how many share the quota.
+func (q *Quota) Admit(now time.Duration, cost, heardShare float64, hosts int) (ok bool, back time.Duration) {
 	q.refill(now, heardShare)
+	q.refillShare(now, hosts)
+	if q.share <= 0 {
+		need := -q.share / max(1, q.rate*skew/float64(max(1, hosts)))
+		return false, min(waitMost, time.Duration(need*float64(time.Second)))
+	}
 	// A bucket in credit admits a request of any size, or one above the burst would never run.
 	if q.level <= 0 {
 		need := (-q.level + cost) / max(1, q.rate)
 		return false, min(waitMost, time.Duration(need*float64(time.Second)))
 	}
 	q.level -= cost
+	q.share -= cost
 	q.spent += cost
+	q.zone += cost
 	return true, 0
 }
 
 // Refund gives back what did not run after all.
 func (q *Quota) Refund(cost float64) {
 	q.level = min(q.cap(), q.level+cost)
+	q.share += cost
 	q.spent -= cost
+	q.zone -= cost
 }
 
 // Spent is what this host has admitted since its start.
 func (q *Quota) Spent() float64 { return q.spent }
 
-// Heard takes another host's sum since its start; host must name its incarnation too.
-func (q *Quota) Heard(host string, spent float64) {
-	q.level -= spent - q.heard[host]
-	q.level = min(q.cap(), q.level)
+// ZoneSpent is what the hosts of this zone have admitted, as this one has heard since its start.
+func (q *Quota) ZoneSpent() float64 { return q.zone }
+
+// Heard takes another host's sum since its start; host must name its incarnation too. inZone tells
+// that it counts for this zone's sum.
+func (q *Quota) Heard(host string, spent float64, inZone bool) {
+	more := spent - q.heard[host]
+	q.level = min(q.cap(), q.level-more)
+	if inZone {
+		q.zone += more
+	}
 	q.heard[host] = spent
 }
 
+// HeardZone takes another zone's sum as its speaker tells it. The first word of a new speaker only
+// sets where to count from: its sum covers what the speaker before it told.
+func (q *Quota) HeardZone(speaker string, spent float64, known bool) {
+	if known {
+		q.level = min(q.cap(), q.level-(spent-q.heard[speaker]))
+	}
+	q.heard[speaker] = spent
+}
+
 // Forget drops the memory of a host incarnation that is gone.
 func (q *Quota) Forget(host string) { delete(q.heard, host) }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -25,6 +25,7 @@
 type outlets struct {
 	beat func(to []string, b *gossippb.Beat)
 	pull func(host string)
+	read func(on bool)
 	drop func(addr string)
 }
 
@@ -118,6 +119,8 @@
 		delete(c.callers, e.ID)
 	case router.SendBeat:
 		c.out.beat(e.To, e.Beat)
+	case router.ReadStore:
+		c.out.read(e.On)
 	case router.Pull:
 		c.out.pull(e.Host)
 	case router.InForce:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,10 @@
 
 func (n *Node) start(ctx context.Context, g *errgroup.Group, parts Parts) error {
 	puller := gossip.NewPuller(n.set.PeerPort)
+	reader := &storeReader{store: parts.Store, post: n.control.Post, log: telemetry.For(n.log, "store"), metrics: n.metrics}
+	reading := &toggle{ctx: ctx, run: reader.run}
 	n.control.out = outlets{
+		read: reading.set,
 		beat: n.sendBeat,
 		pull: func(host string) { go n.pull(ctx, puller, host) },
 		drop: n.pool.Drop,
@@ -122,9 +125,7 @@
 	if err := n.serve(g, gossip.Handler(n.control), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
 		return err
 	}
-	reader := &storeReader{store: parts.Store, post: n.control.Post, log: telemetry.For(n.log, "store"), metrics: n.metrics}
 	g.Go(func() error { n.control.run(ctx); return nil })
-	g.Go(func() error { reader.run(ctx); return nil })
 	g.Go(func() error { n.expire(ctx); return nil })
 	g.Go(func() error {
 		n.socket.Receive(func(b *gossippb.Beat) { n.control.Post(router.Heard{Beat: b}) }, func() { n.metrics.Count("beats.malformed", 1) })
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -48,6 +48,26 @@
 	metrics telemetry.Metrics
 }
 
+// toggle starts and stops the reading.
+type toggle struct {
+	ctx    context.Context
+	run    func(context.Context)
+	cancel context.CancelFunc
+}
+
+// set is called by the control thread only.
+func (t *toggle) set(on bool) {
+	if t.cancel != nil {
+		t.cancel()
+		t.cancel = nil
+	}
+	if on {
+		ctx, cancel := context.WithCancel(t.ctx)
+		t.cancel = cancel
+		go t.run(ctx)
+	}
+}
+
 // run lists and then watches, until ctx ends.
 func (s *storeReader) run(ctx context.Context) {
 	pause := retryFirst
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fireflyshift/internal/routing"
 )
 
@@ -28,7 +30,8 @@
 	doubtUntil time.Duration
 	// own and others are requests in flight by priority: this host's, and the other hosts' by their
 	// latest beats.
-	own, others [priorities]int
+	own, others counts
+	hash        uint32
 	// interval is the learned time between the events of a stream, or to the answer of a plain call.
 	interval time.Duration
 	samples  int
@@ -40,19 +43,11 @@
 }
 
 func newBackend(b routing.Backend, now time.Duration) *backend {
-	return &backend{Backend: b, joinedAt: now}
-}
-
-func (b *backend) total(counts [priorities]int) int {
-	n := 0
-	for _, c := range counts {
-		n += c
-	}
-	return n
+	return &backend{Backend: b, joinedAt: now, hash: uint32(xxhash.Sum64String(b.ID))}
 }
 
 // inFlight is how many requests the backend server is believed to hold.
-func (b *backend) inFlight() int { return b.total(b.own) + max(0, b.total(b.others)) }
+func (b *backend) inFlight() int { return b.own.total() + b.others.total() }
 
 func (b *backend) suspect(now time.Duration) bool { return now < b.avoidUntil }
 
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -8,15 +8,44 @@
 	"fireflyshift/internal/gossip/gossippb"
 )
 
-// beatEvery is the period of heartbeats. Counts that are 25 to 100 ms old place work as well as
-// current ones; older ones lose a few hundredths of the answers' worth on heavy days.
-const beatEvery = 100 * time.Millisecond
+const (
+	// beatFirst is the period of heartbeats in a zone of up to ten hosts. Counts that are 25 to
+	// 100 ms old place work as well as current ones; older ones lose a few hundredths of the
+	// answers' worth on heavy days.
+	beatFirst = 100 * time.Millisecond
+	// beatPerHost stretches the period with the zone's hosts, so that what a host sends and hears a
+	// second stays the same, and beatMost bounds it.
+	beatPerHost = 10 * time.Millisecond
+	beatMost    = 300 * time.Millisecond
+	// peersEvery is how often a beat names the hosts that its sender knows.
+	peersEvery = time.Second
+)
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 36) }
 
+// sendBeats tells the hosts that this one talks to directly what it carries.
 func (r *Router) sendBeats() {
-	r.beatAt = r.now + beatEvery
+	mates := r.zoneMates()
+	r.beatAt = r.now + min(beatMost, max(beatFirst, beatPerHost*time.Duration(len(mates))))
 	to := r.beatTargets()
+	if len(to) == 0 {
+		return
+	}
+	r.emitBeat(to, func(b *gossippb.Beat) {
+		b.Loads = r.ownLoads()
+		b.Spent = r.ownSpent()
+		b.Zones = r.relayed()
+		if r.now >= r.zones.peersAt {
+			r.zones.peersAt = r.now + peersEvery
+			b.Peers = r.knownPeers()
+		}
+	})
+	r.sendZoneSums()
+}
+
+// emitBeat sends a beat whose parts fill adds. A beat always carries the loads: it replaces the one
+// before.
+func (r *Router) emitBeat(to []string, fill func(*gossippb.Beat)) {
 	if len(to) == 0 {
 		return
 	}
@@ -24,28 +53,29 @@
 	b := &gossippb.Beat{
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision, Digest: r.news.digest,
-		Loads: r.ownLoads(), Spent: r.ownSpent(),
-	}
-	for _, h := range r.members.order {
-		b.Peers = append(b.Peers, &gossippb.Peer{Host: h, Zone: r.members.byHost[h].zone})
+		ReadsStore: r.news.reading && !r.news.lost, Loads: r.ownLoads(), Spent: r.ownSpent(),
 	}
+	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
 }
 
-// beatTargets are the hosts that are heard, and now and then those that may be there.
+// beatTargets are the hosts that this one talks to directly and hears, and now and then those that
+// may be there.
 func (r *Router) beatTargets() []string {
+	for _, h := range r.opt.Seeds {
+		r.meet(h, "")
+	}
 	var to []string
 	for _, h := range r.members.order {
-		if !r.members.byHost[h].silent || r.due(h) {
+		m := r.members.byHost[h]
+		if r.direct(m.zone) && (!m.silent || r.due(h)) {
 			to = append(to, h)
 		}
 	}
-	for _, h := range r.opt.Seeds {
-		r.meet(h)
-	}
 	var strangers []string
 	for h := range r.members.greet {
-		if r.members.byHost[h] == nil {
+		zone := r.members.zoneOf[h]
+		if r.members.byHost[h] == nil && (zone == "" || r.direct(zone)) {
 			strangers = append(strangers, h)
 		}
 	}
@@ -70,32 +100,28 @@
 func (r *Router) ownLoads() []*gossippb.Load {
 	var out []*gossippb.Load
 	for _, id := range r.backendIDs() {
-		b := r.backends[id]
-		if b.removed || (b.total(b.own) == 0 && b.interval == 0 && !b.suspect(r.now)) {
-			continue
+		if b := r.backends[id]; b.own.total() > 0 {
+			out = append(out, &gossippb.Load{Backend: b.hash, InFlight: b.own.pack()})
 		}
-		l := &gossippb.Load{Backend: id, IntervalUs: uint32(b.interval.Microseconds()), Suspect: b.suspect(r.now)}
-		if b.total(b.own) > 0 {
-			for _, n := range b.own {
-				l.InFlight = append(l.InFlight, uint32(n))
-			}
-		}
-		out = append(out, l)
 	}
 	return out
 }
 
 func (r *Router) ownSpent() []*gossippb.Spent {
-	names := make([]string, 0, len(r.quotas))
-	for name := range r.quotas {
-		names = append(names, name)
-	}
-	slices.Sort(names)
 	var out []*gossippb.Spent
-	for _, name := range names {
+	for _, name := range r.quotaNames() {
 		if s := r.quotas[name].Spent(); s > 0 {
 			out = append(out, &gossippb.Spent{Workspace: name, Amount: uint64(s)})
 		}
 	}
 	return out
 }
+
+func (r *Router) quotaNames() []string {
+	names := make([]string, 0, len(r.quotas))
+	for name := range r.quotas {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -159,6 +159,9 @@
 	Beat *gossippb.Beat
 }
 
+// ReadStore turns the reading of the platform's store on or off.
+type ReadStore struct{ On bool }
+
 // Pull asks another host for its news.
 type Pull struct{ Host string }
 
@@ -181,6 +184,7 @@
 func (Refuse) effect()      {}
 func (GiveUp) effect()      {}
 func (SendBeat) effect()    {}
+func (ReadStore) effect()   {}
 func (Pull) effect()        {}
 func (InForce) effect()     {}
 func (BackendGone) effect() {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -16,20 +16,62 @@
 	forgetAfter = 15 * time.Second
 	// greetEvery is how often seeds and silent hosts are sent a beat.
 	greetEvery = time.Second
+	// maxPriorityCount is the most that one byte of a load tells.
+	maxPriorityCount = 255
 )
 
+// counts are requests in flight by priority.
+type counts [priorities]int
+
+func (c counts) total() int {
+	n := 0
+	for _, v := range c {
+		n += v
+	}
+	return n
+}
+
+// pack puts the counts into one number, a byte each.
+func (c counts) pack() uint32 {
+	var out uint32
+	for p, n := range c {
+		out |= uint32(min(max(n, 0), maxPriorityCount)) << (8 * p)
+	}
+	return out
+}
+
+func unpack(v uint32) counts {
+	var c counts
+	for p := range c {
+		c[p] = int(v >> (8 * p) & maxPriorityCount)
+	}
+	return c
+}
+
+// loads are counts by backend server, named by the hash of its id.
+type loads map[uint32]counts
+
+func loadsOf(list []*gossippb.Load) loads {
+	out := make(loads, len(list))
+	for _, l := range list {
+		out[l.Backend] = unpack(l.InFlight)
+	}
+	return out
+}
+
 // member is another host as its beats show it.
 type member struct {
 	host        string
 	zone        string
 	incarnation uint64
 	// replaced is the incarnation before, whose last datagrams may still be under way.
-	replaced uint64
-	seq      uint64
-	heardAt  time.Duration
-	leaving  bool
-	loads    map[string]*gossippb.Load
-	spent    map[string]uint64
+	replaced   uint64
+	seq        uint64
+	heardAt    time.Duration
+	leaving    bool
+	loads      loads
+	readsStore bool
+	spent      map[string]uint64
 	// differsSince is when its news first differed from this host's; zero while they agree.
 	differsSince time.Duration
 	silent       bool
@@ -40,25 +82,14 @@
 type members struct {
 	byHost map[string]*member
 	order  []string // sorted, so that no order of a map decides
-	greet  map[string]time.Duration
+	// greet holds when hosts that are not heard may be sent the next beat.
+	greet map[string]time.Duration
+	// zoneOf are the zones of all hosts that were ever named.
+	zoneOf map[string]string
 }
 
 func newMembers() members {
-	return members{byHost: map[string]*member{}, greet: map[string]time.Duration{}}
-}
-
-// hosts counts this host and those that are not forgotten.
-func (r *Router) hosts() int { return len(r.members.byHost) + 1 }
-
-// heardShare is the part of the known hosts that is heard, this one included.
-func (r *Router) heardShare() float64 {
-	n := 1
-	for _, h := range r.members.order {
-		if !r.members.byHost[h].silent {
-			n++
-		}
-	}
-	return float64(n) / float64(r.hosts())
+	return members{byHost: map[string]*member{}, greet: map[string]time.Duration{}, zoneOf: map[string]string{}}
 }
 
 // heard takes a beat. Beats of the incarnation before are from a process that was replaced while
@@ -83,6 +114,7 @@
 	if !known {
 		m = &member{host: b.Host, zone: b.Zone, incarnation: b.Incarnation, replaced: replaced}
 		r.members.byHost[b.Host] = m
+		r.members.zoneOf[b.Host] = b.Zone
 		r.members.order = append(r.members.order, b.Host)
 		slices.Sort(r.members.order)
 		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
@@ -91,43 +123,45 @@
 		m.silent = false
 		r.emit(Note{What: "host heard again", Subject: m.host, Age: r.now - m.heardAt})
 	}
-	m.seq, m.heardAt, m.leaving = b.Seq, r.now, b.Leaving
+	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
 	r.takeLoads(m, b.Loads)
 	r.takeSpent(m, b.Spent)
+	r.takeZones(m, b.Zones)
+	r.takeChanges(b.Changes)
 	r.compareNews(m, b)
 	for _, p := range b.Peers {
-		r.meet(p.Host)
+		r.meet(p.Host, p.Zone)
 	}
 }
 
-// meet greets a host that a peer names and this one does not know.
-func (r *Router) meet(host string) {
+// meet notes a host that a peer names; it is greeted if this host talks to it directly.
+func (r *Router) meet(host, zone string) {
 	if host == r.opt.Host || r.members.byHost[host] != nil {
 		return
 	}
+	if zone != "" {
+		r.members.zoneOf[host] = zone
+	}
 	if _, ok := r.members.greet[host]; !ok {
 		r.members.greet[host] = 0
 	}
 }
 
-func (r *Router) takeLoads(m *member, loads []*gossippb.Load) {
-	r.countLoads(m, -1)
-	m.loads = map[string]*gossippb.Load{}
-	for _, l := range loads {
-		m.loads[l.Backend] = l
-	}
-	r.countLoads(m, 1)
+func (r *Router) takeLoads(m *member, list []*gossippb.Load) {
+	r.countLoads(m.loads, -1)
+	m.loads = loadsOf(list)
+	r.countLoads(m.loads, 1)
 }
 
-// countLoads adds a member's counts to the beliefs, or takes them away again.
-func (r *Router) countLoads(m *member, sign int) {
-	for id, l := range m.loads {
-		b, ok := r.backends[id]
+// countLoads adds others' counts to the beliefs, or takes them away again.
+func (r *Router) countLoads(l loads, sign int) {
+	for hash, c := range l {
+		b, ok := r.byHash[hash]
 		if !ok {
 			continue
 		}
-		for p, n := range l.InFlight {
-			b.others[min(p, priorities-1)] += sign * int(n)
+		for p, n := range c {
+			b.others[p] += sign * n
 		}
 	}
 }
@@ -137,7 +171,7 @@
 	for _, s := range spent {
 		m.spent[s.Workspace] = s.Amount
 		if q, ok := r.quotas[s.Workspace]; ok {
-			q.Heard(m.key(), float64(s.Amount))
+			q.Heard(m.key(), float64(s.Amount), m.zone == r.opt.Zone)
 		}
 	}
 }
@@ -149,7 +183,7 @@
 		quiet := r.now - m.heardAt
 		if quiet > silentAfter && !m.silent {
 			m.silent = true
-			r.countLoads(m, -1)
+			r.countLoads(m.loads, -1)
 			m.loads = nil
 			r.emit(Note{What: "host silent", Subject: host, Age: quiet})
 		}
@@ -162,7 +196,7 @@
 }
 
 func (r *Router) dropMember(m *member) {
-	r.countLoads(m, -1)
+	r.countLoads(m.loads, -1)
 	for _, q := range r.quotas {
 		q.Forget(m.key())
 	}
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
@@ -38,6 +39,7 @@
 	revision uint64 // highest revision known
 	digest   uint64 // of all live registrations and the version
 	synced   bool   // the store has been read since the start
+	reading  bool   // this host reads the store
 	triedAt  time.Duration
 	lost     bool
 	backAt   time.Duration
@@ -90,6 +92,41 @@
 	}
 	r.news.revision = max(r.news.revision, n.Revision)
 	r.news.digest = r.digest()
+	if n.FromStore && !n.Full {
+		r.pushChanges(n.Changes)
+	}
+}
+
+// maxPush is the most changes of backend servers that are pushed in a datagram.
+const maxPush = 8
+
+// pushChanges tells the zone at once what the store has just said, where few hosts read it.
+func (r *Router) pushChanges(c routing.Changes) {
+	if !r.relaying() || len(c.Backends) == 0 || len(c.Backends) > maxPush {
+		return
+	}
+	data, err := json.Marshal(c.Backends)
+	if err != nil {
+		r.emit(Note{What: "changes not pushed", Detail: err.Error()})
+		return
+	}
+	r.emitBeat(r.zoneMates(), func(b *gossippb.Beat) { b.Changes = data })
+}
+
+// takeChanges merges changes that a peer pushes.
+func (r *Router) takeChanges(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	var list []routing.BackendChange
+	if err := json.Unmarshal(data, &list); err != nil {
+		r.emit(Note{What: "pushed changes refused", Detail: err.Error()})
+		return
+	}
+	for _, ch := range list {
+		r.takeBackend(ch)
+	}
+	r.news.digest = r.digest()
 }
 
 func (r *Router) adopt(c *routing.Config) {
@@ -116,7 +153,7 @@
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if s, ok := m.spent[w.Name]; ok {
-			q.Heard(m.key(), float64(s))
+			q.Heard(m.key(), float64(s), m.zone == r.opt.Zone)
 		}
 	}
 	r.quotas[w.Name] = q
@@ -137,14 +174,9 @@
 	if !known {
 		b = newBackend(ch.Backend, r.now)
 		r.backends[ch.ID] = b
-		for _, h := range r.members.order {
-			m := r.members.byHost[h]
-			if l, ok := m.loads[ch.ID]; ok {
-				for p, n := range l.InFlight {
-					b.others[min(p, priorities-1)] += int(n)
-				}
-			}
-		}
+		r.byHash[b.hash] = b
+		b.others = r.othersAt(b.hash)
+		r.ids = nil
 		r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: ch.Service + " " + ch.Addr})
 	} else if ch.Draining && !b.Draining {
 		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
@@ -181,21 +213,26 @@
 }
 
 func (r *Router) expireNews() {
-	for _, id := range r.backendIDs() {
+	for _, id := range slices.Clone(r.backendIDs()) {
 		b := r.backends[id]
-		if b.removed && r.now-b.removedAt > tombstoneFor && b.total(b.own) == 0 {
+		if b.removed && r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
 			delete(r.backends, id)
+			delete(r.byHash, b.hash)
+			r.ids = nil
 		}
 	}
 }
 
+// backendIDs are the known ids in order; the list is kept until one is added or removed.
 func (r *Router) backendIDs() []string {
-	ids := make([]string, 0, len(r.backends))
-	for id := range r.backends {
-		ids = append(ids, id)
+	if r.ids == nil {
+		r.ids = make([]string, 0, len(r.backends))
+		for id := range r.backends {
+			r.ids = append(r.ids, id)
+		}
+		slices.Sort(r.ids)
 	}
-	slices.Sort(ids)
-	return ids
+	return r.ids
 }
 
 // digest is equal on hosts that hold the same news.
@@ -220,6 +257,9 @@
 	if m.differsSince == 0 {
 		m.differsSince = max(1, r.now)
 	}
+	if r.relaying() && m.zone != r.opt.Zone {
+		return
+	}
 	newer := b.ConfigVersion > r.version() || b.Revision > r.news.revision
 	wait, every := pullAfter, pullEvery
 	if !newer {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -106,7 +106,7 @@
 		switch {
 		case doubt:
 			doubtful = better(doubtful, c)
-		case b.suspect(r.now) || (b.onProbation() && b.total(b.own) > 0):
+		case b.suspect(r.now) || (b.onProbation() && b.own.total() > 0):
 			suspect = better(suspect, c)
 		default:
 			best = better(best, c)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -221,7 +221,7 @@
 	if !limited {
 		return 0, true
 	}
-	ok, back = quota.Admit(r.now, q.Cost, r.heardShare())
+	ok, back = quota.Admit(r.now, q.Cost, r.heardShare(), r.hosts())
 	q.charged = ok
 	return back, ok
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -4,7 +4,7 @@
 // choice inside.
 //
 // One file is one concern: members (who else is there), news (configuration and backend servers),
-// backends (what is believed of each), place (where a request goes), requests (their lives), beats.
+// backends (what is believed of each), zones (summaries between availability zones), place (where a request goes), requests (their lives), beats.
 package router
 
 import (
@@ -47,6 +47,9 @@
 	members  members
 	news     newsState
 	backends map[string]*backend
+	byHash   map[uint32]*backend
+	ids      []string // of backends, in order; nil where it must be made again
+	zones    zoneState
 	services map[string]*service
 	requests map[uint64]*request
 	quotas   map[string]*limit.Quota
@@ -63,6 +66,8 @@
 		members:  newMembers(),
 		news:     newNewsState(),
 		backends: map[string]*backend{},
+		byHash:   map[uint32]*backend{},
+		zones:    newZoneState(),
 		services: map[string]*service{},
 		requests: map[uint64]*request{},
 		quotas:   map[string]*limit.Quota{},
@@ -103,7 +108,9 @@
 
 func (r *Router) tick() {
 	r.expireMembers()
+	r.expireZones()
 	r.expireNews()
+	r.decideReading()
 	if r.now >= r.beatAt {
 		r.sendBeats()
 	}
--- /dev/null
+++ b/internal/router/zones.go
@@ -0,0 +1,360 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+const (
+	// fullMesh is the most hosts that all talk to each other. Above it beats go to the own zone
+	// only, and sums go between zones: at 79 hosts, all to all cost a fifth of the answers' worth
+	// in bytes between zones alone.
+	fullMesh = 16
+	// speakers are the hosts of a zone that send its sums to one other zone, and how many hosts
+	// there they are sent to. Two, so that the loss of one goes unnoticed.
+	speakers = 2
+	// sumEvery is the period of sums; work crosses zones only when its own is full.
+	sumEvery = 400 * time.Millisecond
+	// sumStale is when a zone's sum no longer counts: four periods.
+	sumStale = 1600 * time.Millisecond
+	// speakerStale is when another speaker's sums are taken in place of a silent one's.
+	speakerStale = 1000 * time.Millisecond
+	// readers are the hosts of a zone that read the platform's store, where zones relay.
+	readers = 3
+	// readAlone is how long a host hears of no reader before it reads by itself.
+	readAlone = 1500 * time.Millisecond
+	// startWait is how long a starting host listens for peers before it reads the store: where there
+	// are many, they have the news already.
+	startWait = 250 * time.Millisecond
+)
+
+// zoneState is what this host knows of the other zones, where not all hosts talk to each other.
+type zoneState struct {
+	sums    map[string]*zoneSum
+	sumAt   time.Duration
+	peersAt time.Duration
+	// readerAt is when a zone mate in contact with the store was last heard.
+	readerAt time.Duration
+	decided  bool
+}
+
+// zoneSum is another zone's latest sum.
+type zoneSum struct {
+	zone        string
+	speaker     string
+	incarnation uint64
+	seq         uint64
+	hosts       int
+	at          time.Duration
+	loads       loads
+	stale       bool
+	// direct is when this host, rather than a zone mate, heard it; raw is what it passes on.
+	direct time.Duration
+	raw    *gossippb.ZoneSum
+}
+
+func (z *zoneSum) key() string { return z.zone + "/" + z.speaker + "/" + itoa(z.incarnation) }
+
+func newZoneState() zoneState { return zoneState{sums: map[string]*zoneSum{}} }
+
+// relaying tells whether there are too many hosts for all to talk to each other.
+func (r *Router) relaying() bool { return len(r.members.zoneOf)+1 > fullMesh }
+
+// direct tells whether this host sends its beats to hosts of a zone.
+func (r *Router) direct(zone string) bool { return zone == r.opt.Zone || !r.relaying() }
+
+// zoneMates are the other hosts of this zone that are heard.
+func (r *Router) zoneMates() []string {
+	var out []string
+	for _, h := range r.members.order {
+		if m := r.members.byHost[h]; m.zone == r.opt.Zone && !m.silent {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// duty tells whether this host is among the first n of its zone for a purpose. Each host computes
+// it from those that it hears; views that differ for a moment double a duty or leave it to one
+// fewer, which is why there are several.
+func (r *Router) duty(purpose string, n int) bool {
+	mine := rank(r.opt.Host, purpose)
+	before := 0
+	for _, h := range r.zoneMates() {
+		if !r.members.byHost[h].leaving && rank(h, purpose) < mine {
+			before++
+		}
+	}
+	return before < n
+}
+
+func rank(host, purpose string) uint64 { return xxhash.Sum64String(host + "|" + purpose) }
+
+// hosts counts all hosts that are not forgotten, this one included.
+func (r *Router) hosts() int {
+	n, _ := r.census()
+	return n
+}
+
+// heardShare is the part of the known hosts that is heard.
+func (r *Router) heardShare() float64 {
+	known, heard := r.census()
+	return float64(heard) / float64(known)
+}
+
+// census counts the hosts that are known and those that are heard, directly or in a zone's sum.
+func (r *Router) census() (known, heard int) {
+	known, heard = 1, 1
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if !r.direct(m.zone) {
+			continue
+		}
+		known++
+		if !m.silent {
+			heard++
+		}
+	}
+	if !r.relaying() {
+		return known, heard
+	}
+	for _, z := range r.zones.sums {
+		known += z.hosts
+		if !z.stale {
+			heard += z.hosts
+		}
+	}
+	return known, heard
+}
+
+// otherZones are the zones of all known hosts but this one's, in order.
+func (r *Router) otherZones() []string {
+	var out []string
+	for _, zone := range r.members.zoneOf {
+		if zone != "" && zone != r.opt.Zone && !slices.Contains(out, zone) {
+			out = append(out, zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// sendZoneSums sends this zone's sum to every other zone that this host speaks to.
+func (r *Router) sendZoneSums() {
+	if !r.relaying() || r.now < r.zones.sumAt {
+		return
+	}
+	r.zones.sumAt = r.now + sumEvery
+	var sum *gossippb.ZoneSum
+	for _, zone := range r.otherZones() {
+		if !r.duty("speaks to "+zone, speakers) {
+			continue
+		}
+		if sum == nil {
+			sum = r.ownZoneSum()
+		}
+		to := r.listeners(zone)
+		r.emitBeat(to, func(b *gossippb.Beat) {
+			b.Loads, b.Spent = nil, nil
+			b.Zones = []*gossippb.ZoneSum{sum}
+			b.Peers = r.knownPeers()
+		})
+	}
+}
+
+// listeners are hosts of another zone to send sums to: those that speak from there, as they live,
+// and some others while too few speak.
+func (r *Router) listeners(zone string) []string {
+	var out, rest []string
+	for h, z := range r.members.zoneOf {
+		if z != zone {
+			continue
+		}
+		if m := r.members.byHost[h]; m != nil && !m.silent {
+			out = append(out, h)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	slices.Sort(out)
+	slices.Sort(rest)
+	if len(out) > speakers {
+		out = out[:speakers]
+	}
+	for len(out) < speakers && len(rest) > 0 {
+		i := r.rng.IntN(len(rest))
+		out = append(out, rest[i])
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return out
+}
+
+// ownZoneSum adds up what this host and its zone mates carry.
+func (r *Router) ownZoneSum() *gossippb.ZoneSum {
+	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
+		Hosts: uint32(len(r.zoneMates()) + 1)}
+	for _, id := range r.backendIDs() {
+		b := r.backends[id]
+		sum := b.own
+		for _, h := range r.zoneMates() {
+			for p, n := range r.members.byHost[h].loads[b.hash] {
+				sum[p] += n
+			}
+		}
+		if sum.total() > 0 {
+			s.Loads = append(s.Loads, &gossippb.Load{Backend: b.hash, InFlight: sum.pack()})
+		}
+	}
+	for _, name := range r.quotaNames() {
+		if v := r.quotas[name].ZoneSpent(); v > 0 {
+			s.Spent = append(s.Spent, &gossippb.Spent{Workspace: name, Amount: uint64(v)})
+		}
+	}
+	return s
+}
+
+// relayed are the sums of other zones that this host heard itself and passes on in its own. One
+// host of the zone does it for each other zone, as all of them would say the same.
+func (r *Router) relayed() []*gossippb.ZoneSum {
+	if !r.relaying() {
+		return nil
+	}
+	var out []*gossippb.ZoneSum
+	for _, zone := range r.otherZones() {
+		z, ok := r.zones.sums[zone]
+		if ok && z.raw != nil && r.now-z.direct < sumEvery {
+			out = append(out, z.raw)
+			z.raw = nil // once
+		}
+	}
+	return out
+}
+
+// takeZones takes sums of other zones, from their speakers or from a zone mate that passes them on.
+func (r *Router) takeZones(from *member, sums []*gossippb.ZoneSum) {
+	for _, s := range sums {
+		if s.Zone == r.opt.Zone {
+			continue
+		}
+		r.members.zoneOf[s.Speaker] = s.Zone
+		r.takeZoneSum(s, from.zone == s.Zone)
+	}
+}
+
+func (r *Router) takeZoneSum(s *gossippb.ZoneSum, direct bool) {
+	z, ok := r.zones.sums[s.Zone]
+	same := ok && z.speaker == s.Speaker && z.incarnation == s.Incarnation
+	switch {
+	case same && s.Seq <= z.seq:
+		return
+	case ok && !same && r.now-z.at < speakerStale:
+		return // one speaker at a time, or admissions would be counted twice
+	case !ok:
+		z = &zoneSum{zone: s.Zone}
+		r.zones.sums[s.Zone] = z
+	}
+	r.countLoads(z.loads, -1)
+	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
+	z.loads, z.stale = loadsOf(s.Loads), false
+	r.countLoads(z.loads, 1)
+	for _, sp := range s.Spent {
+		if q, ok := r.quotas[sp.Workspace]; ok {
+			q.HeardZone(z.key(), float64(sp.Amount), same)
+		}
+	}
+	if direct {
+		z.direct, z.raw = r.now, s
+	}
+}
+
+// expireZones stops counting what zones said that are not heard any more.
+func (r *Router) expireZones() {
+	for _, zone := range r.otherZones() {
+		z, ok := r.zones.sums[zone]
+		if !ok {
+			continue
+		}
+		quiet := r.now - z.at
+		if quiet > sumStale && !z.stale {
+			z.stale = true
+			r.countLoads(z.loads, -1)
+			z.loads = nil
+			r.emit(Note{What: "zone silent", Subject: zone, Age: quiet})
+		}
+		if quiet > forgetAfter {
+			delete(r.zones.sums, zone)
+		}
+	}
+}
+
+// othersAt adds up what others have told of one backend server.
+func (r *Router) othersAt(hash uint32) counts {
+	var c counts
+	add := func(l loads) {
+		for p, n := range l[hash] {
+			c[p] += n
+		}
+	}
+	for _, h := range r.members.order {
+		add(r.members.byHost[h].loads)
+	}
+	for _, z := range r.zones.sums {
+		add(z.loads)
+	}
+	return c
+}
+
+// knownPeers names the hosts of this zone that are heard, and some of the others.
+func (r *Router) knownPeers() []*gossippb.Peer {
+	var out []*gossippb.Peer
+	for _, h := range r.members.order {
+		out = append(out, &gossippb.Peer{Host: h, Zone: r.members.byHost[h].zone})
+	}
+	if !r.relaying() {
+		return out
+	}
+	for _, zone := range r.otherZones() {
+		for _, h := range r.listeners(zone) {
+			if r.members.byHost[h] == nil {
+				out = append(out, &gossippb.Peer{Host: h, Zone: zone})
+			}
+		}
+	}
+	return out
+}
+
+// decideReading turns the reading of the store on where this host should: everywhere in a small
+// fleet, and in a large one on a few hosts of each zone, and on any that hears of none of them.
+func (r *Router) decideReading() {
+	if !r.zones.decided && r.now < startWait {
+		return
+	}
+	for _, h := range r.zoneMates() {
+		if m := r.members.byHost[h]; m.readsStore {
+			r.zones.readerAt = r.now
+		}
+	}
+	alone := r.now-r.zones.readerAt > readAlone
+	on := !r.relaying() || alone || r.duty("reads the store", readers)
+	if on == r.news.reading && r.zones.decided {
+		return
+	}
+	r.zones.decided = true
+	r.news.reading = on
+	if !on {
+		r.news.lost = true
+	}
+	r.emit(ReadStore{on})
+	r.emit(Note{What: "reads the store", Detail: strconvBool(on)})
+}
+
+func strconvBool(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
