--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -124,7 +124,7 @@
 	f.g.metrics.Timer("requests.time").Update(took)
 	e := f.g.log.Info().Str("id", f.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
 	if f.route != nil {
-		e = e.Str("route", f.route.Name).Int("priority", f.route.Priority)
+		e = e.Str("route", f.route.Name).Float64("rank", f.rank)
 	}
 	if f.workspace != nil {
 		e = e.Str("workspace", f.workspace.Name)
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -26,6 +26,7 @@
 	call      Call
 	route     *routing.Route
 	workspace *routing.Workspace
+	rank      float64
 	id        uint64
 	began     time.Time
 	beganAt   time.Duration // on the control's clock
@@ -134,7 +135,7 @@
 
 func (f *flight) submission() router.Submit {
 	s := router.Submit{
-		ID: f.id, Route: f.route, Workspace: f.workspace, Priority: f.route.Priority,
+		ID: f.id, Route: f.route, Workspace: f.workspace, Rank: f.rank,
 		PromptTok: f.call.PromptTokens, OutputTok: f.call.OutputTokens, PrefixPart: f.call.PrefixPart,
 		Deadline: f.beganAt + f.allowed, AllowedTime: f.call.Deadline,
 	}
@@ -143,9 +144,6 @@
 	}
 	if w := f.workspace; w != nil {
 		s.Cost = router.CostOf(w, f.call.HasTokens, f.call.PromptTokens, f.call.OutputTokens)
-		if w.HasPriority {
-			s.Priority = w.Priority
-		}
 	}
 	return s
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,6 +78,7 @@
 			return
 		}
 	}
+	f.rank = table.Rank(f.route, f.workspace)
 	f.setDeadline()
 	if !f.readBody(table.Config.Limits.BodyBytes) {
 		return
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -19,7 +19,7 @@
 	ID          uint64
 	Route       *routing.Route
 	Workspace   *routing.Workspace // nil on public routes
-	Priority    int
+	Rank        float64            // urgency: 0 the most, routing.LeastUrgent the least
 	PromptTok   int
 	OutputTok   int
 	Cost        float64 // what the quota counts
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -21,6 +21,10 @@
 	// farPenalty makes a backend server of another zone count as that much busier: at equal load
 	// the bytes stay in the zone.
 	farPenalty = 1.08
+	// farFull is the same in a large fleet, where other zones' counts are half a second old.
+	farFull = 1.6
+	// choices is how many candidates a host of a large fleet draws at random to take the best of.
+	choices = 6
 	// unknownPace stands for a backend server's speed until any has been observed.
 	unknownPace = 20 * time.Millisecond
 )
@@ -36,7 +40,6 @@
 type candidate struct {
 	b     *backend
 	score float64
-	far   bool
 }
 
 // chooseService draws one of the route's services by weight, among those with a usable backend
@@ -80,15 +83,14 @@
 	if q.Route.Kind != routing.Streaming {
 		return slots * plainDepth
 	}
-	rank := min(q.Priority, priorities-1)
-	return max(1, slots+headroom-perRank*rank)
+	return max(1, slots+headroom-int(perRank*q.Rank+0.5))
 }
 
 // place chooses a backend server: filter, score, reserve. It returns nil where none has room, with
 // the grounds of the least loaded one.
 func (r *Router) place(q *request) (*backend, Grounds) {
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
-	best, doubtful, suspect := candidate{}, candidate{}, candidate{}
+	var good, doubtful, suspect []candidate
 	for _, id := range r.backendIDs() {
 		b := r.backends[id]
 		ok, doubt := b.usable(r.now)
@@ -102,25 +104,45 @@
 		if held >= limit {
 			continue
 		}
-		c := candidate{b, r.score(b, held), b.Zone != r.opt.Zone}
+		c := candidate{b, r.score(b, held)}
 		switch {
 		case doubt:
-			doubtful = better(doubtful, c)
+			doubtful = append(doubtful, c)
 		case b.suspect(r.now) || (b.onProbation() && b.own.total() > 0):
-			suspect = better(suspect, c)
+			suspect = append(suspect, c)
 		default:
-			best = better(best, c)
+			good = append(good, c)
 		}
 	}
-	for _, c := range []candidate{best, doubtful, suspect} {
-		if c.b != nil {
-			g.InFlight, g.Limit = c.b.inFlight(), r.limitFor(c.b, q)
-			return c.b, g
+	for _, list := range [][]candidate{good, doubtful, suspect} {
+		if len(list) > 0 {
+			b := r.pick(list)
+			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
+			return b, g
 		}
 	}
 	return nil, g
 }
 
+// pick takes the best candidate, or in a large fleet the best of a few drawn at random: many hosts
+// that choose by the same counts, a beat old, would all send to the same one.
+func (r *Router) pick(list []candidate) *backend {
+	var best candidate
+	draws := len(list)
+	if r.relaying() {
+		draws = min(draws, choices)
+	}
+	for i := 0; i < draws; i++ {
+		j := i + r.rng.IntN(len(list)-i)
+		if draws == len(list) {
+			j = i
+		}
+		list[i], list[j] = list[j], list[i]
+		best = better(best, list[i])
+	}
+	return best.b
+}
+
 func better(a, b candidate) candidate {
 	if a.b == nil || b.score < a.score {
 		return b
@@ -136,7 +158,11 @@
 		pace = r.paceOf(b.Service)
 	}
 	s := float64(held+1) * float64(pace)
-	if b.Zone != r.opt.Zone {
+	switch {
+	case b.Zone == r.opt.Zone:
+	case r.relaying():
+		s *= farFull
+	default:
 		s *= farPenalty
 	}
 	return s
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -39,6 +39,9 @@
 	charged bool
 }
 
+// bucket is where a request is counted among those in flight.
+func (q *request) bucket() int { return min(int(q.Rank+0.5), priorities-1) }
+
 func (r *Router) submit(e Submit) {
 	q := &request{Submit: e}
 	if left := r.drainLeft(e); left {
@@ -86,7 +89,7 @@
 	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
-	b.own[min(q.Priority, priorities-1)]++
+	b.own[q.bucket()]++
 	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, At: r.now, Grounds: g})
 }
 
@@ -107,8 +110,7 @@
 // comeBack is when a refused caller should return: the most urgent first, spread, and within the
 // part of its time that callers are willing to wait.
 func (r *Router) comeBack(q *request) time.Duration {
-	rank := time.Duration(min(q.Priority, priorities-1))
-	back := backFirst + rank*backRank + time.Duration(r.rng.Float64()*float64(backSpread))
+	back := backFirst + time.Duration(q.Rank*float64(backRank)) + time.Duration(r.rng.Float64()*float64(backSpread))
 	return max(0, min(back, (q.Deadline-r.now)/backThird))
 }
 
@@ -202,7 +204,7 @@
 	if q.backend == nil {
 		return
 	}
-	p := min(q.Priority, priorities-1)
+	p := q.bucket()
 	q.backend.own[p]--
 	r.inv.Check(q.backend.own[p] >= 0, "backend server %s has %d in flight", q.backend.ID, q.backend.own[p])
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -4,7 +4,10 @@
 package routing
 
 import (
+	"cmp"
+	"maps"
 	"net"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -122,11 +125,61 @@
 	hosts    map[string][]*Route
 	keys     map[string]*Workspace
 	services map[string]*Service
+	ranks    map[urgency]float64
+}
+
+// urgency orders requests: first by the workspace's priority, which takes precedence, then by the
+// route's, which decides where workspaces are alike.
+type urgency struct{ workspace, route int }
+
+func (u urgency) compare(v urgency) int {
+	return cmp.Or(cmp.Compare(u.workspace, v.workspace), cmp.Compare(u.route, v.route))
+}
+
+func urgencyOf(r *Route, w *Workspace) urgency {
+	if w != nil && w.HasPriority {
+		return urgency{w.Priority, r.Priority}
+	}
+	return urgency{r.Priority, r.Priority}
+}
+
+// LeastUrgent is the rank of the least urgent requests of a configuration.
+const LeastUrgent = 2.0
+
+// Rank is how urgent a request is among all that the configuration knows: 0 for the most urgent,
+// LeastUrgent for the least, evenly spaced between.
+func (t *Table) Rank(r *Route, w *Workspace) float64 {
+	if rank, ok := t.ranks[urgencyOf(r, w)]; ok {
+		return rank
+	}
+	return LeastUrgent
+}
+
+func rankAll(c *Config) map[urgency]float64 {
+	seen := map[urgency]float64{}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Public || len(c.Workspaces) == 0 {
+			seen[urgencyOf(r, nil)] = 0
+			continue
+		}
+		for j := range c.Workspaces {
+			seen[urgencyOf(r, &c.Workspaces[j])] = 0
+		}
+	}
+	order := slices.SortedFunc(maps.Keys(seen), urgency.compare)
+	for i, u := range order {
+		if len(order) > 1 {
+			seen[u] = LeastUrgent * float64(i) / float64(len(order)-1)
+		}
+	}
+	return seen
 }
 
 // NewTable prepares a configuration, which must not change afterwards.
 func NewTable(c *Config) *Table {
-	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[string]*Workspace{}, services: map[string]*Service{}}
+	t := &Table{Config: c, hosts: map[string][]*Route{}, keys: map[string]*Workspace{}, services: map[string]*Service{},
+		ranks: rankAll(c)}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		host := strings.ToLower(r.Host)
