Silent backend servers are left for others where a request may run again

Cause: in a cut of a zone requests on kept connections waited until their deadline, and new ones dialled into the cut zone for 300 ms. Change: a stall is asked of the reducer (kind, attempts, room, budget); a zone none of whose hosts is heard counts as cut; a connection whose bytes are not acknowledged for 1 s ends; headroom 4 in place of 3.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -28,6 +28,7 @@
 	workspace *routing.Workspace
 	rank      float64
 	id        uint64
+	effects   chan router.Effect
 	began     time.Time
 	beganAt   time.Duration // on the control's clock
 	allowed   time.Duration // from began until the request is given up
@@ -101,9 +102,9 @@
 // fly hands the request to the reducer and carries out its effects until it is finished.
 func (f *flight) fly() {
 	f.id = f.g.lastID.Add(1)
-	effects := make(chan router.Effect, effectBuffer)
-	f.g.control.Submit(f.submission(), effects)
-	for e := range effects {
+	f.effects = make(chan router.Effect, effectBuffer)
+	f.g.control.Submit(f.submission(), f.effects)
+	for e := range f.effects {
 		switch e := e.(type) {
 		case router.Dispatch:
 			f.backend, f.attempts = e.Backend.ID, e.Attempt
@@ -180,6 +181,43 @@
 	return f.carry(resp, sentAt)
 }
 
+const (
+	// Callers leave a silent stream after the longest of patienceLeast, patienceTargets times its
+	// objective and patienceGaps times its longest pause. A move has to come well before that:
+	// stallFirst of it before the first event, which may have to queue, and stallNext between events.
+	patienceLeast   = 2 * time.Second
+	patienceTargets = 4
+	patienceGaps    = 8
+	stallFirst      = 0.45
+	stallNext       = 0.3
+	// stallPlain is how many times its objective a plain answer may take.
+	stallPlain = 2.5
+)
+
+// stall is how long a backend server may be silent before the first byte and after it; zero where
+// the request cannot be repeated anyway.
+func (f *flight) stall() (first, next time.Duration) {
+	if !f.route.Repeatable() || f.rest != nil {
+		return 0, 0
+	}
+	if f.route.Kind != routing.Streaming {
+		d := time.Duration(stallPlain * float64(f.route.Target))
+		return d, d
+	}
+	patience := float64(max(patienceLeast, patienceTargets*f.route.Target, patienceGaps*f.route.MaxGap))
+	return time.Duration(stallFirst * patience), time.Duration(stallNext * patience)
+}
+
+// stalled asks the reducer whether to give a silent backend server up.
+func (f *flight) stalled() bool {
+	f.g.control.Post(router.Stalled{ID: f.id})
+	v, ok := (<-f.effects).(router.Verdict)
+	if ok && v.Move {
+		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Int64("last_event", f.lastEvent).Msg("Silent for long. Moves.")
+	}
+	return ok && v.Move
+}
+
 func (f *flight) request(d router.Dispatch) *upstream.Request {
 	h := f.r.Header.Clone()
 	dropHop(h)
@@ -202,6 +240,8 @@
 	if f.rest != nil {
 		req.Length = f.r.ContentLength
 	}
+	req.Stall, _ = f.stall()
+	req.Stalled = f.stalled
 	return req
 }
 
@@ -306,6 +346,10 @@
 			end.Delivered = f.headWritten
 			return t.fill(end)
 		}
+		if t.events == 0 {
+			_, next := f.stall()
+			resp.SetStall(next)
+		}
 		out := f.fresh(chunk, &t)
 		if len(out) == 0 {
 			continue
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -15,6 +15,9 @@
 	// what they admit before they have heard of each other: a beat's age times the demand.
 	useOver  = 0.3
 	useSlack = 0.35
+	// cutExtra is added to the part that is heard, out of the allowance: the callers of a zone that
+	// is cut off ask a little more or less than its even share.
+	cutExtra = 0.1
 	// skew is how many times its even part of a quota one host may use: the balancer spreads callers
 	// by a hash, and workspaces unevenly. It bounds what all hosts together admit within a beat's
 	// age when a workspace suddenly asks for many times its quota.
@@ -59,6 +62,7 @@
 // others, cut off or just gone, are taken to use their even share of the rate meanwhile.
 func (q *Quota) refill(now time.Duration, heardShare float64) {
 	if now > q.at {
+		heardShare = min(1, heardShare+cutExtra)
 		rate := q.rate * (1 + q.allow.Over*useOver) * heardShare
 		q.level = min(q.cap(), q.level+rate*(now-q.at).Seconds())
 		q.at = now
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -111,6 +111,8 @@
 	switch e := eff.(type) {
 	case router.Dispatch:
 		c.toCaller(e.ID, e)
+	case router.Verdict:
+		c.toCaller(e.ID, e)
 	case router.Refuse:
 		c.toCaller(e.ID, e)
 		delete(c.callers, e.ID)
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -31,6 +31,9 @@
 // Began tells that a stream's first event has come: its prompt is read.
 type Began struct{ ID uint64 }
 
+// Stalled tells that the backend server has been silent for long. The answer is a Verdict.
+type Stalled struct{ ID uint64 }
+
 // Gone tells that the caller left before the answer was complete.
 type Gone struct{ ID uint64 }
 
@@ -95,6 +98,7 @@
 func (Tick) event()         {}
 func (Submit) event()       {}
 func (Began) event()        {}
+func (Stalled) event()      {}
 func (Gone) event()         {}
 func (Ended) event()        {}
 func (Heard) event()        {}
@@ -137,6 +141,12 @@
 	BackendLost Cause = "backend_lost"
 )
 
+// Verdict answers Stalled: give the dispatch up, for another backend server, or wait on.
+type Verdict struct {
+	ID   uint64
+	Move bool
+}
+
 // Refuse ends a request that has not run, with the time to come back.
 type Refuse struct {
 	ID      uint64
@@ -181,6 +191,7 @@
 }
 
 func (Dispatch) effect()    {}
+func (Verdict) effect()     {}
 func (Refuse) effect()      {}
 func (GiveUp) effect()      {}
 func (SendBeat) effect()    {}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -13,7 +13,7 @@
 	// perRank how many fewer for each rank below: engines admit in order of arrival and know no
 	// priorities, so what may queue there is what ranks. Measured against limits without ranks,
 	// this serves a tenth more of the worth on the heaviest days.
-	headroom = 3
+	headroom = 4
 	perRank  = 2
 	// plainDepth is how many requests a slot a plain service's server may hold: answers there take
 	// a few tens of milliseconds against an objective several times that.
@@ -108,7 +108,7 @@
 		switch {
 		case doubt:
 			doubtful = append(doubtful, c)
-		case b.suspect(r.now) || (b.onProbation() && b.own.total() > 0):
+		case b.suspect(r.now) || r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
 			suspect = append(suspect, c)
 		default:
 			good = append(good, c)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -37,6 +37,8 @@
 	ran     bool
 	runs    int
 	charged bool
+	// prepaid tells that the retry budget was spent when the move was decided.
+	prepaid bool
 }
 
 // bucket is where a request is counted among those in flight.
@@ -189,7 +191,8 @@
 	if e.Delivered && q.Route.Kind != routing.Streaming {
 		allowed = false
 	}
-	if allowed && r.budgetOf(q.service).Spend(r.now, r.hosts()) {
+	if allowed && (q.prepaid || r.budgetOf(q.service).Spend(r.now, r.hosts())) {
+		q.prepaid = false
 		if b, _ := r.place(q); b != nil {
 			r.dispatch(q)
 			return
@@ -199,6 +202,27 @@
 	r.emit(GiveUp{ID: q.ID, Cause: BackendLost, PassOn: true})
 }
 
+// stalled decides whether a request whose backend server is silent moves to another one. It moves
+// only if it may run again, another has room, and the retry budget pays: a cut or a dead server shows
+// as silence, and callers leave a silent stream after a few seconds, but so does a long queue.
+func (r *Router) stalled(id uint64) {
+	q, ok := r.requests[id]
+	if !ok {
+		r.emit(Verdict{ID: id})
+		return
+	}
+	move := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now < q.Deadline
+	if move {
+		held := q.tried
+		q.tried = append(q.tried[:len(q.tried):len(q.tried)], q.backend.ID)
+		b, _ := r.place(q)
+		q.tried = held
+		move = b != nil && r.budgetOf(q.service).Spend(r.now, r.hosts())
+	}
+	q.prepaid = move
+	r.emit(Verdict{ID: id, Move: move})
+}
+
 // release takes a request out of the counts of its backend server.
 func (r *Router) release(q *request) {
 	if q.backend == nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -85,6 +85,8 @@
 		r.submit(e)
 	case Began:
 		r.began(e.ID)
+	case Stalled:
+		r.stalled(e.ID)
 	case Gone:
 		r.gone(e.ID)
 	case Ended:
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -27,6 +27,8 @@
 	readers = 3
 	// readAlone is how long a host hears of no reader before it reads by itself.
 	readAlone = 1500 * time.Millisecond
+	// cutAfter is how long none of a zone's hosts must be heard for the zone to count as cut off.
+	cutAfter = 450 * time.Millisecond
 	// startWait is how long a starting host listens for peers before it reads the store: where there
 	// are many, they have the news already.
 	startWait = 250 * time.Millisecond
@@ -271,6 +273,29 @@
 	}
 }
 
+// zoneSilent tells that no host of another zone is heard though some are known: the zone is cut off,
+// and its backend servers most likely with it.
+func (r *Router) zoneSilent(zone string) bool {
+	if zone == r.opt.Zone {
+		return false
+	}
+	if z, ok := r.zones.sums[zone]; ok && r.relaying() {
+		return z.stale
+	}
+	known := false
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if m.zone != zone {
+			continue
+		}
+		if !m.silent && r.now-m.heardAt < cutAfter {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
 // expireZones stops counting what zones said that are not heard any more.
 func (r *Router) expireZones() {
 	for _, zone := range r.otherZones() {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -26,6 +26,10 @@
 	Own func(h http.Header) bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Stall, if not zero, is how long the server may be silent until Stalled is asked whether to
+	// give the call up; the call then ends with ErrStalled.
+	Stall   time.Duration
+	Stalled func() bool
 }
 
 // Response is an answer whose body is still to be read. Close must be called.
@@ -73,6 +77,7 @@
 	x := &call{pool: p, addr: addr, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(req.Deadline)
+	c.deadline, c.stall, c.stalled = req.Deadline, req.Stall, req.Stalled
 	if err := x.write(req); err != nil {
 		x.end()
 		return nil, true, err
@@ -154,8 +159,8 @@
 	return n, err
 }
 
-// SetDeadline moves the call's deadline.
-func (r *Response) SetDeadline(t time.Time) { _ = r.call.conn.SetDeadline(t) }
+// SetStall sets another time of silence for the rest of the answer.
+func (r *Response) SetStall(d time.Duration) { r.call.conn.stall = d }
 
 // Close ends the call. The connection is kept only if both the request and the answer are through,
 // no byte is left over and no answer of another request was met on it.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -5,8 +5,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -18,9 +20,9 @@
 
 const (
 	// dialTimeout is many times a round trip between zones; a server behind a cut does not answer.
-	dialTimeout = 300 * time.Millisecond
-	// userTimeout ends a connection whose sent bytes nobody acknowledges.
-	userTimeout = 2 * time.Second
+	dialTimeout = 200 * time.Millisecond
+	// userTimeout ends a connection whose sent bytes nobody acknowledges: four retransmissions.
+	userTimeout = time.Second
 	// probeIdle, probeEvery and probeCount are TCP keep-alive: a connection that has fallen silent
 	// without a reset is found within about three seconds.
 	probeIdle  = time.Second
@@ -60,6 +62,39 @@
 	r *bufio.Reader
 	// until is when the server may close it for being idle.
 	until time.Time
+	// deadline ends the exchange under way; stall, if not zero, is how long the server may be silent
+	// until stalled is asked whether to give it up.
+	deadline time.Time
+	stall    time.Duration
+	stalled  func() bool
+}
+
+// ErrStalled tells that the server was silent for so long that the call was given up.
+var ErrStalled = errors.New("the server fell silent")
+
+// Read implements io.Reader. The look for silence is here, below all buffers, so that reading can
+// go on where the call is not given up.
+func (c *conn) Read(p []byte) (int, error) {
+	if c.stall <= 0 {
+		return c.Conn.Read(p)
+	}
+	for {
+		until := time.Now().Add(c.stall)
+		last := !until.Before(c.deadline)
+		if last {
+			until = c.deadline
+		}
+		if err := c.Conn.SetReadDeadline(until); err != nil {
+			return 0, trace.Wrap(err)
+		}
+		n, err := c.Conn.Read(p)
+		if n > 0 || last || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if c.stalled() {
+			return 0, ErrStalled
+		}
+	}
 }
 
 func dial(ctx context.Context, d *net.Dialer, addr string) (*conn, error) {
@@ -67,7 +102,9 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
 	}
-	return &conn{Conn: c, r: bufio.NewReaderSize(c, readBuffer)}, nil
+	out := &conn{Conn: c}
+	out.r = bufio.NewReaderSize(out, readBuffer)
+	return out, nil
 }
 
 // clean tells whether an idle connection is open and has nothing to read. Bytes that came after a
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -59,6 +59,7 @@
 		return
 	}
 	c.until = time.Now().Add(keep)
+	c.stall, c.stalled = 0, nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[addr]) >= p.maxIdle {
