--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -72,6 +72,7 @@
 		fmt.Printf("%s: settings are good\n", path)
 		return
 	}
+	node.Tune(set)
 	metrics := telemetry.NewMetrics()
 	log, flush := telemetry.NewBoundedLogger(os.Stdout, metrics)
 	ctx, _ := signals()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -99,6 +99,8 @@
 	case e.PassOn && f.held != nil:
 		f.writeAnswer(f.held)
 		f.logEnd("failure_passed_on", f.held.status)
+	case f.rest != nil && f.rest.tooLarge.Load():
+		f.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 	case e.Cause == router.OutOfTime:
 		f.refuse(http.StatusGatewayTimeout, string(e.Cause), 0)
 	default:
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"fireflyshift/internal/router"
@@ -34,7 +35,7 @@
 	allowed   time.Duration // from began until the request is given up
 	deadline  time.Time
 	body      []byte
-	rest      io.Reader
+	rest      *watchedBody
 	// headWritten tells that the caller has got a status; lastEvent is the last event that it has.
 	headWritten bool
 	lastEvent   int64
@@ -69,6 +70,11 @@
 	if f.r.ContentLength == 0 {
 		return true
 	}
+	if limit > 0 && f.r.ContentLength > limit {
+		f.w.Header().Set("Connection", "close") // rather than read what is refused
+		f.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		return false
+	}
 	if limit > 0 {
 		f.r.Body = http.MaxBytesReader(f.w, f.r.Body, limit)
 	}
@@ -91,7 +97,7 @@
 	}
 	f.body = body
 	if len(body) == bodyBuffer {
-		f.rest = f.r.Body
+		f.rest = &watchedBody{src: f.r.Body}
 		return true
 	}
 	// Without this the deadline would also end the watch for the caller's leaving.
@@ -99,6 +105,22 @@
 	return true
 }
 
+// watchedBody remembers why a caller's body ended early.
+type watchedBody struct {
+	src      io.Reader
+	tooLarge atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *watchedBody) Read(p []byte) (int, error) {
+	n, err := b.src.Read(p)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		b.tooLarge.Store(true)
+	}
+	return n, err
+}
+
 // fly hands the request to the reducer and carries out its effects until it is finished.
 func (f *flight) fly() {
 	f.id = f.g.lastID.Add(1)
@@ -231,14 +253,14 @@
 	f.g.wire.Prepare(h, s)
 	req := &upstream.Request{
 		Method: f.r.Method, Target: f.r.RequestURI, Host: f.r.Host, Header: h,
-		Body: f.body, Rest: f.rest, Length: int64(len(f.body)), Deadline: f.deadline,
+		Body: f.body, Length: int64(len(f.body)), Deadline: f.deadline,
 		Own: func(h http.Header) bool {
 			id := f.g.wire.Classify(0, h).AttemptID
 			return id == "" || id == f.call.AttemptID
 		},
 	}
 	if f.rest != nil {
-		req.Length = f.r.ContentLength
+		req.Rest, req.Length = f.rest, f.r.ContentLength
 	}
 	req.Stall, _ = f.stall()
 	req.Stalled = f.stalled
--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -24,9 +24,10 @@
 	fewestHosts = 8
 )
 
-// NewBudget returns an empty budget.
+// NewBudget returns a budget of one repeat: a host that has just started may still save a request,
+// and all hosts that start at once spend little of the extra by it.
 func NewBudget(ratio, extra float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio * budgetShare, extra: extra * budgetShare, window: window}
+	return &Budget{ratio: ratio * budgetShare, extra: extra * budgetShare, window: window, level: 1}
 }
 
 // Earn counts a first arrival.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,9 +31,6 @@
 	// memoryShare of the machine's memory is the runtime's soft limit; the rest is for what the
 	// kernel holds unread and for stacks.
 	memoryShare = 0.7
-	// drainLeast is how long a stopping host stays: the balancer needs two failed probes, a second
-	// apart, and callers finish on the connections that they have.
-	drainLeast = 2500 * time.Millisecond
 	// quietFor is how long a stopping host must have had no request before it ends.
 	quietFor = 400 * time.Millisecond
 	// endMargin is kept before the platform's SIGKILL.
@@ -51,6 +48,7 @@
 // Node is one running host.
 type Node struct {
 	set     *Settings
+	root    zerolog.Logger
 	log     zerolog.Logger
 	metrics telemetry.Metrics
 	control *control
@@ -60,12 +58,17 @@
 	others  []*http.Server
 }
 
-// Run serves until ctx ends, then shuts down within the grace.
-func Run(ctx context.Context, set *Settings, parts Parts, log zerolog.Logger, m telemetry.Metrics) error {
+// Tune fits the runtime to a small host: one thread of traffic, which spares wake-ups between
+// threads, and a soft memory limit, above which it collects more often.
+func Tune(set *Settings) {
 	runtime.GOMAXPROCS(1)
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryMB) * memoryShare * (1 << 20)))
 	}
+}
+
+// Run serves until ctx ends, then shuts down within the grace.
+func Run(ctx context.Context, set *Settings, parts Parts, log zerolog.Logger, m telemetry.Metrics) error {
 	n, err := build(set, log, m)
 	if err != nil {
 		return trace.Wrap(err)
@@ -98,7 +101,7 @@
 		Host: set.IP, Zone: set.Zone, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
-	n := &Node{set: set, log: telemetry.For(log, "node"), metrics: m, socket: socket}
+	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket}
 	n.control = newControl(r, telemetry.For(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
 	return n, nil
@@ -106,7 +109,7 @@
 
 func (n *Node) start(ctx context.Context, g *errgroup.Group, parts Parts) error {
 	puller := gossip.NewPuller(n.set.PeerPort)
-	reader := &storeReader{store: parts.Store, post: n.control.Post, log: telemetry.For(n.log, "store"), metrics: n.metrics}
+	reader := &storeReader{store: parts.Store, post: n.control.Post, log: telemetry.For(n.root, "store"), metrics: n.metrics}
 	reading := &toggle{ctx: ctx, run: reader.run}
 	n.control.out = outlets{
 		read: reading.set,
@@ -114,7 +117,7 @@
 		pull: func(host string) { go n.pull(ctx, puller, host) },
 		drop: n.pool.Drop,
 	}
-	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.log, "gateway"), n.metrics)
+	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
 	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ErrorLog: nil}
 	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
 		return err
@@ -209,7 +212,7 @@
 		if n.control.held.Load() > 0 {
 			quietSince = time.Now()
 		}
-		if time.Since(began) > drainLeast && time.Since(quietSince) > quietFor {
+		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor {
 			return
 		}
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,6 +24,8 @@
 	MaxFDs   int
 	Cores    int
 	// Grace is the time between SIGTERM and SIGKILL.
-	Grace  time.Duration
+	Grace time.Duration
+	// Notice is how long a stopping host stays at least, until the balancer knows.
+	Notice time.Duration
 	Bounds router.Bounds
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -116,7 +116,14 @@
 		return trace.Wrap(err)
 	}
 	x.wrote = make(chan error, 1)
-	go func() { x.wrote <- hr.Write(x.conn) }()
+	go func() {
+		err := hr.Write(x.conn)
+		if err != nil {
+			// Half a request is never run, and its answer would be waited for in vain.
+			_ = x.conn.Close()
+		}
+		x.wrote <- err
+	}()
 	return nil
 }
 
