Randomised worlds of hosts and limits; a host's part of a quota follows its share

Change: the part follows what the host admitted lately; randomised tests of the reducer (small and large fleets) and of the limits over hosts with fixed seeds.

--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -24,10 +24,13 @@
 	fewestHosts = 8
 )
 
-// NewBudget returns a budget of one repeat: a host that has just started may still save a request,
-// and all hosts that start at once spend little of the extra by it.
+// startLevel lets a host that has just started repeat after few requests, while hosts that start
+// again and again spend little of the extra by it.
+const startLevel = 0.9
+
+// NewBudget returns a budget that is nearly one repeat.
 func NewBudget(ratio, extra float64, window time.Duration) *Budget {
-	return &Budget{ratio: ratio * budgetShare, extra: extra * budgetShare, window: window, level: 1}
+	return &Budget{ratio: ratio * budgetShare, extra: extra * budgetShare, window: window, level: startLevel}
 }
 
 // Earn counts a first arrival.
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,176 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const (
+	step   = 50 * time.Millisecond
+	window = 8 * time.Second
+)
+
+// Eight hosts each repeat whatever they may, for a minute, with callers unevenly spread and a restart
+// of all in between. Over every window the sum keeps the operators' bound, or a failing service
+// would be hit by a storm of repeats.
+func TestRetryBudgetHoldsOverHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, extra, span = 0.2, 56.0, 10 * time.Second
+		hosts := rapid.IntRange(1, 20).Draw(t, "hosts")
+		load := rapid.IntRange(0, 40).Draw(t, "requests a step")
+		skew := rapid.IntRange(1, hosts).Draw(t, "hosts that get them")
+		restart := rapid.IntRange(0, 600).Draw(t, "restart at")
+		budgets := make([]*Budget, hosts)
+		for i := range budgets {
+			budgets[i] = NewBudget(ratio, extra, span)
+		}
+		var asked, repeated []int
+		for n := 0; n < 600; n++ {
+			now := time.Duration(n) * step
+			if n == restart {
+				for i := range budgets {
+					budgets[i] = NewBudget(ratio, extra, span)
+				}
+			}
+			spent := 0
+			for k := 0; k < load; k++ {
+				b := budgets[(n+k)%skew]
+				b.Earn(now, hosts)
+				// Each request is repeated as often as its host lets it.
+				for b.Spend(now, hosts) {
+					spent++
+				}
+			}
+			asked, repeated = append(asked, load), append(repeated, spent)
+		}
+		steps := int(span / step)
+		for from := 0; from+steps <= len(asked); from++ {
+			require.LessOrEqual(t, float64(sum(repeated[from:from+steps])), ratio*float64(sum(asked[from:from+steps]))+extra)
+		}
+	})
+}
+
+func sum(list []int) int {
+	n := 0
+	for _, v := range list {
+		n += v
+	}
+	return n
+}
+
+// world is some hosts that admit one workspace's requests and hear of each other with a delay.
+type world struct {
+	quotas []*Quota
+	cut    int // hosts below it do not hear those above
+	queue  []word
+}
+
+type word struct {
+	at    int
+	from  int
+	spent float64
+}
+
+func (w *world) deliver(n, delay int) {
+	for i, q := range w.quotas {
+		w.queue = append(w.queue, word{n + delay, i, q.Spent()})
+	}
+	for len(w.queue) > 0 && w.queue[0].at <= n {
+		m := w.queue[0]
+		w.queue = w.queue[1:]
+		for to, q := range w.quotas {
+			if to != m.from && (to < w.cut) == (m.from < w.cut) {
+				q.Heard(string(rune('a'+m.from)), m.spent, true)
+			}
+		}
+	}
+}
+
+// A workspace asks for many times its quota at all hosts at once, which hear of each other 50 to 500
+// ms late and are cut into two halves for a while. Over every window what is admitted keeps the
+// operators' bound; and a workspace that asks six tenths of its quota is refused nothing, cut or not.
+func TestQuotaHoldsOverHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		allow := Allowance{Window: window, Over: 0.25, Slack: 190_000}
+		rate := float64(rapid.IntRange(20, 90).Draw(t, "thousands a second")) * 1000
+		hosts := rapid.IntRange(2, 12).Draw(t, "hosts")
+		delay := rapid.IntRange(1, 6).Draw(t, "steps of delay")
+		times := rapid.Float64Range(0.3, 8).Draw(t, "times the quota")
+		cutFrom := rapid.IntRange(0, 400).Draw(t, "cut from")
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		w := &world{}
+		for i := 0; i < hosts; i++ {
+			w.quotas = append(w.quotas, NewQuota(0, rate, rate, allow))
+		}
+		const cost, usual = 4000.0, 0.6
+		var admitted []float64
+		refused, due := 0, 0.0
+		for n := 0; n < 600; n++ {
+			now := time.Duration(n) * step
+			w.cut = 0
+			share := 1.0
+			if n >= cutFrom && n < cutFrom+100 {
+				w.cut = hosts / 2
+			}
+			w.deliver(n, delay)
+			got := 0.0
+			due += rate * times * step.Seconds()
+			for due >= cost {
+				due -= cost
+				to := rng.IntN(hosts)
+				if w.cut > 0 {
+					share = float64(w.cut) / float64(hosts)
+					if to >= w.cut {
+						share = 1 - share
+					}
+				}
+				if ok, _ := w.quotas[to].Admit(now, cost, share, hosts); ok {
+					got += cost
+				} else {
+					refused++
+				}
+			}
+			admitted = append(admitted, got)
+		}
+		bound := (rate*window.Seconds()+rate)*(1+allow.Over) + allow.Slack
+		steps := int(window / step)
+		for from := 0; from+steps <= len(admitted); from++ {
+			got := 0.0
+			for _, v := range admitted[from : from+steps] {
+				got += v
+			}
+			require.LessOrEqual(t, got, bound, "from step %d", from)
+		}
+		if times <= usual {
+			require.Zero(t, refused, "a workspace under its quota is refused")
+		}
+	})
+}
+
+// A request larger than the whole bucket runs when the bucket is in credit; otherwise it never would.
+func TestRequestAboveTheBurstRuns(t *testing.T) {
+	q := NewQuota(0, 100, 100, Allowance{Window: window})
+	ok, _ := q.Admit(0, 5000, 1, 1)
+	require.True(t, ok)
+	ok, back := q.Admit(time.Second, 1, 1, 1)
+	require.False(t, ok)
+	require.Positive(t, back)
+}
+
+// A request that did not run is given back; a lowered quota binds at once.
+func TestQuotaRefundAndLowering(t *testing.T) {
+	q := NewQuota(0, 100, 100, Allowance{Window: window})
+	ok, _ := q.Admit(0, 90, 1, 1)
+	require.True(t, ok)
+	q.Refund(90)
+	require.Zero(t, q.Spent())
+	q.Set(10, 10)
+	ok, _ = q.Admit(0, 10, 1, 1)
+	require.True(t, ok)
+	ok, _ = q.Admit(0, 10, 1, 1)
+	require.False(t, ok)
+}
--- /dev/null
+++ b/internal/limit/main_test.go
@@ -0,0 +1,16 @@
+package limit
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The verdict of the randomised tests is the same every run, unless a seed is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -1,6 +1,9 @@
 package limit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Allowance tells how far a quota may be overdrawn, as the operators bound it: over any window,
 // (rate x window + burst) x (1 + Over) + Slack.
@@ -22,6 +25,14 @@
 	// by a hash, and workspaces unevenly. It bounds what all hosts together admit within a beat's
 	// age when a workspace suddenly asks for many times its quota.
 	skew = 3
+	// ownSkew is the same for a workspace most of whose callers have lately come to this host: its
+	// part of what was admitted, and half of that more.
+	ownSkew = 1.5
+	// latelyFor is how long admissions count as lately.
+	latelyFor = 5 * time.Second
+	// latelyLeast, in seconds of the quota, is taken as admitted by others before anything is heard:
+	// all hosts may have started at once.
+	latelyLeast = 0.5
 	// waitMost bounds the time to come back that an exhausted quota names.
 	waitMost = 10 * time.Second
 )
@@ -39,6 +50,8 @@
 	// share is this host's own bucket, which bounds what it admits before it has heard of others.
 	share   float64
 	shareAt time.Duration
+	// ownLately and othersLately are admissions that fade with latelyFor.
+	ownLately, othersLately float64
 }
 
 // NewQuota returns a full bucket.
@@ -69,11 +82,21 @@
 	}
 }
 
+// part is how much of the quota this host may use by itself.
+func (q *Quota) part(hosts int) float64 {
+	even := skew / float64(max(hosts, fewestHosts))
+	lately := ownSkew * q.ownLately / max(1, q.ownLately+q.othersLately+latelyLeast*q.rate)
+	return min(1, max(even, lately))
+}
+
 // refillShare lets time pass in this host's own bucket.
 func (q *Quota) refillShare(now time.Duration, hosts int) {
-	part := min(1, skew/float64(max(1, hosts)))
-	most := q.cap() * part
-	q.share = min(most, q.share+q.rate*(1+q.allow.Over*useOver)*part*max(0, (now-q.shareAt).Seconds()))
+	past := max(0, (now - q.shareAt).Seconds())
+	fade := math.Exp(-past / latelyFor.Seconds())
+	q.ownLately *= fade
+	q.othersLately *= fade
+	part := q.part(hosts)
+	q.share = min(q.cap()*part, q.share+q.rate*(1+q.allow.Over*useOver)*part*past)
 	q.shareAt = max(q.shareAt, now)
 }
 
@@ -82,7 +105,7 @@
 	q.refill(now, heardShare)
 	q.refillShare(now, hosts)
 	if q.share <= 0 {
-		need := -q.share / max(1, q.rate*skew/float64(max(1, hosts)))
+		need := -q.share / max(1, q.rate*q.part(hosts))
 		return false, min(waitMost, time.Duration(need*float64(time.Second)))
 	}
 	// A bucket in credit admits a request of any size, or one above the burst would never run.
@@ -94,6 +117,7 @@
 	q.share -= cost
 	q.spent += cost
 	q.zone += cost
+	q.ownLately += cost
 	return true, 0
 }
 
@@ -115,6 +139,7 @@
 // that it counts for this zone's sum.
 func (q *Quota) Heard(host string, spent float64, inZone bool) {
 	more := spent - q.heard[host]
+	q.othersLately += more
 	q.level = min(q.cap(), q.level-more)
 	if inZone {
 		q.zone += more
@@ -126,7 +151,9 @@
 // sets where to count from: its sum covers what the speaker before it told.
 func (q *Quota) HeardZone(speaker string, spent float64, known bool) {
 	if known {
-		q.level = min(q.cap(), q.level-(spent-q.heard[speaker]))
+		more := spent - q.heard[speaker]
+		q.othersLately += more
+		q.level = min(q.cap(), q.level-more)
 	}
 	q.heard[speaker] = spent
 }
--- /dev/null
+++ b/internal/router/world_test.go
@@ -0,0 +1,402 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	worldStep = 20 * time.Millisecond
+	storeRead = 2 // steps that a change takes from the store to a host
+)
+
+// world runs many hosts against a store, backend servers and each other, with faults as events.
+type world struct {
+	t      *rapid.T
+	now    time.Duration
+	nextID uint64
+	hosts  []*worldHost
+	mail   []letter
+	// truth is what the store holds; log is its history.
+	config   *routing.Config
+	backends map[string]routing.BackendChange
+	revision uint64
+	storeOff bool
+	// calls are all requests ever submitted.
+	calls map[uint64]*call
+}
+
+type worldHost struct {
+	r       *Router
+	ip      string
+	zone    string
+	frozen  time.Duration // until
+	cut     bool          // from other hosts
+	refused bool          // by the store
+	seen    uint64        // revision read from the store
+	listed  bool
+	reading bool
+	version uint64
+	inc     uint64
+}
+
+// call is one request as its caller and the backend servers see it.
+type call struct {
+	id       uint64
+	host     *worldHost
+	route    *routing.Route
+	mayRun   int // dispatches that were not proved not to have run
+	sends    int
+	current  string
+	finished bool
+}
+
+type letter struct {
+	at   time.Duration
+	to   string
+	beat []byte
+	news *News
+}
+
+func newWorld(t *rapid.T, zones, perZone int) *world {
+	w := &world{t: t, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
+	w.publish()
+	for i := 0; i < 6; i++ {
+		w.register(fmt.Sprintf("b%d", i), false)
+	}
+	for z := 0; z < zones; z++ {
+		for i := 0; i < perZone; i++ {
+			h := &worldHost{ip: fmt.Sprintf("10.0.%d.%d", z, i+1), zone: fmt.Sprintf("z%d", z)}
+			w.hosts = append(w.hosts, h)
+		}
+	}
+	for _, h := range w.hosts {
+		w.boot(h)
+	}
+	return w
+}
+
+func (w *world) boot(h *worldHost) {
+	h.inc++
+	h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: h.inc*1000 + uint64(len(h.ip)), Seed: uint64(len(w.calls)),
+		Seeds:  []string{w.hosts[0].ip, w.hosts[len(w.hosts)-1].ip},
+		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 56, QuotaWindow: 8 * time.Second, QuotaOver: 0.25}})
+	h.seen, h.listed, h.reading, h.version, h.frozen = 0, false, false, 0, 0
+	for _, c := range w.calls {
+		if c.host == h {
+			c.finished = true // its caller sees a closed connection
+		}
+	}
+}
+
+func (w *world) publish() {
+	v := uint64(3)
+	if w.config != nil {
+		v = w.config.Version + 1 + w.config.Version%3
+	}
+	w.revision++
+	w.config = &routing.Config{Version: v, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{
+		{Name: "idem", Host: "h", Prefix: "/i/", Kind: routing.Idempotent, MaxAttempts: 2, Shares: []routing.Share{{Service: "s", Weight: 1}}},
+		{Name: "once", Host: "h", Prefix: "/o/", Kind: routing.NonIdempotent, MaxAttempts: 3, Shares: []routing.Share{{Service: "s", Weight: 1}}},
+		{Name: "stream", Host: "h", Prefix: "/s/", Kind: routing.Streaming, MaxAttempts: 2, Resumable: true, Shares: []routing.Share{{Service: "s", Weight: 1}}},
+		{Name: "fragile", Host: "h", Prefix: "/f/", Kind: routing.Streaming, MaxAttempts: 2, Shares: []routing.Share{{Service: "s", Weight: 1}}},
+	}}
+}
+
+func (w *world) register(id string, draining bool) {
+	w.revision++
+	w.backends[id] = routing.BackendChange{Revision: w.revision,
+		Backend: routing.Backend{ID: id, Addr: id, Zone: "z0", Service: "s", Slots: 5, Draining: draining}}
+}
+
+func (w *world) unregister(id string) {
+	w.revision++
+	w.backends[id] = routing.BackendChange{Revision: w.revision, Removed: true, Backend: routing.Backend{ID: id}}
+}
+
+// post runs one event on a host and its effects.
+func (w *world) post(h *worldHost, ev Event) {
+	if w.now < h.frozen {
+		return
+	}
+	for _, e := range h.r.Reduce(w.now, ev) {
+		w.effect(h, e)
+	}
+	require.Empty(w.t, h.r.Violations())
+	require.GreaterOrEqual(w.t, h.r.version(), h.version, "a configuration went back")
+	h.version = h.r.version()
+}
+
+func (w *world) effect(h *worldHost, e Effect) {
+	switch e := e.(type) {
+	case SendBeat:
+		data, err := proto.Marshal(e.Beat)
+		require.NoError(w.t, err)
+		for _, to := range e.To {
+			if rapid.IntRange(0, 19).Draw(w.t, "lost beat") > 0 {
+				w.mail = append(w.mail, letter{at: w.now + worldStep, to: to, beat: data})
+			}
+		}
+	case Pull:
+		if from := w.host(e.Host); from != nil && !from.cut && !h.cut && w.now >= from.frozen {
+			n := from.r.Snapshot()
+			w.mail = append(w.mail, letter{at: w.now + worldStep, to: h.ip, news: &n})
+		}
+	case ReadStore:
+		h.reading = e.On
+		h.listed = false
+	case Dispatch:
+		w.dispatched(h, e)
+	case Refuse:
+		c := w.calls[e.ID]
+		require.False(w.t, c.finished, "answered twice")
+		require.Zero(w.t, c.mayRun, "refused as not run, though it may have run")
+		c.finished = true
+	case GiveUp:
+		c := w.calls[e.ID]
+		require.False(w.t, c.finished, "answered twice")
+		c.finished = true
+	}
+}
+
+func (w *world) dispatched(h *worldHost, e Dispatch) {
+	c := w.calls[e.ID]
+	require.False(w.t, c.finished, "sent after its answer")
+	require.Empty(w.t, c.current, "sent while it runs elsewhere")
+	b := h.r.backends[e.Backend.ID]
+	require.False(w.t, b.Draining, "sent to a server that is known to drain")
+	if b.removed {
+		require.Less(w.t, w.now-b.removedAt, doubtFor+worldStep, "sent to a server that is long gone")
+	}
+	c.sends++
+	c.mayRun++
+	c.current = e.Backend.ID
+	require.LessOrEqual(w.t, c.sends, maxSends+c.route.MaxAttempts)
+	if c.route.Repeatable() {
+		require.LessOrEqual(w.t, c.mayRun, c.route.MaxAttempts)
+	} else {
+		require.LessOrEqual(w.t, c.mayRun, 1, "%s runs again", c.route.Name)
+	}
+}
+
+func (w *world) host(ip string) *worldHost {
+	for _, h := range w.hosts {
+		if h.ip == ip {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *world) anyHost() *worldHost {
+	return w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(w.t, "host")]
+}
+
+func (w *world) submit() {
+	h := w.anyHost()
+	if h.r.Table() == nil || w.now < h.frozen {
+		return
+	}
+	w.nextID++
+	routes := h.r.Table().Config.Routes
+	route := &routes[rapid.IntRange(0, len(routes)-1).Draw(w.t, "route")]
+	w.calls[w.nextID] = &call{id: w.nextID, host: h, route: route}
+	w.post(h, Submit{ID: w.nextID, Route: route, Deadline: w.now + 3*time.Second, Rank: rapid.Float64Range(0, 2).Draw(w.t, "rank")})
+}
+
+// end ends one running dispatch in some way.
+func (w *world) end() {
+	var open []uint64
+	for id, c := range w.calls {
+		if c.current != "" && !c.finished && w.now >= c.host.frozen {
+			open = append(open, id)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	slices.Sort(open)
+	c := w.calls[open[rapid.IntRange(0, len(open)-1).Draw(w.t, "call")]]
+	if rapid.IntRange(0, 9).Draw(w.t, "stalls") == 0 {
+		w.post(c.host, Stalled{ID: c.id})
+	}
+	o := rapid.SampledFrom([]Outcome{Answered, Answered, Answered, Failed, NotSent, Rejected, WrongInstance, Broken, TimedOut, Canceled}).Draw(w.t, "outcome")
+	c.current = ""
+	switch o {
+	case NotSent, Rejected, WrongInstance:
+		c.mayRun--
+	case Answered, Canceled:
+		c.finished = true
+	}
+	w.post(c.host, Ended{ID: c.id, Outcome: o, Fault: true, First: time.Millisecond, Interval: time.Millisecond})
+}
+
+// step lets a little time pass: mail arrives, the store is read, hosts tick.
+func (w *world) step() {
+	w.now += worldStep
+	rest := w.mail[:0]
+	var due []letter
+	for _, l := range w.mail {
+		if l.at <= w.now {
+			due = append(due, l)
+		} else {
+			rest = append(rest, l)
+		}
+	}
+	w.mail = rest
+	for _, l := range due {
+		h := w.host(l.to)
+		if h == nil || h.cut {
+			continue
+		}
+		if l.news != nil {
+			w.post(h, *l.news)
+			continue
+		}
+		b := &gossippb.Beat{}
+		require.NoError(w.t, proto.Unmarshal(l.beat, b))
+		if from := w.host(b.Host); !from.cut {
+			w.post(h, Heard{b})
+		}
+	}
+	for _, h := range w.hosts {
+		w.readStore(h)
+		w.post(h, Tick{})
+	}
+}
+
+func (w *world) readStore(h *worldHost) {
+	if !h.reading || w.now < h.frozen {
+		return
+	}
+	if w.storeOff || h.refused {
+		h.listed = false
+		w.post(h, StoreContact{})
+		return
+	}
+	n := News{Revision: w.revision, FromStore: true, Full: !h.listed}
+	n.Config = w.config
+	for _, id := range w.backendIDs() {
+		ch := w.backends[id]
+		if !h.listed && !ch.Removed || h.listed && ch.Revision > h.seen {
+			n.Backends = append(n.Backends, ch)
+		}
+	}
+	if h.listed && len(n.Backends) == 0 && h.version == w.config.Version {
+		return
+	}
+	if h.listed {
+		n.Revision = 0
+		for _, ch := range n.Backends {
+			n.Revision = max(n.Revision, ch.Revision)
+		}
+	}
+	h.seen, h.listed = w.revision, true
+	w.post(h, n)
+}
+
+func (w *world) backendIDs() []string {
+	var ids []string
+	for id := range w.backends {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *world) change() {
+	switch rapid.IntRange(0, 9).Draw(w.t, "change") {
+	case 0:
+		w.publish()
+	case 1:
+		id := rapid.SampledFrom(w.backendIDs()).Draw(w.t, "backend")
+		w.register(id, true)
+	case 2:
+		w.unregister(rapid.SampledFrom(w.backendIDs()).Draw(w.t, "backend"))
+	case 3:
+		w.register(fmt.Sprintf("b%d", rapid.IntRange(0, 9).Draw(w.t, "new backend")), false)
+	case 4:
+		w.storeOff = !w.storeOff
+	case 5:
+		h := w.anyHost()
+		h.refused = !h.refused
+	case 6:
+		h := w.anyHost()
+		h.cut = !h.cut
+	case 7:
+		w.boot(w.anyHost())
+	case 8:
+		h := w.anyHost()
+		h.frozen = w.now + time.Duration(rapid.IntRange(1, 200).Draw(w.t, "freeze"))*worldStep
+	case 9:
+		w.post(w.anyHost(), Drain{Until: w.now + 5*time.Second, Grace: 5 * time.Second})
+	}
+}
+
+// heal ends all faults; after a while every host must hold what the store holds.
+func (w *world) heal() {
+	w.storeOff = false
+	for _, h := range w.hosts {
+		h.refused, h.cut, h.frozen = false, false, 0
+	}
+	for i := 0; i < 400; i++ {
+		w.step()
+	}
+	for _, h := range w.hosts {
+		require.Equal(w.t, w.config.Version, h.r.version(), "host %s", h.ip)
+		for id, ch := range w.backends {
+			b := h.r.backends[id]
+			if ch.Removed {
+				require.True(w.t, b == nil || b.removed, "%s still believes in %s", h.ip, id)
+				continue
+			}
+			require.NotNil(w.t, b, "%s lacks %s", h.ip, id)
+			require.False(w.t, b.removed, "%s takes %s for gone", h.ip, id)
+			require.Equal(w.t, ch.Draining, b.Draining, "%s of %s", id, h.ip)
+		}
+	}
+}
+
+func runWorld(t *rapid.T, zones, perZone int) {
+	w := newWorld(t, zones, perZone)
+	for i := 0; i < 30; i++ {
+		w.step()
+	}
+	n := rapid.IntRange(20, 120).Draw(t, "steps")
+	for i := 0; i < n; i++ {
+		switch rapid.IntRange(0, 5).Draw(t, "what") {
+		case 0:
+			w.change()
+		case 1, 2:
+			w.submit()
+		case 3:
+			w.end()
+		default:
+			w.step()
+		}
+	}
+	w.heal()
+}
+
+// Hosts of a small fleet under kills, freezes, cuts, a store that is away or refuses some, servers
+// that drain, vanish and come back, and dispatches that end in every way. Whatever the order: what may
+// not be repeated runs once, "not run" is true, nobody is answered twice, a configuration never goes
+// back, and after the faults all hosts agree with the store.
+func TestPromisesSmallFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runWorld(t, 3, 2) })
+}
+
+// The same for a fleet in which beats stay inside a zone and few hosts read the store: news reach the
+// others by their zone mates alone.
+func TestPromisesLargeFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runWorld(t, 3, 7) })
+}
