--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -76,12 +76,30 @@
 	metrics := telemetry.NewMetrics()
 	log, flush := telemetry.NewBoundedLogger(os.Stdout, metrics)
 	ctx, _ := signals()
+	reload := hangups()
 	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.For(log, "store"))
-	err = node.Run(ctx, set, node.Parts{Store: store, Wire: platform.Wire{}}, log, metrics)
+	err = node.Run(ctx, set, node.Parts{Store: store, Wire: platform.Wire{}, Reload: reload,
+		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log, metrics)
 	flush()
 	stopped(log, err)
 }
 
+// hangups passes SIGHUP on, which tells that the settings file has changed.
+func hangups() <-chan struct{} {
+	out := make(chan struct{}, 1)
+	ch := make(chan os.Signal, 1)
+	signal.Notify(ch, syscall.SIGHUP)
+	go func() {
+		for range ch {
+			select {
+			case out <- struct{}{}:
+			default: // one is waiting, and will read the same file
+			}
+		}
+	}()
+	return out
+}
+
 func refuse(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -22,6 +22,23 @@
 	Groups      []GroupStatus `json:"groups"`
 	Refused     []Refused     `json:"refused_records"`
 	Tickets     int           `json:"ticket_claims"`
+	// Beliefs are a host's of the users' platform, where each decides alone; empty elsewhere.
+	Beliefs []BeliefStatus `json:"beliefs,omitempty"`
+	// StoreAgeMS is how old the latest word of the platform's store is there; -1 where there is none.
+	StoreAgeMS int64 `json:"store_age_ms"`
+}
+
+// BeliefStatus is what a host believes of one backend server.
+type BeliefStatus struct {
+	Name       string  `json:"name"`
+	Service    string  `json:"service"`
+	Zone       string  `json:"zone"`
+	Addr       string  `json:"addr"`
+	State      string  `json:"state"`
+	Own        int     `json:"in_flight_own"`
+	Others     int     `json:"in_flight_others"`
+	Slots      int     `json:"slots"`
+	IntervalMS float64 `json:"interval_ms"`
 }
 
 // PeerStatus is another host as this one sees it.
@@ -30,6 +47,7 @@
 	Zone  string `json:"zone"`
 	Addr  string `json:"addr"`
 	Alive bool   `json:"alive"`
+	AgeMS int64  `json:"age_ms,omitempty"`
 }
 
 // GroupStatus is a group that this host schedules.
@@ -66,7 +84,7 @@
 		Tickets:     c.tickets.Len(),
 	}
 	for _, h := range c.view.Zone() {
-		s.Peers = append(s.Peers, PeerStatus{h.ID, h.Zone, h.Addr, c.view.Alive(c.now, h.ID)})
+		s.Peers = append(s.Peers, PeerStatus{Host: h.ID, Zone: h.Zone, Addr: h.Addr, Alive: c.view.Alive(c.now, h.ID)})
 	}
 	for _, k := range c.groupKeys() {
 		g := c.groups[k]
--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -13,6 +13,7 @@
 
 	"fireflyshift/internal/record"
 	"fireflyshift/internal/settings"
+	"fireflyshift/platform"
 )
 
 // Finding is one mistake in a file.
@@ -21,7 +22,9 @@
 	Message string `json:"message"`
 }
 
-// Check validates files offline: *.ini as settings, all else as a record or a list of records.
+// Check validates files offline: *.ini as settings, *.toml as the users' platform's deploy file, JSON
+// as that platform's settings or configuration where it looks like one, all else as a record or a
+// list of records.
 func (t *Tool) Check(files []string) int {
 	if len(files) == 0 {
 		fmt.Fprintln(t.Err, "no file is named; give record files (JSON) or settings files (INI)")
@@ -62,6 +65,9 @@
 	if err != nil {
 		return []string{err.Error() + "; name a readable file"}
 	}
+	if known, err := platform.CheckFile(path, data); known {
+		return messages(err)
+	}
 	raws, err := parseRecords(data)
 	if err != nil {
 		return []string{err.Error()}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -38,6 +38,7 @@
 	}
 	w.Flush()
 	t.printBackends(reports)
+	t.printBeliefs(reports)
 	t.printRefused(reports)
 }
 
@@ -95,6 +96,26 @@
 	w.Flush()
 }
 
+// printBeliefs shows what each host of the users' platform believes of the backend servers.
+func (t *Tool) printBeliefs(reports []report) {
+	w := tabwriter.NewWriter(t.Out, 0, 4, 2, ' ', 0)
+	head := false
+	for _, r := range reports {
+		if r.Status == nil || len(r.Status.Beliefs) == 0 {
+			continue
+		}
+		if !head {
+			head = true
+			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWN\tOTHERS\tSLOTS\tINTERVAL")
+		}
+		for _, b := range r.Status.Beliefs {
+			fmt.Fprintf(w, "%s\t%d ms\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\n", r.Status.Host, r.Status.StoreAgeMS, b.Name, b.Service,
+				b.Zone, b.Addr, b.State, b.Own, b.Others, b.Slots, b.IntervalMS)
+		}
+	}
+	w.Flush()
+}
+
 func (t *Tool) printRefused(reports []report) {
 	shown := map[string]bool{}
 	for _, r := range reports {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -111,6 +111,8 @@
 // logDispatch is the line of a decision to send.
 func (f *flight) logDispatch(d router.Dispatch) {
 	f.g.metrics.Count("requests.dispatched", 1)
+	f.g.trails.add(f.call.AttemptID, d.At, "sent to %s (attempt %d): %d in flight of at most %d, beliefs %s old, configuration %d",
+		d.Backend.ID, d.Attempt, d.Grounds.InFlight, d.Grounds.Limit, d.Grounds.BeliefAge, d.Grounds.Version)
 	if d.Attempt > 1 {
 		f.g.metrics.Count("requests.sent_again", 1)
 	}
@@ -123,6 +125,7 @@
 func (f *flight) logEnd(outcome string, status int) {
 	f.g.metrics.Count("requests."+outcome, 1)
 	took := time.Since(f.began)
+	f.g.trails.add(f.call.AttemptID, f.beganAt+took, "ended: %s", outcome)
 	f.g.metrics.Timer("requests.time").Update(took)
 	e := f.g.log.Info().Str("id", f.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
 	if f.route != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,11 +46,12 @@
 	log     zerolog.Logger
 	metrics telemetry.Metrics
 	lastID  atomic.Uint64
+	trails  *trails
 }
 
 // New returns a gateway.
 func New(c Control, w Wire, p *upstream.Pool, log zerolog.Logger, m telemetry.Metrics) *Gateway {
-	return &Gateway{control: c, wire: w, pool: p, log: log, metrics: m}
+	return &Gateway{control: c, wire: w, pool: p, log: log, metrics: m, trails: newTrails()}
 }
 
 // ServeHTTP implements http.Handler. It stands without a ServeMux, which would rewrite paths.
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -69,6 +69,12 @@
 	q.level = min(q.level, q.cap())
 }
 
+// Allow takes another allowance.
+func (q *Quota) Allow(a Allowance) {
+	q.allow = a
+	q.level = min(q.level, q.cap())
+}
+
 func (q *Quota) cap() float64 { return q.burst + q.allow.Slack*useSlack }
 
 // refill lets time pass. heardShare is the part of the hosts whose admissions are being heard: the
--- /dev/null
+++ b/internal/node/admin.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/router"
+)
+
+// operators is what operators see of the host; it implements admin.Source.
+type operators struct {
+	node  *Node
+	trail func(id string) []core.Hop
+}
+
+// Ready implements admin.Source.
+func (o operators) Ready() bool { return o.node.ready() }
+
+// Healthy implements admin.Source: the control thread answers.
+func (o operators) Healthy() bool { return o.node.control.ask(func(*router.Router) {}) }
+
+// Explain implements admin.Source.
+func (o operators) Explain(id string) ([]core.Hop, bool) { return o.trail(id), true }
+
+// Status implements admin.Source.
+func (o operators) Status() (core.Status, bool) {
+	var v router.View
+	if !o.node.control.ask(func(r *router.Router) { v = r.View() }) {
+		return core.Status{}, false
+	}
+	s := core.Status{Host: o.node.set.Name, Zone: o.node.set.Zone, Ready: v.Ready, Draining: v.Draining, UptimeMS: v.Now.Milliseconds(),
+		Revision: v.Version, Digest: v.Digest, Reading: v.Reading, PlatformOK: v.StoreOK, Requests: v.Requests, Violations: v.Violations,
+		StoreAgeMS: v.StoreAge.Milliseconds()}
+	for _, p := range v.Peers {
+		s.Peers = append(s.Peers, core.PeerStatus{Host: p.Host, Zone: p.Zone, Addr: p.Host, Alive: p.Heard, AgeMS: p.Age.Milliseconds()})
+	}
+	for _, b := range v.Backends {
+		s.Beliefs = append(s.Beliefs, core.BeliefStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, State: b.State,
+			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000})
+	}
+	return s, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,17 +5,20 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"fireflyshift/internal/admin"
 	"fireflyshift/internal/gateway"
 	"fireflyshift/internal/gossip"
 	"fireflyshift/internal/gossip/gossippb"
@@ -43,6 +46,9 @@
 type Parts struct {
 	Store Store
 	Wire  gateway.Wire
+	// Load reads the settings again; Reload is a signal to do it now. Both may be nil.
+	Load   func() (*Settings, error)
+	Reload <-chan struct{}
 }
 
 // Node is one running host.
@@ -55,6 +61,7 @@
 	pool    *upstream.Pool
 	socket  *gossip.Socket
 	callers *http.Server
+	idle    *idleConns
 	others  []*http.Server
 }
 
@@ -101,7 +108,7 @@
 		Host: set.IP, Zone: set.Zone, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
-	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket}
+	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, idle: newIdleConns()}
 	n.control = newControl(r, telemetry.For(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
 	return n, nil
@@ -118,18 +125,31 @@
 		drop: n.pool.Drop,
 	}
 	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes, ErrorLog: nil}
+	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		ConnState: n.idle.note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
 	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
 		return err
 	}
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
 		return err
 	}
+	ops := admin.Handler(operators{n, gw.Trail}, n.metrics)
+	for _, addr := range []string{n.set.Admin, n.set.Metrics} {
+		if addr == "" {
+			continue
+		}
+		if err := n.serve(g, ops, addr); err != nil {
+			n.log.Error().Err(err).Msg("Operators cannot read this host. It serves callers.")
+		}
+	}
 	if err := n.serve(g, gossip.Handler(n.control), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
 		return err
 	}
 	g.Go(func() error { n.control.run(ctx); return nil })
 	g.Go(func() error { n.expire(ctx); return nil })
+	if parts.Load != nil {
+		g.Go(func() error { n.watchSettings(ctx, parts.Load, parts.Reload); return nil })
+	}
 	g.Go(func() error {
 		n.socket.Receive(func(b *gossippb.Beat) { n.control.Post(router.Heard{Beat: b}) }, func() { n.metrics.Count("beats.malformed", 1) })
 		return nil
@@ -158,9 +178,20 @@
 	return nil
 }
 
+// errorLines takes net/http's own complaints, as of a caller that sent no proper request.
+type errorLines struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (e errorLines) Write(p []byte) (int, error) {
+	e.log.Info().Str("detail", strings.TrimSpace(string(p))).Msg("A caller's connection failed.")
+	return len(p), nil
+}
+
+func (n *Node) ready() bool { return n.control.ready.Load() && !n.control.draining.Load() }
+
 // readyz answers the balancer.
 func (n *Node) readyz(w http.ResponseWriter, _ *http.Request) {
-	if !n.control.ready.Load() || n.control.draining.Load() {
+	if !n.ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -195,6 +226,9 @@
 			return
 		case now := <-t.C:
 			n.pool.Expire(now)
+			if t := n.control.Table(); t != nil {
+				n.idle.expire(now, t.Config.Limits.IdleTimeout)
+			}
 		}
 	}
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -17,6 +17,7 @@
 	Callers  string // address for callers
 	Ready    string // address for the balancer's question
 	Admin    string // address for operators; empty where none is given
+	Metrics  string // address for metrics; empty for none
 	PeerPort int    // for links between hosts, the same on all
 	Seeds    []string
 	Store    string
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -95,6 +95,13 @@
 // Drain begins the shutdown; at Until, which is Grace later, the process ends.
 type Drain struct{ Until, Grace time.Duration }
 
+// Settle takes changed settings.
+type Settle struct {
+	Seeds  []string
+	Bounds Bounds
+}
+
+func (Settle) event()       {}
 func (Tick) event()         {}
 func (Submit) event()       {}
 func (Began) event()        {}
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -44,6 +44,7 @@
 	lost     bool
 	backAt   time.Duration
 	pulledAt time.Duration
+	heardAt  time.Duration // latest word of the store
 }
 
 func newNewsState() newsState {
@@ -80,6 +81,7 @@
 	if n.FromStore {
 		r.storeContact(true)
 		r.news.synced = true
+		r.news.heardAt = r.now
 	}
 	if n.Config != nil && n.Config.Version > r.version() {
 		r.adopt(n.Config)
@@ -148,8 +150,7 @@
 		q.Set(w.Rate, w.Burst)
 		return
 	}
-	b := r.opt.Bounds
-	q = limit.NewQuota(r.now, w.Rate, w.Burst, limit.Allowance{Window: b.QuotaWindow, Over: b.QuotaOver, Slack: b.QuotaSlack})
+	q = limit.NewQuota(r.now, w.Rate, w.Burst, r.allowance())
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if s, ok := m.spent[w.Name]; ok {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,8 @@
 		r.takeNews(e)
 	case StoreContact:
 		r.storeContact(e.OK)
+	case Settle:
+		r.settle(e)
 	case Drain:
 		r.drain = &e
 		r.sendBeats()
@@ -106,6 +108,26 @@
 	return out
 }
 
+// settle takes changed settings; limits go on with the new bounds from what is spent.
+func (r *Router) settle(e Settle) {
+	r.opt.Seeds = e.Seeds
+	if e.Bounds == r.opt.Bounds {
+		return
+	}
+	r.opt.Bounds = e.Bounds
+	for _, s := range r.services {
+		s.budget = nil
+	}
+	for _, q := range r.quotas {
+		q.Allow(r.allowance())
+	}
+}
+
+func (r *Router) allowance() limit.Allowance {
+	b := r.opt.Bounds
+	return limit.Allowance{Window: b.QuotaWindow, Over: b.QuotaOver, Slack: b.QuotaSlack}
+}
+
 func (r *Router) emit(e Effect) { r.out = append(r.out, e) }
 
 func (r *Router) tick() {
