Quotas after restarts and cuts; dead servers shared; readers by contact; long streams

Change: a first word only sets the base; what is withheld in a cut offsets what is heard after it; dead servers in beats; readers tell contact by age; expected run time against the deadline.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -121,6 +121,13 @@
 		Uint64("config", d.Grounds.Version).Msg("Sent.")
 }
 
+// logRejected is the line of a backend server's word that it has not run the request.
+func (f *flight) logRejected(status int, sentAt time.Time) {
+	f.g.metrics.Count("requests.rejected", 1)
+	f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Int("status", status).
+		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Not run by the backend server.")
+}
+
 // logEnd is the line of a request's end.
 func (f *flight) logEnd(outcome string, status int) {
 	f.g.metrics.Count("requests."+outcome, 1)
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -299,8 +299,10 @@
 	success := resp.Status >= 200 && resp.Status < 300
 	switch {
 	case info.NotRun && resp.Status == http.StatusMisdirectedRequest:
+		f.logRejected(resp.Status, sentAt)
 		return router.Ended{Outcome: router.WrongInstance, Delivered: f.headWritten}
 	case info.NotRun && !success:
+		f.logRejected(resp.Status, sentAt)
 		return router.Ended{Outcome: router.Rejected, Delivered: f.headWritten}
 	case success && (!info.Signed || resp.Header.Get("Content-Encoding") != ""):
 		return router.Ended{Outcome: router.Broken, Fault: true, Delivered: f.headWritten}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -67,6 +67,7 @@
 	quotas []*Quota
 	cut    int // hosts below it do not hear those above
 	queue  []word
+	parted map[[2]int]bool // pairs that have not heard each other since a cut
 }
 
 type word struct {
@@ -83,8 +84,14 @@
 		m := w.queue[0]
 		w.queue = w.queue[1:]
 		for to, q := range w.quotas {
-			if to != m.from && (to < w.cut) == (m.from < w.cut) {
-				q.Heard(string(rune('a'+m.from)), m.spent, true)
+			pair := [2]int{m.from, to}
+			if (to < w.cut) != (m.from < w.cut) {
+				w.parted[pair] = true
+				continue
+			}
+			if to != m.from {
+				q.Heard(Word{From: string(rune('a' + m.from)), Spent: m.spent, InZone: true, Returned: w.parted[pair]})
+				delete(w.parted, pair)
 			}
 		}
 	}
@@ -102,7 +109,7 @@
 		times := rapid.Float64Range(0.3, 8).Draw(t, "times the quota")
 		cutFrom := rapid.IntRange(0, 400).Draw(t, "cut from")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		w := &world{}
+		w := &world{parted: map[[2]int]bool{}}
 		for i := 0; i < hosts; i++ {
 			w.quotas = append(w.quotas, NewQuota(0, rate, rate, allow))
 		}
@@ -174,3 +181,27 @@
 	ok, _ = q.Admit(0, 10, 1, 1)
 	require.False(t, ok)
 }
+
+// A host starts beside others that have admitted a lot in hours, or hears a host again that it had
+// forgotten. It must not refuse everybody for what was admitted long ago.
+func TestFirstWordIsNotCharged(t *testing.T) {
+	q := NewQuota(0, 100, 100, Allowance{Window: window})
+	q.Heard(Word{From: "old", Spent: 1e9})
+	ok, _ := q.Admit(0, 10, 1, 2)
+	require.True(t, ok)
+	q.Heard(Word{From: "old", Spent: 1e9 + 500})
+	ok, _ = q.Admit(0, 10, 1, 2)
+	require.False(t, ok, "what it admits from now on counts")
+}
+
+// A cut heals. What the others admitted meanwhile was kept back from the refill already; charging
+// it once more refused callers who were well under their quota.
+func TestHealedCutIsNotChargedTwice(t *testing.T) {
+	q := NewQuota(0, 1000, 1000, Allowance{Window: window})
+	q.Heard(Word{From: "far", Spent: 0})
+	ok, _ := q.Admit(10*time.Second, 100, 0.5, 2)
+	require.True(t, ok)
+	q.Heard(Word{From: "far", Spent: 4000, Returned: true})
+	ok, _ = q.Admit(10*time.Second, 100, 1, 2)
+	require.True(t, ok)
+}
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -16,11 +16,11 @@
 const (
 	// useOver and useSlack are the parts of the allowance that hosts use on purpose. The rest covers
 	// what they admit before they have heard of each other: a beat's age times the demand.
-	useOver  = 0.3
-	useSlack = 0.35
+	useOver  = 0.2
+	useSlack = 0.2
 	// cutExtra is added to the part that is heard, out of the allowance: the callers of a zone that
 	// is cut off ask a little more or less than its even share.
-	cutExtra = 0.1
+	cutExtra = 0.05
 	// skew is how many times its even part of a quota one host may use: the balancer spreads callers
 	// by a hash, and workspaces unevenly. It bounds what all hosts together admit within a beat's
 	// age when a workspace suddenly asks for many times its quota.
@@ -28,6 +28,8 @@
 	// ownSkew is the same for a workspace most of whose callers have lately come to this host: its
 	// part of what was admitted, and half of that more.
 	ownSkew = 1.5
+	// withheldMost bounds what is kept back, in seconds of the quota.
+	withheldMost = 15 * time.Second
 	// latelyFor is how long admissions count as lately.
 	latelyFor = 5 * time.Second
 	// latelyLeast, in seconds of the quota, is taken as admitted by others before anything is heard:
@@ -50,6 +52,8 @@
 	// share is this host's own bucket, which bounds what it admits before it has heard of others.
 	share   float64
 	shareAt time.Duration
+	// withheld is what was not refilled for the sake of silent parties.
+	withheld float64
 	// ownLately and othersLately are admissions that fade with latelyFor.
 	ownLately, othersLately float64
 }
@@ -82,8 +86,10 @@
 func (q *Quota) refill(now time.Duration, heardShare float64) {
 	if now > q.at {
 		heardShare = min(1, heardShare+cutExtra)
-		rate := q.rate * (1 + q.allow.Over*useOver) * heardShare
-		q.level = min(q.cap(), q.level+rate*(now-q.at).Seconds())
+		whole := q.rate * (1 + q.allow.Over*useOver) * (now - q.at).Seconds()
+		q.level = min(q.cap(), q.level+whole*heardShare)
+		// What is kept back is for parties that may never be heard again.
+		q.withheld = min(q.rate*withheldMost.Seconds(), q.withheld+whole*(1-heardShare))
 		q.at = now
 	}
 }
@@ -141,27 +147,38 @@
 // ZoneSpent is what the hosts of this zone have admitted, as this one has heard since its start.
 func (q *Quota) ZoneSpent() float64 { return q.zone }
 
-// Heard takes another host's sum since its start; host must name its incarnation too. inZone tells
-// that it counts for this zone's sum.
-func (q *Quota) Heard(host string, spent float64, inZone bool) {
-	more := spent - q.heard[host]
+// Word is how another party's sum is to be taken.
+type Word struct {
+	// From names the party with its incarnation.
+	From  string
+	Spent float64
+	// InZone tells that it counts for this zone's sum.
+	InZone bool
+	// Returned tells that the party was silent before: what it admitted meanwhile was withheld from
+	// this host's refill already.
+	Returned bool
+}
+
+// Heard takes another host's or zone's sum since its start. The first word only sets where to count
+// from: a host that has just started would otherwise charge its bucket with all that the others
+// have admitted in hours, and refuse everybody.
+func (q *Quota) Heard(w Word) {
+	last, known := q.heard[w.From]
+	q.heard[w.From] = w.Spent
+	if !known {
+		return
+	}
+	more := w.Spent - last
 	q.othersLately += more
-	q.level = min(q.cap(), q.level-more)
-	if inZone {
+	if w.InZone {
 		q.zone += more
 	}
-	q.heard[host] = spent
-}
-
-// HeardZone takes another zone's sum as its speaker tells it. The first word of a new speaker only
-// sets where to count from: its sum covers what the speaker before it told.
-func (q *Quota) HeardZone(speaker string, spent float64, known bool) {
-	if known {
-		more := spent - q.heard[speaker]
-		q.othersLately += more
-		q.level = min(q.cap(), q.level-more)
+	if w.Returned {
+		covered := min(q.withheld, more)
+		q.withheld -= covered
+		more -= covered
 	}
-	q.heard[speaker] = spent
+	q.level = min(q.cap(), q.level-more)
 }
 
 // Forget drops the memory of a host incarnation that is gone.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -25,7 +25,7 @@
 type outlets struct {
 	beat func(to []string, b *gossippb.Beat)
 	pull func(host string)
-	read func(on bool)
+	read func(on, shared bool)
 	drop func(addr string)
 }
 
@@ -122,7 +122,7 @@
 	case router.SendBeat:
 		c.out.beat(e.To, e.Beat)
 	case router.ReadStore:
-		c.out.read(e.On)
+		c.out.read(e.On, e.Shared)
 	case router.Pull:
 		c.out.pull(e.Host)
 	case router.InForce:
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -33,6 +33,11 @@
 	// other what one of them missed.
 	watchWait   = 2 * time.Second
 	watchSpread = 1 * time.Second
+	// sharedWait, sharedSpread and sharedPause hold where few hosts read for many: the others rely on
+	// their being in contact, so that silence must show soon.
+	sharedWait   = 1200 * time.Millisecond
+	sharedSpread = 300 * time.Millisecond
+	sharedPause  = 120 * time.Millisecond
 	// retryFirst to retryMost pace the calls to a store that fails.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
@@ -51,12 +56,12 @@
 // toggle starts and stops the reading.
 type toggle struct {
 	ctx    context.Context
-	run    func(context.Context)
+	run    func(ctx context.Context, shared bool)
 	cancel context.CancelFunc
 }
 
 // set is called by the control thread only.
-func (t *toggle) set(on bool) {
+func (t *toggle) set(on, shared bool) {
 	if t.cancel != nil {
 		t.cancel()
 		t.cancel = nil
@@ -64,15 +69,15 @@
 	if on {
 		ctx, cancel := context.WithCancel(t.ctx)
 		t.cancel = cancel
-		go t.run(ctx)
+		go t.run(ctx, shared)
 	}
 }
 
 // run lists and then watches, until ctx ends.
-func (s *storeReader) run(ctx context.Context) {
+func (s *storeReader) run(ctx context.Context, shared bool) {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		err := s.follow(ctx, func() { pause = retryFirst })
+		err := s.follow(ctx, shared, func() { pause = retryFirst })
 		if ctx.Err() != nil {
 			return
 		}
@@ -89,7 +94,11 @@
 
 // follow lists once and watches from there until a call fails. A failed watch leads to a new
 // listing: the store may have changed meanwhile in a way that a watch no longer tells.
-func (s *storeReader) follow(ctx context.Context, worked func()) error {
+func (s *storeReader) follow(ctx context.Context, shared bool, worked func()) error {
+	atLeast, spread, between := watchWait, watchSpread, watchPause
+	if shared {
+		atLeast, spread, between = sharedWait, sharedSpread, sharedPause
+	}
 	s.metrics.Count("store.calls", 2)
 	all, err := s.store.List(ctx)
 	if err != nil {
@@ -100,7 +109,7 @@
 	after := all.AsOf
 	for ctx.Err() == nil {
 		s.metrics.Count("store.calls", 1)
-		wait := watchWait + time.Duration(rand.Int64N(int64(watchSpread)))
+		wait := atLeast + time.Duration(rand.Int64N(int64(spread)))
 		l, err := s.store.Watch(ctx, after, wait)
 		if err != nil {
 			return err
@@ -108,7 +117,7 @@
 		after = max(after, l.AsOf)
 		s.post(router.News{Changes: l.Changes, Revision: revisionOf(l.Changes), FromStore: true})
 		if len(l.Backends) > 0 || l.Config != nil {
-			sleep(ctx, watchPause)
+			sleep(ctx, between)
 		}
 	}
 	return nil
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -19,6 +19,11 @@
 	// avoidFirst and avoidMost bound how long a suspect is left alone; the time doubles.
 	avoidFirst = 300 * time.Millisecond
 	avoidMost  = 3 * time.Second
+	// avoidDead is how long a backend server is left alone to which no connection can be made: its
+	// registration outlives it by some heartbeats, and it looks idle meanwhile.
+	avoidDead = 2 * time.Second
+	// deadWord is how many other hosts must say so for this one to believe it.
+	deadWord = 2
 )
 
 // backend is what this host believes of one backend server.
@@ -39,17 +44,21 @@
 	failures   int
 	avoidUntil time.Duration
 	avoidFor   time.Duration
-	joinedAt   time.Duration
+	// unreachable is until when no connection could be made; saidDead are the hosts that say so.
+	unreachable time.Duration
+	saidDead    int
 }
 
-func newBackend(b routing.Backend, now time.Duration) *backend {
-	return &backend{Backend: b, joinedAt: now, hash: uint32(xxhash.Sum64String(b.ID))}
+func newBackend(b routing.Backend) *backend {
+	return &backend{Backend: b, hash: uint32(xxhash.Sum64String(b.ID))}
 }
 
 // inFlight is how many requests the backend server is believed to hold.
 func (b *backend) inFlight() int { return b.own.total() + b.others.total() }
 
-func (b *backend) suspect(now time.Duration) bool { return now < b.avoidUntil }
+func (b *backend) suspect(now time.Duration) bool {
+	return now < b.avoidUntil || b.saidDead >= deadWord
+}
 
 // onProbation tells that the backend server failed lately and has not answered since: it gets one
 // request at a time until it does.
@@ -68,7 +77,7 @@
 
 // succeeded ends suspicion and learns the speed.
 func (b *backend) succeeded(pace time.Duration) {
-	b.failures, b.avoidUntil, b.avoidFor = 0, 0, 0
+	b.failures, b.avoidUntil, b.avoidFor, b.unreachable = 0, 0, 0, 0
 	if pace <= 0 {
 		return
 	}
@@ -80,10 +89,18 @@
 	b.interval += time.Duration(learnRate * float64(pace-b.interval))
 }
 
-// failed counts a fault of the backend server; hard ones, as a refused connection, suffice alone.
-func (b *backend) failed(now time.Duration, hard bool) {
+// refused notes that no connection could be made, or that another server has the address.
+func (b *backend) refused(now time.Duration) {
+	b.failures++
+	b.avoidFor = avoidDead
+	b.avoidUntil = now + avoidDead
+	b.unreachable = now + avoidDead
+}
+
+// failed counts a fault in an answer.
+func (b *backend) failed(now time.Duration) {
 	b.failures++
-	if b.failures < failuresToAvoid && !hard {
+	if b.failures < failuresToAvoid {
 		return
 	}
 	b.avoidFor = min(avoidMost, max(avoidFirst, 2*b.avoidFor))
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -9,13 +9,13 @@
 )
 
 const (
-	// beatFirst is the period of heartbeats in a zone of up to ten hosts. Counts that are 25 to
+	// beatFirst is the period of heartbeats in a zone of up to twenty hosts. Counts that are 25 to
 	// 100 ms old place work as well as current ones; older ones lose a few hundredths of the
 	// answers' worth on heavy days.
 	beatFirst = 100 * time.Millisecond
 	// beatPerHost stretches the period with the zone's hosts, so that what a host sends and hears a
 	// second stays the same, and beatMost bounds it.
-	beatPerHost = 10 * time.Millisecond
+	beatPerHost = 5 * time.Millisecond
 	beatMost    = 300 * time.Millisecond
 	// peersEvery is how often a beat names the hosts that its sender knows.
 	peersEvery = time.Second
@@ -32,8 +32,6 @@
 		return
 	}
 	r.emitBeat(to, func(b *gossippb.Beat) {
-		b.Loads = r.ownLoads()
-		b.Spent = r.ownSpent()
 		b.Zones = r.relayed()
 		if r.now >= r.zones.peersAt {
 			r.zones.peersAt = r.now + peersEvery
@@ -53,7 +51,8 @@
 	b := &gossippb.Beat{
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision, Digest: r.news.digest,
-		ReadsStore: r.news.reading && !r.news.lost, Loads: r.ownLoads(), Spent: r.ownSpent(),
+		ReadsStore: r.inContact(), Loads: r.ownLoads(), Spent: r.ownSpent(),
+		Dead: r.ownDead(),
 	}
 	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
@@ -107,6 +106,17 @@
 	return out
 }
 
+// ownDead are the backend servers that this host lately could not connect to.
+func (r *Router) ownDead() []uint32 {
+	var out []uint32
+	for _, id := range r.backendIDs() {
+		if b := r.backends[id]; !b.removed && r.now < b.unreachable {
+			out = append(out, b.hash)
+		}
+	}
+	return out
+}
+
 func (r *Router) ownSpent() []*gossippb.Spent {
 	var out []*gossippb.Spent
 	for _, name := range r.quotaNames() {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -176,8 +176,9 @@
 	Beat *gossippb.Beat
 }
 
-// ReadStore turns the reading of the platform's store on or off.
-type ReadStore struct{ On bool }
+// ReadStore turns the reading of the platform's store on or off. Shared tells that zone mates read it
+// too, so that a watch that hears nothing more is noticed by others.
+type ReadStore struct{ On, Shared bool }
 
 // Pull asks another host for its news.
 type Pull struct{ Host string }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/limit"
 )
 
 const (
@@ -71,6 +72,7 @@
 	leaving    bool
 	loads      loads
 	readsStore bool
+	dead       []uint32 // backend servers that it cannot reach
 	spent      map[string]uint64
 	// differsSince is when its news first differed from this host's; zero while they agree.
 	differsSince time.Duration
@@ -119,13 +121,15 @@
 		slices.Sort(r.members.order)
 		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
 	}
+	returned := m.silent
 	if m.silent {
 		m.silent = false
 		r.emit(Note{What: "host heard again", Subject: m.host, Age: r.now - m.heardAt})
 	}
 	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
 	r.takeLoads(m, b.Loads)
-	r.takeSpent(m, b.Spent)
+	r.takeDead(m, b.Dead)
+	r.takeSpent(m, b.Spent, returned)
 	r.takeZones(m, b.Zones)
 	r.takeChanges(b.Changes)
 	r.compareNews(m, b)
@@ -153,6 +157,21 @@
 	r.countLoads(m.loads, 1)
 }
 
+// takeDead takes which backend servers a host cannot reach.
+func (r *Router) takeDead(m *member, dead []uint32) {
+	r.countDead(m.dead, -1)
+	m.dead = dead
+	r.countDead(m.dead, 1)
+}
+
+func (r *Router) countDead(dead []uint32, sign int) {
+	for _, hash := range dead {
+		if b, ok := r.byHash[hash]; ok {
+			b.saidDead += sign
+		}
+	}
+}
+
 // countLoads adds others' counts to the beliefs, or takes them away again.
 func (r *Router) countLoads(l loads, sign int) {
 	for hash, c := range l {
@@ -166,12 +185,12 @@
 	}
 }
 
-func (r *Router) takeSpent(m *member, spent []*gossippb.Spent) {
+func (r *Router) takeSpent(m *member, spent []*gossippb.Spent, returned bool) {
 	m.spent = map[string]uint64{}
 	for _, s := range spent {
 		m.spent[s.Workspace] = s.Amount
 		if q, ok := r.quotas[s.Workspace]; ok {
-			q.Heard(m.key(), float64(s.Amount), m.zone == r.opt.Zone)
+			q.Heard(limit.Word{From: m.key(), Spent: float64(s.Amount), InZone: m.zone == r.opt.Zone, Returned: returned})
 		}
 	}
 }
@@ -185,6 +204,7 @@
 			m.silent = true
 			r.countLoads(m.loads, -1)
 			m.loads = nil
+			r.takeDead(m, nil)
 			r.emit(Note{What: "host silent", Subject: host, Age: quiet})
 		}
 		if quiet > forgetAfter || (m.silent && m.leaving) {
@@ -197,6 +217,7 @@
 
 func (r *Router) dropMember(m *member) {
 	r.countLoads(m.loads, -1)
+	r.takeDead(m, nil)
 	for _, q := range r.quotas {
 		q.Forget(m.key())
 	}
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -154,7 +154,7 @@
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if s, ok := m.spent[w.Name]; ok {
-			q.Heard(m.key(), float64(s), m.zone == r.opt.Zone)
+			q.Heard(limit.Word{From: m.key(), Spent: float64(s)})
 		}
 	}
 	r.quotas[w.Name] = q
@@ -173,10 +173,10 @@
 	}
 	r.news.revision = max(r.news.revision, ch.Revision)
 	if !known {
-		b = newBackend(ch.Backend, r.now)
+		b = newBackend(ch.Backend)
 		r.backends[ch.ID] = b
 		r.byHash[b.hash] = b
-		b.others = r.othersAt(b.hash)
+		b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
 		r.ids = nil
 		r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: ch.Service + " " + ch.Addr})
 	} else if ch.Draining && !b.Draining {
@@ -258,9 +258,6 @@
 	if m.differsSince == 0 {
 		m.differsSince = max(1, r.now)
 	}
-	if r.relaying() && m.zone != r.opt.Zone {
-		return
-	}
 	newer := b.ConfigVersion > r.version() || b.Revision > r.news.revision
 	wait, every := pullAfter, pullEvery
 	if !newer {
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -23,6 +23,10 @@
 	farPenalty = 1.08
 	// farFull is the same in a large fleet, where other zones' counts are half a second old.
 	farFull = 1.6
+	// farRoom is how many places below its limit a backend server of another zone must be there.
+	farRoom = 3
+	// lengthDoubt makes up for estimates of a stream's length, which are right at the median only.
+	lengthDoubt = 1.5
 	// choices is how many candidates a host of a large fleet draws at random to take the best of.
 	choices = 6
 	// unknownPace stands for a backend server's speed until any has been observed.
@@ -90,7 +94,7 @@
 // the grounds of the least loaded one.
 func (r *Router) place(q *request) (*backend, Grounds) {
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
-	var good, doubtful, suspect []candidate
+	var good, slow, doubtful, suspect []candidate
 	for _, id := range r.backendIDs() {
 		b := r.backends[id]
 		ok, doubt := b.usable(r.now)
@@ -101,7 +105,7 @@
 		if g.InFlight < 0 || held < g.InFlight {
 			g.InFlight, g.Limit = held, limit
 		}
-		if held >= limit {
+		if held >= limit-r.farMargin(b) {
 			continue
 		}
 		c := candidate{b, r.score(b, held)}
@@ -110,11 +114,13 @@
 			doubtful = append(doubtful, c)
 		case b.suspect(r.now) || r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
 			suspect = append(suspect, c)
+		case r.tooSlow(b, q):
+			slow = append(slow, c)
 		default:
 			good = append(good, c)
 		}
 	}
-	for _, list := range [][]candidate{good, doubtful, suspect} {
+	for _, list := range [][]candidate{good, slow, doubtful, suspect} {
 		if len(list) > 0 {
 			b := r.pick(list)
 			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
@@ -124,6 +130,27 @@
 	return nil, g
 }
 
+// farMargin is how much of its limit a backend server of another zone must have free in a large fleet:
+// its counts are old, and all who overflow see the same free places.
+func (r *Router) farMargin(b *backend) int {
+	if b.Zone == r.opt.Zone || !r.relaying() {
+		return 0
+	}
+	return farRoom
+}
+
+// tooSlow tells whether a stream would most likely not end in time at an engine. The longest outputs
+// are ten times the mean, and slow engines take four times as long for each event, so that these
+// would run for nothing until their deadline.
+func (r *Router) tooSlow(b *backend, q *request) bool {
+	s := r.table.Service(b.Service)
+	if b.interval == 0 || q.OutputTok == 0 || s == nil || s.TokensPerEvent == 0 {
+		return false
+	}
+	events := float64(q.OutputTok) / float64(s.TokensPerEvent)
+	return events*float64(b.interval)*lengthDoubt > float64(q.Deadline-r.now)
+}
+
 // pick takes the best candidate, or in a large fleet the best of a few drawn at random: many hosts
 // that choose by the same counts, a beat old, would all send to the same one.
 func (r *Router) pick(list []candidate) *backend {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// maxSends bounds the sends of one request that were proved not to have run.
-	maxSends = 4
+	// maxRejects bounds the backend servers that may reject one request, and maxSends all tries, most
+	// of which then meet servers that are down.
+	maxRejects = 4
+	maxSends   = 8
 	// backThird: callers wait as told up to a third of the time they have left.
 	backThird = 3
 	// backFirst is the least time to come back, backRank what each rank of priority adds, and
@@ -36,6 +38,7 @@
 	// only on proof that the backend server has not run it.
 	ran     bool
 	runs    int
+	rejects int
 	charged bool
 	// prepaid tells that the retry budget was spent when the move was decided.
 	prepaid bool
@@ -160,14 +163,15 @@
 		b.succeeded(pace)
 		r.learnPace(b.Service, pace)
 	case NotSent:
-		b.failed(r.now, true)
+		if e.Fault {
+			b.refused(r.now)
+		}
 	case WrongInstance:
 		// The address belongs to another: this backend server is gone, whatever the store says.
-		b.avoidFor = avoidMost
-		b.failed(r.now, true)
+		b.refused(r.now)
 	case Broken, Failed:
 		if e.Fault {
-			b.failed(r.now, false)
+			b.failed(r.now)
 		}
 	}
 }
@@ -177,7 +181,10 @@
 func (r *Router) sendElsewhere(q *request, e Ended) {
 	q.tried = append(q.tried, q.backend.ID)
 	reached := e.Outcome != NotSent
-	if q.attempt >= maxSends || r.now >= q.Deadline || (reached && !r.budgetOf(q.service).Spend(r.now, r.hosts())) {
+	if reached {
+		q.rejects++
+	}
+	if q.rejects >= maxRejects || q.attempt >= maxSends || r.now >= q.Deadline || (reached && !r.budgetOf(q.service).Spend(r.now, r.hosts())) {
 		r.refuse(q, Grounds{Version: r.version()})
 		return
 	}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/limit"
 )
 
 const (
@@ -18,15 +19,21 @@
 	// there they are sent to. Two, so that the loss of one goes unnoticed.
 	speakers = 2
 	// sumEvery is the period of sums; work crosses zones only when its own is full.
-	sumEvery = 400 * time.Millisecond
+	sumEvery = 250 * time.Millisecond
 	// sumStale is when a zone's sum no longer counts: four periods.
-	sumStale = 1600 * time.Millisecond
+	sumStale = 1000 * time.Millisecond
 	// speakerStale is when another speaker's sums are taken in place of a silent one's.
-	speakerStale = 1000 * time.Millisecond
+	speakerStale = 700 * time.Millisecond
 	// readers are the hosts of a zone that read the platform's store, where zones relay.
 	readers = 3
-	// readAlone is how long a host hears of no reader before it reads by itself.
-	readAlone = 1500 * time.Millisecond
+	// fewestReaders of the other hosts of a zone must be in contact with the store for a host to rely
+	// on them, and readAlone is how long it waits for them. With contactFresh, a zone whose readers
+	// are all cut off from the store at once hears of a change within three seconds.
+	fewestReaders = 2
+	readAlone     = 400 * time.Millisecond
+	// contactFresh is how old the store's latest answer may be for a host to count as in contact: a
+	// watch that hears nothing is answered sooner.
+	contactFresh = 2200 * time.Millisecond
 	// cutAfter is how long none of a zone's hosts must be heard for the zone to count as cut off.
 	cutAfter = 450 * time.Millisecond
 	// startWait is how long a starting host listens for peers before it reads the store: where there
@@ -259,13 +266,14 @@
 		z = &zoneSum{zone: s.Zone}
 		r.zones.sums[s.Zone] = z
 	}
+	returned := z.stale
 	r.countLoads(z.loads, -1)
 	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
 	z.loads, z.stale = loadsOf(s.Loads), false
 	r.countLoads(z.loads, 1)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
-			q.HeardZone(z.key(), float64(sp.Amount), same)
+			q.Heard(limit.Word{From: z.key(), Spent: float64(sp.Amount), Returned: returned})
 		}
 	}
 	if direct {
@@ -333,6 +341,17 @@
 	return c
 }
 
+// saidDeadAt counts the hosts that cannot reach a backend server.
+func (r *Router) saidDeadAt(hash uint32) int {
+	n := 0
+	for _, h := range r.members.order {
+		if slices.Contains(r.members.byHost[h].dead, hash) {
+			n++
+		}
+	}
+	return n
+}
+
 // knownPeers names the hosts of this zone that are heard, and some of the others.
 func (r *Router) knownPeers() []*gossippb.Peer {
 	var out []*gossippb.Peer
@@ -352,19 +371,26 @@
 	return out
 }
 
-// decideReading turns the reading of the store on where this host should: everywhere in a small
-// fleet, and in a large one on a few hosts of each zone, and on any that hears of none of them.
+// decideReading turns the reading of the store on or off: on everywhere in a small fleet; in a large
+// one on the first hosts of each zone, and on any that hears too few of its zone in contact with the
+// store, as the readers may be the ones that are cut off from it.
 func (r *Router) decideReading() {
 	if !r.zones.decided && r.now < startWait {
 		return
 	}
+	others := 0
 	for _, h := range r.zoneMates() {
-		if m := r.members.byHost[h]; m.readsStore {
-			r.zones.readerAt = r.now
+		if m := r.members.byHost[h]; m.readsStore && !m.leaving {
+			others++
 		}
 	}
-	alone := r.now-r.zones.readerAt > readAlone
-	on := !r.relaying() || alone || r.duty("reads the store", readers)
+	if others >= fewestReaders {
+		r.zones.readerAt = r.now
+	}
+	on := !r.relaying() || r.duty("reads the store", readers) || r.now-r.zones.readerAt > readAlone
+	if r.news.reading && r.zones.decided && others < readers {
+		on = true // until others have taken over
+	}
 	if on == r.news.reading && r.zones.decided {
 		return
 	}
@@ -373,11 +399,16 @@
 	if !on {
 		r.news.lost = true
 	}
-	r.emit(ReadStore{on})
-	r.emit(Note{What: "reads the store", Detail: strconvBool(on)})
+	r.emit(ReadStore{on, r.relaying()})
+	r.emit(Note{What: "reads the store", Detail: onOff(on)})
+}
+
+// inContact tells whether the store has lately answered this host.
+func (r *Router) inContact() bool {
+	return r.news.reading && !r.news.lost && r.now-r.news.heardAt < contactFresh
 }
 
-func strconvBool(b bool) string {
+func onOff(b bool) string {
 	if b {
 		return "on"
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -66,6 +66,8 @@
 	MaxConns int
 	// KVTokens is an engine's memory; zero where unknown.
 	KVTokens int
+	// TokensPerEvent is how many tokens an event of a stream holds; zero where unknown.
+	TokensPerEvent int
 	// PinMax and HoldMax bound what an engine keeps for a caller; zero where it offers neither.
 	PinMax, HoldMax time.Duration
 	// Moves and Backups tell whether a run's memory can be copied to another engine.
