A fault soak of the platform's path; the last line of a failed start is written

Cause: nothing disturbed real processes of this path from outside. It found: the error that ends a start was logged after the log was flushed, so that a host that could not listen ended in silence. Ruled out: a host that 'does not serve' was an older run's orphan on the same address; the soak's processes now end with it.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -65,6 +65,8 @@
 }
 
 func runPlatform(opt options) {
+	ctx, _ := signals()
+	reload := hangups()
 	path := os.Getenv(platform.SettingsEnv)
 	set, err := platform.LoadSettings(path)
 	refuse(err)
@@ -75,13 +77,16 @@
 	node.Tune(set)
 	metrics := telemetry.NewMetrics()
 	log, flush := telemetry.NewBoundedLogger(os.Stdout, metrics)
-	ctx, _ := signals()
-	reload := hangups()
 	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.For(log, "store"))
 	err = node.Run(ctx, set, node.Parts{Store: store, Wire: platform.Wire{}, Reload: reload,
 		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log, metrics)
-	flush()
-	stopped(log, err)
+	if err != nil {
+		log.Error().Err(err).Msg("Stopped with an error.")
+	}
+	flush() // after the last line
+	if err != nil {
+		os.Exit(exitFailed)
+	}
 }
 
 // hangups passes SIGHUP on, which tells that the settings file has changed.
--- /dev/null
+++ b/test/soak_test.go
@@ -0,0 +1,540 @@
+package test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/platform/platformtest"
+)
+
+// The soak runs real daemons of the platform's path and injects faults from outside them: their
+// connections to the store and to backend servers go through a proxy that delays, resets and
+// silences them; the processes are stopped, paused, killed and restarted by signals; the store and
+// the backend servers misbehave; configurations, registrations and settings change meanwhile. What
+// callers and backend servers see is held against the promises. Datagrams between hosts and the
+// machine's clocks are not disturbed; a paused process stands for a suspended machine.
+
+// soakSeeds are run in CI, soakFor each. Seeds that ever failed are listed with their cause.
+var soakSeeds = []uint64{1, 2, 3}
+
+const (
+	soakFor    = 4 * time.Second
+	soakHosts  = 3
+	soakEvents = 8
+	soakKey    = "soak-key"
+	soakDomain = "soak.example"
+	soakGrace  = 8
+	logTail    = 20000 // bytes of a host's log that a failure shows
+)
+
+// soak is one run.
+type soak struct {
+	t        *testing.T
+	rng      *rand.Rand
+	net      int
+	dir      string
+	store    *platformtest.Store
+	version  int
+	proxies  *toxiproxy.ApiServer
+	links    []*toxiproxy.Proxy
+	hosts    []*soakHost
+	mu       sync.Mutex
+	backends []*platformtest.Backend
+	sent     map[string]soakCall
+	failures []string
+	attempts atomic.Int64
+	answered atomic.Int64
+}
+
+type soakHost struct {
+	ip, dir string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	process atomic.Pointer[os.Process]
+	started time.Time // guarded by mu, but for a look that may be wrong
+	log     *os.File
+}
+
+// soakCall is what a caller knows of one of its tries.
+type soakCall struct {
+	kind    string
+	refused bool
+}
+
+var soakNets atomic.Int32
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), net: (os.Getpid() + int(soakNets.Add(1))) % 250, dir: t.TempDir(),
+		store: platformtest.NewStore(), version: 3, sent: map[string]soakCall{},
+		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
+	s.publish()
+	storeAddr := s.listen(s.store)
+	s.backend("models")
+	s.backend("models")
+	s.backend("web")
+	s.backend("web")
+	for i := 0; i < soakHosts; i++ {
+		s.addHost(i, s.link(storeAddr))
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *soak) ip(n int) string { return fmt.Sprintf("127.78.%d.%d", s.net, n) }
+
+func (s *soak) listen(h http.Handler) string {
+	l, err := net.Listen("tcp", s.ip(250)+":0")
+	require.NoError(s.t, err)
+	srv := &http.Server{Handler: h}
+	go func() { _ = srv.Serve(l) }()
+	s.t.Cleanup(func() { _ = srv.Close() })
+	return l.Addr().String()
+}
+
+// link puts a proxy in front of an address.
+func (s *soak) link(upstream string) string {
+	p := toxiproxy.NewProxy(s.proxies, fmt.Sprintf("link-%d", len(s.links)), s.ip(251)+":0", upstream)
+	require.NoError(s.t, p.Start())
+	s.t.Cleanup(p.Stop)
+	s.mu.Lock()
+	s.links = append(s.links, p)
+	s.mu.Unlock()
+	return p.Listen
+}
+
+func (s *soak) publish() {
+	s.version += 1 + s.rng.IntN(3)
+	routes := []platformtest.Route{
+		{Host: soakDomain, Prefix: "/stream/", Kind: "streaming", Service: "models", TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true},
+		{Host: soakDomain, Prefix: "/once/", Kind: "non_idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 1, Priority: 1},
+		{Host: soakDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2, Priority: 2},
+		{Host: soakDomain, Prefix: fmt.Sprintf("/v%d/", s.version), Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2},
+	}
+	s.store.Put("op/config", platformtest.Config(s.version, routes, []platformtest.Workspace{{Name: "soak", Keys: []string{soakKey}, Rate: 1e7, Burst: 1e7}}))
+}
+
+// backend starts a backend server behind a proxy and registers it.
+func (s *soak) backend(service string) {
+	events := 0
+	if service == "models" {
+		events = soakEvents
+	}
+	id := fmt.Sprintf("%s-%d", service, s.attempts.Add(1))
+	b, err := platformtest.StartBackend(id, service, "zone-a", s.ip(200)+":0", events, 5*time.Millisecond)
+	require.NoError(s.t, err)
+	s.t.Cleanup(b.Close)
+	reg := b.Registration("ready")
+	reg["address"] = s.link(b.Addr())
+	s.store.Put(b.Key(), reg)
+	s.mu.Lock()
+	s.backends = append(s.backends, b)
+	s.mu.Unlock()
+}
+
+func (s *soak) addHost(i int, store string) {
+	h := &soakHost{ip: s.ip(i + 1), dir: s.t.TempDir()}
+	seeds := []string{}
+	for k := 0; k < soakHosts; k++ {
+		seeds = append(seeds, s.ip(k+1)+":18229")
+	}
+	file := map[string]any{"node-name": "host-" + strconv.Itoa(i), "ip": h.ip, "zone": "zone-a", "zones": map[string]string{"zone-a": "r"},
+		"listen-addrs": map[string]string{"front": h.ip + ":18221", "ready": h.ip + ":18224", "control": h.ip + ":18229"},
+		"port-range":   []int{17600, 17615}, "seed-nodes": seeds, "limits": map[string]any{"memory-mb": 284, "cores": 1},
+		"bounds": map[string]any{"grace-s": soakGrace, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 560,
+			"quota-window-s": 8, "quota-overage": 0.25, "quota-slack": 1000},
+		"platform": map[string]any{"address": store}}
+	data, err := json.Marshal(file)
+	require.NoError(s.t, err)
+	require.NoError(s.t, os.WriteFile(filepath.Join(h.dir, "settings.json"), data, 0o600))
+	h.log, err = os.Create(filepath.Join(h.dir, "log"))
+	require.NoError(s.t, err)
+	s.hosts = append(s.hosts, h)
+	s.start(h)
+}
+
+func (s *soak) start(h *soakHost) {
+	cmd := exec.Command(filepath.Join(binaries, "fireflyshiftd"), "--platform")
+	cmd.Env = []string{"FIREFLYSHIFT_SETTINGS=" + filepath.Join(h.dir, "settings.json"), "GORACE=halt_on_error=1"}
+	cmd.Stdout, cmd.Stderr = h.log, h.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a test that is killed leaves none behind
+	require.NoError(s.t, cmd.Start())
+	h.cmd, h.started = cmd, time.Now()
+	h.process.Store(cmd.Process)
+}
+
+// end waits for a process and tells how it ended.
+func (h *soakHost) end() error {
+	err := h.cmd.Wait()
+	h.cmd = nil
+	return err
+}
+
+// signal takes no lock: a paused process must be woken while another goroutine waits for its end.
+func (h *soakHost) signal(sig syscall.Signal) {
+	if p := h.process.Load(); p != nil {
+		_ = p.Signal(sig)
+	}
+}
+
+func (s *soak) close() {
+	if s.t.Failed() {
+		for _, h := range s.hosts {
+			h.signal(syscall.SIGQUIT) // prints what each goroutine waits for
+		}
+		time.Sleep(time.Second)
+		for _, h := range s.hosts {
+			log, _ := os.ReadFile(h.log.Name())
+			s.t.Logf("host %s, the end of its log:\n%s", h.ip, log[max(0, len(log)-logTail):])
+		}
+	}
+	for _, h := range s.hosts {
+		h.mu.Lock()
+		if h.cmd != nil {
+			h.signal(syscall.SIGKILL)
+			_ = h.end()
+		}
+		h.mu.Unlock()
+		_ = h.log.Close()
+	}
+}
+
+func (s *soak) fail(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+}
+
+// disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
+func (s *soak) disturb() {
+	h := s.hosts[s.rng.IntN(len(s.hosts))]
+	switch s.rng.IntN(13) {
+	case 0:
+		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
+	case 1:
+		s.later(h, syscall.SIGTERM, 0)
+	case 2:
+		s.pause(h, time.Duration(100+s.rng.IntN(1500))*time.Millisecond)
+	case 3:
+		if time.Since(h.started) > time.Second {
+			h.signal(syscall.SIGHUP)
+		}
+	case 4:
+		s.publish()
+	case 5, 6:
+		s.poison()
+	case 7:
+		s.misbehave()
+	case 8:
+		s.store.SetFault(s.storeFault())
+	case 9:
+		s.store.Compact()
+	case 10:
+		s.replace()
+	default:
+		s.store.SetFault(nil)
+		s.cure()
+	}
+}
+
+// later ends a process by a signal, from outside, and starts it again after a pause.
+func (s *soak) later(h *soakHost, sig syscall.Signal, down time.Duration) {
+	go func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.cmd == nil {
+			return
+		}
+		h.signal(sig)
+		kill := time.AfterFunc((soakGrace+2)*time.Second, func() {
+			s.fail("a stopped host was still there after its grace")
+			h.signal(syscall.SIGKILL)
+		})
+		err := h.end()
+		kill.Stop()
+		// A process that has just been started dies of the signal: it serves nobody yet.
+		if sig == syscall.SIGTERM && err != nil && time.Since(h.started) > 5*time.Second {
+			s.fail("a stopped host ended with %v", err)
+		}
+		time.Sleep(down)
+		s.start(h)
+	}()
+}
+
+func (s *soak) pause(h *soakHost, d time.Duration) {
+	h.signal(syscall.SIGSTOP)
+	time.AfterFunc(d, func() { h.signal(syscall.SIGCONT) })
+}
+
+// poison harms one link: delay, silence in one direction, reset, or a cut after some bytes.
+func (s *soak) poison() {
+	kinds := []string{
+		`{"name":"x","type":"latency","stream":"%s","attributes":{"latency":150,"jitter":100}}`,
+		`{"name":"x","type":"timeout","stream":"%s","attributes":{"timeout":0}}`,
+		`{"name":"x","type":"reset_peer","stream":"%s","attributes":{"timeout":20}}`,
+		`{"name":"x","type":"limit_data","stream":"%s","attributes":{"bytes":300}}`,
+	}
+	stream := []string{"upstream", "downstream"}[s.rng.IntN(2)]
+	s.mu.Lock()
+	link := s.links[s.rng.IntN(len(s.links))]
+	s.mu.Unlock()
+	_, _ = link.Toxics.AddToxicJson(strings.NewReader(fmt.Sprintf(kinds[s.rng.IntN(len(kinds))], stream)))
+}
+
+func (s *soak) cure() {
+	s.mu.Lock()
+	links := append([]*toxiproxy.Proxy(nil), s.links...)
+	s.mu.Unlock()
+	for _, l := range links {
+		l.Toxics.ResetToxics(s.t.Context())
+	}
+}
+
+func (s *soak) misbehave() {
+	kind := platformtest.Behaviour(s.rng.IntN(int(platformtest.Early) + 1))
+	share := s.rng.IntN(4)
+	var n atomic.Int64
+	b := s.anyBackend()
+	b.Behave(func(*http.Request) platformtest.Behaviour {
+		if int(n.Add(1))%4 <= share {
+			return kind
+		}
+		return platformtest.Sound
+	})
+}
+
+func (s *soak) anyBackend() *platformtest.Backend {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backends[s.rng.IntN(len(s.backends))]
+}
+
+func (s *soak) storeFault() func(*http.Request) platformtest.Fault {
+	f := []platformtest.Fault{{Status: 503}, {Status: 429}, {Drop: true}, {Mute: true}, {Delay: 300 * time.Millisecond}}[s.rng.IntN(5)]
+	return func(*http.Request) platformtest.Fault { return f }
+}
+
+// replace puts a new backend server beside one that then drains and leaves, or crashes.
+func (s *soak) replace() {
+	old := s.anyBackend()
+	s.backend(old.Service)
+	if s.rng.IntN(2) == 0 {
+		old.Close()
+		time.AfterFunc(500*time.Millisecond, func() { s.store.Remove(old.Key()) })
+		return
+	}
+	s.store.Put(old.Key(), old.Registration("draining"))
+	time.AfterFunc(time.Second, func() { s.store.Remove(old.Key()) })
+}
+
+// call makes one request as a caller does, over a kept connection where there is one.
+func (s *soak) call(rng *rand.Rand, conns map[string]*soakConn) {
+	h := s.hosts[rng.IntN(len(s.hosts))]
+	kind := []string{"stream", "once", "check"}[rng.IntN(3)]
+	id := fmt.Sprintf("%s-%d", kind, s.attempts.Add(1))
+	c := conns[h.ip]
+	if c == nil {
+		conn, err := net.DialTimeout("tcp", h.ip+":18221", time.Second)
+		if err != nil {
+			return
+		}
+		c = &soakConn{conn, bufio.NewReader(conn)}
+		conns[h.ip] = c
+	}
+	s.note(id, soakCall{kind: kind})
+	resp, body, err := c.send(kind, id)
+	if err != nil || resp.Close {
+		_ = c.Close()
+		delete(conns, h.ip)
+	}
+	if resp != nil {
+		s.judge(id, kind, resp, body, err)
+	}
+}
+
+func (s *soak) note(id string, c soakCall) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[id] = c
+}
+
+// judge holds one answer against what its caller was promised.
+func (s *soak) judge(id, kind string, resp *http.Response, body string, err error) {
+	switch {
+	case resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests:
+		s.note(id, soakCall{kind, true})
+		return
+	case resp.StatusCode != http.StatusOK:
+		return
+	case resp.Header.Get("X-Fireflyshift-Attempt-Id") != id:
+		s.fail("%s got the answer of %s", id, resp.Header.Get("X-Fireflyshift-Attempt-Id"))
+	case kind == "stream" && err == nil && body != platformtest.Stream(0, soakEvents):
+		s.fail("%s got a whole stream that is not: %q", id, body)
+	case kind == "stream" && !strings.HasPrefix(platformtest.Stream(0, soakEvents), body):
+		s.fail("%s got a stream with a gap or a repeat: %q", id, body)
+	case kind != "stream" && err == nil && body != "whole answer of "+id:
+		s.fail("%s got %q", id, body)
+	}
+	if err == nil {
+		s.answered.Add(1)
+	}
+}
+
+type soakConn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (c *soakConn) send(kind, id string) (*http.Response, string, error) {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: %s\r\nX-Fireflyshift-Credential: %s\r\n", kind, soakDomain, id, soakKey)
+	fmt.Fprintf(&b, "X-Fireflyshift-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbody")
+	_ = c.SetDeadline(time.Now().Add(8 * time.Second))
+	if _, err := c.Write(b.Bytes()); err != nil {
+		return nil, "", err
+	}
+	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodPost})
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// settle ends all faults and waits until every host serves again.
+func (s *soak) settle() {
+	s.store.SetFault(nil)
+	s.cure()
+	s.mu.Lock()
+	for _, b := range s.backends {
+		b.Behave(nil)
+	}
+	s.mu.Unlock()
+	s.backend("models")
+	s.backend("web")
+	s.publish()
+	for _, h := range s.hosts {
+		require.Eventually(s.t, func() bool {
+			h.signal(syscall.SIGCONT)
+			conn, err := net.DialTimeout("tcp", h.ip+":18221", time.Second)
+			if err != nil {
+				return false
+			}
+			defer conn.Close()
+			c := &soakConn{conn, bufio.NewReader(conn)}
+			id := fmt.Sprintf("check-%d", s.attempts.Add(1))
+			s.note(id, soakCall{kind: "check"})
+			resp, body, err := c.send(fmt.Sprintf("v%d", s.version), id)
+			return err == nil && resp.StatusCode == http.StatusOK && body == "whole answer of "+id
+		}, patience, 100*time.Millisecond, "host %s does not serve the newest configuration", h.ip)
+	}
+}
+
+// check holds what the backend servers ran against what callers sent and were told.
+func (s *soak) check() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := map[string]int{}
+	for _, b := range s.backends {
+		for _, r := range b.Runs() {
+			runs[r.Attempt]++
+			if r.Header.Get("X-Fireflyshift-Credential") != "" || r.Header.Get("X-Fireflyshift-Tenant") != "soak" {
+				s.failures = append(s.failures, r.Attempt+" reached a backend server with a key, or for another workspace")
+			}
+		}
+	}
+	for id, n := range runs {
+		c, known := s.sent[id]
+		switch {
+		case !known:
+			s.failures = append(s.failures, id+" ran and was never sent")
+		case c.kind == "once" && n > 1:
+			s.failures = append(s.failures, fmt.Sprintf("%s ran %d times", id, n))
+		case c.kind == "once" && c.refused:
+			s.failures = append(s.failures, id+" was refused as not run, and ran")
+		}
+	}
+	for _, h := range s.hosts {
+		log, err := os.ReadFile(h.log.Name())
+		if err != nil {
+			s.t.Error(err)
+			continue
+		}
+		for _, bad := range []string{"DATA RACE", "panic:", "An invariant does not hold"} {
+			if i := bytes.Index(log, []byte(bad)); i >= 0 {
+				s.failures = append(s.failures, fmt.Sprintf("%s: %.2000s", h.ip, log[i:]))
+			}
+		}
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, span time.Duration) {
+	s := newSoak(t, seed)
+	s.settle()
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := 0; i < 8; i++ {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			rng := rand.New(rand.NewPCG(seed, uint64(100+i)))
+			conns := map[string]*soakConn{}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					s.call(rng, conns)
+					time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
+				}
+			}
+		}()
+	}
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		s.disturb()
+		time.Sleep(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
+	}
+	s.settle()
+	close(stop)
+	callers.Wait()
+	s.check()
+	require.Empty(t, s.failures, "seed %d", seed)
+	require.Positive(t, s.answered.Load())
+	t.Logf("seed %d: %d tries, %d answered whole", seed, len(s.sent), s.answered.Load())
+}
+
+// TestSoak runs the seeds of CI. FIREFLYSHIFT_SOAK_SEEDS=FROM-TO runs others, by hand.
+func TestSoak(t *testing.T) {
+	seeds, span := soakSeeds, soakFor
+	if v := os.Getenv("FIREFLYSHIFT_SOAK_SEEDS"); v != "" {
+		var from, to uint64
+		_, err := fmt.Sscanf(v, "%d-%d", &from, &to)
+		require.NoError(t, err, "give FROM-TO")
+		seeds, span = nil, 3*soakFor
+		for n := from; n <= to; n++ {
+			seeds = append(seeds, n)
+		}
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, span) })
+	}
+}
