--- a/internal/limit/main_test.go
+++ b/internal/limit/main_test.go
@@ -11,6 +11,7 @@
 	flag.Parse()
 	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
 		_ = f.Value.Set("1")
+		_ = flag.Set("rapid.checks", "100")
 	}
 	os.Exit(m.Run())
 }
--- /dev/null
+++ b/internal/router/place_test.go
@@ -0,0 +1,219 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// bench is one reducer with a store that has told it everything.
+type bench struct {
+	t    *testing.T
+	r    *Router
+	now  time.Duration
+	next uint64
+}
+
+var (
+	urgent = &routing.Route{Name: "urgent", Kind: routing.Streaming, MaxAttempts: 3, Resumable: true, Target: time.Second, Shares: []routing.Share{{Service: "m", Weight: 1}}}
+	hint   = &routing.Route{Name: "hint", Kind: routing.Streaming, MaxAttempts: 1, Priority: 2, Target: time.Second, Shares: []routing.Share{{Service: "m", Weight: 1}}}
+)
+
+func newBench(t *testing.T, engines int) *bench {
+	b := &bench{t: t, now: time.Second}
+	b.r = New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1,
+		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}})
+	n := News{FromStore: true, Full: true, Revision: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
+		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 3}}}}}
+	for i := 0; i < engines; i++ {
+		n.Backends = append(n.Backends, routing.BackendChange{Revision: 10, Backend: routing.Backend{ID: fmt.Sprintf("e%d", i), Addr: "a", Zone: "z0", Service: "m", Slots: 5}})
+	}
+	b.post(n)
+	return b
+}
+
+func (b *bench) post(ev Event) []Effect {
+	out := b.r.Reduce(b.now, ev)
+	require.Empty(b.t, b.r.Violations())
+	return out
+}
+
+// submit returns the engine that a request goes to, or the refusal.
+func (b *bench) submit(route *routing.Route, rank float64, output int) (string, *Refuse) {
+	b.next++
+	for _, e := range b.post(Submit{ID: b.next, Route: route, Rank: rank, OutputTok: output, Deadline: b.now + 10*time.Second}) {
+		switch e := e.(type) {
+		case Dispatch:
+			return e.Backend.ID, nil
+		case Refuse:
+			return "", &e
+		}
+	}
+	b.t.Fatal("no decision")
+	return "", nil
+}
+
+// learn lets an engine answer with a pace.
+func (b *bench) learn(engine string, pace time.Duration) {
+	b.r.backends[engine].succeeded(pace)
+}
+
+// A burst of hints fills every engine. A review that comes then must still find a place at each of
+// them: engines admit in order of arrival, so that what may queue there is all that ranks.
+func TestUrgentWorkFindsRoomInABurst(t *testing.T) {
+	b := newBench(t, 2)
+	hints := 0
+	for {
+		if _, refused := b.submit(hint, routing.LeastUrgent, 100); refused != nil {
+			require.Equal(t, Overloaded, refused.Cause)
+			require.Positive(t, refused.After, "told when to come back")
+			break
+		}
+		hints++
+	}
+	require.Equal(t, 2*(5+headroom-2*perRank), hints)
+	reviews := 0
+	for {
+		if _, refused := b.submit(urgent, 0, 100); refused != nil {
+			break
+		}
+		reviews++
+	}
+	require.Equal(t, 2*2*perRank, reviews)
+}
+
+// Engines of a service differ fourfold in speed. Work goes where it shares the engine for the
+// shortest time, so that a fast engine gets four requests before a slow one gets its first.
+func TestFastEnginesAreFilledFirst(t *testing.T) {
+	b := newBench(t, 2)
+	b.learn("e0", 11*time.Millisecond)
+	b.learn("e1", 47*time.Millisecond)
+	for i := 0; i < 4; i++ {
+		engine, _ := b.submit(urgent, 0, 100)
+		require.Equal(t, "e0", engine)
+	}
+	engine, _ := b.submit(urgent, 0, 100)
+	require.Equal(t, "e1", engine)
+}
+
+// A summary of 1,800 tokens takes 28 s at an engine that takes 47 ms for three of them: its caller
+// leaves after 10 s, and the engine has worked for nothing. It goes to a fast one, however busy.
+func TestLongStreamsAvoidSlowEngines(t *testing.T) {
+	b := newBench(t, 2)
+	b.learn("e0", 11*time.Millisecond)
+	b.learn("e1", 47*time.Millisecond)
+	for i := 0; i < 5+headroom; i++ {
+		engine, _ := b.submit(urgent, 0, 1800)
+		require.Equal(t, "e0", engine)
+	}
+	engine, _ := b.submit(urgent, 0, 1800)
+	require.Equal(t, "e1", engine, "rather there than refused")
+}
+
+// An engine crashes. It looks idle until its registration lapses, and every host would try it for
+// each request. Two hosts that say so are believed; one may be cut off itself.
+func TestDeadEnginesOfOthersAreAvoided(t *testing.T) {
+	b := newBench(t, 2)
+	dead := b.r.backends["e0"].hash
+	say := func(host string) {
+		b.post(Heard{&gossippb.Beat{Host: host, Zone: "z0", Incarnation: 1, Seq: 1, Dead: []uint32{dead}}})
+	}
+	say("10.0.0.2")
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e0", engine, "one host's word")
+	say("10.0.0.3")
+	for i := 0; i < 4; i++ {
+		engine, _ = b.submit(urgent, 0, 10)
+		require.Equal(t, "e1", engine)
+	}
+}
+
+// No host of another zone is heard any more though some were: the zone is cut off, and a request to
+// its engines would wait for a connection in vain while its caller's objective passes.
+func TestEnginesOfASilentZoneAreAvoided(t *testing.T) {
+	b := newBench(t, 2)
+	b.r.backends["e0"].Zone = "z1"
+	b.r.backends["e1"].own[0] = 3
+	b.post(Heard{&gossippb.Beat{Host: "10.0.1.1", Zone: "z1", Incarnation: 1, Seq: 1}})
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e0", engine)
+	b.now += cutAfter
+	engine, _ = b.submit(urgent, 0, 10)
+	require.Equal(t, "e1", engine)
+}
+
+// A request that may be repeated breaks at one engine after another. It runs at no more engines than
+// its route allows, whatever the budget holds.
+func TestAttemptsAreBounded(t *testing.T) {
+	b := newBench(t, 8)
+	for i := 0; i < 60; i++ { // earns budget
+		b.submit(urgent, 0, 10)
+		b.post(Ended{ID: b.next, Outcome: Answered})
+	}
+	b.submit(urgent, 0, 10)
+	id := b.next
+	runs := 1
+	for {
+		again := false
+		for _, e := range b.post(Ended{ID: id, Outcome: Broken}) {
+			if _, ok := e.(Dispatch); ok {
+				again = true
+				runs++
+			}
+		}
+		if !again {
+			break
+		}
+	}
+	require.Equal(t, urgent.MaxAttempts, runs)
+}
+
+// A stalled request moves only if another engine has room: closing its place in a queue for nothing
+// would make it later.
+func TestStalledRequestStaysWithoutRoom(t *testing.T) {
+	b := newBench(t, 2)
+	for i := 0; i < 20; i++ {
+		b.submit(urgent, 0, 10)
+		b.post(Ended{ID: b.next, Outcome: Answered})
+	}
+	b.submit(urgent, 0, 10)
+	id := b.next
+	verdict := func() bool { return b.post(Stalled{ID: id})[0].(Verdict).Move }
+	for i := 0; i < 20; i++ {
+		b.submit(urgent, 0, 10)
+	}
+	require.False(t, verdict())
+	for i := uint64(1); i <= 20; i++ {
+		b.post(Ended{ID: id + i, Outcome: Answered})
+	}
+	require.True(t, verdict())
+}
+
+// All readers of a zone are cut off from the store at once. The others notice by the age of their
+// contact and read by themselves, or a removed key would live on in the zone.
+func TestOthersReadWhenTheReadersLoseTheStore(t *testing.T) {
+	r := New(Options{Host: "10.0.0.99", Zone: "z0", Incarnation: 1, Seed: 1})
+	now := time.Second
+	beat := func(seq uint64, contact bool) {
+		for i := 1; i <= 20; i++ {
+			r.Reduce(now, Heard{&gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i), Zone: "z0", Incarnation: 1, Seq: seq, ReadsStore: contact}})
+		}
+	}
+	reads := func() bool { return r.news.reading }
+	beat(1, true)
+	r.Reduce(now, Tick{})
+	require.False(t, reads(), "this host is among the readers by its hash; choose another number")
+	now += 100 * time.Millisecond
+	beat(2, false)
+	r.Reduce(now, Tick{})
+	require.False(t, reads(), "not at the first word")
+	now += readAlone + time.Millisecond
+	beat(3, false)
+	r.Reduce(now, Tick{})
+	require.True(t, reads())
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -14,8 +14,12 @@
 	coreTests   = []string{"./internal/core", "-rapid.shrinktime=1s"}
 	ticketTests = []string{"./internal/ticket"}
 	schedTests  = []string{"./internal/sched", "-rapid.shrinktime=1s"}
+	routerTests = []string{"./internal/router", "-rapid.shrinktime=1s"}
+	limitTests  = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
+func onPlatform(run string) []string { return []string{"./platform", "-run", run} }
+
 func real(run string) []string { return []string{"./test", "-run", run} }
 
 // mutants has at least one row for each promise of the brief, numbered in its order.
@@ -78,4 +82,27 @@
 	{"link-loss", "3", "internal/member/member.go", "linked := p.links > 0 || now-p.unlinkedAt <= unlinkedGrace", "linked := true", []string{"./internal/member"}},
 	{"held-digest", "8", "internal/sched/held.go", "if h.count != count || h.digest != digest {", "if false {", schedTests},
 	{"one-answer", "1, 2", "internal/core/entry.go", "\tif !ok || !r.runs() || r.attempt != e.Attempt {\n", "\tif !ok {\n", coreTests},
+	// The platform's path.
+	{"router-repeats-once", "1", "internal/router/requests.go", "allowed := q.Route.Repeatable() && q.runs", "allowed := q.runs", routerTests},
+	{"router-attempts", "1", "internal/router/requests.go",
+		"allowed := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now", "allowed := q.Route.Repeatable() && r.now", routerTests},
+	{"router-not-run-true", "1", "internal/router/requests.go", "	if q.ran {\n\t\tr.emit(GiveUp{ID: q.ID, Cause: cause, PassOn: true})\n\t\treturn\n\t}\n", "", routerTests},
+	{"router-version-forward", "6", "internal/router/news.go", "if n.Config != nil && n.Config.Version > r.version() {", "if n.Config != nil {", routerTests},
+	{"router-revision-forward", "6", "internal/router/news.go", "if known && ch.Revision <= b.revision {", "if false {", routerTests},
+	{"router-peers-repair", "6", "internal/router/news.go", "	r.news.pulledAt = r.now\n\tr.emit(Pull{m.host})", "	r.news.pulledAt = r.now", onPlatform("Refuses|StoreIsAway")},
+	{"router-drain", "4", "internal/router/backends.go", "	if b.Draining {\n\t\treturn false, false\n\t}\n", "", routerTests},
+	{"router-doubt-ends", "4", "internal/router/backends.go", "return now < b.doubtUntil, true", "return true, true", routerTests},
+	{"limit-first-word", "limits", "internal/limit/quota.go", "	if !known {\n\t\treturn\n\t}\n", "", limitTests},
+	{"limit-returned", "limits", "internal/limit/quota.go", "covered := min(q.withheld, more)", "covered := 0.0", limitTests},
+	{"limit-own-part", "limits", "internal/limit/quota.go", "	if q.share <= 0 {", "	if false {", limitTests},
+	{"limit-budget-parts", "limits", "internal/limit/budget.go", "b.extra/2/float64(max(hosts, fewestHosts))", "b.extra/2", limitTests},
+	{"gateway-whole-events", "2", "internal/gateway/events.go", "return nil, io.ErrUnexpectedEOF", "return nil, io.EOF", onPlatform("Stream")},
+	{"gateway-no-repeat-event", "2", "internal/gateway/flight.go", "		s.LastEvent = itoa(f.lastEvent)\n", "", onPlatform("Resum|GoesOn")},
+	{"gateway-own-answer", "2", "internal/gateway/flight.go", "return id == \"\" || id == f.call.AttemptID", "return true", onPlatform("Faulty|Anothers")},
+	{"gateway-signature", "2", "internal/gateway/flight.go", "case success && (!info.Signed || ", "case success && (false || ", onPlatform("Faulty")},
+	{"gateway-caller-left", "1", "internal/upstream/call.go", "x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })", "x.stop = func() bool { return true }", onPlatform("Leaving")},
+	{"gateway-system-headers", "keys", "platform/headers.go", "	for _, name := range systemHeaders {\n\t\th.Del(name)\n\t}\n", "", onPlatform("SystemHeaders")},
+	{"gateway-instance", "4", "platform/headers.go", "	h.Set(headerInstance, d.Backend)\n", "", onPlatform("SystemHeaders|Reused")},
+	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = true", onPlatform("Faulty|Anothers|Broken")},
+	{"node-drain-waits", "5", "internal/node/node.go", "		if n.control.held.Load() > 0 {\n\t\t\tquietSince = time.Now()\n\t\t}\n", "", onPlatform("StopCuts")},
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -71,7 +71,7 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	process atomic.Pointer[os.Process]
-	started time.Time // guarded by mu, but for a look that may be wrong
+	started atomic.Int64 // Unix milliseconds
 	log     *os.File
 }
 
@@ -178,10 +178,13 @@
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a test that is killed leaves none behind
 	require.NoError(s.t, cmd.Start())
-	h.cmd, h.started = cmd, time.Now()
+	h.cmd = cmd
+	h.started.Store(time.Now().UnixMilli())
 	h.process.Store(cmd.Process)
 }
 
+func (h *soakHost) age() time.Duration { return time.Since(time.UnixMilli(h.started.Load())) }
+
 // end waits for a process and tells how it ended.
 func (h *soakHost) end() error {
 	err := h.cmd.Wait()
@@ -235,7 +238,7 @@
 	case 2:
 		s.pause(h, time.Duration(100+s.rng.IntN(1500))*time.Millisecond)
 	case 3:
-		if time.Since(h.started) > time.Second {
+		if h.age() > time.Second {
 			h.signal(syscall.SIGHUP)
 		}
 	case 4:
@@ -272,7 +275,7 @@
 		err := h.end()
 		kill.Stop()
 		// A process that has just been started dies of the signal: it serves nobody yet.
-		if sig == syscall.SIGTERM && err != nil && time.Since(h.started) > 5*time.Second {
+		if sig == syscall.SIGTERM && err != nil && h.age() > 5*time.Second {
 			s.fail("a stopped host ended with %v", err)
 		}
 		time.Sleep(down)
