--- a/internal/core/guards_test.go
+++ b/internal/core/guards_test.go
@@ -348,3 +348,20 @@
 	}
 	require.True(t, on)
 }
+
+// A push of records to this host was lost. The peer's heartbeat shows a digest that differs; the host
+// must ask for what it lacks, or the lost change would never be in force here while the platform is
+// away.
+func TestLostRecordIsAskedFor(t *testing.T) {
+	l := newLone(t)
+	out := l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		SentMs: uint64(l.now / time.Millisecond), ConfigRevision: 9, ConfigDigest: 12345}}})
+	pulls := 0
+	for _, e := range out {
+		if s, ok := e.(core.Send); ok && s.Message.GetRecordsPull() != nil {
+			require.Equal(t, "peer", s.To.ID)
+			pulls++
+		}
+	}
+	require.Equal(t, 1, pulls)
+}
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -217,3 +217,30 @@
 	r.Reduce(now, Tick{})
 	require.True(t, reads())
 }
+
+// A registration lapses while the store is away. Its server is used a little longer, as it mostly lives;
+// but one that is still missing two seconds after the store's return is gone, and its address may
+// belong to another.
+func TestLapsedRegistrationIsUsedBrieflyOnly(t *testing.T) {
+	b := newBench(t, 1)
+	b.post(StoreContact{OK: false})
+	b.post(News{FromStore: true, Full: true, Revision: 60})
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e0", engine)
+	b.now += doubtFor
+	_, refused := b.submit(urgent, 0, 10)
+	require.NotNil(t, refused)
+	require.Equal(t, NoBackend, refused.Cause)
+}
+
+// A server that drains is removed as the store returns. It said that it leaves: it is never doubtful.
+func TestDrainedServerIsNeverUsedAgain(t *testing.T) {
+	b := newBench(t, 1)
+	ch := routing.BackendChange{Revision: 55, Backend: b.r.backends["e0"].Backend}
+	ch.Draining = true
+	b.post(News{FromStore: true, Revision: 55, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+	b.post(StoreContact{OK: false})
+	b.post(News{FromStore: true, Full: true, Revision: 60})
+	_, refused := b.submit(urgent, 0, 10)
+	require.NotNil(t, refused)
+}
