--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo test lint generate
+.PHONY: build demo demo-platform test lint generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -9,6 +9,10 @@
 demo: build
 	./$(BIN)/demo $(BIN)
 
+# The same on the users' platform's path, against stand-ins of its store and backend servers.
+demo-platform: build
+	./$(BIN)/demo $(BIN) --platform
+
 test:
 	$(GO) test -race ./...
 
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -1,6 +1,7 @@
 // Command demo starts the whole path on loopback as separate processes, sends requests of several
 // tiers and kinds through a round robin over the hosts, prints each answer, and checks that none was
-// missing, doubled or torn. It exits with 1 if one was.
+// missing, doubled or torn. It exits with 1 if one was. With --platform after the folder of the
+// programs it shows the path of the users' platform.
 package main
 
 import (
@@ -36,7 +37,11 @@
 	if len(os.Args) > 1 {
 		d.bin = os.Args[1]
 	}
-	err := d.run()
+	run := d.run
+	if len(os.Args) > 2 && os.Args[2] == "--platform" {
+		run = d.runPlatform
+	}
+	err := run()
 	for _, p := range d.processes {
 		p.Kill()
 	}
--- /dev/null
+++ b/cmd/demo/platform.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"fireflyshift/internal/standin/fleet"
+	"fireflyshift/platform"
+	"fireflyshift/platform/platformtest"
+)
+
+// The demo of the platform's path: a stand-in of the store, two engines and a plain service inside
+// this process, and three daemons, each at its own loopback address.
+const (
+	demoNet    = "127.79.0."
+	demoDomain = "demo.example"
+	demoKey    = "demo-key"
+	demoEvents = 6
+)
+
+func (d *demo) runPlatform() error {
+	var err error
+	if d.dir, err = os.MkdirTemp("", "fireflyshift-demo-"); err != nil {
+		return err
+	}
+	store := platformtest.NewStore()
+	storeAddr := demoNet + "250:18225"
+	defer fleet.ServeAt(storeAddr, store)()
+	store.Put("op/config", platformtest.Config(1, []platformtest.Route{
+		{Host: demoDomain, Prefix: "/review/", Kind: "streaming", Service: "models", TimeoutMS: 8000, TargetMS: 800, Attempts: 2, Resumable: true},
+		{Host: demoDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 2000, TargetMS: 200, Attempts: 2, Priority: 1},
+	}, []platformtest.Workspace{{Name: "demo", Keys: []string{demoKey}}}))
+	var backends []*platformtest.Backend
+	for i, service := range []string{"models", "models", "web"} {
+		events := demoEvents
+		if service == "web" {
+			events = 0
+		}
+		b, err := platformtest.StartBackend(fmt.Sprintf("%s-%d", service, i), service, "zone-a", demoNet+"200:0", events, 5*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		defer b.Close()
+		store.Put(b.Key(), b.Registration("ready"))
+		backends = append(backends, b)
+	}
+	for i := 1; i <= 3; i++ {
+		if err := d.startPlatformHost(i, storeAddr); err != nil {
+			return err
+		}
+	}
+	fmt.Println("One engine breaks off in the middle of each first answer; reviews go on at the other.")
+	backends[0].Always(platformtest.BreaksOff)
+	d.sendPlatform(backends)
+	return d.platformStatus()
+}
+
+func (d *demo) startPlatformHost(i int, store string) error {
+	ip := fmt.Sprintf("%s%d", demoNet, i)
+	file := map[string]any{"node-name": fmt.Sprintf("host-%d", i), "ip": ip, "zone": "zone-a", "zones": map[string]string{"zone-a": "r"},
+		"listen-addrs": map[string]string{"front": ip + ":18221", "ready": ip + ":18224", "control": ip + ":18229"},
+		"port-range":   []int{17600, 17615}, "seed-nodes": []string{demoNet + "1:18229"}, "limits": map[string]any{"memory-mb": 284},
+		"bounds":   map[string]any{"grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 560},
+		"platform": map[string]any{"address": store}}
+	data, err := json.Marshal(file)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(d.dir, fmt.Sprintf("host-%d.json", i))
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	if err := os.Setenv(platform.SettingsEnv, path); err != nil {
+		return err
+	}
+	if err := d.start("fireflyshiftd", "--platform"); err != nil {
+		return err
+	}
+	ready := fleet.Until(startTimeout, func() bool {
+		status, _, err := fleet.Get("http://" + ip + ":18224/api/readyz")
+		return err == nil && status == http.StatusOK
+	})
+	if !ready {
+		return fmt.Errorf("host %s is not ready after %s", ip, startTimeout)
+	}
+	return nil
+}
+
+// sendPlatform sends requests to each host in turn and compares each answer to the letter.
+func (d *demo) sendPlatform(backends []*platformtest.Backend) {
+	for i := 0; i < 12; i++ {
+		ip := fmt.Sprintf("%s%d", demoNet, 1+i%3)
+		id := fmt.Sprintf("demo-%d", i)
+		path, want := "/review/x", platformtest.Stream(0, demoEvents)
+		if i%4 == 3 {
+			path, want = "/check/x", "whole answer of "+id
+		}
+		body, from, err := platformCall(ip, path, id)
+		if err != nil || body != want {
+			d.failures++
+			fmt.Printf("%-12s %-10s BAD: %v %q\n", ip, path, err, body)
+			continue
+		}
+		fmt.Printf("%-12s %-10s whole, begun by %s\n", ip, path, from)
+	}
+	for _, b := range backends {
+		fmt.Printf("%s ran %d requests\n", b.ID, len(b.Runs()))
+	}
+}
+
+func platformCall(ip, path, id string) (body, from string, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+net.JoinHostPort(ip, "18221")+path, nil)
+	if err != nil {
+		return "", "", err
+	}
+	req.Host = demoDomain
+	req.Header.Set("X-Fireflyshift-Attempt-Id", id)
+	req.Header.Set("X-Fireflyshift-Credential", demoKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return string(data), resp.Header.Get("X-Fireflyshift-Server-Stamp"), err
+}
+
+func (d *demo) platformStatus() error {
+	cmd := exec.Command(filepath.Join(d.bin, "fireflyctl"), "status", "--host", demoNet+"1:18229", "--host", demoNet+"2:18229")
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd.Run()
+}
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -159,8 +159,7 @@
 func (f *flight) submission() router.Submit {
 	s := router.Submit{
 		ID: f.id, Route: f.route, Workspace: f.workspace, Rank: f.rank,
-		PromptTok: f.call.PromptTokens, OutputTok: f.call.OutputTokens, PrefixPart: f.call.PrefixPart,
-		Deadline: f.beganAt + f.allowed, AllowedTime: f.call.Deadline,
+		OutputTok: f.call.OutputTokens, Deadline: f.beganAt + f.allowed,
 	}
 	if f.call.LengthHint > 0 {
 		s.OutputTok = min(s.OutputTok, f.call.LengthHint)
@@ -262,6 +261,7 @@
 	if f.rest != nil {
 		req.Rest, req.Length = f.rest, f.r.ContentLength
 	}
+	req.Keep = d.Keep
 	req.Stall, _ = f.stall()
 	req.Stalled = f.stalled
 	return req
@@ -382,7 +382,6 @@
 			f.firstByte = time.Since(f.began)
 			f.writeHead(resp.Status, resp.Header, -1)
 			_ = rc.SetWriteDeadline(f.deadline)
-			f.g.control.Post(router.Began{ID: f.id})
 		}
 		if _, err := f.w.Write(out); err != nil {
 			return router.Ended{Outcome: router.Canceled}
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -21,7 +21,6 @@
 	PromptTokens int
 	OutputTokens int // at most
 	LengthHint   int // the caller's estimate of the output tokens; zero where unknown
-	PrefixPart   string
 }
 
 // Send is what one dispatch adds to a caller's request.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,7 +13,6 @@
 	Name     string
 	IP       string
 	Zone     string
-	Zones    int    // availability zones of the deployment
 	Callers  string // address for callers
 	Ready    string // address for the balancer's question
 	Admin    string // address for operators; empty where none is given
@@ -22,7 +21,6 @@
 	Seeds    []string
 	Store    string
 	MemoryMB int
-	MaxFDs   int
 	Cores    int
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -16,21 +16,15 @@
 // Submit is a caller's request whose route and key the traffic side has checked.
 type Submit struct {
 	// ID names the request on this host.
-	ID          uint64
-	Route       *routing.Route
-	Workspace   *routing.Workspace // nil on public routes
-	Rank        float64            // urgency: 0 the most, routing.LeastUrgent the least
-	PromptTok   int
-	OutputTok   int
-	Cost        float64 // what the quota counts
-	PrefixPart  string
-	Deadline    time.Duration // moment on the reducer's clock at which the answer is of no more use
-	AllowedTime time.Duration // what the caller said it would wait
+	ID        uint64
+	Route     *routing.Route
+	Workspace *routing.Workspace // nil on public routes
+	Rank      float64            // urgency: 0 the most, routing.LeastUrgent the least
+	OutputTok int                // the caller's estimate of the output, in tokens
+	Cost      float64            // what the quota counts
+	Deadline  time.Duration      // moment on the reducer's clock at which the answer is of no more use
 }
 
-// Began tells that a stream's first event has come: its prompt is read.
-type Began struct{ ID uint64 }
-
 // Stalled tells that the backend server has been silent for long. The answer is a Verdict.
 type Stalled struct{ ID uint64 }
 
@@ -104,7 +98,6 @@
 func (Settle) event()       {}
 func (Tick) event()         {}
 func (Submit) event()       {}
-func (Began) event()        {}
 func (Stalled) event()      {}
 func (Gone) event()         {}
 func (Ended) event()        {}
@@ -130,6 +123,8 @@
 	Backend routing.Backend
 	// Attempt counts the sends of this request from 1.
 	Attempt int
+	// Keep is how many idle connections to the backend server this host may hold.
+	Keep int
 	// At is when it was decided: the permission is short-lived.
 	At      time.Duration
 	Grounds Grounds
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -95,7 +95,25 @@
 	q.ran = true
 	q.runs++
 	b.own[q.bucket()]++
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, At: r.now, Grounds: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, Keep: r.keep(b), At: r.now, Grounds: g})
+}
+
+const (
+	// keepMost bounds the idle connections to one backend server; more of a host's requests are
+	// seldom there at once.
+	keepMost = 8
+	// keepShare of a backend server's connections may be idle ones of all hosts; it resets what
+	// comes beyond its bound.
+	keepShare = 0.5
+)
+
+// keep is how many idle connections to a backend server this host may hold.
+func (r *Router) keep(b *backend) int {
+	s := r.table.Service(b.Service)
+	if s == nil || s.MaxConns == 0 {
+		return keepMost
+	}
+	return max(1, min(keepMost, int(keepShare*float64(s.MaxConns))/r.hosts()))
 }
 
 // refuse ends a request for which there is no place, truly: only what has not run is called so.
@@ -119,8 +137,6 @@
 	return max(0, min(back, (q.Deadline-r.now)/backThird))
 }
 
-func (r *Router) began(id uint64) {}
-
 // gone ends a request whose caller left; the traffic side stops the work.
 func (r *Router) gone(id uint64) {
 	if q, ok := r.requests[id]; ok {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,8 +83,6 @@
 		r.tick()
 	case Submit:
 		r.submit(e)
-	case Began:
-		r.began(e.ID)
 	case Stalled:
 		r.stalled(e.ID)
 	case Gone:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -62,16 +62,10 @@
 	Name string
 	// Model tells that the backend servers are model engines, which batch and stream.
 	Model bool
-	// MaxConns bounds a backend server's connections from all callers together.
+	// MaxConns bounds a backend server's connections from all callers together; zero where unknown.
 	MaxConns int
-	// KVTokens is an engine's memory; zero where unknown.
-	KVTokens int
 	// TokensPerEvent is how many tokens an event of a stream holds; zero where unknown.
 	TokensPerEvent int
-	// PinMax and HoldMax bound what an engine keeps for a caller; zero where it offers neither.
-	PinMax, HoldMax time.Duration
-	// Moves and Backups tell whether a run's memory can be copied to another engine.
-	Moves, Backups bool
 }
 
 // Workspace is a customer with its keys and its quota.
@@ -218,16 +212,6 @@
 // Workspace finds the holder of a key; nil if no workspace holds it.
 func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
 
-// WorkspaceNamed finds a workspace by name; nil if it is not configured.
-func (t *Table) WorkspaceNamed(name string) *Workspace {
-	for i := range t.Config.Workspaces {
-		if t.Config.Workspaces[i].Name == name {
-			return &t.Config.Workspaces[i]
-		}
-	}
-	return nil
-}
-
 // HasWorkspaces tells whether routes that are not public need a key.
 func (t *Table) HasWorkspaces() bool { return len(t.Config.Workspaces) > 0 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -26,6 +26,8 @@
 	Own func(h http.Header) bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Keep is how many idle connections to the server may be held after the call.
+	Keep int
 	// Stall, if not zero, is how long the server may be silent until Stalled is asked whether to
 	// give the call up; the call then ends with ErrStalled.
 	Stall   time.Duration
@@ -55,6 +57,7 @@
 	pool   *Pool
 	addr   string
 	conn   *conn
+	keep   int
 	stop   func() bool
 	wrote  chan error // the end of a body that is written while the answer is awaited
 	whole  bool       // the request is written to its end
@@ -74,7 +77,7 @@
 		_ = c.Close()
 		return nil, false, trace.Wrap(context.Cause(ctx), "the request ended before it was sent")
 	}
-	x := &call{pool: p, addr: addr, conn: c}
+	x := &call{pool: p, addr: addr, conn: c, keep: req.Keep}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(req.Deadline)
 	c.deadline, c.stall, c.stalled = req.Deadline, req.Stall, req.Stalled
@@ -176,7 +179,7 @@
 	if keep {
 		if idle := keepFor(r.resp); idle > 0 && r.call.stop() {
 			r.call.closed = true
-			r.call.pool.put(r.call.addr, r.call.conn, idle)
+			r.call.pool.put(r.call.addr, r.call.conn, idle, r.call.keep)
 			return
 		}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,20 +9,15 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
-	dialer  *net.Dialer
-	mu      sync.Mutex
-	idle    map[string][]*conn
-	dialed  func()
-	maxIdle int
+	dialer *net.Dialer
+	mu     sync.Mutex
+	idle   map[string][]*conn
+	dialed func()
 }
 
-// maxIdlePerServer bounds the kept connections to one server; this many requests in flight from
-// one host are above any server's slots.
-const maxIdlePerServer = 16
-
 // NewPool returns an empty pool; dialed is called for each new connection.
 func NewPool(dialed func()) *Pool {
-	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, dialed: dialed, maxIdle: maxIdlePerServer}
+	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, dialed: dialed}
 }
 
 // get takes the idle connection that was used last, or dials.
@@ -53,7 +48,8 @@
 	return c
 }
 
-func (p *Pool) put(addr string, c *conn, keep time.Duration) {
+// put keeps a connection for a time, unless most are kept already.
+func (p *Pool) put(addr string, c *conn, keep time.Duration, most int) {
 	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
 		_ = c.Close()
 		return
@@ -62,7 +58,7 @@
 	c.stall, c.stalled = 0, nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= p.maxIdle {
+	if len(p.idle[addr]) >= most {
 		_ = c.Close()
 		return
 	}
