--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -24,13 +24,13 @@
 		load := rapid.IntRange(0, 40).Draw(t, "requests a step")
 		skew := rapid.IntRange(1, hosts).Draw(t, "hosts that get them")
 		restart := rapid.IntRange(0, 600).Draw(t, "restart at")
-		idle := rapid.IntRange(0, 500).Draw(t, "idle until") // budgets save up meanwhile
+		idle := rapid.IntRange(0, 1200).Draw(t, "idle until") // budgets save up meanwhile
 		budgets := make([]*Budget, hosts)
 		for i := range budgets {
 			budgets[i] = NewBudget(ratio, extra, span)
 		}
 		var asked, repeated []int
-		for n := 0; n < 600; n++ {
+		for n := 0; n < 1400; n++ {
 			now := time.Duration(n) * step
 			if n == restart {
 				for i := range budgets {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -103,6 +103,6 @@
 	{"gateway-caller-left", "1", "internal/upstream/call.go", "x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })", "x.stop = func() bool { return true }", onPlatform("Leav")},
 	{"gateway-system-headers", "keys", "platform/headers.go", "	for _, name := range systemHeaders {\n\t\th.Del(name)\n\t}\n", "", onPlatform("SystemHeaders")},
 	{"gateway-instance", "4", "platform/headers.go", "	h.Set(headerInstance, d.Backend)\n", "", onPlatform("SystemHeaders|Reused")},
-	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = err != unix.EBADF", onPlatform("Faulty|Anothers|Broken")},
+	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = err != unix.EBADF", onPlatform("ClosedIdle|Faulty|Anothers")},
 	{"node-drain-waits", "5", "internal/node/node.go", "		if n.control.held.Load() > 0 {\n\t\t\tquietSince = time.Now()\n\t\t}\n", "", onPlatform("StopCuts")},
 }
