--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -34,7 +34,9 @@
 // callers and backend servers see is held against the promises. Datagrams between hosts and the
 // machine's clocks are not disturbed; a paused process stands for a suspended machine.
 
-// soakSeeds are run in CI, soakFor each. Seeds that ever failed are listed with their cause.
+// soakSeeds are run in CI, soakFor each. Seeds that failed while this test was written, all by faults of
+// the test itself: 1 (a stop signal in the first moments of a process), 2 (a paused host was waited for
+// under the lock that its waking needs), 13, 23, 36 and 49 (a data race in the test).
 var soakSeeds = []uint64{1, 2, 3}
 
 const (
