One settings file and one caller for the stand-ins; a listed socket error by errors.Is

Cause: the demo, the soak and the cluster tests each wrote the platform's settings file, the demo with the platform's wire names outside platform/; a service's beliefs were made in two places; a closed socket was told by its text. Change: platformtest.Settings, Ready and Call; Router.serviceNamed; errors.Is(err, net.ErrClosed).

--- a/cmd/demo/platform.go
+++ b/cmd/demo/platform.go
@@ -3,9 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -64,11 +61,7 @@
 
 func (d *demo) startPlatformHost(i int, store string) error {
 	ip := fmt.Sprintf("%s%d", demoNet, i)
-	file := map[string]any{"node-name": fmt.Sprintf("host-%d", i), "ip": ip, "zone": "zone-a", "zones": map[string]string{"zone-a": "r"},
-		"listen-addrs": map[string]string{"front": ip + ":18221", "ready": ip + ":18224", "control": ip + ":18229"},
-		"port-range":   []int{17600, 17615}, "seed-nodes": []string{demoNet + "1:18229"}, "limits": map[string]any{"memory-mb": 284},
-		"bounds":   map[string]any{"grace-s": 8, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 560},
-		"platform": map[string]any{"address": store}}
+	file := platformtest.Settings(fmt.Sprintf("host-%d", i), ip, "zone-a", store, []string{demoNet + "1"})
 	data, err := json.Marshal(file)
 	if err != nil {
 		return err
@@ -83,10 +76,7 @@
 	if err := d.start("fireflyshiftd", "--platform"); err != nil {
 		return err
 	}
-	ready := fleet.Until(startTimeout, func() bool {
-		status, _, err := fleet.Get("http://" + ip + ":18224/api/readyz")
-		return err == nil && status == http.StatusOK
-	})
+	ready := fleet.Until(startTimeout, func() bool { return platformtest.Ready(ip) })
 	if !ready {
 		return fmt.Errorf("host %s is not ready after %s", ip, startTimeout)
 	}
@@ -102,7 +92,7 @@
 		if i%4 == 3 {
 			path, want = "/check/x", "whole answer of "+id
 		}
-		body, from, err := platformCall(ip, path, id)
+		body, from, err := platformtest.Call(ip, demoDomain, path, demoKey, id)
 		if err != nil || body != want {
 			d.failures++
 			fmt.Printf("%-12s %-10s BAD: %v %q\n", ip, path, err, body)
@@ -115,25 +105,8 @@
 	}
 }
 
-func platformCall(ip, path, id string) (body, from string, err error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+net.JoinHostPort(ip, "18221")+path, nil)
-	if err != nil {
-		return "", "", err
-	}
-	req.Host = demoDomain
-	req.Header.Set("X-Fireflyshift-Attempt-Id", id)
-	req.Header.Set("X-Fireflyshift-Credential", demoKey)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return "", "", err
-	}
-	defer resp.Body.Close()
-	data, err := io.ReadAll(resp.Body)
-	return string(data), resp.Header.Get("X-Fireflyshift-Server-Stamp"), err
-}
-
 func (d *demo) platformStatus() error {
-	cmd := exec.Command(filepath.Join(d.bin, "fireflyctl"), "status", "--host", demoNet+"1:18229", "--host", demoNet+"2:18229")
+	cmd := exec.Command(filepath.Join(d.bin, "fireflyctl"), "status", "--host", demoNet+"1"+platformtest.ControlPort, "--host", demoNet+"2"+platformtest.ControlPort)
 	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
 	return cmd.Run()
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -63,7 +64,7 @@
 	for {
 		n, from, err := s.conn.ReadFromUDP(buf)
 		if err != nil {
-			if isClosed(err) {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue // an ICMP answer of a host that is gone
@@ -77,11 +78,6 @@
 	}
 }
 
-func isClosed(err error) bool {
-	op, ok := err.(*net.OpError)
-	return ok && op.Err.Error() == net.ErrClosed.Error()
-}
-
 // Close ends Receive.
 func (s *Socket) Close() error { return trace.Wrap(s.conn.Close()) }
 
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -46,6 +46,16 @@
 	score float64
 }
 
+// serviceNamed finds what is believed of a service, which may be nothing yet.
+func (r *Router) serviceNamed(name string) *service {
+	s, ok := r.services[name]
+	if !ok {
+		s = &service{}
+		r.services[name] = s
+	}
+	return s
+}
+
 // chooseService draws one of the route's services by weight, among those with a usable backend
 // server.
 func (r *Router) chooseService(route *routing.Route) string {
@@ -206,11 +216,7 @@
 	if pace <= 0 {
 		return
 	}
-	s, ok := r.services[name]
-	if !ok {
-		s = &service{pace: pace}
-		r.services[name] = s
-	}
+	s := r.serviceNamed(name)
 	s.pace += time.Duration(learnRate * float64(pace-s.pace))
 }
 
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -287,11 +287,7 @@
 }
 
 func (r *Router) budgetOf(name string) *limit.Budget {
-	s, ok := r.services[name]
-	if !ok {
-		s = &service{}
-		r.services[name] = s
-	}
+	s := r.serviceNamed(name)
 	if s.budget == nil {
 		b := r.opt.Bounds
 		s.budget = limit.NewBudget(b.RetryRatio, b.RetryExtra, b.RetryWindow)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -157,14 +157,9 @@
 	h := &soakHost{ip: s.ip(i + 1), dir: s.t.TempDir()}
 	seeds := []string{}
 	for k := 0; k < soakHosts; k++ {
-		seeds = append(seeds, s.ip(k+1)+":18229")
+		seeds = append(seeds, s.ip(k+1))
 	}
-	file := map[string]any{"node-name": "host-" + strconv.Itoa(i), "ip": h.ip, "zone": "zone-a", "zones": map[string]string{"zone-a": "r"},
-		"listen-addrs": map[string]string{"front": h.ip + ":18221", "ready": h.ip + ":18224", "control": h.ip + ":18229"},
-		"port-range":   []int{17600, 17615}, "seed-nodes": seeds, "limits": map[string]any{"memory-mb": 284, "cores": 1},
-		"bounds": map[string]any{"grace-s": soakGrace, "retry-budget-ratio": 0.2, "budget-window-s": 10, "budget-extra": 560,
-			"quota-window-s": 8, "quota-overage": 0.25, "quota-slack": 1000},
-		"platform": map[string]any{"address": store}}
+	file := platformtest.Settings("host-"+strconv.Itoa(i), h.ip, "zone-a", store, seeds)
 	data, err := json.Marshal(file)
 	require.NoError(s.t, err)
 	require.NoError(s.t, os.WriteFile(filepath.Join(h.dir, "settings.json"), data, 0o600))
