--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -47,6 +47,8 @@
 	// unreachable is until when no connection could be made; saidDead are the hosts that say so.
 	unreachable time.Duration
 	saidDead    int
+	// replaced tells that another instance has its address: this one never comes back.
+	replaced bool
 }
 
 func newBackend(b routing.Backend) *backend {
@@ -57,16 +59,21 @@
 func (b *backend) inFlight() int { return b.own.total() + b.others.total() }
 
 func (b *backend) suspect(now time.Duration) bool {
-	return now < b.avoidUntil || b.saidDead >= deadWord
+	return now < b.avoidUntil || b.dead(now)
 }
 
 // onProbation tells that the backend server failed lately and has not answered since: it gets one
 // request at a time until it does.
 func (b *backend) onProbation() bool { return b.avoidUntil > 0 }
 
+// dead tells that no connection can be made there, by this host's own try or by several others' word.
+func (b *backend) dead(now time.Duration) bool {
+	return now < b.unreachable || b.saidDead >= deadWord
+}
+
 // usable tells whether new work may go there, and whether only for want of others.
 func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
-	if b.Draining {
+	if b.Draining || b.replaced {
 		return false, false
 	}
 	if b.removed {
@@ -89,7 +96,7 @@
 	b.interval += time.Duration(learnRate * float64(pace-b.interval))
 }
 
-// refused notes that no connection could be made, or that another server has the address.
+// refused notes that no connection could be made.
 func (b *backend) refused(now time.Duration) {
 	b.failures++
 	b.avoidFor = avoidDead
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -106,11 +106,11 @@
 	return out
 }
 
-// ownDead are the backend servers that this host lately could not connect to.
+// ownDead are the backend servers that this host lately could not connect to, or whose address another has.
 func (r *Router) ownDead() []uint32 {
 	var out []uint32
 	for _, id := range r.backendIDs() {
-		if b := r.backends[id]; !b.removed && r.now < b.unreachable {
+		if b := r.backends[id]; !b.removed && (r.now < b.unreachable || b.replaced) {
 			out = append(out, b.hash)
 		}
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -104,7 +104,8 @@
 // the grounds of the least loaded one.
 func (r *Router) place(q *request) (*backend, Grounds) {
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
-	var good, slow, doubtful, suspect []candidate
+	var good, slow, doubtful, suspect, dead []candidate
+	full := false
 	for _, b := range r.backendsOf(q.service) {
 		ok, doubt := b.usable(r.now)
 		if !ok || slices.Contains(q.tried, b.ID) {
@@ -115,10 +116,13 @@
 			g.InFlight, g.Limit = held, limit
 		}
 		if held >= limit-r.farMargin(b) {
+			full = full || !b.dead(r.now)
 			continue
 		}
 		c := candidate{b, r.score(b, held)}
 		switch {
+		case b.dead(r.now):
+			dead = append(dead, c)
 		case doubt:
 			doubtful = append(doubtful, c)
 		case b.suspect(r.now) || r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
@@ -129,7 +133,12 @@
 			good = append(good, c)
 		}
 	}
-	for _, list := range [][]candidate{good, slow, doubtful, suspect} {
+	// Dead servers look idle. In an overload every request would try some of them before it is refused;
+	// they are tried only where no other is left at all, as the fault may be this host's own.
+	if full {
+		dead = nil
+	}
+	for _, list := range [][]candidate{good, slow, doubtful, suspect, dead} {
 		if len(list) > 0 {
 			b := r.pick(list)
 			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -244,3 +244,31 @@
 	_, refused := b.submit(urgent, 0, 10)
 	require.NotNil(t, refused)
 }
+
+// Two of three engines crash on a heavy day, and the third is full. Their registrations live on for some
+// seconds, and they look idle: each of hundreds of requests tried one or two of them, for up to 200 ms
+// each where nothing answers, before it was refused.
+func TestDeadEnginesAreNotTriedWhileOthersAreFull(t *testing.T) {
+	b := newBench(t, 2)
+	b.r.backends["e0"].refused(b.now)
+	for i := 0; i < 20; i++ {
+		engine, _ := b.submit(urgent, 0, 10)
+		require.NotEqual(t, "e0", engine)
+	}
+	b.r.backends["e1"].refused(b.now)
+	engine, _ := b.submit(hint, 2, 10)
+	require.NotEmpty(t, engine, "with all of them dead the fault may be this host's own")
+}
+
+// A crashed engine starts again at its address under a new id. Whoever still asks for the old one is told
+// so; it never comes back, however long its registration lives.
+func TestReplacedEngineIsLeftForGood(t *testing.T) {
+	b := newBench(t, 1)
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e0", engine)
+	b.post(Ended{ID: 1, Outcome: WrongInstance})
+	b.now += time.Minute
+	_, refused := b.submit(urgent, 0, 10)
+	require.NotNil(t, refused)
+	require.Equal(t, NoBackend, refused.Cause)
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -183,8 +183,10 @@
 			b.refused(r.now)
 		}
 	case WrongInstance:
-		// The address belongs to another: this backend server is gone, whatever the store says.
-		b.refused(r.now)
+		// The address belongs to another: this backend server is gone, whatever the store says. A crashed
+		// one starts again under a new id, while its old registration stays for some heartbeats.
+		b.replaced = true
+		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 	case Broken, Failed:
 		if e.Fault {
 			b.failed(r.now)
