--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -392,15 +392,17 @@
 	}
 }
 
-// fresh returns the events of a chunk that the caller does not have.
+// fresh returns the events of a chunk that the caller does not have: what comes after the last one
+// that it has, so that comments and blank lines between events do not shift the cut.
 func (f *flight) fresh(chunk []byte, t *streamTiming) []byte {
-	skip := 0
+	skip, end := 0, 0
 	cutEvents(chunk, func(event []byte, id int64) {
 		t.event(time.Now())
+		end += len(event)
 		switch {
 		case id < 0:
 		case id <= f.lastEvent:
-			skip += len(event)
+			skip = end
 		default:
 			f.lastEvent = id
 		}
