--- /dev/null
+++ b/internal/router/exhaustive_test.go
@@ -0,0 +1,188 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/routing"
+)
+
+// life is one request's way through the reducer, as its caller and the backend servers see it.
+type life struct {
+	b        *bench
+	route    *routing.Route
+	mayRun   int // dispatches that may have run
+	runs     int // dispatches that were not proved not to have run, ever
+	answered bool
+	flying   bool
+	sends    int
+}
+
+// take checks the effects of one event.
+func (l *life) take(path string, list []Effect) {
+	for _, e := range list {
+		switch e.(type) {
+		case Dispatch:
+			require.False(l.b.t, l.answered || l.flying, "%s: dispatched though answered or under way", path)
+			require.False(l.b.t, l.mayRun > 0 && !l.route.Repeatable(), "%s: runs again", path)
+			l.flying = true
+			l.sends++
+			l.runs++
+			l.mayRun++
+		case Refuse:
+			require.False(l.b.t, l.answered, "%s: answered twice", path)
+			require.Zero(l.b.t, l.mayRun, "%s: called not run", path)
+			l.answered = true
+		case GiveUp:
+			require.False(l.b.t, l.answered, "%s: answered twice", path)
+			l.answered = true
+		}
+	}
+	require.LessOrEqual(l.b.t, l.runs, l.route.MaxAttempts, "%s: more runs than the route allows", path)
+	require.LessOrEqual(l.b.t, l.sends, maxSends, path)
+}
+
+// ends are all ways in which a dispatch can end.
+func ends() []Ended {
+	var out []Ended
+	for o := Answered; o <= Canceled; o++ {
+		out = append(out, Ended{Outcome: o}, Ended{Outcome: o, Fault: true})
+		if o == Broken {
+			out = append(out, Ended{Outcome: o, Delivered: true}, Ended{Outcome: o, Delivered: true, Fault: true})
+		}
+	}
+	return out
+}
+
+// step is one thing that happens to a request.
+type step struct {
+	name string
+	do   func(l *life) []Effect
+}
+
+func steps() []step {
+	var out []step
+	for _, end := range ends() {
+		out = append(out, step{fmt.Sprintf("%d,%t,%t", end.Outcome, end.Delivered, end.Fault), func(l *life) []Effect {
+			if !l.flying {
+				return nil
+			}
+			l.flying = false
+			switch end.Outcome {
+			case NotSent, Rejected, WrongInstance:
+				l.mayRun--
+				l.runs--
+			case Answered, Canceled:
+				l.answered = true
+			}
+			end.ID = 1
+			return l.b.post(end)
+		}})
+	}
+	out = append(out,
+		step{"stalled", func(l *life) []Effect { return l.b.post(Stalled{ID: 1}) }},
+		step{"late", func(l *life) []Effect { l.b.now += 4 * time.Second; return l.b.post(Tick{}) }},
+		step{"gone", func(l *life) []Effect { l.answered = true; l.flying = false; return l.b.post(Gone{ID: 1}) }})
+	return out
+}
+
+// Every order of up to four things that can happen to a request of each kind, with three engines: no
+// answer twice, no run too many, "not run" only where that is proved. The reducer decides alike for any
+// longer way through the same states.
+func TestEveryShortLifeOfARequest(t *testing.T) {
+	const depth = 4
+	all := steps()
+	routes := []*routing.Route{
+		{Name: "idempotent", Kind: routing.Idempotent, MaxAttempts: 2},
+		{Name: "once", Kind: routing.NonIdempotent, MaxAttempts: 3},
+		{Name: "stream", Kind: routing.Streaming, MaxAttempts: 2, Resumable: true},
+		{Name: "fragile", Kind: routing.Streaming, MaxAttempts: 2},
+	}
+	tried := 0
+	for _, route := range routes {
+		route.Shares = []routing.Share{{Service: "m", Weight: 1}}
+		var walk func(path []int)
+		walk = func(path []int) {
+			l := &life{b: newBench(t, 3), route: route}
+			name := route.Name
+			l.take(name, l.b.post(Submit{ID: 1, Route: route, Deadline: l.b.now + 10*time.Second}))
+			for _, i := range path {
+				name += " " + all[i].name
+				l.take(name, all[i].do(l))
+			}
+			tried++
+			if l.answered {
+				require.False(t, l.flying, "%s: answered while under way", name)
+				require.Zero(t, l.b.r.Requests(), "%s: kept after its answer", name)
+				return
+			}
+			require.True(t, l.flying, "%s: neither answered nor under way", name)
+			if len(path) == depth {
+				return
+			}
+			for i := range all {
+				walk(append(path[:len(path):len(path)], i))
+			}
+		}
+		walk(nil)
+	}
+	t.Logf("%d lives", tried)
+}
+
+// permute calls f with every order of n things.
+func permute(n int, f func(order []int)) {
+	order := make([]int, 0, n)
+	used := make([]bool, n)
+	var next func()
+	next = func() {
+		if len(order) == n {
+			f(order)
+			return
+		}
+		for i := range used {
+			if used[i] {
+				continue
+			}
+			used[i] = true
+			order = append(order, i)
+			next()
+			order = order[:len(order)-1]
+			used[i] = false
+		}
+	}
+	next()
+}
+
+// Six news reach a host in every order, from the store and from peers, each of them twice: what is in
+// force never goes back on the way, and the end is the same.
+func TestEveryOrderOfNews(t *testing.T) {
+	config := func(v uint64) routing.Changes { return routing.Changes{Config: &routing.Config{Version: v}} }
+	backend := func(rev uint64, removed bool) routing.Changes {
+		return routing.Changes{Backends: []routing.BackendChange{changeOf("x", rev, removed)}}
+	}
+	news := []News{
+		{FromStore: true, After: 50, AsOf: 62, Revision: 61, Changes: backend(61, false)},
+		{After: 50, AsOf: 60, Changes: config(3)},
+		{FromStore: true, After: 62, AsOf: 70, Changes: config(5)},
+		{After: 50, AsOf: 75, Revision: 72, Changes: backend(72, true)},
+		{Changes: config(4)},
+		{After: 10, AsOf: 40, Revision: 61, Changes: backend(61, false)},
+	}
+	permute(len(news), func(order []int) {
+		b := newBench(t, 1)
+		version, complete := b.r.version(), b.r.news.complete
+		for _, i := range append(append([]int(nil), order...), order...) {
+			b.post(news[i])
+			require.GreaterOrEqual(t, b.r.version(), version, "%v", order)
+			require.GreaterOrEqual(t, b.r.news.complete, complete, "%v", order)
+			version, complete = b.r.version(), b.r.news.complete
+		}
+		require.EqualValues(t, 5, version, "%v", order)
+		require.EqualValues(t, 75, complete, "%v", order)
+		x := b.r.backends["x"]
+		require.True(t, x == nil || x.removed, "%v: a removed server is back", order)
+	})
+}
