Soak: datagrams of a host that is not there; absurd words are bounded; configuration client renamed

A host that claims to have admitted a million times a quota would have refused the workspace for good since first words of fresh hosts count: the bucket is overdrawn by a window's worth at most (test).

--- a/internal/platform/client.go
+++ b/internal/confservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reads the operators' configuration service and the host list. Both can only be
+// Package confservice reads the operators' configuration service and the host list. Both can only be
 // read and watched. This file holds the wire format; another platform costs another file.
-package platform
+package confservice
 
 import (
 	"context"
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,13 +16,13 @@
 	"google.golang.org/grpc"
 
 	"fireflyshift/internal/admin"
+	"fireflyshift/internal/confservice"
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/edge"
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer"
 	"fireflyshift/internal/peer/peerpb"
-	"fireflyshift/internal/platform"
 	"fireflyshift/internal/sched"
 	"fireflyshift/internal/settings"
 	"fireflyshift/internal/telemetry"
@@ -110,7 +110,7 @@
 		Opened: func(host string) { ctl.Post(core.LinkOpened{Host: host}) },
 	})
 	d.peers = peer.NewServer(serverCreds, ctl, m.Counter("peer.received_bytes"))
-	client := platform.NewClient(set.Platform.URL, set.Platform.WatchWait)
+	client := confservice.NewClient(set.Platform.URL, set.Platform.WatchWait)
 	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context, after uint64) { client.WatchRecords(ctx, after, ctl.Post) }}
 	d.engines = newEngineWatch(ctx, ctl.Post)
 	ctl.out = outlets{send: d.sender.Send, readPlatform: d.reader.set, watchEngines: d.engines.set, spans: newSlotSpans(tracing)}
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -295,3 +295,14 @@
 	asked := 3 * rate * 600 * step.Seconds()
 	require.Greater(t, total, 0.55*asked)
 }
+
+// A host that has just started claims to have admitted a million times the quota: a fault of its
+// counting, or of its memory. Others believe it for a window's length at most.
+func TestAbsurdWordDoesNotRefuseForGood(t *testing.T) {
+	q := NewQuota(0, 1000, 1000, Allowance{Window: window})
+	q.Heard(Word{From: "mad", Spent: 1e9, Young: true})
+	ok, _ := q.Admit(time.Second, 10, 1, 2)
+	require.False(t, ok)
+	ok, _ = q.Admit(2*window, 10, 1, 2)
+	require.True(t, ok)
+}
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -207,7 +207,13 @@
 		q.withheld -= covered
 		more -= covered
 	}
-	q.level = min(q.burst, q.level-more)
+	q.level = min(q.burst, max(q.lowest(), q.level-more))
+}
+
+// lowest bounds how far others' words overdraw the bucket: what a window can bring. A word that says
+// more is wrong, and would refuse the workspace for good.
+func (q *Quota) lowest() float64 {
+	return -(q.burst + q.refillRate()*max(1, q.allow.Window.Seconds()))
 }
 
 // Forget drops the memory of a host incarnation that is gone.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -23,7 +23,9 @@
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/platform/platformtest"
 )
 
@@ -31,8 +33,9 @@
 // connections to the store and to backend servers go through a proxy that delays, resets and
 // silences them; the processes are stopped, paused, killed and restarted by signals; the store and
 // the backend servers misbehave; configurations, registrations and settings change meanwhile. What
-// callers and backend servers see is held against the promises. Datagrams between hosts and the
-// machine's clocks are not disturbed; a paused process stands for a suspended machine.
+// callers and backend servers see is held against the promises. Hosts also hear datagrams of a host that
+// is not there. Datagrams between hosts and the machine's clocks are not disturbed; a paused process
+// stands for a suspended machine.
 
 // soakSeeds are run in CI, soakFor each. Seeds that failed while this test was written, all by faults of
 // the test itself: 1 (a stop signal in the first moments of a process), 2 (a paused host was waited for
@@ -227,7 +230,7 @@
 // disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
 func (s *soak) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(13) {
+	switch s.rng.IntN(14) {
 	case 0:
 		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
 	case 1:
@@ -250,6 +253,8 @@
 		s.store.Compact()
 	case 10:
 		s.replace()
+	case 11:
+		s.haunt(h)
 	default:
 		s.store.SetFault(nil)
 		s.cure()
@@ -333,6 +338,25 @@
 	return func(*http.Request) platformtest.Fault { return f }
 }
 
+// haunt sends datagrams to a host from an address where no daemon runs: torn ones, and beats of a host
+// that claims to know a newer configuration and to carry a lot, and that then falls silent. Questions
+// for its news meet a closed port.
+func (s *soak) haunt(h *soakHost) {
+	ghost := s.ip(252)
+	conn, err := net.DialUDP("udp4", &net.UDPAddr{IP: net.ParseIP(ghost)}, &net.UDPAddr{IP: net.ParseIP(h.ip), Port: platformtest.PeerPort})
+	require.NoError(s.t, err)
+	defer conn.Close()
+	beat := &gossippb.Beat{Host: ghost, Zone: "zone-a", Incarnation: s.rng.Uint64(), ConfigVersion: 1 << 40, Revision: 1 << 50, Digest: 1,
+		ReadsStore: true, Spent: []*gossippb.Spent{{Workspace: "soak", Amount: 1 << 40}}, Dead: []uint32{1, 2}}
+	for i := 0; i < 10; i++ {
+		beat.Seq++
+		data, err := proto.Marshal(beat)
+		require.NoError(s.t, err)
+		_, _ = conn.Write(data)
+		_, _ = conn.Write(data[:s.rng.IntN(len(data))])
+	}
+}
+
 // replace puts a new backend server beside one that then drains and leaves, or crashes.
 func (s *soak) replace() {
 	old := s.anyBackend()
