Readers watch shorter once their zone mates rely on them

Cause: a host decides how long it watches when it starts to read, before it knows how many hosts there are. Change: the reading starts again when the fleet turns out to be large.

--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -98,3 +98,25 @@
 	loads = loadsOf(b.r.ownZoneSum("z2").Loads)
 	require.Equal(t, loads[b.r.backends["s0"].hash].total(), 1, "the hearer knows its own best")
 }
+
+// The hosts of a large fleet start together. The first readers do not yet know how many there are and
+// open long watches; their zone mates, who rely on them, took them for cut off every few seconds, and
+// all read the store at once.
+func TestReaderWatchesShorterOnceOthersRelyOnIt(t *testing.T) {
+	b := newBench(t, 0)
+	reads := func() []ReadStore {
+		var out []ReadStore
+		for _, e := range b.post(Tick{}) {
+			if rs, ok := e.(ReadStore); ok {
+				out = append(out, rs)
+			}
+		}
+		return out
+	}
+	require.Equal(t, []ReadStore{{On: true}}, reads())
+	for i := 0; i <= fullMesh; i++ {
+		b.r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
+	}
+	require.Equal(t, []ReadStore{{On: true, Shared: true}}, reads())
+	require.Empty(t, reads())
+}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -49,6 +49,9 @@
 	// readerAt is when a zone mate in contact with the store was last heard.
 	readerAt time.Duration
 	decided  bool
+	// shared tells that this host reads for its zone mates too, with short watches. It is seldom known
+	// at the start, before the others are heard.
+	shared bool
 }
 
 // zoneSum is another zone's latest sum.
@@ -397,15 +400,17 @@
 	if r.news.reading && r.zones.decided && others < readers {
 		on = true // until others have taken over
 	}
-	if on == r.news.reading && r.zones.decided {
+	shared := on && r.relaying()
+	if on == r.news.reading && shared == r.zones.shared && r.zones.decided {
 		return
 	}
 	r.zones.decided = true
+	r.zones.shared = shared
 	r.news.reading = on
 	if !on {
 		r.news.lost = true
 	}
-	r.emit(ReadStore{on, r.relaying()})
+	r.emit(ReadStore{on, shared})
 	r.emit(Note{What: "reads the store", Detail: onOff(on)})
 }
 
