--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -17,8 +17,8 @@
 	// useExtra is the part of the allowance above the plain quota that hosts use on purpose, evenly over
 	// the window. The rest covers what they admit before they have heard of each other, a beat's age
 	// times the demand, and what a restart of all hosts forgets. A workspace whose quota falls to a
-	// third of its usual demand was refused a tenth of all requests with no extra, though the
-	// operators' bound left room for nearly all of them.
+	// third of its usual demand had a tenth of all requests refused while the allowance only made
+	// the bucket deeper, though the operators' bound left room for nearly all of them.
 	useExtra = 0.3
 	// restartLevel is how full a bucket is at first: all hosts may have restarted at once, and have
 	// then forgotten what they admitted just before.
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -60,6 +60,10 @@
 		return "gone"
 	case b.Draining:
 		return "draining"
+	case b.replaced:
+		return "replaced"
+	case b.dead(now):
+		return "unreachable"
 	case b.suspect(now):
 		return "suspect"
 	case b.onProbation():
