One timing for both paths, one ordered list of backend servers, classes of trust by name

Waiting with a context and measuring a stream stood twice (daemon and node, edge and gateway): package timing serves both. Two tests of quotas share their driver.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"fireflyshift/internal/sched"
 	"fireflyshift/internal/settings"
 	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/timing"
 )
 
 const (
@@ -198,7 +199,7 @@
 func (d *Daemon) drain(hard context.Context) {
 	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal stops at once.")
 	d.control.unready()
-	if !sleep(hard, d.set.Drain.Grace) {
+	if !timing.Sleep(hard, d.set.Drain.Grace) {
 		return
 	}
 	d.control.Post(core.Drain{})
@@ -210,7 +211,7 @@
 			d.log.Info().Msg("Drained.")
 			return
 		}
-		if !sleep(hard, drainPoll) {
+		if !timing.Sleep(hard, drainPoll) {
 			d.log.Warn().Int("cut", held).Msg("Second signal. Answers are cut.")
 			return
 		}
@@ -218,17 +219,6 @@
 	d.log.Warn().Int64("cut", d.control.held.Load()).Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
 }
 
-func sleep(ctx context.Context, t time.Duration) bool {
-	timer := time.NewTimer(t)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -10,6 +10,7 @@
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/record"
+	"fireflyshift/internal/timing"
 )
 
 const (
@@ -58,37 +59,19 @@
 	offset   int // next token that the caller lacks
 	kv       *engine.KV
 	exported chan *engine.KV
-	timing   timing
+	tokens   timing.Stream
 }
 
-// timing measures a dispatch for the scheduler's estimates.
-type timing struct {
-	started, first, last time.Time
-	tokens               int
-}
-
-func (t *timing) token(now time.Time) {
-	if t.tokens == 0 {
-		t.first = now
-	}
-	t.last = now
-	t.tokens++
-}
-
-func (t *timing) fill(e core.Ended) core.Ended {
-	if t.tokens > 0 {
-		e.FirstToken = t.first.Sub(t.started)
-	}
-	if t.tokens > 1 {
-		e.Interval = t.last.Sub(t.first) / time.Duration(t.tokens-1)
-	}
-	e.Tokens = uint32(t.tokens)
+// timed tells the scheduler how the dispatch went, for its estimates.
+func (m *modelAttempt) timed(e core.Ended) core.Ended {
+	t := &m.tokens
+	e.FirstToken, e.Interval, e.Tokens = t.First(), t.Interval(), uint32(t.Pieces)
 	return e
 }
 
 func (m *modelAttempt) run(ctx context.Context, d core.Dispatch) core.Ended {
 	m.addr = d.Backend.Addr
-	m.timing = timing{started: time.Now()}
+	m.tokens = timing.Stream{Began: time.Now()}
 	m.dropOldExport()
 	m.sink.setBackend(d.Backend.Name)
 	st, sent, err := m.open(ctx, d)
@@ -99,7 +82,7 @@
 	if e.Outcome == core.Canceled || e.Outcome == core.Failed {
 		m.server.engines.Cancel(m.addr, m.call.id)
 	}
-	return m.timing.fill(e)
+	return m.timed(e)
 }
 
 // dropOldExport forgets an export that came after its stream had ended another way.
@@ -131,7 +114,7 @@
 	// is not a second dispatch; an engine that never got the request answers that it is unknown.
 	if !d.Resume {
 		if st := m.reattach(ctx); st != nil {
-			return m.timing.fill(m.follow(ctx, st))
+			return m.timed(m.follow(ctx, st))
 		}
 	}
 	return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
@@ -191,7 +174,7 @@
 			finished = true
 		} else {
 			m.offset++
-			m.timing.token(time.Now())
+			m.tokens.Piece(time.Now())
 		}
 		if err := m.sink.chunk(c); err != nil {
 			return core.Ended{Outcome: core.Canceled}, false
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -12,6 +12,7 @@
 
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/timing"
 	"fireflyshift/internal/upstream"
 )
 
@@ -356,25 +357,25 @@
 func (f *flight) carryStream(resp *upstream.Response, sentAt time.Time) router.Ended {
 	rc := http.NewResponseController(f.w)
 	events := newEventReader(resp)
-	t := streamTiming{sent: sentAt}
+	t := &timing.Stream{Began: sentAt}
 	for {
 		chunk, err := events.next()
 		if err == io.EOF {
 			if !f.headWritten {
 				f.writeHead(resp.Status, resp.Header, -1)
 			}
-			return t.fill(router.Ended{Outcome: router.Answered})
+			return timed(router.Ended{Outcome: router.Answered}, t)
 		}
 		if err != nil {
 			end := f.failed(true, err)
 			end.Delivered = f.headWritten
-			return t.fill(end)
+			return timed(end, t)
 		}
-		if t.events == 0 {
+		if t.Pieces == 0 {
 			_, next := f.stall()
 			resp.SetStall(next)
 		}
-		out := f.fresh(chunk, &t)
+		out := f.fresh(chunk, t)
 		if len(out) == 0 {
 			continue
 		}
@@ -394,10 +395,10 @@
 
 // fresh returns the events of a chunk that the caller does not have: what comes after the last one
 // that it has, so that comments and blank lines between events do not shift the cut.
-func (f *flight) fresh(chunk []byte, t *streamTiming) []byte {
+func (f *flight) fresh(chunk []byte, t *timing.Stream) []byte {
 	skip, end := 0, 0
 	cutEvents(chunk, func(event []byte, id int64) {
-		t.event(time.Now())
+		t.Piece(time.Now())
 		end += len(event)
 		switch {
 		case id < 0:
@@ -410,27 +411,8 @@
 	return chunk[skip:]
 }
 
-// streamTiming measures a stream for the reducer's estimates.
-type streamTiming struct {
-	sent, first, last time.Time
-	events            int
-}
-
-func (t *streamTiming) event(now time.Time) {
-	if t.events == 0 {
-		t.first = now
-	}
-	t.last = now
-	t.events++
-}
-
-func (t *streamTiming) fill(e router.Ended) router.Ended {
-	e.Events = t.events
-	if t.events > 0 {
-		e.First = t.first.Sub(t.sent)
-	}
-	if t.events > 1 {
-		e.Interval = t.last.Sub(t.first) / time.Duration(t.events-1)
-	}
+// timed tells the reducer how the stream went, for its estimates.
+func timed(e router.Ended, t *timing.Stream) router.Ended {
+	e.Events, e.First, e.Interval = t.Pieces, t.First(), t.Interval()
 	return e
 }
--- a/internal/gateway/fresh_test.go
+++ b/internal/gateway/fresh_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/timing"
 )
 
 // A stream goes on at another engine, which sends a comment and then an event that the caller has. The
@@ -11,7 +13,7 @@
 // of an event that it had, glued to the next.
 func TestCommentBeforeAKnownEventDoesNotShiftTheCut(t *testing.T) {
 	f := &flight{lastEvent: 2}
-	out := f.fresh([]byte(": engine is warm\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"), &streamTiming{})
+	out := f.fresh([]byte(": engine is warm\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"), &timing.Stream{})
 	require.Equal(t, "id: 3\ndata: c\n\n", string(out))
 	require.EqualValues(t, 3, f.lastEvent)
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -90,6 +90,27 @@
 	heardBy = 20
 )
 
+// fleet is a world of hosts that have just started.
+func fleet(hosts int, rate, burst float64, allow Allowance) *world {
+	w := &world{parted: map[[2]int]bool{}}
+	for i := 0; i < hosts; i++ {
+		w.quotas = append(w.quotas, NewQuota(0, rate, burst, allow))
+	}
+	return w
+}
+
+// ask sends what is due at step n to random hosts, all of which are heard, and returns what is admitted.
+func (w *world) ask(rng *rand.Rand, n int, cost float64, due *float64) float64 {
+	got := 0.0
+	for ; *due >= cost; *due -= cost {
+		to := w.quotas[rng.IntN(len(w.quotas))]
+		if ok, _ := to.Admit(time.Duration(n)*step, cost, 1, len(w.quotas)); ok {
+			got += cost
+		}
+	}
+	return got
+}
+
 func (w *world) deliver(n, delay int) {
 	for i, q := range w.quotas {
 		w.queue = append(w.queue, word{n + delay, i, q.Spent(), n < w.born+youngFor})
@@ -130,10 +151,7 @@
 		}
 		cutFrom := rapid.IntRange(0, 400).Draw(t, "cut from")
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
-		w := &world{parted: map[[2]int]bool{}}
-		for i := 0; i < hosts; i++ {
-			w.quotas = append(w.quotas, NewQuota(0, rate, burst, allow))
-		}
+		w := fleet(hosts, rate, burst, allow)
 		const cost, usual = 4000.0, 0.6
 		var admitted []float64
 		refused, due := 0, 0.0
@@ -231,25 +249,18 @@
 func TestManyHostsAdmitLittleBeforeTheyHear(t *testing.T) {
 	const hosts, rate, cost, delay = 80, 330_000.0, 4000.0, 10
 	allow := Allowance{Window: window, Over: 0.25, Slack: 190_000}
-	w := &world{parted: map[[2]int]bool{}}
-	for i := 0; i < hosts; i++ {
-		w.quotas = append(w.quotas, NewQuota(0, rate, rate, allow))
-	}
+	w := fleet(hosts, rate, rate, allow)
 	rng := rand.New(rand.NewPCG(1, 2))
 	var admitted []float64
 	due := 0.0
 	for n := 0; n < 400; n++ {
 		w.deliver(n, delay)
-		times, got := 0.4, 0.0
+		times := 0.4
 		if n >= 100 {
 			times = 6
 		}
-		for due += rate * times * step.Seconds(); due >= cost; due -= cost {
-			if ok, _ := w.quotas[rng.IntN(hosts)].Admit(time.Duration(n)*step, cost, 1, hosts); ok {
-				got += cost
-			}
-		}
-		admitted = append(admitted, got)
+		due += rate * times * step.Seconds()
+		admitted = append(admitted, w.ask(rng, n, cost, &due))
 	}
 	requireBound(t, admitted, rate, rate, allow)
 }
@@ -273,21 +284,14 @@
 func TestSteadyDemandAboveTheQuotaUsesTheAllowance(t *testing.T) {
 	const hosts, rate, burst, cost, delay = 9, 13_000.0, 65_000.0, 3000.0, 2
 	allow := Allowance{Window: window, Over: 0.25, Slack: 190_000}
-	w := &world{parted: map[[2]int]bool{}}
-	for i := 0; i < hosts; i++ {
-		w.quotas = append(w.quotas, NewQuota(0, rate, burst, allow))
-	}
+	w := fleet(hosts, rate, burst, allow)
 	rng := rand.New(rand.NewPCG(3, 4))
 	var admitted []float64
 	due, total := 0.0, 0.0
 	for n := 0; n < 600; n++ {
 		w.deliver(n, delay)
-		got := 0.0
-		for due += 3 * rate * step.Seconds(); due >= cost; due -= cost {
-			if ok, _ := w.quotas[rng.IntN(hosts)].Admit(time.Duration(n)*step, cost, 1, hosts); ok {
-				got += cost
-			}
-		}
+		due += 3 * rate * step.Seconds()
+		got := w.ask(rng, n, cost, &due)
 		admitted = append(admitted, got)
 		total += got
 	}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -10,6 +10,7 @@
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/timing"
 )
 
 // Listing is what the platform's store says: everything at once, or what has changed.
@@ -87,7 +88,7 @@
 		if s.store.Compacted(err) {
 			continue
 		}
-		sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+		timing.Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
 		pause = min(retryMost, pause*2)
 	}
 }
@@ -117,7 +118,7 @@
 		s.post(router.News{Changes: l.Changes, After: after, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
 		after = max(after, l.AsOf)
 		if len(l.Backends) > 0 || l.Config != nil {
-			sleep(ctx, between)
+			timing.Sleep(ctx, between)
 		}
 	}
 	return nil
@@ -132,12 +133,3 @@
 	}
 	return rev
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -111,8 +111,8 @@
 
 func (r *Router) ownLoads() []*gossippb.Load {
 	var out []*gossippb.Load
-	for _, id := range r.backendIDs() {
-		if b := r.backends[id]; b.own.total() > 0 {
+	for _, b := range r.allBackends() {
+		if b.own.total() > 0 {
 			out = append(out, &gossippb.Load{Backend: b.hash, InFlight: b.own.pack()})
 		}
 	}
@@ -122,8 +122,8 @@
 // ownDead are the backend servers that this host lately could not connect to, or whose address another has.
 func (r *Router) ownDead() []uint32 {
 	var out []uint32
-	for _, id := range r.backendIDs() {
-		if b := r.backends[id]; !b.removed && (r.now < b.unreachable || b.replaced) {
+	for _, b := range r.allBackends() {
+		if !b.removed && (r.now < b.unreachable || b.replaced) {
 			out = append(out, b.hash)
 		}
 	}
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -221,46 +223,40 @@
 	for _, ch := range n.Backends {
 		listed[ch.ID] = true
 	}
-	for _, id := range r.backendIDs() {
-		b := r.backends[id]
-		if !listed[id] && !b.removed && b.revision <= n.AsOf {
+	for _, b := range r.allBackends() {
+		if !listed[b.ID] && !b.removed && b.revision <= n.AsOf {
 			r.remove(b, n.AsOf)
 		}
 	}
 }
 
 func (r *Router) expireNews() {
-	for _, id := range slices.Clone(r.backendIDs()) {
-		b := r.backends[id]
+	for _, b := range r.allBackends() {
 		if b.removed && r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
-			delete(r.backends, id)
+			delete(r.backends, b.ID)
 			delete(r.byHash, b.hash)
 			r.forgetOrder()
 		}
 	}
 }
 
-// backendIDs are the known ids in order; the list is kept until one is added or removed.
-func (r *Router) backendIDs() []string {
-	if r.ids == nil {
-		r.ids = make([]string, 0, len(r.backends))
-		for id := range r.backends {
-			r.ids = append(r.ids, id)
-		}
-		slices.Sort(r.ids)
+// allBackends are the known backend servers in order of their ids; the list is kept until one is added
+// or removed, as each beat and tick goes through it.
+func (r *Router) allBackends() []*backend {
+	if r.ordered == nil {
+		r.ordered = slices.SortedFunc(maps.Values(r.backends), func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) })
 	}
-	return r.ids
+	return r.ordered
 }
 
 // forgetOrder makes the lists of backend servers anew at their next use.
-func (r *Router) forgetOrder() { r.ids, r.byService = nil, nil }
+func (r *Router) forgetOrder() { r.ordered, r.byService = nil, nil }
 
 // backendsOf are the known backend servers of a service, in order of their ids.
 func (r *Router) backendsOf(service string) []*backend {
 	if r.byService == nil {
 		r.byService = map[string][]*backend{}
-		for _, id := range r.backendIDs() {
-			b := r.backends[id]
+		for _, b := range r.allBackends() {
 			r.byService[b.Service] = append(r.byService[b.Service], b)
 		}
 	}
@@ -312,8 +308,7 @@
 	if r.table != nil && r.version() > since.Version {
 		n.Config = r.table.Config
 	}
-	for _, id := range r.backendIDs() {
-		b := r.backends[id]
+	for _, b := range r.allBackends() {
 		if b.revision <= since.Revision {
 			continue
 		}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -100,11 +100,40 @@
 	return max(1, slots+headroom-int(perRank*q.Rank+0.5))
 }
 
+// class is how far a backend server is trusted with a request. A class is used only where those before
+// it have no candidate.
+type class int
+
+const (
+	good class = iota
+	slow
+	doubtful
+	suspect
+	dead
+	classes
+)
+
+// classOf tells how far a usable backend server is trusted with a request.
+func (r *Router) classOf(b *backend, q *request, doubt bool) class {
+	switch {
+	case b.dead(r.now):
+		return dead
+	case doubt:
+		return doubtful
+	case b.suspect(r.now) || r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
+		return suspect
+	case r.tooSlow(b, q):
+		return slow
+	default:
+		return good
+	}
+}
+
 // place chooses a backend server: filter, score, reserve. It returns nil where none has room, with
 // the grounds of the least loaded one.
 func (r *Router) place(q *request) (*backend, Grounds) {
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
-	var good, slow, doubtful, suspect, dead []candidate
+	var lists [classes][]candidate
 	full := false
 	for _, b := range r.backendsOf(q.service) {
 		ok, doubt := b.usable(r.now)
@@ -119,26 +148,15 @@
 			full = full || !b.dead(r.now)
 			continue
 		}
-		c := candidate{b, r.score(b, held)}
-		switch {
-		case b.dead(r.now):
-			dead = append(dead, c)
-		case doubt:
-			doubtful = append(doubtful, c)
-		case b.suspect(r.now) || r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
-			suspect = append(suspect, c)
-		case r.tooSlow(b, q):
-			slow = append(slow, c)
-		default:
-			good = append(good, c)
-		}
+		c := r.classOf(b, q, doubt)
+		lists[c] = append(lists[c], candidate{b, r.score(b, held)})
 	}
 	// Dead servers look idle. In an overload every request would try some of them before it is refused;
 	// they are tried only where no other is left at all, as the fault may be this host's own.
 	if full {
-		dead = nil
+		lists[dead] = nil
 	}
-	for _, list := range [][]candidate{good, slow, doubtful, suspect, dead} {
+	for _, list := range lists {
 		if len(list) > 0 {
 			b := r.pick(list)
 			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,7 +48,8 @@
 	news     newsState
 	backends map[string]*backend
 	byHash   map[uint32]*backend
-	ids      []string // of backends, in order; nil where it must be made again
+	// ordered are the backends in order of their ids; nil where it must be made again.
+	ordered []*backend
 	// byService are the backends by service, in order; nil where it must be made again.
 	byService map[string][]*backend
 	zones     zoneState
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -44,9 +44,8 @@
 		m := r.members.byHost[h]
 		v.Peers = append(v.Peers, PeerView{h, m.zone, !m.silent, r.now - m.heardAt})
 	}
-	for _, id := range r.backendIDs() {
-		b := r.backends[id]
-		v.Backends = append(v.Backends, BackendView{id, b.Service, b.Zone, b.Addr, b.state(r.now), b.own.total(), b.others.total(), b.Slots, b.interval})
+	for _, b := range r.allBackends() {
+		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.state(r.now), b.own.total(), b.others.total(), b.Slots, b.interval})
 	}
 	return v
 }
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -209,8 +209,7 @@
 	mates := r.zoneMates()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
 		Hosts: uint32(len(mates) + 1)}
-	for _, id := range r.backendIDs() {
-		b := r.backends[id]
+	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone && b.Zone != to {
 			continue
 		}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -94,7 +94,7 @@
 	{"router-doubt-ends", "4", "internal/router/backends.go", "return now < b.doubtUntil, true", "return true, true", routerTests},
 	{"limit-first-word", "limits", "internal/limit/quota.go", "	if !known && !w.Young {", "	if !known && false {", limitTests},
 	{"router-replaced", "4", "internal/router/backends.go", "if b.Draining || b.replaced {", "if b.Draining {", routerTests},
-	{"router-dead-last", "8", "internal/router/place.go", "	if full {\n\t\tdead = nil\n\t}\n", "", routerTests},
+	{"router-dead-last", "8", "internal/router/place.go", "	if full {\n\t\tlists[dead] = nil\n\t}\n", "", routerTests},
 	{"router-ghost", "4", "internal/router/news.go", "if !known && ch.Revision <= r.news.complete {", "if false {", routerTests},
 	{"router-complete", "6", "internal/router/news.go", "if n.After <= r.news.complete {", "if true {", routerTests},
 	{"router-third-zones", "8", "internal/router/zones.go", "if b.Zone == r.opt.Zone && z.zone != to {", "if false {", routerTests},
