Backend servers that start again under their ID; registrations by other writers

Cause: what was known of a backend server was known of its ID, and any JSON object was a registration. An engine that started again would have kept the speed, suspicion and counts of its earlier start, its callers would have waited for silent calls, and a late write of the earlier start could have hidden it. A registration with a field missing, of another type or in an unknown state was used; one value that was no base64 text lost its whole page. Change: a start is (ID, born); the latest start wins and of one start the highest revision, removals stand against all before them, whatever the order; calls to an earlier start are broken off, never called not run. Registrations are decoded field by field; what no backend server wrote names none to use, once logged, the others hold.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,36 @@
 	backend     string
 	attempts    int
 	firstByte   time.Duration
+	cut         cut
+}
+
+// cut breaks off the call under way from another goroutine.
+type cut struct {
+	mu      sync.Mutex
+	cancel  context.CancelFunc
+	attempt int
+	// aborted is the latest attempt that was broken off, perhaps before its call began.
+	aborted int
+}
+
+// begin notes the call of an attempt.
+func (c *cut) begin(attempt int, cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempt, c.cancel = attempt, cancel
+	if c.aborted == attempt {
+		cancel()
+	}
+}
+
+// abort breaks off the call of an attempt.
+func (c *cut) abort(attempt int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = attempt
+	if c.attempt == attempt {
+		c.cancel()
+	}
 }
 
 // heldAnswer is a failure of a backend server that is delivered if nothing better comes.
@@ -126,7 +157,7 @@
 func (f *flight) fly() {
 	f.id = f.g.lastID.Add(1)
 	f.effects = make(chan router.Effect, effectBuffer)
-	f.g.control.Submit(f.submission(), f.effects)
+	f.g.control.Submit(f.submission(), Caller{f.effects, f.cut.abort})
 	for e := range f.effects {
 		switch e := e.(type) {
 		case router.Dispatch:
@@ -194,6 +225,7 @@
 	}
 	ctx, cancel := context.WithCancel(f.r.Context())
 	defer cancel()
+	f.cut.begin(d.Attempt, cancel)
 	sentAt := time.Now()
 	resp, sent, err := f.g.pool.Do(ctx, d.Backend.Addr, f.request(d))
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -26,10 +26,17 @@
 	notReadyBack = 300 * time.Millisecond
 )
 
+// Caller is where the effects for one request go.
+type Caller struct {
+	Effects chan<- router.Effect
+	// Abort breaks off the call of one attempt; it does not block.
+	Abort func(attempt int)
+}
+
 // Control is the control thread.
 type Control interface {
-	// Submit hands a request to the reducer; its effects come over the channel.
-	Submit(s router.Submit, effects chan<- router.Effect)
+	// Submit hands a request to the reducer; its effects go to the caller.
+	Submit(s router.Submit, c Caller)
 	Post(ev router.Event)
 	// Now is the boot-time clock that the reducer counts by.
 	Now() time.Duration
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fireflyshift/internal/gateway"
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
@@ -38,7 +39,7 @@
 	metrics telemetry.Metrics
 	queue   chan any
 	// callers are the traffic side's channels, by request.
-	callers  map[uint64]chan<- router.Effect
+	callers  map[uint64]gateway.Caller
 	table    atomic.Pointer[routing.Table]
 	ready    atomic.Bool
 	draining atomic.Bool
@@ -48,7 +49,7 @@
 // submission is a request with the channel for its effects.
 type submission struct {
 	router.Submit
-	effects chan<- router.Effect
+	caller gateway.Caller
 }
 
 // query runs a function on the control thread.
@@ -59,7 +60,7 @@
 
 func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
 	return &control{router: r, clock: newBootClock(), log: log, metrics: m,
-		queue: make(chan any, queueLength), callers: map[uint64]chan<- router.Effect{}}
+		queue: make(chan any, queueLength), callers: map[uint64]gateway.Caller{}}
 }
 
 // run handles events until ctx ends.
@@ -82,7 +83,7 @@
 func (c *control) take(ev any) {
 	switch e := ev.(type) {
 	case submission:
-		c.callers[e.ID] = e.effects
+		c.callers[e.ID] = e.caller
 		c.step(e.Submit)
 	case query:
 		e.run(c.router)
@@ -111,6 +112,10 @@
 	switch e := eff.(type) {
 	case router.Dispatch:
 		c.toCaller(e.ID, e)
+	case router.Abort:
+		if caller, ok := c.callers[e.ID]; ok {
+			caller.Abort(e.Attempt)
+		}
 	case router.Verdict:
 		c.toCaller(e.ID, e)
 	case router.Refuse:
@@ -137,20 +142,20 @@
 }
 
 func (c *control) toCaller(id uint64, e router.Effect) {
-	ch, ok := c.callers[id]
+	caller, ok := c.callers[id]
 	if !ok {
 		return
 	}
 	select {
-	case ch <- e:
+	case caller.Effects <- e:
 	default:
 		c.log.Error().Uint64("request", id).Msg("A request did not take its effects.")
 	}
 }
 
 // Submit implements gateway.Control.
-func (c *control) Submit(s router.Submit, effects chan<- router.Effect) {
-	c.queue <- submission{s, effects}
+func (c *control) Submit(s router.Submit, caller gateway.Caller) {
+	c.queue <- submission{s, caller}
 }
 
 // Post implements gateway.Control.
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -29,7 +29,9 @@
 // backend is what this host believes of one backend server.
 type backend struct {
 	routing.Backend
-	revision   uint64
+	revision uint64
+	// goneAt is the revision of the latest removal; zero where there was none.
+	goneAt     uint64
 	removed    bool
 	removedAt  time.Duration
 	doubtUntil time.Duration
@@ -52,7 +54,16 @@
 }
 
 func newBackend(b routing.Backend) *backend {
-	return &backend{Backend: b, hash: uint32(xxhash.Sum64String(b.ID))}
+	return &backend{Backend: b, hash: hashOf(b)}
+}
+
+// hashOf names one start of a backend server in beats, so that what others tell of an earlier start is
+// not counted for the next.
+func hashOf(b routing.Backend) uint32 {
+	if b.Start == 0 {
+		return uint32(xxhash.Sum64String(b.ID))
+	}
+	return uint32(xxhash.Sum64String(b.ID + "/" + itoa(b.Start)))
 }
 
 // inFlight is how many requests the backend server is believed to hold.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -154,6 +154,13 @@
 	BackendLost Cause = "backend_lost"
 )
 
+// Abort breaks off the call of one attempt, as its backend server has started again since: whether the
+// request ran is unknown.
+type Abort struct {
+	ID      uint64
+	Attempt int
+}
+
 // Verdict answers Stalled: give the dispatch up, for another backend server, or wait on.
 type Verdict struct {
 	ID   uint64
@@ -212,6 +219,7 @@
 }
 
 func (Dispatch) effect()    {}
+func (Abort) effect()       {}
 func (Verdict) effect()     {}
 func (Refuse) effect()      {}
 func (GiveUp) effect()      {}
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -13,7 +13,7 @@
 
 func changeOf(id string, revision uint64, removed bool) routing.BackendChange {
 	return routing.BackendChange{Revision: revision, Removed: removed,
-		Backend: routing.Backend{ID: id, Addr: "a", Zone: "z0", Service: "m", Slots: 5}}
+		Backend: routing.Backend{ID: id, Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}}
 }
 
 // pulls are the questions for news among effects.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -84,7 +84,7 @@
 
 func (r *Router) hasBackend(name string) bool {
 	for _, b := range r.backendsOf(name) {
-		if ok, _ := b.usable(r.now); ok {
+		if ok, _ := b.usable(r.now); ok && r.fits(b) {
 			return true
 		}
 	}
@@ -137,7 +137,7 @@
 	full := false
 	for _, b := range r.backendsOf(q.service) {
 		ok, doubt := b.usable(r.now)
-		if !ok || slices.Contains(q.tried, b.ID) {
+		if !ok || slices.Contains(q.tried, b.ID) || !r.fits(b) {
 			continue
 		}
 		held, limit := b.inFlight(), r.limitFor(b, q)
@@ -166,6 +166,21 @@
 	return nil, g
 }
 
+// serviceOf is the configuration of a backend server's service; nil where there is none.
+func (r *Router) serviceOf(b *backend) *routing.Service {
+	if r.table == nil {
+		return nil
+	}
+	return r.table.Service(b.Service)
+}
+
+// fits tells whether a backend server is of its service's kind: a registration without models in a
+// service of model engines was not written by one of them.
+func (r *Router) fits(b *backend) bool {
+	s := r.serviceOf(b)
+	return s == nil || !s.Model || b.Model
+}
+
 // farMargin is how much of its limit a backend server of another zone must have free in a large fleet:
 // its counts are old, and all who overflow see the same free places.
 func (r *Router) farMargin(b *backend) int {
@@ -179,7 +194,7 @@
 // are ten times the mean, and slow engines take four times as long for each event, so that these
 // would run for nothing until their deadline.
 func (r *Router) tooSlow(b *backend, q *request) bool {
-	s := r.table.Service(b.Service)
+	s := r.serviceOf(b)
 	if b.interval == 0 || q.OutputTok == 0 || s == nil || s.TokensPerEvent == 0 {
 		return false
 	}
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -31,7 +31,7 @@
 	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 3}}}}}
 	for i := 0; i < engines; i++ {
-		n.Backends = append(n.Backends, routing.BackendChange{Revision: 10, Backend: routing.Backend{ID: fmt.Sprintf("e%d", i), Addr: "a", Zone: "z0", Service: "m", Slots: 5}})
+		n.Backends = append(n.Backends, routing.BackendChange{Revision: 10, Backend: routing.Backend{ID: fmt.Sprintf("e%d", i), Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}})
 	}
 	b.post(n)
 	return b
--- /dev/null
+++ b/internal/router/restart_test.go
@@ -0,0 +1,170 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// startOf is a registration of one start of e0.
+func startOf(start, revision uint64) routing.BackendChange {
+	ch := changeOf("e0", revision, false)
+	ch.Start = start
+	return ch
+}
+
+func foreign(revision uint64) routing.BackendChange {
+	return routing.BackendChange{Backend: routing.Backend{ID: "e0"}, Revision: revision, Removed: true, Foreign: true}
+}
+
+// tell posts changes as a peer would tell them.
+func (b *bench) tell(changes ...routing.BackendChange) []Effect {
+	return b.post(News{Changes: routing.Changes{Backends: changes}})
+}
+
+// serves tells whether e0 would get a request now.
+func (b *bench) serves() bool {
+	e0, known := b.r.backends["e0"]
+	if !known {
+		return false
+	}
+	ok, _ := e0.usable(b.now)
+	return ok
+}
+
+// aborts are the requests whose calls are broken off.
+func aborts(list []Effect) []Abort {
+	var out []Abort
+	for _, e := range list {
+		if a, ok := e.(Abort); ok {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// An engine crashes behind a cut and starts again under the same ID. It was slow, failed, and had been
+// called replaced; its callers wait for answers that never come. The new start has done none of this: it
+// gets work at once, and what waits for the earlier one ends as broken without harm to the new one.
+func TestNextStartOfAnEngineIsUnknown(t *testing.T) {
+	b := newBench(t, 0)
+	b.tell(startOf(1000, 60))
+	b.submit(hint, 2, 10)
+	first := b.next
+	old := b.r.backends["e0"]
+	b.learn("e0", 400*time.Millisecond)
+	old.refused(b.now)
+	old.replaced = true
+	b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1,
+		Loads: []*gossippb.Load{{Backend: old.hash, InFlight: counts{3}.pack()}}}})
+
+	require.Equal(t, []Abort{{ID: first, Attempt: 1}}, aborts(b.tell(startOf(2000, 70))))
+	next := b.r.backends["e0"]
+	require.Zero(t, next.inFlight())
+	require.Zero(t, next.interval)
+	require.True(t, b.serves())
+	require.False(t, next.suspect(b.now))
+
+	effects := b.post(Ended{ID: first, Outcome: Broken, Fault: true})
+	require.Equal(t, GiveUp{ID: first, Cause: BackendLost, PassOn: true}, effects[0], "whether it ran is unknown")
+	require.Zero(t, next.failures)
+	require.Zero(t, next.own.total())
+	engine, _ := b.submit(hint, 2, 10)
+	require.Equal(t, "e0", engine)
+	require.Equal(t, 1, next.own.total())
+}
+
+// A write of the earlier start reaches the store after the first one of the new start, or a peer that was
+// cut off tells of it. It must not hide the new start, nor bring an engine back that has left.
+func TestEarlierStartNeverComesBack(t *testing.T) {
+	b := newBench(t, 0)
+	b.tell(startOf(2000, 60))
+	late := startOf(1000, 65)
+	late.Draining = true
+	b.tell(late)
+	require.EqualValues(t, 2000, b.r.backends["e0"].Start)
+	require.True(t, b.serves())
+
+	drains := startOf(2000, 70)
+	drains.Draining = true
+	b.tell(drains)
+	b.tell(startOf(1000, 75))
+	require.False(t, b.serves(), "it drains")
+
+	gone := changeOf("e0", 80, true)
+	b.tell(gone)
+	b.tell(startOf(1000, 85))
+	b.tell(startOf(3000, 78))
+	require.False(t, b.serves(), "it has left")
+	b.tell(startOf(3000, 90))
+	require.True(t, b.serves(), "a new start")
+}
+
+// Another program writes where an engine was registered. Its address may be anything: the engine gets no
+// more work, not even as long as a lapsed one would, until it registers again.
+func TestForeignRegistrationNamesNoServer(t *testing.T) {
+	b := newBench(t, 1)
+	b.post(StoreContact{OK: false}) // so that a lapse would be doubted
+	b.tell(foreign(60))
+	require.False(t, b.serves())
+	b.tell(changeOf("e0", 61, false))
+	require.True(t, b.serves())
+
+	b.tell(startOf(1000, 62))
+	b.tell(startOf(0, 63))
+	require.False(t, b.serves(), "the engine told its start before")
+	b.tell(startOf(1000, 64))
+	require.True(t, b.serves())
+}
+
+// What is registered in a service of model engines without models is no model engine.
+func TestServerOfAnotherKindGetsNoWork(t *testing.T) {
+	b := newBench(t, 0)
+	plain := changeOf("e0", 60, false)
+	plain.Model = false
+	b.tell(plain)
+	_, refused := b.submit(urgent, 0, 10)
+	require.NotNil(t, refused)
+	require.Equal(t, NoBackend, refused.Cause)
+	b.tell(changeOf("e1", 61, false))
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e1", engine)
+}
+
+// Two starts of an engine, a late write of the earlier one, a foreign one and what follows reach hosts in
+// every order, each twice. All hosts end with the same belief, and digests that agree, or they would ask
+// each other for news for ever.
+func TestEveryOrderOfStarts(t *testing.T) {
+	plays := map[string]struct {
+		changes []routing.BackendChange
+		serves  bool
+		start   uint64
+	}{
+		"restart and a late write":  {[]routing.BackendChange{startOf(1000, 60), startOf(2000, 61), startOf(1000, 62), startOf(2000, 64)}, true, 2000},
+		"left after a restart":      {[]routing.BackendChange{startOf(1000, 60), startOf(2000, 61), changeOf("e0", 63, true), startOf(1000, 62)}, false, 2000},
+		"overwritten":               {[]routing.BackendChange{startOf(1000, 60), foreign(61), startOf(1000, 59)}, false, 1000},
+		"overwritten without start": {[]routing.BackendChange{startOf(1000, 60), startOf(0, 62), startOf(1000, 61)}, false, 1000},
+		"overwritten, then back":    {[]routing.BackendChange{startOf(1000, 60), foreign(61), startOf(1000, 63)}, true, 1000},
+		"overwritten, then restart": {[]routing.BackendChange{startOf(1000, 60), startOf(0, 61), startOf(2000, 63)}, true, 2000},
+	}
+	for name, play := range plays {
+		digests := map[uint64]bool{}
+		permute(len(play.changes), func(order []int) {
+			b := newBench(t, 0)
+			b.now += outageEcho // so that nothing is taken for a lapse
+			for _, i := range append(append([]int(nil), order...), order...) {
+				b.tell(play.changes[i])
+			}
+			require.Equal(t, play.serves, b.serves(), "%s: %v", name, order)
+			if play.serves {
+				require.Equal(t, play.start, b.r.backends["e0"].Start, "%s: %v", name, order)
+			}
+			digests[b.r.digest()] = true
+		})
+		require.Len(t, digests, 1, name)
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -104,8 +104,11 @@
 
 // Backend is one backend server as it has registered itself.
 type Backend struct {
-	// ID is new with each start of the backend server.
-	ID       string
+	ID string
+	// Start is when this start of the backend server began, in Unix milliseconds; zero where it does not
+	// tell, and then each start has an ID of its own. What is known of a backend server is known of one
+	// start of it.
+	Start    uint64
 	Addr     string
 	Zone     string
 	Service  string
@@ -113,6 +116,8 @@
 	Draining bool
 	// Cold is how much longer it is slow after its start, at the time of its registration.
 	Cold time.Duration
+	// Model tells that it registered as a model engine, with the models that it serves.
+	Model bool
 }
 
 // Table is a configuration prepared for look-ups.
@@ -224,6 +229,9 @@
 	// Revision orders the changes of one backend server; it is the same on every host.
 	Revision uint64
 	Removed  bool
+	// Foreign, with Removed, tells that something else than the backend server wrote the registration:
+	// unlike a lapsed one, it is no reason to believe that the backend server is still there.
+	Foreign bool
 }
 
 // Changes are news of the configuration and of the backend servers.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -15,7 +15,9 @@
 	ticketTests = []string{"./internal/ticket"}
 	schedTests  = []string{"./internal/sched", "-rapid.shrinktime=1s"}
 	routerTests = []string{"./internal/router", "-rapid.shrinktime=1s"}
-	limitTests  = []string{"./internal/limit", "-rapid.shrinktime=1s"}
+	// platformUnit are the tests of the platform's formats, without processes or sockets between hosts.
+	platformUnit = []string{"./platform", "-run", "DecodeServer|Registration"}
+	limitTests   = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
 func onPlatform(run string) []string { return []string{"./platform", "-run", run} }
@@ -88,7 +90,18 @@
 		"allowed := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now", "allowed := q.Route.Repeatable() && r.now", routerTests},
 	{"router-not-run-true", "1", "internal/router/requests.go", "	if q.ran {\n\t\tr.emit(GiveUp{ID: q.ID, Cause: cause, PassOn: true})\n\t\treturn\n\t}\n", "", routerTests},
 	{"router-version-forward", "6", "internal/router/news.go", "if n.Config != nil && n.Config.Version > r.version() {", "if n.Config != nil {", routerTests},
-	{"router-revision-forward", "6", "internal/router/news.go", "if known && ch.Revision <= b.revision {", "if false {", routerTests},
+	{"router-revision-forward", "6", "internal/router/news.go", "case ch.Start == b.Start && ch.Revision > b.revision:", "case ch.Start == b.Start:", routerTests},
+	{"router-start-forward", "4", "internal/router/news.go", "	case ch.Start > b.Start:\n", "	case ch.Start != b.Start:\n", routerTests},
+	{"router-start-known", "4", "internal/router/news.go", "	case ch.Start == 0 && b.Start > 0:\n", "	case false:\n", routerTests},
+	{"router-start-aborts", "1", "internal/router/news.go", "	r.breakOff(b)\n", "", routerTests},
+	{"router-start-hash", "4", "internal/router/backends.go", "	if b.Start == 0 {\n", "	if true {\n", routerTests},
+	{"router-gone-at", "4", "internal/router/news.go", "	case ch.Revision <= b.goneAt:\n", "	case false:\n", routerTests},
+	{"router-foreign-doubt", "4", "internal/router/news.go", "!b.Draining && !ch.Foreign && (", "!b.Draining && (", routerTests},
+	{"router-kind", "4", "internal/router/place.go", "return s == nil || !s.Model || b.Model", "return true", routerTests},
+	{"platform-foreign", "4", "platform/store.go", "		ch.Removed, ch.Foreign = true, true\n", "		return routing.BackendChange{}\n", platformUnit},
+	{"platform-types", "4", "platform/registration.go", "ok = ok && string(raw) != \"null\" && ", "ok = ok && ", platformUnit},
+	{"platform-fields", "4", "platform/registration.go", "	r.whole(\"seq-no\")\n", "", platformUnit},
+	{"gateway-abort", "1", "internal/gateway/flight.go", "	f.cut.begin(d.Attempt, cancel)\n", "", onPlatform("StartsAgain")},
 	{"router-peers-repair", "6", "internal/router/news.go", "	r.news.pulledAt = r.now\n\tr.emit(Pull{m.host, since})", "	r.news.pulledAt, since = r.now, Since{}\n\t_ = since", onPlatform("Refuses|StoreIsAway")},
 	{"router-drain", "4", "internal/router/backends.go", "if b.Draining || b.replaced {", "if b.replaced {", routerTests},
 	{"router-doubt-ends", "4", "internal/router/backends.go", "return now < b.doubtUntil, true", "return true, true", routerTests},
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -33,8 +33,8 @@
 // connections to the store and to backend servers go through a proxy that delays, resets and
 // silences them; the processes are stopped, paused, killed and restarted by signals; the store and
 // the backend servers misbehave; configurations, registrations and settings change meanwhile. What
-// callers and backend servers see is held against the promises. Hosts also hear datagrams of a host that
-// is not there. Datagrams between hosts and the machine's clocks are not disturbed; a paused process
+// callers and backend servers see is held against the promises. Backend servers start again under their
+// IDs, and other programs write where they register. Hosts also hear datagrams of a host that is not there. Datagrams between hosts and the machine's clocks are not disturbed; a paused process
 // stands for a suspended machine.
 
 // soakSeeds are run in CI, soakFor each. Seeds that failed while this test was written, all by faults of
@@ -65,6 +65,7 @@
 	hosts    []*soakHost
 	mu       sync.Mutex
 	backends []*platformtest.Backend
+	linkOf   map[string]string // the proxy's address by backend server
 	sent     map[string]soakCall
 	failures []string
 	attempts atomic.Int64
@@ -90,7 +91,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), net: (os.Getpid() + int(soakNets.Add(1))) % 250, dir: t.TempDir(),
-		store: platformtest.NewStore(), version: 3, sent: map[string]soakCall{},
+		store: platformtest.NewStore(), version: 3, sent: map[string]soakCall{}, linkOf: map[string]string{},
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
 	s.publish()
 	storeAddr := s.listen(s.store)
@@ -149,10 +150,12 @@
 	require.NoError(s.t, err)
 	s.t.Cleanup(b.Close)
 	reg := b.Registration("ready")
-	reg["address"] = s.link(b.Addr())
+	addr := s.link(b.Addr())
+	reg["address"] = addr
 	s.store.Put(b.Key(), reg)
 	s.mu.Lock()
 	s.backends = append(s.backends, b)
+	s.linkOf[id] = addr
 	s.mu.Unlock()
 }
 
@@ -230,7 +233,7 @@
 // disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
 func (s *soak) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(16) {
 	case 0:
 		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
 	case 1:
@@ -255,6 +258,10 @@
 		s.replace()
 	case 11:
 		s.haunt(h)
+	case 12:
+		s.startAgain()
+	case 13:
+		s.scribble()
 	default:
 		s.store.SetFault(nil)
 		s.cure()
@@ -370,6 +377,39 @@
 	time.AfterFunc(time.Second, func() { s.store.Remove(old.Key()) })
 }
 
+// startAgain breaks a backend server's connections and registers it as the next start under its ID; at
+// times a write of the earlier start comes late.
+func (s *soak) startAgain() {
+	b := s.anyBackend()
+	old := b.Born
+	b.Born = max(time.Now().UnixMilli(), old+1)
+	s.mu.Lock()
+	addr := s.linkOf[b.ID]
+	s.mu.Unlock()
+	b.Reset()
+	register := func(born int64, state string) {
+		reg := b.Registration(state)
+		reg["address"], reg["born"] = addr, born
+		s.store.Put(b.Key(), reg)
+	}
+	register(b.Born, "ready")
+	if old > 0 && s.rng.IntN(2) == 0 {
+		register(old, "draining")
+	}
+}
+
+// scribble writes what no backend server writes where one is registered, and lets it register again.
+func (s *soak) scribble() {
+	b := s.anyBackend()
+	good := b.Registration("ready")
+	s.mu.Lock()
+	good["address"] = s.linkOf[b.ID]
+	s.mu.Unlock()
+	bad := []any{[]byte("\xff"), []byte("{}"), []byte("null"), map[string]any{"service": "web", "address": s.ip(253) + ":1", "state": "ready"}}
+	s.store.Put(b.Key(), bad[s.rng.IntN(len(bad))])
+	time.AfterFunc(300*time.Millisecond, func() { s.store.Put(b.Key(), good) })
+}
+
 // call makes one request as a caller does, over a kept connection where there is one.
 func (s *soak) call(rng *rand.Rand, conns map[string]*soakConn) {
 	h := s.hosts[rng.IntN(len(s.hosts))]
