Logs tell why an answer was late, with prompt, length and longest pause

Cause: a line of an answered request told neither its objective nor its pauses, so that lateness could not be explained from logs; times had whole seconds. Change: target_ms, prompt, output, hint, pause_ms and late (first, pause, answer), counters requests.late_*, milliseconds.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
 )
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
@@ -129,6 +130,26 @@
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Not run by the backend server.")
 }
 
+// answered is the outcome of a request whose whole answer went to its caller.
+const answered = "answered"
+
+// late tells why an answer missed its objective: a stream by its first event or by a pause between two,
+// a plain answer as a whole; empty where it did not. What the caller lost in an earlier try is not known.
+func (f *flight) late(took time.Duration) string {
+	r := f.route
+	switch {
+	case r.Kind != routing.Streaming:
+		if r.Target > 0 && took > r.Target {
+			return "answer"
+		}
+	case r.Target > 0 && f.firstByte > r.Target:
+		return "first"
+	case r.MaxGap > 0 && f.pauses.longest > r.MaxGap:
+		return "pause"
+	}
+	return ""
+}
+
 // logEnd is the line of a request's end.
 func (f *flight) logEnd(outcome string, status int) {
 	f.g.metrics.Count("requests."+outcome, 1)
@@ -137,7 +158,19 @@
 	f.g.metrics.Timer("requests.time").Update(took)
 	e := f.g.log.Info().Str("id", f.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
 	if f.route != nil {
-		e = e.Str("route", f.route.Name).Float64("rank", f.rank)
+		e = e.Str("route", f.route.Name).Float64("rank", f.rank).Int64("target_ms", f.route.Target.Milliseconds())
+	}
+	if f.call.HasTokens {
+		e = e.Int("prompt", f.call.PromptTokens).Int("output", f.call.OutputTokens).Int("hint", f.call.LengthHint)
+	}
+	if f.pauses.longest > 0 {
+		e = e.Int64("pause_ms", f.pauses.longest.Milliseconds())
+	}
+	if outcome == answered {
+		if late := f.late(took); late != "" {
+			f.g.metrics.Count("requests.late_"+late, 1)
+			e = e.Str("late", late)
+		}
 	}
 	if f.workspace != nil {
 		e = e.Str("workspace", f.workspace.Name)
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -46,9 +46,24 @@
 	backend     string
 	attempts    int
 	firstByte   time.Duration
+	pauses      pauses
 	cut         cut
 }
 
+// pauses measures the longest pause between what the caller gets of a stream, over all its dispatches.
+type pauses struct {
+	last    time.Time
+	longest time.Duration
+}
+
+// piece notes that events go to the caller.
+func (p *pauses) piece(now time.Time) {
+	if !p.last.IsZero() {
+		p.longest = max(p.longest, now.Sub(p.last))
+	}
+	p.last = now
+}
+
 // cut breaks off the call under way from another goroutine.
 type cut struct {
 	mu      sync.Mutex
@@ -170,7 +185,7 @@
 			end.ID = f.id
 			f.g.control.Post(end)
 			if end.Outcome == router.Answered {
-				f.logEnd("answered", 0)
+				f.logEnd(answered, 0)
 				return
 			}
 			if end.Outcome == router.Canceled {
@@ -411,6 +426,7 @@
 		if len(out) == 0 {
 			continue
 		}
+		f.pauses.piece(time.Now())
 		if !f.headWritten {
 			f.firstByte = time.Since(f.began)
 			f.writeHead(resp.Status, resp.Header, -1)
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -12,6 +12,11 @@
 
 const partField = "part"
 
+// timeFormat tells milliseconds apart: what a request waited for is a matter of tens of them.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+func init() { zerolog.TimeFieldFormat = timeFormat }
+
 // NewLogger returns the root logger.
 func NewLogger(w io.Writer, level string, json bool) zerolog.Logger {
 	if !json {
