Engines are chosen by the predicted time to a stream's first event; speeds are learned early and told

Cause: engines of a service differ fivefold in speed, and choice went by (requests held + 1) x time between events. A host knew an engine's speed only when a stream there had ended. Change: (1) the first event and the sixth tell reading speed and pace; beats tell others once. (2) A stream's score is the time to its first event: unread prompt tokens there (own, and others' as told, worked off since) and its own at the engine's reading speed, one event, and the wait for a place where all are taken.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -206,7 +206,7 @@
 func (f *flight) submission() router.Submit {
 	s := router.Submit{
 		ID: f.id, Route: f.route, Workspace: f.workspace, Rank: f.rank,
-		OutputTok: f.call.OutputTokens, Deadline: f.beganAt + f.allowed,
+		PromptTok: f.call.PromptTokens, OutputTok: f.call.OutputTokens, Deadline: f.beganAt + f.allowed,
 	}
 	if f.call.LengthHint > 0 {
 		s.OutputTok = min(s.OutputTok, f.call.LengthHint)
@@ -422,7 +422,9 @@
 			_, next := f.stall()
 			resp.SetStall(next)
 		}
+		before := t.Pieces
 		out := f.fresh(chunk, t)
+		f.tellSpeed(before, t)
 		if len(out) == 0 {
 			continue
 		}
@@ -459,6 +461,19 @@
 	return chunk[skip:]
 }
 
+// pacedAfter is how many events of a stream tell its speed before it ends.
+const pacedAfter = 6
+
+// tellSpeed tells the reducer that a stream begins, and how fast it goes.
+func (f *flight) tellSpeed(before int, t *timing.Stream) {
+	if before == 0 && t.Pieces > 0 {
+		f.g.control.Post(router.Began{ID: f.id, First: t.First()})
+	}
+	if before < pacedAfter && t.Pieces >= pacedAfter {
+		f.g.control.Post(router.Paced{ID: f.id, Interval: t.Interval()})
+	}
+}
+
 // timed tells the reducer how the stream went, for its estimates.
 func timed(e router.Ended, t *timing.Stream) router.Ended {
 	e.Events, e.First, e.Interval = t.Pieces, t.First(), t.Interval()
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -37,11 +37,17 @@
 	doubtUntil time.Duration
 	// own and others are requests in flight by priority: this host's, and the other hosts' by their
 	// latest beats.
-	own, others counts
-	hash        uint32
+	own, others load
+	// toldAt is when others last told of it.
+	toldAt time.Duration
+	hash   uint32
 	// interval is the learned time between the events of a stream, or to the answer of a plain call.
 	interval time.Duration
 	samples  int
+	// read is the learned time to read a prompt token; zero where unknown.
+	read time.Duration
+	// told is the speed that this host last told others.
+	told speed
 	// failures in a row, and until when the backend server is avoided because of them.
 	failures   int
 	avoidUntil time.Duration
@@ -93,9 +99,13 @@
 	return true, false
 }
 
-// succeeded ends suspicion and learns the speed.
-func (b *backend) succeeded(pace time.Duration) {
+// succeeded ends suspicion.
+func (b *backend) succeeded() {
 	b.failures, b.avoidUntil, b.avoidFor, b.unreachable = 0, 0, 0, 0
+}
+
+// learnPace learns the time between events, or of a plain answer.
+func (b *backend) learnPace(pace time.Duration) {
 	if pace <= 0 {
 		return
 	}
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -39,6 +39,7 @@
 	}
 	r.emitBeat(to, func(b *gossippb.Beat) {
 		b.Zones = r.relayed()
+		b.Speeds = r.newSpeeds()
 		if r.now >= r.zones.peersAt {
 			r.zones.peersAt = r.now + peersEvery
 			b.Peers = r.knownPeers()
@@ -113,7 +114,7 @@
 	var out []*gossippb.Load
 	for _, b := range r.allBackends() {
 		if b.own.total() > 0 {
-			out = append(out, &gossippb.Load{Backend: b.hash, InFlight: b.own.pack()})
+			out = append(out, b.own.message(b.hash))
 		}
 	}
 	return out
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -20,11 +20,24 @@
 	Route     *routing.Route
 	Workspace *routing.Workspace // nil on public routes
 	Rank      float64            // urgency: 0 the most, routing.LeastUrgent the least
+	PromptTok int                // of the prompt, in tokens; zero where unknown
 	OutputTok int                // the caller's estimate of the output, in tokens
 	Cost      float64            // what the quota counts
 	Deadline  time.Duration      // moment on the reducer's clock at which the answer is of no more use
 }
 
+// Began tells that a stream's first event has come, First after the request was sent.
+type Began struct {
+	ID    uint64
+	First time.Duration
+}
+
+// Paced tells the mean time between the first events of a stream that goes on.
+type Paced struct {
+	ID       uint64
+	Interval time.Duration
+}
+
 // Stalled tells that the backend server has been silent for long. The answer is a Verdict.
 type Stalled struct{ ID uint64 }
 
@@ -101,6 +114,8 @@
 func (Settle) event()       {}
 func (Tick) event()         {}
 func (Submit) event()       {}
+func (Began) event()        {}
+func (Paced) event()        {}
 func (Stalled) event()      {}
 func (Gone) event()         {}
 func (Ended) event()        {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -58,13 +58,34 @@
 	return c
 }
 
-// loads are counts by backend server, named by the hash of its id.
-type loads map[uint32]counts
+// load is what a host or a zone carries at one backend server.
+type load struct {
+	counts
+	// unread are the prompt tokens of streams that have not begun.
+	unread int
+}
+
+func (l *load) add(more load) {
+	l.counts.add(more.counts)
+	l.unread += more.unread
+}
+
+// message is the load as beats tell it.
+func (l load) message(hash uint32) *gossippb.Load {
+	return &gossippb.Load{Backend: hash, InFlight: l.pack(), Unread: uint32(max(0, l.unread))}
+}
+
+// maxUnread bounds what is believed to be unread at one backend server by one word: no engine's memory
+// holds more tokens.
+const maxUnread = 1 << 24
+
+// loads are by backend server, named by the hash of its id.
+type loads map[uint32]load
 
 func loadsOf(list []*gossippb.Load) loads {
 	out := make(loads, len(list))
 	for _, l := range list {
-		out[l.Backend] = unpack(l.InFlight)
+		out[l.Backend] = load{unpack(l.InFlight), int(min(l.Unread, maxUnread))}
 	}
 	return out
 }
@@ -139,6 +160,7 @@
 	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
 	r.takeLoads(m, b.Loads)
 	r.takeDead(m, b.Dead)
+	r.takeSpeeds(b.Speeds)
 	r.takeSpent(m, b.Spent, returned)
 	r.takeZones(m, b.Zones)
 	r.takeChanges(b.Changes)
@@ -184,14 +206,16 @@
 
 // countLoads adds others' counts to the beliefs, or takes them away again.
 func (r *Router) countLoads(l loads, sign int) {
-	for hash, c := range l {
+	for hash, what := range l {
 		b, ok := r.byHash[hash]
 		if !ok {
 			continue
 		}
-		for p, n := range c {
-			b.others[p] += sign * n
+		for p, n := range what.counts {
+			b.others.counts[p] += sign * n
 		}
+		b.others.unread += sign * what.unread
+		b.toldAt = r.now
 	}
 }
 
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -81,7 +81,7 @@
 	}
 	b.post(News{FromStore: true, After: 50, AsOf: 70, Changes: routing.Changes{Backends: list}})
 	for _, be := range b.r.backends {
-		be.own[0] = 1
+		be.own.counts[0] = 1
 	}
 	at := func(id string, n int) *gossippb.Load {
 		return &gossippb.Load{Backend: b.r.backends[id].hash, InFlight: counts{n}.pack()}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -36,7 +36,10 @@
 // service is what this host believes of one service as a whole.
 type service struct {
 	// pace is the learned mean of its backend servers' intervals.
-	pace   time.Duration
+	pace time.Duration
+	// read is the learned time to read a prompt token, and events the learned length of a stream.
+	read   time.Duration
+	events float64
 	budget *limit.Budget
 }
 
@@ -149,7 +152,7 @@
 			continue
 		}
 		c := r.classOf(b, q, doubt)
-		lists[c] = append(lists[c], candidate{b, r.score(b, held)})
+		lists[c] = append(lists[c], candidate{b, r.score(b, q, held)})
 	}
 	// Dead servers look idle. In an overload every request would try some of them before it is refused;
 	// they are tried only where no other is left at all, as the fault may be this host's own.
@@ -228,14 +231,9 @@
 	return a
 }
 
-// score estimates how long a request will share the backend server with what is there: what it
-// holds, by how slowly it makes an event.
-func (r *Router) score(b *backend, held int) float64 {
-	pace := b.interval
-	if pace == 0 {
-		pace = r.paceOf(b.Service)
-	}
-	s := float64(held+1) * float64(pace)
+// score orders backend servers for a request: the lower the better.
+func (r *Router) score(b *backend, q *request, held int) float64 {
+	s := float64(r.waitAt(b, q, held))
 	switch {
 	case b.Zone == r.opt.Zone:
 	case r.relaying():
@@ -246,6 +244,34 @@
 	return s
 }
 
+// waitAt estimates how long a request waits at a backend server: a stream for its first event, another
+// for the server's work on what is there.
+func (r *Router) waitAt(b *backend, q *request, held int) time.Duration {
+	pace := b.interval
+	if pace == 0 {
+		pace = r.paceOf(b.Service)
+	}
+	if q.Route.Kind != routing.Streaming || q.PromptTok == 0 {
+		return time.Duration(held+1) * pace
+	}
+	wait := pace + time.Duration(b.unread(r.now)+q.PromptTok)*r.readOf(b)
+	if over := held + 1 - b.Slots; over > 0 && b.Slots > 0 {
+		// A place comes free as often as streams of the usual length end.
+		wait += time.Duration(float64(over) * r.eventsOf(b.Service) * float64(pace) / float64(b.Slots))
+	}
+	return wait
+}
+
+// usualEvents stands for the length of a service's streams until one has ended.
+const usualEvents = 30
+
+func (r *Router) eventsOf(name string) float64 {
+	if s, ok := r.services[name]; ok && s.events > 0 {
+		return s.events
+	}
+	return usualEvents
+}
+
 func (r *Router) paceOf(name string) time.Duration {
 	if s, ok := r.services[name]; ok && s.pace > 0 {
 		return s.pace
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -60,7 +60,7 @@
 
 // learn lets an engine answer with a pace.
 func (b *bench) learn(engine string, pace time.Duration) {
-	b.r.backends[engine].succeeded(pace)
+	b.r.backends[engine].learnPace(pace)
 }
 
 // A burst of hints fills every engine. A review that comes then must still find a place at each of
@@ -138,7 +138,7 @@
 func TestEnginesOfASilentZoneAreAvoided(t *testing.T) {
 	b := newBench(t, 2)
 	b.r.backends["e0"].Zone = "z1"
-	b.r.backends["e1"].own[0] = 3
+	b.r.backends["e1"].own.counts[0] = 3
 	b.post(Heard{&gossippb.Beat{Host: "10.0.1.1", Zone: "z1", Incarnation: 1, Seq: 1}})
 	engine, _ := b.submit(urgent, 0, 10)
 	require.Equal(t, "e0", engine)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -40,6 +40,10 @@
 	runs    int
 	rejects int
 	charged bool
+	// queued tells that its backend server was believed to be busy with others when it was sent.
+	queued bool
+	// unread are the prompt tokens that its backend server has still to read; zero once its stream begins.
+	unread int
 	// prepaid tells that the retry budget was spent when the move was decided.
 	prepaid bool
 }
@@ -94,7 +98,10 @@
 	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
-	b.own[q.bucket()]++
+	b.own.counts[q.bucket()]++
+	q.queued = b.inFlight() > b.Slots || 2*b.unread(r.now) > q.PromptTok
+	q.unread = q.PromptTok
+	b.own.unread += q.unread
 	r.changed = true
 	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, Keep: r.keep(b), At: r.now, Grounds: g})
 }
@@ -173,12 +180,14 @@
 func (r *Router) judge(b *backend, q *request, e Ended) {
 	switch e.Outcome {
 	case Answered:
+		b.succeeded()
 		pace := e.Interval
 		if q.Route.Kind != routing.Streaming {
 			pace = e.First
 		}
-		b.succeeded(pace)
+		b.learnPace(pace)
 		r.learnPace(b.Service, pace)
+		r.learnEvents(b.Service, e.Events)
 	case NotSent:
 		if e.Fault {
 			b.refused(r.now)
@@ -255,9 +264,12 @@
 		return
 	}
 	p := q.bucket()
-	q.backend.own[p]--
+	own := &q.backend.own
+	own.counts[p]--
+	own.unread -= q.unread
+	q.unread = 0
 	r.changed = true
-	r.inv.Check(q.backend.own[p] >= 0, "backend server %s has %d in flight", q.backend.ID, q.backend.own[p])
+	r.inv.Check(own.counts[p] >= 0 && own.unread >= 0, "backend server %s has %d in flight, %d tokens unread", q.backend.ID, own.counts[p], own.unread)
 }
 
 func (r *Router) close(q *request) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -90,6 +90,10 @@
 		r.tick()
 	case Submit:
 		r.submit(e)
+	case Began:
+		r.began(e)
+	case Paced:
+		r.paced(e)
 	case Stalled:
 		r.stalled(e.ID)
 	case Gone:
--- /dev/null
+++ b/internal/router/speed.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+const (
+	// readShrink and readGrow are the weights of an observation of an engine's reading speed. Others'
+	// prompts make a stream begin later, never sooner: low values are near the truth.
+	readShrink = 0.5
+	readGrow   = 0.05
+	// leastPrompt is the shortest prompt, in tokens, whose first event tells the reading speed: below it
+	// the rest of a step and the way there weigh more.
+	leastPrompt = 300
+	// unknownRead stands for the time to read a token until any has been observed of the service.
+	unknownRead = 20 * time.Microsecond
+	// eventsRate is the weight of a stream's length: lengths differ a hundredfold.
+	eventsRate = 0.02
+	// speedNews is by how much a speed must change to be told again.
+	speedNews = 0.3
+)
+
+// speed is what is observed of an engine.
+type speed struct{ interval, read time.Duration }
+
+func (b *backend) speed() speed { return speed{b.interval, b.read} }
+
+// differs tells whether a speed is worth telling to those who know another.
+func (s speed) differs(told speed) bool {
+	off := func(a, b time.Duration) bool {
+		d := float64(a - b)
+		return a > 0 && (d > speedNews*float64(b) || -d > speedNews*float64(b))
+	}
+	return off(s.interval, told.interval) || off(s.read, told.read)
+}
+
+// began takes the first event of a stream: its prompt is read.
+func (r *Router) began(e Began) {
+	q, ok := r.requests[e.ID]
+	if !ok || q.backend == nil || q.unread == 0 {
+		return
+	}
+	q.backend.own.unread -= q.unread
+	q.unread = 0
+	r.changed = true
+	if q.PromptTok < leastPrompt || q.queued || e.First <= 0 {
+		return
+	}
+	read := e.First / time.Duration(q.PromptTok)
+	q.backend.learnRead(read)
+	r.serviceNamed(q.service).learnRead(read)
+}
+
+// paced takes the speed of a stream's first events, so that a slow engine is known before the first
+// stream there has ended.
+func (r *Router) paced(e Paced) {
+	q, ok := r.requests[e.ID]
+	if !ok || q.backend == nil {
+		return
+	}
+	if q.backend.samples == 0 {
+		r.learnPace(q.service, e.Interval)
+	}
+	q.backend.learnPace(e.Interval)
+}
+
+func (b *backend) learnRead(read time.Duration) { b.read = learned(b.read, read) }
+
+func (s *service) learnRead(read time.Duration) { s.read = learned(s.read, read) }
+
+// learnEvents learns the usual length of a service's streams.
+func (r *Router) learnEvents(name string, events int) {
+	if events == 0 {
+		return
+	}
+	s := r.serviceNamed(name)
+	if s.events == 0 {
+		s.events = usualEvents
+	}
+	s.events += eventsRate * (float64(events) - s.events)
+}
+
+func learned(known, seen time.Duration) time.Duration {
+	switch {
+	case known == 0:
+		return seen
+	case seen < known:
+		return known - time.Duration(readShrink*float64(known-seen))
+	default:
+		return known + time.Duration(readGrow*float64(seen-known))
+	}
+}
+
+// newSpeeds are the speeds that others have not been told.
+func (r *Router) newSpeeds() []*gossippb.Speed {
+	var out []*gossippb.Speed
+	for _, b := range r.allBackends() {
+		if b.removed || b.samples == 0 || !b.speed().differs(b.told) {
+			continue
+		}
+		b.told = b.speed()
+		out = append(out, &gossippb.Speed{Backend: b.hash, IntervalUs: uint32(b.interval.Microseconds()), ReadNs: uint32(b.read.Nanoseconds())})
+	}
+	return out
+}
+
+// takeSpeeds takes others' word of engines that this host has not observed itself.
+func (r *Router) takeSpeeds(list []*gossippb.Speed) {
+	for _, s := range list {
+		b, ok := r.byHash[s.Backend]
+		if !ok {
+			continue
+		}
+		if b.samples == 0 {
+			b.interval = time.Duration(s.IntervalUs) * time.Microsecond
+		}
+		if b.read == 0 {
+			b.read = time.Duration(s.ReadNs)
+		}
+	}
+}
+
+// unread is how many prompt tokens an engine is believed to have still to read. What others told is
+// worked off since.
+func (b *backend) unread(now time.Duration) int {
+	others := b.others.unread
+	if others > 0 && b.read > 0 {
+		others = max(0, others-int((now-b.toldAt)/b.read))
+	}
+	return b.own.unread + others
+}
+
+// readOf is the time in which an engine reads a prompt token, as far as known.
+func (r *Router) readOf(b *backend) time.Duration {
+	if b.read > 0 {
+		return b.read
+	}
+	if s, ok := r.services[b.Service]; ok && s.read > 0 {
+		return s.read
+	}
+	return unknownRead
+}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -223,7 +223,7 @@
 			}
 		}
 		if sum.total() > 0 {
-			s.Loads = append(s.Loads, &gossippb.Load{Backend: b.hash, InFlight: sum.pack()})
+			s.Loads = append(s.Loads, sum.message(b.hash))
 		}
 	}
 	for _, name := range r.quotaNames() {
@@ -333,20 +333,15 @@
 }
 
 // othersAt adds up what others have told of one backend server.
-func (r *Router) othersAt(hash uint32) counts {
-	var c counts
-	add := func(l loads) {
-		for p, n := range l[hash] {
-			c[p] += n
-		}
-	}
+func (r *Router) othersAt(hash uint32) load {
+	var sum load
 	for _, h := range r.members.order {
-		add(r.members.byHost[h].loads)
+		sum.add(r.members.byHost[h].loads[hash])
 	}
 	for _, z := range r.zones.sums {
-		add(z.loads)
+		sum.add(z.loads[hash])
 	}
-	return c
+	return sum
 }
 
 // saidDeadAt counts the hosts that cannot reach a backend server.
