--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -88,6 +88,7 @@
 	add("memory", "memory per waiting request and open stream", &memoryCommand{common{Threads: setThreads}})
 	add("capacity", "slopes of the capacity page", &capacityCommand{common: common{Threads: setThreads}})
 	add("policy", "policies against each other and the bound", &policyCommand{common: common{Threads: setThreads}})
+	add("bound", "what a fleet could have served, from its hosts' logs", &boundCommand{})
 	if _, err := p.Parse(); err != nil {
 		if flags.WroteHelp(err) {
 			return
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -158,7 +158,8 @@
 	f.g.metrics.Timer("requests.time").Update(took)
 	e := f.g.log.Info().Str("id", f.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
 	if f.route != nil {
-		e = e.Str("route", f.route.Name).Float64("rank", f.rank).Int64("target_ms", f.route.Target.Milliseconds())
+		e = e.Str("route", f.route.Name).Float64("rank", f.rank).Int64("target_ms", f.route.Target.Milliseconds()).
+			Int64("allowed_ms", f.allowed.Milliseconds())
 	}
 	if f.call.HasTokens {
 		e = e.Int("prompt", f.call.PromptTokens).Int("output", f.call.OutputTokens).Int("hint", f.call.LengthHint)
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -206,10 +206,15 @@
 	if ch.Revision <= r.news.complete {
 		return // it was removed since; whoever tells of it has not heard
 	}
-	r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: ch.Service + " " + ch.Addr})
+	r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: describe(ch.Backend)})
 	r.add(ch)
 }
 
+// describe is what logs say of a backend server that joins.
+func describe(b routing.Backend) string {
+	return fmt.Sprintf("%s %s slots=%d", b.Service, b.Addr, b.Slots)
+}
+
 func (r *Router) add(ch routing.BackendChange) {
 	b := newBackend(ch.Backend)
 	b.revision = ch.Revision
@@ -228,7 +233,7 @@
 // they would wait for an answer that never comes, and whether they ran is unknown.
 func (r *Router) restart(b *backend, ch routing.BackendChange) {
 	r.news.revision = max(r.news.revision, ch.Revision)
-	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: b.Service + " " + ch.Addr})
+	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: describe(ch.Backend)})
 	r.forgetPrint(b)
 	delete(r.byHash, b.hash)
 	r.add(ch)
