Hosts that start together have a configuration within a few hundredths of a second

Change: seeds read at once, others at unlike moments; the first configuration and newcomers are answered by a beat at once; a request waits up to 200 ms for a host's first configuration. Refusals log how many servers are known, full and dead.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -23,7 +24,10 @@
 	// effectBuffer is more than the reducer ever has outstanding for one request.
 	effectBuffer = 8
 	// notReadyBack is when to come back to a host that knows no configuration yet.
-	notReadyBack = 300 * time.Millisecond
+	notReadyBack = 150 * time.Millisecond
+	// firstTableWait is how long a request waits for the host's first configuration: a host that starts
+	// mostly has it within a tenth of a second, and a caller that is turned away meanwhile is late.
+	firstTableWait = 200 * time.Millisecond
 )
 
 // Caller is where the effects for one request go.
@@ -42,6 +46,8 @@
 	Now() time.Duration
 	// Table is the configuration in force, or nil.
 	Table() *routing.Table
+	// Configured is closed once there is a configuration.
+	Configured() <-chan struct{}
 	Draining() bool
 }
 
@@ -68,7 +74,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	f := &flight{g: g, w: w, r: r, call: g.wire.Read(r.Header), began: time.Now(), beganAt: g.control.Now()}
-	table := g.control.Table()
+	table := g.table(r.Context())
 	if table == nil {
 		f.refuse(http.StatusServiceUnavailable, "no_configuration", notReadyBack)
 		return
@@ -93,3 +99,18 @@
 	}
 	f.fly()
 }
+
+// table is the configuration in force; a host that has just started is given a moment to learn it.
+func (g *Gateway) table(ctx context.Context) *routing.Table {
+	if t := g.control.Table(); t != nil {
+		return t
+	}
+	wait := time.NewTimer(firstTableWait)
+	defer wait.Stop()
+	select {
+	case <-g.control.Configured():
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+	return g.control.Table()
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -39,11 +39,13 @@
 	metrics telemetry.Metrics
 	queue   chan any
 	// callers are the traffic side's channels, by request.
-	callers  map[uint64]gateway.Caller
-	table    atomic.Pointer[routing.Table]
-	ready    atomic.Bool
-	draining atomic.Bool
-	held     atomic.Int64
+	callers map[uint64]gateway.Caller
+	table   atomic.Pointer[routing.Table]
+	// configured is closed with the first configuration.
+	configured chan struct{}
+	ready      atomic.Bool
+	draining   atomic.Bool
+	held       atomic.Int64
 }
 
 // submission is a request with the channel for its effects.
@@ -60,7 +62,7 @@
 
 func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
 	return &control{router: r, clock: newBootClock(), log: log, metrics: m,
-		queue: make(chan any, queueLength), callers: map[uint64]gateway.Caller{}}
+		queue: make(chan any, queueLength), callers: map[uint64]gateway.Caller{}, configured: make(chan struct{})}
 }
 
 // run handles events until ctx ends.
@@ -131,7 +133,9 @@
 	case router.Pull:
 		c.out.pull(e)
 	case router.InForce:
-		c.table.Store(e.Table)
+		if c.table.Swap(e.Table) == nil {
+			close(c.configured)
+		}
 		c.log.Info().Uint64("version", e.Table.Config.Version).Int("routes", len(e.Table.Config.Routes)).Msg("Configuration in force.")
 	case router.BackendGone:
 		c.out.drop(e.Backend.Addr)
@@ -167,6 +171,9 @@
 // Table implements gateway.Control.
 func (c *control) Table() *routing.Table { return c.table.Load() }
 
+// Configured implements gateway.Control.
+func (c *control) Configured() <-chan struct{} { return c.configured }
+
 // Draining implements gateway.Control.
 func (c *control) Draining() bool { return c.draining.Load() }
 
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -134,6 +134,9 @@
 	BeliefAge time.Duration // of the oldest heartbeat that was counted
 	Version   uint64        // of the configuration
 	Quota     QuotaGrounds
+	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
+	// without room for this priority, and those to which no connection is believed possible.
+	Known, Full, Dead int
 }
 
 // QuotaGrounds is what a refusal over a quota was based on, in the quota's unit.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -150,6 +150,7 @@
 		r.members.order = append(r.members.order, b.Host)
 		slices.Sort(r.members.order)
 		r.zones.peersAt = 0 // so that the others hear of it with the next beat
+		r.changed = true    // and it hears soon what there is to know
 		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
 	}
 	returned := m.silent
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -139,6 +139,7 @@
 
 func (r *Router) adopt(c *routing.Config) {
 	r.inv.Check(c.Version > r.version(), "configuration goes back from %d to %d", r.version(), c.Version)
+	r.changed = r.changed || r.table == nil // those that wait for a first configuration hear of it at once
 	r.table = routing.NewTable(c)
 	for i := range c.Workspaces {
 		r.setQuota(&c.Workspaces[i])
@@ -261,6 +262,9 @@
 	if ch.Draining && !b.Draining {
 		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
 	}
+	if b.removed {
+		r.emit(Note{What: "backend server back", Subject: b.ID, Detail: describe(ch.Backend), Age: r.now - b.removedAt})
+	}
 	r.forgetPrint(b)
 	moved := b.Service != ch.Service
 	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -137,18 +137,24 @@
 func (r *Router) place(q *request) (*backend, Grounds) {
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
 	var lists [classes][]candidate
-	full := false
 	for _, b := range r.backendsOf(q.service) {
 		ok, doubt := b.usable(r.now)
 		if !ok || slices.Contains(q.tried, b.ID) || !r.fits(b) {
 			continue
 		}
+		g.Known++
+		dies := b.dead(r.now)
+		if dies {
+			g.Dead++
+		}
 		held, limit := b.inFlight(), r.limitFor(b, q)
 		if g.InFlight < 0 || held < g.InFlight {
 			g.InFlight, g.Limit = held, limit
 		}
 		if held >= limit-r.farMargin(b) {
-			full = full || !b.dead(r.now)
+			if !dies {
+				g.Full++
+			}
 			continue
 		}
 		c := r.classOf(b, q, doubt)
@@ -156,7 +162,7 @@
 	}
 	// Dead servers look idle. In an overload every request would try some of them before it is refused;
 	// they are tried only where no other is left at all, as the fault may be this host's own.
-	if full {
+	if g.Full > 0 {
 		lists[dead] = nil
 	}
 	for _, list := range lists {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,7 +67,7 @@
 
 // New returns a reducer in its first state: no configuration, no peers.
 func New(opt Options) *Router {
-	return &Router{
+	r := &Router{
 		opt:      opt,
 		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
 		members:  newMembers(),
@@ -79,6 +79,8 @@
 		requests: map[uint64]*request{},
 		quotas:   map[string]*limit.Quota{},
 	}
+	r.zones.firstRead = r.firstRead()
+	return r
 }
 
 // Reduce takes one event at a moment of the host's boot-time clock, which goes on while the machine
--- /dev/null
+++ b/internal/router/start_test.go
@@ -0,0 +1,89 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// firstReads are when hosts of a fleet that starts at once read the store, by their own clocks.
+func firstReads(hosts int, seeds []string) []time.Duration {
+	var out []time.Duration
+	for i := 1; i <= hosts; i++ {
+		r := New(Options{Host: fmt.Sprintf("10.0.0.%d", i), Zone: "z0", Incarnation: 1, Seed: uint64(i), Seeds: seeds})
+		for now := time.Duration(0); ; now += time.Millisecond {
+			if reads(r.Reduce(now, Tick{})) {
+				out = append(out, now)
+				break
+			}
+		}
+	}
+	return out
+}
+
+func reads(list []Effect) bool {
+	for _, e := range list {
+		if rs, ok := e.(ReadStore); ok && rs.On {
+			return true
+		}
+	}
+	return false
+}
+
+// All hosts lose power together and start again while callers wait. They waited a quarter of a second for
+// peers that might know the configuration, all of them, and refused some 150 requests of the fleet
+// meanwhile. The seeds, whom everybody greets, read at once; where they are down, few others do.
+func TestSomebodyReadsTheStoreAtOnce(t *testing.T) {
+	at := firstReads(9, []string{"10.0.0.2", "10.0.0.5"})
+	require.Zero(t, at[1])
+	require.Zero(t, at[4])
+	at = firstReads(300, []string{"10.0.9.1"})
+	soon := 0
+	for _, when := range at {
+		require.LessOrEqual(t, when, startWait+time.Millisecond)
+		if when < startWait/5 {
+			soon++
+		}
+	}
+	require.Positive(t, soon)
+	require.Less(t, soon, 300/10, "hundreds of hosts must not all list the store before they hear each other")
+}
+
+// beatsTo collects the hosts that beats go to.
+func beatsTo(list []Effect) []string {
+	var out []string
+	for _, e := range list {
+		if b, ok := e.(SendBeat); ok {
+			out = append(out, b.To...)
+		}
+	}
+	return out
+}
+
+// A host starts and greets a peer that knows the configuration. The peer answers with a beat at once, as
+// the newcomer asks for news only when it hears that there are any: at the usual period of beats, callers
+// would be refused up to a tenth of a second longer.
+func TestNewcomerHearsAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+	b.now += changeGap + time.Millisecond
+	b.post(Tick{})
+	b.now += changeGap
+	require.Contains(t, beatsTo(b.post(Heard{&gossippb.Beat{Host: "10.0.0.3", Zone: "z0", Incarnation: 1, Seq: 1}})), "10.0.0.3")
+}
+
+// The first of the starting hosts has read the configuration. The others, which wait for it, hear so at
+// once.
+func TestFirstConfigurationIsToldAtOnce(t *testing.T) {
+	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1, Seeds: []string{"10.0.0.1"}})
+	r.Reduce(0, Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+	r.Reduce(0, Tick{})
+	now := changeGap + 5*time.Millisecond
+	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1}}}
+	require.Contains(t, beatsTo(r.Reduce(now, n)), "10.0.0.2")
+}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -36,8 +37,8 @@
 	contactFresh = 2200 * time.Millisecond
 	// cutAfter is how long none of a zone's hosts must be heard for the zone to count as cut off.
 	cutAfter = 450 * time.Millisecond
-	// startWait is how long a starting host listens for peers before it reads the store: where there
-	// are many, they have the news already.
+	// startWait is how long a starting host listens for peers at most before it reads the store: where
+	// there are many, they have the news already.
 	startWait = 250 * time.Millisecond
 )
 
@@ -49,6 +50,8 @@
 	// readerAt is when a zone mate in contact with the store was last heard.
 	readerAt time.Duration
 	decided  bool
+	// firstRead is when this host first reads the store, unless it then relies on others.
+	firstRead time.Duration
 	// shared tells that this host reads for its zone mates too, with short watches. It is seldom known
 	// at the start, before the others are heard.
 	shared bool
@@ -73,6 +76,18 @@
 
 func newZoneState() zoneState { return zoneState{sums: map[string]*zoneSum{}} }
 
+// firstRead draws when a starting host reads the store. Where all hosts start together, as after a loss of
+// power, somebody has to read first, and all others get the news from it: a host that is named as a seed
+// reads at once, as everybody greets it, and the others wait for it at unlike times. Before, all waited
+// startWait, and refused a quarter of a second's requests for want of a configuration. The root makes early
+// reads rare in a fleet of hundreds whose seeds are down.
+func (r *Router) firstRead() time.Duration {
+	if slices.Contains(r.opt.Seeds, r.opt.Host) {
+		return 0
+	}
+	return time.Duration(math.Sqrt(r.rng.Float64()) * float64(startWait))
+}
+
 // relaying tells whether there are too many hosts for all to talk to each other.
 func (r *Router) relaying() bool { return len(r.members.zoneOf)+1 > fullMesh }
 
@@ -378,7 +393,7 @@
 // one on the first hosts of each zone, and on any that hears too few of its zone in contact with the
 // store, as the readers may be the ones that are cut off from it.
 func (r *Router) decideReading() {
-	if !r.zones.decided && r.now < startWait {
+	if !r.zones.decided && r.now < r.zones.firstRead {
 		return
 	}
 	others := 0
