A zone that is heard again is used at once; draining hosts send callers on at once

Changes: silent hosts are greeted four times a second; engines of a zone that is back are on probation; draining hosts answer with a time to come back of a millisecond. The log line of a dispatch has the predicted wait.

--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -134,6 +134,8 @@
 	BeliefAge time.Duration // of the oldest heartbeat that was counted
 	Version   uint64        // of the configuration
 	Quota     QuotaGrounds
+	// Wait is the predicted time to a stream's first event at the chosen backend server.
+	Wait time.Duration
 	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
 	// without room for this priority, and those to which no connection is believed possible.
 	Known, Full, Dead int
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -15,8 +15,10 @@
 	// forgetAfter is when a silent host no longer counts for shares of limits. A cut between zones
 	// looks like a death at first and lasts for seconds; a host that is only cut off still spends.
 	forgetAfter = 15 * time.Second
-	// greetEvery is how often seeds and silent hosts are sent a beat.
-	greetEvery = time.Second
+	// greetEvery is how often seeds and silent hosts are sent a beat. It bounds how long a zone is still
+	// taken for cut off when it is not any more: at once a second, a hundred requests were refused beside
+	// its idle engines.
+	greetEvery = 250 * time.Millisecond
 	// youngBeats is how many beats a host has sent at most while it counts as just started: one to
 	// a few seconds' worth, by its load.
 	youngBeats = 60
@@ -154,11 +156,15 @@
 		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
 	}
 	returned := m.silent
+	wasCut := returned && r.zoneSilent(m.zone)
 	if m.silent {
 		m.silent = false
 		r.emit(Note{What: "host heard again", Subject: m.host, Age: r.now - m.heardAt})
 	}
 	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
+	if wasCut {
+		r.zoneBack(m.zone)
+	}
 	r.takeLoads(m, b.Loads)
 	r.takeDead(m, b.Dead)
 	r.takeSpeeds(b.Speeds)
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -169,6 +169,7 @@
 		if len(list) > 0 {
 			b := r.pick(list)
 			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
+			g.Wait = r.waitAt(b, q, g.InFlight)
 			return b, g
 		}
 	}
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -272,3 +272,39 @@
 	require.NotNil(t, refused)
 	require.Equal(t, NoBackend, refused.Cause)
 }
+
+// A zone was cut off, and its engines could not be reached. The cut ends: the zone's hosts are heard again,
+// and its engines get work at once, one request each until one is answered. They were left alone for two
+// seconds more while the others refused a hundred requests.
+func TestZoneHeardAgainGetsWork(t *testing.T) {
+	b := newBench(t, 2)
+	e0 := b.r.backends["e0"]
+	e0.Zone = "z1"
+	b.r.backends["e1"].own.counts[0] = 5 + headroom
+	hear := func(seq uint64) {
+		b.post(Heard{&gossippb.Beat{Host: "10.0.1.1", Zone: "z1", Incarnation: 1, Seq: seq}})
+	}
+	hear(1)
+	b.now += time.Second
+	b.post(Tick{})
+	e0.refused(b.now)
+	_, refused := b.submit(urgent, 0, 10)
+	require.NotNil(t, refused)
+	hear(2)
+	engine, _ := b.submit(urgent, 0, 10)
+	require.Equal(t, "e0", engine)
+	require.True(t, e0.onProbation())
+}
+
+// Hosts are stopped and started in turn on a calm day. A caller keeps its connection to one that drains
+// and sends a stream there, which would not end in time. It is told to come back at once: its next
+// connection leads to another host, where it is in time. Told to wait, nearly all were late.
+func TestDrainingHostSendsCallersOnAtOnce(t *testing.T) {
+	b := newBench(t, 1)
+	b.post(Drain{Until: b.now + 8*time.Second, Grace: 8 * time.Second})
+	b.now += takeWhileDraining
+	_, refused := b.submit(hint, 2, 10)
+	require.Equal(t, ShutDown, refused.Cause)
+	require.LessOrEqual(t, refused.After, 10*time.Millisecond)
+	require.Positive(t, refused.After)
+}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -290,6 +290,9 @@
 		r.zones.sums[s.Zone] = z
 	}
 	returned := z.stale
+	if returned {
+		r.zoneBack(s.Zone)
+	}
 	r.countLoads(z.loads, -1)
 	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
 	z.loads, z.stale = loadsOf(s.Loads), false
@@ -327,6 +330,18 @@
 	return known
 }
 
+// zoneBack takes the backend servers of a zone that was cut off for reachable again. Those that could not
+// be reached stay on probation: one request at a time until one is answered.
+func (r *Router) zoneBack(zone string) {
+	for _, b := range r.allBackends() {
+		if b.Zone == zone && r.now < b.unreachable {
+			b.unreachable = 0
+			b.avoidUntil = r.now
+		}
+	}
+	r.emit(Note{What: "zone heard again", Subject: zone})
+}
+
 // expireZones stops counting what zones said that are not heard any more.
 func (r *Router) expireZones() {
 	for _, zone := range r.otherZones() {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -110,6 +110,8 @@
 	{"router-queued-sample", "8", "internal/router/speed.go", "q.PromptTok < leastPrompt || q.queued ||", "q.PromptTok < leastPrompt ||", routerTests},
 	{"router-told-speed", "8", "internal/router/speed.go", "		if b.samples == 0 {\n			b.interval", "		if true {\n			b.interval", routerTests},
 	{"bound-hall", "bound", "internal/bound/solve.go", "	for s := 0; s <= a; s++ {\n		for _, v", "	for s := a; s <= a; s++ {\n		for _, v", []string{"./internal/bound"}},
+	{"router-zone-back", "8", "internal/router/members.go", "	if wasCut {\n", "	if false {\n", routerTests},
+	{"router-drain-back", "5", "internal/router/requests.go", "Cause: ShutDown, After: drainBack", "Cause: ShutDown, After: r.comeBack(q)", routerTests},
 	{"gateway-abort", "1", "internal/gateway/flight.go", "	f.cut.begin(d.Attempt, cancel)\n", "", onPlatform("StartsAgain")},
 	{"router-peers-repair", "6", "internal/router/news.go", "	r.news.pulledAt = r.now\n\tr.emit(Pull{m.host, since})", "	r.news.pulledAt, since = r.now, Since{}\n\t_ = since", onPlatform("Refuses|StoreIsAway")},
 	{"router-drain", "4", "internal/router/backends.go", "if b.Draining || b.replaced {", "if b.replaced {", routerTests},
