--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -14,6 +14,10 @@
 	// this serves a tenth more of the worth on the heaviest days.
 	headroom = 4
 	perRank  = 2
+	// queueShare of its objective is how long a stream may wait for a place at an engine where all are
+	// taken: an engine of one slot frees one a second, one of eleven ten, and places to wait that are too
+	// many make late what other engines would serve.
+	queueShare = 0.5
 	// plainDepth is how many requests a slot a plain service's server may hold: answers there take
 	// a few tens of milliseconds against an objective several times that.
 	plainDepth = 2
@@ -72,12 +76,16 @@
 }
 
 // limitFor is how many requests a backend server may hold for one of this priority to join.
-func (r *Router) limitFor(b *backend, q *request) int {
+func (s *search) limitFor(b *backend) int {
 	slots := max(1, b.Slots)
-	if q.Route.Kind != routing.Streaming {
+	if s.q.Route.Kind != routing.Streaming {
 		return slots * plainDepth
 	}
-	return max(1, slots+headroom-int(perRank*q.Rank+0.5))
+	extra := headroom - int(perRank*s.q.Rank+0.5)
+	if turn := s.turnover(b); extra > 0 && s.q.Route.Target > 0 {
+		extra = min(extra, int(queueShare*float64(s.q.Route.Target)/float64(turn)+0.5))
+	}
+	return max(1, slots+extra)
 }
 
 // class is how far a backend server is trusted with a request. A class is used only where those before
@@ -147,7 +155,7 @@
 	for _, list := range lists {
 		if len(list) > 0 {
 			b := r.pick(list)
-			g.InFlight, g.Limit = b.inFlight(), r.limitFor(b, q)
+			g.InFlight, g.Limit = b.inFlight(), s.limitFor(b)
 			g.Wait = s.waitAt(b, g.InFlight)
 			return b, g
 		}
@@ -166,7 +174,7 @@
 	if c == dead {
 		g.Dead++
 	}
-	held, limit := b.inFlight(), s.r.limitFor(b, s.q)
+	held, limit := b.inFlight(), s.limitFor(b)
 	if g.InFlight < 0 || held < g.InFlight {
 		g.InFlight, g.Limit = held, limit
 	}
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -308,3 +308,26 @@
 	require.LessOrEqual(t, refused.After, 10*time.Millisecond)
 	require.Positive(t, refused.After)
 }
+
+// Engines of one slot free a place once in a second, those of many slots every few milliseconds. Streams
+// queued four deep at each of them alike, so that at engines of one slot nearly all came late; now what may
+// wait follows from how often a place comes free, and the most urgent still go before the others.
+func TestPlacesToWaitFollowTheEngine(t *testing.T) {
+	b := newBench(t, 1)
+	e0 := b.r.backends["e0"]
+	e0.learnPace(20 * time.Millisecond)
+	limit := func(slots int, rank float64) int {
+		e0.Slots = slots
+		s := b.r.searchFor(&request{Submit: Submit{Route: urgent, Rank: rank}, service: "m"})
+		return s.limitFor(e0)
+	}
+	require.Equal(t, 1+1, limit(1, 0), "30 events of 20 ms are more than half of the objective")
+	require.Equal(t, 1, limit(1, routing.LeastUrgent))
+	require.Equal(t, 11+headroom, limit(11, 0))
+	require.Equal(t, 11+headroom-perRank, limit(11, 1))
+	require.Equal(t, 64+headroom, limit(64, 0))
+	for i := 0; i < 100; i++ {
+		e0.learnPace(time.Second)
+	}
+	require.Equal(t, 1, limit(1, 0))
+}
--- a/internal/router/predict.go
+++ b/internal/router/predict.go
@@ -27,10 +27,7 @@
 // a long prompt holds up every stream beside it. Measured against the least of (requests held + 1) x time
 // between events, this serves 0.02 to 0.05 more of the worth on days that are not overloaded throughout.
 func (s *search) waitAt(b *backend, held int) time.Duration {
-	pace := b.interval
-	if pace == 0 {
-		pace = s.svc.usualPace()
-	}
+	pace := s.paceOf(b)
 	if s.q.Route.Kind != routing.Streaming || s.q.PromptTok == 0 {
 		return time.Duration(held+1) * pace
 	}
@@ -40,8 +37,20 @@
 	}
 	wait := pace + time.Duration(b.unread(s.r.now)+s.q.PromptTok)*read
 	if over := held + 1 - b.Slots; over > 0 && b.Slots > 0 {
-		// A place comes free as often as streams of the usual length end.
-		wait += time.Duration(float64(over) * s.svc.usualEvents() * float64(pace) / float64(b.Slots))
+		wait += time.Duration(over) * s.turnover(b)
 	}
 	return wait
 }
+
+// turnover is how often a place comes free at an engine where all are taken: as streams of the usual length
+// end.
+func (s *search) turnover(b *backend) time.Duration {
+	return max(1, time.Duration(s.svc.usualEvents()*float64(s.paceOf(b))/float64(max(1, b.Slots))))
+}
+
+func (s *search) paceOf(b *backend) time.Duration {
+	if b.interval > 0 {
+		return b.interval
+	}
+	return s.svc.usualPace()
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -112,6 +112,7 @@
 	{"bound-hall", "bound", "internal/bound/solve.go", "	for s := 0; s <= a; s++ {\n		for _, v", "	for s := a; s <= a; s++ {\n		for _, v", []string{"./internal/bound"}},
 	{"router-zone-back", "8", "internal/router/members.go", "	if wasCut {\n", "	if false {\n", routerTests},
 	{"router-drain-back", "5", "internal/router/requests.go", "Cause: ShutDown, After: drainBack", "Cause: ShutDown, After: r.comeBack(q)", routerTests},
+	{"router-queue-share", "8", "internal/router/place.go", "extra > 0 && s.q.Route.Target > 0 {", "false {", routerTests},
 	{"gateway-abort", "1", "internal/gateway/flight.go", "	f.cut.begin(d.Attempt, cancel)\n", "", onPlatform("StartsAgain")},
 	{"router-peers-repair", "6", "internal/router/news.go", "	r.news.pulledAt = r.now\n\tr.emit(Pull{m.host, since})", "	r.news.pulledAt, since = r.now, Since{}\n\t_ = since", onPlatform("Refuses|StoreIsAway")},
 	{"router-drain", "4", "internal/router/backends.go", "if b.Draining || b.replaced {", "if b.replaced {", routerTests},
