--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -74,7 +74,7 @@
 
 // message is the load as beats tell it.
 func (l load) message(hash uint32) *gossippb.Load {
-	return &gossippb.Load{Backend: hash, InFlight: l.pack(), Unread: uint32(max(0, l.unread))}
+	return &gossippb.Load{Backend: hash, InFlight: l.pack(), Unread: uint32(min(max(0, l.unread), maxUnread))}
 }
 
 // maxUnread bounds what is believed to be unread at one backend server by one word: no engine's memory
--- /dev/null
+++ b/internal/router/registrations.go
@@ -0,0 +1,150 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+
+	"fireflyshift/internal/routing"
+)
+
+// takeBackend merges one change. Changes come in any order, from the store and from peers. The latest
+// start of a backend server wins, and of one start the highest revision: the store may still take a write
+// of the earlier start after the first one of the new, and that must neither bring the earlier one back
+// nor hide the new one. A removal stands against every change before it.
+func (r *Router) takeBackend(ch routing.BackendChange) {
+	b, known := r.backends[ch.ID]
+	switch {
+	case !known:
+		r.join(ch)
+	case ch.Removed:
+		if ch.Revision > b.revision || (ch.Foreign && ch.Revision == b.revision) {
+			r.remove(b, ch)
+		}
+	case ch.Revision <= b.goneAt:
+		// A removal came later than this.
+	case ch.Start == 0 && b.Start > 0:
+		// A start that is known by its moment always tells it: something else has written.
+		if ch.Revision > b.revision {
+			r.remove(b, routing.BackendChange{Revision: ch.Revision, Removed: true, Foreign: true})
+		}
+	case ch.Start > b.Start && b.Start == 0 && ch.Revision < b.revision:
+		// The same the other way round: what is known was written by something else, later.
+		r.remove(b, routing.BackendChange{Revision: b.revision, Removed: true, Foreign: true})
+		r.nameStart(b, ch.Start)
+	case ch.Start > b.Start:
+		r.restart(b, ch)
+	case ch.Start == b.Start && ch.Revision > b.revision:
+		r.update(b, ch)
+	}
+}
+
+// nameStart notes which start of a backend server is known, so that others' words of it are found.
+func (r *Router) nameStart(b *backend, start uint64) {
+	delete(r.byHash, b.hash)
+	b.Start = start
+	b.hash = hashOf(b.Backend)
+	r.byHash[b.hash] = b
+	b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
+}
+
+// join takes a backend server that was not known.
+func (r *Router) join(ch routing.BackendChange) {
+	if ch.Removed {
+		return
+	}
+	r.news.revision = max(r.news.revision, ch.Revision)
+	if ch.Revision <= r.news.complete {
+		return // it was removed since; whoever tells of it has not heard
+	}
+	r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: describe(ch.Backend)})
+	r.add(ch)
+}
+
+// describe is what logs say of a backend server that joins.
+func describe(b routing.Backend) string {
+	return fmt.Sprintf("%s %s slots=%d", b.Service, b.Addr, b.Slots)
+}
+
+func (r *Router) add(ch routing.BackendChange) {
+	b := newBackend(ch.Backend)
+	b.revision = ch.Revision
+	r.backends[ch.ID] = b
+	r.byHash[b.hash] = b
+	b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
+	r.forgetOrder()
+	r.news.prints += b.print()
+	if s := r.serviceOf(b); s != nil && s.Model && !b.Model {
+		r.emit(Note{What: "backend server is no model engine", Subject: b.ID, Detail: b.Service})
+	}
+}
+
+// restart replaces a backend server by its next start under the same ID. Nothing that was learned of the
+// earlier start holds for it. Calls that were sent to the earlier one are broken off: where it fell silent
+// they would wait for an answer that never comes, and whether they ran is unknown.
+func (r *Router) restart(b *backend, ch routing.BackendChange) {
+	r.news.revision = max(r.news.revision, ch.Revision)
+	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: describe(ch.Backend)})
+	r.forgetPrint(b)
+	delete(r.byHash, b.hash)
+	r.add(ch)
+	r.emit(BackendGone{b.Backend})
+	r.breakOff(b)
+}
+
+// breakOff ends the calls that are under way at a backend server, in order of their requests.
+func (r *Router) breakOff(b *backend) {
+	var ids []uint64
+	for id, q := range r.requests {
+		if q.backend == b {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		r.emit(Abort{ID: id, Attempt: r.requests[id].attempt})
+	}
+}
+
+// update takes a newer registration of the same start.
+func (r *Router) update(b *backend, ch routing.BackendChange) {
+	r.news.revision = max(r.news.revision, ch.Revision)
+	if ch.Draining && !b.Draining {
+		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
+	}
+	if b.removed {
+		r.emit(Note{What: "backend server back", Subject: b.ID, Detail: describe(ch.Backend), Age: r.now - b.removedAt})
+	}
+	r.forgetPrint(b)
+	moved := b.Service != ch.Service
+	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false
+	r.news.prints += b.print()
+	if moved {
+		r.forgetOrder()
+	}
+}
+
+func (r *Router) forgetPrint(b *backend) {
+	if b.revision > 0 && !b.removed {
+		r.news.prints -= b.print()
+	}
+}
+
+// remove marks a registration as gone. One that lapsed while the store was away is usable a little
+// longer: the backend server mostly lives and is about to register again. One that another program has
+// overwritten is not: nothing there says that it lives.
+func (r *Router) remove(b *backend, ch routing.BackendChange) {
+	r.forgetPrint(b)
+	b.revision, b.goneAt = ch.Revision, ch.Revision
+	if ch.Foreign {
+		b.doubtUntil = 0
+	}
+	if b.removed {
+		return
+	}
+	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
+	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
+		b.doubtUntil = r.now + doubtFor
+	}
+	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.doubtUntil > 0, ch.Foreign)})
+	r.emit(BackendGone{b.Backend})
+}
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -164,6 +164,8 @@
 				require.Equal(t, play.start, b.r.backends["e0"].Start, "%s: %v", name, order)
 			}
 			digests[b.r.digest()] = true
+			e0 := b.r.backends["e0"]
+			require.Same(t, e0, b.r.byHash[hashOf(e0.Backend)], "%s: %v: others' words of it are found", name, order)
 		})
 		require.Len(t, digests, 1, name)
 	}
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -14,6 +14,9 @@
 	// leastPrompt is the shortest prompt, in tokens, whose first event tells the reading speed: below it
 	// the rest of a step and the way there weigh more.
 	leastPrompt = 300
+	// mostRead bounds what another host's word of a reading speed can do; engines here read a token in
+	// tens of microseconds.
+	mostRead = 10 * time.Millisecond
 	// speedNews is by how much a speed must change to be told again.
 	speedNews = 0.3
 )
@@ -98,8 +101,8 @@
 		if b.samples == 0 {
 			b.interval = time.Duration(s.IntervalUs) * time.Microsecond
 		}
-		if b.read == 0 {
-			b.read = time.Duration(s.ReadNs)
+		if read := time.Duration(s.ReadNs); b.read == 0 && read <= mostRead {
+			b.read = read
 		}
 	}
 }
