--- a/internal/bound/report.go
+++ b/internal/bound/report.go
@@ -1,6 +1,7 @@
 package bound
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -109,7 +110,7 @@
 		all = append(all, s)
 		byService[m] = append(byService[m], s)
 	}
-	services := slices.SortedFunc(maps.Keys(byService), func(a, b *Model) int { return compareNames(a.Service, b.Service) })
+	services := slices.SortedFunc(maps.Keys(byService), func(a, b *Model) int { return cmp.Compare(a.Service, b.Service) })
 	for _, m := range services {
 		res.Models = append(res.Models, m)
 		solve(l, m, byService[m], opt.LateShare)
@@ -151,13 +152,7 @@
 	}
 }
 
-func compareNames(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
+// tokens is the size of a request.
 func tokens(q Request) float64 { return float64(q.Prompt + outputWeight*q.Output) }
 
 const (
