Many changes at once reach the zone, gaps are asked for; large fleets' quotas hold through a start of all

A push of more than eight changes went unsent, and the next one moved the highest revision on, so that hosts took themselves for up to date and asked after three seconds. Change: pushes are cut into datagrams of eight; a peer's revision is compared with that up to which nothing is missing. Change: a host of a fleet of more than sixteen takes callers no sooner than 250 ms after its start.

--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -49,6 +49,7 @@
 	backAt   time.Duration
 	pulledAt time.Duration
 	heardAt  time.Duration // latest word of the store
+	withheld bool          // the traffic side does not know the configuration yet
 }
 
 func newNewsState() newsState {
@@ -105,20 +106,30 @@
 	}
 }
 
-// maxPush is the most changes of backend servers that are pushed in a datagram.
-const maxPush = 8
+const (
+	// maxPush is the most changes of backend servers that go into one datagram, some 2 KB.
+	maxPush = 8
+	// maxPushes bounds the datagrams of one push; who misses what is beyond asks for it.
+	maxPushes = 8
+)
 
 // pushChanges tells the zone at once what the store has just said, where few hosts read it.
 func (r *Router) pushChanges(c routing.Changes) {
-	if !r.relaying() || len(c.Backends) == 0 || len(c.Backends) > maxPush {
+	if !r.relaying() {
 		return
 	}
-	data, err := json.Marshal(c.Backends)
-	if err != nil {
-		r.emit(Note{What: "changes not pushed", Detail: err.Error()})
-		return
+	pushes := 0
+	for part := range slices.Chunk(c.Backends, maxPush) {
+		if pushes++; pushes > maxPushes {
+			return
+		}
+		data, err := json.Marshal(part)
+		if err != nil {
+			r.emit(Note{What: "changes not pushed", Detail: err.Error()})
+			return
+		}
+		r.emitBeat(r.zoneMates(), func(b *gossippb.Beat) { b.Changes = data })
 	}
-	r.emitBeat(r.zoneMates(), func(b *gossippb.Beat) { b.Changes = data })
 }
 
 // takeChanges merges changes that a peer pushes.
@@ -143,7 +154,18 @@
 	for i := range c.Workspaces {
 		r.setQuota(&c.Workspaces[i])
 	}
-	r.emit(InForce{r.table})
+	r.announce()
+}
+
+// announce lets the traffic side go by the configuration. A host of a large fleet that has just started
+// waits a moment longer: its part of the quotas follows from how many hosts there are, which it does not
+// know yet. After a start of all of 86 hosts, each took the quota for shared by the few it had heard of,
+// and a workspace that asked for eight times its quota got 3 % more than the operators' bound.
+func (r *Router) announce() {
+	r.news.withheld = r.relaying() && r.now < startWait
+	if !r.news.withheld {
+		r.emit(InForce{r.table})
+	}
 }
 
 func (r *Router) setQuota(w *routing.Workspace) {
@@ -232,7 +254,9 @@
 	if m.differsSince == 0 {
 		m.differsSince = max(1, r.now)
 	}
-	newer := b.ConfigVersion > r.version() || b.Revision > r.news.revision
+	// What is known may have gaps up to the highest revision: a push that was lost, and a later one that
+	// was not. Only up to complete there are none.
+	newer := b.ConfigVersion > r.version() || b.Revision > r.news.complete
 	wait, every := pullAfter, pullEvery
 	since := Since{Revision: r.news.complete, Version: r.version()}
 	if !newer {
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -120,3 +121,50 @@
 	require.Equal(t, []ReadStore{{On: true, Shared: true}}, reads())
 	require.Empty(t, reads())
 }
+
+// Seventeen engines drain at once while others are replaced one after the other. The push of the seventeen
+// was too large, and went unsent; a later push of one change reached the other hosts, which took themselves
+// for up to date by its revision and asked for the rest three seconds later: callers were sent to engines
+// that had said so long that they leave.
+func TestManyChangesAtOnceReachTheZone(t *testing.T) {
+	reader := newBench(t, 0)
+	for i := 0; i <= fullMesh; i++ {
+		reader.r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
+	}
+	reader.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+	var list []routing.BackendChange
+	for i := 0; i < 17; i++ {
+		ch := changeOf(fmt.Sprintf("e%d", i), uint64(60+i), false)
+		ch.Draining = true
+		list = append(list, ch)
+	}
+	mate := newBench(t, 17)
+	told := 0
+	for _, e := range reader.post(News{FromStore: true, After: 50, AsOf: 80, Revision: 76, Changes: routing.Changes{Backends: list}}) {
+		if s, ok := e.(SendBeat); ok && len(s.Beat.Changes) > 0 {
+			mate.r.takeChanges(s.Beat.Changes)
+			told++
+		}
+	}
+	require.Equal(t, 3, told)
+	for _, b := range mate.r.allBackends() {
+		require.True(t, b.Draining, b.ID)
+	}
+}
+
+// The same where datagrams are lost: a host hears a later change and not those before it, and a peer that
+// knows them. It asks within a quarter of a second, for all that it may have missed.
+func TestGapBeforeAHeardChangeIsAskedFor(t *testing.T) {
+	b := newBench(t, 1) // complete as of revision 50
+	late, err := json.Marshal([]routing.BackendChange{changeOf("later", 90, false)})
+	require.NoError(t, err)
+	b.r.takeChanges(late)
+	beat := func(seq uint64) *gossippb.Beat {
+		return &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: seq, ConfigVersion: 1, Revision: 90, Digest: 7}
+	}
+	b.post(Heard{beat(1)})
+	b.now += pullAfter + time.Millisecond
+	asked := pulls(b.post(Heard{beat(2)}))
+	require.Len(t, asked, 1)
+	require.EqualValues(t, 50, asked[0].Revision)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -149,6 +149,9 @@
 	r.expireZones()
 	r.expireNews()
 	r.decideReading()
+	if r.news.withheld {
+		r.announce()
+	}
 	if r.now >= r.beatAt {
 		r.sendBeats()
 	}
@@ -166,7 +169,7 @@
 // Ready tells whether the balancer should send callers here: the configuration is known from the
 // store, or from a peer while the store does not answer, and the host is not shutting down.
 func (r *Router) Ready() bool {
-	if r.table == nil || r.drain != nil {
+	if r.table == nil || r.drain != nil || r.news.withheld {
 		return false
 	}
 	return r.news.synced || r.now-r.news.triedAt >= storePatience
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -87,3 +87,30 @@
 	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1}}}
 	require.Contains(t, beatsTo(r.Reduce(now, n)), "10.0.0.2")
 }
+
+// All hosts of a large fleet start together while a workspace asks for many times its quota. A host that
+// took callers before it knew how many others there are let through its part of a few, and the fleet more
+// than the operators' bound. It waits until it has heard the others.
+func TestStartInALargeFleetWaitsForTheOthers(t *testing.T) {
+	inForce := func(list []Effect) bool {
+		for _, e := range list {
+			if _, ok := e.(InForce); ok {
+				return true
+			}
+		}
+		return false
+	}
+	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
+	for i := 0; i <= fullMesh; i++ {
+		r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
+	}
+	n := News{Changes: routing.Changes{Config: &routing.Config{Version: 1}}}
+	require.False(t, inForce(r.Reduce(20*time.Millisecond, n)))
+	require.False(t, r.Ready())
+	require.False(t, inForce(r.Reduce(startWait-time.Millisecond, Tick{})))
+	require.True(t, inForce(r.Reduce(startWait, Tick{})))
+	require.False(t, inForce(r.Reduce(startWait+time.Millisecond, Tick{})), "once")
+
+	small := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
+	require.True(t, inForce(small.Reduce(20*time.Millisecond, n)))
+}
