--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -114,3 +114,21 @@
 	small := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
 	require.True(t, inForce(small.Reduce(20*time.Millisecond, n)))
 }
+
+// Zones whose sums a starting host has not heard yet count as large as its own: the quotas are parted by the
+// number of hosts. Later, a zone of which nothing is heard is gone.
+func TestUnheardZonesCountWhileStarting(t *testing.T) {
+	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
+	for i := 2; i <= 10; i++ {
+		r.Reduce(time.Millisecond, Heard{&gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i), Zone: "z0", Incarnation: 1, Seq: 1}})
+	}
+	for i := 0; i <= fullMesh; i++ {
+		r.meet(fmt.Sprintf("10.0.%d.1", 1+i), fmt.Sprintf("z%d", 1+i%3))
+	}
+	require.Equal(t, 4*10, r.hosts())
+	r.Reduce(2*time.Millisecond, Heard{&gossippb.Beat{Host: "10.0.1.1", Zone: "z1", Incarnation: 1, Seq: 1,
+		Zones: []*gossippb.ZoneSum{{Zone: "z1", Speaker: "10.0.1.1", Incarnation: 1, Seq: 1, Hosts: 30}}}})
+	require.Equal(t, 10+30+2*10, r.hosts())
+	r.now = unheardFor
+	require.Equal(t, 10+30, r.hosts())
+}
