Quotas of large fleets hold through a start of all: own parts are staggered

Logs: 1.6 million tokens admitted within half a second of the start of all at 15.03 s: each of 86 hosts admitted one request of some 10,000 at once, as a bucket in credit admits any size.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -310,3 +310,28 @@
 	ok, _ = q.Admit(2*window, 10, 1, 2)
 	require.True(t, ok)
 }
+
+// All 86 hosts lose power and start together while a workspace asks for many times its quota, with requests
+// as large as a host's part of what may be saved up. Each bucket is in credit at first, and one in credit
+// admits a request of any size: the fleet admitted three times the burst at the first moment.
+func TestStartOfALargeFleetIsStaggered(t *testing.T) {
+	const hosts, rate, cost = 86, 480_000.0, 10_400.0
+	rng := rand.New(rand.NewPCG(1, 1))
+	first := func(staggered bool) float64 {
+		got := 0.0
+		for i := 0; i < hosts; i++ {
+			q := NewQuota(0, rate, rate, Allowance{Window: window, Over: 0.25, Slack: 140_000})
+			if staggered {
+				q.Stagger(rng.Float64())
+			}
+			for ok := true; ok; {
+				if ok, _ = q.Admit(0, cost, 1, hosts); ok {
+					got += cost
+				}
+			}
+		}
+		return got
+	}
+	require.Greater(t, first(false), 1.5*rate)
+	require.Less(t, first(true), 1.2*rate)
+}
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -64,6 +64,8 @@
 	shareAt time.Duration
 	// withheld is what was not refilled for the sake of silent parties.
 	withheld float64
+	// stagger is set until the first admission; see Stagger.
+	stagger float64
 	// ownLately and othersLately are admissions that fade with latelyFor.
 	ownLately, othersLately float64
 }
@@ -77,6 +79,12 @@
 	return q
 }
 
+// Stagger is for a host that has just started, with a random part between 0 and 1: in a large fleet its own
+// bucket begins between full and as much in debt. A bucket in credit admits a request of any size, so that
+// after a start of all of 86 hosts each admitted one at once, together several times what the workspace may
+// save up, and 3 to 5 % more than the operators' bound in the window; staggered, they do over a second or two.
+func (q *Quota) Stagger(part float64) { q.stagger = part }
+
 // Set takes a new rate and burst. The level falls at once to a lower bucket.
 func (q *Quota) Set(rate, burst float64) {
 	q.rate, q.burst = rate, burst
@@ -131,6 +139,10 @@
 	q.ownLately *= fade
 	q.othersLately *= fade
 	part := q.part(hosts)
+	if q.stagger > 0 && hosts >= largeFleet {
+		q.share = q.burst * part * (1 - 2*q.stagger)
+	}
+	q.stagger = 0
 	q.share = min(q.burst*part, q.share+q.refillRate()*part*past)
 	q.shareAt = max(q.shareAt, now)
 }
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -159,8 +159,7 @@
 
 // announce lets the traffic side go by the configuration. A host of a large fleet that has just started
 // waits a moment longer: its part of the quotas follows from how many hosts there are, which it does not
-// know yet. After a start of all of 86 hosts, each took the quota for shared by the few it had heard of,
-// and a workspace that asked for eight times its quota got 3 % more than the operators' bound.
+// know yet.
 func (r *Router) announce() {
 	r.news.withheld = r.relaying() && r.now < startWait
 	if !r.news.withheld {
@@ -179,6 +178,9 @@
 		return
 	}
 	q = limit.NewQuota(r.now, w.Rate, w.Burst, r.allowance())
+	if r.now < unheardFor {
+		q.Stagger(r.rng.Float64())
+	}
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if s, ok := m.spent[w.Name]; ok {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -167,9 +167,7 @@
 }
 
 // unheardFor is how long after its start a host of a large fleet takes zones of which it has heard no sum
-// for as large as its own. Quotas are parted by the number of hosts: after a start of all of 86, each
-// counted the 22 of its zone, and a workspace that asked for eight times its quota got four times what is
-// saved up at once, 3 to 5 % more than the operators' bound. Sums come four times a second.
+// for as large as its own, as quotas are parted by the number of hosts. Sums come four times a second.
 const unheardFor = 2 * time.Second
 
 // otherZones are the zones of all known hosts but this one's, in order.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -119,6 +119,7 @@
 	{"router-gap", "4", "internal/router/news.go", "b.Revision > r.news.complete\n", "b.Revision > r.news.revision\n", routerTests},
 	{"router-withheld", "limits", "internal/router/news.go", "r.news.withheld = r.relaying() && r.now < startWait", "r.news.withheld = false", routerTests},
 	{"router-unheard-zones", "limits", "internal/router/zones.go", "	if r.now < unheardFor {\n", "	if false {\n", routerTests},
+	{"limit-stagger", "limits", "internal/limit/quota.go", "	if q.stagger > 0 && hosts >= largeFleet {\n", "	if false {\n", limitTests},
 	{"gateway-abort", "1", "internal/gateway/flight.go", "	f.cut.begin(d.Attempt, cancel)\n", "", onPlatform("StartsAgain")},
 	{"router-peers-repair", "6", "internal/router/news.go", "	r.news.pulledAt = r.now\n\tr.emit(Pull{m.host, since})", "	r.news.pulledAt, since = r.now, Since{}\n\t_ = since", onPlatform("Refuses|StoreIsAway")},
 	{"router-drain", "4", "internal/router/backends.go", "if b.Draining || b.replaced {", "if b.replaced {", routerTests},
