--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -43,6 +43,11 @@
 	delete(r.byHash, b.hash)
 	b.Start = start
 	b.hash = hashOf(b.Backend)
+	r.index(b)
+}
+
+// index finds a backend server by its name in beats from now on, and takes what others have told of it.
+func (r *Router) index(b *backend) {
 	r.byHash[b.hash] = b
 	b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
 }
@@ -69,8 +74,7 @@
 	b := newBackend(ch.Backend)
 	b.revision = ch.Revision
 	r.backends[ch.ID] = b
-	r.byHash[b.hash] = b
-	b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
+	r.index(b)
 	r.forgetOrder()
 	r.news.prints += b.print()
 	if s := r.serviceOf(b); s != nil && s.Model && !b.Model {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -263,6 +263,12 @@
 	r.emit(Verdict{ID: id, Move: move})
 }
 
+// promptDone takes a request's prompt out of what its backend server has still to read.
+func (q *request) promptDone() {
+	q.backend.own.unread -= q.unread
+	q.unread = 0
+}
+
 // release takes a request out of the counts of its backend server.
 func (r *Router) release(q *request) {
 	if q.backend == nil {
@@ -271,8 +277,7 @@
 	p := q.bucket()
 	own := &q.backend.own
 	own.counts[p]--
-	own.unread -= q.unread
-	q.unread = 0
+	q.promptDone()
 	r.changed = true
 	r.inv.Check(own.counts[p] >= 0 && own.unread >= 0, "backend server %s has %d in flight, %d tokens unread", q.backend.ID, own.counts[p], own.unread)
 }
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -41,8 +41,7 @@
 	if !ok || q.backend == nil || q.unread == 0 {
 		return
 	}
-	q.backend.own.unread -= q.unread
-	q.unread = 0
+	q.promptDone()
 	r.changed = true
 	if q.PromptTok < leastPrompt || q.queued || e.First <= 0 {
 		return
