--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -120,7 +120,7 @@
 	}
 	f.g.log.Info().Str("id", f.call.AttemptID).Str("route", f.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Grounds.InFlight).Int("limit", d.Grounds.Limit).Int64("belief_age_ms", d.Grounds.BeliefAge.Milliseconds()).
-		Int64("expect_ms", d.Grounds.Wait.Milliseconds()).Uint64("config", d.Grounds.Version).Msg("Sent.")
+		Int64("expect_ms", d.Grounds.Wait.Milliseconds()).Uint64("config", d.Grounds.Version).Str("owner", d.Grounds.Owner).Msg("Sent.")
 }
 
 // logRejected is the line of a backend server's word that it has not run the request.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -1,5 +1,6 @@
-// Package gossip carries heartbeats between hosts as datagrams, and news on request over HTTP. A
-// heartbeat that is lost is replaced by the next one; news are large and rare.
+// Package gossip carries heartbeats, and questions for places with their answers, between hosts as datagrams,
+// and news on request over HTTP. A heartbeat that is lost is replaced by the next one; a question that is not
+// answered leaves its asker to decide alone; news are large and rare.
 package gossip
 
 import (
@@ -9,6 +10,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strconv"
 	"strings"
@@ -30,10 +32,17 @@
 	newsPath    = "/news"
 )
 
-// Socket sends and receives heartbeats. All hosts use the same port.
+// Socket sends and receives datagrams between hosts. All hosts use the same port. One goroutine may send,
+// one other receive.
 type Socket struct {
 	conn *net.UDPConn
-	port int
+	port uint16
+	// addrs are the addresses of hosts by IP number, and names the reverse, so that no datagram makes them
+	// anew; addrs is the sender's, names the receiver's.
+	addrs map[string]netip.AddrPort
+	names map[netip.Addr]string
+	// out is where datagrams are encoded.
+	out []byte
 }
 
 // Listen opens the datagram port at an IP number.
@@ -42,42 +51,72 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "open datagram port %d; free it or give another in the settings", port)
 	}
-	return &Socket{c, port}, nil
+	return &Socket{conn: c, port: uint16(port), addrs: map[string]netip.AddrPort{}, names: map[netip.Addr]string{}}, nil
 }
 
-// Send writes one beat to each host. Errors are the caller's to count: a host that is gone makes
-// one now and then.
-func (s *Socket) Send(to []string, b *gossippb.Beat) (failed int, err error) {
-	data, err := proto.Marshal(b)
+// Send writes one datagram to each host and returns its size in bytes. Errors are the caller's to count: a
+// host that is gone makes one now and then.
+func (s *Socket) Send(to []string, p *gossippb.Packet) (size, failed int, err error) {
+	s.out, err = proto.MarshalOptions{}.MarshalAppend(s.out[:0], p)
 	if err != nil {
-		return len(to), trace.Wrap(err)
+		return 0, len(to), trace.Wrap(err)
 	}
 	for _, ip := range to {
-		if _, e := s.conn.WriteToUDP(data, &net.UDPAddr{IP: net.ParseIP(ip), Port: s.port}); e != nil {
+		if e := s.write(ip); e != nil {
 			failed++
 			err = trace.Wrap(e)
 		}
 	}
-	return failed, err
+	return len(s.out), failed, err
+}
+
+func (s *Socket) write(ip string) error {
+	addr, ok := s.addrs[ip]
+	if !ok {
+		parsed, err := netip.ParseAddr(ip)
+		if err != nil {
+			return err
+		}
+		addr = netip.AddrPortFrom(parsed, s.port)
+		s.addrs[ip] = addr
+	}
+	_, err := s.conn.WriteToUDPAddrPort(s.out, addr)
+	return err
 }
 
-// Receive passes beats on until the socket closes. What is not a beat is counted as malformed.
-func (s *Socket) Receive(heard func(*gossippb.Beat), malformed func()) {
+// name is the IP number of a sender.
+func (s *Socket) name(from netip.Addr) string {
+	name, ok := s.names[from]
+	if !ok {
+		name = from.Unmap().String()
+		if len(s.names) < maxNames {
+			s.names[from] = name
+		}
+	}
+	return name
+}
+
+// maxNames bounds the senders whose IP numbers are kept; anybody can send a datagram.
+const maxNames = 4096
+
+// Receive passes datagrams on until the socket closes, with the sender's IP number and the size in bytes.
+// What is none of this project's is counted as malformed.
+func (s *Socket) Receive(heard func(from string, p *gossippb.Packet, size int), malformed func()) {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, from, err := s.conn.ReadFromUDP(buf)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue // an ICMP answer of a host that is gone
 		}
-		b := &gossippb.Beat{}
-		if proto.Unmarshal(buf[:n], b) != nil || b.Host != from.IP.String() {
+		p, name := &gossippb.Packet{}, s.name(from.Addr())
+		if proto.Unmarshal(buf[:n], p) != nil || (p.Beat != nil && p.Beat.Host != name) {
 			malformed()
 			continue
 		}
-		heard(b)
+		heard(name, p, n)
 	}
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -24,7 +24,7 @@
 
 // outlets carry out the effects that leave the host. They must not block.
 type outlets struct {
-	beat func(to []string, b *gossippb.Beat)
+	send func(to []string, p *gossippb.Packet)
 	pull func(p router.Pull)
 	read func(on, shared bool)
 	drop func(addr string)
@@ -127,7 +127,9 @@
 		c.toCaller(e.ID, e)
 		delete(c.callers, e.ID)
 	case router.SendBeat:
-		c.out.beat(e.To, e.Beat)
+		c.out.send(e.To, &gossippb.Packet{Beat: e.Beat})
+	case router.Send:
+		c.out.send(e.To, e.Packet)
 	case router.ReadStore:
 		c.out.read(e.On, e.Shared)
 	case router.Pull:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,11 +58,14 @@
 	log     zerolog.Logger
 	metrics telemetry.Metrics
 	control *control
-	pool    *upstream.Pool
-	socket  *gossip.Socket
-	callers *http.Server
-	idle    *idleConns
-	others  []*http.Server
+	// sent and heard count datagrams and their bytes by what they carry: the control plane's cost apart from
+	// the traffic's.
+	sent, heard traffic
+	pool        *upstream.Pool
+	socket      *gossip.Socket
+	callers     *http.Server
+	idle        *idleConns
+	others      []*http.Server
 }
 
 // Tune fits the runtime to a small host: one thread of traffic, which spares wake-ups between
@@ -109,6 +112,7 @@
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
 	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, idle: newIdleConns()}
+	n.sent, n.heard = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.For(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
 	return n, nil
@@ -120,7 +124,7 @@
 	reading := &toggle{ctx: ctx, run: reader.run}
 	n.control.out = outlets{
 		read: reading.set,
-		beat: n.sendBeat,
+		send: n.send,
 		pull: func(p router.Pull) { go n.pull(ctx, puller, p) },
 		drop: n.pool.Drop,
 	}
@@ -151,7 +155,7 @@
 		g.Go(func() error { n.watchSettings(ctx, parts.Load, parts.Reload); return nil })
 	}
 	g.Go(func() error {
-		n.socket.Receive(func(b *gossippb.Beat) { n.control.Post(router.Heard{Beat: b}) }, func() { n.metrics.Count("beats.malformed", 1) })
+		n.socket.Receive(n.received, func() { n.metrics.Count("datagrams.malformed", 1) })
 		return nil
 	})
 	return nil
@@ -198,11 +202,32 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-func (n *Node) sendBeat(to []string, b *gossippb.Beat) {
-	n.metrics.Count("beats.sent", int64(len(to)))
-	if failed, err := n.socket.Send(to, b); failed > 0 {
-		n.metrics.Count("beats.failed", int64(failed))
-		n.log.Debug().Err(err).Int("failed", failed).Msg("Beats not sent.")
+// send writes a datagram to hosts.
+func (n *Node) send(to []string, p *gossippb.Packet) {
+	size, failed, err := n.socket.Send(to, p)
+	n.sent.add(p, len(to), len(to)*size)
+	if failed > 0 {
+		n.metrics.Count("datagrams.failed", int64(failed))
+		n.log.Debug().Err(err).Int("failed", failed).Msg("Datagrams not sent.")
+	}
+}
+
+// received turns a datagram into an event.
+func (n *Node) received(from string, p *gossippb.Packet, size int) {
+	n.heard.add(p, 1, size)
+	switch {
+	case p.Beat != nil:
+		n.control.Post(router.Heard{Beat: p.Beat})
+	case p.Ask != nil:
+		n.control.Post(router.Asked{From: from, Ask: p.Ask})
+	case p.Offer != nil:
+		n.control.Post(router.Offered{From: from, Offer: p.Offer})
+	case p.Report != nil:
+		n.control.Post(router.Reported{From: from, Report: p.Report})
+	case p.Occupancy != nil:
+		n.control.Post(router.Occupied{From: from, Occupancy: p.Occupancy})
+	case p.Relay != nil:
+		n.control.Post(router.Relayed{From: from, Relay: p.Relay})
 	}
 }
 
--- /dev/null
+++ b/internal/router/ask.go
@@ -0,0 +1,220 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	// askPatience is how long a host waits for an owner before it decides alone. A datagram inside a zone
+	// takes a fraction of a millisecond and a busy small host a few to answer; callers want the first event
+	// within hundreds.
+	askPatience = 20 * time.Millisecond
+	// askForget is how long an answer that comes too late still finds its question, so that the place is
+	// given back.
+	askForget = 2 * time.Second
+	// maxAsks bounds the owners that are asked for one send.
+	maxAsks = 3
+	// muteAfter questions in a row without an answer, an owner is not asked for muteFor: it is frozen, cut
+	// off or dead, and a caller should not wait for it.
+	muteAfter = 2
+	muteFor   = 500 * time.Millisecond
+	// fullFresh is how long an owner's word that there is no place holds for the next request: engines of a
+	// shard free some ten places a second on heavy days.
+	fullFresh = 10 * time.Millisecond
+)
+
+// ask is a question to an owner that is open, or whose answer may still come.
+type ask struct {
+	number  uint64
+	request uint64
+	owner   string
+	at      time.Duration
+	// given up, as no answer came in time: a place that is offered later is given back.
+	givenUp  bool
+	priority int
+	prompt   int
+}
+
+// seek finds a place through the owners of this zone's backend servers. Beliefs, which are some hundred
+// milliseconds old, choose whom to ask; the owner chooses the backend server by exact counts. Where no owner
+// answers, this host decides alone.
+func (r *Router) seek(q *request) {
+	c := r.placeIn(q, inZone)
+	if c.b != nil && c.class == good {
+		r.approach(q, c)
+		return
+	}
+	if owner := r.hopefulOwner(q); owner != "" {
+		r.ask(q, owner, slow)
+		return
+	}
+	c = r.placeIn(q, anywhere)
+	if c.b == nil {
+		r.refuse(q, c.grounds)
+		return
+	}
+	r.approach(q, c)
+}
+
+// approach asks the owner of the chosen backend server, or sends where there is nobody to ask.
+func (r *Router) approach(q *request, c choice) {
+	owner := r.ownerOf(c.b)
+	if q.alone || len(q.full) >= maxAsks || !r.answers(owner) {
+		r.send(q, c.b, c.grounds)
+		return
+	}
+	r.ask(q, owner, c.class)
+}
+
+// answers tells whether it is worth asking a host.
+func (r *Router) answers(owner string) bool {
+	m, ok := r.members.byHost[owner]
+	return ok && !m.silent && r.now >= m.muteUntil
+}
+
+// hopefulOwner is an owner that may have a place although what is believed here says that there is none.
+// Words of owners are a quarter of a second old; on heavy days each engine has ended several requests since.
+func (r *Router) hopefulOwner(q *request) string {
+	if q.alone || len(q.full) >= maxAsks {
+		return ""
+	}
+	var hopeful []string
+	for _, b := range r.zoneBackendsOf(q.service) {
+		owner := r.ownerOf(b)
+		if ok, _ := b.usable(r.now); !ok || owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) {
+			continue
+		}
+		if m := r.members.byHost[owner]; r.now-m.fullAt[q.bucket()] >= fullFresh {
+			hopeful = append(hopeful, owner)
+		}
+	}
+	if len(hopeful) == 0 {
+		return ""
+	}
+	return hopeful[r.rng.IntN(len(hopeful))]
+}
+
+func (r *Router) ask(q *request, owner string, worst class) {
+	r.askNumber++
+	a := &ask{number: r.askNumber, request: q.ID, owner: owner, at: r.now, priority: q.bucket(), prompt: q.PromptTok}
+	q.asking = a
+	r.asks = append(r.asks, a)
+	r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Ask: &gossippb.Ask{
+		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
+		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
+		LeftMs: uint32(max(0, q.Deadline-r.now).Milliseconds()), TargetMs: uint32(q.Route.Target.Milliseconds()),
+		WorstClass: uint32(worst), Avoid: r.avoided(q, owner),
+	}}})
+}
+
+// avoided are an owner's backend servers that this host cannot use, by its own experience.
+func (r *Router) avoided(q *request, owner string) []uint32 {
+	var out []uint32
+	for _, b := range r.zoneBackendsOf(q.service) {
+		if r.ownerOf(b) != owner {
+			continue
+		}
+		ok, _ := b.usable(r.now)
+		if !ok || r.now < b.unreachable || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
+			out = append(out, b.hash)
+		}
+	}
+	return out
+}
+
+// expireAsks decides alone for requests whose question was not answered in time.
+func (r *Router) expireAsks() {
+	for len(r.asks) > 0 && r.now-r.asks[0].at > askForget {
+		r.asks = r.asks[1:]
+	}
+	for _, a := range slices.Clone(r.asks) {
+		if a.givenUp || r.now-a.at < askPatience {
+			continue
+		}
+		a.givenUp = true
+		r.unanswered(a)
+	}
+}
+
+func (r *Router) unanswered(a *ask) {
+	if m, ok := r.members.byHost[a.owner]; ok {
+		m.misses++
+		if m.misses >= muteAfter {
+			m.muteUntil = r.now + muteFor
+			r.emit(Note{What: "owner does not answer", Subject: a.owner})
+		}
+	}
+	q, ok := r.requests[a.request]
+	if !ok || q.asking != a {
+		return
+	}
+	q.asking = nil
+	q.alone = true
+	r.seek(q)
+}
+
+// offered takes an owner's answer.
+func (r *Router) offered(from string, o *gossippb.Offer) {
+	i := slices.IndexFunc(r.asks, func(a *ask) bool { return a.number == o.Number && a.owner == from })
+	if i < 0 {
+		return
+	}
+	a := r.asks[i]
+	r.asks = slices.Delete(r.asks, i, i+1)
+	if m, ok := r.members.byHost[from]; ok {
+		m.misses, m.muteUntil = 0, 0
+		if o.Place == nil {
+			m.fullAt[a.priority] = r.now
+		}
+	}
+	for _, l := range o.Full {
+		if b, ok := r.byHash[l.Backend]; ok {
+			r.takeOwnersWord(b, loadOf(l))
+		}
+	}
+	q, ok := r.requests[a.request]
+	if !ok || q.asking != a {
+		r.giveBack(a, o)
+		return
+	}
+	q.asking = nil
+	if o.Place == nil {
+		q.full = append(q.full, from)
+		r.seek(q)
+		return
+	}
+	b := r.byHash[o.Place.Backend]
+	if b == nil || !r.mayUse(q, b) {
+		// It drains or is gone, which the owner has not heard.
+		r.giveBack(a, o)
+		q.full = append(q.full, from)
+		r.seek(q)
+		return
+	}
+	there := loadOf(o.Place)
+	r.takeOwnersWord(b, there)
+	q.owner = from
+	r.send(q, b, Grounds{Version: r.version(), InFlight: there.total(), Limit: int(o.Limit),
+		Wait: time.Duration(o.WaitUs) * time.Microsecond, Owner: from, BeliefAge: r.now - a.at})
+}
+
+func (r *Router) mayUse(q *request, b *backend) bool {
+	ok, _ := b.usable(r.now)
+	return ok && b.Service == q.service && !slices.Contains(q.tried, b.ID)
+}
+
+// giveBack returns a place that is not used.
+func (r *Router) giveBack(a *ask, o *gossippb.Offer) {
+	if o.Place == nil {
+		return
+	}
+	r.report(a.owner, &gossippb.Report{Backend: o.Place.Backend, Priority: uint32(a.priority), Requests: -1, Unread: -int32(a.prompt)})
+}
+
+func (r *Router) report(to string, rep *gossippb.Report) {
+	r.emit(Send{To: []string{to}, Packet: &gossippb.Packet{Report: rep}})
+}
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -40,7 +40,12 @@
 	own, others load
 	// toldAt is when others last told of it.
 	toldAt time.Duration
-	hash   uint32
+	// ownersWord is what its owner says of other hosts' requests there, which counts instead of others
+	// while fromOwner is set.
+	ownersWord   load
+	ownersWordAt time.Duration
+	fromOwner    bool
+	hash         uint32
 	// interval is the learned time between the events of a stream, or to the answer of a plain call.
 	interval time.Duration
 	samples  int
@@ -73,7 +78,20 @@
 }
 
 // inFlight is how many requests the backend server is believed to hold.
-func (b *backend) inFlight() int { return b.own.total() + b.others.total() }
+func (b *backend) inFlight() int {
+	if b.fromOwner {
+		return b.own.total() + b.ownersWord.total()
+	}
+	return b.own.total() + b.others.total()
+}
+
+// believedOthers is what other hosts are believed to carry there.
+func (b *backend) believedOthers() load {
+	if b.fromOwner {
+		return b.ownersWord
+	}
+	return b.others
+}
 
 func (b *backend) suspect(now time.Duration) bool {
 	return now < b.avoidUntil || b.dead(now)
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -15,6 +17,17 @@
 	// second stays the same, and beatMost bounds it.
 	beatPerHost = 5 * time.Millisecond
 	beatMost    = 300 * time.Millisecond
+	// sharedPerHost and sharedMost are the same where backend servers have owners, who hear of each request
+	// at once: beats then tell who lives, what there is to know and what quotas have spent. A host of a zone
+	// of 50 sends and hears 70 a second; half as often, a zone would go on for five seconds as if a dead
+	// host's requests still filled its engines.
+	sharedPerHost = 15 * time.Millisecond
+	sharedMost    = time.Second
+	// spentEvery is how many beats pass between two that tell all that was spent of quotas; the others tell
+	// what has changed.
+	spentEvery = 4
+	// namedPeers bounds the hosts that a beat of a large fleet names once nobody is new.
+	namedPeers = 6
 	// changeGap is how soon after the last beat a change of what this host carries is told, and
 	// changePerHost stretches it with the zone's hosts. On heavy days all choose among the few
 	// engines that look free: with 23 hosts a zone and beats each 150 ms, an engine held 1.8
@@ -30,7 +43,7 @@
 // sendBeats tells the hosts that this one talks to directly what it carries.
 func (r *Router) sendBeats() {
 	mates := time.Duration(len(r.zoneMates()))
-	r.beatAt = r.now + min(beatMost, max(beatFirst, beatPerHost*mates))
+	r.beatAt = r.now + r.beatPeriod()
 	r.changeAt = r.now + max(changeGap, changePerHost*mates)
 	r.changed = false
 	to := r.beatTargets()
@@ -38,16 +51,29 @@
 		return
 	}
 	r.emitBeat(to, func(b *gossippb.Beat) {
-		b.Zones = r.relayed()
-		b.Speeds = r.newSpeeds()
+		if !r.sharing() {
+			b.Speeds = r.newSpeeds()
+		}
 		if r.now >= r.zones.peersAt {
-			r.zones.peersAt = r.now + peersEvery
 			b.Peers = r.knownPeers()
+			r.zones.peersAt = r.now + peersEvery
 		}
 	})
-	r.sendZoneSums()
 }
 
+// beatPeriod is the time between two beats that nothing brings forward.
+func (r *Router) beatPeriod() time.Duration {
+	mates := time.Duration(len(r.zoneMates()))
+	if r.sharing() {
+		return min(sharedMost, max(beatFirst, sharedPerHost*mates))
+	}
+	return min(beatMost, max(beatFirst, beatPerHost*mates))
+}
+
+// loadChanged lets a small fleet hear at once that this host carries something else than its last beat
+// said. In a large one the owners of backend servers hear of each request instead.
+func (r *Router) loadChanged() { r.changed = r.changed || !r.sharing() }
+
 // tellChange sends a beat ahead of its time where what this host carries has changed.
 func (r *Router) tellChange() {
 	if r.changed && r.now >= r.changeAt {
@@ -66,7 +92,7 @@
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision, Digest: r.digest(),
 		ReadsStore: r.inContact(), Loads: r.ownLoads(), Spent: r.ownSpent(),
-		Dead: r.ownDead(),
+		Dead: r.ownDead(), AgeMs: r.ageMs(),
 	}
 	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
@@ -131,21 +157,29 @@
 	return out
 }
 
+// ageMs is how long this host has run, as beats tell it.
+func (r *Router) ageMs() uint32 { return uint32(min(r.now.Milliseconds(), math.MaxUint32)) }
+
+// ownSpent is what this host has admitted by workspace. In a large fleet most beats leave out what has not
+// changed since the last one.
 func (r *Router) ownSpent() []*gossippb.Spent {
 	var out []*gossippb.Spent
+	r.spentTold++
+	whole := !r.sharing() || r.spentTold%spentEvery == 0
 	for _, name := range r.quotaNames() {
-		if s := r.quotas[name].Spent(); s > 0 {
-			out = append(out, &gossippb.Spent{Workspace: name, Amount: uint64(s)})
+		q := r.quotas[name]
+		if s := uint64(q.Spent()); s > 0 && (whole || s != r.toldSpent[name]) {
+			out = append(out, &gossippb.Spent{Workspace: name, Amount: s})
+			r.toldSpent[name] = s
 		}
 	}
 	return out
 }
 
+// quotaNames are the workspaces with quotas, in order; the list is kept until a configuration changes them.
 func (r *Router) quotaNames() []string {
-	names := make([]string, 0, len(r.quotas))
-	for name := range r.quotas {
-		names = append(names, name)
+	if r.quotaOrder == nil {
+		r.quotaOrder = slices.Sorted(maps.Keys(r.quotas))
 	}
-	slices.Sort(names)
-	return names
+	return r.quotaOrder
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -86,6 +86,36 @@
 // Heard is a heartbeat of another host.
 type Heard struct{ Beat *gossippb.Beat }
 
+// Asked is another host's question for a place at a backend server that this host owns.
+type Asked struct {
+	From string
+	Ask  *gossippb.Ask
+}
+
+// Offered is the answer to this host's question.
+type Offered struct {
+	From  string
+	Offer *gossippb.Offer
+}
+
+// Reported is another host's word of one request at a backend server that this host owns.
+type Reported struct {
+	From   string
+	Report *gossippb.Report
+}
+
+// Occupied is an owner's word of what its backend servers carry.
+type Occupied struct {
+	From      string
+	Occupancy *gossippb.Occupancy
+}
+
+// Relayed are sums of other zones that a zone mate has heard and passes on.
+type Relayed struct {
+	From  string
+	Relay *gossippb.Relay
+}
+
 // News are changes read from the platform's store or from another host.
 type News struct {
 	routing.Changes
@@ -112,6 +142,11 @@
 }
 
 func (Settle) event()       {}
+func (Asked) event()        {}
+func (Offered) event()      {}
+func (Reported) event()     {}
+func (Occupied) event()     {}
+func (Relayed) event()      {}
 func (Tick) event()         {}
 func (Submit) event()       {}
 func (Began) event()        {}
@@ -136,6 +171,8 @@
 	Quota     QuotaGrounds
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
+	// Owner is the host that gave the place; empty where this host decided alone.
+	Owner string
 	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
 	// without room for this priority, and those to which no connection is believed possible.
 	Known, Full, Dead int
@@ -209,6 +246,12 @@
 	Beat *gossippb.Beat
 }
 
+// Send sends a datagram that is no heartbeat to hosts by their IP numbers.
+type Send struct {
+	To     []string
+	Packet *gossippb.Packet
+}
+
 // ReadStore turns the reading of the platform's store on or off. Shared tells that zone mates read it
 // too, so that a watch that hears nothing more is noticed by others.
 type ReadStore struct{ On, Shared bool }
@@ -244,6 +287,7 @@
 func (Refuse) effect()      {}
 func (GiveUp) effect()      {}
 func (SendBeat) effect()    {}
+func (Send) effect()        {}
 func (ReadStore) effect()   {}
 func (Pull) effect()        {}
 func (InForce) effect()     {}
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -39,7 +39,7 @@
 		b.submit(urgent, 0, 10)
 		b.prompt(1 << 30)
 		for _, e := range b.r.allBackends() {
-			s := b.r.searchFor(&request{Submit: Submit{Route: urgent, PromptTok: 1 << 30}, service: "m"})
+			s := b.r.searchFor(&request{Submit: Submit{Route: urgent, PromptTok: 1 << 30}, service: "m"}, anywhere)
 			require.Positive(t, s.waitAt(e, e.inFlight()), "an overflow would make it look idle")
 		}
 		b.now += time.Minute
--- /dev/null
+++ b/internal/router/grant.go
@@ -0,0 +1,175 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// asked answers a question for a place at one of this host's backend servers. The place counts as taken at
+// once, under the name of the asker, until the asker reports otherwise or its next beat, which tells all that
+// it carries, says so: a lost datagram is made up for within a beat.
+func (r *Router) asked(from string, a *gossippb.Ask) {
+	m, ok := r.members.byHost[from]
+	if !ok {
+		return // not heard yet; it decides alone
+	}
+	q := r.requestOf(a)
+	c := r.placeIn(q, owned)
+	if c.b == nil || c.class > class(a.WorstClass) {
+		r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: &gossippb.Offer{Number: a.Number, Full: r.occupancyOf(a.Service)}}})
+		return
+	}
+	o := &gossippb.Offer{Number: a.Number, Place: c.b.carried().message(c.b.hash), Limit: uint32(max(0, c.grounds.Limit)),
+		WaitUs: uint32(max(0, c.grounds.Wait).Microseconds())}
+	r.carry(m, c.b.hash, q.bucket(), 1, q.PromptTok)
+	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: o}})
+}
+
+// requestOf is the request that another host asks for, as far as a choice needs it.
+func (r *Router) requestOf(a *gossippb.Ask) *request {
+	kind := routing.Idempotent
+	if a.Streaming {
+		kind = routing.Streaming
+	}
+	q := &request{service: a.Service, Submit: Submit{
+		Route: &routing.Route{Kind: kind, Target: time.Duration(a.TargetMs) * time.Millisecond},
+		Rank:  min(max(0, float64(a.Rank)), routing.LeastUrgent), PromptTok: int(min(a.Prompt, maxUnread)), OutputTok: int(a.Output),
+		Deadline: r.now + time.Duration(a.LeftMs)*time.Millisecond,
+	}}
+	for _, hash := range a.Avoid {
+		if b, ok := r.byHash[hash]; ok {
+			q.tried = append(q.tried, b.ID)
+		}
+	}
+	return q
+}
+
+func (r *Router) occupancyOf(service string) []*gossippb.Load {
+	var out []*gossippb.Load
+	for _, b := range r.zoneBackendsOf(service) {
+		if r.owns(b) {
+			out = append(out, b.carried().message(b.hash))
+		}
+	}
+	return out
+}
+
+// carry changes what another host is believed to carry at a backend server.
+func (r *Router) carry(m *member, hash uint32, priority, requests, unread int) {
+	if m.loads == nil {
+		m.loads = loads{}
+	}
+	was := m.loads[hash]
+	now := was
+	now.counts[priority] = max(0, was.counts[priority]+requests)
+	now.unread = min(max(0, was.unread+unread), maxUnread)
+	if now == (load{}) {
+		delete(m.loads, hash)
+	} else {
+		m.loads[hash] = now
+	}
+	b, ok := r.byHash[hash]
+	if !ok {
+		return
+	}
+	b.others.counts[priority] += now.counts[priority] - was.counts[priority]
+	b.others.unread += now.unread - was.unread
+	b.toldAt = r.now
+}
+
+// reported takes another host's word of one request at a backend server of this host's. An owner hears of
+// all requests there and knows its speed and faults first.
+func (r *Router) reported(from string, rep *gossippb.Report) {
+	m, known := r.members.byHost[from]
+	if known && (rep.Requests != 0 || rep.Unread != 0) {
+		change := int(min(max(rep.Requests, -1), 1))
+		r.carry(m, rep.Backend, int(min(rep.Priority, priorities-1)), change, int(rep.Unread))
+	}
+	b, ok := r.byHash[rep.Backend]
+	if !ok {
+		return
+	}
+	r.learnFrom(b, rep)
+	switch rep.Outcome {
+	case gossippb.Outcome_OUTCOME_SOUND:
+		b.succeeded()
+	case gossippb.Outcome_OUTCOME_FAULTY:
+		b.failed(r.now)
+	case gossippb.Outcome_OUTCOME_REPLACED:
+		b.replaced = true
+	case gossippb.Outcome_OUTCOME_UNREACHABLE:
+		if known && !slices.Contains(m.dead, rep.Backend) {
+			r.takeDead(m, append(slices.Clone(m.dead), rep.Backend))
+		}
+	}
+}
+
+func (r *Router) learnFrom(b *backend, rep *gossippb.Report) {
+	svc := r.serviceNamed(b.Service)
+	if pace := min(time.Duration(rep.IntervalUs)*time.Microsecond, mostPace); pace > 0 {
+		b.learnPace(pace)
+		svc.learnPace(pace)
+	}
+	if read := time.Duration(rep.ReadNs); read > 0 && read <= mostRead {
+		b.learnRead(read)
+		svc.learnRead(read)
+	}
+	svc.learnEvents(int(min(rep.Events, mostEvents)))
+}
+
+const (
+	// mostPace and mostEvents bound what one word of another host can teach.
+	mostPace   = 10 * time.Second
+	mostEvents = 1 << 16
+)
+
+// reportTo is the host that counts this host's requests at a backend server; empty where none does.
+func (r *Router) reportTo(q *request) string {
+	to := q.owner
+	if to == "" {
+		to = r.ownerOf(q.backend)
+	}
+	if to == r.opt.Host {
+		return ""
+	}
+	return to
+}
+
+// reportTaken tells the owner of a request that was placed without asking it.
+func (r *Router) reportTaken(q *request) {
+	if to := r.reportTo(q); to != "" && q.owner == "" {
+		r.report(to, &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Requests: 1, Unread: int32(q.unread)})
+	}
+}
+
+// reportEnd tells the owner that a request ended, and what it showed of the backend server.
+func (r *Router) reportEnd(q *request, e Ended) {
+	to := r.reportTo(q)
+	if to == "" {
+		return
+	}
+	rep := &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Requests: -1, Unread: -int32(q.unread), Outcome: outcomeOf(e)}
+	if e.Outcome == Answered {
+		rep.IntervalUs, rep.Events = uint32(paceOf(q, e).Microseconds()), uint32(e.Events)
+	}
+	r.report(to, rep)
+}
+
+// outcomeOf is what the end of a dispatch says of its backend server.
+func outcomeOf(e Ended) gossippb.Outcome {
+	switch {
+	case e.Outcome == Answered:
+		return gossippb.Outcome_OUTCOME_SOUND
+	case e.Outcome == WrongInstance:
+		return gossippb.Outcome_OUTCOME_REPLACED
+	case e.Outcome == NotSent && e.Fault:
+		return gossippb.Outcome_OUTCOME_UNREACHABLE
+	case (e.Outcome == Broken || e.Outcome == Failed) && e.Fault:
+		return gossippb.Outcome_OUTCOME_FAULTY
+	default:
+		return gossippb.Outcome_OUTCOME_NONE
+	}
+}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/limit"
 )
@@ -19,9 +21,10 @@
 	// taken for cut off when it is not any more: at once a second, a hundred requests were refused beside
 	// its idle engines.
 	greetEvery = 250 * time.Millisecond
-	// youngBeats is how many beats a host has sent at most while it counts as just started: one to
-	// a few seconds' worth, by its load.
-	youngBeats = 60
+	// silentBeats is the same in periods of beats, where these are long.
+	silentBeats = 3.3
+	// youngFor is how long a host counts as just started: all that it says it has admitted is recent then.
+	youngFor = 4 * time.Second
 	// maxPriorityCount is the most that one byte of a load tells.
 	maxPriorityCount = 255
 )
@@ -72,6 +75,15 @@
 	l.unread += more.unread
 }
 
+// without takes less off, as far as it is there.
+func (l load) without(less load) load {
+	for p, n := range less.counts {
+		l.counts[p] = max(0, l.counts[p]-n)
+	}
+	l.unread = max(0, l.unread-less.unread)
+	return l
+}
+
 // message is the load as beats tell it.
 func (l load) message(hash uint32) *gossippb.Load {
 	return &gossippb.Load{Backend: hash, InFlight: l.pack(), Unread: uint32(min(max(0, l.unread), maxUnread))}
@@ -87,14 +99,17 @@
 func loadsOf(list []*gossippb.Load) loads {
 	out := make(loads, len(list))
 	for _, l := range list {
-		out[l.Backend] = load{unpack(l.InFlight), int(min(l.Unread, maxUnread))}
+		out[l.Backend] = loadOf(l)
 	}
 	return out
 }
 
+func loadOf(l *gossippb.Load) load { return load{unpack(l.InFlight), int(min(l.Unread, maxUnread))} }
+
 // member is another host as its beats show it.
 type member struct {
 	host        string
+	name        string // with its incarnation, as quotas count it
 	zone        string
 	incarnation uint64
 	// replaced is the incarnation before, whose last datagrams may still be under way.
@@ -109,10 +124,16 @@
 	// differsSince is when its news first differed from this host's; zero while they agree.
 	differsSince time.Duration
 	silent       bool
+	// hash is the host's hash where duties are computed, bornAt its start on this host's clock.
+	hash   uint64
+	bornAt time.Duration
+	// As an owner: questions in a row that it has not answered, until when it is not asked because of that,
+	// and when it last had no place, by priority.
+	misses    int
+	muteUntil time.Duration
+	fullAt    [priorities]time.Duration
 }
 
-func (m *member) key() string { return m.host + "/" + itoa(m.incarnation) }
-
 type members struct {
 	byHost map[string]*member
 	order  []string // sorted, so that no order of a map decides
@@ -120,6 +141,8 @@
 	greet map[string]time.Duration
 	// zoneOf are the zones of all hosts that were ever named.
 	zoneOf map[string]string
+	// otherZones are the zones of known hosts but this one's, in order.
+	otherZones []string
 }
 
 func newMembers() members {
@@ -146,9 +169,13 @@
 		known = false
 	}
 	if !known {
-		m = &member{host: b.Host, zone: b.Zone, incarnation: b.Incarnation, replaced: replaced}
+		m = &member{host: b.Host, name: b.Host + "/" + itoa(b.Incarnation), zone: b.Zone, incarnation: b.Incarnation, replaced: replaced, spent: map[string]uint64{},
+			hash: xxhash.Sum64String(b.Host), bornAt: r.now - time.Duration(b.AgeMs)*time.Millisecond}
+		for p := range m.fullAt {
+			m.fullAt[p] = -fullFresh
+		}
 		r.members.byHost[b.Host] = m
-		r.members.zoneOf[b.Host] = b.Zone
+		r.noteZone(b.Host, b.Zone)
 		r.members.order = append(r.members.order, b.Host)
 		slices.Sort(r.members.order)
 		r.zones.peersAt = 0 // so that the others hear of it with the next beat
@@ -183,7 +210,7 @@
 		return
 	}
 	if zone != "" {
-		r.members.zoneOf[host] = zone
+		r.noteZone(host, zone)
 	}
 	if _, ok := r.members.greet[host]; !ok {
 		r.members.greet[host] = 0
@@ -227,21 +254,26 @@
 }
 
 func (r *Router) takeSpent(m *member, spent []*gossippb.Spent, returned bool) {
-	m.spent = map[string]uint64{}
 	for _, s := range spent {
 		m.spent[s.Workspace] = s.Amount
 		if q, ok := r.quotas[s.Workspace]; ok {
-			q.Heard(limit.Word{From: m.key(), Spent: float64(s.Amount), InZone: m.zone == r.opt.Zone, Returned: returned, Young: m.seq <= youngBeats})
+			q.Heard(limit.Word{From: m.name, Spent: float64(s.Amount), InZone: m.zone == r.opt.Zone, Returned: returned, Young: r.now-m.bornAt <= youngFor})
 		}
 	}
 }
 
+// silentAfter is how long a host must not be heard to count as silent.
+func (r *Router) silentAfter() time.Duration {
+	return max(silentAfter, time.Duration(silentBeats*float64(r.beatPeriod())))
+}
+
 // expireMembers stops counting what silent hosts said, and later forgets them.
 func (r *Router) expireMembers() {
+	patience := r.silentAfter()
 	for _, host := range slices.Clone(r.members.order) {
 		m := r.members.byHost[host]
 		quiet := r.now - m.heardAt
-		if quiet > silentAfter && !m.silent {
+		if quiet > patience && !m.silent {
 			m.silent = true
 			r.countLoads(m.loads, -1)
 			m.loads = nil
@@ -260,7 +292,7 @@
 	r.countLoads(m.loads, -1)
 	r.takeDead(m, nil)
 	for _, q := range r.quotas {
-		q.Forget(m.key())
+		q.Forget(m.name)
 	}
 	delete(r.members.byHost, m.host)
 	r.members.order = slices.DeleteFunc(r.members.order, func(h string) bool { return h == m.host })
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -171,6 +171,7 @@
 	q, ok := r.quotas[w.Name]
 	if w.Rate <= 0 {
 		delete(r.quotas, w.Name)
+		r.quotaOrder = nil
 		return
 	}
 	if ok {
@@ -184,10 +185,11 @@
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if s, ok := m.spent[w.Name]; ok {
-			q.Heard(limit.Word{From: m.key(), Spent: float64(s)})
+			q.Heard(limit.Word{From: m.name, Spent: float64(s)})
 		}
 	}
 	r.quotas[w.Name] = q
+	r.quotaOrder = nil
 }
 
 func (r *Router) removeUnlisted(n News) {
@@ -222,7 +224,10 @@
 }
 
 // forgetOrder makes the lists of backend servers anew at their next use.
-func (r *Router) forgetOrder() { r.ordered, r.byService = nil, nil }
+func (r *Router) forgetOrder() {
+	r.ordered, r.byService, r.inZone = nil, nil, nil
+	r.owners.valid = false
+}
 
 // backendsOf are the known backend servers of a service, in order of their ids.
 func (r *Router) backendsOf(service string) []*backend {
@@ -235,6 +240,19 @@
 	return r.byService[service]
 }
 
+// zoneBackendsOf are those of a service that are in this host's zone, in order of their ids.
+func (r *Router) zoneBackendsOf(service string) []*backend {
+	if r.inZone == nil {
+		r.inZone = map[string][]*backend{}
+		for _, b := range r.allBackends() {
+			if b.Zone == r.opt.Zone {
+				r.inZone[b.Service] = append(r.inZone[b.Service], b)
+			}
+		}
+	}
+	return r.inZone[service]
+}
+
 // print stands for a registration in a digest.
 func (b *backend) print() uint64 {
 	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(b.ID), b.revision))
--- /dev/null
+++ b/internal/router/owners.go
@@ -0,0 +1,176 @@
+package router
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+const (
+	// shardSize is about how many backend servers of a zone have one owner. Ten are enough for a choice
+	// among unlike engines, and with twice as many a small host would answer for a fifth of its zone's
+	// requests.
+	shardSize = 10
+	// ownerAge is how long a host must have run to own backend servers: one that has just started has not
+	// heard from its zone mates what they carry, and takes every engine for idle.
+	ownerAge = 1500 * time.Millisecond
+	// occupancyEvery is the period at which owners tell their zone what their backend servers carry. It only
+	// decides which owner is asked first: the owner itself knows.
+	occupancyEvery = 250 * time.Millisecond
+	// occupancyStale is when an owner's word no longer counts: four periods.
+	occupancyStale = time.Second
+	// speedsEvery is how many of an owner's words pass between two that tell speeds.
+	speedsEvery = 4
+)
+
+// ownerState is who owns the backend servers of this zone. Ownership is computed by each host from those
+// that it hears. It grants nothing: where two hosts disagree for a moment, some requests are placed by an
+// older belief, as if the host had decided alone.
+type ownerState struct {
+	valid bool
+	// byShard are the owners' IP numbers; empty where no host has run for long enough.
+	byShard []string
+	// tellAt is when this host next tells what its backend servers carry, and told counts its words.
+	tellAt time.Duration
+	told   int
+}
+
+// sharing tells whether backend servers have owners that are asked for places. In a small fleet every host
+// tells each change to all others instead; with 50 hosts a zone that took a thousand datagrams a second on
+// each.
+func (r *Router) sharing() bool { return r.relaying() }
+
+// ownerOf is the host that owns a backend server of this zone; empty for others and where there is none.
+func (r *Router) ownerOf(b *backend) string {
+	if b.Zone != r.opt.Zone || !r.sharing() {
+		return ""
+	}
+	if !r.owners.valid {
+		r.computeOwners()
+	}
+	return r.owners.byShard[b.hash&uint32(len(r.owners.byShard)-1)]
+}
+
+func (r *Router) owns(b *backend) bool { return r.ownerOf(b) == r.opt.Host }
+
+// computeOwners divides the zone's backend servers into a power of two of shards, so that the number seldom
+// changes, and finds each shard's owner by rendezvous hashing over the hosts that live and stay.
+func (r *Router) computeOwners() {
+	n := 0
+	for _, b := range r.allBackends() {
+		if b.Zone == r.opt.Zone && !b.removed {
+			n++
+		}
+	}
+	shards := 1 << bits.Len(uint(n/shardSize))
+	r.owners.valid = true
+	r.owners.byShard = make([]string, shards)
+	for s := range r.owners.byShard {
+		r.owners.byShard[s] = r.shardOwner(uint64(s))
+	}
+	for _, b := range r.allBackends() {
+		if b.fromOwner && r.owns(b) {
+			b.fromOwner = false
+		}
+	}
+}
+
+func (r *Router) shardOwner(shard uint64) string {
+	var owner string
+	var best uint64
+	consider := func(host string, hash uint64) {
+		if v := shardRank(hash, shard); owner == "" || v > best {
+			owner, best = host, v
+		}
+	}
+	if r.drain == nil && r.now >= ownerAge {
+		consider(r.opt.Host, r.selfHash)
+	}
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if m.zone == r.opt.Zone && !m.silent && !m.leaving && r.now-m.bornAt >= ownerAge {
+			consider(h, m.hash)
+		}
+	}
+	return owner
+}
+
+// shardRank mixes a host's hash with a shard, so that each shard orders the hosts in its own way.
+func shardRank(host, shard uint64) uint64 {
+	var key [16]byte
+	for i := range 8 {
+		key[i] = byte(host >> (8 * i))
+		key[8+i] = byte(shard >> (8 * i))
+	}
+	return xxhash.Sum64(key[:])
+}
+
+// tellOccupancy tells the zone what this host's backend servers carry.
+func (r *Router) tellOccupancy() {
+	if !r.sharing() || r.now < r.owners.tellAt {
+		return
+	}
+	r.owners.tellAt = r.now + occupancyEvery
+	o := &gossippb.Occupancy{}
+	speeds := r.owners.told%speedsEvery == 0
+	for _, b := range r.allBackends() {
+		if b.removed || !r.owns(b) {
+			continue
+		}
+		o.Loads = append(o.Loads, b.carried().message(b.hash))
+		if speeds && b.samples > 0 {
+			o.Speeds = append(o.Speeds, b.speedMessage())
+		}
+	}
+	if len(o.Loads) == 0 {
+		return
+	}
+	r.owners.told++
+	r.emit(Send{To: r.zoneMates(), Packet: &gossippb.Packet{Occupancy: o}})
+}
+
+// carried is what a backend server is believed to carry, requests of all hosts together.
+func (b *backend) carried() load {
+	all := b.believedOthers()
+	all.add(b.own)
+	return all
+}
+
+// takeOccupancy takes an owner's word of what its backend servers carry.
+func (r *Router) takeOccupancy(from string, o *gossippb.Occupancy) {
+	for _, l := range o.Loads {
+		if b, ok := r.byHash[l.Backend]; ok {
+			r.takeOwnersWord(b, loadOf(l))
+		}
+	}
+	for _, s := range o.Speeds {
+		if b, ok := r.byHash[s.Backend]; ok && r.ownerOf(b) == from {
+			b.takeSpeed(s)
+		}
+	}
+}
+
+// takeOwnersWord replaces what is believed of others' requests at a backend server. This host's own ones
+// are in the owner's word too.
+func (r *Router) takeOwnersWord(b *backend, all load) {
+	if r.owns(b) {
+		return
+	}
+	for p := range all.counts {
+		all.counts[p] = max(0, all.counts[p]-b.own.counts[p])
+	}
+	all.unread = max(0, all.unread-b.own.unread)
+	b.fromOwner, b.ownersWord, b.ownersWordAt = true, all, r.now
+}
+
+// expireOccupancy goes back to what the other hosts' beats say where an owner has fallen silent.
+func (r *Router) expireOccupancy() {
+	for _, b := range r.allBackends() {
+		if b.fromOwner && r.now-b.ownersWordAt > occupancyStale {
+			b.fromOwner = false
+		}
+	}
+}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -109,7 +109,7 @@
 		return dead
 	case doubt:
 		return doubtful
-	case b.suspect(now) || s.r.zoneSilent(b.Zone) || (b.onProbation() && b.own.total() > 0):
+	case b.suspect(now) || s.r.zoneSilent(b.Zone) || (b.onProbation() && s.triedNow(b)):
 		return suspect
 	case s.tooSlow(b):
 		return slow
@@ -118,33 +118,65 @@
 	}
 }
 
+// triedNow tells whether a backend server on probation has a request already: one of this host, or at its
+// owner, which places everybody's, of anybody.
+func (s *search) triedNow(b *backend) bool {
+	if s.scope == owned {
+		return b.inFlight() > 0
+	}
+	return b.own.total() > 0
+}
+
 // search is the choice of a backend server for one request.
 type search struct {
 	r *Router
 	q *request
 	// svc is what is believed of the request's service, cfg its configuration; nil where there is none.
-	svc *service
-	cfg *routing.Service
+	svc   *service
+	cfg   *routing.Service
+	scope scope
+}
+
+// scope is which backend servers a search looks at.
+type scope int
+
+const (
+	anywhere scope = iota
+	inZone         // those of this host's zone
+	owned          // those that this host owns
+)
+
+// choice is what a search found; b is nil where none has room.
+type choice struct {
+	b       *backend
+	class   class
+	grounds Grounds
 }
 
-func (r *Router) searchFor(q *request) search {
-	s := search{r: r, q: q, svc: r.serviceNamed(q.service)}
+func (r *Router) searchFor(q *request, where scope) search {
+	s := search{r: r, q: q, svc: r.serviceNamed(q.service), scope: where}
 	if r.table != nil {
 		s.cfg = r.table.Service(q.service)
 	}
 	return s
 }
 
-// place chooses a backend server: filter, score, reserve. It returns nil where none has room, with
-// the grounds of the least loaded one.
+// place chooses a backend server anywhere by what this host believes.
 func (r *Router) place(q *request) (*backend, Grounds) {
-	s := r.searchFor(q)
+	c := r.placeIn(q, anywhere)
+	return c.b, c.grounds
+}
+
+// placeIn chooses a backend server: filter, score, reserve. Where none has room, the grounds are those of
+// the least loaded one.
+func (r *Router) placeIn(q *request, where scope) choice {
+	s := r.searchFor(q, where)
 	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
 	lists := &r.candidates
 	for c := range lists {
 		lists[c] = lists[c][:0]
 	}
-	for _, b := range r.backendsOf(q.service) {
+	for _, b := range s.backends() {
 		s.consider(b, &g, lists)
 	}
 	// Dead servers look idle. In an overload every request would try some of them before it is refused;
@@ -152,21 +184,37 @@
 	if g.Full > 0 {
 		lists[dead] = lists[dead][:0]
 	}
-	for _, list := range lists {
+	for c, list := range lists {
 		if len(list) > 0 {
-			b := r.pick(list)
+			b := s.pick(list)
 			g.InFlight, g.Limit = b.inFlight(), s.limitFor(b)
 			g.Wait = s.waitAt(b, g.InFlight)
-			return b, g
+			return choice{b, class(c), g}
 		}
 	}
-	return nil, g
+	return choice{grounds: g}
+}
+
+func (s *search) backends() []*backend {
+	if s.scope == anywhere {
+		return s.r.backendsOf(s.q.service)
+	}
+	return s.r.zoneBackendsOf(s.q.service)
+}
+
+// admits tells whether a search looks at a backend server: one whose owner has just said that it has no
+// place for the request is left out.
+func (s *search) admits(b *backend) bool {
+	if s.scope == owned {
+		return s.r.owns(b)
+	}
+	return len(s.q.full) == 0 || !slices.Contains(s.q.full, s.r.ownerOf(b))
 }
 
 // consider puts a backend server into the list of its class, if it may be used and has room.
 func (s *search) consider(b *backend, g *Grounds, lists *[classes][]candidate) {
 	ok, doubt := b.usable(s.r.now)
-	if !ok || slices.Contains(s.q.tried, b.ID) || !fits(b, s.cfg) {
+	if !ok || slices.Contains(s.q.tried, b.ID) || !fits(b, s.cfg) || !s.admits(b) {
 		return
 	}
 	g.Known++
@@ -222,11 +270,12 @@
 }
 
 // pick takes the best candidate, or in a large fleet the best of a few drawn at random: many hosts
-// that choose by the same counts, a beat old, would all send to the same one.
-func (r *Router) pick(list []candidate) *backend {
+// that choose by the same counts, a beat old, would all send to the same one. An owner's counts are exact.
+func (s *search) pick(list []candidate) *backend {
+	r := s.r
 	var best candidate
 	draws := len(list)
-	if r.relaying() {
+	if r.relaying() && s.scope != owned {
 		draws = min(draws, choices)
 	}
 	for i := 0; i < draws; i++ {
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -318,7 +318,7 @@
 	e0.learnPace(20 * time.Millisecond)
 	limit := func(slots int, rank float64) int {
 		e0.Slots = slots
-		s := b.r.searchFor(&request{Submit: Submit{Route: urgent, Rank: rank}, service: "m"})
+		s := b.r.searchFor(&request{Submit: Submit{Route: urgent, Rank: rank}, service: "m"}, anywhere)
 		return s.limitFor(e0)
 	}
 	require.Equal(t, 1+1, limit(1, 0), "30 events of 20 ms are more than half of the objective")
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -119,7 +119,7 @@
 		r.emit(Note{What: "backend server back", Subject: b.ID, Detail: describe(ch.Backend), Age: r.now - b.removedAt})
 	}
 	r.forgetPrint(b)
-	moved := b.Service != ch.Service
+	moved := b.Service != ch.Service || b.Zone != ch.Zone
 	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false
 	r.news.prints += b.print()
 	if moved {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -50,6 +50,12 @@
 	unread int
 	// prepaid tells that the retry budget was spent when the move was decided.
 	prepaid bool
+	// asking is the open question for a place, full the owners that had none, and alone tells that an owner
+	// did not answer, so that this host decides. owner is who gave the place; empty where this host took it.
+	asking *ask
+	full   []string
+	alone  bool
+	owner  string
 }
 
 // bucket is where a request is counted among those in flight.
@@ -91,12 +97,23 @@
 	return e.Route.Kind == routing.Streaming || r.now > r.drain.Until-lastPlain
 }
 
+// dispatch finds a place for a request and sends it there.
 func (r *Router) dispatch(q *request) {
+	q.full, q.alone, q.owner = nil, false, ""
+	if r.sharing() {
+		r.seek(q)
+		return
+	}
 	b, g := r.place(q)
 	if b == nil {
 		r.refuse(q, g)
 		return
 	}
+	r.send(q, b, g)
+}
+
+// send counts a request at a backend server and lets it leave.
+func (r *Router) send(q *request, b *backend, g Grounds) {
 	q.attempt++
 	q.backend = b
 	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
@@ -106,7 +123,8 @@
 	q.queued = b.inFlight() > b.Slots || 2*b.unread(r.now) > q.PromptTok
 	q.unread = q.PromptTok
 	b.own.unread += q.unread
-	r.changed = true
+	r.loadChanged()
+	r.reportTaken(q)
 	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, Keep: r.keep(b), At: r.now, Grounds: g})
 }
 
@@ -152,7 +170,7 @@
 // gone ends a request whose caller left; the traffic side stops the work.
 func (r *Router) gone(id uint64) {
 	if q, ok := r.requests[id]; ok {
-		r.release(q)
+		r.release(q, Ended{Outcome: Canceled})
 		r.close(q)
 	}
 }
@@ -163,7 +181,10 @@
 		return
 	}
 	b := q.backend
-	r.release(q)
+	if b == nil {
+		return
+	}
+	r.release(q, e)
 	r.judge(b, q, e)
 	switch e.Outcome {
 	case Answered, Canceled:
@@ -180,15 +201,20 @@
 	}
 }
 
+// paceOf is the pace that a whole answer showed: the time between events, or to a plain answer.
+func paceOf(q *request, e Ended) time.Duration {
+	if q.Route.Kind != routing.Streaming {
+		return e.First
+	}
+	return e.Interval
+}
+
 // judge learns from how a dispatch ended.
 func (r *Router) judge(b *backend, q *request, e Ended) {
 	switch e.Outcome {
 	case Answered:
 		b.succeeded()
-		pace := e.Interval
-		if q.Route.Kind != routing.Streaming {
-			pace = e.First
-		}
+		pace := paceOf(q, e)
 		b.learnPace(pace)
 		svc := r.serviceNamed(b.Service)
 		svc.learnPace(pace)
@@ -270,15 +296,16 @@
 }
 
 // release takes a request out of the counts of its backend server.
-func (r *Router) release(q *request) {
+func (r *Router) release(q *request, e Ended) {
 	if q.backend == nil {
 		return
 	}
+	r.reportEnd(q, e)
 	p := q.bucket()
 	own := &q.backend.own
 	own.counts[p]--
 	q.promptDone()
-	r.changed = true
+	r.loadChanged()
 	r.inv.Check(own.counts[p] >= 0 && own.unread >= 0, "backend server %s has %d in flight, %d tokens unread", q.backend.ID, own.counts[p], own.unread)
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"fireflyshift/internal/invariant"
 	"fireflyshift/internal/limit"
 	"fireflyshift/internal/routing"
@@ -50,14 +52,29 @@
 	byHash   map[uint32]*backend
 	// ordered are the backends in order of their ids; nil where it must be made again.
 	ordered []*backend
-	// byService are the backends by service, in order; nil where it must be made again.
+	// byService are the backends by service, in order, and inZone those of this host's zone; nil where they
+	// must be made again.
 	byService map[string][]*backend
-	zones     zoneState
-	services  map[string]*service
-	requests  map[uint64]*request
+	inZone    map[string][]*backend
+	owners    ownerState
+	// selfHash is this host's hash where duties are computed.
+	selfHash uint64
+	// asks are the questions to owners, the oldest first.
+	asks      []*ask
+	askNumber uint64
+	// choresAt is when a large fleet's lists are next gone through.
+	choresAt time.Duration
+	zones    zoneState
+	services map[string]*service
+	requests map[uint64]*request
 	// candidates is where decisions gather them, kept so that none allocates.
 	candidates [classes][]candidate
 	quotas     map[string]*limit.Quota
+	// quotaOrder are the names of quotas, nil where the list must be made again; toldSpent is what beats
+	// last told of each, and spentTold counts them.
+	quotaOrder []string
+	toldSpent  map[string]uint64
+	spentTold  int
 	beatAt     time.Duration
 	seq        uint64
 	// changed tells that this host carries something else than its last beat said; it is told from
@@ -70,16 +87,18 @@
 // New returns a reducer in its first state: no configuration, no peers.
 func New(opt Options) *Router {
 	r := &Router{
-		opt:      opt,
-		rng:      rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
-		members:  newMembers(),
-		news:     newNewsState(),
-		backends: map[string]*backend{},
-		byHash:   map[uint32]*backend{},
-		zones:    newZoneState(),
-		services: map[string]*service{},
-		requests: map[uint64]*request{},
-		quotas:   map[string]*limit.Quota{},
+		opt:       opt,
+		rng:       rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
+		members:   newMembers(),
+		news:      newNewsState(),
+		backends:  map[string]*backend{},
+		byHash:    map[uint32]*backend{},
+		zones:     newZoneState(),
+		services:  map[string]*service{},
+		requests:  map[uint64]*request{},
+		quotas:    map[string]*limit.Quota{},
+		toldSpent: map[string]uint64{},
+		selfHash:  xxhash.Sum64String(opt.Host),
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
@@ -106,6 +125,16 @@
 		r.ended(e)
 	case Heard:
 		r.heard(e.Beat)
+	case Asked:
+		r.asked(e.From, e.Ask)
+	case Offered:
+		r.offered(e.From, e.Offer)
+	case Reported:
+		r.reported(e.From, e.Report)
+	case Occupied:
+		r.takeOccupancy(e.From, e.Occupancy)
+	case Relayed:
+		r.takeRelay(e.Relay)
 	case News:
 		r.takeNews(e)
 	case StoreContact:
@@ -144,19 +173,39 @@
 
 func (r *Router) emit(e Effect) { r.out = append(r.out, e) }
 
+// choresEvery is how often a host of a large fleet goes through its lists of hosts and backend servers. What
+// expires there does so after half a second or more, so that a tenth later is early enough.
+const choresEvery = 100 * time.Millisecond
+
 func (r *Router) tick() {
-	r.expireMembers()
-	r.expireZones()
-	r.expireNews()
-	r.decideReading()
+	r.expireAsks()
+	if r.now >= r.choresAt {
+		r.chores()
+		if r.relaying() {
+			r.choresAt = r.now + choresEvery
+		}
+	}
 	if r.news.withheld {
 		r.announce()
 	}
+	r.relaySums()
+	r.tellOccupancy()
+	r.sendZoneSums()
 	if r.now >= r.beatAt {
 		r.sendBeats()
 	}
 }
 
+// chores are what time does to lists.
+func (r *Router) chores() {
+	r.owners.valid = false
+	r.expireMembers()
+	r.expireZones()
+	r.expireNews()
+	r.expireOccupancy()
+	r.decideReading()
+}
+
 // Violations takes the invariant violations since the last call.
 func (r *Router) Violations() []string { return r.inv.Take() }
 
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -41,14 +41,18 @@
 	if !ok || q.backend == nil || q.unread == 0 {
 		return
 	}
+	done := q.unread
 	q.promptDone()
-	r.changed = true
-	if q.PromptTok < leastPrompt || q.queued || e.First <= 0 {
-		return
+	r.loadChanged()
+	var read time.Duration
+	if q.PromptTok >= leastPrompt && !q.queued && e.First > 0 {
+		read = e.First / time.Duration(q.PromptTok)
+		q.backend.learnRead(read)
+		r.serviceNamed(q.service).learnRead(read)
+	}
+	if to := r.reportTo(q); to != "" {
+		r.report(to, &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Unread: -int32(done), ReadNs: uint32(read.Nanoseconds())})
 	}
-	read := e.First / time.Duration(q.PromptTok)
-	q.backend.learnRead(read)
-	r.serviceNamed(q.service).learnRead(read)
 }
 
 // paced takes the speed of a stream's first events, so that a slow engine is known before the first
@@ -85,11 +89,25 @@
 			continue
 		}
 		b.told = b.speed()
-		out = append(out, &gossippb.Speed{Backend: b.hash, IntervalUs: uint32(b.interval.Microseconds()), ReadNs: uint32(b.read.Nanoseconds())})
+		out = append(out, b.speedMessage())
 	}
 	return out
 }
 
+func (b *backend) speedMessage() *gossippb.Speed {
+	return &gossippb.Speed{Backend: b.hash, IntervalUs: uint32(b.interval.Microseconds()), ReadNs: uint32(b.read.Nanoseconds())}
+}
+
+// takeSpeed takes the word of a backend server's owner, which hears of all requests there.
+func (b *backend) takeSpeed(s *gossippb.Speed) {
+	if pace := time.Duration(s.IntervalUs) * time.Microsecond; pace > 0 && pace <= mostPace {
+		b.interval = pace
+	}
+	if read := time.Duration(s.ReadNs); read > 0 && read <= mostRead {
+		b.read = read
+	}
+}
+
 // takeSpeeds takes others' word of engines that this host has not observed itself.
 func (r *Router) takeSpeeds(list []*gossippb.Speed) {
 	for _, s := range list {
@@ -109,9 +127,12 @@
 // unread is how many prompt tokens an engine is believed to have still to read. What others told is
 // worked off since.
 func (b *backend) unread(now time.Duration) int {
-	others := b.others.unread
+	others, at := b.others.unread, b.toldAt
+	if b.fromOwner {
+		others, at = b.ownersWord.unread, b.ownersWordAt
+	}
 	if others > 0 && b.read > 0 {
-		others = max(0, others-int((now-b.toldAt)/b.read))
+		others = max(0, others-int((now-at)/b.read))
 	}
 	return b.own.unread + others
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -61,10 +61,11 @@
 }
 
 type letter struct {
-	at   time.Duration
-	to   string
-	beat []byte
-	news *News
+	at     time.Duration
+	to     string
+	from   string
+	packet []byte
+	news   *News
 }
 
 func newWorld(t *rapid.T, zones, perZone int) *world {
@@ -139,13 +140,9 @@
 func (w *world) effect(h *worldHost, e Effect) {
 	switch e := e.(type) {
 	case SendBeat:
-		data, err := proto.Marshal(e.Beat)
-		require.NoError(w.t, err)
-		for _, to := range e.To {
-			if rapid.IntRange(0, 19).Draw(w.t, "lost beat") > 0 {
-				w.mail = append(w.mail, letter{at: w.now + worldStep, to: to, beat: data})
-			}
-		}
+		w.mailTo(h, e.To, &gossippb.Packet{Beat: e.Beat})
+	case Send:
+		w.mailTo(h, e.To, e.Packet)
 	case Pull:
 		if from := w.host(e.Host); from != nil && !from.cut && !h.cut && w.now >= from.frozen {
 			n := from.r.Snapshot(e.Since)
@@ -168,6 +165,35 @@
 	}
 }
 
+// mailTo sends a datagram, of which one in twenty is lost.
+func (w *world) mailTo(h *worldHost, hosts []string, p *gossippb.Packet) {
+	data, err := proto.Marshal(p)
+	require.NoError(w.t, err)
+	for _, to := range hosts {
+		if rapid.IntRange(0, 19).Draw(w.t, "lost datagram") > 0 {
+			w.mail = append(w.mail, letter{at: w.now + worldStep, to: to, from: h.ip, packet: data})
+		}
+	}
+}
+
+// eventOf is what a host hears in a datagram.
+func eventOf(from string, p *gossippb.Packet) Event {
+	switch {
+	case p.Ask != nil:
+		return Asked{from, p.Ask}
+	case p.Offer != nil:
+		return Offered{from, p.Offer}
+	case p.Report != nil:
+		return Reported{from, p.Report}
+	case p.Occupancy != nil:
+		return Occupied{from, p.Occupancy}
+	case p.Relay != nil:
+		return Relayed{from, p.Relay}
+	default:
+		return Heard{p.Beat}
+	}
+}
+
 func (w *world) dispatched(h *worldHost, e Dispatch) {
 	c := w.calls[e.ID]
 	require.False(w.t, c.finished, "sent after its answer")
@@ -262,10 +288,10 @@
 			w.post(h, *l.news)
 			continue
 		}
-		b := &gossippb.Beat{}
-		require.NoError(w.t, proto.Unmarshal(l.beat, b))
-		if from := w.host(b.Host); !from.cut {
-			w.post(h, Heard{b})
+		p := &gossippb.Packet{}
+		require.NoError(w.t, proto.Unmarshal(l.packet, p))
+		if from := w.host(l.from); !from.cut {
+			w.post(h, eventOf(l.from, p))
 		}
 	}
 	for _, h := range w.hosts {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -67,9 +67,9 @@
 	at          time.Duration
 	loads       loads
 	stale       bool
-	// direct is when this host, rather than a zone mate, heard it; raw is what it passes on.
-	direct time.Duration
-	raw    *gossippb.ZoneSum
+	// raw is what this host, rather than a zone mate, has heard and passes on at relayAt.
+	raw     *gossippb.ZoneSum
+	relayAt time.Duration
 }
 
 func (z *zoneSum) key() string { return z.zone + "/" + z.speaker + "/" + itoa(z.incarnation) }
@@ -171,15 +171,17 @@
 const unheardFor = 2 * time.Second
 
 // otherZones are the zones of all known hosts but this one's, in order.
-func (r *Router) otherZones() []string {
-	var out []string
-	for _, zone := range r.members.zoneOf {
-		if zone != "" && zone != r.opt.Zone && !slices.Contains(out, zone) {
-			out = append(out, zone)
-		}
+func (r *Router) otherZones() []string { return r.members.otherZones }
+
+// noteZone notes where a host is.
+func (r *Router) noteZone(host, zone string) {
+	r.members.zoneOf[host] = zone
+	if zone == "" || zone == r.opt.Zone {
+		return
+	}
+	if at, known := slices.BinarySearch(r.members.otherZones, zone); !known {
+		r.members.otherZones = slices.Insert(r.members.otherZones, at, zone)
 	}
-	slices.Sort(out)
-	return out
 }
 
 // sendZoneSums sends this zone's sum to every other zone that this host speaks to.
@@ -235,20 +237,12 @@
 func (r *Router) ownZoneSum(to string) *gossippb.ZoneSum {
 	mates := r.zoneMates()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(len(mates) + 1)}
+		Hosts: uint32(len(mates) + 1), AgeMs: r.ageMs()}
 	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone && b.Zone != to {
 			continue
 		}
-		sum := b.own
-		for _, h := range mates {
-			sum.add(r.members.byHost[h].loads[b.hash])
-		}
-		for _, z := range r.zones.sums {
-			if b.Zone == r.opt.Zone && z.zone != to {
-				sum.add(z.loads[b.hash])
-			}
-		}
+		sum := r.sumFor(to, b, mates)
 		if sum.total() > 0 {
 			s.Loads = append(s.Loads, sum.message(b.hash))
 		}
@@ -261,21 +255,59 @@
 	return s
 }
 
-// relayed are the sums of other zones that this host heard itself and passes on in its own. One
-// host of the zone does it for each other zone, as all of them would say the same.
-func (r *Router) relayed() []*gossippb.ZoneSum {
+// sumFor is what a zone is told of one backend server.
+func (r *Router) sumFor(to string, b *backend, mates []string) load {
+	if b.fromOwner {
+		return b.carried().without(r.zoneLoad(to, b.hash))
+	}
+	sum := b.own
+	for _, h := range mates {
+		sum.add(r.members.byHost[h].loads[b.hash])
+	}
+	for _, z := range r.zones.sums {
+		if b.Zone == r.opt.Zone && z.zone != to {
+			sum.add(z.loads[b.hash])
+		}
+	}
+	return sum
+}
+
+// zoneLoad is what another zone's hosts carry at a backend server.
+func (r *Router) zoneLoad(zone string, hash uint32) load {
+	if z, ok := r.zones.sums[zone]; ok {
+		return z.loads[hash]
+	}
+	return load{}
+}
+
+// relaySpread spreads what several hosts have heard at once, so that the first passes it on for all.
+const relaySpread = 100 * time.Millisecond
+
+// relaySums passes sums of other zones on that this host heard itself, unless a zone mate was faster.
+func (r *Router) relaySums() {
 	if !r.relaying() {
-		return nil
+		return
 	}
 	var out []*gossippb.ZoneSum
 	for _, zone := range r.otherZones() {
-		z, ok := r.zones.sums[zone]
-		if ok && z.raw != nil && r.now-z.direct < sumEvery {
+		if z, ok := r.zones.sums[zone]; ok && z.raw != nil && r.now >= z.relayAt {
 			out = append(out, z.raw)
-			z.raw = nil // once
+			z.raw = nil
+		}
+	}
+	if len(out) > 0 {
+		r.emit(Send{To: r.zoneMates(), Packet: &gossippb.Packet{Relay: &gossippb.Relay{Zones: out}}})
+	}
+}
+
+// takeRelay takes sums that a zone mate passes on.
+func (r *Router) takeRelay(m *gossippb.Relay) {
+	for _, s := range m.Zones {
+		if s.Zone != r.opt.Zone {
+			r.noteZone(s.Speaker, s.Zone)
+			r.takeZoneSum(s, false)
 		}
 	}
-	return out
 }
 
 // takeZones takes sums of other zones, from their speakers or from a zone mate that passes them on.
@@ -284,7 +316,7 @@
 		if s.Zone == r.opt.Zone {
 			continue
 		}
-		r.members.zoneOf[s.Speaker] = s.Zone
+		r.noteZone(s.Speaker, s.Zone)
 		r.takeZoneSum(s, from.zone == s.Zone)
 	}
 }
@@ -294,6 +326,9 @@
 	same := ok && z.speaker == s.Speaker && z.incarnation == s.Incarnation
 	switch {
 	case same && s.Seq <= z.seq:
+		if s.Seq == z.seq && !direct {
+			z.raw = nil // passed on already
+		}
 		return
 	case ok && !same && r.now-z.at < speakerStale:
 		return // one speaker at a time, or admissions would be counted twice
@@ -311,11 +346,12 @@
 	r.countLoads(z.loads, 1)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
-			q.Heard(limit.Word{From: z.key(), Spent: float64(sp.Amount), Returned: returned, Young: s.Seq <= youngBeats})
+			q.Heard(limit.Word{From: z.key(), Spent: float64(sp.Amount), Returned: returned, Young: time.Duration(s.AgeMs)*time.Millisecond <= youngFor})
 		}
 	}
+	z.raw = nil
 	if direct {
-		z.direct, z.raw = r.now, s
+		z.raw, z.relayAt = s, r.now+time.Duration(r.rng.Int64N(int64(relaySpread)))
 	}
 }
 
@@ -397,10 +433,24 @@
 	return n
 }
 
+// namedPeers are the hosts to name: all while some are new, later a few at random.
+func (r *Router) namedPeers() []string {
+	all := r.members.order
+	if r.zones.peersAt == 0 || !r.relaying() || len(all) <= namedPeers {
+		return all
+	}
+	out := make([]string, 0, namedPeers)
+	at := r.rng.IntN(len(all))
+	for i := range namedPeers {
+		out = append(out, all[(at+i)%len(all)])
+	}
+	return out
+}
+
 // knownPeers names the hosts of this zone that are heard, and some of the others.
 func (r *Router) knownPeers() []*gossippb.Peer {
 	var out []*gossippb.Peer
-	for _, h := range r.members.order {
+	for _, h := range r.namedPeers() {
 		out = append(out, &gossippb.Peer{Host: h, Zone: r.members.byHost[h].zone})
 	}
 	if !r.relaying() {
