Owners of other zones are asked too: sums name them, guests introduce themselves

Cause: work that crossed zones was placed by counts a second old, and told to the other zone by sums. Change: a zone's sum names its owners and what its own backend servers carry, requests of all zones together. A host sends a beat to an owner elsewhere before it asks, and with each beat while it has requests there.

--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -44,6 +44,9 @@
 // answers, this host decides alone.
 func (r *Router) seek(q *request) {
 	c := r.placeIn(q, inZone)
+	if c.b == nil || c.class != good || c.grounds.InFlight >= c.b.Slots {
+		c = r.placeIn(q, anywhere) // the zone's own backend servers are busy
+	}
 	if c.b != nil && c.class == good {
 		r.approach(q, c)
 		return
@@ -52,7 +55,6 @@
 		r.ask(q, owner, slow)
 		return
 	}
-	c = r.placeIn(q, anywhere)
 	if c.b == nil {
 		r.refuse(q, c.grounds)
 		return
@@ -72,8 +74,11 @@
 
 // answers tells whether it is worth asking a host.
 func (r *Router) answers(owner string) bool {
+	if owner == "" || owner == r.opt.Host || r.now < r.trustOf(owner).muteUntil {
+		return false
+	}
 	m, ok := r.members.byHost[owner]
-	return ok && !m.silent && r.now >= m.muteUntil
+	return !ok || !m.silent
 }
 
 // hopefulOwner is an owner that may have a place although what is believed here says that there is none.
@@ -88,7 +93,7 @@
 		if ok, _ := b.usable(r.now); !ok || owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) {
 			continue
 		}
-		if m := r.members.byHost[owner]; r.now-m.fullAt[q.bucket()] >= fullFresh {
+		if r.now-r.trustOf(owner).fullAt[q.bucket()] >= fullFresh {
 			hopeful = append(hopeful, owner)
 		}
 	}
@@ -103,6 +108,7 @@
 	a := &ask{number: r.askNumber, request: q.ID, owner: owner, at: r.now, priority: q.bucket(), prompt: q.PromptTok}
 	q.asking = a
 	r.asks = append(r.asks, a)
+	r.introduce(owner)
 	r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Ask: &gossippb.Ask{
 		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
 		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
@@ -111,10 +117,41 @@
 	}}})
 }
 
+// introduce sends a beat to an owner of another zone, which knows this host only while it has requests there.
+func (r *Router) introduce(owner string) {
+	if zone := r.members.zoneOf[owner]; zone == "" || r.direct(zone) || r.now < r.owners.knownUntil[owner] {
+		return
+	}
+	r.sendGuestBeat([]string{owner})
+}
+
+// sendGuestBeat tells owners of other zones what this host carries. What it has spent of quotas they hear in
+// its zone's sums.
+func (r *Router) sendGuestBeat(to []string) {
+	for _, owner := range to {
+		r.owners.knownUntil[owner] = r.now + r.beatPeriod()
+	}
+	r.emitBeat(to, func(*gossippb.Beat) {})
+}
+
+// guestAt are the owners of other zones at whose backend servers this host has requests.
+func (r *Router) guestAt() []string {
+	var out []string
+	for _, b := range r.allBackends() {
+		if b.Zone == r.opt.Zone || b.own.total() == 0 {
+			continue
+		}
+		if owner := r.ownerOf(b); owner != "" && !slices.Contains(out, owner) {
+			out = append(out, owner)
+		}
+	}
+	return out
+}
+
 // avoided are an owner's backend servers that this host cannot use, by its own experience.
 func (r *Router) avoided(q *request, owner string) []uint32 {
 	var out []uint32
-	for _, b := range r.zoneBackendsOf(q.service) {
+	for _, b := range r.backendsOf(q.service) {
 		if r.ownerOf(b) != owner {
 			continue
 		}
@@ -141,22 +178,28 @@
 }
 
 func (r *Router) unanswered(a *ask) {
-	if m, ok := r.members.byHost[a.owner]; ok {
-		m.misses++
-		if m.misses >= muteAfter {
-			m.muteUntil = r.now + muteFor
-			r.emit(Note{What: "owner does not answer", Subject: a.owner})
-		}
+	t := r.trustOf(a.owner)
+	t.misses++
+	if t.misses >= muteAfter {
+		t.muteUntil = r.now + muteFor
+		r.emit(Note{What: "owner does not answer", Subject: a.owner})
 	}
 	q, ok := r.requests[a.request]
 	if !ok || q.asking != a {
 		return
 	}
 	q.asking = nil
-	q.alone = true
+	if r.inOwnZone(a.owner) {
+		q.alone = true
+	} else {
+		// The other zone may be cut off, and its backend servers with it.
+		q.full = append(q.full, a.owner)
+	}
 	r.seek(q)
 }
 
+func (r *Router) inOwnZone(host string) bool { return slices.Contains(r.ownShards(), host) }
+
 // offered takes an owner's answer.
 func (r *Router) offered(from string, o *gossippb.Offer) {
 	i := slices.IndexFunc(r.asks, func(a *ask) bool { return a.number == o.Number && a.owner == from })
@@ -165,11 +208,10 @@
 	}
 	a := r.asks[i]
 	r.asks = slices.Delete(r.asks, i, i+1)
-	if m, ok := r.members.byHost[from]; ok {
-		m.misses, m.muteUntil = 0, 0
-		if o.Place == nil {
-			m.fullAt[a.priority] = r.now
-		}
+	t := r.trustOf(from)
+	t.misses, t.muteUntil = 0, 0
+	if o.Place == nil {
+		t.fullAt[a.priority] = r.now
 	}
 	for _, l := range o.Full {
 		if b, ok := r.byHash[l.Backend]; ok {
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -51,6 +51,7 @@
 		return
 	}
 	r.emitBeat(to, func(b *gossippb.Beat) {
+		b.Spent = r.ownSpent()
 		if !r.sharing() {
 			b.Speeds = r.newSpeeds()
 		}
@@ -59,6 +60,9 @@
 			r.zones.peersAt = r.now + peersEvery
 		}
 	})
+	if r.sharing() {
+		r.sendGuestBeat(r.guestAt())
+	}
 }
 
 // beatPeriod is the time between two beats that nothing brings forward.
@@ -91,7 +95,7 @@
 	b := &gossippb.Beat{
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision, Digest: r.digest(),
-		ReadsStore: r.inContact(), Loads: r.ownLoads(), Spent: r.ownSpent(),
+		ReadsStore: r.inContact(), Loads: r.ownLoads(),
 		Dead: r.ownDead(), AgeMs: r.ageMs(),
 	}
 	fill(b)
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -75,15 +75,6 @@
 	l.unread += more.unread
 }
 
-// without takes less off, as far as it is there.
-func (l load) without(less load) load {
-	for p, n := range less.counts {
-		l.counts[p] = max(0, l.counts[p]-n)
-	}
-	l.unread = max(0, l.unread-less.unread)
-	return l
-}
-
 // message is the load as beats tell it.
 func (l load) message(hash uint32) *gossippb.Load {
 	return &gossippb.Load{Backend: hash, InFlight: l.pack(), Unread: uint32(min(max(0, l.unread), maxUnread))}
@@ -127,11 +118,6 @@
 	// hash is the host's hash where duties are computed, bornAt its start on this host's clock.
 	hash   uint64
 	bornAt time.Duration
-	// As an owner: questions in a row that it has not answered, until when it is not asked because of that,
-	// and when it last had no place, by priority.
-	misses    int
-	muteUntil time.Duration
-	fullAt    [priorities]time.Duration
 }
 
 type members struct {
@@ -171,16 +157,15 @@
 	if !known {
 		m = &member{host: b.Host, name: b.Host + "/" + itoa(b.Incarnation), zone: b.Zone, incarnation: b.Incarnation, replaced: replaced, spent: map[string]uint64{},
 			hash: xxhash.Sum64String(b.Host), bornAt: r.now - time.Duration(b.AgeMs)*time.Millisecond}
-		for p := range m.fullAt {
-			m.fullAt[p] = -fullFresh
-		}
 		r.members.byHost[b.Host] = m
 		r.noteZone(b.Host, b.Zone)
 		r.members.order = append(r.members.order, b.Host)
 		slices.Sort(r.members.order)
-		r.zones.peersAt = 0 // so that the others hear of it with the next beat
-		r.changed = true    // and it hears soon what there is to know
-		r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
+		if r.direct(b.Zone) {
+			r.zones.peersAt = 0 // so that the others hear of it with the next beat
+			r.changed = true    // and it hears soon what there is to know
+			r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
+		}
 	}
 	returned := m.silent
 	wasCut := returned && r.zoneSilent(m.zone)
@@ -273,6 +258,11 @@
 	for _, host := range slices.Clone(r.members.order) {
 		m := r.members.byHost[host]
 		quiet := r.now - m.heardAt
+		if quiet > patience && !r.direct(m.zone) {
+			// A host of another zone is heard while it speaks for its zone or has requests here.
+			r.dropMember(m)
+			continue
+		}
 		if quiet > patience && !m.silent {
 			m.silent = true
 			r.countLoads(m.loads, -1)
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -26,6 +26,28 @@
 	speedsEvery = 4
 )
 
+// trust is how an owner has answered this host.
+type trust struct {
+	// misses are questions in a row without an answer; until muteUntil it is not asked because of them.
+	misses    int
+	muteUntil time.Duration
+	// fullAt is when it last had no place, by priority.
+	fullAt [priorities]time.Duration
+}
+
+// trustOf is how an owner has answered so far.
+func (r *Router) trustOf(owner string) *trust {
+	t, ok := r.owners.trust[owner]
+	if !ok {
+		t = &trust{}
+		for p := range t.fullAt {
+			t.fullAt[p] = -fullFresh
+		}
+		r.owners.trust[owner] = t
+	}
+	return t
+}
+
 // ownerState is who owns the backend servers of this zone. Ownership is computed by each host from those
 // that it hears. It grants nothing: where two hosts disagree for a moment, some requests are placed by an
 // older belief, as if the host had decided alone.
@@ -36,6 +58,13 @@
 	// tellAt is when this host next tells what its backend servers carry, and told counts its words.
 	tellAt time.Duration
 	told   int
+	trust  map[string]*trust
+	// knownUntil is until when owners of other zones know this host by its last beat.
+	knownUntil map[string]time.Duration
+}
+
+func newOwnerState() ownerState {
+	return ownerState{trust: map[string]*trust{}, knownUntil: map[string]time.Duration{}}
 }
 
 // sharing tells whether backend servers have owners that are asked for places. In a small fleet every host
@@ -43,15 +72,37 @@
 // each.
 func (r *Router) sharing() bool { return r.relaying() }
 
-// ownerOf is the host that owns a backend server of this zone; empty for others and where there is none.
+// ownerOf is the host that owns a backend server; empty where none is known. Other zones name theirs in their
+// sums.
 func (r *Router) ownerOf(b *backend) string {
-	if b.Zone != r.opt.Zone || !r.sharing() {
+	if !r.sharing() {
 		return ""
 	}
+	if b.Zone != r.opt.Zone {
+		z, ok := r.zones.sums[b.Zone]
+		if !ok || z.stale || len(z.owners) == 0 {
+			return ""
+		}
+		return z.owners[b.hash%uint32(len(z.owners))]
+	}
+	return r.ownShards()[b.hash%uint32(len(r.owners.byShard))]
+}
+
+// ownShards are the owners of this zone's backend servers.
+func (r *Router) ownShards() []string {
 	if !r.owners.valid {
 		r.computeOwners()
 	}
-	return r.owners.byShard[b.hash&uint32(len(r.owners.byShard)-1)]
+	return r.owners.byShard
+}
+
+// outOfReach tells that another zone's owner does not answer: its zone is most likely cut off.
+func (r *Router) outOfReach(b *backend) bool {
+	if b.Zone == r.opt.Zone {
+		return false
+	}
+	owner := r.ownerOf(b)
+	return owner != "" && !r.answers(owner)
 }
 
 func (r *Router) owns(b *backend) bool { return r.ownerOf(b) == r.opt.Host }
@@ -72,7 +123,7 @@
 		r.owners.byShard[s] = r.shardOwner(uint64(s))
 	}
 	for _, b := range r.allBackends() {
-		if b.fromOwner && r.owns(b) {
+		if b.fromOwner && b.Zone == r.opt.Zone && r.owns(b) {
 			b.fromOwner = false
 		}
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -109,7 +109,7 @@
 		return dead
 	case doubt:
 		return doubtful
-	case b.suspect(now) || s.r.zoneSilent(b.Zone) || (b.onProbation() && s.triedNow(b)):
+	case b.suspect(now) || s.r.zoneSilent(b.Zone) || s.r.outOfReach(b) || (b.onProbation() && s.triedNow(b)):
 		return suspect
 	case s.tooSlow(b):
 		return slow
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -98,6 +98,7 @@
 		requests:  map[uint64]*request{},
 		quotas:    map[string]*limit.Quota{},
 		toldSpent: map[string]uint64{},
+		owners:    newOwnerState(),
 		selfHash:  xxhash.Sum64String(opt.Host),
 	}
 	r.zones.firstRead = r.firstRead()
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -65,7 +65,7 @@
 	seq         uint64
 	hosts       int
 	at          time.Duration
-	loads       loads
+	owners      []string
 	stale       bool
 	// raw is what this host, rather than a zone mate, has heard and passes on at relayAt.
 	raw     *gossippb.ZoneSum
@@ -194,9 +194,8 @@
 		if !r.duty("speaks to "+zone, speakers) {
 			continue
 		}
-		to, sum := r.listeners(zone), r.ownZoneSum(zone)
+		to, sum := r.listeners(zone), r.ownZoneSum()
 		r.emitBeat(to, func(b *gossippb.Beat) {
-			b.Loads, b.Spent = nil, nil
 			b.Zones = []*gossippb.ZoneSum{sum}
 			b.Peers = r.knownPeers()
 		})
@@ -230,21 +229,20 @@
 	return out
 }
 
-// ownZoneSum adds up what another zone has to know of this one: what this host and its zone mates carry
-// at that zone's backend servers, and what everybody but that zone carries at this zone's own. So each
-// zone tells of its own backend servers, and nothing is told or counted twice: a sum with the loads at
-// all zones took most of small hosts' links at 300 hosts.
-func (r *Router) ownZoneSum(to string) *gossippb.ZoneSum {
+// ownZoneSum adds up what other zones have to know of this one: who owns its backend servers, what these
+// carry, requests of all zones together, and what its hosts have admitted. So each zone tells of its own
+// backend servers, and nothing is told or counted twice: a sum with the loads at all zones took most of small
+// hosts' links at 300 hosts.
+func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	mates := r.zoneMates()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(len(mates) + 1), AgeMs: r.ageMs()}
+		Hosts: uint32(len(mates) + 1), AgeMs: r.ageMs(), Owners: r.ownShards()}
 	for _, b := range r.allBackends() {
-		if b.Zone != r.opt.Zone && b.Zone != to {
+		if b.Zone != r.opt.Zone || b.removed {
 			continue
 		}
-		sum := r.sumFor(to, b, mates)
-		if sum.total() > 0 {
-			s.Loads = append(s.Loads, sum.message(b.hash))
+		if all := b.carried(); all.total() > 0 {
+			s.Loads = append(s.Loads, all.message(b.hash))
 		}
 	}
 	for _, name := range r.quotaNames() {
@@ -255,31 +253,6 @@
 	return s
 }
 
-// sumFor is what a zone is told of one backend server.
-func (r *Router) sumFor(to string, b *backend, mates []string) load {
-	if b.fromOwner {
-		return b.carried().without(r.zoneLoad(to, b.hash))
-	}
-	sum := b.own
-	for _, h := range mates {
-		sum.add(r.members.byHost[h].loads[b.hash])
-	}
-	for _, z := range r.zones.sums {
-		if b.Zone == r.opt.Zone && z.zone != to {
-			sum.add(z.loads[b.hash])
-		}
-	}
-	return sum
-}
-
-// zoneLoad is what another zone's hosts carry at a backend server.
-func (r *Router) zoneLoad(zone string, hash uint32) load {
-	if z, ok := r.zones.sums[zone]; ok {
-		return z.loads[hash]
-	}
-	return load{}
-}
-
 // relaySpread spreads what several hosts have heard at once, so that the first passes it on for all.
 const relaySpread = 100 * time.Millisecond
 
@@ -340,10 +313,9 @@
 	if returned {
 		r.zoneBack(s.Zone)
 	}
-	r.countLoads(z.loads, -1)
 	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
-	z.loads, z.stale = loadsOf(s.Loads), false
-	r.countLoads(z.loads, 1)
+	z.owners, z.stale = s.Owners, false
+	r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
 			q.Heard(limit.Word{From: z.key(), Spent: float64(sp.Amount), Returned: returned, Young: time.Duration(s.AgeMs)*time.Millisecond <= youngFor})
@@ -355,6 +327,15 @@
 	}
 }
 
+// takeZoneLoads takes what another zone's backend servers carry; those that are not named carry nothing.
+func (r *Router) takeZoneLoads(zone string, told loads) {
+	for _, b := range r.allBackends() {
+		if b.Zone == zone && !b.removed {
+			r.takeOwnersWord(b, told[b.hash])
+		}
+	}
+}
+
 // zoneSilent tells that no host of another zone is heard though some are known: the zone is cut off,
 // and its backend servers most likely with it.
 func (r *Router) zoneSilent(zone string) bool {
@@ -400,8 +381,6 @@
 		quiet := r.now - z.at
 		if quiet > sumStale && !z.stale {
 			z.stale = true
-			r.countLoads(z.loads, -1)
-			z.loads = nil
 			r.emit(Note{What: "zone silent", Subject: zone, Age: quiet})
 		}
 		if quiet > forgetAfter {
@@ -416,9 +395,6 @@
 	for _, h := range r.members.order {
 		sum.add(r.members.byHost[h].loads[hash])
 	}
-	for _, z := range r.zones.sums {
-		sum.add(z.loads[hash])
-	}
 	return sum
 }
 
