Zones without seeds find each other; tests and mutants of owners

Change: a young host of another zone is answered with hosts of its own zone; sums name some of the zone that they go to and two of each further one. Test: TestZonesWithoutSeedsFindEachOther, which failed first (40 of 120 hosts known).

--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math/bits"
 	"time"
 
@@ -58,6 +59,8 @@
 	valid bool
 	// byShard are the owners' IP numbers; empty where no host has run for long enough.
 	byShard []string
+	// owned is how many shards this host owns.
+	owned int
 	// tellAt is when this host next tells what its backend servers carry, and told counts its words.
 	tellAt time.Duration
 	told   int
@@ -121,13 +124,23 @@
 	}
 	shards := 1 << bits.Len(uint(n/shardSize))
 	r.owners.valid = true
-	r.owners.byShard = make([]string, shards)
+	if len(r.owners.byShard) != shards {
+		r.owners.byShard = make([]string, shards)
+	}
+	owned := r.owners.owned
+	r.owners.owned = 0
 	for s := range r.owners.byShard {
 		owner := r.shardOwner(uint64(s), ownerAge)
 		if owner == "" {
 			owner = r.shardOwner(uint64(s), ownerAgeLeast)
 		}
 		r.owners.byShard[s] = owner
+		if owner == r.opt.Host {
+			r.owners.owned++
+		}
+	}
+	if r.owners.owned != owned {
+		r.emit(Note{What: "owns backend servers", Detail: fmt.Sprintf("%d of %d shards", r.owners.owned, shards)})
 	}
 	for _, b := range r.allBackends() {
 		if b.fromOwner && b.Zone == r.opt.Zone && r.owns(b) {
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -33,6 +33,8 @@
 	next  uint64
 	// sent are what all hosts sent by kind, in datagrams and bytes.
 	datagrams, bytes int
+	// from is the zone that all requests come to; empty for any.
+	from string
 	// lost drops a datagram.
 	lost func(to string, p *gossippb.Packet) bool
 	// waited is the longest time from a request to its decision.
@@ -42,6 +44,7 @@
 
 type zoneHost struct {
 	ip   string
+	zone string
 	r    *Router
 	dead bool
 }
@@ -59,20 +62,23 @@
 	engine string
 }
 
-// newZone starts hosts before engines of 4 slots, a third of which are four times slower, and lets them hear
-// each other.
-func newZone(t testing.TB, hosts, engines int) *zone {
+// newZone starts the hosts of a zone before engines of 4 slots, a third of which are four times slower, and
+// lets them hear each other.
+func newZone(t testing.TB, hosts, engines int) *zone { return newZones(t, 1, hosts, engines) }
+
+// newZones starts several zones; the seeds are in the first.
+func newZones(t testing.TB, zones, hosts, engines int) *zone {
 	z := &zone{t: t, rng: rand.New(rand.NewPCG(1, 2)), byIP: map[string]*zoneHost{}, held: map[string]int{}, runs: map[uint64]*zoneRun{}}
 	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 8}}}}}
-	for i := range engines {
+	for i := range zones * engines {
 		ch := changeOf(fmt.Sprintf("e%03d", i), 10, false)
-		ch.Slots = 4
+		ch.Slots, ch.Zone = 4, fmt.Sprintf("z%d", i/engines)
 		n.Backends = append(n.Backends, ch)
 	}
-	for i := range hosts {
-		h := &zoneHost{ip: fmt.Sprintf("10.0.0.%d", i+1)}
-		h.r = New(Options{Host: h.ip, Zone: "z0", Incarnation: uint64(i + 1), Seed: uint64(i), Seeds: []string{"10.0.0.1", "10.0.0.2"},
+	for i := range zones * hosts {
+		h := &zoneHost{ip: fmt.Sprintf("10.0.%d.%d", i/hosts, i%hosts+1), zone: fmt.Sprintf("z%d", i/hosts)}
+		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: uint64(i + 1), Seed: uint64(i), Seeds: []string{"10.0.0.1", "10.0.0.2"},
 			Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}})
 		z.hosts = append(z.hosts, h)
 		z.byIP[h.ip] = h
@@ -192,7 +198,7 @@
 // submit sends one request to a host that lives.
 func (z *zone) submit() {
 	h := z.hosts[z.rng.IntN(len(z.hosts))]
-	for h.dead {
+	for h.dead || (z.from != "" && h.zone != z.from) {
 		h = z.hosts[z.rng.IntN(len(z.hosts))]
 	}
 	z.next++
@@ -223,27 +229,132 @@
 	require.LessOrEqual(t, z.waited, 8*zoneStep, "an answer of an owner or two")
 }
 
+// A fleet of six zones starts, and its seeds are in one of them. The hosts of the others must soon know all
+// their zone mates: they part quotas by their number and engines by who they are. When they knew a few each, a
+// third of the streams in these zones were late, and a workspace ran over its quota.
+func TestZonesWithoutSeedsFindEachOther(t *testing.T) {
+	z := newZones(t, 6, 20, 20)
+	for _, h := range z.hosts {
+		require.Len(t, h.r.zoneMates(), 19, "%s", h.ip)
+		require.Equal(t, 6*20, h.r.hosts(), "%s", h.ip)
+		require.Equal(t, z.byIP[h.r.zoneMates()[0]].r.ownShards(), h.r.ownShards(), "%s", h.ip)
+	}
+}
+
+// A zone's engines are nearly full while another's are idle. Its hosts ask the owners there, who count all that
+// comes from anywhere: no engine gets more than it may hold, and nobody is refused.
+func TestBusyZoneOverflowsToOthers(t *testing.T) {
+	z := newZones(t, 3, 10, 10)
+	z.from = "z1"
+	z.run(6*time.Second, 90) // twice what the zone's engines serve
+	far := 0
+	for _, run := range z.runs {
+		if run.engine != "" && z.hosts[0].r.backends[run.engine].Zone != "z1" {
+			far++
+		}
+	}
+	require.Positive(t, far)
+	require.Zero(t, z.crowds)
+	require.Less(t, z.refused, z.dispatched/50)
+}
+
 // An owner loses power. Its zone mates ask it and hear nothing, and a caller would wait for the seconds until
 // it counts as dead. They decide alone after a moment, and stop asking it.
 func TestDeadOwnerDelaysNobody(t *testing.T) {
 	z := newZone(t, 20, 23)
-	z.byIP[z.owners()[0]].dead = true
+	owner := z.byIP[z.owners()[0]]
+	require.NotEqual(t, z.hosts[0], owner, "choose another seed")
+	owner.dead = true
+	asks := 0
+	z.lost = func(to string, p *gossippb.Packet) bool {
+		if to == owner.ip && p.Ask != nil {
+			asks++
+		}
+		return false
+	}
 	z.run(4*time.Second, 100)
-	require.LessOrEqual(t, z.waited, 2*maxAsks*(askPatience+zoneTick*zoneStep))
+	require.LessOrEqual(t, z.waited, maxAsks*(askPatience+zoneTick*zoneStep))
 	require.Positive(t, z.dispatched)
-	for _, h := range z.hosts {
-		require.False(t, h.dead && h.ip == z.hosts[0].ip, "choose another seed: the first host is the owner")
+	for id, run := range z.runs {
+		require.NotEmpty(t, run.engine, "request %d waits", id)
 	}
-	require.NotContains(t, z.owners(), deadHost(z))
+	require.LessOrEqual(t, asks, 19*muteAfter*4, "each host asks it twice before it is muted, a few times until it is silent")
+	require.NotContains(t, z.owners(), owner.ip)
 }
 
-func deadHost(z *zone) string {
-	for _, h := range z.hosts {
-		if h.dead {
-			return h.ip
+// An owner is so busy that its answer comes when the asker has decided alone. The place counts as taken at the
+// owner, and would until the asker's next beat; on a heavy day its engines would look full. It goes back.
+func TestLateOfferIsGivenBack(t *testing.T) {
+	z := newZone(t, 20, 23)
+	asker := z.hosts[0]
+	question, owner := z.question(asker)
+	offers := offersOf(z.byIP[owner].r.Reduce(z.now, Asked{asker.ip, question}))
+	require.NotNil(t, offers[0].Place)
+	asker.r.Reduce(z.now+askPatience, Tick{})
+	require.Positive(t, asker.r.Requests(), "placed by the asker itself")
+	out := asker.r.Reduce(z.now+2*askPatience, Offered{owner, offers[0]})
+	require.True(t, givesBack(out, offers[0].Place.Backend))
+}
+
+// Owners' words are a quarter of a second old, and say that all engines are full; several requests have ended
+// since. A caller must not be refused without a question.
+func TestOwnersAreAskedBeforeARefusal(t *testing.T) {
+	z := newZone(t, 20, 23)
+	asker := z.hosts[0]
+	for _, b := range asker.r.allBackends() {
+		asker.r.takeOwnersWord(b, load{counts: counts{b.Slots + headroom}})
+	}
+	z.question(asker)
+}
+
+// A host of a zone restarts. It has not heard what its zone mates carry; as an owner it would take busy engines
+// for idle and offer them to everybody.
+func TestYoungHostOwnsNothing(t *testing.T) {
+	z := newZone(t, 20, 23)
+	owner := z.owners()[0]
+	h := z.byIP[owner]
+	h.r = New(Options{Host: h.ip, Zone: "z0", Incarnation: 99, Seed: 99, Seeds: []string{"10.0.0.1", "10.0.0.2"}})
+	started := z.now
+	for z.now-started < ownerAge-200*time.Millisecond {
+		now := z.now
+		z.run(100*time.Millisecond, 0)
+		// The reducers of this zone share one clock; the new one counts from its start.
+		h.r.now = z.now - started
+		for _, other := range z.hosts {
+			if m := other.r.members.byHost[owner]; m != nil && m.incarnation == 99 && other != h {
+				m.bornAt = started
+				other.r.owners.valid = false
+				require.NotContains(t, other.r.ownShards(), owner, "%s after its start, by %s", now-started, other.ip)
+			}
+		}
+	}
+}
+
+// question submits a request to a host and returns what it asks of whom.
+func (z *zone) question(h *zoneHost) (*gossippb.Ask, string) {
+	for range 20 {
+		z.next++
+		for _, e := range h.r.Reduce(z.now, Submit{ID: z.next, Route: urgent, PromptTok: 1000, Deadline: z.now + 10*time.Second}) {
+			if s, ok := e.(Send); ok && s.Packet.Ask != nil {
+				return s.Packet.Ask, s.To[0]
+			}
 		}
 	}
-	return ""
+	require.FailNow(z.t, "no owner is asked")
+	return nil, ""
+}
+
+// givesBack tells whether a place at a backend server is returned.
+func givesBack(list []Effect, backend uint32) bool {
+	for _, e := range list {
+		if s, ok := e.(Send); ok && s.Packet.Report != nil {
+			rep := s.Packet.Report
+			if rep.Backend == backend && rep.Requests == -1 && rep.Unread == -1000 {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // Answers of owners are lost, or come after the asker has decided alone. Each such place would count as taken
@@ -303,32 +414,19 @@
 func TestOfferOfADrainingEngineIsNotTaken(t *testing.T) {
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
-	var question *gossippb.Packet
-	var owner string
-	for question == nil {
-		z.next++
-		for _, e := range asker.r.Reduce(z.now, Submit{ID: z.next, Route: urgent, PromptTok: 1000, Deadline: z.now + 10*time.Second}) {
-			if s, ok := e.(Send); ok && s.Packet.Ask != nil {
-				question, owner = s.Packet, s.To[0]
-			}
-		}
-	}
-	offers := offersOf(z.byIP[owner].r.Reduce(z.now, Asked{asker.ip, question.Ask}))
+	question, owner := z.question(asker)
+	offers := offersOf(z.byIP[owner].r.Reduce(z.now, Asked{asker.ip, question}))
 	offered := asker.r.byHash[offers[0].Place.Backend]
 	ch := changeOf(offered.ID, 60, false)
 	ch.Draining = true
 	asker.r.Reduce(z.now, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
-	var givenBack bool
-	for _, e := range asker.r.Reduce(z.now, Offered{owner, offers[0]}) {
-		switch e := e.(type) {
-		case Dispatch:
-			require.NotEqual(t, offered.ID, e.Backend.ID)
-		case Send:
-			rep := e.Packet.Report
-			givenBack = givenBack || (rep != nil && rep.Backend == offered.hash && rep.Requests == -1 && rep.Unread == -1000)
+	out := asker.r.Reduce(z.now, Offered{owner, offers[0]})
+	for _, e := range out {
+		if d, ok := e.(Dispatch); ok {
+			require.NotEqual(t, offered.ID, d.Backend.ID)
 		}
 	}
-	require.True(t, givenBack)
+	require.True(t, givesBack(out, offered.hash))
 }
 
 // BenchmarkZone is what a host of a zone of 50 hosts and 53 engines spends on each kind of event.
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -197,7 +197,7 @@
 		to, sum := r.listeners(zone), r.ownZoneSum()
 		r.emitBeat(to, func(b *gossippb.Beat) {
 			b.Zones = []*gossippb.ZoneSum{sum}
-			b.Peers = r.knownPeers()
+			b.Peers = r.introductions(zone)
 		})
 	}
 }
@@ -236,7 +236,7 @@
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	mates := r.zoneMates()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(len(mates) + 1), AgeMs: r.ageMs(), Owners: r.ownShards()}
+		Hosts: uint32(len(mates) + 1), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards())}
 	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone || b.removed {
 			continue
@@ -409,6 +409,40 @@
 	return n
 }
 
+const (
+	// introduced bounds the hosts of its own zone that a host hears of from another zone: enough that each
+	// hears of a few that live, who tell it of the rest. introducedFar is the same for further zones.
+	introduced    = 16
+	introducedFar = 2
+)
+
+// introductions are some hosts of another zone, for those who have just started there and have no seed among
+// them, and a few of each further zone, so that these two speak to each other.
+func (r *Router) introductions(to string) []*gossippb.Peer {
+	byZone := map[string][]string{}
+	for h, z := range r.members.zoneOf {
+		byZone[z] = append(byZone[z], h)
+	}
+	out := r.someOf(to, byZone[to], introduced)
+	for _, zone := range r.otherZones() {
+		if zone != to {
+			out = append(out, r.someOf(zone, byZone[zone], introducedFar)...)
+		}
+	}
+	return out
+}
+
+// someOf names at most so many hosts of a zone, drawn at random.
+func (r *Router) someOf(zone string, hosts []string, most int) []*gossippb.Peer {
+	slices.Sort(hosts)
+	var out []*gossippb.Peer
+	at := r.rng.IntN(max(1, len(hosts)))
+	for i := range min(len(hosts), most) {
+		out = append(out, &gossippb.Peer{Host: hosts[(at+i)%len(hosts)], Zone: zone})
+	}
+	return out
+}
+
 // namedPeers are the hosts to name: in a large fleet its zone's while some of them are new, later a few at
 // random. A seed that named all that greet it, 300 hosts, in each beat to 50 had its link full for seconds
 // after a start of all.
