--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -165,14 +165,21 @@
 	}
 }
 
-// mailTo sends a datagram, of which one in twenty is lost.
+// mailTo sends a datagram. Of twenty, one is lost, one comes twice and one late.
 func (w *world) mailTo(h *worldHost, hosts []string, p *gossippb.Packet) {
 	data, err := proto.Marshal(p)
 	require.NoError(w.t, err)
 	for _, to := range hosts {
-		if rapid.IntRange(0, 19).Draw(w.t, "lost datagram") > 0 {
-			w.mail = append(w.mail, letter{at: w.now + worldStep, to: to, from: h.ip, packet: data})
+		l := letter{at: w.now + worldStep, to: to, from: h.ip, packet: data}
+		switch rapid.IntRange(0, 19).Draw(w.t, "fate of a datagram") {
+		case 0:
+			continue
+		case 1:
+			w.mail = append(w.mail, l)
+		case 2:
+			l.at += 3 * worldStep
 		}
+		w.mail = append(w.mail, l)
 	}
 }
 
