--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -47,6 +49,52 @@
 	})
 }
 
+// The same for the other datagrams: a question with a rank that is no number, a report of more than was ever
+// there, an owner that is nobody. No count goes below zero, no choice fails.
+func FuzzPacket(f *testing.F) {
+	hash := newBackend(routing.Backend{ID: "e0"}).hash
+	for _, p := range []*gossippb.Packet{
+		{Ask: &gossippb.Ask{Number: 1, Service: "m", Streaming: true, Rank: float32(math.NaN()), Prompt: math.MaxUint32, Output: math.MaxUint32, WorstClass: math.MaxUint32}},
+		{Ask: &gossippb.Ask{Number: 2, Service: "none", Rank: -1, Avoid: []uint32{hash, 7}}},
+		{Offer: &gossippb.Offer{Number: 1, Place: &gossippb.Load{Backend: hash, InFlight: math.MaxUint32, Unread: math.MaxUint32}}},
+		{Report: &gossippb.Report{Backend: hash, Priority: math.MaxUint32, Requests: math.MinInt32, Unread: math.MinInt32, Outcome: 77, IntervalUs: math.MaxUint32, ReadNs: math.MaxUint32, Events: math.MaxUint32}},
+		{Report: &gossippb.Report{Backend: hash, Requests: math.MaxInt32, Unread: math.MaxInt32}},
+		{Occupancy: &gossippb.Occupancy{Loads: []*gossippb.Load{{Backend: hash, InFlight: math.MaxUint32}}, Speeds: []*gossippb.Speed{{Backend: hash, IntervalUs: math.MaxUint32, ReadNs: 1}}}},
+		{Relay: &gossippb.Relay{Zones: []*gossippb.ZoneSum{{Zone: "z1", Speaker: "x", Owners: []string{"", "nobody"}, AgeMs: math.MaxUint32}}}},
+	} {
+		data, err := proto.Marshal(p)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var p gossippb.Packet
+		if proto.Unmarshal(data, &p) != nil || p.Beat != nil {
+			return
+		}
+		b := newBench(t, 3)
+		for i := range fullMesh + 1 {
+			b.r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
+		}
+		b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+		ev := eventOf("10.0.0.2", &p)
+		if _, beat := ev.(Heard); beat {
+			return // an empty datagram
+		}
+		b.post(ev)
+		b.post(ev)
+		b.submit(urgent, 0, 10)
+		b.prompt(1 << 30)
+		for _, e := range b.r.allBackends() {
+			require.GreaterOrEqual(t, e.inFlight(), 0)
+			require.GreaterOrEqual(t, e.unread(b.now), 0)
+			s := b.r.searchFor(&request{Submit: Submit{Route: urgent, PromptTok: 1 << 30}, service: "m"}, anywhere)
+			require.Positive(t, s.waitAt(e, e.inFlight()), "an overflow would make it look idle")
+		}
+		b.now += time.Minute
+		b.post(Tick{})
+	})
+}
+
 // The same for what a peer answers to a question for news. A configuration never goes back by it.
 func FuzzPeerNews(f *testing.F) {
 	f.Add([]byte(`{"Config":{"Version":7},"Backends":[{"ID":"e0","Revision":99,"Removed":true}],"After":1,"AsOf":100}`))
--- a/internal/router/grant.go
+++ b/internal/router/grant.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -36,7 +37,7 @@
 	}
 	q := &request{service: a.Service, Submit: Submit{
 		Route: &routing.Route{Kind: kind, Target: time.Duration(a.TargetMs) * time.Millisecond},
-		Rank:  min(max(0, float64(a.Rank)), routing.LeastUrgent), PromptTok: int(min(a.Prompt, maxUnread)), OutputTok: int(a.Output),
+		Rank:  rankOf(a), PromptTok: int(min(a.Prompt, maxUnread)), OutputTok: int(a.Output),
 		Deadline: r.now + time.Duration(a.LeftMs)*time.Millisecond,
 	}}
 	for _, hash := range a.Avoid {
@@ -47,6 +48,15 @@
 	return q
 }
 
+// rankOf is the rank that a question names; one that is no number counts as the least urgent.
+func rankOf(a *gossippb.Ask) float64 {
+	rank := float64(a.Rank)
+	if math.IsNaN(rank) {
+		return routing.LeastUrgent
+	}
+	return min(max(0, rank), routing.LeastUrgent)
+}
+
 func (r *Router) occupancyOf(service string) []*gossippb.Load {
 	var out []*gossippb.Load
 	for _, b := range r.zoneBackendsOf(service) {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -139,6 +139,7 @@
 	{"owner-age", "8", "internal/router/owners.go", "!m.leaving && r.now-m.bornAt >= age {", "!m.leaving {", routerTests},
 	{"owner-unreachable", "8", "internal/router/grant.go", "if known && !slices.Contains(m.dead, rep.Backend) {", "if false {", routerTests},
 	{"owner-counts", "8", "internal/router/grant.go", "	r.carry(m, c.b.hash, q.bucket(), 1, q.PromptTok)\n", "	_ = m\n", routerTests},
+	{"owner-introductions", "8", "internal/router/members.go", "reply.Peers = r.introductions(b.Zone)", "reply.Peers = nil", routerTests},
 	{"owner-report", "8", "internal/router/requests.go", "	r.reportEnd(q, e)\n", "", routerTests},
 	{"news-once", "8", "internal/gossip/gossip.go", "now.Sub(l.at) < lastFor", "false", []string{"./internal/gossip"}},
 	{"router-tell-change", "8", "internal/router/beats.go", "if r.changed && r.now >= r.changeAt {", "if false {", routerTests},
