--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// askPatience is how long a host waits for an owner before it decides alone. A datagram inside a zone
-	// takes a fraction of a millisecond and a busy small host a few to answer; callers want the first event
-	// within hundreds.
+	// askPatience is how long a host waits for an owner before it decides alone, at the next tick. A datagram
+	// inside a zone takes a fraction of a millisecond and a busy small host a few to answer; callers want the
+	// first event within hundreds.
 	askPatience = 20 * time.Millisecond
 	// askForget is how long an answer that comes too late still finds its question, so that the place is
 	// given back.
@@ -22,8 +22,8 @@
 	// off or dead, and a caller should not wait for it.
 	muteAfter = 2
 	muteFor   = 500 * time.Millisecond
-	// fullFresh is how long an owner's word that there is no place holds for the next request: engines of a
-	// shard free some ten places a second on heavy days.
+	// fullFresh is how long an owner's word that there is no place holds for the next request: a shard of
+	// ten engines with four places frees one every few tens of milliseconds.
 	fullFresh = 10 * time.Millisecond
 )
 
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -166,8 +166,8 @@
 			r.changed = true    // and it hears soon what there is to know
 			r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
 		} else if r.now-m.bornAt <= youngFor {
-			// It may have no seed in its own zone: without this, the hosts of three of six zones knew a few of
-			// their zone mates each for half a minute, and parted quotas and engines among these.
+			// It may have no seed in its own zone: without this, the hosts of zones without seeds knew a few of
+			// their zone mates each, and divided quotas and engines among these.
 			r.emitBeat([]string{b.Host}, func(reply *gossippb.Beat) { reply.Peers = r.introductions(b.Zone) })
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,10 +1,12 @@
 // Package router is the reducer of a host on the platform's path: every event goes in, effects come
-// out as data. Each host decides alone where its requests go, from beliefs that hosts spread in
-// heartbeats; no message is exchanged for a request. There is no I/O, clock, goroutine or unseeded
-// choice inside.
+// out as data. In a small fleet each host decides alone where its requests go, from beliefs that hosts
+// spread in heartbeats, and no message is exchanged for a request. In a large one a host asks the owner of
+// some backend servers for a place, and decides alone where that does not answer. There is no I/O, clock,
+// goroutine or unseeded choice inside.
 //
-// One file is one concern: members (who else is there), news (configuration and backend servers),
-// backends (what is believed of each), zones (summaries between availability zones), place (where a request goes), requests (their lives), beats.
+// One file is one concern: members (who else is there), news (configuration and backend servers), backends
+// (what is believed of each), zones (summaries between availability zones), place (where a request goes),
+// owners (who is asked), ask (questions for a place), grant (answers to them), requests (their lives), beats.
 package router
 
 import (
