--- /dev/null
+++ b/internal/router/peers.go
@@ -0,0 +1,106 @@
+package router
+
+import (
+	"slices"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+const (
+	// introduced bounds the hosts of its own zone that a host hears of from another zone: enough that each
+	// hears of a few that live, who tell it of the rest. introducedFar is the same for further zones.
+	introduced    = 16
+	introducedFar = 2
+)
+
+// introductions are some hosts of another zone, for those who have just started there and have no seed among
+// them, and a few of each further zone, so that these two speak to each other.
+func (r *Router) introductions(to string) []*gossippb.Peer {
+	byZone := map[string][]string{}
+	for h, z := range r.members.zoneOf {
+		byZone[z] = append(byZone[z], h)
+	}
+	out := r.someOf(to, byZone[to], introduced)
+	for _, zone := range r.otherZones() {
+		if zone != to {
+			out = append(out, r.someOf(zone, byZone[zone], introducedFar)...)
+		}
+	}
+	return out
+}
+
+// someOf names at most so many hosts of a zone, drawn at random.
+func (r *Router) someOf(zone string, hosts []string, most int) []*gossippb.Peer {
+	slices.Sort(hosts)
+	var out []*gossippb.Peer
+	at := r.rng.IntN(max(1, len(hosts)))
+	for i := range min(len(hosts), most) {
+		out = append(out, &gossippb.Peer{Host: hosts[(at+i)%len(hosts)], Zone: zone})
+	}
+	return out
+}
+
+// namedPeers are the hosts to name: in a large fleet its zone's while some of them are new, later a few at
+// random. A seed that named all that greet it, 300 hosts, in each beat to 50 had its link full for seconds
+// after a start of all.
+func (r *Router) namedPeers() []string {
+	all := r.members.order
+	switch {
+	case !r.relaying() || len(all) <= namedPeers:
+		return all
+	case r.zones.peersAt == 0:
+		return r.zoneMates()
+	}
+	out := make([]string, 0, namedPeers)
+	at := r.rng.IntN(len(all))
+	for i := range namedPeers {
+		out = append(out, all[(at+i)%len(all)])
+	}
+	return out
+}
+
+// knownPeers names the hosts of this zone that are heard, and some of the others.
+func (r *Router) knownPeers() []*gossippb.Peer {
+	var out []*gossippb.Peer
+	for _, h := range r.namedPeers() {
+		out = append(out, &gossippb.Peer{Host: h, Zone: r.members.byHost[h].zone})
+	}
+	if !r.relaying() {
+		return out
+	}
+	for _, zone := range r.otherZones() {
+		for _, h := range r.listeners(zone) {
+			if r.members.byHost[h] == nil {
+				out = append(out, &gossippb.Peer{Host: h, Zone: zone})
+			}
+		}
+	}
+	return out
+}
+
+// listeners are hosts of another zone to send sums to: those that speak from there, as they live,
+// and some others while too few speak.
+func (r *Router) listeners(zone string) []string {
+	var out, rest []string
+	for h, z := range r.members.zoneOf {
+		if z != zone {
+			continue
+		}
+		if m := r.members.byHost[h]; m != nil && !m.silent {
+			out = append(out, h)
+		} else {
+			rest = append(rest, h)
+		}
+	}
+	slices.Sort(out)
+	slices.Sort(rest)
+	if len(out) > speakers {
+		out = out[:speakers]
+	}
+	for len(out) < speakers && len(rest) > 0 {
+		i := r.rng.IntN(len(rest))
+		out = append(out, rest[i])
+		rest = slices.Delete(rest, i, i+1)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/router/reading.go
@@ -0,0 +1,81 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// readers are the hosts of a zone that read the platform's store, where zones relay.
+	readers = 3
+	// fewestReaders of the other hosts of a zone must be in contact with the store for a host to rely
+	// on them, and readAlone is how long it waits for them. With contactFresh, a zone whose readers
+	// are all cut off from the store at once hears of a change within three seconds.
+	fewestReaders = 2
+	readAlone     = 400 * time.Millisecond
+	// contactFresh is how old the store's latest answer may be for a host to count as in contact: a
+	// watch that hears nothing is answered sooner.
+	contactFresh = 2200 * time.Millisecond
+	// startWait is how long a starting host listens for peers at most before it reads the store: where
+	// there are many, they have the news already.
+	startWait = 250 * time.Millisecond
+)
+
+// firstRead draws when a starting host reads the store. Where all hosts start together, as after a loss of
+// power, somebody has to read first, and all others get the news from it: a host that is named as a seed
+// reads at once, as everybody greets it, and the others wait for it at unlike times. Before, all waited
+// startWait, and refused a quarter of a second's requests for want of a configuration. The root makes early
+// reads rare in a fleet of hundreds whose seeds are down.
+func (r *Router) firstRead() time.Duration {
+	if slices.Contains(r.opt.Seeds, r.opt.Host) {
+		return 0
+	}
+	return time.Duration(math.Sqrt(r.rng.Float64()) * float64(startWait))
+}
+
+// decideReading turns the reading of the store on or off: on everywhere in a small fleet; in a large
+// one on the first hosts of each zone, and on any that hears too few of its zone in contact with the
+// store, as the readers may be the ones that are cut off from it.
+func (r *Router) decideReading() {
+	if !r.zones.decided && r.now < r.zones.firstRead {
+		return
+	}
+	others := 0
+	for _, h := range r.zoneMates() {
+		if m := r.members.byHost[h]; m.readsStore && !m.leaving {
+			others++
+		}
+	}
+	if others >= fewestReaders {
+		r.zones.readerAt = r.now
+	}
+	on := !r.relaying() || r.duty("reads the store", readers) || r.now-r.zones.readerAt > readAlone
+	if r.news.reading && r.zones.decided && others < readers {
+		on = true // until others have taken over
+	}
+	shared := on && r.relaying()
+	if on == r.news.reading && shared == r.zones.shared && r.zones.decided {
+		return
+	}
+	r.zones.decided = true
+	r.zones.shared = shared
+	r.news.reading = on
+	if !on {
+		r.news.lost = true
+	}
+	r.emit(ReadStore{on, shared})
+	r.emit(Note{What: "reads the store", Detail: onOff(on)})
+}
+
+// inContact tells whether the store has lately answered this host.
+func (r *Router) inContact() bool {
+	return r.news.reading && !r.news.lost && r.now-r.news.heardAt < contactFresh
+}
+
+func onOff(b bool) string {
+	if b {
+		return "on"
+	}
+	return "off"
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,8 @@
 // goroutine or unseeded choice inside.
 //
 // One file is one concern: members (who else is there), news (configuration and backend servers), backends
-// (what is believed of each), zones (summaries between availability zones), place (where a request goes),
+// (what is believed of each), zones (sums between availability zones), peers (which hosts are named to
+// others), reading (who reads the store), place (where a request goes),
 // owners (who is asked), ask (questions for a place), grant (answers to them), requests (their lives), beats.
 package router
 
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -25,21 +24,8 @@
 	sumStale = 1000 * time.Millisecond
 	// speakerStale is when another speaker's sums are taken in place of a silent one's.
 	speakerStale = 700 * time.Millisecond
-	// readers are the hosts of a zone that read the platform's store, where zones relay.
-	readers = 3
-	// fewestReaders of the other hosts of a zone must be in contact with the store for a host to rely
-	// on them, and readAlone is how long it waits for them. With contactFresh, a zone whose readers
-	// are all cut off from the store at once hears of a change within three seconds.
-	fewestReaders = 2
-	readAlone     = 400 * time.Millisecond
-	// contactFresh is how old the store's latest answer may be for a host to count as in contact: a
-	// watch that hears nothing is answered sooner.
-	contactFresh = 2200 * time.Millisecond
 	// cutAfter is how long none of a zone's hosts must be heard for the zone to count as cut off.
 	cutAfter = 450 * time.Millisecond
-	// startWait is how long a starting host listens for peers at most before it reads the store: where
-	// there are many, they have the news already.
-	startWait = 250 * time.Millisecond
 )
 
 // zoneState is what this host knows of the other zones, where not all hosts talk to each other.
@@ -77,18 +63,6 @@
 
 func newZoneState() zoneState { return zoneState{sums: map[string]*zoneSum{}} }
 
-// firstRead draws when a starting host reads the store. Where all hosts start together, as after a loss of
-// power, somebody has to read first, and all others get the news from it: a host that is named as a seed
-// reads at once, as everybody greets it, and the others wait for it at unlike times. Before, all waited
-// startWait, and refused a quarter of a second's requests for want of a configuration. The root makes early
-// reads rare in a fleet of hundreds whose seeds are down.
-func (r *Router) firstRead() time.Duration {
-	if slices.Contains(r.opt.Seeds, r.opt.Host) {
-		return 0
-	}
-	return time.Duration(math.Sqrt(r.rng.Float64()) * float64(startWait))
-}
-
 // relaying tells whether there are too many hosts for all to talk to each other.
 func (r *Router) relaying() bool { return len(r.members.zoneOf)+1 > fullMesh }
 
@@ -214,33 +188,6 @@
 	}
 }
 
-// listeners are hosts of another zone to send sums to: those that speak from there, as they live,
-// and some others while too few speak.
-func (r *Router) listeners(zone string) []string {
-	var out, rest []string
-	for h, z := range r.members.zoneOf {
-		if z != zone {
-			continue
-		}
-		if m := r.members.byHost[h]; m != nil && !m.silent {
-			out = append(out, h)
-		} else {
-			rest = append(rest, h)
-		}
-	}
-	slices.Sort(out)
-	slices.Sort(rest)
-	if len(out) > speakers {
-		out = out[:speakers]
-	}
-	for len(out) < speakers && len(rest) > 0 {
-		i := r.rng.IntN(len(rest))
-		out = append(out, rest[i])
-		rest = slices.Delete(rest, i, i+1)
-	}
-	return out
-}
-
 // ownZoneSum adds up what other zones have to know of this one: who owns its backend servers, what these
 // carry, requests of all zones together, and what its hosts have admitted. So each zone tells of its own
 // backend servers, and nothing is told or counted twice: a sum with the loads at all zones took most of small
@@ -421,121 +368,3 @@
 	}
 	return n
 }
-
-const (
-	// introduced bounds the hosts of its own zone that a host hears of from another zone: enough that each
-	// hears of a few that live, who tell it of the rest. introducedFar is the same for further zones.
-	introduced    = 16
-	introducedFar = 2
-)
-
-// introductions are some hosts of another zone, for those who have just started there and have no seed among
-// them, and a few of each further zone, so that these two speak to each other.
-func (r *Router) introductions(to string) []*gossippb.Peer {
-	byZone := map[string][]string{}
-	for h, z := range r.members.zoneOf {
-		byZone[z] = append(byZone[z], h)
-	}
-	out := r.someOf(to, byZone[to], introduced)
-	for _, zone := range r.otherZones() {
-		if zone != to {
-			out = append(out, r.someOf(zone, byZone[zone], introducedFar)...)
-		}
-	}
-	return out
-}
-
-// someOf names at most so many hosts of a zone, drawn at random.
-func (r *Router) someOf(zone string, hosts []string, most int) []*gossippb.Peer {
-	slices.Sort(hosts)
-	var out []*gossippb.Peer
-	at := r.rng.IntN(max(1, len(hosts)))
-	for i := range min(len(hosts), most) {
-		out = append(out, &gossippb.Peer{Host: hosts[(at+i)%len(hosts)], Zone: zone})
-	}
-	return out
-}
-
-// namedPeers are the hosts to name: in a large fleet its zone's while some of them are new, later a few at
-// random. A seed that named all that greet it, 300 hosts, in each beat to 50 had its link full for seconds
-// after a start of all.
-func (r *Router) namedPeers() []string {
-	all := r.members.order
-	switch {
-	case !r.relaying() || len(all) <= namedPeers:
-		return all
-	case r.zones.peersAt == 0:
-		return r.zoneMates()
-	}
-	out := make([]string, 0, namedPeers)
-	at := r.rng.IntN(len(all))
-	for i := range namedPeers {
-		out = append(out, all[(at+i)%len(all)])
-	}
-	return out
-}
-
-// knownPeers names the hosts of this zone that are heard, and some of the others.
-func (r *Router) knownPeers() []*gossippb.Peer {
-	var out []*gossippb.Peer
-	for _, h := range r.namedPeers() {
-		out = append(out, &gossippb.Peer{Host: h, Zone: r.members.byHost[h].zone})
-	}
-	if !r.relaying() {
-		return out
-	}
-	for _, zone := range r.otherZones() {
-		for _, h := range r.listeners(zone) {
-			if r.members.byHost[h] == nil {
-				out = append(out, &gossippb.Peer{Host: h, Zone: zone})
-			}
-		}
-	}
-	return out
-}
-
-// decideReading turns the reading of the store on or off: on everywhere in a small fleet; in a large
-// one on the first hosts of each zone, and on any that hears too few of its zone in contact with the
-// store, as the readers may be the ones that are cut off from it.
-func (r *Router) decideReading() {
-	if !r.zones.decided && r.now < r.zones.firstRead {
-		return
-	}
-	others := 0
-	for _, h := range r.zoneMates() {
-		if m := r.members.byHost[h]; m.readsStore && !m.leaving {
-			others++
-		}
-	}
-	if others >= fewestReaders {
-		r.zones.readerAt = r.now
-	}
-	on := !r.relaying() || r.duty("reads the store", readers) || r.now-r.zones.readerAt > readAlone
-	if r.news.reading && r.zones.decided && others < readers {
-		on = true // until others have taken over
-	}
-	shared := on && r.relaying()
-	if on == r.news.reading && shared == r.zones.shared && r.zones.decided {
-		return
-	}
-	r.zones.decided = true
-	r.zones.shared = shared
-	r.news.reading = on
-	if !on {
-		r.news.lost = true
-	}
-	r.emit(ReadStore{on, shared})
-	r.emit(Note{What: "reads the store", Detail: onOff(on)})
-}
-
-// inContact tells whether the store has lately answered this host.
-func (r *Router) inContact() bool {
-	return r.news.reading && !r.news.lost && r.now-r.news.heardAt < contactFresh
-}
-
-func onOff(b bool) string {
-	if b {
-		return "on"
-	}
-	return "off"
-}
