--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -101,7 +101,7 @@
 	{"platform-foreign", "4", "platform/store.go", "		ch.Removed, ch.Foreign = true, true\n", "		return routing.BackendChange{}\n", platformUnit},
 	{"platform-types", "4", "platform/registration.go", "ok = ok && string(raw) != \"null\" && ", "ok = ok && ", platformUnit},
 	{"platform-fields", "4", "platform/registration.go", "	r.whole(\"seq-no\")\n", "", platformUnit},
-	{"router-first-read", "8", "internal/router/reading.go", "	if slices.Contains(r.opt.Seeds, r.opt.Host) {\n", "	if false {\n", routerTests},
+	{"router-first-read", "8", "internal/router/reading.go", "	if slices.Contains(r.opt.Seeds, r.opt.Host) {\n", "	if slices.Contains(r.opt.Seeds, \"\") {\n", routerTests},
 	{"router-newcomer", "8", "internal/router/members.go", "		r.changed = true    // and", "		// and", routerTests},
 	{"router-first-config", "8", "internal/router/news.go", "r.changed = r.changed || r.table == nil", "_ = r.table == nil", routerTests},
 	{"gateway-first-table", "8", "internal/gateway/gateway.go", "	case <-g.control.Configured():\n", "", []string{"./internal/gateway"}},
