Owners: one piece of code where two did the same

No change of behaviour. Sums from a speaker and from a relay are taken by one function; a zone's sum, the same for every zone, is made once a period; one census of the hosts that are talked to directly serves quotas and sums; owners' words, reports, draws of neighbours and effects in tests have one function each. A host's hash is no longer kept beside its name, keys are written by encoding/binary, an owner's answer no longer walks all hosts for an age that nobody reads, and a beat computes its period once.

--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -56,6 +56,7 @@
 		return
 	}
 	if c.b == nil {
+		c.grounds.BeliefAge = r.oldestBelief()
 		r.refuse(q, c.grounds)
 		return
 	}
@@ -66,6 +67,7 @@
 func (r *Router) approach(q *request, c choice) {
 	owner := r.ownerOf(c.b)
 	if q.alone || len(q.full) >= maxAsks || !r.answers(owner) {
+		c.grounds.BeliefAge = r.oldestBelief()
 		r.send(q, c.b, c.grounds)
 		return
 	}
@@ -213,25 +215,16 @@
 	if o.Place == nil {
 		t.fullAt[a.priority] = r.now
 	}
-	for _, l := range o.Full {
-		if b, ok := r.byHash[l.Backend]; ok {
-			r.takeOwnersWord(b, loadOf(l))
-		}
-	}
+	r.takeOwnersWords(o.Full)
 	q, ok := r.requests[a.request]
 	if !ok || q.asking != a {
 		r.giveBack(a, o)
 		return
 	}
 	q.asking = nil
-	if o.Place == nil {
-		q.full = append(q.full, from)
-		r.seek(q)
-		return
-	}
-	b := r.byHash[o.Place.Backend]
-	if b == nil || !r.mayUse(q, b) {
-		// It drains or is gone, which the owner has not heard.
+	b := r.byHash[o.GetPlace().GetBackend()]
+	if o.Place == nil || b == nil || !r.mayUse(q, b) {
+		// There is no place, or it is at a backend server that drains or is gone, which the owner has not heard.
 		r.giveBack(a, o)
 		q.full = append(q.full, from)
 		r.seek(q)
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -79,10 +79,7 @@
 
 // inFlight is how many requests the backend server is believed to hold.
 func (b *backend) inFlight() int {
-	if b.fromOwner {
-		return b.own.total() + b.ownersWord.total()
-	}
-	return b.own.total() + b.others.total()
+	return b.own.total() + b.believedOthers().total()
 }
 
 // believedOthers is what other hosts are believed to carry there.
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -49,13 +49,12 @@
 
 // sendBeats tells the hosts that this one talks to directly what it carries.
 func (r *Router) sendBeats() {
-	mates := time.Duration(len(r.zoneMates()))
-	r.beatAt = r.now + r.beatPeriod()
-	r.tightAt = r.now + r.beatPeriod()/2
-	r.changeAt = r.now + max(changeGap, changePerHost*mates)
+	mates, period, perHost := time.Duration(len(r.zoneMates())), r.beatPeriod(), changePerHost
 	if r.sharing() {
-		r.changeAt = r.now + max(changeGap, joinPerHost*mates)
+		perHost = joinPerHost
 	}
+	r.beatAt, r.tightAt = r.now+period, r.now+period/2
+	r.changeAt = r.now + max(changeGap, perHost*mates)
 	r.changed = false
 	to := r.beatTargets()
 	if len(to) == 0 {
--- a/internal/router/beats_test.go
+++ b/internal/router/beats_test.go
@@ -9,15 +9,7 @@
 	"fireflyshift/internal/gossip/gossippb"
 )
 
-func beatsIn(list []Effect) int {
-	n := 0
-	for _, e := range list {
-		if _, ok := e.(SendBeat); ok {
-			n++
-		}
-	}
-	return n
-}
+func beatsIn(list []Effect) int { return len(effectsOf[SendBeat](list)) }
 
 // On a heavy day the hosts of a zone choose among the few engines that look free. With counts that
 // were told every 100 to 150 ms they all chose the same ones, and a quarter of the streams began
--- a/internal/router/grant.go
+++ b/internal/router/grant.go
@@ -148,10 +148,16 @@
 	return to
 }
 
+// reportOf is a report of a request by its backend server: requests and prompt tokens that came there, or
+// with a minus ended.
+func (q *request) reportOf(requests, unread int) *gossippb.Report {
+	return &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Requests: int32(requests), Unread: int32(unread)}
+}
+
 // reportTaken tells the owner of a request that was placed without asking it.
 func (r *Router) reportTaken(q *request) {
 	if to := r.reportTo(q); to != "" && q.owner == "" {
-		r.report(to, &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Requests: 1, Unread: int32(q.unread)})
+		r.report(to, q.reportOf(1, q.unread))
 	}
 }
 
@@ -161,7 +167,8 @@
 	if to == "" {
 		return
 	}
-	rep := &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Requests: -1, Unread: -int32(q.unread), Outcome: outcomeOf(e)}
+	rep := q.reportOf(-1, -q.unread)
+	rep.Outcome = outcomeOf(e)
 	if e.Outcome == Answered {
 		rep.IntervalUs, rep.Events = uint32(paceOf(q, e).Microseconds()), uint32(e.Events)
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/limit"
 )
@@ -14,6 +12,8 @@
 	// silentAfter is when a host's counts are no longer added: what it had in flight has most
 	// likely ended, and a dead host's connections are closed. Three times the beat and some loss.
 	silentAfter = 800 * time.Millisecond
+	// silentBeats is the same in periods of beats, where these are long.
+	silentBeats = 3.3
 	// forgetAfter is when a silent host no longer counts for shares of limits. A cut between zones
 	// looks like a death at first and lasts for seconds; a host that is only cut off still spends.
 	forgetAfter = 15 * time.Second
@@ -21,8 +21,6 @@
 	// taken for cut off when it is not any more: at once a second, a hundred requests were refused beside
 	// its idle engines.
 	greetEvery = 250 * time.Millisecond
-	// silentBeats is the same in periods of beats, where these are long.
-	silentBeats = 3.3
 	// youngFor is how long a host counts as just started: all that it says it has admitted is recent then.
 	youngFor = 4 * time.Second
 	// maxPriorityCount is the most that one byte of a load tells.
@@ -115,8 +113,7 @@
 	// differsSince is when its news first differed from this host's; zero while they agree.
 	differsSince time.Duration
 	silent       bool
-	// hash is the host's hash where duties are computed, bornAt its start on this host's clock.
-	hash   uint64
+	// bornAt is its start on this host's clock.
 	bornAt time.Duration
 }
 
@@ -155,8 +152,8 @@
 		known = false
 	}
 	if !known {
-		m = &member{host: b.Host, name: b.Host + "/" + itoa(b.Incarnation), zone: b.Zone, incarnation: b.Incarnation, replaced: replaced, spent: map[string]uint64{},
-			hash: xxhash.Sum64String(b.Host), bornAt: r.now - time.Duration(b.AgeMs)*time.Millisecond}
+		m = &member{host: b.Host, name: b.Host + "/" + itoa(b.Incarnation), zone: b.Zone, incarnation: b.Incarnation, replaced: replaced,
+			spent: map[string]uint64{}, bornAt: r.now - time.Duration(b.AgeMs)*time.Millisecond}
 		r.members.byHost[b.Host] = m
 		r.noteZone(b.Host, b.Zone)
 		r.members.order = append(r.members.order, b.Host)
@@ -185,7 +182,7 @@
 	r.takeDead(m, b.Dead)
 	r.takeSpeeds(b.Speeds)
 	r.takeSpent(m, b.Spent, returned)
-	r.takeZones(m, b.Zones)
+	r.takeZones(m.zone, b.Zones)
 	r.takeChanges(b.Changes)
 	r.compareNews(m, b)
 	for _, p := range b.Peers {
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -17,17 +17,6 @@
 		Backend: routing.Backend{ID: id, Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}}
 }
 
-// pulls are the questions for news among effects.
-func pulls(list []Effect) []Pull {
-	var out []Pull
-	for _, e := range list {
-		if p, ok := e.(Pull); ok {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 // A hundred hosts hear at once that a peer knows a newer configuration, and ask for it. With 1,000
 // backend servers each answer was a quarter of a megabyte, small hosts' links were full for seconds,
 // and requests went by the old configuration long after it should have been in force everywhere.
@@ -41,7 +30,7 @@
 	}
 	b.post(Heard{beat(1)})
 	b.now += pullAfter + time.Millisecond
-	asked := pulls(b.post(Heard{beat(2)}))
+	asked := effectsOf[Pull](b.post(Heard{beat(2)}))
 	require.Len(t, asked, 1)
 	require.Equal(t, Since{Revision: 50, Version: 1}, asked[0].Since)
 
@@ -115,15 +104,7 @@
 // all read the store at once.
 func TestReaderWatchesShorterOnceOthersRelyOnIt(t *testing.T) {
 	b := newBench(t, 0)
-	reads := func() []ReadStore {
-		var out []ReadStore
-		for _, e := range b.post(Tick{}) {
-			if rs, ok := e.(ReadStore); ok {
-				out = append(out, rs)
-			}
-		}
-		return out
-	}
+	reads := func() []ReadStore { return effectsOf[ReadStore](b.post(Tick{})) }
 	require.Equal(t, []ReadStore{{On: true}}, reads())
 	for i := 0; i <= fullMesh; i++ {
 		b.r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
@@ -174,7 +155,7 @@
 	}
 	b.post(Heard{beat(1)})
 	b.now += pullAfter + time.Millisecond
-	asked := pulls(b.post(Heard{beat(2)}))
+	asked := effectsOf[Pull](b.post(Heard{beat(2)}))
 	require.Len(t, asked, 1)
 	require.EqualValues(t, 50, asked[0].Revision)
 }
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/bits"
 	"time"
@@ -153,30 +154,28 @@
 func (r *Router) shardOwner(shard uint64, age time.Duration) string {
 	var owner string
 	var best uint64
-	consider := func(host string, hash uint64) {
-		if v := shardRank(hash, shard); owner == "" || v > best {
+	consider := func(host string) {
+		if v := shardRank(host, shard); owner == "" || v > best {
 			owner, best = host, v
 		}
 	}
 	if r.drain == nil && r.now >= age {
-		consider(r.opt.Host, r.selfHash)
+		consider(r.opt.Host)
 	}
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
 		if m.zone == r.opt.Zone && !m.silent && !m.leaving && r.now-m.bornAt >= age {
-			consider(h, m.hash)
+			consider(h)
 		}
 	}
 	return owner
 }
 
-// shardRank mixes a host's hash with a shard, so that each shard orders the hosts in its own way.
-func shardRank(host, shard uint64) uint64 {
+// shardRank mixes a host with a shard, so that each shard orders the hosts in its own way.
+func shardRank(host string, shard uint64) uint64 {
 	var key [16]byte
-	for i := range 8 {
-		key[i] = byte(host >> (8 * i))
-		key[8+i] = byte(shard >> (8 * i))
-	}
+	binary.LittleEndian.PutUint64(key[:8], xxhash.Sum64String(host))
+	binary.LittleEndian.PutUint64(key[8:], shard)
 	return xxhash.Sum64(key[:])
 }
 
@@ -213,11 +212,7 @@
 
 // takeOccupancy takes an owner's word of what its backend servers carry.
 func (r *Router) takeOccupancy(from string, o *gossippb.Occupancy) {
-	for _, l := range o.Loads {
-		if b, ok := r.byHash[l.Backend]; ok {
-			r.takeOwnersWord(b, loadOf(l))
-		}
-	}
+	r.takeOwnersWords(o.Loads)
 	for _, s := range o.Speeds {
 		if b, ok := r.byHash[s.Backend]; ok && r.ownerOf(b) == from {
 			b.takeSpeed(s)
@@ -225,6 +220,15 @@
 	}
 }
 
+// takeOwnersWords takes what an owner says of several backend servers.
+func (r *Router) takeOwnersWords(list []*gossippb.Load) {
+	for _, l := range list {
+		if b, ok := r.byHash[l.Backend]; ok {
+			r.takeOwnersWord(b, loadOf(l))
+		}
+	}
+}
+
 // takeOwnersWord replaces what is believed of others' requests at a backend server. This host's own ones
 // are in the owner's word too.
 func (r *Router) takeOwnersWord(b *backend, all load) {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -33,9 +33,18 @@
 func (r *Router) someOf(zone string, hosts []string, most int) []*gossippb.Peer {
 	slices.Sort(hosts)
 	var out []*gossippb.Peer
-	at := r.rng.IntN(max(1, len(hosts)))
-	for i := range min(len(hosts), most) {
-		out = append(out, &gossippb.Peer{Host: hosts[(at+i)%len(hosts)], Zone: zone})
+	for _, h := range r.drawn(hosts, most) {
+		out = append(out, &gossippb.Peer{Host: h, Zone: zone})
+	}
+	return out
+}
+
+// drawn are at most so many of a list, from a random one on.
+func (r *Router) drawn(list []string, most int) []string {
+	var out []string
+	at := r.rng.IntN(max(1, len(list)))
+	for i := range min(len(list), most) {
+		out = append(out, list[(at+i)%len(list)])
 	}
 	return out
 }
@@ -51,12 +60,7 @@
 	case r.zones.peersAt == 0:
 		return r.zoneMates()
 	}
-	out := make([]string, 0, namedPeers)
-	at := r.rng.IntN(len(all))
-	for i := range namedPeers {
-		out = append(out, all[(at+i)%len(all)])
-	}
-	return out
+	return r.drawn(all, namedPeers)
 }
 
 // knownPeers names the hosts of this zone that are heard, and some of the others.
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -164,14 +164,15 @@
 // place chooses a backend server anywhere by what this host believes.
 func (r *Router) place(q *request) (*backend, Grounds) {
 	c := r.placeIn(q, anywhere)
+	c.grounds.BeliefAge = r.oldestBelief()
 	return c.b, c.grounds
 }
 
 // placeIn chooses a backend server: filter, score, reserve. Where none has room, the grounds are those of
-// the least loaded one.
+// the least loaded one. The age of beliefs is left to who acts on the choice.
 func (r *Router) placeIn(q *request, where scope) choice {
 	s := r.searchFor(q, where)
-	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), InFlight: -1}
+	g := Grounds{Version: r.version(), InFlight: -1}
 	lists := &r.candidates
 	for c := range lists {
 		lists[c] = lists[c][:0]
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -37,6 +37,17 @@
 	return b
 }
 
+// effectsOf are those of one kind among effects.
+func effectsOf[E Effect](list []Effect) []E {
+	var out []E
+	for _, e := range list {
+		if of, ok := e.(E); ok {
+			out = append(out, of)
+		}
+	}
+	return out
+}
+
 func (b *bench) post(ev Event) []Effect {
 	out := b.r.Reduce(b.now, ev)
 	require.Empty(b.t, b.r.Violations())
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -36,17 +36,6 @@
 	return ok
 }
 
-// aborts are the requests whose calls are broken off.
-func aborts(list []Effect) []Abort {
-	var out []Abort
-	for _, e := range list {
-		if a, ok := e.(Abort); ok {
-			out = append(out, a)
-		}
-	}
-	return out
-}
-
 // An engine crashes behind a cut and starts again under the same ID. It was slow, failed, and had been
 // called replaced; its callers wait for answers that never come. The new start has done none of this: it
 // gets work at once, and what waits for the earlier one ends as broken without harm to the new one.
@@ -62,7 +51,7 @@
 	b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1,
 		Loads: []*gossippb.Load{{Backend: old.hash, InFlight: counts{3}.pack()}}}})
 
-	require.Equal(t, []Abort{{ID: first, Attempt: 1}}, aborts(b.tell(startOf(2000, 70))))
+	require.Equal(t, []Abort{{ID: first, Attempt: 1}}, effectsOf[Abort](b.tell(startOf(2000, 70))))
 	next := b.r.backends["e0"]
 	require.Zero(t, next.inFlight())
 	require.Zero(t, next.interval)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,8 +14,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"fireflyshift/internal/invariant"
 	"fireflyshift/internal/limit"
 	"fireflyshift/internal/routing"
@@ -60,8 +58,6 @@
 	byService map[string][]*backend
 	inZone    map[string][]*backend
 	owners    ownerState
-	// selfHash is this host's hash where duties are computed.
-	selfHash uint64
 	// asks are the questions to owners, the oldest first.
 	asks      []*ask
 	askNumber uint64
@@ -105,7 +101,6 @@
 		quotas:    map[string]*limit.Quota{},
 		toldSpent: map[string]uint64{},
 		owners:    newOwnerState(),
-		selfHash:  xxhash.Sum64String(opt.Host),
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
@@ -141,7 +136,7 @@
 	case Occupied:
 		r.takeOccupancy(e.From, e.Occupancy)
 	case Relayed:
-		r.takeRelay(e.Relay)
+		r.takeZones(r.opt.Zone, e.Relay.Zones)
 	case News:
 		r.takeNews(e)
 	case StoreContact:
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -51,7 +51,9 @@
 		r.serviceNamed(q.service).learnRead(read)
 	}
 	if to := r.reportTo(q); to != "" {
-		r.report(to, &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.bucket()), Unread: -int32(done), ReadNs: uint32(read.Nanoseconds())})
+		rep := q.reportOf(0, -done)
+		rep.ReadNs = uint32(read.Nanoseconds())
+		r.report(to, rep)
 	}
 }
 
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -57,10 +57,8 @@
 // beatsTo collects the hosts that beats go to.
 func beatsTo(list []Effect) []string {
 	var out []string
-	for _, e := range list {
-		if b, ok := e.(SendBeat); ok {
-			out = append(out, b.To...)
-		}
+	for _, b := range effectsOf[SendBeat](list) {
+		out = append(out, b.To...)
 	}
 	return out
 }
@@ -92,14 +90,7 @@
 // took callers before it knew how many others there are let through its part of a few, and the fleet more
 // than the operators' bound. It waits until it has heard the others.
 func TestStartInALargeFleetWaitsForTheOthers(t *testing.T) {
-	inForce := func(list []Effect) bool {
-		for _, e := range list {
-			if _, ok := e.(InForce); ok {
-				return true
-			}
-		}
-		return false
-	}
+	inForce := func(list []Effect) bool { return len(effectsOf[InForce](list)) > 0 }
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
 	for i := 0; i <= fullMesh; i++ {
 		r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -47,7 +47,7 @@
 	}
 	for _, b := range r.allBackends() {
 		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.state(r.now), r.ownerOf(b),
-			b.own.total(), b.inFlight() - b.own.total(), b.Slots, b.interval})
+			b.own.total(), b.believedOthers().total(), b.Slots, b.interval})
 	}
 	return v
 }
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -352,8 +352,8 @@
 func (z *zone) question(h *zoneHost) (*gossippb.Ask, string) {
 	for range 20 {
 		z.next++
-		for _, e := range h.r.Reduce(z.now, Submit{ID: z.next, Route: urgent, PromptTok: 1000, Deadline: z.now + 10*time.Second}) {
-			if s, ok := e.(Send); ok && s.Packet.Ask != nil {
+		for _, s := range effectsOf[Send](h.r.Reduce(z.now, Submit{ID: z.next, Route: urgent, PromptTok: 1000, Deadline: z.now + 10*time.Second})) {
+			if s.Packet.Ask != nil {
 				return s.Packet.Ask, s.To[0]
 			}
 		}
@@ -364,12 +364,9 @@
 
 // givesBack tells whether a place at a backend server is returned.
 func givesBack(list []Effect, backend uint32) bool {
-	for _, e := range list {
-		if s, ok := e.(Send); ok && s.Packet.Report != nil {
-			rep := s.Packet.Report
-			if rep.Backend == backend && rep.Requests == -1 && rep.Unread == -1000 {
-				return true
-			}
+	for _, rep := range reportsOf(list) {
+		if rep.Backend == backend && rep.Requests == -1 && rep.Unread == -1000 {
+			return true
 		}
 	}
 	return false
@@ -406,10 +403,8 @@
 	require.Equal(t, 1, b.inFlight())
 	require.Equal(t, 1000, b.others.unread)
 	pass := func(list []Effect) {
-		for _, e := range list {
-			if s, ok := e.(Send); ok && s.Packet.Report != nil {
-				z.byIP[owner].r.Reduce(z.now, Reported{asker.ip, s.Packet.Report})
-			}
+		for _, rep := range reportsOf(list) {
+			z.byIP[owner].r.Reduce(z.now, Reported{asker.ip, rep})
 		}
 	}
 	pass(asker.r.Reduce(z.now, Began{ID: z.next, First: 20 * time.Millisecond}))
@@ -423,14 +418,25 @@
 // offersOf are the answers among effects.
 func offersOf(list []Effect) []*gossippb.Offer {
 	var out []*gossippb.Offer
-	for _, e := range list {
-		if s, ok := e.(Send); ok && s.Packet.Offer != nil {
+	for _, s := range effectsOf[Send](list) {
+		if s.Packet.Offer != nil {
 			out = append(out, s.Packet.Offer)
 		}
 	}
 	return out
 }
 
+// reportsOf are the reports among effects.
+func reportsOf(list []Effect) []*gossippb.Report {
+	var out []*gossippb.Report
+	for _, s := range effectsOf[Send](list) {
+		if s.Packet.Report != nil {
+			out = append(out, s.Packet.Report)
+		}
+	}
+	return out
+}
+
 // An engine crashes. It looks idle, so that its owner offers it to every host of the zone, and each finds out
 // for itself. Two hosts that could not connect are believed; one may be cut off itself.
 func TestOwnerBelievesTwoThatCannotConnect(t *testing.T) {
@@ -466,10 +472,8 @@
 	ch.Draining = true
 	asker.r.Reduce(z.now, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 	out := asker.r.Reduce(z.now, Offered{owner, offers[0]})
-	for _, e := range out {
-		if d, ok := e.(Dispatch); ok {
-			require.NotEqual(t, offered.ID, d.Backend.ID)
-		}
+	for _, d := range effectsOf[Dispatch](out) {
+		require.NotEqual(t, offered.ID, d.Backend.ID)
 	}
 	require.True(t, givesBack(out, offered.hash))
 }
@@ -487,10 +491,8 @@
 		}
 	}
 	var beat *gossippb.Beat
-	for _, e := range mate.r.Reduce(z.now+sharedMost, Tick{}) {
-		if s, ok := e.(SendBeat); ok {
-			beat = s.Beat
-		}
+	for _, s := range effectsOf[SendBeat](mate.r.Reduce(z.now+sharedMost, Tick{})) {
+		beat = s.Beat
 	}
 	run := func(name string, f func(i int)) {
 		b.Run(name, func(b *testing.B) {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -102,25 +102,15 @@
 	return n
 }
 
-// zoneSize counts the hosts of this zone that are not forgotten, this one included.
-func (r *Router) zoneSize() int {
-	n := 1
-	for _, h := range r.members.order {
-		if r.members.byHost[h].zone == r.opt.Zone {
-			n++
-		}
-	}
-	return n
-}
-
 // heardShare is the part of the known hosts that is heard.
 func (r *Router) heardShare() float64 {
 	known, heard := r.census()
 	return float64(heard) / float64(known)
 }
 
-// census counts the hosts that are known and those that are heard, directly or in a zone's sum.
-func (r *Router) census() (known, heard int) {
+// directCensus counts the hosts that this one talks to directly, itself included: those that are not forgotten
+// and those that are heard. In a large fleet they are its zone's.
+func (r *Router) directCensus() (known, heard int) {
 	known, heard = 1, 1
 	for _, h := range r.members.order {
 		m := r.members.byHost[h]
@@ -132,6 +122,12 @@
 			heard++
 		}
 	}
+	return known, heard
+}
+
+// census counts the hosts that are known and those that are heard, directly or in a zone's sum.
+func (r *Router) census() (known, heard int) {
+	known, heard = r.directCensus()
 	if !r.relaying() {
 		return known, heard
 	}
@@ -176,12 +172,15 @@
 		return
 	}
 	r.zones.sumAt = r.now + sumEvery
+	var sum *gossippb.ZoneSum // the same for all zones
 	for _, zone := range r.otherZones() {
 		if !r.duty("speaks to "+zone, speakers) {
 			continue
 		}
-		to, sum := r.listeners(zone), r.ownZoneSum()
-		r.emitBeat(to, func(b *gossippb.Beat) {
+		if sum == nil {
+			sum = r.ownZoneSum()
+		}
+		r.emitBeat(r.listeners(zone), func(b *gossippb.Beat) {
 			b.Zones = []*gossippb.ZoneSum{sum}
 			b.Peers = r.introductions(zone)
 		})
@@ -193,9 +192,9 @@
 // backend servers, and nothing is told or counted twice: a sum with the loads at all zones took most of small
 // hosts' links at 300 hosts.
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
-	mates := r.zoneMates()
+	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(len(mates) + 1), Known: uint32(r.zoneSize()), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards())}
+		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards())}
 	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone || b.removed {
 			continue
@@ -232,24 +231,14 @@
 	}
 }
 
-// takeRelay takes sums that a zone mate passes on.
-func (r *Router) takeRelay(m *gossippb.Relay) {
-	for _, s := range m.Zones {
-		if s.Zone != r.opt.Zone {
-			r.noteZone(s.Speaker, s.Zone)
-			r.takeZoneSum(s, false)
-		}
-	}
-}
-
-// takeZones takes sums of other zones, from their speakers or from a zone mate that passes them on.
-func (r *Router) takeZones(from *member, sums []*gossippb.ZoneSum) {
+// takeZones takes sums of other zones from a host of a zone: their speaker, or a zone mate that passes them on.
+func (r *Router) takeZones(from string, sums []*gossippb.ZoneSum) {
 	for _, s := range sums {
 		if s.Zone == r.opt.Zone {
 			continue
 		}
 		r.noteZone(s.Speaker, s.Zone)
-		r.takeZoneSum(s, from.zone == s.Zone)
+		r.takeZoneSum(s, from == s.Zone)
 	}
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -132,7 +132,7 @@
 	{"router-own-servers", "8", "internal/router/zones.go", "if b.Zone != r.opt.Zone || b.removed {", "if b.removed {", routerTests},
 	{"router-own-in-word", "8", "internal/router/owners.go", "all.counts[p] = max(0, all.counts[p]-b.own.counts[p])", "all.counts[p] = max(0, all.counts[p])", routerTests},
 	{"owner-late-offer", "8", "internal/router/ask.go", "	if !ok || q.asking != a {\n\t\tr.giveBack(a, o)\n", "	if !ok || q.asking != a {\n", routerTests},
-	{"owner-own-check", "4", "internal/router/ask.go", "if b == nil || !r.mayUse(q, b) {", "if b == nil {", routerTests},
+	{"owner-own-check", "4", "internal/router/ask.go", "if o.Place == nil || b == nil || !r.mayUse(q, b) {", "if o.Place == nil || b == nil {", routerTests},
 	{"owner-patience", "8", "internal/router/ask.go", "if a.givenUp || r.now-a.at < askPatience {", "if true {", routerTests},
 	{"owner-mute", "8", "internal/router/ask.go", "if t.misses >= muteAfter {", "if false {", routerTests},
 	{"owner-hopeful", "8", "internal/router/ask.go", "if owner := r.hopefulOwner(q); owner != \"\" {", "if owner := \"\"; owner != \"\" {", routerTests},
