Tests: a woken host sends to a server that left while it slept; when a dispatch was granted and written is logged

Cause, shown by a run: a process that wakes up from a pause of four seconds ticks before it has read a socket. On its clock all other hosts have been silent for too long; it takes them for dead, computes that the group is its own, starts a group that awaits nobody's holdings, and grants itself places by a configuration of four seconds ago.

Seen: six pauses beside 60 callers on 16 slots: 24 requests begun by the leaving engine 13 to 50 ms after the bound.

Change: the stand-in engine notes when it began each request; the edge logs each write with the age of the grant, the lease that is left and the scheduler. Conclusion: not the microseconds between the check of the lease and the write, as was suspected.

--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -189,7 +189,8 @@
 	r.sent, r.phase, r.backend = true, dispatched, m.Backend
 	c.trace(r, "dispatched to %s", m.Backend)
 	c.wakeAt(r, r.deadline)
-	c.emit(Dispatch{r.ID, r.attempt, spec, min(until, r.deadline), r.resume})
+	c.emit(Dispatch{ID: r.ID, Attempt: r.attempt, Backend: spec, ValidUntil: min(until, r.deadline), Resume: r.resume,
+		Scheduler: from, At: c.now})
 }
 
 // returnGrant gives a slot back that will not be used.
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -148,6 +148,9 @@
 	Backend    record.Backend
 	ValidUntil time.Duration
 	Resume     bool
+	// Scheduler is the host whose grant this is, and At when it was taken, for logs.
+	Scheduler string
+	At        time.Duration
 }
 
 // Suspend asks the traffic side to export the stream of a request.
--- a/internal/edge/flight.go
+++ b/internal/edge/flight.go
@@ -75,11 +75,22 @@
 	}
 	ctx, span := s.tracing.Start(ctx, "host to backend server")
 	defer span.End()
-	ctx = wire.WithPermission(ctx, func() bool { return s.control.Now() <= d.ValidUntil })
+	ctx = wire.WithPermission(ctx, func() bool { return s.permitted(d) })
 	e := a.run(ctx, d)
 	e.ID, e.Attempt = d.ID, d.Attempt
 	ended <- e
 }
 
+// permitted looks at the lease as the first byte is about to be written, and logs the moments that tell a late
+// decision, a late write and a grant of too long a life apart; the line's own time is that of the write.
+func (s *Server) permitted(d core.Dispatch) bool {
+	now := s.control.Now()
+	ok := now <= d.ValidUntil
+	s.log.Info().Str("id", d.ID).Uint32("attempt", d.Attempt).Str("backend", d.Backend.Name).Str("scheduler", d.Scheduler).
+		Int64("granted_ago_ms", (now - d.At).Milliseconds()).Int64("lease_left_ms", (d.ValidUntil - now).Milliseconds()).
+		Bool("written", ok).Msg("Dispatch.")
+	return ok
+}
+
 // abort ends the connection so that the caller cannot take a short answer for a whole one.
 func abort() { panic(http.ErrAbortHandler) }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -7,6 +7,7 @@
 import (
 	"container/list"
 	"hash/fnv"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
@@ -68,6 +69,8 @@
 // Stats count what the engine did.
 type Stats struct {
 	Runs            map[string]int `json:"runs"` // by request id
+	// Begun is when each request was first begun, by request id.
+	Begun map[string]time.Time `json:"begun"`
 	PrefillComputed int64          `json:"prefill_computed"`
 	PrefillWasted   int64          `json:"prefill_wasted"`
 	TokensProduced  int64          `json:"tokens_produced"`
@@ -79,6 +82,8 @@
 	MaxRunning      int            `json:"max_running"`
 }
 
+func newStats() Stats { return Stats{Runs: map[string]int{}, Begun: map[string]time.Time{}} }
+
 // Mode is how the engine misbehaves.
 type Mode struct {
 	Slow     float64 `json:"slow"`      // factor on the step time; zero means 1
@@ -122,7 +127,7 @@
 
 // New starts an engine; Close ends it.
 func New(opt Options) *Engine {
-	e := &Engine{opt: opt, seqs: map[string]*sequence{}, stats: Stats{Runs: map[string]int{}}, cache: list.New(),
+	e := &Engine{opt: opt, seqs: map[string]*sequence{}, stats: newStats(), cache: list.New(),
 		cached: map[uint64]*list.Element{}, stop: make(chan struct{}), done: make(chan struct{}), kick: make(chan struct{}, 1)}
 	go e.loop()
 	return e
@@ -146,10 +151,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s := e.stats
-	s.Runs = make(map[string]int, len(e.stats.Runs))
-	for k, v := range e.stats.Runs {
-		s.Runs[k] = v
-	}
+	s.Runs, s.Begun = maps.Clone(e.stats.Runs), maps.Clone(e.stats.Begun)
 	s.Running, s.Waiting = len(e.batch), len(e.waiting)
 	return s
 }
@@ -158,7 +160,7 @@
 func (e *Engine) ResetStats() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stats = Stats{Runs: map[string]int{}}
+	e.stats = newStats()
 }
 
 func (e *Engine) loop() {
@@ -315,6 +317,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stats.Runs[id]++
+	if e.stats.Runs[id] == 1 {
+		e.stats.Begun[id] = time.Now()
+	}
 	if s, ok := e.seqs[id]; ok {
 		return s, false
 	}
--- /dev/null
+++ b/test/pause_test.go
@@ -0,0 +1,96 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/standin/fleet"
+)
+
+// pauses is how often a host is paused: a few times in CI, as often as FIREFLYSHIFT_PAUSES says by hand.
+func pauses() int {
+	if n, err := strconv.Atoi(os.Getenv("FIREFLYSHIFT_PAUSES")); err == nil {
+		return n
+	}
+	return 2
+}
+
+// Callers have requests waiting on a host when it is paused, and an operator takes an engine out meanwhile. The host
+// wakes up four seconds later. Its timer fired before it had read a socket: it took all others for dead, computed that the
+// group was its own, granted itself places on the engine that was leaving, and sent up to a window of requests there.
+// The log lines that showed it: "Dispatch." with backend=e1, scheduler= the woken host itself, granted_ago_ms=0 and
+// lease_left_ms=2000, after "The process was paused." and before "Configuration in force."; in each request's
+// trail "asked" of itself follows "asked" of the scheduler.
+func TestWokenHostSendsNothingToALeavingServer(t *testing.T) {
+	for _, role := range []string{"entry", "scheduler"} {
+		t.Run(role, func(t *testing.T) {
+			b := newBed(t, "a1", "a2", "a3")
+			b.addEngine("e1", "zone-a", fastEngine())
+			b.addEngine("e2", "zone-a", fastEngine())
+			b.start()
+			sleeper := b.scheduler("notes", "zone-a")
+			if role == "entry" {
+				sleeper = b.other("zone-a", sleeper)
+			}
+			awake := b.other("zone-a", sleeper)
+			l := startLoad(60, func(worker, i int) fleet.Answer {
+				return tiered("mid").Chat(ctx(t), b.callers([]string{awake, sleeper}[worker%2]), "notes", fmt.Sprint(worker, "-", i), 10, true)
+			})
+			rng := rand.New(rand.NewPCG(25, 1))
+			late := 0
+			for range pauses() {
+				late += b.pauseBesideLeaving(sleeper, time.Duration(rng.IntN(40_000))*time.Microsecond)
+			}
+			for _, a := range l.stop() {
+				require.True(t, a.OK() || a.Kind != "", "%+v", a)
+			}
+			b.requireOnce()
+			require.Zero(t, late, "requests begun by the leaving engine after the bound")
+		})
+	}
+}
+
+// pauseBesideLeaving pauses a host while e1 begins to leave, and counts what e1 begins after the bound.
+func (b *bed) pauseBesideLeaving(sleeper string, after time.Duration) int {
+	busy := func(engine string, more int) func() bool {
+		before := b.totalRuns(engine)
+		return func() bool { return b.totalRuns(engine) > before+more }
+	}
+	require.True(b.t, fleet.Until(patience, busy("e1", 20)))
+	time.Sleep(after)
+	b.hosts[sleeper].Signal(syscall.SIGSTOP)
+	b.platform.PublishRaw(fleet.Backend("e1", "notes", "zone-a", b.toServer["e1"].Listen, 8, "leaving"))
+	bound := time.Now().Add(leaveBound)
+	time.Sleep(time.Until(bound))
+	b.hosts[sleeper].Signal(syscall.SIGCONT)
+	require.True(b.t, fleet.Until(patience, busy("e2", 40)))
+	late := 0
+	for id, at := range b.engines["e1"].Stats().Begun {
+		if at.After(bound) {
+			late++
+			b.explainLate(sleeper, id, at, bound)
+		}
+	}
+	b.engines["e1"].ResetStats()
+	b.platform.PublishRaw(fleet.Backend("e1", "notes", "zone-a", b.toServer["e1"].Listen, 8, "active"))
+	return late
+}
+
+// explainLate shows what the sleeper says of a request that was begun too late.
+func (b *bed) explainLate(sleeper, id string, at, bound time.Time) {
+	_, trail, err := fleet.Get("http://" + b.specs[sleeper].Admin + "/explain/" + id)
+	b.t.Logf("%s began %s, %s after the bound (%v)\n%s", id, at.UTC().Format("15:04:05.000000"), at.Sub(bound), err, trail)
+	for _, line := range strings.Split(b.hosts[sleeper].Log.String(), "\n") {
+		if strings.Contains(line, id) || strings.Contains(line, "paused") || strings.Contains(line, "in force") {
+			b.t.Log(line)
+		}
+	}
+}
