A host that wakes up from a pause hears the news before it takes duties or grants itself places

Symptom: TestLeavingServerGetsNoNewWork, a leaving engine got a request from a host that had been paused and woke up.

Cause: the first tick after a pause finds all other hosts silent on this host's clock. It takes them for dead, computes that their groups are its own, starts them settled since nobody is left to await, and grants its waiting requests places by a configuration and a book of before the pause.

Change: a gap between two events is taken off the others' silence. After one of a second or more the host has no duties, says so in its heartbeats, asks for the host list, and takes duties again when all who lived before the pause have answered a word that it sent after waking (heartbeats echo the receiver's clock), with a configuration no newer than its own, or after a second. Grants whose sender had not heard from it since it woke are given back.

--- a/internal/core/config.go
+++ b/internal/core/config.go
@@ -46,6 +46,10 @@
 	if e.Current && c.conf.Revision() > 0 {
 		c.gossip.synced = true
 	}
+	if e.Current {
+		c.catch.records = false
+		c.tickCatchUp()
+	}
 }
 
 func (c *Core) platformFailed() {
@@ -157,4 +161,6 @@
 	}
 	c.view.SetList(entry)
 	c.refreshDuties()
+	c.catch.hosts = false
+	c.tickCatchUp()
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -1,7 +1,7 @@
 // Package core is the one reducer of a host: every event goes in, effects come out as data.
 // There is no I/O, clock, goroutine or unseeded choice inside, so any failure replays in a test.
-// One file is one concern: config, duty (membership and duties), entry (requests that this host
-// took), group (groups that this host schedules), claim (tickets).
+// One file is one concern: config, duty (membership and duties), catchup (what a process may do after a pause),
+// entry (requests that this host took), group (groups that this host schedules), claim (tickets).
 package core
 
 import (
@@ -51,6 +51,7 @@
 	duty    dutyState
 	gossip  gossipState
 	entry   entryState
+	catch   catchUpState
 	groups  map[GroupKey]*sched.Group
 	leaving map[string]bool // addresses of backend servers that the host list shows leaving
 	drain   bool
@@ -74,6 +75,7 @@
 // Reduce takes one event at a moment of the host's monotonic clock and returns the work to do.
 // A moment before an earlier one counts as that earlier one.
 func (c *Core) Reduce(now time.Duration, ev Event) []Effect {
+	c.noteGap(now)
 	c.now = max(c.now, now)
 	c.apply(ev)
 	c.deliverLocal()
@@ -119,6 +121,7 @@
 }
 
 func (c *Core) tick() {
+	c.tickCatchUp()
 	c.tickDuties()
 	c.tickGossip()
 	c.tickGroups()
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -270,20 +270,28 @@
 	c.gossip.beatAt = c.now
 	groups, held := c.ownSummaries(), c.heldUnder()
 	for _, h := range c.view.Zone() {
-		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
-			SentMs:         c.nowMS(),
-			Draining:       c.drain,
-			ConfigRevision: c.conf.Revision(),
-			ConfigDigest:   c.conf.Digest(),
-			Groups:         groups,
-			Synced:         c.gossip.synced,
-			ReadsPlatform:  c.gossip.everRead && c.now-c.gossip.readOK < platformAway,
-			Held:           c.heldBy(held, h.ID),
-		}}})
+		c.sendHeartbeat(h.ID, groups, c.heldBy(held, h.ID))
 	}
 	c.confirmHeld(c.opt.Self.ID, c.heldBy(held, c.opt.Self.ID))
 }
 
+func (c *Core) sendHeartbeat(to string, groups []*peerpb.ServiceSummary, held []*peerpb.HeldDigest) {
+	echo, incarnation := c.view.Echo(to)
+	c.send(to, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		SentMs:          c.nowMS(),
+		Draining:        c.drain,
+		ConfigRevision:  c.conf.Revision(),
+		ConfigDigest:    c.conf.Digest(),
+		Groups:          groups,
+		Synced:          c.gossip.synced,
+		ReadsPlatform:   c.gossip.everRead && c.now-c.gossip.readOK < platformAway,
+		Held:            held,
+		CatchingUp:      c.catch.catchingUp,
+		EchoMs:          echo,
+		EchoIncarnation: incarnation,
+	}}})
+}
+
 func (c *Core) ownSummaries() []*peerpb.ServiceSummary {
 	var out []*peerpb.ServiceSummary
 	for _, k := range c.groupKeys() {
@@ -297,7 +305,7 @@
 func (c *Core) heartbeat(from string, h *peerpb.Heartbeat) {
 	inc := c.view.Incarnation(from)
 	wasLive := c.view.Alive(c.now, from)
-	c.view.Heard(c.now, from, inc, h.SentMs, h.Draining)
+	c.view.Heard(c.now, from, inc, h.SentMs, h.Draining || h.CatchingUp)
 	for _, s := range h.Groups {
 		s.Scheduler = from
 		c.duty.summary[GroupKey{s.Service, s.Shard}] = groupRow{s, c.now}
@@ -311,4 +319,6 @@
 	c.confirmHeld(from, h.Held)
 	c.compareConfig(from, h.ConfigRevision, h.ConfigDigest)
 	c.syncedByPeer(h)
+	c.answerWoken(from, h)
+	c.hearAfterWaking(from, h)
 }
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -167,7 +167,8 @@
 // this is the one write-ahead point of the system.
 //
 // The checks guard against a grant that crossed the news of a server's leaving, or that waited out
-// a pause of this process: the host's own configuration and its own clock decide, not the sender's.
+// a pause of this process: the host's own configuration and its own clock decide, not the sender's. A grant whose
+// sender had no word of this host since it woke up is of before the pause, and so is what it knew of the server.
 func (c *Core) grant(from string, m *peerpb.Grant) {
 	r, ok := c.entry.byNumber[m.Request]
 	if !ok || r.phase != seeking || r.attempt != m.Attempt || r.target.scheduler != from {
@@ -176,8 +177,8 @@
 	}
 	spec, usable := c.usable(m.Backend)
 	until := time.Duration(m.EchoMs+uint64(m.LeaseMs)) * time.Millisecond
-	if !usable || m.EchoIncarnation != c.opt.Incarnation || c.now > until {
-		c.trace(r, "grant on %s came too late or for a leaving backend server", m.Backend)
+	if !usable || m.EchoIncarnation != c.opt.Incarnation || c.now > until || m.EchoMs < c.catch.wokeMS {
+		c.trace(r, "grant on %s came too late, was of before a pause or for a leaving backend server", m.Backend)
 		c.returnGrant(from, m)
 		c.pause(r)
 		return
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -171,6 +171,9 @@
 	After uint64
 }
 
+// ReadHosts asks for the host list to be read anew, whatever is known of it.
+type ReadHosts struct{}
+
 // WatchEngines names the engines that this host should hear.
 type WatchEngines struct{ Engines []WatchedEngine }
 
@@ -188,6 +191,7 @@
 func (Finish) effect()        {}
 func (ConfigChanged) effect() {}
 func (ReadPlatform) effect()  {}
+func (ReadHosts) effect()     {}
 func (WatchEngines) effect()  {}
 
 func (o Outcome) toPeer() peerpb.Outcome {
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -33,6 +33,7 @@
 type outlets struct {
 	send         func(member.Host, *peerpb.Message)
 	readPlatform func(on bool, after uint64)
+	readHosts    func()
 	watchEngines func([]core.WatchedEngine)
 	spans        *slotSpans
 }
@@ -171,6 +172,8 @@
 		c.log.Info().Uint64("revision", c.core.Config().Revision()).Msg("Configuration in force.")
 	case core.ReadPlatform:
 		c.out.readPlatform(e.On, e.After)
+	case core.ReadHosts:
+		c.out.readHosts()
 	case core.WatchEngines:
 		c.out.watchEngines(e.Engines)
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,9 +114,10 @@
 	client := confservice.NewClient(set.Platform.URL, set.Platform.WatchWait)
 	d.reader = &toggle{ctx: ctx, run: func(ctx context.Context, after uint64) { client.WatchRecords(ctx, after, ctl.Post) }}
 	d.engines = newEngineWatch(ctx, ctl.Post)
-	ctl.out = outlets{send: d.sender.Send, readPlatform: d.reader.set, watchEngines: d.engines.set, spans: newSlotSpans(tracing)}
+	hosts := &toggle{ctx: ctx, run: func(ctx context.Context, _ uint64) { client.WatchHosts(ctx, ctl.Post) }}
+	ctl.out = outlets{send: d.sender.Send, readPlatform: d.reader.set, readHosts: hosts.again, watchEngines: d.engines.set, spans: newSlotSpans(tracing)}
 	d.buildServers(incarnation, log)
-	go client.WatchHosts(ctx, ctl.Post)
+	hosts.set(true, 0)
 	return d, nil
 }
 
--- a/internal/daemon/watch.go
+++ b/internal/daemon/watch.go
@@ -43,6 +43,12 @@
 	}
 }
 
+// again ends the watch and begins it anew, with a read that does not wait.
+func (t *toggle) again() {
+	t.set(false, 0)
+	t.set(true, 0)
+}
+
 // engineWatch hears the load and the cache events of the engines that this host schedules.
 type engineWatch struct {
 	ctx    context.Context
--- a/internal/edge/flight.go
+++ b/internal/edge/flight.go
@@ -87,7 +87,7 @@
 	now := s.control.Now()
 	ok := now <= d.ValidUntil
 	s.log.Info().Str("id", d.ID).Uint32("attempt", d.Attempt).Str("backend", d.Backend.Name).Str("scheduler", d.Scheduler).
-		Int64("granted_ago_ms", (now - d.At).Milliseconds()).Int64("lease_left_ms", (d.ValidUntil - now).Milliseconds()).
+		Int64("granted_ago_ms", (now-d.At).Milliseconds()).Int64("lease_left_ms", (d.ValidUntil-now).Milliseconds()).
 		Bool("written", ok).Msg("Dispatch.")
 	return ok
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -52,10 +52,12 @@
 type View struct {
 	self     Host
 	draining bool
-	peers    map[string]*peer
-	version  uint64
-	listed   int
-	zoneSize int
+	// catchingUp keeps duties away from this host while what it knows may be of before a pause.
+	catchingUp bool
+	peers      map[string]*peer
+	version    uint64
+	listed     int
+	zoneSize   int
 }
 
 // NewView returns a view that knows only the host itself.
@@ -166,6 +168,27 @@
 	return inc
 }
 
+// SetCatchingUp tells whether this host has woken up from a pause and has not heard the news yet.
+func (v *View) SetCatchingUp(on bool) {
+	v.catchingUp = on
+	v.version++
+}
+
+// Slept takes a pause of this process off the silence of the others: nothing could be heard in it, so that it
+// says nothing of who lives.
+func (v *View) Slept(pause time.Duration) {
+	for _, p := range v.peers {
+		p.heardAt += pause
+		p.seenAt += pause
+		if p.links == 0 {
+			p.unlinkedAt += pause
+		}
+	}
+}
+
+// takesDuties tells whether this host itself counts for duties.
+func (v *View) takesDuties() bool { return !v.draining && !v.catchingUp }
+
 // SetDraining marks this host itself as leaving.
 func (v *View) SetDraining() {
 	v.draining = true
@@ -184,7 +207,7 @@
 // Alive tells whether a host answers heartbeats and takes duties.
 func (v *View) Alive(now time.Duration, id string) bool {
 	if id == v.self.ID {
-		return !v.draining
+		return v.takesDuties()
 	}
 	p, ok := v.peers[id]
 	return ok && v.alive(now, p)
@@ -246,10 +269,10 @@
 	return out
 }
 
-// Live lists the ids of the live hosts of this zone, this one included unless it drains, by id.
+// Live lists the ids of the hosts of this zone that take duties, by id.
 func (v *View) Live(now time.Duration) []string {
 	var out []string
-	if !v.draining {
+	if v.takesDuties() {
 		out = append(out, v.self.ID)
 	}
 	for id, p := range v.peers {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -68,18 +68,18 @@
 
 // Stats count what the engine did.
 type Stats struct {
-	Runs            map[string]int `json:"runs"` // by request id
+	Runs map[string]int `json:"runs"` // by request id
 	// Begun is when each request was first begun, by request id.
-	Begun map[string]time.Time `json:"begun"`
-	PrefillComputed int64          `json:"prefill_computed"`
-	PrefillWasted   int64          `json:"prefill_wasted"`
-	TokensProduced  int64          `json:"tokens_produced"`
-	TokensWasted    int64          `json:"tokens_wasted"`
-	Suspended       int            `json:"suspended"`
-	Imported        int            `json:"imported"`
-	Running         int            `json:"running"`
-	Waiting         int            `json:"waiting"`
-	MaxRunning      int            `json:"max_running"`
+	Begun           map[string]time.Time `json:"begun"`
+	PrefillComputed int64                `json:"prefill_computed"`
+	PrefillWasted   int64                `json:"prefill_wasted"`
+	TokensProduced  int64                `json:"tokens_produced"`
+	TokensWasted    int64                `json:"tokens_wasted"`
+	Suspended       int                  `json:"suspended"`
+	Imported        int                  `json:"imported"`
+	Running         int                  `json:"running"`
+	Waiting         int                  `json:"waiting"`
+	MaxRunning      int                  `json:"max_running"`
 }
 
 func newStats() Stats { return Stats{Runs: map[string]int{}, Begun: map[string]time.Time{}} }
