Quotas hold while hosts or zones are apart for longer than a quarter of a minute

Cause: silent hosts were forgotten after 15 s, so that each side divided the quota among its own hosts only.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -23,9 +23,10 @@
 	// restartLevel is how full a bucket is at first: all hosts may have restarted at once, and have
 	// then forgotten what they admitted just before.
 	restartLevel = 0.5
-	// cutExtra is added to the part that is heard, out of the allowance: the callers of a zone that
-	// is cut off ask a little more or less than its even share.
-	cutExtra = 0.05
+	// cutExtra is the part by which each side of a cut may go beyond its even share, out of the allowance: the callers
+	// of a zone that is cut off ask a little more or less than that. It is a part of the share and not of the quota,
+	// so that all sides together go beyond the quota by no more than this, however many they are.
+	cutExtra = 0.1
 	// skew is how many times its even part of a quota one host may use: the balancer spreads callers
 	// by a hash, and workspaces unevenly. It bounds what all hosts together admit within a beat's
 	// age when a workspace suddenly asks for many times its quota.
@@ -113,9 +114,11 @@
 // others, cut off or just gone, are taken to use their even share of the rate meanwhile.
 func (q *Quota) refill(now time.Duration, heardShare float64) {
 	if now > q.at {
-		heardShare = min(1, heardShare+cutExtra)
+		heardShare = min(1, heardShare*(1+cutExtra))
 		whole := q.refillRate() * (now - q.at).Seconds()
-		q.level = min(q.burst, q.level+whole*heardShare)
+		// What the bucket holds belongs to the silent parties too: twelve hosts that were each cut off from all
+		// others let twelve full buckets through.
+		q.level = min(q.burst*heardShare, q.level+whole*heardShare)
 		// What is kept back is for parties that may never be heard again.
 		q.withheld = min(q.rate*withheldMost.Seconds(), q.withheld+whole*(1-heardShare))
 		q.at = now
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -151,3 +151,27 @@
 	require.Less(t, f.worst(), 1.0)
 	require.Positive(t, share)
 }
+
+// The zones of a fleet are cut off from each other for longer than a quarter of a minute, as regions are for an hour
+// now and then, and a workspace asks all of them for six times its quota. After fifteen seconds each zone had forgotten
+// the others, divided the quota among its own hosts only and let a whole quota through: six times the bound together.
+func TestQuotaHoldsWhileZonesAreApartForLong(t *testing.T) {
+	f := newHotWorkspace(t, 16)
+	zoneOf := map[string]string{}
+	for _, h := range f.hosts {
+		zoneOf[h.ip] = h.zone
+	}
+	f.lost = func(from, to string, _ *gossippb.Packet) bool { return zoneOf[from] != zoneOf[to] }
+	f.run(20*time.Second, 0)
+	f.ask(func(time.Duration) {})
+	require.Less(t, f.worst(), 1.0)
+}
+
+// The same with a small fleet each of whose hosts is cut off from all others: with 9 hosts, nine whole quotas.
+func TestQuotaHoldsWhileHostsAreAloneForLong(t *testing.T) {
+	f := newHotWorkspace(t, 2)
+	f.lost = func(string, string, *gossippb.Packet) bool { return true }
+	f.run(20*time.Second, 0)
+	f.ask(func(time.Duration) {})
+	require.Less(t, f.worst(), 1.0)
+}
