--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -190,8 +190,7 @@
 
 // dispatch sends the request once and carries the answer.
 func (f *flight) dispatch(d router.Dispatch) router.Ended {
-	now := f.g.control.Now()
-	if now > d.At+permissionFor || now >= f.beganAt+f.allowed {
+	if !f.permitted(d) {
 		return router.Ended{Outcome: router.NotSent}
 	}
 	ctx, cancel := context.WithCancel(f.r.Context())
@@ -206,6 +205,12 @@
 	return f.carry(resp, sentAt)
 }
 
+// permitted tells whether the decision still holds and the caller still has time.
+func (f *flight) permitted(d router.Dispatch) bool {
+	now := f.g.control.Now()
+	return now <= d.At+permissionFor && now < f.beganAt+f.allowed
+}
+
 const (
 	// Callers leave a silent stream after the longest of patienceLeast, patienceTargets times its
 	// objective and patienceGaps times its longest pause. A move has to come well before that:
@@ -266,6 +271,7 @@
 		req.Rest, req.Length = f.rest, f.r.ContentLength
 	}
 	req.Keep = d.Keep
+	req.Permitted = func() bool { return f.permitted(d) }
 	req.Stall, _ = f.stall()
 	req.Stalled = f.stalled
 	return req
@@ -278,6 +284,9 @@
 		return router.Ended{Outcome: router.Canceled}
 	case !sent && !time.Now().Before(f.deadline):
 		return router.Ended{Outcome: router.NotSent}
+	case errors.Is(err, upstream.ErrNotPermitted):
+		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Msg("Decision too old to send on.")
+		return router.Ended{Outcome: router.NotSent} // says nothing of the backend server
 	case !sent:
 		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Err(err).Msg("Not sent.")
 		return router.Ended{Outcome: router.NotSent, Fault: true}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -22,6 +23,8 @@
 	Body   []byte
 	Rest   io.Reader
 	Length int64
+	// Permitted, if set, is asked right before the first byte is written, after a connection was found or made.
+	Permitted func() bool
 	// Own tells whether an answer belongs to this call, by its headers.
 	Own func(h http.Header) bool
 	// Deadline ends the call.
@@ -65,6 +68,9 @@
 	closed bool
 }
 
+// ErrNotPermitted tells that the permission for a call had ended before its first byte was written.
+var ErrNotPermitted = errors.New("the permission to send has ended")
+
 // Do writes a request once and reads the head of its answer. sent tells whether bytes of it may
 // have reached the server. When ctx ends the connection is closed, which stops the work.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (resp *Response, sent bool, err error) {
@@ -77,6 +83,12 @@
 		_ = c.Close()
 		return nil, false, trace.Wrap(context.Cause(ctx), "the request ended before it was sent")
 	}
+	// A process that was paused after its decision, or waited long for a connection, would send on beliefs that
+	// others have given up since: it shows as a request at a backend server that was told to leave before.
+	if req.Permitted != nil && !req.Permitted() {
+		p.giveBack(addr, c, req.Keep)
+		return nil, false, ErrNotPermitted
+	}
 	x := &call{pool: p, addr: addr, conn: c, keep: req.Keep}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(req.Deadline)
--- /dev/null
+++ b/internal/upstream/call_test.go
@@ -0,0 +1,44 @@
+package upstream
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A host decides to send, looks at the clock, and is paused for seconds before it writes, or waits for a connection
+// meanwhile. The server was told to leave in between and got a request all the same. The permission is asked for as
+// the first byte is about to be written; where it has ended, nothing is, and the connection is kept.
+func TestEndedPermissionWritesNothing(t *testing.T) {
+	var calls atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
+	defer srv.Close()
+	dialed := 0
+	pool := NewPool(func() { dialed++ })
+	addr := srv.Listener.Addr().String()
+	call := func(permitted bool) (sent bool, err error) {
+		resp, sent, err := pool.Do(context.Background(), addr, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
+			Deadline: time.Now().Add(time.Minute), Keep: 1, Own: func(http.Header) bool { return true },
+			Permitted: func() bool { return permitted }})
+		if err == nil {
+			resp.Close()
+		}
+		return sent, err
+	}
+	for range 2 {
+		sent, err := call(false)
+		require.ErrorIs(t, err, ErrNotPermitted)
+		require.False(t, sent)
+	}
+	require.Zero(t, calls.Load())
+	sent, err := call(true)
+	require.NoError(t, err)
+	require.True(t, sent)
+	require.EqualValues(t, 1, calls.Load())
+	require.Equal(t, 1, dialed)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -48,6 +48,15 @@
 	return c
 }
 
+// giveBack keeps a connection that was not used, for no longer than it would have been kept.
+func (p *Pool) giveBack(addr string, c *conn, most int) {
+	keep := idleDefault
+	if !c.until.IsZero() {
+		keep = time.Until(c.until)
+	}
+	p.put(addr, c, keep, most)
+}
+
 // put keeps a connection for a time, unless most are kept already.
 func (p *Pool) put(addr string, c *conn, keep time.Duration, most int) {
 	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
