Randomised worlds: a pause excuses nothing that a host does once it is awake

The check that a leaving backend server gets nothing after four seconds was off while any host was paused and for as long after.

--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -61,6 +61,9 @@
 	faulty := func(f func(*rapid.T)) func(*rapid.T) {
 		return func(rt *rapid.T) { w.faults++; w.quietAt = w.now; f(rt) }
 	}
+	deaf := func(f func(*rapid.T)) func(*rapid.T) {
+		return faulty(func(rt *rapid.T) { w.hearAt = w.now; f(rt) })
+	}
 	return map[string]func(*rapid.T){
 		"wait": func(rt *rapid.T) {
 			w.advance(time.Duration(rapid.IntRange(1, 80).Draw(rt, "ticks")) * 10 * time.Millisecond)
@@ -96,7 +99,7 @@
 			}
 			w.submit(host(rt), rapid.SampledFrom(ticketed).Draw(rt, "op"), plainService, 2, true)
 		},
-		"kill and replace": faulty(func(rt *rapid.T) {
+		"kill and replace": deaf(func(rt *rapid.T) {
 			h := host(rt)
 			w.kill(h)
 			if rapid.Bool().Draw(rt, "at once") {
@@ -115,24 +118,24 @@
 		},
 		"pause": faulty(func(rt *rapid.T) { host(rt).paused = true }),
 		"wake":  func(rt *rapid.T) { w.wake(host(rt)) },
-		"cut zones": faulty(func(*rapid.T) {
+		"cut zones": deaf(func(*rapid.T) {
 			w.cut[[2]string{"za", "zb"}], w.cut[[2]string{"zb", "za"}] = true, true
 		}),
-		"cut one way": faulty(func(rt *rapid.T) {
+		"cut one way": deaf(func(rt *rapid.T) {
 			if zone(rt) == "za" {
 				w.cut[[2]string{"za", "zb"}] = true
 			} else {
 				w.cut[[2]string{"zb", "za"}] = true
 			}
 		}),
-		"cut inside": faulty(func(rt *rapid.T) { z := zone(rt); w.cut[[2]string{z, z}] = true }),
+		"cut inside": deaf(func(rt *rapid.T) { z := zone(rt); w.cut[[2]string{z, z}] = true }),
 		"heal cuts":  func(*rapid.T) { w.cut = map[[2]string]bool{} },
-		"platform down": faulty(func(rt *rapid.T) {
+		"platform down": deaf(func(rt *rapid.T) {
 			for _, id := range some(rt) {
 				w.platform.down[id] = true
 			}
 		}),
-		"zone cut from platform": faulty(func(rt *rapid.T) {
+		"zone cut from platform": deaf(func(rt *rapid.T) {
 			z := zone(rt)
 			for _, id := range w.ids {
 				if w.hosts[id].zone == z {
@@ -140,7 +143,7 @@
 				}
 			}
 		}),
-		"platform stale": faulty(func(rt *rapid.T) {
+		"platform stale": deaf(func(rt *rapid.T) {
 			behind := rapid.IntRange(0, 5).Draw(rt, "behind")
 			for _, id := range some(rt) {
 				w.platform.stale[id] = len(w.platform.log) - behind
@@ -149,8 +152,8 @@
 		"platform back": func(*rapid.T) {
 			w.platform.down, w.platform.stale = map[string]bool{}, map[string]int{}
 		},
-		"server refuses": faulty(func(rt *rapid.T) { b := backend(rt); b.down = !b.down }),
-		"answers lost":   faulty(func(rt *rapid.T) { b := backend(rt); b.lose = !b.lose }),
+		"server refuses": deaf(func(rt *rapid.T) { b := backend(rt); b.down = !b.down }),
+		"answers lost":   deaf(func(rt *rapid.T) { b := backend(rt); b.lose = !b.lose }),
 		"leave":          func(rt *rapid.T) { w.publishBackend(backend(rt).name, true) },
 		"return":         func(rt *rapid.T) { w.publishBackend(backend(rt).name, false) },
 		"delete and publish tier": func(rt *rapid.T) {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -32,6 +32,7 @@
 	ops      []*operation
 	seq      int
 	quietAt  time.Duration // latest moment at which a fault was active
+	hearAt   time.Duration // the same without pauses, which excuse nothing that a host does once it is awake
 	newsAt   time.Duration // latest moment at which news could not get everywhere
 	history  []published
 	steps    int
@@ -298,7 +299,7 @@
 		w.feed(h, core.Ended{ID: d.ID, Attempt: d.Attempt, Outcome: core.NotSent})
 		return
 	}
-	since := max(b.leavingAt, w.quietAt)
+	since := max(b.leavingAt, w.hearAt)
 	if b.leaving && w.now > since+leaveBound {
 		w.fail("backend server %s got work %s after it began to leave", b.name, w.now-b.leavingAt)
 	}
@@ -377,6 +378,9 @@
 		if w.disturbed() {
 			w.quietAt = w.now
 		}
+		if w.unheard() {
+			w.hearAt = w.now
+		}
 		if w.newsBlocked() {
 			w.newsAt = w.now
 		}
@@ -425,11 +429,21 @@
 }
 
 func (w *world) disturbed() bool {
+	for _, h := range w.hosts {
+		if h.paused {
+			return true
+		}
+	}
+	return w.unheard()
+}
+
+// unheard tells that news may not get everywhere, though all hosts that are there are awake.
+func (w *world) unheard() bool {
 	if len(w.cut) > 0 || len(w.platform.down) > 0 || len(w.platform.stale) > 0 {
 		return true
 	}
 	for _, h := range w.hosts {
-		if h.paused || !h.alive {
+		if !h.alive {
 			return true
 		}
 	}
@@ -584,12 +598,16 @@
 	}
 }
 
-// wake lets a paused process go on: first the effects it had not carried out, then what waited.
+// wake lets a paused process go on: its timer may fire before anything else; then come the effects that it had not
+// carried out, then what waited.
 func (w *world) wake(h *fakeHost) {
 	if !h.paused {
 		return
 	}
 	h.paused = false
+	if w.rng.IntN(2) == 0 {
+		w.feed(h, core.Tick{})
+	}
 	late := h.late
 	h.late = nil
 	for _, f := range late {
