Woken hosts: reducer tests that each guard needs; the own path's clock counts suspended time

The same fault elsewhere: the own path counted by the steady clock, which stands still while a machine is suspended, so that neither leases nor pauses showed after it. It counts by the boot-time clock now, as the platform's path does; not shown by a run, since a test cannot suspend its machine.

--- a/internal/core/catchup_test.go
+++ b/internal/core/catchup_test.go
@@ -1,12 +1,16 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"fireflyshift/internal/core"
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/record"
 )
 
 // A process is paused for four seconds with a request waiting at the scheduler, another host. Meanwhile an operator
@@ -19,3 +23,118 @@
 	l.now += 4 * time.Second
 	require.Empty(t, dispatches(l.feed(core.Tick{})), "it has heard nothing since it woke")
 }
+
+// wokenScheduler is a host that schedules the group of "mine" itself, settled, and has then been paused for four seconds.
+func wokenScheduler(t *testing.T) *lone {
+	l := newLone(t, record.Raw{Kind: record.KindService, Name: mine, Schema: 1, Revision: 3, Body: []byte(`{"kind":"plain"}`)},
+		record.Raw{Kind: record.KindBackend, Name: "m0", Schema: 1, Revision: 4,
+			Body: []byte(fmt.Sprintf(`{"service":%q,"zone":"z","addr":"10.0.0.2:80","slots":4,"state":"active"}`, mine))})
+	for range 10 {
+		l.now += 100 * time.Millisecond
+		l.beat()
+		l.feed(core.Tick{})
+	}
+	require.Len(t, dispatches(l.ask("before")), 1)
+	l.now += 4 * time.Second
+	return l
+}
+
+// mine is a service whose group this host schedules while it and the peer live.
+var mine = func() string {
+	for i := 0; ; i++ {
+		name := fmt.Sprint("m", i)
+		if member.Owner("sched/"+name+"/0", []string{"peer", "self"}) == "self" {
+			return name
+		}
+	}
+}()
+
+func (l *lone) ask(id string) []core.Effect {
+	return l.feed(core.Submit{ID: id, Workspace: "w", Service: mine, Priority: 1, Deadline: time.Minute, OutputTokens: 1})
+}
+
+// answer is a heartbeat of the peer that had heard this host's word of a moment of its clock.
+func (l *lone) answer(heard time.Duration, revision uint64, catchingUp bool) {
+	l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{SentMs: uint64(l.now / time.Millisecond),
+		ConfigRevision: revision, CatchingUp: catchingUp, EchoMs: uint64(heard / time.Millisecond), EchoIncarnation: selfIncarnation}}})
+}
+
+// served lets half a second pass in ticks and tells whether a request is dispatched in it.
+func (l *lone) served(id string) bool {
+	out := dispatches(l.ask(id))
+	for range 5 {
+		l.now += 100 * time.Millisecond
+		out = append(out, dispatches(l.feed(core.Tick{}))...)
+	}
+	return len(out) > 0
+}
+
+// A scheduler is paused, others take its groups, and an operator takes a server out. It wakes up and a caller's request
+// comes before any message. By its book the server has room: it granted itself a place there.
+func TestWokenSchedulerGrantsNothingBeforeTheNews(t *testing.T) {
+	l := wokenScheduler(t)
+	require.False(t, l.served("after"))
+}
+
+// What proves that the news is in: a word of each host that lived before the pause, sent after it had heard this one's first
+// word after waking, with a configuration that this host has; and the host list. A heartbeat that waited in a socket
+// through the pause, one of a host that has itself just woken, and one that tells of newer records prove nothing.
+func TestWhatProvesThatTheNewsIsIn(t *testing.T) {
+	hosts := core.HostList{Hosts: []core.ListedHost{{Host: member.Host{ID: "peer", Zone: "z", Addr: "p"}}}}
+	for _, c := range []struct {
+		name       string
+		behind     time.Duration // how long before waking the peer had last heard this host
+		revision   uint64
+		catchingUp bool
+		list       bool
+		served     bool
+	}{
+		{"of before the pause", time.Second, 4, false, true, false},
+		{"the peer has just woken too", 0, 4, true, true, false},
+		{"the peer has newer records", 0, 9, false, true, false},
+		{"no host list", 0, 4, false, false, false},
+		{"in", 0, 4, false, true, true},
+	} {
+		l := wokenScheduler(t)
+		woke := l.now
+		l.feed(core.Tick{})
+		if c.list {
+			l.feed(hosts)
+		}
+		l.answer(woke-c.behind, c.revision, c.catchingUp)
+		require.Equal(t, c.served, l.served("after"), c.name)
+	}
+}
+
+// A host that nobody answers after a pause is cut off, or alone: after a second it serves what it can.
+func TestWokenHostThatNobodyAnswersGoesOn(t *testing.T) {
+	l := wokenScheduler(t)
+	require.False(t, l.served("after"))
+	l.now += 500 * time.Millisecond
+	l.feed(core.Tick{})
+	require.True(t, l.served("later"))
+}
+
+// A scheduler granted a place, the host that waits for it is paused for a second and a half, and finds the grant in
+// its socket with half a second of the lease left. The scheduler knew nothing newer than the host did before its pause.
+func TestGrantOfBeforeAPauseIsNotUsed(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	echo := l.now
+	l.now += 1500 * time.Millisecond
+	require.Empty(t, dispatches(l.grant(a, "b0", echo, selfIncarnation)))
+}
+
+// A grant is held up on the way for three seconds while both hosts run. The scheduler counts its lease as ended and
+// may have given the slot away: this host's own clock has to say so, with no pause of its own in between.
+func TestGrantThatWasLateOnItsWayIsNotUsed(t *testing.T) {
+	l := newLone(t)
+	a := l.submit("r")
+	echo := l.now
+	for range 30 {
+		l.now += 100 * time.Millisecond
+		l.beat()
+		l.feed(core.Tick{})
+	}
+	require.Empty(t, dispatches(l.grant(a, "b0", echo, selfIncarnation)))
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// Reduce takes one event at a moment of the host's monotonic clock and returns the work to do.
+// Reduce takes one event at a moment of the host's clock, which counts suspended time too, and returns the work to do.
 // A moment before an earlier one counts as that earlier one.
 func (c *Core) Reduce(now time.Duration, ev Event) []Effect {
 	c.noteGap(now)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -14,6 +14,7 @@
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer/peerpb"
 	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/timing"
 )
 
 const (
@@ -42,7 +43,7 @@
 type control struct {
 	core    *core.Core
 	queue   chan envelope
-	started time.Time
+	clock   *timing.BootClock
 	config  atomic.Pointer[confstate.Snapshot]
 	ready   atomic.Bool
 	leaving atomic.Bool // shutting down, before the reducer knows
@@ -55,14 +56,15 @@
 }
 
 func newControl(c *core.Core, m telemetry.Metrics, log zerolog.Logger) *control {
-	ctl := &control{core: c, queue: make(chan envelope, eventQueue), started: time.Now(),
+	ctl := &control{core: c, queue: make(chan envelope, eventQueue), clock: timing.NewBootClock(),
 		callers: map[string]chan<- core.Effect{}, metrics: m, log: log, done: make(chan struct{})}
 	ctl.config.Store(c.Config().Snapshot())
 	return ctl
 }
 
-// Now is the monotonic clock of this host: time since the start of the process.
-func (c *control) Now() time.Duration { return time.Since(c.started) }
+// Now is the time since the start of the process, the time that the machine was suspended included: leases end and
+// pauses show by it.
+func (c *control) Now() time.Duration { return c.clock.Now() }
 
 // Config is the configuration in force.
 func (c *control) Config() *confstate.Snapshot { return c.config.Load() }
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -25,7 +25,7 @@
 	// Submit passes a request on; its effects come on the channel, which must not be left unread.
 	Submit(core.Submit, chan<- core.Effect)
 	Post(core.Event)
-	// Now is the host's monotonic clock.
+	// Now is the host's clock, which counts suspended time too.
 	Now() time.Duration
 	// Config is the configuration in force.
 	Config() *confstate.Snapshot
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,6 +12,7 @@
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/telemetry"
+	"fireflyshift/internal/timing"
 )
 
 const (
@@ -33,7 +34,7 @@
 // control is the one thread that owns the reducer.
 type control struct {
 	router  *router.Router
-	clock   *bootClock
+	clock   *timing.BootClock
 	out     outlets
 	log     zerolog.Logger
 	metrics telemetry.Metrics
@@ -61,7 +62,7 @@
 }
 
 func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
-	return &control{router: r, clock: newBootClock(), log: log, metrics: m,
+	return &control{router: r, clock: timing.NewBootClock(), log: log, metrics: m,
 		queue: make(chan any, queueLength), callers: map[uint64]gateway.Caller{}, configured: make(chan struct{})}
 }
 
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -12,7 +12,7 @@
 	"time"
 )
 
-// TTL is how long a ticket can be claimed, on its home's monotonic clock.
+// TTL is how long a ticket can be claimed, on its home's clock.
 const TTL = 10 * time.Minute
 
 // maxClaims bounds a home's memory: at 33 requests a second for TTL there are 20,000.
