Own path: logging never makes a request wait, and its volume is bounded

Since each write to a backend server logs a line, the own path's log had to be bounded as the platform's is: one logger for both, lines dropped and counted where the reader is slow, information lines sampled beyond 400 a second.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -59,9 +59,10 @@
 		fmt.Printf("%s: settings are good\n", opt.Settings)
 		return
 	}
-	log := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON)
+	metrics := telemetry.NewMetrics()
+	log, flush := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON, metrics)
 	ctx, hard := signals()
-	stopped(log, daemon.Run(ctx, hard, set, log))
+	stopped(log, flush, daemon.Run(ctx, hard, set, log, metrics))
 }
 
 func runPlatform(opt options) {
@@ -76,17 +77,11 @@
 	}
 	node.Tune(set)
 	metrics := telemetry.NewMetrics()
-	log, flush := telemetry.NewBoundedLogger(os.Stdout, metrics)
+	log, flush := telemetry.NewLogger(os.Stdout, "info", true, metrics)
 	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.For(log, "store"))
 	err = node.Run(ctx, set, node.Parts{Store: store, Wire: platform.Wire{}, Reload: reload,
 		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log, metrics)
-	if err != nil {
-		log.Error().Err(err).Msg("Stopped with an error.")
-	}
-	flush() // after the last line
-	if err != nil {
-		os.Exit(exitFailed)
-	}
+	stopped(log, flush, err)
 }
 
 // hangups passes SIGHUP on, which tells that the settings file has changed.
@@ -112,9 +107,13 @@
 	}
 }
 
-func stopped(log zerolog.Logger, err error) {
+// stopped writes the last lines out and ends the process with the code that an error asks for.
+func stopped(log zerolog.Logger, flush func(), err error) {
 	if err != nil {
 		log.Error().Err(err).Msg("Stopped with an error.")
+	}
+	flush()
+	if err != nil {
 		os.Exit(exitFailed)
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,13 +54,13 @@
 
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
 // stops at once.
-func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger) error {
+func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger, m telemetry.Metrics) error {
 	if set.Host.Threads > 0 {
 		runtime.GOMAXPROCS(set.Host.Threads)
 	}
 	work, stop := context.WithCancel(hard)
 	defer stop()
-	d, err := build(work, set, log)
+	d, err := build(work, set, log, m)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -84,7 +84,7 @@
 	return trace.Wrap(err)
 }
 
-func build(ctx context.Context, set *settings.Settings, log zerolog.Logger) (*Daemon, error) {
+func build(ctx context.Context, set *settings.Settings, log zerolog.Logger, m telemetry.Metrics) (*Daemon, error) {
 	serverCreds, clientCreds, err := peer.Credentials(set.TLS.PeersCert, set.TLS.PeersKey, set.TLS.PeersRoot)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -98,7 +98,6 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	m := telemetry.NewMetrics()
 	self := member.Host{ID: set.Host.ID, Zone: set.Host.Zone, Addr: set.Listen.AdvertisePeers}
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.For(log, "control"))
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -17,10 +17,12 @@
 
 func init() { zerolog.TimeFieldFormat = timeFormat }
 
-// NewLogger returns the root logger.
-func NewLogger(w io.Writer, level string, json bool) zerolog.Logger {
+// NewLogger returns the root logger, in text or JSON lines, and what writes the last of them out. It never makes the
+// caller wait; see bounded.
+func NewLogger(w io.Writer, level string, json bool, m Metrics) (zerolog.Logger, func()) {
+	dw, flush := bounded(w, m)
 	if !json {
-		w = zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339Nano,
+		dw = zerolog.ConsoleWriter{Out: dw, NoColor: true, TimeFormat: time.RFC3339Nano,
 			PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, partField, zerolog.MessageFieldName},
 			FieldsExclude: []string{partField},
 			FormatPartValueByName: func(value any, _ string) string {
@@ -32,7 +34,7 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return zerolog.New(w).Level(l).With().Timestamp().Logger()
+	return zerolog.New(dw).Level(l).With().Timestamp().Logger().Sample(sampler(m)), flush
 }
 
 // For returns the logger of one part; every line begins with the part's prefix.
@@ -55,14 +57,16 @@
 	burstPeriod = time.Second
 )
 
-// NewBoundedLogger writes JSON lines without ever making the caller wait: lines that the reader does
-// not take in time are dropped, and counted in "log.dropped"; lines beyond a rate in "log.sampled".
-func NewBoundedLogger(w io.Writer, m Metrics) (zerolog.Logger, func()) {
+// bounded passes lines on without ever making the caller wait: those that the reader does not take in time are
+// dropped, and counted in "log.dropped".
+func bounded(w io.Writer, m Metrics) (io.Writer, func()) {
 	dw := diode.NewWriter(w, logBuffer, 0, func(missed int) { m.Count("log.dropped", int64(missed)) })
-	l := zerolog.New(dw).Level(zerolog.InfoLevel).With().Timestamp().Logger()
-	l = l.Sample(zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: burstLines, Period: burstPeriod,
-		NextSampler: countingSampler{m}}})
-	return l, func() { _ = dw.Close() }
+	return dw, func() { _ = dw.Close() }
+}
+
+// sampler counts information lines beyond a rate in "log.sampled" instead of writing them.
+func sampler(m Metrics) zerolog.Sampler {
+	return zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: burstLines, Period: burstPeriod, NextSampler: countingSampler{m}}}
 }
 
 // countingSampler drops lines and counts them.
