--- a/Makefile
+++ b/Makefile
@@ -27,13 +27,18 @@
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift --go-grpc_out=. --go-grpc_opt=module=fireflyshift internal/peer/peerpb/peer.proto
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift internal/gossip/gossippb/gossip.proto
 
-.PHONY: soak soak-platform mutants capacity measure
+.PHONY: pauses soak soak-platform mutants capacity measure
 
 # The fault soak of the platform's path with other seeds: make soak-platform SEEDS=100-120
 SEEDS ?= 10-19
 soak-platform:
 	FIREFLYSHIFT_SOAK_SEEDS=$(SEEDS) $(GO) test -race ./test -run TestSoak -v -count=1 -timeout 0
 
+# A host is paused again and again beside a leaving backend server: make pauses PAUSES=20
+PAUSES ?= 20
+pauses:
+	FIREFLYSHIFT_PAUSES=$(PAUSES) $(GO) test -race ./test -run TestWokenHost -v -count=1 -timeout 0
+
 # Long randomised runs with fresh seeds: make soak CHECKS=20000
 CHECKS ?= 3000
 soak:
