Own path: nothing stands between the last look at the lease and the write; a pause in the write shows in the log

Change: the lease is asked with the descriptor in hand and the system call follows; the line is written after it, with write_us, the time from the question to the end of the write, in which such a pause is seconds long. Not yet shown by a run.

--- a/internal/edge/flight.go
+++ b/internal/edge/flight.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/fault"
@@ -75,21 +76,28 @@
 	}
 	ctx, span := s.tracing.Start(ctx, "host to backend server")
 	defer span.End()
-	ctx = wire.WithPermission(ctx, func() bool { return s.permitted(d) })
+	ctx = wire.WithPermission(ctx, s.permission(d))
 	e := a.run(ctx, d)
 	e.ID, e.Attempt = d.ID, d.Attempt
 	ended <- e
 }
 
-// permitted looks at the lease as the first byte is about to be written, and logs the moments that tell a late
-// decision, a late write and a grant of too long a life apart; the line's own time is that of the write.
-func (s *Server) permitted(d core.Dispatch) bool {
-	now := s.control.Now()
-	ok := now <= d.ValidUntil
-	s.log.Info().Str("id", d.ID).Uint32("attempt", d.Attempt).Str("backend", d.Backend.Name).Str("scheduler", d.Scheduler).
-		Int64("granted_ago_ms", (now-d.At).Milliseconds()).Int64("lease_left_ms", (d.ValidUntil-now).Milliseconds()).
-		Bool("written", ok).Msg("Dispatch.")
-	return ok
+// permission looks at the lease as the first byte is about to be written. It logs the moments that tell a late decision,
+// a late write and a grant of too long a life apart: how long ago the grant was taken and what was left of the
+// lease when it was asked, and how long the write took from there, in which a pause shows.
+func (s *Server) permission(d core.Dispatch) wire.Permission {
+	var asked time.Duration
+	return wire.Permission{
+		Ask: func() bool {
+			asked = s.control.Now()
+			return asked <= d.ValidUntil
+		},
+		Told: func(permitted bool) {
+			s.log.Info().Str("id", d.ID).Uint32("attempt", d.Attempt).Str("backend", d.Backend.Name).Str("scheduler", d.Scheduler).
+				Int64("granted_ago_ms", (asked-d.At).Milliseconds()).Int64("lease_left_ms", (d.ValidUntil-asked).Milliseconds()).
+				Int64("write_us", (s.control.Now()-asked).Microseconds()).Bool("written", permitted).Msg("Dispatch.")
+		},
+	}
 }
 
 // abort ends the connection so that the caller cannot take a short answer for a whole one.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -108,7 +108,7 @@
 // Reattach takes up a stream that was cut, at the offset of the first token that is missing. It is
 // the same dispatch: the engine runs nothing anew.
 func (c *Client) Reattach(ctx context.Context, addr, id string, offset int) (*Stream, error) {
-	ctx = wire.WithPermission(ctx, nil) // the dispatch was permitted
+	ctx = wire.WithPermission(ctx, wire.Permission{}) // the dispatch was permitted
 	s, _, err := c.open(ctx, http.MethodGet, addr, fmt.Sprintf("/v1/streams/%s?offset=%d", id, offset), id, nil, nil)
 	return s, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,7 +10,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -41,28 +45,71 @@
 
 type permissionKey struct{}
 
-// WithPermission lets a call ask once more as its first byte is written. It guards against a process that is
-// paused between its decision and the write: on waking it would send on a lease that others count as ended.
-// What is left is a pause between the question and the system call. A nil function takes an earlier one off.
-func WithPermission(ctx context.Context, permitted func() bool) context.Context {
-	return context.WithValue(ctx, permissionKey{}, permitted)
+// Permission is asked once more as a call's first byte is written. It guards against a process that is paused between
+// its decision and the write: on waking it would send on a lease that others count as ended. What is left is a
+// pause in the few instructions between the question and the system call, so that nothing else belongs there.
+type Permission struct {
+	// Ask tells whether the call may still be made. It must not wait.
+	Ask func() bool
+	// Told, if set, is called after the write, or after Ask has said no, with what Ask said.
+	Told func(permitted bool)
+}
+
+// WithPermission makes a call ask; the zero Permission takes an earlier one off.
+func WithPermission(ctx context.Context, p Permission) context.Context {
+	return context.WithValue(ctx, permissionKey{}, p)
 }
 
 // countingConn counts bytes before they are handed to the kernel.
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
-	// permitted is asked before the next write, once.
-	permitted atomic.Pointer[func() bool]
+	// permission is asked before the next write, once.
+	permission atomic.Pointer[Permission]
 }
 
 // Write counts, then writes: a count that has not moved proves that nothing left.
 func (c *countingConn) Write(p []byte) (int, error) {
-	if permitted := c.permitted.Swap(nil); permitted != nil && !(*permitted)() {
-		return 0, ErrNotPermitted
+	permission := c.permission.Swap(nil)
+	if permission == nil {
+		c.written.Add(int64(len(p)))
+		return c.Conn.Write(p)
+	}
+	n, err := c.writePermitted(p, permission.Ask)
+	if permission.Told != nil {
+		permission.Told(!errors.Is(err, ErrNotPermitted))
+	}
+	if err != nil || n == len(p) {
+		return n, err
+	}
+	more, err := c.Conn.Write(p[n:])
+	return n + more, err
+}
+
+// writePermitted asks with the descriptor in hand, and writes as much as the socket takes at once: whatever the
+// library does before a write is done before the question.
+func (c *countingConn) writePermitted(p []byte, ask func() bool) (n int, err error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	waited := raw.Write(func(fd uintptr) bool {
+		if !ask() {
+			err = ErrNotPermitted
+			return true
+		}
+		n, err = unix.Write(int(fd), p)
+		if err == unix.EAGAIN || err == unix.EINTR {
+			n, err = 0, nil
+			return false // asked again once the socket takes bytes
+		}
+		c.written.Add(int64(max(1, n))) // a failed write counts too: nobody knows what left
+		return true
+	})
+	if err == nil {
+		err = waited
 	}
-	c.written.Add(int64(len(p)))
-	return c.Conn.Write(p)
+	return max(0, n), err
 }
 
 // onceBody hides what kind of body it is. net/http repeats a request by itself on another
@@ -89,8 +136,8 @@
 				return
 			}
 			before.Store(c.written.Load())
-			if permitted, ok := req.Context().Value(permissionKey{}).(func() bool); ok && permitted != nil {
-				c.permitted.Store(&permitted)
+			if p, ok := req.Context().Value(permissionKey{}).(Permission); ok && p.Ask != nil {
+				c.permission.Store(&p)
 			}
 			used.Store(c)
 		},
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -20,7 +20,7 @@
 	defer srv.Close()
 	client := &http.Client{Transport: NewTransport()}
 	call := func(permitted func() bool) (sent bool, err error) {
-		ctx := WithPermission(t.Context(), permitted)
+		ctx := WithPermission(t.Context(), Permission{Ask: permitted})
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("x"))
 		require.NoError(t, err)
 		resp, sent, err := Do(client, req)
