Own path: a request leaves in one write, and each write asks for the lease

Evidence (host's log, engine's times): Dispatch. at 04:44:52.060 with granted_ago_ms=8, lease_left_ms=1969, write_us=6115, written=true; the host was paused from 52.06 to 56.063; the engine began that request at 56.063. So the write had ended before the pause and the run began in the millisecond of the waking. Cause: net/http writes the head of a request apart from a body whose type it does not know, and our wrapper against repeats hides the type. The lease was asked before the head; the pause fell between head and body. TestRequestIsWrittenAtOnce holds that gap open. Change: bodies of known length stay as they are (without GetBody the library can rewind neither), the buffer takes 16 KB, and a longer request asks before each write until its answer begins: a server never gets the rest of a request after its lease. Ruled out by the same line: a late decision, a lease of too long a life.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -21,6 +21,9 @@
 	dialTimeout    = time.Second
 	maxIdlePerHost = 256
 	idleTimeout    = 30 * time.Second
+	// writeBuffer holds the head of a request and a body of usual length, some thousand tokens of prompt, so that
+	// they leave in one write; more costs memory on each connection.
+	writeBuffer = 16 << 10
 )
 
 // NewTransport returns a transport whose connections count the bytes written to them.
@@ -37,6 +40,7 @@
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		WriteBufferSize:     writeBuffer,
 	}
 }
 
@@ -45,13 +49,14 @@
 
 type permissionKey struct{}
 
-// Permission is asked once more as a call's first byte is written. It guards against a process that is paused between
-// its decision and the write: on waking it would send on a lease that others count as ended. What is left is a
-// pause in the few instructions between the question and the system call, so that nothing else belongs there.
+// Permission is asked once more as a call is written, before each write. It guards against a process that is paused
+// between its decision and the write, or between two writes: on waking it would send on a lease that others count
+// as ended. What is left is a pause in the few instructions between the question and the system call, so that nothing
+// else belongs there.
 type Permission struct {
 	// Ask tells whether the call may still be made. It must not wait.
 	Ask func() bool
-	// Told, if set, is called after the write, or after Ask has said no, with what Ask said.
+	// Told, if set, is called once, after the first write or after Ask has said no to it, with what Ask said.
 	Told func(permitted bool)
 }
 
@@ -64,26 +69,27 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
-	// permission is asked before the next write, once.
+	// permission is asked before each write of the request under way; told is set after its first one.
 	permission atomic.Pointer[Permission]
+	told       bool
 }
 
 // Write counts, then writes: a count that has not moved proves that nothing left.
-func (c *countingConn) Write(p []byte) (int, error) {
-	permission := c.permission.Swap(nil)
-	if permission == nil {
-		c.written.Add(int64(len(p)))
-		return c.Conn.Write(p)
-	}
-	n, err := c.writePermitted(p, permission.Ask)
-	if permission.Told != nil {
-		permission.Told(!errors.Is(err, ErrNotPermitted))
+func (c *countingConn) Write(p []byte) (written int, err error) {
+	for permission := c.permission.Load(); permission != nil && err == nil && written < len(p); {
+		var n int
+		n, err = c.writePermitted(p[written:], permission.Ask)
+		written += n
+		if permission.Told != nil && !c.told {
+			permission.Told(!errors.Is(err, ErrNotPermitted))
+		}
+		c.told = true
 	}
-	if err != nil || n == len(p) {
-		return n, err
+	if err != nil || written == len(p) {
+		return written, err
 	}
-	more, err := c.Conn.Write(p[n:])
-	return n + more, err
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
 
 // writePermitted asks with the descriptor in hand, and writes as much as the socket takes at once: whatever the
@@ -115,7 +121,8 @@
 // onceBody hides what kind of body it is. net/http repeats a request by itself on another
 // connection when it can rewind the body or thinks there is none; with this body it cannot, so no
 // request is written twice. It shows otherwise as one GET that a plain service runs twice when a
-// kept connection dies.
+// kept connection dies. A body of known length in memory is left as it is: the library cannot rewind it either without
+// GetBody, and it writes the head of a request apart from a body that it does not know.
 type onceBody struct{ io.ReadCloser }
 
 // Do makes a call. sent is false only when no byte of the request was written to any connection.
@@ -123,7 +130,9 @@
 	if req.Body == nil || req.Body == http.NoBody {
 		req.Body = io.NopCloser(emptyReader{})
 	}
-	req.Body = onceBody{req.Body}
+	if req.ContentLength <= 0 {
+		req.Body = onceBody{req.Body}
+	}
 	req.GetBody = nil
 	var used atomic.Pointer[countingConn]
 	var before atomic.Int64
@@ -136,11 +145,15 @@
 				return
 			}
 			before.Store(c.written.Load())
-			if p, ok := req.Context().Value(permissionKey{}).(Permission); ok && p.Ask != nil {
-				c.permission.Store(&p)
-			}
+			c.told = false
+			c.permission.Store(permissionOf(req))
 			used.Store(c)
 		},
+		GotFirstResponseByte: func() { // what the server has begun is not taken back
+			if c := used.Load(); c != nil {
+				c.permission.Store(nil)
+			}
+		},
 	})
 	resp, err = client.Do(req.WithContext(ctx))
 	if err == nil {
@@ -151,6 +164,14 @@
 	return nil, sent, err
 }
 
+func permissionOf(req *http.Request) *Permission {
+	p, ok := req.Context().Value(permissionKey{}).(Permission)
+	if !ok || p.Ask == nil {
+		return nil
+	}
+	return &p
+}
+
 type emptyReader struct{}
 
 // Read returns io.EOF.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -45,3 +47,54 @@
 	require.False(t, sent)
 	require.EqualValues(t, 2, calls.Load())
 }
+
+// A host writes a request to an engine and is paused. The engine began it when the host woke up, four seconds later, though
+// the lease was looked at in time: net/http writes the head of a request apart from a body whose type it does not know, and
+// the pause fell between the two writes. It showed as "Dispatch." with write_us=6115 written=true before the pause, and a
+// run begun in the millisecond of the waking. The head and a body of usual length go out in one write.
+func TestRequestIsWrittenAtOnce(t *testing.T) {
+	whole := make(chan string, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		whole <- string(body)
+	}))
+	defer srv.Close()
+	body := strings.Repeat("x", 8<<10)
+	arrived := false
+	ctx := WithPermission(t.Context(), Permission{Ask: func() bool { return true }, Told: func(bool) {
+		// The writer stands still here, as in a pause.
+		select {
+		case got := <-whole:
+			arrived = got == body
+		case <-time.After(2 * time.Second):
+		}
+	}})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader(body))
+	require.NoError(t, err)
+	resp, _, err := Do(&http.Client{Transport: NewTransport()}, req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.True(t, arrived, "only a part had left the host")
+}
+
+// A longer body takes several writes. The permission is asked for before each: a server that has half a request when
+// the host is paused never gets the rest.
+func TestEndedPermissionStopsALongRequest(t *testing.T) {
+	var begun atomic.Bool
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			begun.Store(true)
+		}
+	}))
+	defer srv.Close()
+	asked := 0
+	ctx := WithPermission(t.Context(), Permission{Ask: func() bool { asked++; return asked == 1 }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader(strings.Repeat("x", 1<<20)))
+	require.NoError(t, err)
+	_, sent, err := Do(&http.Client{Transport: NewTransport()}, req)
+	require.Error(t, err)
+	require.True(t, sent, "a part has left")
+	require.Equal(t, 2, asked)
+	srv.Close() // waits for the handler
+	require.False(t, begun.Load())
+}
