Two hosts that woke up together do not answer each other without end

Cause, found by reading the diff: each answers a heartbeat of a woken host at once, and such an answer of a host that has itself just woken asks for one in turn. The test fails before; only hosts that are awake answer.

--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -69,9 +69,10 @@
 	c.sendHeartbeats()
 }
 
-// answerWoken tells a host that has woken up at once what is in force.
+// answerWoken tells a host that has woken up at once what is in force. A host that has itself just woken up proves nothing
+// by its answer, and two that asked each other for one would not stop.
 func (c *Core) answerWoken(from string, h *peerpb.Heartbeat) {
-	if h.CatchingUp {
+	if h.CatchingUp && !c.catch.catchingUp {
 		c.sendHeartbeat(from, c.ownSummaries(), c.heldBy(c.heldUnder(), from))
 	}
 }
--- a/internal/core/catchup_test.go
+++ b/internal/core/catchup_test.go
@@ -138,3 +138,17 @@
 	}
 	require.Empty(t, dispatches(l.grant(a, "b0", echo, selfIncarnation)))
 }
+
+// Two hosts of a rack wake up together. Each told the other that it had just woken, and was answered at once by one that
+// had just woken too, which asked for an answer in turn: as fast as the network carries it, until both had caught up.
+func TestTwoWokenHostsDoNotAnswerEachOther(t *testing.T) {
+	l := wokenScheduler(t)
+	l.feed(core.Tick{})
+	out := l.message(&peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
+		SentMs: uint64(l.now / time.Millisecond), CatchingUp: true}}})
+	for _, e := range out {
+		if s, ok := e.(core.Send); ok {
+			require.Nil(t, s.Message.GetHeartbeat())
+		}
+	}
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -54,6 +54,7 @@
 	{"woken-takes-duties", "4", "internal/core/catchup.go", "\tc.view.SetCatchingUp(true)\n", "", coreTests},
 	{"woken-hears-the-past", "4", "internal/core/catchup.go", "|| !fresh ||", "|| !fresh && false ||", coreTests},
 	{"woken-hears-the-woken", "4", "internal/core/catchup.go", "|| !fresh || h.CatchingUp ||", "|| !fresh ||", coreTests},
+	{"woken-asks-woken", "4", "internal/core/catchup.go", "if h.CatchingUp && !c.catch.catchingUp {", "if h.CatchingUp {", coreTests},
 	{"woken-without-news", "4", "internal/core/catchup.go", " || h.ConfigRevision > c.conf.Revision() {", " {", coreTests},
 	{"lease-before-write", "1, 4", "internal/edge/flight.go", "if s.control.Now() > d.ValidUntil {", "if false {", []string{"./internal/edge"}},
 	{"not-run-is-true", "1", "internal/core/entry.go", "if !r.resume {\n\t\tr.sent = false\n\t}", "", coreTests},
