Logs tell which request broke: a digest that repeats share, and its last event

Two hypotheses of the incident could not be told apart: attempts have an ID of their own each time, so that no line said whether two broken answers were of the same request. The digest is of workspace, method, host, target and body.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/timing"
@@ -47,6 +48,24 @@
 	firstByte   time.Duration
 	pauses      pauses
 	cut         cut
+	// known is the request's digest; zero until it is asked for.
+	known quarantine.Digest
+}
+
+// digest is made when it is first asked for: mostly nothing asks.
+func (f *flight) digest() quarantine.Digest {
+	if !f.known.Zero() {
+		return f.known
+	}
+	id := quarantine.Identity{Method: f.r.Method, Host: routing.HostName(f.r.Host), Target: f.r.RequestURI, Body: f.body, Length: int64(len(f.body))}
+	if f.workspace != nil {
+		id.Workspace = f.workspace.Name
+	}
+	if f.rest != nil {
+		id.Length = f.r.ContentLength
+	}
+	f.known = id.Digest()
+	return f.known
 }
 
 // heldAnswer is a failure of a backend server that is delivered if nothing better comes.
@@ -293,7 +312,8 @@
 	case !time.Now().Before(f.deadline):
 		return router.Ended{Outcome: router.TimedOut}
 	default:
-		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Err(err).Msg("Broken after the send.")
+		f.g.log.Info().Str("id", f.call.AttemptID).Str("backend", f.backend).Err(err).Stringer("digest", f.digest()).
+			Int64("last_event", f.lastEvent).Msg("Broken after the send.")
 		return router.Ended{Outcome: f.once(router.Broken), Fault: true, Delivered: f.headWritten}
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -203,10 +203,7 @@
 
 // Match finds the route with the longest prefix of a path as it was sent; nil if there is none.
 func (t *Table) Match(host, path string) *Route {
-	if h, _, err := net.SplitHostPort(host); err == nil {
-		host = h
-	}
-	for _, r := range t.hosts[strings.ToLower(host)] {
+	for _, r := range t.hosts[HostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -214,6 +211,14 @@
 	return nil
 }
 
+// HostName is the name in a Host header: without a port, in lower case.
+func HostName(header string) string {
+	if name, _, err := net.SplitHostPort(header); err == nil {
+		header = name
+	}
+	return strings.ToLower(header)
+}
+
 // Workspace finds the holder of a key; nil if no workspace holds it.
 func (t *Table) Workspace(key string) *Workspace { return t.keys[key] }
 
