A request that ends each engine that runs it is found out and kept from them, at all hosts

Callers saw streams cut and refusals: one caller's request ended the engine that ran it and came again, to any host, 16 to 18 times after the third engine had ended under it (20 and 19 engines in all).

Cause: nothing remembered what a request did. Its identity was the attempt's ID, new each time, and what a broken answer taught was kept of the engine alone. The digest that the logs now tell, and prompt and output of the incident's lines, show one and the same request at these ends, with attempts of 1; no other request was in flight at more than two.

Change: package quarantine counts, by digest, at which proved ends of engines a request was in flight; three that no other request explains, with no good run since, put it in quarantine. Beats and zone sums tell ends and good runs.

Ruled out: running suspects alone (costs engines when they are fewest), blaming what had no event yet (misses later ends).

Why it holds: the verdict depends on the ends alone, each host that starts, slept or was cut off is told all within a second or two, and a broken connection without an end counts for nothing, so that an innocent request needs three ends and no good run.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -26,6 +26,18 @@
 	Beliefs []BeliefStatus `json:"beliefs,omitempty"`
 	// StoreAgeMS is how old the latest word of the platform's store is there; -1 where there is none.
 	StoreAgeMS int64 `json:"store_age_ms"`
+	// Quarantined are requests that are kept from backend servers there, Suspects how many are remembered.
+	Quarantined []QuarantineStatus `json:"quarantined,omitempty"`
+	Suspects    int                `json:"suspects,omitempty"`
+}
+
+// QuarantineStatus is a request that is kept from backend servers, as it has ended several of them.
+type QuarantineStatus struct {
+	Digest    string `json:"digest"`
+	Workspace string `json:"workspace"`
+	Ends      int    `json:"ends"`
+	AgeMS     int64  `json:"latest_end_age_ms"`
+	BackMS    int64  `json:"next_trial_ms"`
 }
 
 // BeliefStatus is what a host believes of one backend server.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -40,6 +40,7 @@
 	w.Flush()
 	t.printBackends(reports)
 	t.printBeliefs(reports)
+	t.printQuarantined(reports)
 	t.printRefused(reports)
 }
 
@@ -117,6 +118,24 @@
 	w.Flush()
 }
 
+// printQuarantined shows the requests that are kept from backend servers, each once.
+func (t *Tool) printQuarantined(reports []report) {
+	shown := map[string]bool{}
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, q := range r.Status.Quarantined {
+			if shown[q.Digest] {
+				continue
+			}
+			shown[q.Digest] = true
+			fmt.Fprintf(t.Out, "quarantined request %s of workspace %s: %d backend servers ended under it, the latest %d s ago; one host lets it run again in %d s\n",
+				q.Digest, cmp.Or(q.Workspace, "-"), q.Ends, q.AgeMS/1000, q.BackMS/1000)
+		}
+	}
+}
+
 func (t *Tool) printRefused(reports []report) {
 	shown := map[string]bool{}
 	for _, r := range reports {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -57,6 +57,7 @@
 	string(router.NoBackend):   "no backend server of this service can be reached; come back later",
 	string(router.ShutDown):    "this host is shutting down; send the request again on a new connection",
 	string(router.OutOfTime):   "allow more time",
+	string(router.Quarantined): "backend servers have ended each time they ran this request; change it, or ask the operator",
 	string(router.BackendLost): "the backend server was lost after the request was sent; repeat it only if it is idempotent",
 }
 
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -157,7 +157,7 @@
 			}
 			f.logDispatch(e)
 			end := f.dispatch(e)
-			end.ID = f.id
+			end.ID, end.Digest = f.id, f.digestOf(end)
 			f.g.control.Post(end)
 			if end.Outcome == router.Answered {
 				f.logEnd(answered, 0)
@@ -178,11 +178,28 @@
 	}
 }
 
+// digestOf names the request in the end of a dispatch that may say something of it: its answer broke, or it succeeded though
+// requests are under suspicion.
+func (f *flight) digestOf(end router.Ended) quarantine.Digest {
+	switch end.Outcome {
+	case router.Broken, router.TimedOut, router.Canceled:
+		return f.digest()
+	case router.Answered:
+		if f.g.control.Suspects() {
+			return f.digest()
+		}
+	}
+	return quarantine.Digest{}
+}
+
 func (f *flight) submission() router.Submit {
 	s := router.Submit{
 		ID: f.id, Route: f.route, Workspace: f.workspace, Rank: f.rank,
 		PromptTok: f.call.PromptTokens, OutputTok: f.call.OutputTokens, Deadline: f.beganAt + f.allowed,
 	}
+	if f.g.control.Suspects() {
+		s.Digest = f.digest()
+	}
 	if f.call.LengthHint > 0 {
 		s.OutputTok = min(s.OutputTok, f.call.LengthHint)
 	}
@@ -221,7 +238,9 @@
 		return f.failed(sent, err)
 	}
 	defer resp.Close()
-	return f.carry(resp, sentAt)
+	end := f.carry(resp, sentAt)
+	end.Success = end.Outcome == router.Answered && isSuccess(resp.Status)
+	return end
 }
 
 // permitted tells whether the decision still holds and the caller still has time.
@@ -329,7 +348,7 @@
 // carry classifies an answer and passes it on.
 func (f *flight) carry(resp *upstream.Response, sentAt time.Time) router.Ended {
 	info := f.g.wire.Classify(resp.Status, resp.Header)
-	success := resp.Status >= 200 && resp.Status < 300
+	success := isSuccess(resp.Status)
 	switch {
 	case info.NotRun && resp.Status == http.StatusMisdirectedRequest:
 		f.logRejected(resp.Status, sentAt)
@@ -349,6 +368,8 @@
 	}
 }
 
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // answerBuffer is how much of a plain answer is read before the caller gets its status: an answer
 // that breaks off within it never looks like one.
 const answerBuffer = 256 << 10
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,8 @@
 	// Configured is closed once there is a configuration.
 	Configured() <-chan struct{}
 	Draining() bool
+	// Suspects tells whether the reducer needs to know which requests are the same.
+	Suspects() bool
 }
 
 // Gateway serves callers.
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -24,6 +24,7 @@
 func (s *starting) Post(router.Event)            {}
 func (s *starting) Now() time.Duration           { return 0 }
 func (s *starting) Draining() bool               { return false }
+func (s *starting) Suspects() bool               { return false }
 func (s *starting) Configured() <-chan struct{}  { return s.configured }
 func (s *starting) Table() *routing.Table {
 	select {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -32,6 +32,11 @@
 	for _, p := range v.Peers {
 		s.Peers = append(s.Peers, core.PeerStatus{Host: p.Host, Zone: p.Zone, Addr: p.Host, Alive: p.Heard, AgeMS: p.Age.Milliseconds()})
 	}
+	for _, q := range v.Quarantined {
+		s.Quarantined = append(s.Quarantined, core.QuarantineStatus{Digest: q.Digest, Workspace: q.Workspace, Ends: q.Ends,
+			AgeMS: q.Age.Milliseconds(), BackMS: q.Back.Milliseconds()})
+	}
+	s.Suspects = v.Suspects
 	for _, b := range v.Backends {
 		s.Beliefs = append(s.Beliefs, core.BeliefStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, State: b.State, Owner: b.Owner,
 			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000})
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,6 +29,8 @@
 	pull func(p router.Pull)
 	read func(on, shared bool)
 	drop func(addr string)
+	// check posts a Checked event.
+	check func(c router.Check)
 }
 
 // control is the one thread that owns the reducer.
@@ -47,6 +49,7 @@
 	ready      atomic.Bool
 	draining   atomic.Bool
 	held       atomic.Int64
+	suspects   atomic.Bool
 }
 
 // submission is a request with the channel for its effects.
@@ -109,6 +112,7 @@
 	}
 	c.ready.Store(c.router.Ready())
 	c.held.Store(int64(c.router.Requests()))
+	c.suspects.Store(c.router.Suspects())
 }
 
 func (c *control) carryOut(eff router.Effect) {
@@ -142,6 +146,8 @@
 		c.log.Info().Uint64("version", e.Table.Config.Version).Int("routes", len(e.Table.Config.Routes)).Msg("Configuration in force.")
 	case router.BackendGone:
 		c.out.drop(e.Backend.Addr)
+	case router.Check:
+		c.out.check(e)
 	case router.Note:
 		c.metrics.Count("beliefs.changed", 1)
 		c.log.Info().Str("what", e.What).Str("subject", e.Subject).Str("detail", e.Detail).Int64("age_ms", e.Age.Milliseconds()).Msg("Belief changed.")
@@ -180,6 +186,9 @@
 // Draining implements gateway.Control.
 func (c *control) Draining() bool { return c.draining.Load() }
 
+// Suspects implements gateway.Control.
+func (c *control) Suspects() bool { return c.suspects.Load() }
+
 // ask runs f on the control thread and reports whether it was run in time.
 func (c *control) ask(f func(*router.Router)) bool {
 	q := query{f, make(chan struct{})}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,12 @@
 		send: n.send,
 		pull: func(p router.Pull) { go n.pull(ctx, puller, p) },
 		drop: n.pool.Drop,
+		check: func(c router.Check) {
+			go func() {
+				refused := n.pool.Refused(ctx, c.Backend.Addr, c.Keep)
+				n.control.Post(router.Checked{ID: c.Backend.ID, Start: c.Backend.Start, Refused: refused})
+			}()
+		},
 	}
 	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
 	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -62,6 +62,11 @@
 	saidDead    int
 	// replaced tells that another instance has its address: this one never comes back.
 	replaced bool
+	// ended tells that its process has ended without leaving; inHand are requests that broke there before that was known.
+	ended  bool
+	inHand []inHand
+	// checkedUntil is until when it is not asked again whether it can be reached.
+	checkedUntil time.Duration
 }
 
 func newBackend(b routing.Backend) *backend {
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -62,6 +62,9 @@
 	}
 	r.emitBeat(to, func(b *gossippb.Beat) {
 		b.Spent = r.ownSpent()
+		if all := r.allSuspects(); all != nil {
+			b.Suspects = all
+		}
 		if !r.sharing() {
 			b.Speeds = r.newSpeeds()
 		}
@@ -106,7 +109,7 @@
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision, Digest: r.digest(),
 		ReadsStore: r.inContact(), Loads: r.ownLoads(),
-		Dead: r.ownDead(), AgeMs: r.ageMs(),
+		Dead: r.ownDead(), AgeMs: r.ageMs(), Suspects: r.newSuspects(),
 	}
 	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/routing"
 )
 
@@ -24,6 +25,8 @@
 	OutputTok int                // the caller's estimate of the output, in tokens
 	Cost      float64            // what the quota counts
 	Deadline  time.Duration      // moment on the reducer's clock at which the answer is of no more use
+	// Digest names the request whatever its attempt; zero where nobody needs it.
+	Digest quarantine.Digest
 }
 
 // Began tells that a stream's first event has come, First after the request was sent.
@@ -81,6 +84,17 @@
 	Events   int
 	// Fault tells that the backend server was at fault, so that it is avoided.
 	Fault bool
+	// Success tells that the answer was a whole success.
+	Success bool
+	// Digest names the request where its end may say something of it; zero elsewhere.
+	Digest quarantine.Digest
+}
+
+// Checked tells whether nothing listens any more at the address of a start of a backend server.
+type Checked struct {
+	ID      string
+	Start   uint64
+	Refused bool
 }
 
 // Heard is a heartbeat of another host.
@@ -142,6 +156,7 @@
 }
 
 func (Settle) event()       {}
+func (Checked) event()      {}
 func (Asked) event()        {}
 func (Offered) event()      {}
 func (Reported) event()     {}
@@ -209,6 +224,7 @@
 	ShutDown    Cause = "shutting_down"
 	OutOfTime   Cause = "out_of_time"
 	BackendLost Cause = "backend_lost"
+	Quarantined Cause = "quarantined"
 )
 
 // Abort breaks off the call of one attempt, as its backend server has started again since: whether the
@@ -273,6 +289,13 @@
 // can be closed.
 type BackendGone struct{ Backend routing.Backend }
 
+// Check asks whether a backend server can still be reached, as a Checked event. A connection that is made is kept for the next
+// request, among at most Keep.
+type Check struct {
+	Backend routing.Backend
+	Keep    int
+}
+
 // Note is a change of belief, for logs.
 type Note struct {
 	What    string
@@ -292,4 +315,5 @@
 func (Pull) effect()        {}
 func (InForce) effect()     {}
 func (BackendGone) effect() {}
+func (Check) effect()       {}
 func (Note) effect()        {}
--- a/internal/router/grant.go
+++ b/internal/router/grant.go
@@ -110,6 +110,7 @@
 		b.failed(r.now)
 	case gossippb.Outcome_OUTCOME_REPLACED:
 		b.replaced = true
+		r.backendEnded(b)
 	case gossippb.Outcome_OUTCOME_UNREACHABLE:
 		if known && !slices.Contains(m.dead, rep.Backend) {
 			r.takeDead(m, append(slices.Clone(m.dead), rep.Backend))
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -187,6 +187,7 @@
 	r.takeSpent(m, b.Spent, returned)
 	r.takeZones(m.zone, b.Zones)
 	r.takeChanges(b.Changes)
+	r.takeSuspects(b.Suspects)
 	r.compareNews(m, b)
 	for _, p := range b.Peers {
 		r.meet(p.Host, p.Zone)
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -89,6 +89,7 @@
 	r.news.revision = max(r.news.revision, ch.Revision)
 	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: describe(ch.Backend)})
 	r.forgetPrint(b)
+	r.backendEnded(b)
 	delete(r.byHash, b.hash)
 	r.add(ch)
 	r.emit(BackendGone{b.Backend})
@@ -149,6 +150,9 @@
 	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
 		b.doubtUntil = r.now + doubtFor
 	}
+	if !b.Draining && !ch.Foreign && b.doubtUntil == 0 {
+		r.backendEnded(b)
+	}
 	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.doubtUntil > 0, ch.Foreign)})
 	r.emit(BackendGone{b.Backend})
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -56,6 +56,8 @@
 	full   []string
 	alone  bool
 	owner  string
+	// onTrial tells that it runs though it is in quarantine, to show whether it does harm.
+	onTrial bool
 }
 
 // bucket is where a request is counted among those in flight.
@@ -75,6 +77,10 @@
 		r.inv.Check(false, "request %d submitted twice", e.ID)
 		return
 	}
+	if back, yes := r.quarantined(q); yes {
+		r.emit(Refuse{ID: e.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version()}})
+		return
+	}
 	q.service = r.chooseService(e.Route)
 	if back, ok := r.charge(q); !ok {
 		r.emit(Refuse{ID: e.ID, Cause: OverQuota, After: back, Grounds: r.quotaGrounds(q)})
@@ -100,6 +106,10 @@
 // dispatch finds a place for a request and sends it there.
 func (r *Router) dispatch(q *request) {
 	q.full, q.alone, q.owner = nil, false, ""
+	if back, yes := r.quarantined(q); yes {
+		r.refuseQuarantined(q, back)
+		return
+	}
 	if r.sharing() {
 		r.seek(q)
 		return
@@ -186,6 +196,7 @@
 	}
 	r.release(q, e)
 	r.judge(b, q, e)
+	r.learnOfRequest(b, q, e)
 	switch e.Outcome {
 	case Answered, Canceled:
 		r.close(q)
@@ -228,6 +239,7 @@
 		// one starts again under a new id, while its old registration stays for some heartbeats.
 		b.replaced = true
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
+		r.backendEnded(b)
 	case Broken, Failed:
 		if e.Fault {
 			b.failed(r.now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -84,6 +84,7 @@
 	changed  bool
 	changeAt time.Duration
 	drain    *Drain
+	suspects suspectState
 }
 
 // New returns a reducer in its first state: no configuration, no peers.
@@ -101,6 +102,7 @@
 		quotas:    map[string]*limit.Quota{},
 		toldSpent: map[string]uint64{},
 		owners:    newOwnerState(),
+		suspects:  newSuspectState(),
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
@@ -141,6 +143,8 @@
 		r.takeNews(e)
 	case StoreContact:
 		r.storeContact(e.OK)
+	case Checked:
+		r.checked(e)
 	case Settle:
 		r.settle(e)
 	case Drain:
@@ -205,6 +209,7 @@
 	r.expireZones()
 	r.expireNews()
 	r.expireOccupancy()
+	r.expireSuspects()
 	r.decideReading()
 }
 
--- /dev/null
+++ b/internal/router/suspects.go
@@ -0,0 +1,298 @@
+package router
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/quarantine"
+)
+
+const (
+	// confirmFor is how long after a broken answer its backend server may show to have ended: a registration goes some
+	// seconds after the process.
+	confirmFor = 10 * time.Second
+	// maxInHand bounds the requests that are remembered of one backend server until it shows whether it has ended.
+	maxInHand = 64
+	// tellFor is how long each beat tells what this host has newly seen: long enough that lost datagrams do not matter.
+	tellFor = 3 * time.Second
+	// tellAllEvery is how often some hosts of a zone tell all that is known, for hosts that started, slept or were cut
+	// off, and tellers how many do.
+	tellAllEvery = time.Second
+	tellers      = 2
+	// maxTold bounds the requests in a message that tells what is new, and maxToldAll in one that tells all: some 50
+	// bytes each.
+	maxTold    = 16
+	maxToldAll = 64
+	// maxHeldName bounds the name of a workspace that another host tells.
+	maxHeldName = 128
+)
+
+// suspectState is what this host knows of requests that end backend servers.
+type suspectState struct {
+	ledger *quarantine.Ledger
+	// allAt is when this host next tells all, to its zone or to others.
+	allAt, allZonesAt time.Duration
+	expireAt          time.Duration
+	// blamed are the requests in quarantine, for the notes of changes.
+	blamed map[quarantine.Digest]bool
+}
+
+func newSuspectState() suspectState {
+	return suspectState{ledger: quarantine.NewLedger(), blamed: map[quarantine.Digest]bool{}}
+}
+
+// inHand is a request whose answer broke at a backend server that may have ended.
+type inHand struct {
+	digest    quarantine.Digest
+	workspace string
+	at        time.Duration
+}
+
+// Suspects tells whether some requests are under suspicion, so that the digests of all are needed.
+func (r *Router) Suspects() bool { return !r.suspects.ledger.Empty() }
+
+// learnOfRequest takes what the end of a dispatch says of the request itself. The same request in the hands of one backend
+// server after another that ends is most likely what ends them, and its callers repeat it at any host.
+func (r *Router) learnOfRequest(b *backend, q *request, e Ended) {
+	if !e.Digest.Zero() {
+		q.Digest = e.Digest
+	}
+	if q.Digest.Zero() {
+		return
+	}
+	switch e.Outcome {
+	case Answered:
+		if e.Success && r.suspects.ledger.Ran(r.now, q.Digest) {
+			r.noteBlame()
+		}
+	case Broken, TimedOut, Canceled:
+		r.hold(b, q, e)
+	}
+}
+
+// hold remembers a request until it shows whether its backend server has ended. One that was leaving ends by itself, and
+// whatever was still in its hands is innocent.
+func (r *Router) hold(b *backend, q *request, e Ended) {
+	q.onTrial = false
+	h := inHand{q.Digest, workspaceName(q), r.now}
+	if b.ended {
+		r.sawEnd(b, h)
+		return
+	}
+	if b.Draining || b.removed {
+		return
+	}
+	if len(b.inHand) < maxInHand {
+		b.inHand = append(b.inHand, h)
+	}
+	if e.Outcome == Broken && r.now >= b.checkedUntil {
+		b.checkedUntil = r.now + confirmFor
+		r.emit(Check{Backend: b.Backend, Keep: r.keep(b)})
+	}
+}
+
+func workspaceName(q *request) string {
+	if q.Workspace == nil {
+		return ""
+	}
+	return q.Workspace.Name
+}
+
+// checked takes whether a backend server whose answer broke can still be reached.
+func (r *Router) checked(e Checked) {
+	b, ok := r.backends[e.ID]
+	if !ok || b.Start != e.Start {
+		return
+	}
+	if !e.Refused {
+		b.checkedUntil = r.now
+		return
+	}
+	b.refused(r.now)
+	r.backendEnded(b)
+}
+
+// backendEnded takes that a backend server has ended without leaving: what was in its hands is under suspicion.
+func (r *Router) backendEnded(b *backend) {
+	b.ended = true
+	held := b.inHand
+	b.inHand = nil
+	for _, h := range held {
+		if r.now-h.at <= confirmFor {
+			r.sawEnd(b, h)
+		}
+	}
+}
+
+func (r *Router) sawEnd(b *backend, h inHand) {
+	if !r.suspects.ledger.Saw(r.now, h.digest, h.workspace, quarantine.End{Backend: b.hash, At: h.at}) {
+		return
+	}
+	r.emit(Note{What: "backend server ended with a request in hand", Subject: b.ID, Detail: h.digest.String() + " " + h.workspace})
+	r.noteBlame()
+	r.changed = true // others are told at once
+}
+
+// noteBlame tells the log which requests are in quarantine from now on, and which no longer are.
+func (r *Router) noteBlame() {
+	now := map[quarantine.Digest]bool{}
+	for _, c := range r.suspects.ledger.Quarantined() {
+		now[c.Digest] = true
+		if !r.suspects.blamed[c.Digest] {
+			r.emit(Note{What: "request quarantined", Subject: c.Digest.String(), Detail: fmt.Sprintf("%s ends=%d", c.Workspace, len(c.Ends)), Age: r.now - c.Ends[0].At})
+		}
+	}
+	for _, d := range sortedDigests(r.suspects.blamed) {
+		if !now[d] {
+			r.emit(Note{What: "request no longer quarantined", Subject: d.String()})
+		}
+	}
+	r.suspects.blamed = now
+}
+
+func sortedDigests(set map[quarantine.Digest]bool) []quarantine.Digest {
+	var out []quarantine.Digest
+	for d := range set {
+		out = append(out, d)
+	}
+	slices.SortFunc(out, func(a, b quarantine.Digest) int { return slices.Compare(a[:], b[:]) })
+	return out
+}
+
+// trialFor is how long another trial of the same request waits for the outcome of one.
+const trialFor = 15 * time.Second
+
+// shutOut tells whether a request is kept from backend servers, and for how long. One host of the fleet lets it run now
+// and then: an innocent one would otherwise be refused for a day.
+func (r *Router) quarantined(q *request) (time.Duration, bool) {
+	if q.Digest.Zero() || q.onTrial {
+		return 0, false
+	}
+	c := r.suspects.ledger.Blamed(q.Digest)
+	if c == nil {
+		return 0, false
+	}
+	if q.attempt == 0 && r.tries(c.Digest) && r.suspects.ledger.Try(r.now, c, trialFor) {
+		q.onTrial = true
+		r.emit(Note{What: "request on trial", Subject: c.Digest.String(), Detail: c.Workspace})
+		return 0, false
+	}
+	return max(time.Second, c.TrialAt()-r.now), true
+}
+
+// tries tells whether this host is the one to let a request in quarantine run: the first of the first zone, among
+// those that are heard. Views that differ for a moment make it two.
+func (r *Router) tries(d quarantine.Digest) bool {
+	purpose := "tries " + d.String()
+	mine := rank(r.opt.Zone, purpose)
+	for _, zone := range r.otherZones() {
+		if !r.zoneSilent(zone) && rank(zone, purpose) < mine {
+			return false
+		}
+	}
+	return r.duty(purpose, 1)
+}
+
+// refuseQuarantined ends a request that is in quarantine: truly as not run where it has not.
+func (r *Router) refuseQuarantined(q *request, back time.Duration) {
+	r.close(q)
+	if q.ran {
+		r.emit(GiveUp{ID: q.ID, Cause: Quarantined, PassOn: true})
+		return
+	}
+	r.emit(Refuse{ID: q.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version()}})
+}
+
+// expireSuspects forgets what is old.
+func (r *Router) expireSuspects() {
+	if r.now < r.suspects.expireAt {
+		return
+	}
+	r.suspects.expireAt = r.now + confirmFor
+	r.suspects.ledger.Expire(r.now)
+	r.noteBlame()
+}
+
+// newSuspects are what this host has newly seen itself, for its beats.
+func (r *Router) newSuspects() []*gossippb.Suspect {
+	return r.suspectWords(maxTold, func(c *quarantine.Case) bool { return c.OwnAt > 0 && r.now-c.OwnAt <= tellFor })
+}
+
+// allSuspects are all requests that are known, if this host is to tell its zone of them now.
+func (r *Router) allSuspects() []*gossippb.Suspect {
+	if r.now < r.suspects.allAt || r.suspects.ledger.Empty() || !r.duty("tells suspects", tellers) {
+		return nil
+	}
+	r.suspects.allAt = r.now + tellAllEvery
+	return r.suspectWords(maxToldAll, func(*quarantine.Case) bool { return true })
+}
+
+// zoneSuspects are what other zones are told: all now and then, and what is new here meanwhile, whoever saw it.
+func (r *Router) zoneSuspects() []*gossippb.Suspect {
+	if r.now >= r.suspects.allZonesAt {
+		r.suspects.allZonesAt = r.now + tellAllEvery
+		return r.suspectWords(maxToldAll, func(*quarantine.Case) bool { return true })
+	}
+	return r.suspectWords(maxTold, func(c *quarantine.Case) bool { return r.now-c.ChangedAt <= tellFor })
+}
+
+func (r *Router) suspectWords(most int, tell func(*quarantine.Case) bool) []*gossippb.Suspect {
+	if r.suspects.ledger.Empty() {
+		return nil
+	}
+	var out []*gossippb.Suspect
+	for _, c := range r.suspects.ledger.Cases() {
+		if len(out) == most {
+			break
+		}
+		if tell(c) {
+			out = append(out, r.suspectWord(c))
+		}
+	}
+	return out
+}
+
+func (r *Router) suspectWord(c *quarantine.Case) *gossippb.Suspect {
+	s := &gossippb.Suspect{Digest: slices.Clone(c.Digest[:]), Workspace: c.Workspace}
+	if c.Cleared {
+		s.ClearedMs = r.ageOf(c.ClearedAt) + 1
+	}
+	for _, e := range c.Ends {
+		s.Ends = append(s.Ends, &gossippb.BackendEnd{Backend: e.Backend, AgeMs: r.ageOf(e.At)})
+	}
+	return s
+}
+
+// ageOf is how long ago a moment was, in milliseconds; ages are forgotten long before they do not fit.
+func (r *Router) ageOf(at time.Duration) uint32 { return uint32(max(0, r.now-at).Milliseconds()) }
+
+// takeSuspects takes what another host tells of requests. What cannot be one is left out.
+func (r *Router) takeSuspects(list []*gossippb.Suspect) {
+	news := false
+	for _, s := range list[:min(len(list), maxToldAll)] {
+		news = r.takeSuspect(s) || news
+	}
+	if news {
+		r.noteBlame()
+	}
+}
+
+func (r *Router) takeSuspect(s *gossippb.Suspect) bool {
+	var d quarantine.Digest
+	if len(s.Digest) != len(d) || len(s.Workspace) > maxHeldName {
+		return false
+	}
+	copy(d[:], s.Digest)
+	news := false
+	for _, e := range s.Ends {
+		news = r.suspects.ledger.Ended(r.now, d, s.Workspace, quarantine.End{Backend: e.Backend, At: r.now - millis(e.AgeMs)}) || news
+	}
+	if s.ClearedMs > 0 {
+		news = r.suspects.ledger.Cleared(r.now, d, r.now-millis(s.ClearedMs-1)) || news
+	}
+	return news
+}
+
+func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -16,6 +16,17 @@
 	Now        time.Duration
 	Peers      []PeerView
 	Backends   []BackendView
+	// Quarantined are the requests that are kept from backend servers, Suspects how many are remembered.
+	Quarantined []QuarantineView
+	Suspects    int
+}
+
+// QuarantineView is a request that is kept from backend servers.
+type QuarantineView struct {
+	Digest, Workspace string
+	Ends              int           // that it explains, as far as they are remembered
+	Age               time.Duration // since the latest of them
+	Back              time.Duration // until it may run once to show that it does no harm
 }
 
 // PeerView is another host as this one sees it.
@@ -49,6 +60,10 @@
 		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.state(r.now), r.ownerOf(b),
 			b.own.total(), b.believedOthers().total(), b.Slots, b.interval})
 	}
+	for _, c := range r.suspects.ledger.Quarantined() {
+		v.Quarantined = append(v.Quarantined, QuarantineView{c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
+	}
+	v.Suspects = len(r.suspects.ledger.Cases())
 	return v
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -16,8 +16,10 @@
 	schedTests  = []string{"./internal/sched", "-rapid.shrinktime=1s"}
 	routerTests = []string{"./internal/router", "-rapid.shrinktime=1s"}
 	// platformUnit are the tests of the platform's formats, without processes or sockets between hosts.
-	platformUnit = []string{"./platform", "-run", "DecodeServer|Registration"}
-	limitTests   = []string{"./internal/limit", "-rapid.shrinktime=1s"}
+	platformUnit    = []string{"./platform", "-run", "DecodeServer|Registration"}
+	quarantineTests = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
+	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|CutAddUp|Rack"}
+	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
 func onPlatform(run string) []string { return []string{"./platform", "-run", run} }
@@ -179,4 +181,14 @@
 	{"gateway-instance", "4", "platform/headers.go", "	h.Set(headerInstance, d.Backend)\n", "", onPlatform("SystemHeaders|Reused")},
 	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = err != unix.EBADF", onPlatform("ClosedIdle|Faulty|Anothers")},
 	{"node-drain-waits", "5", "internal/node/node.go", "		if n.control.held.Load() > 0 {\n\t\t\tquietSince = time.Now()\n\t\t}\n", "", onPlatform("StopCuts")},
+	{"quarantine-good-run", "ends", "internal/quarantine/ledger.go", "return e.At <= at", "return false", quarantineTests},
+	{"quarantine-cover", "ends", "internal/quarantine/ledger.go", "explained[e.Backend] = true", "explained[e.Backend] = false", quarantineTests},
+	{"quarantine-one-end", "ends", "internal/quarantine/ledger.go", "return known.Backend == e.Backend", "return false", quarantineTests},
+	{"quarantine-share", "ends", "internal/quarantine/ledger.go", "l.drop(own >= maxOfWorkspace, workspace)", "l.drop(false, workspace)", quarantineTests},
+	{"suspects-proof", "ends", "internal/router/suspects.go", "if !e.Refused {", "if false {", suspectTests},
+	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.removed {", "if b.removed {", suspectTests},
+	{"suspects-repeat", "ends", "internal/router/requests.go", "		r.refuseQuarantined(q, back)\n		return\n", "		_ = back\n", suspectTests},
+	{"suspects-all", "ends", "internal/router/beats.go", "if all := r.allSuspects(); all != nil {", "if all := r.allSuspects(); false {", suspectTests},
+	{"suspects-zones", "ends", "internal/router/zones.go", "		r.takeSuspects(s.Suspects)\n", "", suspectTests},
+	{"suspects-trial", "ends", "internal/router/suspects.go", "r.tries(c.Digest) && ", "", suspectTests},
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -57,6 +59,18 @@
 	p.put(addr, c, keep, most)
 }
 
+// Refused tells whether nothing listens at an address any more. A connection that is made is kept for the next call, unless
+// most are kept already.
+func (p *Pool) Refused(ctx context.Context, addr string, most int) bool {
+	p.dialed()
+	c, err := dial(ctx, p.dialer, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	p.giveBack(addr, c, most)
+	return false
+}
+
 // put keeps a connection for a time, unless most are kept already.
 func (p *Pool) put(addr string, c *conn, keep time.Duration, most int) {
 	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
