--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -125,6 +125,7 @@
 		l.Saw(2*time.Second, digestOf(fmt.Sprint("more", i)), "flood", End{uint32(100 + i), time.Second})
 	}
 	require.Len(t, l.Cases(), maxOfWorkspace+2)
+	require.NotNil(t, l.cases[digestOf("lately")], "another workspace's, though it tells least")
 	ended(l, 2*time.Second, 3, "deadly")
 	require.True(t, blamed(l, "deadly"))
 	require.Len(t, l.Cases()[1].Ends, 2)
