A backend server's word in its answers that it leaves is heeded, and told on

Callers' requests went to a server up to 2.19 s after it had told their host that it leaves (2 s are allowed), and on for 12 s, until the store, which was away, told of it; what is still there when such a server ends is lost.

Cause: leaving was known from registrations alone; the answers' header was not read (first hypothesis). Ruled out: a ready registration that takes it back (none came: no line about the server for 12 s; but it would have, so the mend holds against it), and old decisions (a decision holds for 250 ms).

Change: the head of each answer is read; the word holds for that start of the server, whatever its registration says, until another start registers, and beats and zone sums tell it on.

Fleets of 9 and 120 reducers hear of it within 1.5 s with every tenth datagram lost.

Why it holds: one flag a start, set once, looked at in the one place that decides whether a server is usable, also for an owner's offer.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -238,7 +238,7 @@
 		return f.failed(sent, err)
 	}
 	defer resp.Close()
-	end := f.carry(resp, sentAt)
+	end := f.carry(d.Backend, resp, sentAt)
 	end.Success = end.Outcome == router.Answered && isSuccess(resp.Status)
 	return end
 }
@@ -345,10 +345,14 @@
 	return o
 }
 
-// carry classifies an answer and passes it on.
-func (f *flight) carry(resp *upstream.Response, sentAt time.Time) router.Ended {
+// carry classifies an answer of a backend server and passes it on. What the server says of itself in the head is told first: the
+// rest may take long, or break.
+func (f *flight) carry(from routing.Backend, resp *upstream.Response, sentAt time.Time) router.Ended {
 	info := f.g.wire.Classify(resp.Status, resp.Header)
 	success := isSuccess(resp.Status)
+	if resp.Status != http.StatusMisdirectedRequest && (info.Leaving || info.StayAway > 0) {
+		f.g.control.Post(router.Said{ID: from.ID, Start: from.Start, Leaving: info.Leaving, Away: info.StayAway})
+	}
 	switch {
 	case info.NotRun && resp.Status == http.StatusMisdirectedRequest:
 		f.logRejected(resp.Status, sentAt)
--- a/internal/gateway/wire.go
+++ b/internal/gateway/wire.go
@@ -38,6 +38,11 @@
 	Signed bool
 	// NotRun tells that the backend server states that it has not run the request.
 	NotRun bool
+	// Leaving tells that the backend server says that it is about to leave.
+	Leaving bool
+	// StayAway is how long a backend server that turned the request away wants nothing more from this host; zero where it
+	// does not say.
+	StayAway time.Duration
 }
 
 // Wire translates headers.
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -62,6 +62,8 @@
 	saidDead    int
 	// replaced tells that another instance has its address: this one never comes back.
 	replaced bool
+	// leaving tells that it has said in an answer that it leaves, to this host if saidLeaving, or to another one.
+	leaving, saidLeaving bool
 	// ended tells that its process has ended without leaving; inHand are requests that broke there before that was known.
 	ended  bool
 	inHand []inHand
@@ -110,7 +112,7 @@
 
 // usable tells whether new work may go there, and whether only for want of others.
 func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
-	if b.Draining || b.replaced {
+	if b.Draining || b.leaving || b.replaced {
 		return false, false
 	}
 	if b.removed {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -90,6 +90,16 @@
 	Digest quarantine.Digest
 }
 
+// Said is what a start of a backend server says of itself in an answer.
+type Said struct {
+	ID    string
+	Start uint64
+	// Leaving: it is about to leave.
+	Leaving bool
+	// Away is how long it wants nothing more from this host; zero where it does not say.
+	Away time.Duration
+}
+
 // Checked tells whether nothing listens any more at the address of a start of a backend server.
 type Checked struct {
 	ID      string
@@ -157,6 +167,7 @@
 
 func (Settle) event()       {}
 func (Checked) event()      {}
+func (Said) event()         {}
 func (Asked) event()        {}
 func (Offered) event()      {}
 func (Reported) event()     {}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -188,6 +188,7 @@
 	r.takeZones(m.zone, b.Zones)
 	r.takeChanges(b.Changes)
 	r.takeSuspects(b.Suspects)
+	r.takeLeaving(m.host, b.Leaves)
 	r.compareNews(m, b)
 	for _, p := range b.Peers {
 		r.meet(p.Host, p.Zone)
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -147,10 +147,10 @@
 		return
 	}
 	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
-	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
+	if !b.Draining && !b.leaving && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
 		b.doubtUntil = r.now + doubtFor
 	}
-	if !b.Draining && !ch.Foreign && b.doubtUntil == 0 {
+	if !b.Draining && !b.leaving && !ch.Foreign && b.doubtUntil == 0 {
 		r.backendEnded(b)
 	}
 	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.doubtUntil > 0, ch.Foreign)})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -143,6 +143,8 @@
 		r.takeNews(e)
 	case StoreContact:
 		r.storeContact(e.OK)
+	case Said:
+		r.said(e)
 	case Checked:
 		r.checked(e)
 	case Settle:
--- /dev/null
+++ b/internal/router/said_test.go
@@ -0,0 +1,100 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// registers tells a host that a backend server registers, as the store's next change.
+func registers(r *Router, at time.Duration, ch routing.BackendChange) {
+	r.Reduce(at, News{FromStore: true, After: ch.Revision - 1, AsOf: ch.Revision, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+}
+
+// submitted is what a request without digest meets at a host.
+func submitted(r *Router, id uint64, at time.Duration) []Effect {
+	return r.Reduce(at, Submit{ID: id, Route: fragile, Deadline: at + time.Minute})
+}
+
+// A backend server says in an answer that it leaves, and its registration says afterwards that it is ready: the store took
+// that write first and is read later. The word of the server holds for that start of it; the next one is used.
+func TestLeavingHoldsForThatStart(t *testing.T) {
+	r := lone(t, "a")
+	ready := func(revision, start uint64) routing.BackendChange {
+		ch := changeOf("a", revision, false)
+		ch.Start = start
+		return ch
+	}
+	registers(r, time.Second, ready(60, 5))
+	r.Reduce(2*time.Second, Said{ID: "a", Start: 5, Leaving: true})
+	for revision := uint64(61); revision < 64; revision++ {
+		registers(r, 3*time.Second, ready(revision, 5))
+		_, refused := has[Refuse](submitted(r, revision, 4*time.Second))
+		require.True(t, refused)
+	}
+	registers(r, 5*time.Second, ready(70, 6))
+	dispatchOf(t, submitted(r, 70, 6*time.Second))
+	r.Reduce(7*time.Second, Said{ID: "a", Start: 5, Leaving: true})
+	dispatchOf(t, submitted(r, 71, 8*time.Second))
+}
+
+// A registration that lapsed around an outage of the store is used a little longer, as its server mostly lives. Not so where
+// the server had said that it leaves.
+func TestLeavingIsNotInDoubt(t *testing.T) {
+	r := lone(t, "a")
+	r.Reduce(2*time.Second, Said{ID: "a", Leaving: true})
+	r.Reduce(3*time.Second, StoreContact{})
+	ch := changeOf("a", 60, true)
+	registers(r, 4*time.Second, ch)
+	_, refused := has[Refuse](submitted(r, 1, 4*time.Second))
+	require.True(t, refused)
+}
+
+// One host has heard that an engine leaves. Hosts that have not would go on sending there until it ends, and their callers' streams
+// would end with it: all hear of it within a second, in fleets that talk directly and in those with owners, with every
+// tenth datagram lost.
+func TestOthersHearOfLeaving(t *testing.T) {
+	for _, c := range []struct{ zones, hosts int }{{3, 3}, {6, 20}} {
+		t.Run(fmt.Sprintf("%d zones of %d", c.zones, c.hosts), func(t *testing.T) {
+			z := newZones(t, c.zones, c.hosts, 4)
+			z.lost = func(_, _ string, _ *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
+			z.post(z.hosts[len(z.hosts)-1], Said{ID: "e001", Leaving: true})
+			z.run(1500*time.Millisecond, 0)
+			for _, h := range z.hosts {
+				require.True(t, h.r.backends["e001"].leaving, h.ip)
+			}
+			for range 200 {
+				z.submit()
+				z.run(10*time.Millisecond, 0)
+			}
+			require.Zero(t, z.held["e001"])
+		})
+	}
+}
+
+// The owner of an engine offers a place there; the asker has just heard from the engine itself that it leaves, or wants nothing
+// for a time. The place goes back, and nothing is sent.
+func TestOfferOfALeavingEngineIsGivenBack(t *testing.T) {
+	for name, said := range map[string]Said{"leaving": {Leaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			z := newZone(t, 20, 23)
+			asker := z.hosts[0]
+			question, owner := z.question(asker)
+			offers := offersOf(z.byIP[owner].r.Reduce(z.now, Asked{asker.ip, question}))
+			place := offers[0].Place
+			require.NotNil(t, place)
+			said.ID = asker.r.byHash[place.Backend].ID
+			asker.r.Reduce(z.now, said)
+			out := asker.r.Reduce(z.now, Offered{owner, offers[0]})
+			require.True(t, givesBack(out, place.Backend))
+			if d, ok := has[Dispatch](out); ok {
+				require.NotEqual(t, said.ID, d.Backend.ID)
+			}
+		})
+	}
+}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -81,7 +81,7 @@
 		r.sawEnd(b, h)
 		return
 	}
-	if b.Draining || b.removed {
+	if b.Draining || b.leaving || b.removed {
 		return
 	}
 	if len(b.inHand) < maxInHand {
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -130,17 +130,19 @@
 // A host is killed and starts again long after a request was found out. It has forgotten, and its callers' next deadly
 // request would end one more engine.
 func TestStartedHostHearsOfQuarantines(t *testing.T) {
-	z := newZones(t, 3, 8, 8)
-	o := newOutbreak(z)
-	for i := range 3 {
-		o.send(z.hosts[9*i])
+	for _, perZone := range []int{3, 8} {
+		z := newZones(t, 3, perZone, 8)
+		o := newOutbreak(z)
+		for i := range 3 {
+			o.send(z.hosts[perZone*i])
+		}
+		z.run(2*tellFor, 0)
+		h := z.hosts[2]
+		h.born = z.now
+		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: 999, Seed: 9, Seeds: []string{"10.0.0.1"}, Bounds: Bounds{RetryRatio: 0.2, RetryWindow: time.Second}})
+		z.run(knownWithin, 0)
+		require.NotNil(t, h.r.suspects.ledger.Blamed(deadly), "%d hosts a zone", perZone)
 	}
-	z.run(2*tellFor, 0)
-	h := z.hosts[5]
-	h.born = z.now
-	h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: 999, Seed: 9, Seeds: []string{"10.0.0.1"}, Bounds: Bounds{RetryRatio: 0.2, RetryWindow: time.Second}})
-	z.run(knownWithin, 0)
-	require.NotNil(t, h.r.suspects.ledger.Blamed(deadly))
 }
 
 // A rack is lost with three engines, and the same popular request was in flight at each. Elsewhere it runs to a good end. Its
@@ -239,7 +241,8 @@
 func TestLeavingEngineAccusesNobody(t *testing.T) {
 	r := lone(t, "a")
 	d := dispatchOf(t, r.Reduce(2*time.Second, Submit{ID: 1, Route: fragile, Deadline: time.Minute}))
-	ch := changeOf("a", 60, true)
+	ch := changeOf("a", 60, false)
+	ch.Draining = true
 	r.Reduce(3*time.Second, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 	out := r.Reduce(4*time.Second, Ended{ID: 1, Outcome: Broken, Fault: true, Digest: deadly})
 	_, asked := has[Check](out)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -76,6 +76,8 @@
 		return "gone"
 	case b.Draining:
 		return "draining"
+	case b.leaving:
+		return "leaving"
 	case b.replaced:
 		return "replaced"
 	case b.dead(now):
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -19,6 +19,7 @@
 	platformUnit    = []string{"./platform", "-run", "DecodeServer|Registration"}
 	quarantineTests = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
 	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|CutAddUp|Rack"}
+	saidTests       = []string{"./internal/router", "-run", "Leaving|Away|UnlikeTimes"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -186,9 +187,16 @@
 	{"quarantine-one-end", "ends", "internal/quarantine/ledger.go", "return known.Backend == e.Backend", "return false", quarantineTests},
 	{"quarantine-share", "ends", "internal/quarantine/ledger.go", "l.drop(own >= maxOfWorkspace, workspace)", "l.drop(false, workspace)", quarantineTests},
 	{"suspects-proof", "ends", "internal/router/suspects.go", "if !e.Refused {", "if false {", suspectTests},
-	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.removed {", "if b.removed {", suspectTests},
+	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.leaving || b.removed {", "if b.removed {", suspectTests},
 	{"suspects-repeat", "ends", "internal/router/requests.go", "		r.refuseQuarantined(q, back)\n		return\n", "		_ = back\n", suspectTests},
 	{"suspects-all", "ends", "internal/router/beats.go", "if all := r.allSuspects(); all != nil {", "if all := r.allSuspects(); false {", suspectTests},
 	{"suspects-zones", "ends", "internal/router/zones.go", "		r.takeSuspects(s.Suspects)\n", "", suspectTests},
 	{"suspects-trial", "ends", "internal/router/suspects.go", "r.tries(c.Digest) && ", "", suspectTests},
+	{"said-sticky", "4", "internal/router/registrations.go", "	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false\n",
+		"	b.Backend, b.revision, b.removed, b.leaving = ch.Backend, ch.Revision, false, false\n", saidTests},
+	{"said-start", "4", "internal/router/said.go", "if !ok || b.Start != e.Start {", "if !ok {", saidTests},
+	{"said-doubt", "4", "internal/router/registrations.go", "if !b.Draining && !b.leaving && !ch.Foreign && (", "if !b.Draining && !ch.Foreign && (", saidTests},
+	{"said-told", "4", "internal/router/members.go", "	r.takeLeaving(m.host, b.Leaves)\n", "", saidTests},
+	{"said-told-zones", "4", "internal/router/zones.go", "		r.takeLeaving(s.Speaker, s.Leaves)\n", "", saidTests},
+	{"said-in-the-head", "4", "internal/gateway/flight.go", "info.Leaving || info.StayAway > 0", "false", onPlatform("Leaving|StayAway")},
 }
