A backend server's time to stay away is heeded

Cause: a rejection said nothing of its server; Retry-After of a 503 was not read.

Where nobody else is there, callers are told to come back then.

Why it holds: the longest time that was named counts, and usable is asked before each choice and each offer.

--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -64,6 +64,8 @@
 	replaced bool
 	// leaving tells that it has said in an answer that it leaves, to this host if saidLeaving, or to another one.
 	leaving, saidLeaving bool
+	// awayUntil is until when it wants nothing from this host.
+	awayUntil time.Duration
 	// ended tells that its process has ended without leaving; inHand are requests that broke there before that was known.
 	ended  bool
 	inHand []inHand
@@ -112,7 +114,7 @@
 
 // usable tells whether new work may go there, and whether only for want of others.
 func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
-	if b.Draining || b.leaving || b.replaced {
+	if b.Draining || b.leaving || b.replaced || now < b.awayUntil {
 		return false, false
 	}
 	if b.removed {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -167,7 +167,11 @@
 		r.emit(GiveUp{ID: q.ID, Cause: cause, PassOn: true})
 		return
 	}
-	r.emit(Refuse{ID: q.ID, Cause: cause, After: r.comeBack(q), Grounds: g})
+	after := r.comeBack(q)
+	if at := r.backAt(q.service); cause == NoBackend && at > 0 {
+		after = max(after, at-r.now)
+	}
+	r.emit(Refuse{ID: q.ID, Cause: cause, After: after, Grounds: g})
 }
 
 // comeBack is when a refused caller should return: the most urgent first, spread, and within the
--- a/internal/router/said.go
+++ b/internal/router/said.go
@@ -1,5 +1,18 @@
 package router
 
+import (
+	"time"
+)
+
+const (
+	// awayMost bounds a time to stay away: a server that names a year has mostly started again by then, under another ID.
+	awayMost = 24 * time.Hour
+	// awaySpread is the part of that time, and awaySpreadMost the longest, by which hosts come back at unlike moments, so that a
+	// server which has just recovered is not met by all of them at once.
+	awaySpread     = 0.25
+	awaySpreadMost = time.Second
+)
+
 // said takes what a backend server says of itself in an answer. Its registration may say otherwise for long: it is written
 // through the store, which may be away, and read later. So what was heard holds for that start of the server, whatever a
 // registration of it says afterwards.
@@ -12,6 +25,9 @@
 		b.saidLeaving = true
 		r.markLeaving(b, r.opt.Host)
 	}
+	if e.Away > 0 {
+		r.stayAway(b, min(e.Away, awayMost))
+	}
 }
 
 // markLeaving notes that a backend server leaves, by the word of a host that has heard it.
@@ -24,6 +40,19 @@
 	r.emit(Note{What: "backend server says that it leaves", Subject: b.ID, Detail: by})
 }
 
+// stayAway keeps this host's requests from a backend server that wants none for a time. Afterwards it gets one at a time until
+// it answers.
+func (r *Router) stayAway(b *backend, d time.Duration) {
+	spread := time.Duration(r.rng.Float64() * min(awaySpread*float64(d), float64(awaySpreadMost)))
+	until := r.now + d + spread
+	if until <= b.awayUntil {
+		return
+	}
+	b.awayUntil = until
+	b.avoidUntil = max(b.avoidUntil, until)
+	r.emit(Note{What: "backend server wants nothing for a time", Subject: b.ID, Detail: d.String()})
+}
+
 // ownLeaving are the backend servers that have told this host that they leave.
 func (r *Router) ownLeaving() []uint32 {
 	return r.leavingOf(func(b *backend) bool { return b.saidLeaving })
@@ -52,3 +81,15 @@
 		}
 	}
 }
+
+// backAt is when the first backend server of a service that wants nothing for a time may be asked again; zero where there is
+// none.
+func (r *Router) backAt(service string) time.Duration {
+	var at time.Duration
+	for _, b := range r.backendsOf(service) {
+		if r.now < b.awayUntil && !b.Draining && !b.leaving && !b.replaced && !b.removed && (at == 0 || b.awayUntil < at) {
+			at = b.awayUntil
+		}
+	}
+	return at
+}
--- a/internal/router/said_test.go
+++ b/internal/router/said_test.go
@@ -80,7 +80,7 @@
 // The owner of an engine offers a place there; the asker has just heard from the engine itself that it leaves, or wants nothing
 // for a time. The place goes back, and nothing is sent.
 func TestOfferOfALeavingEngineIsGivenBack(t *testing.T) {
-	for name, said := range map[string]Said{"leaving": {Leaving: true}} {
+	for name, said := range map[string]Said{"leaving": {Leaving: true}, "away": {Away: time.Minute}} {
 		t.Run(name, func(t *testing.T) {
 			z := newZone(t, 20, 23)
 			asker := z.hosts[0]
@@ -98,3 +98,37 @@
 		})
 	}
 }
+
+// A backend server turns a host away for two seconds. The host offers it nothing for so long; its callers are told to come
+// back when it may be asked again, where nobody else is there. Then it gets one request at a time until it has
+// answered one, as all hosts that it turned away come back.
+func TestTimeToStayAway(t *testing.T) {
+	r := lone(t, "a")
+	at := 2 * time.Second
+	dispatchOf(t, submitted(r, 1, at))
+	r.Reduce(at, Said{ID: "a", Away: 2 * time.Second})
+	r.Reduce(at, Said{ID: "a", Away: time.Millisecond}) // of a request that was turned away before
+	out := r.Reduce(at, Ended{ID: 1, Outcome: Rejected})
+	refuse, ok := has[Refuse](out)
+	require.True(t, ok)
+	require.GreaterOrEqual(t, refuse.After, 2*time.Second)
+	_, refused := has[Refuse](submitted(r, 2, at+2*time.Second-1))
+	require.True(t, refused)
+	later := at + 2*time.Second + awaySpreadMost
+	dispatchOf(t, submitted(r, 3, later))
+	r.Reduce(later, Ended{ID: 3, Outcome: Answered, First: time.Millisecond})
+	require.False(t, r.backends["a"].onProbation())
+	r.Reduce(later, Said{ID: "a", Away: 1000 * time.Hour})
+	require.LessOrEqual(t, r.backends["a"].awayUntil, later+awayMost+awaySpreadMost)
+}
+
+// Hosts that were turned away at the same moment come back at unlike ones.
+func TestHostsComeBackAtUnlikeTimes(t *testing.T) {
+	z := newZones(t, 3, 3, 1)
+	moments := map[time.Duration]bool{}
+	for _, h := range z.hosts {
+		h.r.Reduce(z.now, Said{ID: "e000", Away: 4 * time.Second})
+		moments[h.r.backends["e000"].awayUntil.Round(50*time.Millisecond)] = true
+	}
+	require.Greater(t, len(moments), 4)
+}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -78,6 +78,8 @@
 		return "draining"
 	case b.leaving:
 		return "leaving"
+	case now < b.awayUntil:
+		return "away"
 	case b.replaced:
 		return "replaced"
 	case b.dead(now):
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -198,5 +198,8 @@
 	{"said-doubt", "4", "internal/router/registrations.go", "if !b.Draining && !b.leaving && !ch.Foreign && (", "if !b.Draining && !ch.Foreign && (", saidTests},
 	{"said-told", "4", "internal/router/members.go", "	r.takeLeaving(m.host, b.Leaves)\n", "", saidTests},
 	{"said-told-zones", "4", "internal/router/zones.go", "		r.takeLeaving(s.Speaker, s.Leaves)\n", "", saidTests},
+	{"said-away", "limits", "internal/router/backends.go", " || now < b.awayUntil {", " {", saidTests},
+	{"said-away-longest", "limits", "internal/router/said.go", "if until <= b.awayUntil {", "if false {", saidTests},
+	{"said-away-spread", "limits", "internal/router/said.go", "r.now + d + spread", "r.now + d + 0*spread", saidTests},
 	{"said-in-the-head", "4", "internal/gateway/flight.go", "info.Leaving || info.StayAway > 0", "false", onPlatform("Leaving|StayAway")},
 }
