--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -147,7 +147,7 @@
 		return
 	}
 	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
-	if !b.Draining && !b.leaving && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
+	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
 		b.doubtUntil = r.now + doubtFor
 	}
 	if !b.Draining && !b.leaving && !ch.Foreign && b.doubtUntil == 0 {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -9,6 +9,7 @@
 	"hash/fnv"
 	"maps"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -76,6 +77,7 @@
 	TokensProduced  int64                `json:"tokens_produced"`
 	TokensWasted    int64                `json:"tokens_wasted"`
 	Suspended       int                  `json:"suspended"`
+	Crashes         int                  `json:"crashes"`
 	Imported        int                  `json:"imported"`
 	Running         int                  `json:"running"`
 	Waiting         int                  `json:"waiting"`
@@ -93,6 +95,7 @@
 	Crossed  bool    `json:"crossed"`   // sends one chunk under another request's id
 	Gap      bool    `json:"gap"`       // leaves one token out on each connection
 	EarlyEnd bool    `json:"early_end"` // sends [DONE] early, once each
+	Deadly   string  `json:"deadly"`    // a prompt with this text ends the engine, which starts again at once
 }
 
 // Engine is the stand-in. Its methods are safe for concurrent use.
@@ -329,9 +332,27 @@
 	s.cached = e.lookup(s.hashes, tokens)
 	e.seqs[id] = s
 	e.waiting = append(e.waiting, s)
+	if e.mode.Deadly != "" && strings.Contains(prompt, e.mode.Deadly) {
+		time.AfterFunc(deadlyAfter, e.crash)
+	}
 	return s, true
 }
 
+// deadlyAfter is how long a deadly prompt runs before it ends the engine.
+const deadlyAfter = 20 * time.Millisecond
+
+// crash ends all that runs, as an end of the process does from which the next start follows at once: the streams are cut and
+// unknown afterwards.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.stats.Crashes++
+	for id, s := range e.seqs {
+		e.drop(s)
+		delete(e.seqs, id)
+	}
+}
+
 // Seed makes an answer a function of its prompt, so that a test can tell whose answer it is.
 func Seed(prompt string) uint64 {
 	h := fnv.New64a()
