--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 generate:
 	$(GO) build -o $(BIN)/ google.golang.org/protobuf/cmd/protoc-gen-go google.golang.org/grpc/cmd/protoc-gen-go-grpc
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift --go-grpc_out=. --go-grpc_opt=module=fireflyshift internal/peer/peerpb/peer.proto
+	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift internal/quarantine/quarantinepb/quarantine.proto
 	PATH=$(CURDIR)/$(BIN):$$PATH protoc --go_out=. --go_opt=module=fireflyshift internal/gossip/gossippb/gossip.proto
 
 .PHONY: pauses soak soak-platform mutants capacity measure
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,7 +32,7 @@
 	clearSlack = time.Second
 )
 
-// End is the end of one start of a backend server, named by its hash, with a request in flight.
+// End is the end of a backend server, named by a hash, with a request in flight.
 type End struct {
 	Backend uint32
 	At      time.Duration
@@ -45,9 +46,9 @@
 	Ends      []End
 	Cleared   bool
 	ClearedAt time.Duration
-	// ChangedAt is when this host last learned something of it, OwnAt when it last saw something itself.
-	ChangedAt, OwnAt time.Duration
-	blamed           bool
+	// changedAt is when this host last learned something of it, and seenAt when it last saw something itself, if seen.
+	changedAt, seenAt time.Duration
+	seen, blamed      bool
 	// triedUntil is until when a trial is under way.
 	triedUntil time.Duration
 }
@@ -72,10 +73,23 @@
 // Ledger remembers requests that were in flight when backend servers ended. Times are on one host's clock.
 type Ledger struct {
 	cases map[Digest]*Case
+	// oneEnd is how far apart two words of an end of the same backend server are at most to mean the same end.
+	oneEnd time.Duration
 }
 
-// NewLedger returns an empty one.
-func NewLedger() *Ledger { return &Ledger{cases: map[Digest]*Case{}} }
+// NewLedger returns an empty one, where each start of a backend server has a name of its own: it ends once.
+func NewLedger() *Ledger { return NewLedgerOfNames(math.MaxInt64) }
+
+// NewLedgerOfNames returns an empty one, where a backend server keeps its name over its starts: two words of its end that are no
+// further apart mean the same end.
+func NewLedgerOfNames(oneEnd time.Duration) *Ledger {
+	return &Ledger{cases: map[Digest]*Case{}, oneEnd: oneEnd}
+}
+
+// known tells whether an end is among some.
+func (l *Ledger) known(ends []End, e End) bool {
+	return slices.ContainsFunc(ends, func(k End) bool { return k.Backend == e.Backend && (k.At-e.At).Abs() <= l.oneEnd })
+}
 
 // Empty tells that there is nothing to look up.
 func (l *Ledger) Empty() bool { return len(l.cases) == 0 }
@@ -93,7 +107,7 @@
 	if !l.Ended(now, d, workspace, e) {
 		return false
 	}
-	l.cases[d].OwnAt = now
+	l.cases[d].seen, l.cases[d].seenAt = true, now
 	return true
 }
 
@@ -107,7 +121,7 @@
 		c = l.open(now, d, workspace)
 	case c.Cleared && e.At <= c.ClearedAt:
 		return false
-	case slices.ContainsFunc(c.Ends, func(known End) bool { return known.Backend == e.Backend }):
+	case l.known(c.Ends, e):
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(c.Ends, e, byTime)
@@ -115,7 +129,7 @@
 	if len(c.Ends) > maxEnds {
 		c.Ends = slices.Delete(c.Ends, 1, 2) // the first tells how long it has gone on
 	}
-	c.ChangedAt = now
+	c.changedAt = now
 	if len(c.Ends) >= endsToBlame {
 		l.judge()
 	}
@@ -135,7 +149,7 @@
 	if !l.Cleared(now, d, now) {
 		return false
 	}
-	l.cases[d].OwnAt = now
+	l.cases[d].seen, l.cases[d].seenAt = true, now
 	return true
 }
 
@@ -150,7 +164,7 @@
 	if len(c.Ends) == before && c.Cleared && at < c.ClearedAt+clearSlack {
 		return false
 	}
-	c.Cleared, c.ClearedAt, c.ChangedAt = true, max(c.ClearedAt, at), now
+	c.Cleared, c.ClearedAt, c.changedAt = true, max(c.ClearedAt, at), now
 	if before >= endsToBlame {
 		l.judge()
 	}
@@ -177,7 +191,7 @@
 	if own >= maxOfWorkspace || len(l.cases) >= maxCases {
 		l.drop(own >= maxOfWorkspace, workspace)
 	}
-	c := &Case{Digest: d, Workspace: workspace, ChangedAt: now}
+	c := &Case{Digest: d, Workspace: workspace, changedAt: now}
 	l.cases[d] = c
 	return c
 }
@@ -197,7 +211,7 @@
 
 // moreTelling orders cases: those with more ends first, then those that changed last.
 func moreTelling(a, b *Case) int {
-	return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(b.ChangedAt, a.ChangedAt), byDigest(a, b))
+	return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(b.changedAt, a.changedAt), byDigest(a, b))
 }
 
 // Cases are all, the most telling first.
@@ -254,11 +268,11 @@
 		}
 	}
 	slices.SortFunc(open, byDigest) // the same on all hosts
-	explained := map[uint32]bool{}
+	var explained []End
 	unexplained := func(c *Case) int {
 		n := 0
 		for _, e := range c.Ends {
-			if !explained[e.Backend] {
+			if !l.known(explained, e) {
 				n++
 			}
 		}
@@ -276,8 +290,6 @@
 			return
 		}
 		worst.blamed = true
-		for _, e := range worst.Ends {
-			explained[e.Backend] = true
-		}
+		explained = append(explained, worst.Ends...)
 	}
 }
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/quarantine"
+	"fireflyshift/internal/quarantine/quarantinepb"
 )
 
 const (
@@ -15,18 +15,8 @@
 	confirmFor = 10 * time.Second
 	// maxInHand bounds the requests that are remembered of one backend server until it shows whether it has ended.
 	maxInHand = 64
-	// tellFor is how long each beat tells what this host has newly seen: long enough that lost datagrams do not matter.
-	tellFor = 3 * time.Second
-	// tellAllEvery is how often some hosts of a zone tell all that is known, for hosts that started, slept or were cut
-	// off, and tellers how many do.
-	tellAllEvery = time.Second
-	tellers      = 2
-	// maxTold bounds the requests in a message that tells what is new, and maxToldAll in one that tells all: some 50
-	// bytes each.
-	maxTold    = 16
-	maxToldAll = 64
-	// maxHeldName bounds the name of a workspace that another host tells.
-	maxHeldName = 128
+	// tellers are the hosts of a zone that tell it all that is known.
+	tellers = 2
 )
 
 // suspectState is what this host knows of requests that end backend servers.
@@ -216,83 +206,29 @@
 }
 
 // newSuspects are what this host has newly seen itself, for its beats.
-func (r *Router) newSuspects() []*gossippb.Suspect {
-	return r.suspectWords(maxTold, func(c *quarantine.Case) bool { return c.OwnAt > 0 && r.now-c.OwnAt <= tellFor })
-}
+func (r *Router) newSuspects() []*quarantinepb.Suspect { return r.suspects.ledger.OwnNews(r.now) }
 
 // allSuspects are all requests that are known, if this host is to tell its zone of them now.
-func (r *Router) allSuspects() []*gossippb.Suspect {
-	if r.now < r.suspects.allAt || r.suspects.ledger.Empty() || !r.duty("tells suspects", tellers) {
+func (r *Router) allSuspects() []*quarantinepb.Suspect {
+	if r.now < r.suspects.allAt || !r.Suspects() || !r.duty("tells suspects", tellers) {
 		return nil
 	}
-	r.suspects.allAt = r.now + tellAllEvery
-	return r.suspectWords(maxToldAll, func(*quarantine.Case) bool { return true })
+	r.suspects.allAt = r.now + quarantine.TellAllEvery
+	return r.suspects.ledger.All(r.now)
 }
 
 // zoneSuspects are what other zones are told: all now and then, and what is new here meanwhile, whoever saw it.
-func (r *Router) zoneSuspects() []*gossippb.Suspect {
-	if r.now >= r.suspects.allZonesAt {
-		r.suspects.allZonesAt = r.now + tellAllEvery
-		return r.suspectWords(maxToldAll, func(*quarantine.Case) bool { return true })
+func (r *Router) zoneSuspects() []*quarantinepb.Suspect {
+	if r.now < r.suspects.allZonesAt {
+		return r.suspects.ledger.News(r.now)
 	}
-	return r.suspectWords(maxTold, func(c *quarantine.Case) bool { return r.now-c.ChangedAt <= tellFor })
+	r.suspects.allZonesAt = r.now + quarantine.TellAllEvery
+	return r.suspects.ledger.All(r.now)
 }
 
-func (r *Router) suspectWords(most int, tell func(*quarantine.Case) bool) []*gossippb.Suspect {
-	if r.suspects.ledger.Empty() {
-		return nil
-	}
-	var out []*gossippb.Suspect
-	for _, c := range r.suspects.ledger.Cases() {
-		if len(out) == most {
-			break
-		}
-		if tell(c) {
-			out = append(out, r.suspectWord(c))
-		}
-	}
-	return out
-}
-
-func (r *Router) suspectWord(c *quarantine.Case) *gossippb.Suspect {
-	s := &gossippb.Suspect{Digest: slices.Clone(c.Digest[:]), Workspace: c.Workspace}
-	if c.Cleared {
-		s.ClearedMs = r.ageOf(c.ClearedAt) + 1
-	}
-	for _, e := range c.Ends {
-		s.Ends = append(s.Ends, &gossippb.BackendEnd{Backend: e.Backend, AgeMs: r.ageOf(e.At)})
-	}
-	return s
-}
-
-// ageOf is how long ago a moment was, in milliseconds; ages are forgotten long before they do not fit.
-func (r *Router) ageOf(at time.Duration) uint32 { return uint32(max(0, r.now-at).Milliseconds()) }
-
-// takeSuspects takes what another host tells of requests. What cannot be one is left out.
-func (r *Router) takeSuspects(list []*gossippb.Suspect) {
-	news := false
-	for _, s := range list[:min(len(list), maxToldAll)] {
-		news = r.takeSuspect(s) || news
-	}
-	if news {
+// takeSuspects takes what another host tells of requests.
+func (r *Router) takeSuspects(list []*quarantinepb.Suspect) {
+	if r.suspects.ledger.Hear(r.now, list) {
 		r.noteBlame()
 	}
 }
-
-func (r *Router) takeSuspect(s *gossippb.Suspect) bool {
-	var d quarantine.Digest
-	if len(s.Digest) != len(d) || len(s.Workspace) > maxHeldName {
-		return false
-	}
-	copy(d[:], s.Digest)
-	news := false
-	for _, e := range s.Ends {
-		news = r.suspects.ledger.Ended(r.now, d, s.Workspace, quarantine.End{Backend: e.Backend, At: r.now - millis(e.AgeMs)}) || news
-	}
-	if s.ClearedMs > 0 {
-		news = r.suspects.ledger.Cleared(r.now, d, r.now-millis(s.ClearedMs-1)) || news
-	}
-	return news
-}
-
-func millis(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
