Own path: a prompt that ends each engine that runs it is found out and kept from them too

Callers' streams beside it were cut at each end; 16 of 16 sends reached engines 3 s after the third end.

Cause: as on the platform's path, nothing remembered what a request did. Ruled out: repeats of our own (one send a request).

Change: the same ledger; an end is proved by an engine that does not know a stream it has just sent, or a refused connection; heartbeats and zone digests carry the words. A request that waits for a slot is refused when it is found out, and its grant goes back.

Test: none of 16 after. Six reducers in two zones, one replaced: all refuse, one trial after a minute.

--- a/internal/core/catchup.go
+++ b/internal/core/catchup.go
@@ -74,7 +74,7 @@
 // by its answer, and two that asked each other for one would not stop.
 func (c *Core) answerWoken(from string, h *peerpb.Heartbeat) {
 	if h.CatchingUp && !c.view.CatchingUp() {
-		c.sendHeartbeat(from, c.ownSummaries(), c.heldBy(c.heldUnder(), from))
+		c.sendHeartbeat(from, c.ownSummaries(), c.heldBy(c.heldUnder(), from), c.ownSuspects())
 	}
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,35 +40,37 @@
 
 // Core is the state of one host. Only one goroutine may use it.
 type Core struct {
-	opt     Options
-	now     time.Duration
-	conf    *confstate.State
-	view    *member.View
-	tickets *ticket.Home
-	inv     invariant.Log
-	out     []Effect
-	loop    []*peerpb.Message // messages from this host to itself
-	duty    dutyState
-	gossip  gossipState
-	entry   entryState
-	catch   catchUpState
-	groups  map[GroupKey]*sched.Group
-	leaving map[string]bool // addresses of backend servers that the host list shows leaving
-	drain   bool
+	opt      Options
+	now      time.Duration
+	conf     *confstate.State
+	view     *member.View
+	tickets  *ticket.Home
+	inv      invariant.Log
+	out      []Effect
+	loop     []*peerpb.Message // messages from this host to itself
+	duty     dutyState
+	gossip   gossipState
+	entry    entryState
+	catch    catchUpState
+	groups   map[GroupKey]*sched.Group
+	leaving  map[string]bool // addresses of backend servers that the host list shows leaving
+	suspects suspectState
+	drain    bool
 }
 
 // New returns a reducer in its first state: no configuration, no peers.
 func New(opt Options) *Core {
 	return &Core{
-		opt:     opt,
-		conf:    confstate.New(),
-		view:    member.NewView(opt.Self),
-		tickets: ticket.NewHome(opt.Self.ID, opt.Incarnation),
-		duty:    newDutyState(),
-		gossip:  newGossipState(),
-		entry:   newEntryState(),
-		groups:  map[GroupKey]*sched.Group{},
-		leaving: map[string]bool{},
+		opt:      opt,
+		conf:     confstate.New(),
+		view:     member.NewView(opt.Self),
+		tickets:  ticket.NewHome(opt.Self.ID, opt.Incarnation),
+		duty:     newDutyState(),
+		gossip:   newGossipState(),
+		entry:    newEntryState(),
+		groups:   map[GroupKey]*sched.Group{},
+		leaving:  map[string]bool{},
+		suspects: newSuspectState(),
 	}
 }
 
@@ -126,6 +128,7 @@
 	c.tickGossip()
 	c.tickGroups()
 	c.tickEntry()
+	c.expireSuspects()
 }
 
 // fromPeer drops messages of a host that is not the current incarnation: a process that was
--- a/internal/core/digest.go
+++ b/internal/core/digest.go
@@ -32,13 +32,13 @@
 func (c *Core) sendDigests() {
 	zones := c.view.OtherZones()
 	c.gossip.digestEvery = min(max(time.Duration(len(zones))*digestPerZone, digestLeast), digestMost)
-	groups := c.zoneSummaries()
+	groups, suspects := c.zoneSummaries(), c.zoneSuspects()
 	for _, zone := range zones {
 		if !slices.Contains(member.Top("delegate/"+zone, c.duty.live, delegates), c.opt.Self.ID) {
 			continue
 		}
 		digest := &peerpb.ZoneDigest{Zone: c.opt.Self.Zone, Sequence: c.nowMS(), Origin: c.opt.Self.ID,
-			Groups: groups, ConfigRevision: c.conf.Revision(), ConfigDigest: c.conf.Digest()}
+			Groups: groups, ConfigRevision: c.conf.Revision(), ConfigDigest: c.conf.Digest(), Suspects: suspects}
 		for _, id := range c.digestTargets(zone) {
 			c.send(id, &peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: digest}})
 		}
@@ -100,6 +100,7 @@
 		return
 	}
 	c.gossip.zones[d.Zone] = &zoneState{d, c.now}
+	c.suspects.ledger.Hear(c.now, d.Suspects)
 	if d.Relayed {
 		return
 	}
@@ -108,7 +109,7 @@
 		return // another host has just relayed this zone's word
 	}
 	relay := &peerpb.ZoneDigest{Zone: d.Zone, Sequence: d.Sequence, Origin: d.Origin, Groups: d.Groups,
-		ConfigRevision: d.ConfigRevision, ConfigDigest: d.ConfigDigest, Relayed: true}
+		ConfigRevision: d.ConfigRevision, ConfigDigest: d.ConfigDigest, Suspects: d.Suspects, Relayed: true}
 	for _, h := range c.view.Zone() {
 		c.send(h.ID, &peerpb.Message{Body: &peerpb.Message_ZoneDigest{ZoneDigest: relay}})
 	}
--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -7,6 +7,7 @@
 
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/quarantine/quarantinepb"
 	"fireflyshift/internal/record"
 	"fireflyshift/internal/sched"
 )
@@ -268,14 +269,14 @@
 
 func (c *Core) sendHeartbeats() {
 	c.gossip.beatAt = c.now
-	groups, held := c.ownSummaries(), c.heldUnder()
+	groups, held, suspects := c.ownSummaries(), c.heldUnder(), c.ownSuspects()
 	for _, h := range c.view.Zone() {
-		c.sendHeartbeat(h.ID, groups, c.heldBy(held, h.ID))
+		c.sendHeartbeat(h.ID, groups, c.heldBy(held, h.ID), suspects)
 	}
 	c.confirmHeld(c.opt.Self.ID, c.heldBy(held, c.opt.Self.ID))
 }
 
-func (c *Core) sendHeartbeat(to string, groups []*peerpb.ServiceSummary, held []*peerpb.HeldDigest) {
+func (c *Core) sendHeartbeat(to string, groups []*peerpb.ServiceSummary, held []*peerpb.HeldDigest, suspects []*quarantinepb.Suspect) {
 	echo, incarnation := c.view.Echo(to)
 	c.send(to, &peerpb.Message{Body: &peerpb.Message_Heartbeat{Heartbeat: &peerpb.Heartbeat{
 		SentMs:          c.nowMS(),
@@ -289,6 +290,7 @@
 		CatchingUp:      c.view.CatchingUp(),
 		EchoMs:          echo,
 		EchoIncarnation: incarnation,
+		Suspects:        suspects,
 	}}})
 }
 
@@ -310,6 +312,7 @@
 		s.Scheduler = from
 		c.duty.summary[GroupKey{s.Service, s.Shard}] = groupRow{s, c.now}
 	}
+	c.suspects.ledger.Hear(c.now, h.Suspects)
 	if h.ReadsPlatform {
 		c.gossip.readElsewhere = c.now
 	}
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -66,6 +66,8 @@
 	wake        time.Duration
 	index       int
 	trail       []Hop
+	// onTrial tells that it runs though it is in quarantine, to show whether it does harm.
+	onTrial bool
 }
 
 // Hop is one step of a request's way, for operators.
@@ -102,6 +104,11 @@
 
 func (c *Core) submit(e Submit) {
 	r := &request{Submit: e, deadline: c.now + e.Deadline, weight: c.weightOf(e.Workspace)}
+	r.onTrial = c.trial(e.Digest)
+	if f := c.quarantined(r); f != nil {
+		c.emit(Finish{e.ID, f})
+		return
+	}
 	if f := c.refuseSubmit(e); f != nil {
 		c.emit(Finish{e.ID, f})
 		return
@@ -183,6 +190,12 @@
 		c.pause(r)
 		return
 	}
+	// It may have been found out while it waited. What has run already was suspended in good order.
+	if f := c.quarantined(r); f != nil && !r.sent {
+		c.returnGrant(from, m)
+		c.finish(r, f)
+		return
+	}
 	if !c.inv.Check(!r.sent || r.resume, "request %s would be dispatched twice", r.ID) {
 		return
 	}
@@ -251,6 +264,7 @@
 		return
 	}
 	c.sendRelease(r, e)
+	c.learnOfRequest(r, e)
 	switch e.Outcome {
 	case Done:
 		c.trace(r, "answered whole by %s", r.backend)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -6,6 +6,7 @@
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/record"
 	"fireflyshift/internal/sched"
 	"fireflyshift/internal/ticket"
@@ -31,6 +32,8 @@
 	NonIdempotent bool
 	Ticket        *ticket.Ticket
 	Traceparent   string
+	// Digest names the request whatever its attempt.
+	Digest quarantine.Digest
 }
 
 // Gone tells that the caller closed its connection.
@@ -46,6 +49,8 @@
 	Tokens     uint32
 	// Fault is the caller's answer for Failed.
 	Fault *fault.Error
+	// BackendEnded tells that the backend server's process has ended while it ran the request.
+	BackendEnded bool
 }
 
 // Outcome classifies the end of a dispatch.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -90,6 +90,7 @@
 		UptimeMS:    c.now.Milliseconds(),
 		Revision:    c.conf.Revision(),
 		Digest:      c.conf.Digest(),
+		Suspects:    len(c.suspects.ledger.Cases()),
 		Reading:     c.duty.reading == onDuty,
 		PlatformOK:  c.gossip.everRead && !c.gossip.failing,
 		Requests:    len(c.entry.requests),
@@ -106,5 +107,9 @@
 	for _, r := range c.conf.RefusedRecords() {
 		s.Refused = append(s.Refused, Refused{r.Key.String(), r.Revision, c.conf.RevisionOf(r.Key), r.Reason})
 	}
+	for _, q := range c.suspects.ledger.Quarantined() {
+		s.Quarantined = append(s.Quarantined, QuarantineStatus{Digest: q.Digest.String(), Workspace: q.Workspace, Ends: len(q.Ends),
+			AgeMS: (c.now - q.Ends[len(q.Ends)-1].At).Milliseconds(), BackMS: max(0, q.TrialAt()-c.now).Milliseconds()})
+	}
 	return s
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -38,6 +38,9 @@
 	steps    int
 	faults   int
 	sheds    int
+	// deadly requests end the backend servers that run them, which start again at once; deadlyRuns counts that.
+	deadly     map[string]bool
+	deadlyRuns int
 }
 
 type fakeHost struct {
@@ -560,11 +563,14 @@
 func (w *world) ended(b *fakeBackend, id string) {
 	r := w.requests[id]
 	outcome := core.Done
-	if b.lose {
+	if b.lose || w.deadly[id] {
 		outcome = core.Failed
 	}
+	if w.deadly[id] {
+		w.deadlyRuns++
+	}
 	if r.host.incarnation == r.born {
-		w.feed(r.host, core.Ended{ID: id, Attempt: r.attempt, Outcome: outcome, FirstToken: 20 * time.Millisecond,
+		w.feed(r.host, core.Ended{ID: id, Attempt: r.attempt, Outcome: outcome, BackendEnded: w.deadly[id], FirstToken: 20 * time.Millisecond,
 			Interval: 5 * time.Millisecond, Tokens: 10})
 	}
 }
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -11,6 +11,7 @@
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/record"
 	"fireflyshift/internal/timing"
+	"fireflyshift/internal/upstream"
 )
 
 const (
@@ -41,6 +42,7 @@
 	if f != nil {
 		return f
 	}
+	sub.Digest = digest(c, data)
 	prompt := b.prompt()
 	sub.PromptTokens, sub.OutputTokens, sub.Prefix = tokens(prompt), b.MaxTokens, engine.Short(engine.PrefixHashes(prompt))
 	s.fly(c, sub, &modelAttempt{server: s, call: c, body: body, sink: newSink(w, c, b.Stream, s.opt.MaxAnswerBytes),
@@ -112,12 +114,14 @@
 	}
 	// The request was written and its answer lost: the engine may have it. Asking for the stream
 	// is not a second dispatch; an engine that never got the request answers that it is unknown.
+	var again error
 	if !d.Resume {
-		if st := m.reattach(ctx); st != nil {
+		var st *engine.Stream
+		if st, again = m.reattach(ctx); st != nil {
 			return m.timed(m.follow(ctx, st))
 		}
 	}
-	return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
+	return core.Ended{Outcome: core.Failed, BackendEnded: upstream.IsRefused(again), Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
 }
 
 // notAdmitted tells that the engine itself says that it has not begun the work.
@@ -137,11 +141,14 @@
 		if !cut {
 			return e
 		}
-		if st = m.reattach(ctx); st == nil {
+		var err error
+		if st, err = m.reattach(ctx); st == nil {
 			if ctx.Err() != nil {
 				return core.Ended{Outcome: core.Canceled}
 			}
-			return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "after %d tokens", m.offset)}
+			// An engine that does not know a stream which it has just sent has started again meanwhile.
+			ended := unknownStream(err) || upstream.IsRefused(err)
+			return core.Ended{Outcome: core.Failed, BackendEnded: ended, Fault: fault.New(fault.AnswerCut, "after %d tokens", m.offset)}
 		}
 		m.server.metrics.Count("edge.reattached", 1)
 	}
@@ -201,16 +208,16 @@
 	}
 }
 
-func (m *modelAttempt) reattach(ctx context.Context) *engine.Stream {
+// reattach takes up a cut stream; the error is that of the last try.
+func (m *modelAttempt) reattach(ctx context.Context) (st *engine.Stream, err error) {
 	pause := reattachFirst
 	for i := 0; i < reattachTries && ctx.Err() == nil; i++ {
-		st, err := m.server.engines.Reattach(ctx, m.addr, m.call.id, m.offset)
+		st, err = m.server.engines.Reattach(ctx, m.addr, m.call.id, m.offset)
 		if err == nil {
-			return st
+			return st, nil
 		}
-		var refused *engine.StatusError
-		if errors.As(err, &refused) && refused.Status == http.StatusNotFound {
-			return nil
+		if unknownStream(err) {
+			return nil, err
 		}
 		select {
 		case <-ctx.Done():
@@ -218,7 +225,13 @@
 		}
 		pause *= 3
 	}
-	return nil
+	return nil, err
+}
+
+// unknownStream tells that the engine answers, and does not know the stream.
+func unknownStream(err error) bool {
+	var refused *engine.StatusError
+	return errors.As(err, &refused) && refused.Status == http.StatusNotFound
 }
 
 func (m *modelAttempt) suspend(ctx context.Context, addr string) {
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -11,6 +11,7 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/record"
+	"fireflyshift/internal/upstream"
 	"fireflyshift/internal/wire"
 )
 
@@ -32,6 +33,7 @@
 	if f != nil {
 		return f
 	}
+	sub.Digest = digest(c, body)
 	sub.PromptTokens, sub.OutputTokens = 0, 1
 	s.fly(c, sub, &plainAttempt{server: s, call: c, w: w, body: body, deadline: time.Now().Add(sub.Deadline)})
 	return nil
@@ -62,7 +64,8 @@
 		if ctx.Err() != nil {
 			return core.Ended{Outcome: core.Canceled}
 		}
-		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "backend server %s: %v", d.Backend.Name, err)}
+		return core.Ended{Outcome: core.Failed, BackendEnded: upstream.Refuses(ctx, d.Backend.Addr),
+			Fault: fault.New(fault.AnswerCut, "backend server %s: %v", d.Backend.Name, err)}
 	}
 	took := time.Since(started)
 	return core.Ended{Outcome: core.Done, FirstToken: took, Interval: took, Tokens: 1}
@@ -97,7 +100,7 @@
 	case ctx.Err() != nil:
 		return core.Ended{Outcome: core.Canceled}
 	default:
-		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
+		return core.Ended{Outcome: core.Failed, BackendEnded: upstream.Refuses(ctx, d.Backend.Addr), Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
 	}
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -15,6 +15,7 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/telemetry"
 	"fireflyshift/internal/ticket"
 	"fireflyshift/internal/wire"
@@ -154,6 +155,12 @@
 	}, nil
 }
 
+// digest names a request whatever its attempt.
+func digest(c *call, body []byte) quarantine.Digest {
+	return quarantine.Identity{Workspace: c.headers.workspace.Name, Method: c.Method, Target: c.URL.RequestURI(), Body: body,
+		Length: int64(len(body))}.Digest()
+}
+
 // needTicket refuses non-idempotent work that the caller means to be able to ask for again: its own
 // id would be unknown to the host that a balancer picks for the second try.
 func (s *Server) needTicket(h headers) *fault.Error {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -50,6 +50,7 @@
 	OutcomeUnknown     Kind = "outcome_unknown"
 	AnswerCut          Kind = "answer_cut"
 	DeadlineExceeded   Kind = "deadline_exceeded"
+	Quarantined        Kind = "quarantined"
 	// Moved is internal: the group has another scheduler. It never reaches a caller.
 	Moved Kind = "moved"
 )
@@ -89,6 +90,7 @@
 	OutcomeUnknown:     {OutcomeUnknown, http.StatusBadGateway, MayHaveRun, time.Second, "the backend server was lost after dispatch; idempotent work can be sent again as a new request"},
 	AnswerCut:          {AnswerCut, http.StatusBadGateway, MayHaveRun, time.Second, "the answer was cut and could not be resumed; discard what came and, if idempotent, send a new request"},
 	DeadlineExceeded:   {DeadlineExceeded, http.StatusGatewayTimeout, MayHaveRun, 0, "the deadline passed while the work ran; allow more time"},
+	Quarantined:        {Quarantined, http.StatusServiceUnavailable, NotRun, time.Minute, "backend servers have ended each time they ran this request; change it, or ask the operator"},
 	Moved:              {Moved, http.StatusServiceUnavailable, NotRun, 0, "ask the group's current scheduler"},
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -20,6 +20,7 @@
 	quarantineTests = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
 	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|CutAddUp|Rack"}
 	saidTests       = []string{"./internal/router", "-run", "Leaving|Away|UnlikeTimes"}
+	coreSuspects    = []string{"./internal/core", "-run", "Deadly|FoundOut"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -201,4 +202,9 @@
 	{"said-away-longest", "limits", "internal/router/said.go", "if until <= b.awayUntil {", "if false {", saidTests},
 	{"said-away-spread", "limits", "internal/router/said.go", "r.now + d + spread", "r.now + d + 0*spread", saidTests},
 	{"said-in-the-head", "4", "internal/gateway/flight.go", "info.Leaving || info.StayAway > 0", "false", onPlatform("Leaving|StayAway")},
+	{"core-quarantine", "ends", "internal/core/entry.go", "	if f := c.quarantined(r); f != nil {\n		c.emit(Finish{e.ID, f})", "	if f := c.quarantined(r); false {\n		c.emit(Finish{e.ID, f})", coreSuspects},
+	{"core-quarantine-waiting", "ends", "internal/core/entry.go", "if f := c.quarantined(r); f != nil && !r.sent {", "if f := c.quarantined(r); f != nil && false {", coreSuspects},
+	{"core-quarantine-zones", "ends", "internal/core/digest.go", "	c.suspects.ledger.Hear(c.now, d.Suspects)\n", "", coreSuspects},
+	{"core-quarantine-trial", "ends", "internal/core/suspects.go", "c.tries(d) && ", "", coreSuspects},
+	{"edge-proved-end", "ends", "internal/edge/chat.go", "ended := unknownStream(err) || upstream.IsRefused(err)", "ended := false", real("DeadlyPrompt")},
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -59,13 +59,26 @@
 	p.put(addr, c, keep, most)
 }
 
+// IsRefused tells that a connection was refused: nothing listens at the address.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// Refuses tells whether nothing listens at an address any more, by a connection that is closed at once.
+func Refuses(ctx context.Context, addr string) bool {
+	c, err := dial(ctx, Dialer(dialTimeout), addr)
+	if err != nil {
+		return IsRefused(err)
+	}
+	_ = c.Close()
+	return false
+}
+
 // Refused tells whether nothing listens at an address any more. A connection that is made is kept for the next call, unless
 // most are kept already.
 func (p *Pool) Refused(ctx context.Context, addr string, most int) bool {
 	p.dialed()
 	c, err := dial(ctx, p.dialer, addr)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return IsRefused(err)
 	}
 	p.giveBack(addr, c, most)
 	return false
