--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -202,7 +202,7 @@
 	{"said-away-longest", "limits", "internal/router/said.go", "if until <= b.awayUntil {", "if false {", saidTests},
 	{"said-away-spread", "limits", "internal/router/said.go", "r.now + d + spread", "r.now + d + 0*spread", saidTests},
 	{"said-in-the-head", "4", "internal/gateway/flight.go", "info.Leaving || info.StayAway > 0", "false", onPlatform("Leaving|StayAway")},
-	{"core-quarantine", "ends", "internal/core/entry.go", "	if f := c.quarantined(r); f != nil {\n		c.emit(Finish{e.ID, f})", "	if f := c.quarantined(r); false {\n		c.emit(Finish{e.ID, f})", coreSuspects},
+	{"core-quarantine", "ends", "internal/core/suspects.go", "if found == nil || r.onTrial {", "if found != nil || r.onTrial {", coreSuspects},
 	{"core-quarantine-waiting", "ends", "internal/core/entry.go", "if f := c.quarantined(r); f != nil && !r.sent {", "if f := c.quarantined(r); f != nil && false {", coreSuspects},
 	{"core-quarantine-zones", "ends", "internal/core/digest.go", "	c.suspects.ledger.Hear(c.now, d.Suspects)\n", "", coreSuspects},
 	{"core-quarantine-trial", "ends", "internal/core/suspects.go", "c.tries(d) && ", "", coreSuspects},
