--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -26,6 +26,8 @@
 	Beliefs []BeliefStatus `json:"beliefs,omitempty"`
 	// StoreAgeMS is how old the latest word of the platform's store is there; -1 where there is none.
 	StoreAgeMS int64 `json:"store_age_ms"`
+	// StoreEra is how often that store has come back from an older copy, as it counts.
+	StoreEra uint64 `json:"store_era,omitempty"`
 	// Quarantined are requests that are kept from backend servers there, Suspects how many are remembered.
 	Quarantined []QuarantineStatus `json:"quarantined,omitempty"`
 	Suspects    int                `json:"suspects,omitempty"`
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -108,10 +108,10 @@
 		}
 		if !head {
 			head = true
-			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL")
+			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL")
 		}
 		for _, b := range r.Status.Beliefs {
-			fmt.Fprintf(w, "%s\t%d ms\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\n", r.Status.Host, r.Status.StoreAgeMS, b.Name, b.Service,
+			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
 				b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS)
 		}
 	}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -121,7 +121,7 @@
 	}
 	f.g.log.Info().Str("id", f.call.AttemptID).Str("route", f.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Grounds.InFlight).Int("limit", d.Grounds.Limit).Int64("belief_age_ms", d.Grounds.BeliefAge.Milliseconds()).
-		Int64("expect_ms", d.Grounds.Wait.Milliseconds()).Uint64("config", d.Grounds.Version).Str("owner", d.Grounds.Owner).Msg("Sent.")
+		Int64("expect_ms", d.Grounds.Wait.Milliseconds()).Uint64("config", d.Grounds.Version).Uint64("era", d.Grounds.Era).Str("owner", d.Grounds.Owner).Msg("Sent.")
 }
 
 // logRejected is the line of a backend server's word that it has not run the request.
@@ -184,7 +184,7 @@
 		e = e.Str("backend", f.backend).Int("attempts", f.attempts).Int64("first_ms", f.firstByte.Milliseconds()).Int64("last_event", f.lastEvent)
 	} else {
 		e = e.Int("in_flight", f.grounds.InFlight).Int("limit", f.grounds.Limit).Int64("belief_age_ms", f.grounds.BeliefAge.Milliseconds()).
-			Int("known", f.grounds.Known).Int("full", f.grounds.Full).Int("dead", f.grounds.Dead).Uint64("config", f.grounds.Version)
+			Int("known", f.grounds.Known).Int("full", f.grounds.Full).Int("dead", f.grounds.Dead).Uint64("config", f.grounds.Version).Uint64("era", f.grounds.Era)
 	}
 	if outcome == string(router.OverQuota) {
 		g := f.grounds.Quota
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -192,20 +192,24 @@
 
 const (
 	revisionParam = "revision"
+	eraParam      = "era"
 	versionParam  = "version"
 	gzipEncoding  = "gzip"
 )
 
 func readSince(q url.Values) (router.Since, error) {
-	revision, err := strconv.ParseUint(q.Get(revisionParam), 10, 64)
-	if err != nil {
-		return router.Since{}, trace.BadParameter("%s is not a number", revisionParam)
-	}
-	version, err := strconv.ParseUint(q.Get(versionParam), 10, 64)
-	if err != nil {
-		return router.Since{}, trace.BadParameter("%s is not a number", versionParam)
+	var since router.Since
+	for name, into := range map[string]*uint64{revisionParam: &since.Revision.Number, eraParam: &since.Revision.Era, versionParam: &since.Version} {
+		if name == eraParam && !q.Has(name) {
+			continue // the first, as hosts that know no eras ask
+		}
+		n, err := strconv.ParseUint(q.Get(name), 10, 64)
+		if err != nil {
+			return router.Since{}, trace.BadParameter("%s is not a number", name)
+		}
+		*into = n
 	}
-	return router.Since{Revision: revision, Version: version}, nil
+	return since, nil
 }
 
 // writeNews sends news, compressed where the asker takes that: a configuration shrinks to a tenth, and
@@ -240,7 +244,8 @@
 // Pull reads what a host knows beyond what this one has.
 func (p *Puller) Pull(ctx context.Context, host string, since router.Since) (router.News, error) {
 	var n router.News
-	q := url.Values{revisionParam: {strconv.FormatUint(since.Revision, 10)}, versionParam: {strconv.FormatUint(since.Version, 10)}}
+	q := url.Values{revisionParam: {strconv.FormatUint(since.Revision.Number, 10)}, eraParam: {strconv.FormatUint(since.Revision.Era, 10)},
+		versionParam: {strconv.FormatUint(since.Version, 10)}}
 	u := url.URL{Scheme: "http", Host: net.JoinHostPort(host, strconv.Itoa(p.port)), Path: newsPath, RawQuery: q.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
--- a/internal/gossip/news_test.go
+++ b/internal/gossip/news_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
 )
 
 // asked counts the questions that reach the control thread.
@@ -23,7 +24,7 @@
 
 func (a *asked) Snapshot(router.Since) (router.News, bool) {
 	a.times++
-	return router.News{Revision: a.revision}, !a.silent
+	return router.News{Revision: routing.Revision{Number: a.revision}}, !a.silent
 }
 
 func revisionIn(t *testing.T, zipped []byte) uint64 {
@@ -31,7 +32,7 @@
 	require.NoError(t, err)
 	var n router.News
 	require.NoError(t, json.NewDecoder(z).Decode(&n))
-	return n.Revision
+	return n.Revision.Number
 }
 
 // All hosts of a fleet start at once and ask the few that know the configuration for everything. A small
@@ -46,11 +47,11 @@
 	}
 	require.Equal(t, 1, src.times)
 	src.revision = 8
-	body, err := last.body(router.Since{Revision: 3}, at, src)
+	body, err := last.body(router.Since{Revision: routing.Revision{Number: 3}}, at, src)
 	require.NoError(t, err)
 	require.EqualValues(t, 8, revisionIn(t, body), "another question")
 	src.revision = 9
-	body, err = last.body(router.Since{Revision: 3}, at.Add(lastFor), src)
+	body, err = last.body(router.Since{Revision: routing.Revision{Number: 3}}, at.Add(lastFor), src)
 	require.NoError(t, err)
 	require.EqualValues(t, 9, revisionIn(t, body), "too old")
 }
@@ -78,6 +79,6 @@
 		}
 		var n router.News
 		require.NoError(t, json.Unmarshal(w.Body.Bytes(), &n))
-		require.EqualValues(t, 5, n.Revision)
+		require.EqualValues(t, 5, n.Revision.Number)
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -28,7 +28,7 @@
 	}
 	s := core.Status{Host: o.node.set.Name, Zone: o.node.set.Zone, Ready: v.Ready, Draining: v.Draining, UptimeMS: v.Now.Milliseconds(),
 		Revision: v.Version, Digest: v.Digest, Reading: v.Reading, PlatformOK: v.StoreOK, Requests: v.Requests, Violations: v.Violations,
-		StoreAgeMS: v.StoreAge.Milliseconds()}
+		StoreAgeMS: v.StoreAge.Milliseconds(), StoreEra: v.Era}
 	for _, p := range v.Peers {
 		s.Peers = append(s.Peers, core.PeerStatus{Host: p.Host, Zone: p.Zone, Addr: p.Host, Alive: p.Heard, AgeMS: p.Age.Milliseconds()})
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,9 +243,9 @@
 		n.log.Warn().Err(err).Str("from", ask.Host).Msg("No news from a peer.")
 		return
 	}
-	n.log.Info().Str("from", ask.Host).Uint64("after", ask.Revision).Uint64("revision", news.Revision).
+	n.log.Info().Str("from", ask.Host).Stringer("after", ask.Revision).Stringer("revision", news.Revision).
 		Int("backends", len(news.Backends)).Bool("config", news.Config != nil).Msg("News from a peer.")
-	news.FromStore, news.Full = false, false
+	news.FromStore, news.Full, news.From = false, false, ask.Host
 	n.control.Post(news)
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -17,12 +18,13 @@
 type Listing struct {
 	routing.Changes
 	// AsOf is the store's revision; a watch goes on from it.
-	AsOf uint64
+	AsOf routing.Revision
 }
 
 // Store is the platform's metadata store, which can only be read.
 type Store interface {
 	List(ctx context.Context) (Listing, error)
+	// Watch waits for changes after a revision's number. The answer may be of another era.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
 	// Compacted tells that a watch failed because its history is gone.
 	Compacted(err error) bool
@@ -46,6 +48,10 @@
 	watchPause = 40 * time.Millisecond
 )
 
+// errOtherEra tells that the store has come back from an older copy while a watch waited: what it says of changes since a
+// revision of before leaves out what was lost.
+var errOtherEra = errors.New("the store is in another era than the listing")
+
 // storeReader keeps the reducer told of what the store says.
 type storeReader struct {
 	store   Store
@@ -84,8 +90,9 @@
 		}
 		s.metrics.Count("store.failures", 1)
 		s.log.Warn().Err(err).Dur("pause", pause).Msg("The store gave no news.")
-		s.post(router.StoreContact{OK: s.store.Compacted(err)})
-		if s.store.Compacted(err) {
+		again := s.store.Compacted(err) || errors.Is(err, errOtherEra)
+		s.post(router.StoreContact{OK: again})
+		if again {
 			continue
 		}
 		timing.Sleep(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
@@ -111,12 +118,15 @@
 	for ctx.Err() == nil {
 		s.metrics.Count("store.calls", 1)
 		wait := atLeast + time.Duration(rand.Int64N(int64(spread)))
-		l, err := s.store.Watch(ctx, after, wait)
+		l, err := s.store.Watch(ctx, after.Number, wait)
 		if err != nil {
 			return err
 		}
+		if l.AsOf.Era != after.Era {
+			return errOtherEra
+		}
 		s.post(router.News{Changes: l.Changes, After: after, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
-		after = max(after, l.AsOf)
+		after = routing.Latest(after, l.AsOf)
 		if len(l.Backends) > 0 || l.Config != nil {
 			timing.Sleep(ctx, between)
 		}
@@ -126,10 +136,10 @@
 
 // revisionOf is the highest revision among changes. The store's own revision also moves for keys
 // that hosts do not follow, and would make hosts look unlike that know the same.
-func revisionOf(c routing.Changes) uint64 {
-	var rev uint64
+func revisionOf(c routing.Changes) routing.Revision {
+	var rev routing.Revision
 	for _, b := range c.Backends {
-		rev = max(rev, b.Revision)
+		rev = routing.Latest(rev, b.Revision)
 	}
 	return rev
 }
--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -233,7 +233,7 @@
 	there := loadOf(o.Place)
 	r.takeOwnersWord(b, there)
 	q.owner = from
-	r.send(q, b, Grounds{Version: r.version(), InFlight: there.total(), Limit: int(o.Limit),
+	r.send(q, b, Grounds{Version: r.version(), Era: r.news.complete.Era, InFlight: there.total(), Limit: int(o.Limit),
 		Wait: time.Duration(o.WaitUs) * time.Microsecond, Owner: from, BeliefAge: r.now - a.at})
 }
 
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -29,9 +29,10 @@
 // backend is what this host believes of one backend server.
 type backend struct {
 	routing.Backend
-	revision uint64
-	// goneAt is the revision of the latest removal; zero where there was none.
-	goneAt     uint64
+	revision routing.Revision
+	// goneAt is the revision of the latest removal; zero where there was none. listed is that of the latest registration.
+	goneAt     routing.Revision
+	listed     routing.Revision
 	removed    bool
 	removedAt  time.Duration
 	doubtUntil time.Duration
--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -13,7 +13,7 @@
 	for _, engines := range []int{12, 112, 1000} {
 		b.Run(fmt.Sprintf("%d engines", engines), func(b *testing.B) {
 			r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
-			n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
+			n := News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
 				Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 3}}}}}
 			for i := 0; i < engines; i++ {
 				n.Backends = append(n.Backends, changeOf(fmt.Sprintf("e%04d", i), 10, false))
--- /dev/null
+++ b/internal/router/era_test.go
@@ -0,0 +1,142 @@
+package router
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+func inEra(era, number uint64) routing.Revision { return routing.Revision{Era: era, Number: number} }
+
+// servers are registrations at a revision.
+func servers(at routing.Revision, ids ...string) routing.Changes {
+	var c routing.Changes
+	for _, id := range ids {
+		ch := changeOf(id, 0, false)
+		ch.Revision = at
+		c.Backends = append(c.Backends, ch)
+	}
+	return c
+}
+
+// listing is what a reader of the store posts.
+func listing(asOf routing.Revision, c routing.Changes) News {
+	return News{FromStore: true, Full: true, AsOf: asOf, Changes: c}
+}
+
+func usable(r *Router, id string) bool {
+	b := r.backends[id]
+	if b == nil {
+		return false
+	}
+	ok, _ := b.usable(r.now)
+	return ok
+}
+
+// The store comes back thirty revisions older. What it says from then on must be taken, though the numbers are lower than
+// those that were known; a peer that has not heard of it must not bring the lost ones back.
+func TestLaterEraGoesFirst(t *testing.T) {
+	r := lone(t, "a", "b") // at 10, as of 50
+	r.Reduce(12*time.Second, listing(inEra(2, 20), servers(inEra(2, 10), "a", "b")))
+	c := servers(inEra(2, 21), "new")
+	gone := changeOf("b", 0, true)
+	gone.Revision = inEra(2, 22)
+	c.Backends = append(c.Backends, gone)
+	r.Reduce(13*time.Second, News{FromStore: true, After: inEra(2, 20), AsOf: inEra(2, 22), Changes: c})
+	require.True(t, usable(r, "new"))
+	require.False(t, usable(r, "b"))
+	r.Reduce(14*time.Second, News{After: rev(0), AsOf: rev(90), Revision: rev(90), Changes: servers(rev(80), "b", "ghost")})
+	require.False(t, usable(r, "b"))
+	require.False(t, usable(r, "ghost"))
+	require.Equal(t, inEra(2, 22), r.news.complete)
+}
+
+// A host has heard that a server leaves; the copy is older and says that it is ready, as does what comes later of the same
+// start. A server that the host knew to have left is listed in the copy too.
+func TestOlderCopyIsNoEvidence(t *testing.T) {
+	r := lone(t, "leaves", "left", "stays")
+	drain := changeOf("leaves", 60, false)
+	drain.Draining = true
+	registers(r, 12*time.Second, drain)
+	registers(r, 12*time.Second, changeOf("left", 61, true))
+	r.Reduce(13*time.Second, listing(inEra(1, 20), servers(inEra(1, 10), "leaves", "left", "stays")))
+	require.True(t, usable(r, "stays"))
+	require.False(t, usable(r, "leaves"))
+	require.False(t, usable(r, "left"))
+	r.Reduce(14*time.Second, News{FromStore: true, After: inEra(1, 20), AsOf: inEra(1, 31), Changes: servers(inEra(1, 31), "leaves", "left")})
+	require.False(t, usable(r, "leaves"))
+	require.True(t, usable(r, "left"), "it lives, as it has written anew")
+}
+
+// A server has joined in the seconds that the store has lost. It is used on, as it lives and writes again; one that does not
+// within the time that the operators state is gone.
+func TestLostServersHaveTimeToWriteAgain(t *testing.T) {
+	r := lone(t, "old")
+	registers(r, time.Second, changeOf("lives", 51, false))
+	registers(r, time.Second, changeOf("ended", 52, false))
+	at := 2 * time.Second
+	out := r.Reduce(at, listing(inEra(1, 20), servers(inEra(1, 10), "old")))
+	note := noteOf(out, "store is back from an older copy")
+	require.NotNil(t, note)
+	require.Equal(t, "store", note.Subject)
+	require.Contains(t, note.Detail, "1/20 after 0/52")
+	for _, id := range []string{"old", "lives", "ended"} {
+		require.True(t, usable(r, id), id)
+	}
+	r.Reduce(at+time.Second, News{FromStore: true, After: inEra(1, 20), AsOf: inEra(1, 21), Changes: servers(inEra(1, 21), "lives")})
+	r.Reduce(at+eraPatience, Tick{})
+	require.True(t, usable(r, "lives"))
+	require.False(t, usable(r, "ended"))
+}
+
+func noteOf(out []Effect, what string) *Note {
+	for _, e := range out {
+		if n, ok := e.(Note); ok && n.What == what {
+			return &n
+		}
+	}
+	return nil
+}
+
+// A host that the store refuses hears of the era by its peers' beats and asks them, also where the copy lists nobody. What it
+// is told lacks the servers that the copy lacks, and they have their time there too.
+func TestPeersHearOfAnEra(t *testing.T) {
+	reader, refused := lone(t, "a"), lone(t, "a")
+	reader.Reduce(2*time.Second, listing(inEra(1, 20), routing.Changes{}))
+	beat := func(seq uint64) *gossippb.Beat {
+		return &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: seq, ConfigVersion: 1, Revision: reader.news.revision.Number,
+			Era: reader.news.revision.Era, Digest: 7}
+	}
+	refused.Reduce(2*time.Second, Heard{beat(1)})
+	pull, ok := has[Pull](refused.Reduce(2*time.Second+pullAfter, Heard{beat(2)}))
+	require.True(t, ok)
+	require.Equal(t, rev(50), pull.Revision)
+	news := reader.Snapshot(pull.Since)
+	data, err := json.Marshal(news)
+	require.NoError(t, err)
+	var told News
+	require.NoError(t, json.Unmarshal(data, &told))
+	told.From = "10.0.0.9"
+	out := refused.Reduce(3*time.Second, told)
+	require.Equal(t, "10.0.0.9", noteOf(out, "store is back from an older copy").Subject)
+	require.Equal(t, inEra(1, 20), refused.news.complete)
+	require.True(t, usable(refused, "a"))
+	refused.Reduce(3*time.Second+eraPatience, Tick{})
+	require.False(t, usable(refused, "a"))
+}
+
+// A configuration of before the copy stays in force until a later one comes: its keys, routes and quotas were taken away
+// on purpose.
+func TestConfigurationOutlivesAnOlderCopy(t *testing.T) {
+	r := lone(t, "a")
+	r.Reduce(time.Second, News{FromStore: true, After: rev(50), AsOf: rev(70), Changes: routing.Changes{Config: &routing.Config{Version: 9}}})
+	r.Reduce(2*time.Second, listing(inEra(1, 20), routing.Changes{Config: &routing.Config{Version: 1}}))
+	require.EqualValues(t, 9, r.version())
+	r.Reduce(3*time.Second, News{FromStore: true, After: inEra(1, 20), AsOf: inEra(1, 21), Changes: routing.Changes{Config: &routing.Config{Version: 11}}})
+	require.EqualValues(t, 11, r.version())
+}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -147,10 +147,11 @@
 	Full bool
 	// After and AsOf are revisions of the store: the news hold every change after the one up to the
 	// other. Revision is the highest among the changes, or that the sender knows of.
-	After, AsOf uint64
-	Revision    uint64
-	// FromStore tells the store's word from a peer's.
+	After, AsOf routing.Revision
+	Revision    routing.Revision
+	// FromStore tells the store's word from a peer's; From names that peer, for logs.
 	FromStore bool
+	From      string `json:"-"`
 }
 
 // StoreContact tells that the store answers, or does not.
@@ -194,6 +195,7 @@
 	Limit     int           // for this priority there
 	BeliefAge time.Duration // of the oldest heartbeat that was counted
 	Version   uint64        // of the configuration
+	Era       uint64        // of the platform's store, by whose word the backend servers are known
 	Quota     QuotaGrounds
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
@@ -291,7 +293,10 @@
 }
 
 // Since is what the asker of news has already.
-type Since struct{ Revision, Version uint64 }
+type Since struct {
+	Revision routing.Revision
+	Version  uint64
+}
 
 // InForce tells that a newer configuration is in force.
 type InForce struct{ Table *routing.Table }
--- a/internal/router/exhaustive_test.go
+++ b/internal/router/exhaustive_test.go
@@ -164,12 +164,12 @@
 		return routing.Changes{Backends: []routing.BackendChange{changeOf("x", rev, removed)}}
 	}
 	news := []News{
-		{FromStore: true, After: 50, AsOf: 62, Revision: 61, Changes: backend(61, false)},
-		{After: 50, AsOf: 60, Changes: config(3)},
-		{FromStore: true, After: 62, AsOf: 70, Changes: config(5)},
-		{After: 50, AsOf: 75, Revision: 72, Changes: backend(72, true)},
+		{FromStore: true, After: rev(50), AsOf: rev(62), Revision: rev(61), Changes: backend(61, false)},
+		{After: rev(50), AsOf: rev(60), Changes: config(3)},
+		{FromStore: true, After: rev(62), AsOf: rev(70), Changes: config(5)},
+		{After: rev(50), AsOf: rev(75), Revision: rev(72), Changes: backend(72, true)},
 		{Changes: config(4)},
-		{After: 10, AsOf: 40, Revision: 61, Changes: backend(61, false)},
+		{After: rev(10), AsOf: rev(40), Revision: rev(61), Changes: backend(61, false)},
 	}
 	permute(len(news), func(order []int) {
 		b := newBench(t, 1)
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"encoding/json"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -37,10 +38,13 @@
 )
 
 type newsState struct {
-	revision uint64 // highest revision known
+	revision routing.Revision // highest revision known
 	// complete is the revision up to which every change of backend servers is known, so that only
 	// later ones have to be asked for, and a registration that is older and unknown is gone.
-	complete uint64
+	complete routing.Revision
+	// eraAt is when complete came into its era of the store, and changes counts what changed of backend servers.
+	eraAt    time.Duration
+	changes  int
 	prints   uint64 // of all live registrations
 	synced   bool   // the store has been read since the start
 	reading  bool   // this host reads the store
@@ -91,21 +95,61 @@
 	if n.Config != nil && n.Config.Version > r.version() {
 		r.adopt(n.Config)
 	}
+	before := r.news.changes
 	for _, ch := range n.Backends {
 		r.takeBackend(ch)
 	}
 	if n.Full {
 		r.removeUnlisted(n)
 	}
-	r.news.revision = max(r.news.revision, n.Revision)
-	if n.After <= r.news.complete {
-		r.news.complete = max(r.news.complete, n.AsOf)
+	r.news.revision = routing.Latest(r.news.revision, n.Revision)
+	if !n.After.After(r.news.complete) {
+		r.advance(n, r.news.changes-before)
 	}
 	if n.FromStore && !n.Full {
 		r.pushChanges(n.Changes)
 	}
 }
 
+// eraPatience is how long after a later era of the store is heard a backend server stays that it does not list: one that
+// lives writes again what the store has lost within two seconds of its return.
+const eraPatience = 2500 * time.Millisecond
+
+// advance notes up to which revision every change is known. Where that is of a later era, the store has come back from an older
+// copy of itself.
+func (r *Router) advance(n News, changed int) {
+	was := r.news.complete
+	r.news.complete = routing.Latest(was, n.AsOf)
+	if r.news.complete.Era == was.Era {
+		return
+	}
+	r.news.eraAt = r.now
+	// Peers hear of the era by this, also where the copy lists no backend server.
+	r.news.revision = routing.Latest(r.news.revision, routing.Revision{Era: r.news.complete.Era})
+	if was == (routing.Revision{}) {
+		return // this host has just started
+	}
+	from := n.From
+	if n.FromStore {
+		from = "store"
+	}
+	r.emit(Note{What: "store is back from an older copy", Subject: from,
+		Detail: fmt.Sprintf("revision %s after %s, %d backend servers changed", r.news.complete, was, changed)})
+}
+
+// dropLost gives up the backend servers that the store had lost and that have not registered there again.
+func (r *Router) dropLost() {
+	era := r.news.complete.Era
+	if era == 0 || r.now-r.news.eraAt < eraPatience {
+		return
+	}
+	for _, b := range r.allBackends() {
+		if !b.removed && b.revision.Era < era {
+			r.remove(b, routing.BackendChange{Revision: routing.Revision{Era: era}, Removed: true})
+		}
+	}
+}
+
 const (
 	// maxPush is the most changes of backend servers that go into one datagram, some 2 KB.
 	maxPush = 8
@@ -198,13 +242,15 @@
 		listed[ch.ID] = true
 	}
 	for _, b := range r.allBackends() {
-		if !listed[b.ID] && !b.removed && b.revision <= n.AsOf {
+		lost := b.revision.Era < n.AsOf.Era // by the store; see dropLost
+		if !listed[b.ID] && !b.removed && !lost && !b.revision.After(n.AsOf) {
 			r.remove(b, routing.BackendChange{Revision: n.AsOf, Removed: true})
 		}
 	}
 }
 
 func (r *Router) expireNews() {
+	r.dropLost()
 	for _, b := range r.allBackends() {
 		if b.removed && r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
 			delete(r.backends, b.ID)
@@ -255,7 +301,8 @@
 
 // print stands for a registration in a digest.
 func (b *backend) print() uint64 {
-	return xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(b.ID), b.revision))
+	text := binary.LittleEndian.AppendUint64([]byte(b.ID), b.revision.Number)
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(text, b.revision.Era))
 }
 
 // versionPrint spreads versions over a digest: the golden ratio in 64 bits.
@@ -276,7 +323,7 @@
 	}
 	// What is known may have gaps up to the highest revision: a push that was lost, and a later one that
 	// was not. Only up to complete there are none.
-	newer := b.ConfigVersion > r.version() || b.Revision > r.news.complete
+	newer := b.ConfigVersion > r.version() || routing.Revision{Era: b.Era, Number: b.Revision}.After(r.news.complete)
 	wait, every := pullAfter, pullEvery
 	since := Since{Revision: r.news.complete, Version: r.version()}
 	if !newer {
@@ -301,7 +348,7 @@
 		n.Config = r.table.Config
 	}
 	for _, b := range r.allBackends() {
-		if b.revision <= since.Revision {
+		if !b.revision.After(since.Revision) {
 			continue
 		}
 		n.Backends = append(n.Backends, routing.BackendChange{Backend: b.Backend, Revision: b.revision, Removed: b.removed})
--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -13,7 +13,7 @@
 )
 
 func changeOf(id string, revision uint64, removed bool) routing.BackendChange {
-	return routing.BackendChange{Revision: revision, Removed: removed,
+	return routing.BackendChange{Revision: rev(revision), Removed: removed,
 		Backend: routing.Backend{ID: id, Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}}
 }
 
@@ -23,7 +23,7 @@
 func TestPullAsksOnlyForWhatIsMissing(t *testing.T) {
 	b := newBench(t, 1000) // complete as of revision 50
 	peer := newBench(t, 1000)
-	peer.post(News{FromStore: true, After: 50, AsOf: 90, Revision: 80, Changes: routing.Changes{
+	peer.post(News{FromStore: true, After: rev(50), AsOf: rev(90), Revision: rev(80), Changes: routing.Changes{
 		Config: &routing.Config{Version: 9}, Backends: []routing.BackendChange{changeOf("new", 70, false), changeOf("e3", 80, true)}}})
 	beat := func(seq uint64) *gossippb.Beat {
 		return &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: seq, ConfigVersion: 9, Revision: 80, Digest: peer.r.digest()}
@@ -32,21 +32,21 @@
 	b.now += pullAfter + time.Millisecond
 	asked := effectsOf[Pull](b.post(Heard{beat(2)}))
 	require.Len(t, asked, 1)
-	require.Equal(t, Since{Revision: 50, Version: 1}, asked[0].Since)
+	require.Equal(t, Since{Revision: rev(50), Version: 1}, asked[0].Since)
 
 	n := peer.r.Snapshot(asked[0].Since)
 	require.Len(t, n.Backends, 2)
 	b.post(n)
 	require.Equal(t, peer.r.digest(), b.r.digest())
 	require.EqualValues(t, 90, b.r.news.complete)
-	require.Nil(t, b.r.Snapshot(Since{Revision: 90, Version: 9}).Config)
+	require.Nil(t, b.r.Snapshot(Since{Revision: rev(90), Version: 9}).Config)
 }
 
 // A host hears a pushed change but misses the one before it. It must not take itself for complete up to
 // the later one, or it would never ask for what it missed.
 func TestMissedChangeIsAskedFor(t *testing.T) {
 	b := newBench(t, 1)
-	b.post(News{After: 60, AsOf: 70, Revision: 70, Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("later", 70, false)}}})
+	b.post(News{After: rev(60), AsOf: rev(70), Revision: rev(70), Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("later", 70, false)}}})
 	require.EqualValues(t, 50, b.r.news.complete)
 }
 
@@ -54,7 +54,7 @@
 // it: the host must not send callers to an address that nobody has, or that another service has.
 func TestOldRegistrationFromAPeerIsNotTaken(t *testing.T) {
 	b := newBench(t, 1)
-	b.post(News{Revision: 40, Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("ghost", 40, false)}}})
+	b.post(News{Revision: rev(40), Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("ghost", 40, false)}}})
 	require.Nil(t, b.r.backends["ghost"])
 }
 
@@ -71,7 +71,7 @@
 			ch.Zone = zone
 			list = append(list, ch)
 		}
-		b.post(News{FromStore: true, After: 50, AsOf: 70, Changes: routing.Changes{Backends: list}})
+		b.post(News{FromStore: true, After: rev(50), AsOf: rev(70), Changes: routing.Changes{Backends: list}})
 		for i := 0; i < fullMesh; i++ {
 			b.r.meet(fmt.Sprintf("10.0.3.%d", i), "z3")
 		}
@@ -131,7 +131,7 @@
 	}
 	mate := newBench(t, 17)
 	told := 0
-	for _, e := range reader.post(News{FromStore: true, After: 50, AsOf: 80, Revision: 76, Changes: routing.Changes{Backends: list}}) {
+	for _, e := range reader.post(News{FromStore: true, After: rev(50), AsOf: rev(80), Revision: rev(76), Changes: routing.Changes{Backends: list}}) {
 		if s, ok := e.(SendBeat); ok && len(s.Beat.Changes) > 0 {
 			mate.r.takeChanges(s.Beat.Changes)
 			told++
@@ -159,3 +159,6 @@
 	require.Len(t, asked, 1)
 	require.EqualValues(t, 50, asked[0].Revision)
 }
+
+// rev is a revision of the store's first era.
+func rev(number uint64) routing.Revision { return routing.Revision{Number: number} }
--- a/internal/router/place_test.go
+++ b/internal/router/place_test.go
@@ -28,10 +28,10 @@
 	b := &bench{t: t, now: time.Second}
 	b.r = New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1,
 		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}})
-	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
+	n := News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 3}}}}}
 	for i := 0; i < engines; i++ {
-		n.Backends = append(n.Backends, routing.BackendChange{Revision: 10, Backend: routing.Backend{ID: fmt.Sprintf("e%d", i), Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}})
+		n.Backends = append(n.Backends, routing.BackendChange{Revision: rev(10), Backend: routing.Backend{ID: fmt.Sprintf("e%d", i), Addr: "a", Zone: "z0", Service: "m", Slots: 5, Model: true}})
 	}
 	b.post(n)
 	return b
@@ -235,7 +235,7 @@
 func TestLapsedRegistrationIsUsedBrieflyOnly(t *testing.T) {
 	b := newBench(t, 1)
 	b.post(StoreContact{OK: false})
-	b.post(News{FromStore: true, Full: true, AsOf: 60})
+	b.post(News{FromStore: true, Full: true, AsOf: rev(60)})
 	engine, _ := b.submit(urgent, 0, 10)
 	require.Equal(t, "e0", engine)
 	b.now += doubtFor
@@ -247,11 +247,11 @@
 // A server that drains is removed as the store returns. It said that it leaves: it is never doubtful.
 func TestDrainedServerIsNeverUsedAgain(t *testing.T) {
 	b := newBench(t, 1)
-	ch := routing.BackendChange{Revision: 55, Backend: b.r.backends["e0"].Backend}
+	ch := routing.BackendChange{Revision: rev(55), Backend: b.r.backends["e0"].Backend}
 	ch.Draining = true
-	b.post(News{FromStore: true, Revision: 55, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+	b.post(News{FromStore: true, Revision: rev(55), Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 	b.post(StoreContact{OK: false})
-	b.post(News{FromStore: true, Full: true, AsOf: 60})
+	b.post(News{FromStore: true, Full: true, AsOf: rev(60)})
 	_, refused := b.submit(urgent, 0, 10)
 	require.NotNil(t, refused)
 }
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -41,7 +41,7 @@
 		cfg := *h.r.table.Config
 		cfg.Version = 2
 		cfg.Workspaces = []routing.Workspace{f.workspace}
-		f.post(h, News{FromStore: true, After: 50, AsOf: 50, Changes: routing.Changes{Config: &cfg}})
+		f.post(h, News{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: &cfg}})
 	}
 	f.run(2*time.Second, 0)
 	return f
@@ -90,7 +90,7 @@
 	h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: incarnation, Seed: incarnation, Seeds: []string{"10.0.0.1", "10.0.0.2"}, Bounds: f.bounds})
 	h.born = f.now
 	cfg := *f.hosts[1].r.table.Config
-	f.post(h, News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &cfg}})
+	f.post(h, News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &cfg}})
 }
 
 // One workspace of a large fleet asks for six times its quota from one moment on. Hosts that heard of each other
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -17,27 +17,37 @@
 	case !known:
 		r.join(ch)
 	case ch.Removed:
-		if ch.Revision > b.revision || (ch.Foreign && ch.Revision == b.revision) {
+		if ch.Revision.After(b.revision) || (ch.Foreign && ch.Revision == b.revision) {
 			r.remove(b, ch)
 		}
-	case ch.Revision <= b.goneAt:
+	case !ch.Revision.After(b.goneAt):
 		// A removal came later than this.
 	case ch.Start == 0 && b.Start > 0:
 		// A start that is known by its moment always tells it: something else has written.
-		if ch.Revision > b.revision {
+		if ch.Revision.After(b.revision) {
 			r.remove(b, routing.BackendChange{Revision: ch.Revision, Removed: true, Foreign: true})
 		}
-	case ch.Start > b.Start && b.Start == 0 && ch.Revision < b.revision:
+	case ch.Start > b.Start && b.Start == 0 && b.revision.After(ch.Revision):
 		// The same the other way round: what is known was written by something else, later.
 		r.remove(b, routing.BackendChange{Revision: b.revision, Removed: true, Foreign: true})
 		r.nameStart(b, ch.Start)
 	case ch.Start > b.Start:
 		r.restart(b, ch)
-	case ch.Start == b.Start && ch.Revision > b.revision:
+	case ch.Start == b.Start && r.isCopyOfGone(b, ch):
+		b.revision, b.goneAt = ch.Revision, ch.Revision
+	case ch.Start == b.Start && ch.Revision.After(b.revision):
 		r.update(b, ch)
 	}
 }
 
+// isCopyOfGone tells whether a registration that comes with a later era of the store is the one that was there before the
+// backend server went: the store has come back from a copy that is older than its going, which is no word of its being
+// back. A backend server that lives writes anew, and gets another number.
+func (r *Router) isCopyOfGone(b *backend, ch routing.BackendChange) bool {
+	wentBefore := b.removed && ch.Revision.Era > b.goneAt.Era
+	return wentBefore && ch.Revision.Number == b.listed.Number
+}
+
 // nameStart notes which start of a backend server is known, so that others' words of it are found.
 func (r *Router) nameStart(b *backend, start uint64) {
 	delete(r.byHash, b.hash)
@@ -57,8 +67,8 @@
 	if ch.Removed {
 		return
 	}
-	r.news.revision = max(r.news.revision, ch.Revision)
-	if ch.Revision <= r.news.complete {
+	r.news.revision = routing.Latest(r.news.revision, ch.Revision)
+	if !ch.Revision.After(r.news.complete) {
 		return // it was removed since; whoever tells of it has not heard
 	}
 	r.emit(Note{What: "backend server joined", Subject: ch.ID, Detail: describe(ch.Backend)})
@@ -72,7 +82,8 @@
 
 func (r *Router) add(ch routing.BackendChange) {
 	b := newBackend(ch.Backend)
-	b.revision = ch.Revision
+	b.revision, b.listed = ch.Revision, ch.Revision
+	r.news.changes++
 	r.backends[ch.ID] = b
 	r.index(b)
 	r.forgetOrder()
@@ -86,7 +97,7 @@
 // earlier start holds for it. Calls that were sent to the earlier one are broken off: where it fell silent
 // they would wait for an answer that never comes, and whether they ran is unknown.
 func (r *Router) restart(b *backend, ch routing.BackendChange) {
-	r.news.revision = max(r.news.revision, ch.Revision)
+	r.news.revision = routing.Latest(r.news.revision, ch.Revision)
 	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: describe(ch.Backend)})
 	r.forgetPrint(b)
 	r.backendEnded(b)
@@ -112,7 +123,11 @@
 
 // update takes a newer registration of the same start.
 func (r *Router) update(b *backend, ch routing.BackendChange) {
-	r.news.revision = max(r.news.revision, ch.Revision)
+	r.news.revision = routing.Latest(r.news.revision, ch.Revision)
+	if b.Draining && !ch.Draining && ch.Revision.Era > b.revision.Era {
+		// The store's copy is older than what this host has heard from it: no evidence against that.
+		r.markLeaving(b, "store")
+	}
 	if ch.Draining && !b.Draining {
 		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
 	}
@@ -121,7 +136,10 @@
 	}
 	r.forgetPrint(b)
 	moved := b.Service != ch.Service || b.Zone != ch.Zone
-	b.Backend, b.revision, b.removed = ch.Backend, ch.Revision, false
+	if b.Backend != ch.Backend || b.removed {
+		r.news.changes++
+	}
+	b.Backend, b.revision, b.listed, b.removed = ch.Backend, ch.Revision, ch.Revision, false
 	r.news.prints += b.print()
 	if moved {
 		r.forgetOrder()
@@ -129,7 +147,7 @@
 }
 
 func (r *Router) forgetPrint(b *backend) {
-	if b.revision > 0 && !b.removed {
+	if b.revision != (routing.Revision{}) && !b.removed {
 		r.news.prints -= b.print()
 	}
 }
@@ -146,6 +164,7 @@
 	if b.removed {
 		return
 	}
+	r.news.changes++
 	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
 	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
 		b.doubtUntil = r.now + doubtFor
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if back, yes := r.quarantined(q); yes {
-		r.emit(Refuse{ID: e.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version()}})
+		r.emit(Refuse{ID: e.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version(), Era: r.news.complete.Era}})
 		return
 	}
 	q.service = r.chooseService(e.Route)
@@ -260,7 +260,7 @@
 		q.rejects++
 	}
 	if q.rejects >= maxRejects || q.attempt >= maxSends || r.now >= q.Deadline || (reached && !r.budgetOf(q.service).Spend(r.now, r.hosts())) {
-		r.refuse(q, Grounds{Version: r.version()})
+		r.refuse(q, Grounds{Version: r.version(), Era: r.news.complete.Era})
 		return
 	}
 	r.dispatch(q)
@@ -348,7 +348,7 @@
 }
 
 func (r *Router) quotaGrounds(q *request) Grounds {
-	g := Grounds{Version: r.version(), BeliefAge: r.oldestBelief(), Quota: QuotaGrounds{Cost: q.Cost}}
+	g := Grounds{Version: r.version(), Era: r.news.complete.Era, BeliefAge: r.oldestBelief(), Quota: QuotaGrounds{Cost: q.Cost}}
 	g.Quota.Left, g.Quota.Own = r.quotas[q.Workspace.Name].Left()
 	return g
 }
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -18,7 +18,7 @@
 }
 
 func foreign(revision uint64) routing.BackendChange {
-	return routing.BackendChange{Backend: routing.Backend{ID: "e0"}, Revision: revision, Removed: true, Foreign: true}
+	return routing.BackendChange{Backend: routing.Backend{ID: "e0"}, Revision: rev(revision), Removed: true, Foreign: true}
 }
 
 // tell posts changes as a peer would tell them.
--- a/internal/router/said_test.go
+++ b/internal/router/said_test.go
@@ -13,7 +13,7 @@
 
 // registers tells a host that a backend server registers, as the store's next change.
 func registers(r *Router, at time.Duration, ch routing.BackendChange) {
-	r.Reduce(at, News{FromStore: true, After: ch.Revision - 1, AsOf: ch.Revision, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+	r.Reduce(at, News{FromStore: true, After: rev(ch.Revision.Number - 1), AsOf: ch.Revision, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 }
 
 // submitted is what a request without digest meets at a host.
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -82,7 +82,7 @@
 	r.Reduce(0, Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
 	r.Reduce(0, Tick{})
 	now := changeGap + 5*time.Millisecond
-	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1}}}
+	n := News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1}}}
 	require.Contains(t, beatsTo(r.Reduce(now, n)), "10.0.0.2")
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -192,7 +192,7 @@
 		r.emit(GiveUp{ID: q.ID, Cause: Quarantined, PassOn: true})
 		return
 	}
-	r.emit(Refuse{ID: q.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version()}})
+	r.emit(Refuse{ID: q.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version(), Era: r.news.complete.Era}})
 }
 
 // expireSuspects forgets what is old.
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -167,7 +167,7 @@
 // lone is a host that knows some engines and no other host.
 func lone(t *testing.T, engines ...string) *Router {
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Bounds: Bounds{RetryRatio: 0.2, RetryWindow: time.Second, RetryExtra: 100}})
-	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1, Services: []routing.Service{{Name: "m", Model: true}}}}}
+	n := News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1, Services: []routing.Service{{Name: "m", Model: true}}}}}
 	for _, id := range engines {
 		ch := changeOf(id, 10, false)
 		ch.Slots, ch.Zone = 4, "z0"
@@ -214,15 +214,15 @@
 		"refuses connection":       {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id, Refused: true}) }, true},
 		"refused by another start": {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id, Start: 7, Refused: true}) }, false},
 		"registration goes": {func(r *Router, id string) {
-			r.Reduce(5*time.Second, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: 60, Removed: true}}}})
+			r.Reduce(5*time.Second, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: rev(60), Removed: true}}}})
 		}, true},
 		"registration goes long after": {func(r *Router, id string) {
-			r.Reduce(2*time.Second+confirmFor+1, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: 60, Removed: true}}}})
+			r.Reduce(2*time.Second+confirmFor+1, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: rev(60), Removed: true}}}})
 		}, false},
 		"starts again": {func(r *Router, id string) {
 			ch := changeOf(id, 60, false)
 			ch.Start = 5
-			r.Reduce(3*time.Second, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+			r.Reduce(3*time.Second, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -243,7 +243,7 @@
 	d := dispatchOf(t, r.Reduce(2*time.Second, Submit{ID: 1, Route: fragile, Deadline: time.Minute}))
 	ch := changeOf("a", 60, false)
 	ch.Draining = true
-	r.Reduce(3*time.Second, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+	r.Reduce(3*time.Second, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 	out := r.Reduce(4*time.Second, Ended{ID: 1, Outcome: Broken, Fault: true, Digest: deadly})
 	_, asked := has[Check](out)
 	require.False(t, asked)
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -5,6 +5,7 @@
 // View is what operators see of a reducer.
 type View struct {
 	Version    uint64
+	Era        uint64 // of the store
 	Digest     uint64
 	Ready      bool
 	Draining   bool
@@ -47,7 +48,7 @@
 
 // View gathers what operators see.
 func (r *Router) View() View {
-	v := View{Version: r.version(), Digest: r.digest(), Ready: r.Ready(), Draining: r.drain != nil, Reading: r.news.reading,
+	v := View{Version: r.version(), Era: r.news.complete.Era, Digest: r.digest(), Ready: r.Ready(), Draining: r.drain != nil, Reading: r.news.reading,
 		StoreOK: !r.news.lost, StoreAge: -1, Requests: len(r.requests), Violations: r.inv.Total(), Now: r.now}
 	if r.news.heardAt > 0 {
 		v.StoreAge = r.now - r.news.heardAt
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -28,9 +29,16 @@
 	mail   []letter
 	// truth is what the store holds; log is its history.
 	config   *routing.Config
+	latest   uint64 // version of the configuration that was sent last
 	backends map[string]routing.BackendChange
 	revision uint64
 	storeOff bool
+	// era is how often the store has come back from copy; since is what was written after it was taken, and again what is
+	// still to be written anew.
+	era   uint64
+	copy  *storeCopy
+	since []func()
+	again []func()
 	// calls are all requests ever submitted.
 	calls map[uint64]*call
 }
@@ -47,8 +55,59 @@
 	reading bool
 	version uint64
 	inc     uint64
+	told    map[string]bool // servers that have told it in an answer that they leave
 }
 
+// storeCopy is what the store held at a moment.
+type storeCopy struct {
+	config   *routing.Config
+	backends map[string]routing.BackendChange
+	revision uint64
+}
+
+// takeCopy takes a copy that the store may come back from.
+func (w *world) takeCopy() {
+	w.copy = &storeCopy{w.config, maps.Clone(w.backends), w.revision}
+	w.since = nil
+}
+
+// comeBack brings the store back from its copy. What was written since is written again, in order, a little later; so are
+// those writes that still waited.
+func (w *world) comeBack() {
+	if w.copy == nil {
+		return
+	}
+	w.era++
+	w.config, w.backends, w.revision = w.copy.config, maps.Clone(w.copy.backends), w.copy.revision
+	w.again = append(slices.Clone(w.since), w.again...)
+	w.since = nil
+	for _, h := range w.hosts {
+		h.listed = false // its watch is told that the history is gone
+	}
+}
+
+// write changes what the store holds; it comes again if the store loses it.
+func (w *world) write(f func()) {
+	if len(w.again) > 0 {
+		w.again = append(w.again, f) // the operator and the servers write in order
+		return
+	}
+	f()
+	w.since = append(w.since, f)
+}
+
+// writeAgain writes some of what the store had lost.
+func (w *world) writeAgain(most int) {
+	for ; most > 0 && len(w.again) > 0; most-- {
+		f := w.again[0]
+		w.again = w.again[1:]
+		f()
+		w.since = append(w.since, f)
+	}
+}
+
+func (w *world) rev() routing.Revision { return routing.Revision{Era: w.era, Number: w.revision} }
+
 // call is one request as its caller and the backend servers see it.
 type call struct {
 	id       uint64
@@ -69,7 +128,7 @@
 }
 
 func newWorld(t *rapid.T, zones, perZone int) *world {
-	w := &world{t: t, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
+	w := &world{t: t, latest: 2, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
 	w.publish()
 	for i := 0; i < 6; i++ {
 		w.register(fmt.Sprintf("b%d", i), false)
@@ -92,6 +151,7 @@
 		Seeds:  []string{w.hosts[0].ip, w.hosts[len(w.hosts)-1].ip},
 		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 56, QuotaWindow: 8 * time.Second, QuotaOver: 0.25}})
 	h.seen, h.listed, h.reading, h.version, h.frozen = 0, false, false, 0, 0
+	h.told = map[string]bool{}
 	for _, c := range w.calls {
 		if c.host == h {
 			c.finished = true // its caller sees a closed connection
@@ -100,10 +160,12 @@
 }
 
 func (w *world) publish() {
-	v := uint64(3)
-	if w.config != nil {
-		v = w.config.Version + 1 + w.config.Version%3
-	}
+	w.latest += 1 + w.latest%3
+	v := w.latest
+	w.write(func() { w.put(v) })
+}
+
+func (w *world) put(v uint64) {
 	w.revision++
 	w.config = &routing.Config{Version: v, Services: []routing.Service{{Name: "s"}}, Routes: []routing.Route{
 		{Name: "idem", Host: "h", Prefix: "/i/", Kind: routing.Idempotent, MaxAttempts: 2, Shares: []routing.Share{{Service: "s", Weight: 1}}},
@@ -114,14 +176,18 @@
 }
 
 func (w *world) register(id string, draining bool) {
-	w.revision++
-	w.backends[id] = routing.BackendChange{Revision: w.revision,
-		Backend: routing.Backend{ID: id, Addr: id, Zone: "z0", Service: "s", Slots: 5, Draining: draining}}
+	w.write(func() {
+		w.revision++
+		w.backends[id] = routing.BackendChange{Revision: w.rev(),
+			Backend: routing.Backend{ID: id, Addr: id, Zone: "z0", Service: "s", Slots: 5, Draining: draining}}
+	})
 }
 
 func (w *world) unregister(id string) {
-	w.revision++
-	w.backends[id] = routing.BackendChange{Revision: w.revision, Removed: true, Backend: routing.Backend{ID: id}}
+	w.write(func() {
+		w.revision++
+		w.backends[id] = routing.BackendChange{Revision: w.rev(), Removed: true, Backend: routing.Backend{ID: id}}
+	})
 }
 
 // post runs one event on a host and its effects.
@@ -207,6 +273,7 @@
 	require.Empty(w.t, c.current, "sent while it runs elsewhere")
 	b := h.r.backends[e.Backend.ID]
 	require.False(w.t, b.Draining, "sent to a server that is known to drain")
+	require.False(w.t, h.told[b.ID], "sent to a server that has told this host that it leaves")
 	if b.removed {
 		require.Less(w.t, w.now-b.removedAt, doubtFor+worldStep, "sent to a server that is long gone")
 	}
@@ -262,6 +329,10 @@
 	if rapid.IntRange(0, 9).Draw(w.t, "stalls") == 0 {
 		w.post(c.host, Stalled{ID: c.id})
 	}
+	if rapid.IntRange(0, 29).Draw(w.t, "says that it leaves") == 0 {
+		c.host.told[c.current] = true
+		w.post(c.host, Said{ID: c.current, Leaving: true})
+	}
 	o := rapid.SampledFrom([]Outcome{Answered, Answered, Answered, Failed, NotSent, Rejected, WrongInstance, Broken, TimedOut, Canceled}).Draw(w.t, "outcome")
 	c.current = ""
 	switch o {
@@ -301,6 +372,9 @@
 			w.post(h, eventOf(l.from, p))
 		}
 	}
+	if !w.storeOff && rapid.IntRange(0, 4).Draw(w.t, "writes again") == 0 {
+		w.writeAgain(1)
+	}
 	for _, h := range w.hosts {
 		w.readStore(h)
 		w.post(h, Tick{})
@@ -316,11 +390,12 @@
 		w.post(h, StoreContact{})
 		return
 	}
-	n := News{AsOf: w.revision, FromStore: true, Full: !h.listed}
+	n := News{AsOf: w.rev(), FromStore: true, Full: !h.listed}
 	n.Config = w.config
 	for _, id := range w.backendIDs() {
 		ch := w.backends[id]
-		if !h.listed && !ch.Removed || h.listed && ch.Revision > h.seen {
+		ch.Revision.Era = w.era
+		if !h.listed && !ch.Removed || h.listed && ch.Revision.Number > h.seen {
 			n.Backends = append(n.Backends, ch)
 		}
 	}
@@ -328,10 +403,10 @@
 		return
 	}
 	if h.listed {
-		n.After = h.seen
+		n.After = routing.Revision{Era: w.era, Number: h.seen}
 	}
 	for _, ch := range n.Backends {
-		n.Revision = max(n.Revision, ch.Revision)
+		n.Revision = routing.Latest(n.Revision, ch.Revision)
 	}
 	h.seen, h.listed = w.revision, true
 	w.post(h, n)
@@ -347,7 +422,11 @@
 }
 
 func (w *world) change() {
-	switch rapid.IntRange(0, 9).Draw(w.t, "change") {
+	switch rapid.IntRange(0, 11).Draw(w.t, "change") {
+	case 10:
+		w.takeCopy()
+	case 11:
+		w.comeBack()
 	case 0:
 		w.publish()
 	case 1:
@@ -378,6 +457,7 @@
 // heal ends all faults; after a while every host must hold what the store holds.
 func (w *world) heal() {
 	w.storeOff = false
+	w.writeAgain(len(w.again))
 	for _, h := range w.hosts {
 		h.refused, h.cut, h.frozen = false, false, 0
 	}
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -71,7 +71,7 @@
 // newZones starts several zones; the seeds are in the first.
 func newZones(t testing.TB, zones, hosts, engines int) *zone {
 	z := &zone{t: t, rng: rand.New(rand.NewPCG(1, 2)), byIP: map[string]*zoneHost{}, held: map[string]int{}, runs: map[uint64]*zoneRun{}}
-	n := News{FromStore: true, Full: true, AsOf: 50, Changes: routing.Changes{Config: &routing.Config{Version: 1,
+	n := News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 8}}}}}
 	for i := range zones * engines {
 		ch := changeOf(fmt.Sprintf("e%03d", i), 10, false)
@@ -470,7 +470,7 @@
 	offered := asker.r.byHash[offers[0].Place.Backend]
 	ch := changeOf(offered.ID, 60, false)
 	ch.Draining = true
-	asker.r.Reduce(z.now, News{FromStore: true, After: 50, AsOf: 60, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
+	asker.r.Reduce(z.now, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
 	out := asker.r.Reduce(z.now, Offered{owner, offers[0]})
 	for _, d := range effectsOf[Dispatch](out) {
 		require.NotEqual(t, offered.ID, d.Backend.ID)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -232,7 +232,7 @@
 type BackendChange struct {
 	Backend
 	// Revision orders the changes of one backend server; it is the same on every host.
-	Revision uint64
+	Revision Revision
 	Removed  bool
 	// Foreign, with Removed, tells that something else than the backend server wrote the registration:
 	// unlike a lapsed one, it is no reason to believe that the backend server is still there.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -70,6 +70,10 @@
 	failures []string
 	attempts atomic.Int64
 	answered atomic.Int64
+	// copied is what the store may come back from, and era how often it has; gone are the servers that have left for good.
+	copied *platformtest.Copy
+	era    uint64
+	gone   map[string]bool
 }
 
 type soakHost struct {
@@ -91,7 +95,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), net: (os.Getpid() + int(soakNets.Add(1))) % 250, dir: t.TempDir(),
-		store: platformtest.NewStore(), version: 3, sent: map[string]soakCall{}, linkOf: map[string]string{},
+		store: platformtest.NewStore(), version: 3, sent: map[string]soakCall{}, linkOf: map[string]string{}, gone: map[string]bool{},
 		proxies: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
 	s.publish()
 	storeAddr := s.listen(s.store)
@@ -233,7 +237,7 @@
 // disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
 func (s *soak) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(16) {
+	switch s.rng.IntN(19) {
 	case 0:
 		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
 	case 1:
@@ -262,6 +266,11 @@
 		s.startAgain()
 	case 13:
 		s.scribble()
+	case 14:
+		copied := s.store.Copy()
+		s.copied = &copied
+	case 15, 16:
+		s.comeBack()
 	default:
 		s.store.SetFault(nil)
 		s.cure()
@@ -368,6 +377,9 @@
 func (s *soak) replace() {
 	old := s.anyBackend()
 	s.backend(old.Service)
+	s.mu.Lock()
+	s.gone[old.ID] = true
+	s.mu.Unlock()
 	if s.rng.IntN(2) == 0 {
 		old.Close()
 		time.AfterFunc(500*time.Millisecond, func() { s.store.Remove(old.Key()) })
@@ -410,6 +422,33 @@
 	time.AfterFunc(300*time.Millisecond, func() { s.store.Put(b.Key(), good) })
 }
 
+// comeBack brings the store back from an older copy. The servers and the operator write again what was lost, within two
+// seconds; the leases of those that have left run out.
+func (s *soak) comeBack() {
+	if s.copied == nil {
+		return
+	}
+	s.era++
+	s.store.Restore(*s.copied, s.era)
+	s.publish()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		reg := b.Registration("ready")
+		reg["address"] = s.linkOf[b.ID]
+		time.AfterFunc(time.Duration(s.rng.IntN(2000))*time.Millisecond, func() {
+			s.mu.Lock()
+			gone := s.gone[b.ID]
+			s.mu.Unlock()
+			if gone {
+				s.store.Remove(b.Key())
+				return
+			}
+			s.store.Put(b.Key(), reg)
+		})
+	}
+}
+
 // call makes one request as a caller does, over a kept connection where there is one.
 func (s *soak) call(rng *rand.Rand, conns map[string]*soakConn) {
 	h := s.hosts[rng.IntN(len(s.hosts))]
