--- a/internal/core/digest.go
+++ b/internal/core/digest.go
@@ -32,7 +32,7 @@
 func (c *Core) sendDigests() {
 	zones := c.view.OtherZones()
 	c.gossip.digestEvery = min(max(time.Duration(len(zones))*digestPerZone, digestLeast), digestMost)
-	groups, suspects := c.zoneSummaries(), c.zoneSuspects()
+	groups, suspects := c.zoneSummaries(), c.suspects.ledger.ForZones(c.now)
 	for _, zone := range zones {
 		if !slices.Contains(member.Top("delegate/"+zone, c.duty.live, delegates), c.opt.Self.ID) {
 			continue
--- a/internal/core/suspects.go
+++ b/internal/core/suspects.go
@@ -25,8 +25,8 @@
 
 // suspectState is what this host knows of requests that end backend servers.
 type suspectState struct {
-	ledger                      *quarantine.Ledger
-	allAt, allZonesAt, expireAt time.Duration
+	ledger          *quarantine.Ledger
+	allAt, expireAt time.Duration
 }
 
 func newSuspectState() suspectState {
@@ -85,15 +85,6 @@
 	return c.suspects.ledger.All(c.now)
 }
 
-// zoneSuspects are what other zones are told: all now and then, and what is new here meanwhile, whoever saw it.
-func (c *Core) zoneSuspects() []*quarantinepb.Suspect {
-	if c.now < c.suspects.allZonesAt {
-		return c.suspects.ledger.News(c.now)
-	}
-	c.suspects.allZonesAt = c.now + quarantine.TellAllEvery
-	return c.suspects.ledger.All(c.now)
-}
-
 // expireSuspects forgets what is old.
 func (c *Core) expireSuspects() {
 	if c.now >= c.suspects.expireAt {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -75,6 +75,8 @@
 	cases map[Digest]*Case
 	// oneEnd is how far apart two words of an end of the same backend server are at most to mean the same end.
 	oneEnd time.Duration
+	// allZonesAt is when other zones are next told all.
+	allZonesAt time.Duration
 }
 
 // NewLedger returns an empty one, where each start of a backend server has a name of its own: it ends once.
--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -25,8 +25,8 @@
 	return l.words(now, maxNews, func(c *Case) bool { return c.seen && now-c.seenAt <= tellFor })
 }
 
-// News are the words of what this host has newly seen or heard.
-func (l *Ledger) News(now time.Duration) []*quarantinepb.Suspect {
+// news are the words of what this host has newly seen or heard.
+func (l *Ledger) news(now time.Duration) []*quarantinepb.Suspect {
 	return l.words(now, maxNews, func(c *Case) bool { return now-c.changedAt <= tellFor })
 }
 
@@ -35,6 +35,15 @@
 	return l.words(now, maxAll, func(*Case) bool { return true })
 }
 
+// ForZones are the words for other zones: all now and then, and what is new here meanwhile, whoever saw it.
+func (l *Ledger) ForZones(now time.Duration) []*quarantinepb.Suspect {
+	if now < l.allZonesAt {
+		return l.news(now)
+	}
+	l.allZonesAt = now + TellAllEvery
+	return l.All(now)
+}
+
 func (l *Ledger) words(now time.Duration, most int, tell func(*Case) bool) []*quarantinepb.Suspect {
 	if l.Empty() {
 		return nil
--- a/internal/router/era_test.go
+++ b/internal/router/era_test.go
@@ -79,7 +79,7 @@
 	r := lone(t, "old")
 	registers(r, time.Second, changeOf("lives", 51, false))
 	registers(r, time.Second, changeOf("ended", 52, false))
-	at := 2 * time.Second
+	at := 12 * time.Second
 	out := r.Reduce(at, listing(inEra(1, 20), servers(inEra(1, 10), "old")))
 	note := noteOf(out, "store is back from an older copy")
 	require.NotNil(t, note)
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -22,9 +22,9 @@
 // suspectState is what this host knows of requests that end backend servers.
 type suspectState struct {
 	ledger *quarantine.Ledger
-	// allAt is when this host next tells all, to its zone or to others.
-	allAt, allZonesAt time.Duration
-	expireAt          time.Duration
+	// allAt is when this host next tells its zone all.
+	allAt    time.Duration
+	expireAt time.Duration
 	// blamed are the requests in quarantine, for the notes of changes.
 	blamed map[quarantine.Digest]bool
 }
@@ -217,15 +217,6 @@
 	return r.suspects.ledger.All(r.now)
 }
 
-// zoneSuspects are what other zones are told: all now and then, and what is new here meanwhile, whoever saw it.
-func (r *Router) zoneSuspects() []*quarantinepb.Suspect {
-	if r.now < r.suspects.allZonesAt {
-		return r.suspects.ledger.News(r.now)
-	}
-	r.suspects.allZonesAt = r.now + quarantine.TellAllEvery
-	return r.suspects.ledger.All(r.now)
-}
-
 // takeSuspects takes what another host tells of requests.
 func (r *Router) takeSuspects(list []*quarantinepb.Suspect) {
 	if r.suspects.ledger.Hear(r.now, list) {
