--- /dev/null
+++ b/internal/node/store_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/routing"
+	"fireflyshift/internal/telemetry"
+)
+
+// returning is a store that comes back from an older copy while a watch waits, and answers the watch all the same.
+type returning struct {
+	lists int
+	stop  context.CancelFunc
+}
+
+// List implements Store.
+func (s *returning) List(context.Context) (Listing, error) {
+	s.lists++
+	return Listing{AsOf: routing.Revision{Era: uint64(s.lists), Number: 100}}, nil
+}
+
+// Watch implements Store.
+func (s *returning) Watch(context.Context, uint64, time.Duration) (Listing, error) {
+	if s.lists == 1 {
+		return Listing{AsOf: routing.Revision{Era: 2, Number: 120}}, nil
+	}
+	s.stop()
+	return Listing{}, errors.New("stopped")
+}
+
+// Compacted implements Store.
+func (s *returning) Compacted(error) bool { return false }
+
+// A watch is answered in another era than its listing: the answer has the changes since a revision of something else, and lacks
+// what the store has lost. It is not taken; all is read anew, at once and once, and the store counts as one that answers.
+func TestWatchOfAnotherEraLeadsToAListing(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	s := &returning{stop: stop}
+	var posted []router.Event
+	reader := &storeReader{store: s, post: func(e router.Event) { posted = append(posted, e) }, log: zerolog.Nop(), metrics: telemetry.NewMetrics()}
+	reader.run(ctx, false)
+	require.Equal(t, 2, s.lists)
+	var asOf []routing.Revision
+	for _, e := range posted {
+		switch e := e.(type) {
+		case router.News:
+			asOf = append(asOf, e.AsOf)
+		case router.StoreContact:
+			require.True(t, e.OK)
+		}
+	}
+	require.Equal(t, []routing.Revision{{Era: 1, Number: 100}, {Era: 2, Number: 100}}, asOf)
+}
--- a/internal/router/era_test.go
+++ b/internal/router/era_test.go
@@ -140,3 +140,16 @@
 	r.Reduce(3*time.Second, News{FromStore: true, After: inEra(1, 20), AsOf: inEra(1, 21), Changes: routing.Changes{Config: &routing.Config{Version: 11}}})
 	require.EqualValues(t, 11, r.version())
 }
+
+// One host of each zone hears of the era from the store, which refuses the others. They hear of it in beats within a second and a
+// half, before they would compare what they hold.
+func TestBeatsTellTheEra(t *testing.T) {
+	z := newZones(t, 2, 12, 4)
+	for _, h := range []*zoneHost{z.hosts[0], z.hosts[12]} {
+		z.post(h, listing(inEra(1, 20), servers(inEra(1, 10), "e001")))
+	}
+	pulls := map[string]bool{}
+	z.pulled = func(from string, p Pull) { pulls[from] = pulls[from] || p.Revision != (routing.Revision{}) }
+	z.run(1500*time.Millisecond, 0)
+	require.Len(t, pulls, 22, "all others ask for what has come since")
+}
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -35,6 +35,8 @@
 	datagrams, bytes int
 	// from is the zone that all requests come to; empty for any.
 	from string
+	// pulled hears of questions for news, if set.
+	pulled func(from string, p Pull)
 	// lost drops a datagram.
 	lost func(from, to string, p *gossippb.Packet) bool
 
@@ -124,6 +126,10 @@
 		z.send(h, e.To, &gossippb.Packet{Beat: e.Beat})
 	case Send:
 		z.send(h, e.To, e.Packet)
+	case Pull:
+		if z.pulled != nil {
+			z.pulled(h.ip, e)
+		}
 	case Dispatch:
 		run := z.runs[e.ID]
 		run.engine = e.Backend.ID
