A server whose registration had only lapsed has not ended; words are chosen before they are sorted

Found by reading: after a lapse each later break at a server that lives would have counted as its end, against whatever request was there. Test: TestLapsedEngineThatIsBackHasNotEnded, red without the change.

--- a/internal/quarantine/words.go
+++ b/internal/quarantine/words.go
@@ -45,18 +45,17 @@
 }
 
 func (l *Ledger) words(now time.Duration, most int, tell func(*Case) bool) []*quarantinepb.Suspect {
-	if l.Empty() {
-		return nil
-	}
-	var out []*quarantinepb.Suspect
-	for _, c := range l.Cases() {
-		if len(out) == most {
-			break
-		}
+	var told []*Case
+	for _, c := range l.cases {
 		if tell(c) {
-			out = append(out, c.word(now))
+			told = append(told, c)
 		}
 	}
+	slices.SortFunc(told, moreTelling)
+	var out []*quarantinepb.Suspect
+	for _, c := range told[:min(len(told), most)] {
+		out = append(out, c.word(now))
+	}
 	return out
 }
 
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -132,6 +132,7 @@
 		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
 	}
 	if b.removed {
+		b.ended = false // its registration had only lapsed
 		r.emit(Note{What: "backend server back", Subject: b.ID, Detail: describe(ch.Backend), Age: r.now - b.removedAt})
 	}
 	r.forgetPrint(b)
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -237,6 +237,16 @@
 	}
 }
 
+// An engine's registration lapses while a request breaks there, and comes back: it lives. What breaks there later says
+// nothing of its requests.
+func TestLapsedEngineThatIsBackHasNotEnded(t *testing.T) {
+	r := lone(t, "a")
+	registers(r, 12*time.Second, changeOf("a", 60, true))
+	registers(r, 13*time.Second, changeOf("a", 61, false))
+	breaks(t, r, 1, 14*time.Second, fragile)
+	require.False(t, r.Suspects())
+}
+
 // An engine that leaves ends by itself, with streams in flight that took too long. They did no harm.
 func TestLeavingEngineAccusesNobody(t *testing.T) {
 	r := lone(t, "a")
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -18,7 +18,7 @@
 	// platformUnit are the tests of the platform's formats, without processes or sockets between hosts.
 	platformUnit    = []string{"./platform", "-run", "DecodeServer|Registration"}
 	quarantineTests = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
-	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|CutAddUp|Rack"}
+	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|LapsedEngine|CutAddUp|Rack"}
 	saidTests       = []string{"./internal/router", "-run", "Leaving|Away|UnlikeTimes"}
 	coreSuspects    = []string{"./internal/core", "-run", "Deadly|FoundOut"}
 	eraTests        = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
@@ -190,6 +190,7 @@
 	{"quarantine-share", "ends", "internal/quarantine/ledger.go", "l.drop(own >= maxOfWorkspace, workspace)", "l.drop(false, workspace)", quarantineTests},
 	{"suspects-proof", "ends", "internal/router/suspects.go", "if !e.Refused {", "if false {", suspectTests},
 	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.leaving || b.removed {", "if b.removed {", suspectTests},
+	{"suspects-back", "ends", "internal/router/registrations.go", "		b.ended = false // its registration had only lapsed\n", "", suspectTests},
 	{"suspects-repeat", "ends", "internal/router/requests.go", "		r.refuseQuarantined(q, back)\n		return\n", "		_ = back\n", suspectTests},
 	{"suspects-all", "ends", "internal/router/beats.go", "if all := r.allSuspects(); all != nil {", "if all := r.allSuspects(); false {", suspectTests},
 	{"suspects-zones", "ends", "internal/router/zones.go", "		r.takeSuspects(s.Suspects)\n", "", suspectTests},
