--- a/internal/upstream/call_test.go
+++ b/internal/upstream/call_test.go
@@ -42,3 +42,21 @@
 	require.EqualValues(t, 1, calls.Load())
 	require.Equal(t, 1, dialed)
 }
+
+// A host asks whether a server whose answer broke is still there. One that lives keeps the connection for the next call; where
+// nothing listens any more, the server has ended.
+func TestRefusedTellsWhetherAServerIsThere(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	dialed := 0
+	pool := NewPool(func() { dialed++ })
+	addr := srv.Listener.Addr().String()
+	require.False(t, pool.Refused(context.Background(), addr, 1))
+	require.False(t, Refuses(context.Background(), addr))
+	c, err := pool.get(context.Background(), addr)
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.Equal(t, 1, dialed)
+	srv.Close()
+	require.True(t, pool.Refused(context.Background(), addr, 1))
+	require.True(t, Refuses(context.Background(), addr))
+}
