--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -67,9 +67,9 @@
 	leaving, saidLeaving bool
 	// awayUntil is until when it wants nothing from this host.
 	awayUntil time.Duration
-	// ended tells that its process has ended without leaving; inHand are requests that broke there before that was known.
+	// ended tells that its process has ended without leaving; broken are requests that broke there before that was known.
 	ended  bool
-	inHand []inHand
+	broken []brokenRun
 	// checkedUntil is until when it is not asked again whether it can be reached.
 	checkedUntil time.Duration
 }
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -13,8 +13,8 @@
 	// confirmFor is how long after a broken answer its backend server may show to have ended: a registration goes some
 	// seconds after the process.
 	confirmFor = 10 * time.Second
-	// maxInHand bounds the requests that are remembered of one backend server until it shows whether it has ended.
-	maxInHand = 64
+	// maxBroken bounds the broken runs that are remembered of one backend server until it shows whether it has ended.
+	maxBroken = 64
 	// tellers are the hosts of a zone that tell it all that is known.
 	tellers = 2
 )
@@ -33,8 +33,8 @@
 	return suspectState{ledger: quarantine.NewLedger(), blamed: map[quarantine.Digest]bool{}}
 }
 
-// inHand is a request whose answer broke at a backend server that may have ended.
-type inHand struct {
+// brokenRun is a request whose answer broke at a backend server that may have ended.
+type brokenRun struct {
 	digest    quarantine.Digest
 	workspace string
 	at        time.Duration
@@ -62,20 +62,20 @@
 	}
 }
 
-// hold remembers a request until it shows whether its backend server has ended. One that was leaving ends by itself, and
-// whatever was still in its hands is innocent.
+// hold remembers a request until it shows whether its backend server has ended. One that was leaving ends by itself: what was
+// still in flight there is innocent.
 func (r *Router) hold(b *backend, q *request, e Ended) {
 	q.onTrial = false
-	h := inHand{q.Digest, workspaceName(q), r.now}
+	run := brokenRun{q.Digest, workspaceName(q), r.now}
 	if b.ended {
-		r.sawEnd(b, h)
+		r.sawEnd(b, run)
 		return
 	}
 	if b.Draining || b.leaving || b.removed {
 		return
 	}
-	if len(b.inHand) < maxInHand {
-		b.inHand = append(b.inHand, h)
+	if len(b.broken) < maxBroken {
+		b.broken = append(b.broken, run)
 	}
 	if e.Outcome == Broken && r.now >= b.checkedUntil {
 		b.checkedUntil = r.now + confirmFor
@@ -104,23 +104,24 @@
 	r.backendEnded(b)
 }
 
-// backendEnded takes that a backend server has ended without leaving: what was in its hands is under suspicion.
+// backendEnded takes that a backend server has ended without leaving: what was in flight there is under suspicion.
 func (r *Router) backendEnded(b *backend) {
 	b.ended = true
-	held := b.inHand
-	b.inHand = nil
-	for _, h := range held {
-		if r.now-h.at <= confirmFor {
-			r.sawEnd(b, h)
+	broken := b.broken
+	b.broken = nil
+	for _, run := range broken {
+		if r.now-run.at <= confirmFor {
+			r.sawEnd(b, run)
 		}
 	}
 }
 
-func (r *Router) sawEnd(b *backend, h inHand) {
-	if !r.suspects.ledger.Saw(r.now, h.digest, h.workspace, quarantine.End{Backend: b.hash, At: h.at}) {
+// sawEnd books the end of a backend server on a request that was in flight there.
+func (r *Router) sawEnd(b *backend, run brokenRun) {
+	if !r.suspects.ledger.Saw(r.now, run.digest, run.workspace, quarantine.End{Backend: b.hash, At: run.at}) {
 		return
 	}
-	r.emit(Note{What: "backend server ended with a request in hand", Subject: b.ID, Detail: h.digest.String() + " " + h.workspace})
+	r.emit(Note{What: "backend server ended with a request in hand", Subject: b.ID, Detail: run.digest.String() + " " + run.workspace})
 	r.noteBlame()
 	r.changed = true // others are told at once
 }
@@ -151,50 +152,6 @@
 	return out
 }
 
-// trialFor is how long another trial of the same request waits for the outcome of one.
-const trialFor = 15 * time.Second
-
-// shutOut tells whether a request is kept from backend servers, and for how long. One host of the fleet lets it run now
-// and then: an innocent one would otherwise be refused for a day.
-func (r *Router) quarantined(q *request) (time.Duration, bool) {
-	if q.Digest.Zero() || q.onTrial {
-		return 0, false
-	}
-	c := r.suspects.ledger.Blamed(q.Digest)
-	if c == nil {
-		return 0, false
-	}
-	if q.attempt == 0 && r.tries(c.Digest) && r.suspects.ledger.Try(r.now, c, trialFor) {
-		q.onTrial = true
-		r.emit(Note{What: "request on trial", Subject: c.Digest.String(), Detail: c.Workspace})
-		return 0, false
-	}
-	return max(time.Second, c.TrialAt()-r.now), true
-}
-
-// tries tells whether this host is the one to let a request in quarantine run: the first of the first zone, among
-// those that are heard. Views that differ for a moment make it two.
-func (r *Router) tries(d quarantine.Digest) bool {
-	purpose := "tries " + d.String()
-	mine := rank(r.opt.Zone, purpose)
-	for _, zone := range r.otherZones() {
-		if !r.zoneSilent(zone) && rank(zone, purpose) < mine {
-			return false
-		}
-	}
-	return r.duty(purpose, 1)
-}
-
-// refuseQuarantined ends a request that is in quarantine: truly as not run where it has not.
-func (r *Router) refuseQuarantined(q *request, back time.Duration) {
-	r.close(q)
-	if q.ran {
-		r.emit(GiveUp{ID: q.ID, Cause: Quarantined, PassOn: true})
-		return
-	}
-	r.emit(Refuse{ID: q.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version(), Era: r.news.complete.Era}})
-}
-
 // expireSuspects forgets what is old.
 func (r *Router) expireSuspects() {
 	if r.now < r.suspects.expireAt {
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -151,7 +151,7 @@
 	z := newZones(t, 3, 8, 8)
 	for i, engine := range []string{"e001", "e009", "e017"} {
 		h := z.hosts[8*i]
-		h.r.sawEnd(h.r.backends[engine], inHand{popular, "school", z.now - h.born})
+		h.r.sawEnd(h.r.backends[engine], brokenRun{popular, "school", z.now - h.born})
 	}
 	z.run(knownWithin, 0)
 	h := z.hosts[4]
@@ -274,7 +274,7 @@
 		r.Reduce(at, Checked{ID: d.Backend.ID, Refused: true})
 		d = dispatchOf(t, out)
 	}
-	r.sawEnd(r.backends[d.Backend.ID], inHand{deadly, "", at}) // a beside one, from another host
+	r.sawEnd(r.backends[d.Backend.ID], brokenRun{deadly, "", at}) // a beside one, from another host
 	out := r.Reduce(at, Ended{ID: 1, Outcome: Broken, Fault: true, Digest: deadly})
 	give, ok := has[GiveUp](out)
 	require.True(t, ok)
@@ -293,7 +293,7 @@
 	z := newZones(t, 3, 3, 4)
 	for i, engine := range []string{"e001", "e005", "e009"} {
 		h := z.hosts[3*i]
-		h.r.sawEnd(h.r.backends[engine], inHand{deadly, "school", z.now})
+		h.r.sawEnd(h.r.backends[engine], brokenRun{deadly, "school", z.now})
 	}
 	z.run(knownWithin, 0)
 	z.now += time.Minute
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -194,7 +194,7 @@
 	{"suspects-repeat", "ends", "internal/router/requests.go", "		r.refuseQuarantined(q, back)\n		return\n", "		_ = back\n", suspectTests},
 	{"suspects-all", "ends", "internal/router/beats.go", "if all := r.allSuspects(); all != nil {", "if all := r.allSuspects(); false {", suspectTests},
 	{"suspects-zones", "ends", "internal/router/zones.go", "		r.takeSuspects(s.Suspects)\n", "", suspectTests},
-	{"suspects-trial", "ends", "internal/router/suspects.go", "r.tries(c.Digest) && ", "", suspectTests},
+	{"suspects-trial", "ends", "internal/router/quarantine.go", "r.tries(c.Digest) && ", "", suspectTests},
 	{"said-sticky", "4", "internal/router/registrations.go", "	b.Backend, b.revision, b.listed, b.removed = ch.Backend, ch.Revision, ch.Revision, false\n",
 		"	b.Backend, b.revision, b.listed, b.removed, b.leaving = ch.Backend, ch.Revision, ch.Revision, false, false\n", saidTests},
 	{"said-start", "4", "internal/router/said.go", "if !ok || b.Start != e.Start {", "if !ok {", saidTests},
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -237,7 +237,7 @@
 // disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
 func (s *soak) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(19) {
+	switch s.rng.IntN(22) {
 	case 0:
 		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
 	case 1:
@@ -271,6 +271,12 @@
 		s.copied = &copied
 	case 15, 16:
 		s.comeBack()
+	case 17:
+		old := s.anyBackend()
+		s.backend(old.Service)
+		old.Leaves() // and its registration goes on saying that it is ready
+	case 18:
+		s.anyBackend().Shed([]string{"0.3", "1.5", "soon"}[s.rng.IntN(3)])
 	default:
 		s.store.SetFault(nil)
 		s.cure()
