--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -16,8 +16,8 @@
 
 // returning is a store that comes back from an older copy while a watch waits, and answers the watch all the same.
 type returning struct {
-	lists int
-	stop  context.CancelFunc
+	lists, watches int
+	stop           context.CancelFunc
 }
 
 // List implements Store.
@@ -28,7 +28,7 @@
 
 // Watch implements Store.
 func (s *returning) Watch(context.Context, uint64, time.Duration) (Listing, error) {
-	if s.lists == 1 {
+	if s.watches++; s.lists == 1 && s.watches < 5 {
 		return Listing{AsOf: routing.Revision{Era: 2, Number: 120}}, nil
 	}
 	s.stop()
