--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -186,7 +186,7 @@
 	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = err != unix.EBADF", onPlatform("ClosedIdle|Faulty|Anothers")},
 	{"node-drain-waits", "5", "internal/node/node.go", "		if n.control.held.Load() > 0 {\n\t\t\tquietSince = time.Now()\n\t\t}\n", "", onPlatform("StopCuts")},
 	{"quarantine-good-run", "ends", "internal/quarantine/ledger.go", "return e.At <= at", "return false", quarantineTests},
-	{"quarantine-cover", "ends", "internal/quarantine/judge.go", "				unexplained[i]--\n", "				if i == worst {\n					unexplained[i]--\n				}\n", quarantineTests},
+	{"quarantine-cover", "ends", "internal/quarantine/judge.go", "unexplained[worst] < endsToBlame", "unexplained[worst] < 1", quarantineTests},
 	{"quarantine-one-end", "ends", "internal/quarantine/ledger.go", "	case l.known(c.Ends, e):\n", "	case false:\n", quarantineTests},
 	{"quarantine-share", "ends", "internal/quarantine/ledger.go", "l.drop(own >= maxOfWorkspace, workspace)", "l.drop(false, workspace)", quarantineTests},
 	{"suspects-proof", "ends", "internal/router/suspects.go", "if !e.Refused {", "if false {", suspectTests},
