What broke at a server that can be reached afterwards did not end it

Change: the check tells reached, refused and no answer apart; a server that is reached clears what broke there before.

Test: a row of TestOnlyEndsCount, red without the change. The soak says what the last answer was.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -129,8 +129,8 @@
 		drop: n.pool.Drop,
 		check: func(c router.Check) {
 			go func() {
-				refused := n.pool.Refused(ctx, c.Backend.Addr, c.Keep)
-				n.control.Post(router.Checked{ID: c.Backend.ID, Start: c.Backend.Start, Refused: refused})
+				reached, refused := n.pool.Check(ctx, c.Backend.Addr, c.Keep)
+				n.control.Post(router.Checked{ID: c.Backend.ID, Start: c.Backend.Start, Reached: reached, Refused: refused})
 			}()
 		},
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -100,11 +100,12 @@
 	Away time.Duration
 }
 
-// Checked tells whether nothing listens any more at the address of a start of a backend server.
+// Checked tells whether the address of a start of a backend server could be reached, or refused the connection; neither where
+// there was no answer.
 type Checked struct {
-	ID      string
-	Start   uint64
-	Refused bool
+	ID               string
+	Start            uint64
+	Reached, Refused bool
 }
 
 // Heard is a heartbeat of another host.
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -96,6 +96,10 @@
 	if !ok || b.Start != e.Start {
 		return
 	}
+	if e.Reached {
+		// What broke before did not end it, whatever becomes of it later: those who are refused for that would be innocent.
+		b.broken = nil
+	}
 	if !e.Refused {
 		b.checkedUntil = r.now
 		return
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -202,14 +202,24 @@
 	return d.Backend.ID, r.Reduce(at, Ended{ID: id, Outcome: Broken, Fault: true, Digest: deadly})
 }
 
-// A connection breaks, as after a reset on the way, and the engine lives: that says nothing of the request. Where the engine
+// A connection breaks, as after a reset on the way, and the engine lives: that says nothing of the request, also where the
+// engine goes some seconds later. Where the engine
 // can't be reached any more, its address has another instance, or its registration goes, it has ended.
 func TestOnlyEndsCount(t *testing.T) {
 	for name, c := range map[string]struct {
 		then func(r *Router, engine string)
 		want bool
 	}{
-		"lives":                    {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id}) }, false},
+		"lives":   {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id, Reached: true}) }, false},
+		"is dark": {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id}) }, false},
+		"is reached, and its registration goes later": {func(r *Router, id string) {
+			r.Reduce(2*time.Second, Checked{ID: id, Reached: true})
+			r.Reduce(5*time.Second, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: rev(60), Removed: true}}}})
+		}, false},
+		"is dark, and its registration goes later": {func(r *Router, id string) {
+			r.Reduce(2*time.Second, Checked{ID: id})
+			r.Reduce(5*time.Second, News{FromStore: true, After: rev(50), AsOf: rev(60), Changes: routing.Changes{Backends: []routing.BackendChange{{Backend: routing.Backend{ID: id}, Revision: rev(60), Removed: true}}}})
+		}, true},
 		"unknown":                  {func(*Router, string) {}, false},
 		"refuses connection":       {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id, Refused: true}) }, true},
 		"refused by another start": {func(r *Router, id string) { r.Reduce(2*time.Second, Checked{ID: id, Start: 7, Refused: true}) }, false},
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -191,6 +191,7 @@
 	{"quarantine-share", "ends", "internal/quarantine/ledger.go", "l.drop(own >= maxOfWorkspace, workspace)", "l.drop(false, workspace)", quarantineTests},
 	{"suspects-proof", "ends", "internal/router/suspects.go", "if !e.Refused {", "if false {", suspectTests},
 	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.leaving || b.removed {", "if b.removed {", suspectTests},
+	{"suspects-reached", "ends", "internal/router/suspects.go", "	if e.Reached {\n", "	if false {\n", suspectTests},
 	{"suspects-back", "ends", "internal/router/registrations.go", "		b.ended = false // its registration had only lapsed\n", "", suspectTests},
 	{"suspects-repeat", "ends", "internal/router/requests.go", "		r.refuseQuarantined(q, back)\n		return\n", "		_ = back\n", suspectTests},
 	{"suspects-all", "ends", "internal/router/beats.go", "if all := r.allSuspects(); all != nil {", "if all := r.allSuspects(); false {", suspectTests},
--- a/internal/upstream/call_test.go
+++ b/internal/upstream/call_test.go
@@ -45,18 +45,22 @@
 
 // A host asks whether a server whose answer broke is still there. One that lives keeps the connection for the next call; where
 // nothing listens any more, the server has ended.
-func TestRefusedTellsWhetherAServerIsThere(t *testing.T) {
+func TestCheckTellsWhetherAServerIsThere(t *testing.T) {
 	srv := httptest.NewServer(http.NotFoundHandler())
 	dialed := 0
 	pool := NewPool(func() { dialed++ })
 	addr := srv.Listener.Addr().String()
-	require.False(t, pool.Refused(context.Background(), addr, 1))
+	reached, refused := pool.Check(context.Background(), addr, 1)
+	require.True(t, reached)
+	require.False(t, refused)
 	require.False(t, Refuses(context.Background(), addr))
 	c, err := pool.get(context.Background(), addr)
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
 	require.Equal(t, 1, dialed)
 	srv.Close()
-	require.True(t, pool.Refused(context.Background(), addr, 1))
+	reached, refused = pool.Check(context.Background(), addr, 1)
+	require.False(t, reached)
+	require.True(t, refused)
 	require.True(t, Refuses(context.Background(), addr))
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -72,16 +72,16 @@
 	return false
 }
 
-// Refused tells whether nothing listens at an address any more. A connection that is made is kept for the next call, unless
-// most are kept already.
-func (p *Pool) Refused(ctx context.Context, addr string, most int) bool {
+// Check tells whether an address can be reached, or refuses the connection; neither where there is no answer. A connection that
+// is made is kept for the next call, unless most are kept already.
+func (p *Pool) Check(ctx context.Context, addr string, most int) (reached, refused bool) {
 	p.dialed()
 	c, err := dial(ctx, p.dialer, addr)
 	if err != nil {
-		return IsRefused(err)
+		return false, IsRefused(err)
 	}
 	p.giveBack(addr, c, most)
-	return false
+	return true, false
 }
 
 // put keeps a connection for a time, unless most are kept already.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -22,6 +22,7 @@
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
 	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
@@ -542,7 +543,9 @@
 	s.backend("web")
 	s.publish()
 	for _, h := range s.hosts {
-		require.Eventually(s.t, func() bool {
+		var last atomic.Value // what the host answered
+		last.Store("nothing")
+		served := assert.Eventually(s.t, func() bool {
 			h.signal(syscall.SIGCONT)
 			conn, err := net.DialTimeout("tcp", h.ip+":18221", time.Second)
 			if err != nil {
@@ -553,8 +556,14 @@
 			id := fmt.Sprintf("check-%d", s.attempts.Add(1))
 			s.note(id, soakCall{kind: "check"})
 			resp, body, err := c.send(fmt.Sprintf("v%d", s.version), id)
+			if resp != nil {
+				last.Store(resp.Status + " " + body)
+			}
 			return err == nil && resp.StatusCode == http.StatusOK && body == "whole answer of "+id
 		}, patience, 100*time.Millisecond, "host %s does not serve the newest configuration", h.ip)
+		if !served {
+			s.t.Fatalf("the last answer of %s: %s", h.ip, last.Load())
+		}
 	}
 }
 
