--- a/internal/router/era_test.go
+++ b/internal/router/era_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/routing"
@@ -153,3 +154,11 @@
 	z.run(1500*time.Millisecond, 0)
 	require.Len(t, pulls, 22, "all others ask for what has come since")
 }
+
+// What the era costs in each beat: nothing in the first one.
+func TestEraIsCheapInBeats(t *testing.T) {
+	b := &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: 1, ConfigVersion: 1, Revision: 4711, Digest: 7}
+	first := proto.Size(b)
+	b.Era = 100
+	require.Equal(t, 3, proto.Size(b)-first)
+}
