Evacuated zones, cold backend servers and regions

Evacuations come with the same listing and watch as configuration and registrations, are ordered by era and revision, and are told in beats, zone sums and news. One function tells why a backend server gets no new work. A cold server gets requests from at most four hosts, each with a fixed part of its rate; which four follows from all known hosts, heard or not, so that cuts and restarts add nothing. Regions that route and workspace name bind both.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	r := router.New(router.Options{
-		Host: set.IP, Zone: set.Zone, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
+		Host: set.IP, Zone: set.Zone, Regions: set.Regions, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
 	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, idle: newIdleConns()}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -13,11 +13,12 @@
 	Name     string
 	IP       string
 	Zone     string
-	Callers  string // address for callers
-	Ready    string // address for the balancer's question
-	Admin    string // address for operators; empty where none is given
-	Metrics  string // address for metrics; empty for none
-	PeerPort int    // for links between hosts, the same on all
+	Regions  map[string]string // of all availability zones
+	Callers  string            // address for callers
+	Ready    string            // address for the balancer's question
+	Admin    string            // address for operators; empty where none is given
+	Metrics  string            // address for metrics; empty for none
+	PeerPort int               // for links between hosts, the same on all
 	Seeds    []string
 	Store    string
 	MemoryMB int
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -127,7 +127,7 @@
 		}
 		s.post(router.News{Changes: l.Changes, After: after, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
 		after = routing.Latest(after, l.AsOf)
-		if len(l.Backends) > 0 || l.Config != nil {
+		if len(l.Backends) > 0 || len(l.Evacuations) > 0 || l.Config != nil {
 			timing.Sleep(ctx, between)
 		}
 	}
@@ -141,5 +141,8 @@
 	for _, b := range c.Backends {
 		rev = routing.Latest(rev, b.Revision)
 	}
+	for _, e := range c.Evacuations {
+		rev = routing.Latest(rev, e.Revision)
+	}
 	return rev
 }
--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -66,7 +66,8 @@
 // approach asks the owner of the chosen backend server, or sends where there is nobody to ask.
 func (r *Router) approach(q *request, c choice) {
 	owner := r.ownerOf(c.b)
-	if q.alone || len(q.full) >= maxAsks || !r.answers(owner) {
+	// Owners have no places at cold backend servers, to which few hosts send by themselves.
+	if c.b.cold(r.now) || q.alone || len(q.full) >= maxAsks || !r.answers(owner) {
 		c.grounds.BeliefAge = r.oldestBelief()
 		r.send(q, c.b, c.grounds)
 		return
@@ -92,7 +93,7 @@
 	var hopeful []string
 	for _, b := range r.zoneBackendsOf(q.service) {
 		owner := r.ownerOf(b)
-		if ok, _ := b.usable(r.now); !ok || owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) {
+		if ok, _ := b.usable(r.now); !ok || b.cold(r.now) || !r.mayServe(q.Route, q.Workspace, b.Zone) || owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) {
 			continue
 		}
 		if r.now-r.trustOf(owner).fullAt[q.bucket()] >= fullFresh {
@@ -239,7 +240,7 @@
 
 func (r *Router) mayUse(q *request, b *backend) bool {
 	ok, _ := b.usable(r.now)
-	return ok && b.Service == q.service && !slices.Contains(q.tried, b.ID)
+	return ok && !b.cold(r.now) && b.Service == q.service && !slices.Contains(q.tried, b.ID)
 }
 
 // giveBack returns a place that is not used.
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -67,6 +67,9 @@
 	leaving, saidLeaving bool
 	// awayUntil is until when it wants nothing from this host.
 	awayUntil time.Duration
+	// evacuated tells that operators have evacuated its availability zone.
+	evacuated bool
+	warming   coldState
 	// ended tells that its process has ended without leaving; broken are requests that broke there before that was known.
 	ended  bool
 	broken []brokenRun
@@ -113,15 +116,43 @@
 	return now < b.unreachable || b.saidDead >= deadWord
 }
 
+// bar is why a backend server may not get new work.
+type bar string
+
+// The bars. One that is free has none.
+const (
+	free      bar = ""
+	gone      bar = "gone"
+	evacuated bar = "evacuated"
+	draining  bar = "draining"
+	leaving   bar = "leaving"
+	replaced  bar = "replaced"
+	away      bar = "away"
+)
+
+// barred tells why new work may not go to a backend server.
+func (b *backend) barred(now time.Duration) bar {
+	switch {
+	case b.removed && now >= b.doubtUntil:
+		return gone
+	case b.evacuated:
+		return evacuated
+	case b.Draining:
+		return draining
+	case b.leaving:
+		return leaving
+	case b.replaced:
+		return replaced
+	case now < b.awayUntil:
+		return away
+	default:
+		return free
+	}
+}
+
 // usable tells whether new work may go there, and whether only for want of others.
 func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
-	if b.Draining || b.leaving || b.replaced || now < b.awayUntil {
-		return false, false
-	}
-	if b.removed {
-		return now < b.doubtUntil, true
-	}
-	return true, false
+	return b.barred(now) == free, b.removed
 }
 
 // succeeded ends suspicion.
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -110,7 +110,7 @@
 		ConfigVersion: r.version(), Revision: r.news.revision.Number, Era: r.news.revision.Era, Digest: r.digest(),
 		ReadsStore: r.inContact(), Loads: r.ownLoads(),
 		Dead: r.ownDead(), AgeMs: r.ageMs(), Suspects: r.newSuspects(),
-		Leaves: r.ownLeaving(),
+		Leaves: r.ownLeaving(), Evacuations: r.toldEvacuations(),
 	}
 	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
--- /dev/null
+++ b/internal/router/cold.go
@@ -0,0 +1,159 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// A backend server that has just started bears few requests a second and crashes at a rate well above that, and the operators
+// bound what all hosts together send it. A few hosts, which each host computes, send there at all, each a fixed part of
+// the rate: nothing is counted between hosts, so that a cut, a late word or a restart adds nothing.
+
+const (
+	// coldSenders bounds the hosts that send to a cold backend server.
+	coldSenders = 4
+	// coldAge is how long a host must have run to be one of them: it has heard of its zone mates by then, and what an
+	// earlier process of it sent is more than a second old.
+	coldAge = 2 * time.Second
+	// coldMargin is the part of the operators' bound that may be used: some hosts compute others, or decided just before
+	// they heard that a backend server is cold.
+	coldMargin = 0.5
+)
+
+// coldState is what this host knows of a backend server that is cold.
+type coldState struct {
+	until time.Duration
+	// rate is how many requests a second this host may send there, and level how many it has saved up, at most one.
+	rate, level float64
+	at          time.Duration
+}
+
+// cold tells whether a backend server bears few requests only.
+func (b *backend) cold(now time.Duration) bool { return now < b.warming.until }
+
+// coldBound is how many requests a second a cold backend server bears; zero where there is no bound. It is not known before
+// the configuration is.
+func (r *Router) coldBound(b *backend) (rate float64, known bool) {
+	if r.table == nil {
+		return 0, false
+	}
+	if s := r.serviceOf(b); s != nil {
+		return s.ColdRate, true
+	}
+	return 0, true
+}
+
+// presumeCold takes a backend server for cold that may be, though nothing says so yet.
+func (r *Router) presumeCold(b *backend) {
+	if s := r.serviceOf(b); s != nil {
+		r.setCold(b, s.ColdFor, "presumed")
+	}
+}
+
+// setCold takes that a backend server is cold for so long, or is warm.
+func (r *Router) setCold(b *backend, left time.Duration, by string) {
+	was := b.cold(r.now)
+	if rate, known := r.coldBound(b); left <= 0 || (known && rate <= 0) {
+		if was {
+			r.warmed(b, by)
+		}
+		return
+	}
+	b.warming.until = r.now + left
+	if was {
+		return
+	}
+	b.warming.at, b.warming.level = r.now, 1
+	b.warming.rate = r.coldRate(b)
+	r.emit(Note{What: "backend server is cold", Subject: b.ID,
+		Detail: by + " " + left.String() + " rate=" + strconv.FormatFloat(b.warming.rate, 'f', 2, 64)})
+}
+
+func (r *Router) warmed(b *backend, by string) {
+	b.warming = coldState{}
+	r.emit(Note{What: "backend server is warm", Subject: b.ID, Detail: by})
+}
+
+// expireCold notes which backend servers are warm by now, and computes this host's part for the others.
+func (r *Router) expireCold() {
+	for _, b := range r.allBackends() {
+		if b.warming.until == 0 {
+			continue
+		}
+		bound, known := r.coldBound(b)
+		switch {
+		case !b.cold(r.now):
+			r.warmed(b, "time")
+		case known && bound <= 0:
+			r.warmed(b, "configuration")
+		default:
+			r.refillCold(b)
+			b.warming.rate = r.coldRate(b)
+		}
+	}
+}
+
+// coldRate is this host's part of the rate of a cold backend server; zero where others send there.
+func (r *Router) coldRate(b *backend) float64 {
+	bound, _ := r.coldBound(b)
+	if bound <= 0 || r.now < coldAge || !r.direct(b.Zone) || r.hearsNobody() {
+		return 0
+	}
+	// Each may have saved one up, beside what flows in during a second.
+	spare := coldMargin * (bound*(r.opt.Bounds.ColdOver-1) + r.opt.Bounds.ColdSlack)
+	senders := int(math.Max(1, math.Min(coldSenders, spare)))
+	before, hosts := 0, 1
+	mine := coldRank(b.hash, r.opt.Host)
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if !r.direct(m.zone) {
+			continue
+		}
+		hosts++
+		if coldRank(b.hash, h) < mine {
+			before++
+		}
+	}
+	if before >= senders {
+		return 0
+	}
+	return bound / float64(min(senders, hosts))
+}
+
+// hearsNobody tells that this host has heard no other since its start though there are some: it cannot know who sends what.
+func (r *Router) hearsNobody() bool {
+	return len(r.members.order) == 0 && slices.ContainsFunc(r.opt.Seeds, func(h string) bool { return h != r.opt.Host })
+}
+
+// coldRank orders hosts for a backend server, those that are not heard too: who is only cut off still sends.
+func coldRank(backend uint32, host string) uint64 {
+	return xxhash.Sum64String(host + "|cold " + strconv.FormatUint(uint64(backend), 36))
+}
+
+func (r *Router) refillCold(b *backend) {
+	w := &b.warming
+	w.level = min(1, w.level+w.rate*(r.now-w.at).Seconds())
+	w.at = r.now
+}
+
+// bears tells whether this host may send a backend server one more request now.
+func (r *Router) bears(b *backend) bool {
+	if !b.cold(r.now) {
+		return true
+	}
+	r.refillCold(b)
+	return b.warming.rate > 0 && b.warming.level >= 1
+}
+
+// spendCold counts a request that is sent to a backend server while it is cold.
+func (r *Router) spendCold(b *backend) {
+	if !b.cold(r.now) {
+		return
+	}
+	r.inv.Check(r.bears(b), "cold backend server %s gets more than this host's part", b.ID)
+	b.warming.level--
+}
--- /dev/null
+++ b/internal/router/cold_test.go
@@ -0,0 +1,219 @@
+package router
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	testColdRate  = 7.3
+	testColdFor   = 3 * time.Second
+	testColdBound = testColdRate*1.5 + 5
+)
+
+var coldBounds = Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000, ColdOver: 1.5, ColdSlack: 5}
+
+// coldFleet is a fleet whose backend servers bear few requests after their start.
+type coldFleet struct {
+	*zone
+	revision uint64
+	engines  int
+	config   *routing.Config
+}
+
+func newColdFleet(t testing.TB, zones, hosts, engines int) *coldFleet {
+	f := &coldFleet{zone: newZones(t, zones, hosts, engines), revision: 100, engines: engines}
+	f.sends = map[string][]time.Duration{}
+	f.config = &routing.Config{Version: 2, Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 8, ColdFor: testColdFor, ColdRate: testColdRate}}}
+	for _, h := range f.hosts {
+		f.post(h, Settle{Seeds: []string{"10.0.0.1", "10.0.0.2"}, Bounds: coldBounds})
+		f.post(h, News{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: f.config}})
+	}
+	f.run(2*time.Second, 0)
+	return f
+}
+
+// back tells hosts that read the store that the engines of a zone have started again, all at once.
+func (f *coldFleet) back(zone int, readers ...*zoneHost) {
+	n := News{FromStore: true, After: rev(f.revision)}
+	for i := zone * f.engines; i < (zone+1)*f.engines; i++ {
+		f.revision++
+		ch := changeOf(fmt.Sprintf("e%03d", i), f.revision, false)
+		ch.Slots, ch.Zone, ch.Cold = 4, fmt.Sprintf("z%d", zone), testColdFor
+		n.Backends = append(n.Backends, ch)
+	}
+	n.AsOf, n.Revision = rev(f.revision), rev(f.revision)
+	for _, h := range readers {
+		f.post(h, n)
+	}
+}
+
+// zoneHosts are the hosts of one zone.
+func (f *coldFleet) zoneHosts(zone int) []*zoneHost {
+	per := 0
+	for _, h := range f.hosts {
+		if h.zone == "z0" {
+			per++
+		}
+	}
+	return f.hosts[zone*per : (zone+1)*per]
+}
+
+// restartHosts kills all hosts and starts them again with what the store says.
+func (f *coldFleet) restartHosts(hosts []*zoneHost) {
+	all := News{FromStore: true, Full: true, AsOf: rev(f.revision), Revision: rev(f.revision), Changes: routing.Changes{Config: f.config}}
+	for _, b := range f.hosts[0].r.allBackends() {
+		ch := routing.BackendChange{Backend: b.Backend, Revision: b.revision}
+		ch.Cold = max(0, b.warming.until-f.hosts[0].r.now)
+		all.Backends = append(all.Backends, ch)
+	}
+	for _, h := range hosts {
+		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: h.r.opt.Incarnation + 1000, Seed: h.r.opt.Seed + 1000, Seeds: h.r.opt.Seeds, Bounds: coldBounds})
+		h.born = f.now
+		f.post(h, all)
+	}
+}
+
+// crowded is the most requests that were sent to one of a zone's engines in a second since a moment, and sent all together.
+func (f *coldFleet) crowded(zone int, since, until time.Duration) (most, sent int) {
+	for i := zone * f.engines; i < (zone+1)*f.engines; i++ {
+		var at []time.Duration
+		for _, when := range f.sends[fmt.Sprintf("e%03d", i)] {
+			if when >= since && when < until {
+				at = append(at, when)
+			}
+		}
+		sent += len(at)
+		for first, last := 0, 0; last < len(at); last++ {
+			for at[last]-at[first] > time.Second {
+				first++
+			}
+			most = max(most, last-first+1)
+		}
+	}
+	return most, sent
+}
+
+// Fifteen backend servers of sixty are back at once, idle, in a fleet that is under load: each was the best choice of all hosts
+// and got more than twice what it bears. Few hosts send there, and each a part of the rate.
+func TestServersThatAreBackAtOnceAreNotRushed(t *testing.T) {
+	f := newColdFleet(t, 4, 17, 15)
+	f.run(2*time.Second, 280)
+	at := f.now
+	f.back(2, f.zoneHosts(2)[:2]...)
+	f.run(testColdFor, 280)
+	most, sent := f.crowded(2, at, f.now)
+	require.LessOrEqual(t, float64(most), testColdRate+coldSenders)
+	require.Greater(t, sent, 15, "they are of use while they are cold")
+	f.run(2*time.Second, 280)
+	_, after := f.crowded(2, at+testColdFor, f.now)
+	require.Greater(t, after/2, sent/3, "a second, and no longer held back")
+}
+
+// All hosts are killed in the moment in which a zone's backend servers are back. Each host that starts knows of no other and
+// would take the whole rate for itself.
+func TestRestartOfAllHostsRushesNoColdServer(t *testing.T) {
+	f := newColdFleet(t, 4, 17, 15)
+	f.run(2*time.Second, 280)
+	at := f.now
+	f.back(2, f.hosts...)
+	f.run(time.Second, 280)
+	f.runs = map[uint64]*zoneRun{} // their callers' connections are closed
+	f.restartHosts(f.hosts)
+	f.run(testColdFor, 280)
+	most, _ := f.crowded(2, at, f.now)
+	require.LessOrEqual(t, float64(most), testColdBound)
+}
+
+// A zone whose backend servers are cold is cut off from the others, and its hosts from each other. Each decides alone, and none
+// takes what belongs to the others.
+func TestHostsThatAreCutOffRushNoColdServer(t *testing.T) {
+	f := newColdFleet(t, 4, 17, 15)
+	f.run(2*time.Second, 280)
+	f.lost = func(from, to string, _ *gossippb.Packet) bool { return true }
+	f.run(5*time.Second, 280)
+	at := f.now
+	f.back(2, f.hosts...)
+	f.run(testColdFor, 280)
+	most, _ := f.crowded(2, at, f.now)
+	require.LessOrEqual(t, float64(most), testColdBound)
+}
+
+// Whatever the size of the fleet, however many hosts restart and whoever is cut off, a cold backend server gets no more than the
+// operators allow in any second.
+func TestColdServersInAnyFleet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		zones := rapid.IntRange(1, 2).Draw(rt, "zones")
+		hosts := rapid.SampledFrom([]int{1, 2, 4, 9, 17}).Draw(rt, "hosts a zone")
+		perSecond := rapid.SampledFrom([]int{50, 200, 500}).Draw(rt, "requests a second")
+		f := newColdFleet(t, zones, hosts, 3)
+		cut := rapid.SampledFrom([]float64{0, 0.3, 1}).Draw(rt, "share of datagrams that are lost")
+		f.lost = func(string, string, *gossippb.Packet) bool { return f.rng.Float64() < cut }
+		f.run(time.Second, perSecond)
+		at := f.now
+		f.back(0, f.hosts...)
+		f.run(time.Duration(rapid.IntRange(0, 900).Draw(rt, "restart after ms"))*time.Millisecond, perSecond)
+		again := f.zoneHosts(0)[:rapid.IntRange(0, hosts).Draw(rt, "hosts that restart")]
+		for id, run := range f.runs {
+			if slices.Contains(again, run.host) {
+				f.held[run.engine]--
+				delete(f.runs, id)
+			}
+		}
+		f.restartHosts(again)
+		f.run(testColdFor, perSecond)
+		most, _ := f.crowded(0, at, at+testColdFor)
+		require.LessOrEqual(rt, float64(most), testColdBound)
+	})
+}
+
+// A small fleet has cold backend servers only, as after a restart of all of them: it serves at the rate that they bear.
+func TestColdServersAreUsedWhereThereAreNoOthers(t *testing.T) {
+	f := newColdFleet(t, 1, 3, 2)
+	at := f.now
+	f.back(0, f.hosts...)
+	f.run(testColdFor, 300)
+	most, sent := f.crowded(0, at, f.now)
+	require.LessOrEqual(t, float64(most), testColdBound)
+	require.GreaterOrEqual(t, sent, int(math.Floor(2*testColdRate*testColdFor.Seconds()*0.7)))
+	require.Positive(t, f.refused)
+}
+
+// A registration tells how long a backend server is still cold, and a later one that it is warm.
+func TestRegistrationsTellWhoIsCold(t *testing.T) {
+	r := lone(t, "a")
+	r.Reduce(0, News{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 2,
+		Services: []routing.Service{{Name: "m", Model: true, ColdFor: testColdFor, ColdRate: testColdRate}}}}})
+	ch := changeOf("a", 60, false)
+	ch.Cold = 2 * time.Second
+	registers(r, time.Second, ch)
+	require.True(t, r.backends["a"].cold(r.now))
+	require.Equal(t, "cold", r.View().Backends[0].State)
+	r.Reduce(2*time.Second, Tick{})
+	require.Equal(t, time.Second, r.Snapshot(Since{}).Backends[0].Cold, "others hear what is left")
+	r.Reduce(3500*time.Millisecond, Tick{})
+	require.False(t, r.backends["a"].cold(r.now))
+	ch.Revision, ch.Cold = rev(61), time.Minute
+	registers(r, 4*time.Second, ch)
+	require.True(t, r.backends["a"].cold(r.now))
+	registers(r, 5*time.Second, changeOf("a", 62, false))
+	require.False(t, r.backends["a"].cold(r.now))
+}
+
+// Plain servers may say for how long they are slow after a start, and bear as much as ever.
+func TestServersWithoutABoundAreNotCold(t *testing.T) {
+	r := lone(t, "a")
+	ch := changeOf("a", 60, false)
+	ch.Cold = time.Minute
+	registers(r, time.Second, ch)
+	require.False(t, r.backends["a"].cold(r.now))
+}
--- /dev/null
+++ b/internal/router/evacuations.go
@@ -0,0 +1,128 @@
+package router
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+const (
+	// endToldFor is how long beats tell that an availability zone was taken back; who has not heard it by then finds by the
+	// digest that its news differ.
+	endToldFor = 10 * time.Second
+	// evacuationPatience is how long an evacuation stays that a later era of the store does not list: operators write again
+	// what an older copy has lost.
+	evacuationPatience = 10 * time.Second
+	// maxEvacuations bounds the zones that are remembered, as others' words name them.
+	maxEvacuations = 64
+)
+
+// evacuation is the latest word of operators on whether an availability zone's backend servers may get requests.
+type evacuation struct {
+	routing.Evacuation
+	at time.Duration // when this host took it
+}
+
+// print stands for the word in a digest.
+func (e *evacuation) print() uint64 {
+	return xxhash.Sum64String(e.Zone + "/" + e.Revision.String())
+}
+
+// evacuated tells whether nothing may be sent to an availability zone's backend servers.
+func (r *Router) evacuated(zone string) bool {
+	e, ok := r.evacuations[zone]
+	return ok && !e.Ended
+}
+
+// takeEvacuation takes the word of the store or of a peer on one availability zone.
+func (r *Router) takeEvacuation(e routing.Evacuation, from string) {
+	known, ok := r.evacuations[e.Zone]
+	if ok && !e.Revision.After(known.Revision) {
+		return
+	}
+	if !ok && len(r.evacuations) >= maxEvacuations {
+		r.emit(Note{What: "evacuation not taken: too many zones", Subject: e.Zone, Detail: from})
+		return
+	}
+	was := r.evacuated(e.Zone)
+	if ok {
+		r.news.prints -= known.print()
+	}
+	taken := &evacuation{e, r.now}
+	r.evacuations[e.Zone] = taken
+	r.news.prints += taken.print()
+	r.news.revision = routing.Latest(r.news.revision, e.Revision)
+	if was == !e.Ended {
+		return
+	}
+	r.changed = true // others are told at once
+	what := "zone evacuated"
+	if e.Ended {
+		what = "zone taken back"
+	}
+	if _, known := r.opt.Regions[e.Zone]; !known && len(r.opt.Regions) > 0 {
+		what += ", but the settings name no such zone"
+	}
+	r.emit(Note{What: what, Subject: e.Zone, Detail: from + " revision " + e.Revision.String()})
+	for _, b := range r.allBackends() {
+		if b.Zone != e.Zone {
+			continue
+		}
+		b.evacuated = !e.Ended
+		if e.Ended {
+			r.presumeCold(b)
+		}
+	}
+}
+
+// endUnlisted takes back the zones that a complete listing no longer names. Where the listing is of a later era, the store may
+// have lost the request.
+func (r *Router) endUnlisted(n News) {
+	listed := map[string]bool{}
+	for _, e := range n.Evacuations {
+		listed[e.Zone] = true
+	}
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuations)) {
+		e := r.evacuations[zone]
+		if !e.Ended && !listed[zone] && e.Revision.Era == n.AsOf.Era && !e.Revision.After(n.AsOf) {
+			r.takeEvacuation(routing.Evacuation{Zone: zone, Revision: n.AsOf, Ended: true}, "store")
+		}
+	}
+}
+
+// expireEvacuations takes back zones whose evacuation the store has lost for good.
+func (r *Router) expireEvacuations() {
+	era := r.news.complete.Era
+	if era == 0 || len(r.evacuations) == 0 || r.now-r.news.eraAt < evacuationPatience {
+		return
+	}
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuations)) {
+		if e := r.evacuations[zone]; !e.Ended && e.Revision.Era < era {
+			r.takeEvacuation(routing.Evacuation{Zone: zone, Revision: routing.Revision{Era: era}, Ended: true}, "store")
+		}
+	}
+}
+
+// toldEvacuations are what beats tell: the zones that are evacuated, and those that were taken back lately.
+func (r *Router) toldEvacuations() []*gossippb.Evacuation {
+	var out []*gossippb.Evacuation
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuations)) {
+		e := r.evacuations[zone]
+		if !e.Ended || r.now-e.at < endToldFor {
+			out = append(out, &gossippb.Evacuation{Zone: zone, Revision: e.Revision.Number, Era: e.Revision.Era, Ended: e.Ended})
+		}
+	}
+	return out
+}
+
+// takeEvacuations takes another host's words.
+func (r *Router) takeEvacuations(from string, list []*gossippb.Evacuation) {
+	for _, e := range list {
+		r.takeEvacuation(routing.Evacuation{Zone: e.Zone, Revision: routing.Revision{Era: e.Era, Number: e.Revision}, Ended: e.Ended}, from)
+	}
+}
--- /dev/null
+++ b/internal/router/evacuations_test.go
@@ -0,0 +1,156 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+func evacuates(zone string, revision routing.Revision) News {
+	return News{FromStore: true, After: rev(50), AsOf: revision, Revision: revision,
+		Changes: routing.Changes{Evacuations: []routing.Evacuation{{Zone: zone, Revision: revision}}}}
+}
+
+func takesBack(zone string, revision routing.Revision) News {
+	n := evacuates(zone, revision)
+	n.Evacuations[0].Ended = true
+	return n
+}
+
+// Operators evacuate a zone while a request runs there. Its second try must not go there, nor one that is silent move there.
+func TestEvacuatedZoneGetsNoSecondTry(t *testing.T) {
+	r := lone(t, "a", "b", "c")
+	for i, id := range []string{"a", "b", "c"} {
+		ch := changeOf(id, uint64(60+i), false)
+		ch.Zone = map[string]string{"a": "z0", "b": "z0", "c": "z1"}[id]
+		registers(r, time.Second, ch)
+	}
+	d := dispatchOf(t, r.Reduce(2*time.Second, Submit{ID: 1, Route: urgent, Deadline: time.Minute}))
+	require.Equal(t, "z0", d.Backend.Zone)
+	r.Reduce(3*time.Second, evacuates("z0", rev(70)))
+	second := dispatchOf(t, r.Reduce(4*time.Second, Ended{ID: 1, Outcome: Broken, Fault: true}))
+	require.Equal(t, "c", second.Backend.ID)
+	_, refused := has[GiveUp](r.Reduce(5*time.Second, Ended{ID: 1, Outcome: Broken, Fault: true}))
+	require.True(t, refused, "it has run, and nobody is left")
+	require.Equal(t, "c", dispatchOf(t, submitted(r, 2, 6*time.Second)).Backend.ID)
+	require.Equal(t, "evacuated", r.View().Backends[0].State)
+	r.Reduce(7*time.Second, evacuates("z1", rev(71)))
+	back, refused := has[Refuse](submitted(r, 3, 8*time.Second))
+	require.True(t, refused)
+	require.Positive(t, back.After)
+	r.Reduce(9*time.Second, takesBack("z0", rev(72)))
+	require.Equal(t, "z0", dispatchOf(t, submitted(r, 4, 10*time.Second)).Backend.Zone)
+}
+
+// An owner offers a place at a moment at which it has not heard that its zone is evacuated.
+func TestOffersOfAnEvacuatedZoneAreNotUsed(t *testing.T) {
+	z := newZone(t, 20, 23)
+	asker := z.hosts[0]
+	question, owner := z.question(asker)
+	offers := offersOf(z.byIP[owner].r.Reduce(z.now, Asked{asker.ip, question}))
+	require.NotNil(t, offers[0].Place)
+	asker.r.Reduce(z.now, evacuates("z0", rev(70)))
+	out := asker.r.Reduce(z.now, Offered{owner, offers[0]})
+	_, sent := has[Dispatch](out)
+	require.False(t, sent)
+	require.True(t, givesBack(out, offers[0].Place.Backend))
+}
+
+// The store tells two hosts of one zone only; it refuses the others, and some start after that. All of a large fleet heed the
+// request within a second and a half, with every tenth datagram lost, and its end.
+func TestEvacuationsReachAllHosts(t *testing.T) {
+	z := newZones(t, 3, 17, 5)
+	z.lost = func(string, string, *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
+	z.run(time.Second, 50)
+	for _, h := range z.hosts[:2] {
+		z.post(h, evacuates("z1", rev(70)))
+	}
+	late := z.hosts[20]
+	late.r = New(Options{Host: late.ip, Zone: late.zone, Incarnation: 999, Seed: 999, Seeds: []string{"10.0.0.1", "10.0.0.2"}})
+	late.born = z.now
+	z.run(1500*time.Millisecond, 50)
+	for _, h := range z.hosts {
+		require.True(t, h.r.evacuated("z1"), "%s", h.ip)
+	}
+	for _, h := range z.hosts[:2] {
+		z.post(h, takesBack("z1", rev(71)))
+	}
+	z.run(1500*time.Millisecond, 50)
+	for _, h := range z.hosts {
+		require.False(t, h.r.evacuated("z1"), "%s", h.ip)
+	}
+}
+
+// Words come in any order; a listing that is complete ends what it lacks, and a host that was away learns so from a peer.
+func TestEvacuationsFollowTheStoresOrder(t *testing.T) {
+	r := lone(t, "a")
+	r.Reduce(time.Second, takesBack("z0", rev(71)))
+	r.Reduce(time.Second, evacuates("z0", rev(70)))
+	require.False(t, r.evacuated("z0"))
+	r.Reduce(time.Second, evacuates("z0", rev(72)))
+	require.True(t, r.evacuated("z0"))
+	peer := lone(t, "a")
+	n := r.Snapshot(Since{})
+	require.Equal(t, 1, len(n.Evacuations))
+	peer.Reduce(time.Second, n)
+	require.True(t, peer.evacuated("z0"))
+	require.Equal(t, r.digest(), peer.digest())
+	r.Reduce(2*time.Second, News{FromStore: true, Full: true, AsOf: rev(80), Changes: routing.Changes{
+		Backends: []routing.BackendChange{changeOf("a", 10, false)}}})
+	require.False(t, r.evacuated("z0"))
+	require.NotEqual(t, r.digest(), peer.digest())
+}
+
+// The store comes back from a copy that is older than the request. Operators write it again; until then a host that knew of it
+// holds to it, though not for good.
+func TestEvacuationHoldsAgainstAnOlderCopy(t *testing.T) {
+	copyOf := func(r *Router, at time.Duration) {
+		r.Reduce(at, News{FromStore: true, Full: true, AsOf: routing.Revision{Era: 1, Number: 40}, Changes: routing.Changes{
+			Backends: []routing.BackendChange{changeOf("a", 10, false)}}})
+	}
+	r, forgotten := lone(t, "a"), lone(t, "a")
+	for _, h := range []*Router{r, forgotten} {
+		h.Reduce(time.Second, evacuates("z0", rev(70)))
+		copyOf(h, 2*time.Second)
+		h.Reduce(4*time.Second, Tick{})
+		require.True(t, h.evacuated("z0"))
+	}
+	r.Reduce(5*time.Second, evacuates("z0", routing.Revision{Era: 1, Number: 41}))
+	r.Reduce(20*time.Second, Tick{})
+	require.True(t, r.evacuated("z0"))
+	forgotten.Reduce(20*time.Second, Tick{})
+	require.False(t, forgotten.evacuated("z0"))
+}
+
+// A zone is taken back: its backend servers may have turned cold meanwhile, and idle as they are they would get everything.
+func TestServersOfAZoneTakenBackCountAsCold(t *testing.T) {
+	f := newColdFleet(t, 4, 17, 15)
+	for _, h := range f.hosts {
+		f.post(h, evacuates("z2", rev(90)))
+	}
+	at := f.now
+	f.run(2*time.Second, 280)
+	_, sent := f.crowded(2, at+100*time.Millisecond, f.now)
+	require.Zero(t, sent)
+	at = f.now
+	for _, h := range f.hosts {
+		f.post(h, takesBack("z2", rev(91)))
+	}
+	f.run(testColdFor, 280)
+	most, _ := f.crowded(2, at, f.now)
+	require.LessOrEqual(t, float64(most), testColdBound)
+}
+
+// What another host says of zones is bounded, whoever says it.
+func TestEvacuationsOfOthersAreBounded(t *testing.T) {
+	r := lone(t, "a")
+	for i := range 3 * maxEvacuations {
+		r.Reduce(time.Second, Heard{Beat: &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: uint64(i + 1),
+			Evacuations: []*gossippb.Evacuation{{Zone: itoa(uint64(i)), Revision: uint64(i)}}}})
+	}
+	require.LessOrEqual(t, len(r.evacuations), maxEvacuations)
+}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -203,8 +203,9 @@
 	// Owner is the host that gave the place; empty where this host decided alone.
 	Owner string
 	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
-	// without room for this priority, and those to which no connection is believed possible.
-	Known, Full, Dead int
+	// without room for this priority, and those to which no connection is believed possible. Cold are those of the full
+	// ones that bear no more from this host as they have just started.
+	Known, Full, Dead, Cold int
 }
 
 // QuotaGrounds is what a refusal over a quota was based on, in the quota's unit.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -189,6 +189,7 @@
 	r.takeChanges(b.Changes)
 	r.takeSuspects(b.Suspects)
 	r.takeLeaving(m.host, b.Leaves)
+	r.takeEvacuations(m.host, b.Evacuations)
 	r.compareNews(m, b)
 	for _, p := range b.Peers {
 		r.meet(p.Host, p.Zone)
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -96,11 +96,15 @@
 		r.adopt(n.Config)
 	}
 	before := r.news.changes
+	for _, e := range n.Evacuations {
+		r.takeEvacuation(e, cmp.Or(n.From, "store"))
+	}
 	for _, ch := range n.Backends {
 		r.takeBackend(ch)
 	}
 	if n.Full {
 		r.removeUnlisted(n)
+		r.endUnlisted(n)
 	}
 	r.news.revision = routing.Latest(r.news.revision, n.Revision)
 	if !n.After.After(r.news.complete) {
@@ -195,6 +199,7 @@
 	r.inv.Check(c.Version > r.version(), "configuration goes back from %d to %d", r.version(), c.Version)
 	r.changed = r.changed || r.table == nil // those that wait for a first configuration hear of it at once
 	r.table = routing.NewTable(c)
+	r.noteUnknownRegions(c)
 	for i := range c.Workspaces {
 		r.setQuota(&c.Workspaces[i])
 	}
@@ -348,11 +353,16 @@
 	if r.table != nil && r.version() > since.Version {
 		n.Config = r.table.Config
 	}
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuations)) {
+		n.Evacuations = append(n.Evacuations, r.evacuations[zone].Evacuation)
+	}
 	for _, b := range r.allBackends() {
 		if !b.revision.After(since.Revision) {
 			continue
 		}
-		n.Backends = append(n.Backends, routing.BackendChange{Backend: b.Backend, Revision: b.revision, Removed: b.removed})
+		told := b.Backend
+		told.Cold = max(0, b.warming.until-r.now)
+		n.Backends = append(n.Backends, routing.BackendChange{Backend: told, Revision: b.revision, Removed: b.removed})
 	}
 	return n
 }
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -42,11 +42,11 @@
 
 // chooseService draws one of the route's services by weight, among those with a usable backend
 // server.
-func (r *Router) chooseService(route *routing.Route) string {
+func (r *Router) chooseService(route *routing.Route, w *routing.Workspace) string {
 	sum := 0.0
 	var open []routing.Share
 	for _, s := range route.Shares {
-		if s.Weight > 0 && r.hasBackend(s.Service) {
+		if s.Weight > 0 && r.hasBackend(s.Service, route, w) {
 			open = append(open, s)
 			sum += s.Weight
 		}
@@ -66,9 +66,9 @@
 	return ""
 }
 
-func (r *Router) hasBackend(name string) bool {
+func (r *Router) hasBackend(name string, route *routing.Route, w *routing.Workspace) bool {
 	for _, b := range r.backendsOf(name) {
-		if ok, _ := b.usable(r.now); ok && fits(b, r.serviceOf(b)) {
+		if ok, _ := b.usable(r.now); ok && fits(b, r.serviceOf(b)) && r.mayServe(route, w, b.Zone) {
 			return true
 		}
 	}
@@ -209,6 +209,9 @@
 	if s.scope == owned {
 		return s.r.owns(b)
 	}
+	if !s.r.mayServe(s.q.Route, s.q.Workspace, b.Zone) {
+		return false
+	}
 	return len(s.q.full) == 0 || !slices.Contains(s.q.full, s.r.ownerOf(b))
 }
 
@@ -227,7 +230,11 @@
 	if g.InFlight < 0 || held < g.InFlight {
 		g.InFlight, g.Limit = held, limit
 	}
-	if held >= limit-s.r.farMargin(b) {
+	cold := b.cold(s.r.now) && (s.scope == owned || !s.r.bears(b))
+	if cold {
+		g.Cold++
+	}
+	if cold || held >= limit-s.r.farMargin(b) {
 		if c != dead {
 			g.Full++
 		}
--- /dev/null
+++ b/internal/router/regions.go
@@ -0,0 +1,44 @@
+package router
+
+import (
+	"slices"
+
+	"fireflyshift/internal/routing"
+)
+
+// mayServe tells whether a request may be served in an availability zone: route and workspace may each name the only regions
+// for it, and both bind.
+func (r *Router) mayServe(route *routing.Route, w *routing.Workspace, zone string) bool {
+	if len(route.Regions) == 0 && (w == nil || len(w.Regions) == 0) {
+		return true
+	}
+	region := r.opt.Regions[zone]
+	return admitsRegion(route.Regions, region) && (w == nil || admitsRegion(w.Regions, region))
+}
+
+func admitsRegion(regions []string, region string) bool {
+	return len(regions) == 0 || (region != "" && slices.Contains(regions, region))
+}
+
+// noteUnknownRegions tells the log which regions of a configuration no availability zone is in: what names only these is
+// refused.
+func (r *Router) noteUnknownRegions(c *routing.Config) {
+	known := map[string]bool{}
+	for _, region := range r.opt.Regions {
+		known[region] = true
+	}
+	note := func(what string, regions []string) {
+		for _, region := range regions {
+			if !known[region] {
+				known[region] = true // once
+				r.emit(Note{What: "region is unknown", Subject: region, Detail: what})
+			}
+		}
+	}
+	for _, route := range c.Routes {
+		note("route "+route.Name, route.Regions)
+	}
+	for _, w := range c.Workspaces {
+		note("workspace "+w.Name, w.Regions)
+	}
+}
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -88,6 +88,8 @@
 	r.index(b)
 	r.forgetOrder()
 	r.news.prints += b.print()
+	b.evacuated = r.evacuated(b.Zone)
+	r.setCold(b, ch.Cold, "registration")
 	if s := r.serviceOf(b); s != nil && s.Model && !b.Model {
 		r.emit(Note{What: "backend server is no model engine", Subject: b.ID, Detail: b.Service})
 	}
@@ -140,6 +142,8 @@
 	if b.Backend != ch.Backend || b.removed {
 		r.news.changes++
 	}
+	b.evacuated = r.evacuated(ch.Zone)
+	r.setCold(b, ch.Cold, "registration")
 	b.Backend, b.revision, b.listed, b.removed = ch.Backend, ch.Revision, ch.Revision, false
 	r.news.prints += b.print()
 	if moved {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -81,7 +81,7 @@
 		r.emit(Refuse{ID: e.ID, Cause: Quarantined, After: back, Grounds: Grounds{Version: r.version(), Era: r.news.complete.Era}})
 		return
 	}
-	q.service = r.chooseService(e.Route)
+	q.service = r.chooseService(e.Route, e.Workspace)
 	if back, ok := r.charge(q); !ok {
 		r.emit(Refuse{ID: e.ID, Cause: OverQuota, After: back, Grounds: r.quotaGrounds(q)})
 		return
@@ -129,6 +129,7 @@
 	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
+	r.spendCold(b)
 	b.own.counts[q.bucket()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.unread(r.now) > q.PromptTok
 	q.unread = q.PromptTok
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -27,12 +27,16 @@
 	QuotaWindow time.Duration
 	QuotaOver   float64
 	QuotaSlack  float64
+	// A cold backend server gets at most its rate times ColdOver plus ColdSlack requests in any second, over all hosts.
+	ColdOver  float64
+	ColdSlack float64
 }
 
 // Options are the fixed settings of a reducer.
 type Options struct {
 	Host        string // IP number
 	Zone        string
+	Regions     map[string]string // of availability zones
 	Incarnation uint64
 	Seeds       []string
 	Bounds      Bounds
@@ -85,6 +89,8 @@
 	changeAt time.Duration
 	drain    *Drain
 	suspects suspectState
+	// evacuations are by availability zone.
+	evacuations map[string]*evacuation
 }
 
 // New returns a reducer in its first state: no configuration, no peers.
@@ -103,6 +109,8 @@
 		toldSpent: map[string]uint64{},
 		owners:    newOwnerState(),
 		suspects:  newSuspectState(),
+
+		evacuations: map[string]*evacuation{},
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
@@ -210,6 +218,8 @@
 	r.expireMembers()
 	r.expireZones()
 	r.expireNews()
+	r.expireEvacuations()
+	r.expireCold()
 	r.expireOccupancy()
 	r.expireSuspects()
 	r.decideReading()
--- a/internal/router/said.go
+++ b/internal/router/said.go
@@ -87,7 +87,7 @@
 func (r *Router) backAt(service string) time.Duration {
 	var at time.Duration
 	for _, b := range r.backendsOf(service) {
-		if r.now < b.awayUntil && !b.Draining && !b.leaving && !b.replaced && !b.removed && (at == 0 || b.awayUntil < at) {
+		if b.barred(r.now) == away && !b.removed && (at == 0 || b.awayUntil < at) {
 			at = b.awayUntil
 		}
 	}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -70,21 +70,16 @@
 
 // state words what is believed of a backend server.
 func (b *backend) state(now time.Duration) string {
+	if why := b.barred(now); why != free {
+		return string(why)
+	}
 	switch {
-	case b.removed && now < b.doubtUntil:
-		return "doubtful"
 	case b.removed:
-		return "gone"
-	case b.Draining:
-		return "draining"
-	case b.leaving:
-		return "leaving"
-	case now < b.awayUntil:
-		return "away"
-	case b.replaced:
-		return "replaced"
+		return "doubtful"
 	case b.dead(now):
 		return "unreachable"
+	case b.cold(now):
+		return "cold"
 	case b.suspect(now):
 		return "suspect"
 	case b.onProbation():
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -37,6 +38,8 @@
 	from string
 	// pulled hears of questions for news, if set.
 	pulled func(from string, p Pull)
+	// sends are the moments at which each engine was sent a request, where they are kept.
+	sends map[string][]time.Duration
 	// lost drops a datagram.
 	lost func(from, to string, p *gossippb.Packet) bool
 
@@ -135,6 +138,9 @@
 		run.engine = e.Backend.ID
 		run.ends = z.now + z.length(e.Backend.ID)
 		z.held[run.engine]++
+		if z.sends != nil {
+			z.sends[run.engine] = append(z.sends[run.engine], z.now)
+		}
 		z.dispatched++
 		z.waited = max(z.waited, z.now-run.came)
 		if z.held[run.engine] > e.Backend.Slots+headroom {
@@ -202,11 +208,15 @@
 }
 
 func (z *zone) finish() {
-	for id := uint64(1); id <= z.next; id++ {
-		run, ok := z.runs[id]
-		if !ok || run.engine == "" || z.now < run.ends {
-			continue
+	var ended []uint64
+	for id, run := range z.runs {
+		if run.engine != "" && z.now >= run.ends {
+			ended = append(ended, id)
 		}
+	}
+	slices.Sort(ended)
+	for _, id := range ended {
+		run := z.runs[id]
 		z.held[run.engine]--
 		delete(z.runs, id)
 		interval := 10 * time.Millisecond
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -194,7 +194,8 @@
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving()}
+		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(),
+		Evacuations: r.toldEvacuations()}
 	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone || b.removed {
 			continue
@@ -240,6 +241,7 @@
 		r.noteZone(s.Speaker, s.Zone)
 		r.takeSuspects(s.Suspects)
 		r.takeLeaving(s.Speaker, s.Leaves)
+		r.takeEvacuations(s.Speaker, s.Evacuations)
 		r.takeZoneSum(s, from == s.Zone)
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -50,6 +50,8 @@
 	Public bool
 	// Resumable streams may go on at another backend server after their last event.
 	Resumable bool
+	// Regions are the only ones whose backend servers may serve the route; empty for any.
+	Regions []string
 }
 
 // Repeatable tells whether a second run of a request is allowed.
@@ -66,6 +68,10 @@
 	MaxConns int
 	// TokensPerEvent is how many tokens an event of a stream holds; zero where unknown.
 	TokensPerEvent int
+	// ColdFor is how long a backend server is cold after its start, and ColdRate how many requests a second it bears meanwhile;
+	// zero where it bears as many as ever.
+	ColdFor  time.Duration
+	ColdRate float64
 }
 
 // Workspace is a customer with its keys and its quota.
@@ -82,6 +88,8 @@
 	// Rate is the quota a second over all hosts; zero means no limit. Burst is what it may exceed
 	// that by at once.
 	Rate, Burst float64
+	// Regions are the only ones whose backend servers may serve the workspace; empty for any.
+	Regions []string
 }
 
 // Limits bound what callers may send.
@@ -114,7 +122,7 @@
 	Service  string
 	Slots    int
 	Draining bool
-	// Cold is how much longer it is slow after its start, at the time of its registration.
+	// Cold is how much longer it bears few requests only, at the time of its registration.
 	Cold time.Duration
 	// Model tells that it registered as a model engine, with the models that it serves.
 	Model bool
@@ -242,6 +250,14 @@
 // Changes are news of the configuration and of the backend servers.
 type Changes struct {
 	// Config is nil where it has not changed.
-	Config   *Config
-	Backends []BackendChange
+	Config      *Config
+	Backends    []BackendChange
+	Evacuations []Evacuation `json:",omitempty"`
+}
+
+// Evacuation is an operator's request that nothing more is sent to the backend servers of an availability zone, or its end.
+type Evacuation struct {
+	Zone     string
+	Revision Revision
+	Ended    bool
 }
