A backend server that fails requests is found out by all hosts, and is no refuge from an overload

Long streams that had begun before still ended well there and cleared the failures; and in an overload the suspects were the only ones with room, so that all hosts sent there what no other could take.

Only a request that began after the latest failure clears it, and three have to be served, one at a time at first; owners tell their zone and the others which of their servers fail, hosts of small fleets tell each other, and two must say so; a suspect that looks idle is used only where no better server is left at all, full or not.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -184,7 +184,7 @@
 		e = e.Str("backend", f.backend).Int("attempts", f.attempts).Int64("first_ms", f.firstByte.Milliseconds()).Int64("last_event", f.lastEvent)
 	} else {
 		e = e.Int("in_flight", f.grounds.InFlight).Int("limit", f.grounds.Limit).Int64("belief_age_ms", f.grounds.BeliefAge.Milliseconds()).
-			Int("known", f.grounds.Known).Int("full", f.grounds.Full).Int("dead", f.grounds.Dead).Uint64("config", f.grounds.Version).Uint64("era", f.grounds.Era)
+			Int("known", f.grounds.Known).Int("full", f.grounds.Full).Int("dead", f.grounds.Dead).Int("cold", f.grounds.Cold).Int("barred", f.grounds.Barred).Uint64("config", f.grounds.Version).Uint64("era", f.grounds.Era)
 	}
 	if outcome == string(router.OverQuota) {
 		g := f.grounds.Quota
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -14,16 +14,6 @@
 const (
 	// learnRate is the weight of a new observation of an engine's speed: about the last ten count.
 	learnRate = 0.1
-	// failuresToAvoid in a row make a backend server suspect; a single failure is everyday.
-	failuresToAvoid = 2
-	// avoidFirst and avoidMost bound how long a suspect is left alone; the time doubles.
-	avoidFirst = 300 * time.Millisecond
-	avoidMost  = 3 * time.Second
-	// avoidDead is how long a backend server is left alone to which no connection can be made: its
-	// registration outlives it by some heartbeats, and it looks idle meanwhile.
-	avoidDead = 2 * time.Second
-	// deadWord is how many other hosts must say so for this one to believe it.
-	deadWord = 2
 )
 
 // backend is what this host believes of one backend server.
@@ -54,13 +44,7 @@
 	read time.Duration
 	// told is the speed that this host last told others.
 	told speed
-	// failures in a row, and until when the backend server is avoided because of them.
-	failures   int
-	avoidUntil time.Duration
-	avoidFor   time.Duration
-	// unreachable is until when no connection could be made; saidDead are the hosts that say so.
-	unreachable time.Duration
-	saidDead    int
+	failing
 	// replaced tells that another instance has its address: this one never comes back.
 	replaced bool
 	// leaving tells that it has said in an answer that it leaves, to this host if saidLeaving, or to another one.
@@ -103,19 +87,6 @@
 	return b.others
 }
 
-func (b *backend) suspect(now time.Duration) bool {
-	return now < b.avoidUntil || b.dead(now)
-}
-
-// onProbation tells that the backend server failed lately and has not answered since: it gets one
-// request at a time until it does.
-func (b *backend) onProbation() bool { return b.avoidUntil > 0 }
-
-// dead tells that no connection can be made there, by this host's own try or by several others' word.
-func (b *backend) dead(now time.Duration) bool {
-	return now < b.unreachable || b.saidDead >= deadWord
-}
-
 // bar is why a backend server may not get new work.
 type bar string
 
@@ -155,11 +126,6 @@
 	return b.barred(now) == free, b.removed
 }
 
-// succeeded ends suspicion.
-func (b *backend) succeeded() {
-	b.failures, b.avoidUntil, b.avoidFor, b.unreachable = 0, 0, 0, 0
-}
-
 // learnPace learns the time between events, or of a plain answer.
 func (b *backend) learnPace(pace time.Duration) {
 	if pace <= 0 {
@@ -172,21 +138,3 @@
 	}
 	b.interval += time.Duration(learnRate * float64(pace-b.interval))
 }
-
-// refused notes that no connection could be made.
-func (b *backend) refused(now time.Duration) {
-	b.failures++
-	b.avoidFor = avoidDead
-	b.avoidUntil = now + avoidDead
-	b.unreachable = now + avoidDead
-}
-
-// failed counts a fault in an answer.
-func (b *backend) failed(now time.Duration) {
-	b.failures++
-	if b.failures < failuresToAvoid {
-		return
-	}
-	b.avoidFor = min(avoidMost, max(avoidFirst, 2*b.avoidFor))
-	b.avoidUntil = now + b.avoidFor
-}
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -112,6 +112,9 @@
 		Dead: r.ownDead(), AgeMs: r.ageMs(), Suspects: r.newSuspects(),
 		Leaves: r.ownLeaving(), Evacuations: r.toldEvacuations(),
 	}
+	if !r.sharing() {
+		b.Failing = r.failingOf(func(*backend) bool { return true })
+	}
 	fill(b)
 	r.emit(SendBeat{To: to, Beat: b})
 }
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -188,6 +188,46 @@
 	require.Positive(t, f.refused)
 }
 
+// A host that has just started knows few of those who send to cold backend servers, and what it sent before its start.
+func TestYoungHostSendsNothingToColdServers(t *testing.T) {
+	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1, Seeds: []string{"10.0.0.2"}, Bounds: coldBounds})
+	cold := changeOf("cold", 20, false)
+	cold.Cold = 10 * time.Second
+	r.Reduce(0, News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
+		Services: []routing.Service{{Name: "m", Model: true, ColdFor: testColdFor, ColdRate: testColdRate}}}, Backends: []routing.BackendChange{cold}}})
+	r.Reduce(time.Second, Heard{Beat: &gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+	r.Reduce(time.Second, Tick{})
+	_, refused := has[Refuse](submitted(r, 1, time.Second))
+	require.True(t, refused)
+	r.Reduce(coldAge+time.Second, Tick{})
+	dispatchOf(t, submitted(r, 2, coldAge+time.Second))
+}
+
+// An owner has no places at cold backend servers for others: who asks may be any host.
+func TestOwnersOfferNoColdServer(t *testing.T) {
+	f := newColdFleet(t, 1, 20, 23)
+	asker := f.hosts[0]
+	question, owner := f.question(asker)
+	f.back(0, f.byIP[owner])
+	offers := offersOf(f.byIP[owner].r.Reduce(f.now, Asked{asker.ip, question}))
+	require.Nil(t, offers[0].Place)
+}
+
+// An owner offers a place before it hears that the backend server has started again.
+func TestOffersOfColdServersAreNotUsed(t *testing.T) {
+	f := newColdFleet(t, 1, 20, 23)
+	asker := f.hosts[0]
+	question, owner := f.question(asker)
+	offers := offersOf(f.byIP[owner].r.Reduce(f.now, Asked{asker.ip, question}))
+	require.NotNil(t, offers[0].Place)
+	f.back(0, asker)
+	out := asker.r.Reduce(f.now, Offered{owner, offers[0]})
+	if d, ok := has[Dispatch](out); ok {
+		require.NotEqual(t, offers[0].Place.Backend, asker.r.backends[d.Backend.ID].hash)
+	}
+	require.True(t, givesBack(out, offers[0].Place.Backend))
+}
+
 // A registration tells how long a backend server is still cold, and a later one that it is warm.
 func TestRegistrationsTellWhoIsCold(t *testing.T) {
 	r := lone(t, "a")
--- a/internal/router/evacuations_test.go
+++ b/internal/router/evacuations_test.go
@@ -38,11 +38,18 @@
 	require.True(t, refused, "it has run, and nobody is left")
 	require.Equal(t, "c", dispatchOf(t, submitted(r, 2, 6*time.Second)).Backend.ID)
 	require.Equal(t, "evacuated", r.View().Backends[0].State)
-	r.Reduce(7*time.Second, evacuates("z1", rev(71)))
+	joins := changeOf("d", 70, false)
+	joins.Revision = rev(71)
+	registers(r, 6*time.Second, joins)
+	for id := uint64(10); id < 20; id++ {
+		require.Equal(t, "c", dispatchOf(t, submitted(r, id, 6*time.Second)).Backend.ID, "a server that joins the zone gets nothing either")
+		r.Reduce(6*time.Second, Gone{ID: id})
+	}
+	r.Reduce(7*time.Second, evacuates("z1", rev(72)))
 	back, refused := has[Refuse](submitted(r, 3, 8*time.Second))
 	require.True(t, refused)
 	require.Positive(t, back.After)
-	r.Reduce(9*time.Second, takesBack("z0", rev(72)))
+	r.Reduce(9*time.Second, takesBack("z0", rev(73)))
 	require.Equal(t, "z0", dispatchOf(t, submitted(r, 4, 10*time.Second)).Backend.Zone)
 }
 
@@ -85,6 +92,16 @@
 	}
 }
 
+// Zone mates hear of it from each other alone.
+func TestZoneMatesTellEvacuations(t *testing.T) {
+	z := newZone(t, 20, 5)
+	z.post(z.hosts[3], evacuates("z0", rev(70)))
+	z.run(1500*time.Millisecond, 0)
+	for _, h := range z.hosts {
+		require.True(t, h.r.evacuated("z0"), "%s", h.ip)
+	}
+}
+
 // Words come in any order; a listing that is complete ends what it lacks, and a host that was away learns so from a peer.
 func TestEvacuationsFollowTheStoresOrder(t *testing.T) {
 	r := lone(t, "a")
@@ -140,7 +157,7 @@
 	for _, h := range f.hosts {
 		f.post(h, takesBack("z2", rev(91)))
 	}
-	f.run(testColdFor, 280)
+	f.run(testColdFor, 1000)
 	most, _ := f.crowded(2, at, f.now)
 	require.LessOrEqual(t, float64(most), testColdBound)
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -204,8 +204,11 @@
 	Owner string
 	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
 	// without room for this priority, and those to which no connection is believed possible. Cold are those of the full
-	// ones that bear no more from this host as they have just started.
-	Known, Full, Dead, Cold int
+	// ones that bear no more from this host as they have just started. Barred may not be used at all: they leave, their
+	// availability zone is evacuated, or their region may not serve the request.
+	Known, Full, Dead, Cold, Barred int
+	// suspects are those of the full ones that are not trusted.
+	suspects int
 }
 
 // QuotaGrounds is what a refusal over a quota was based on, in the quota's unit.
--- /dev/null
+++ b/internal/router/failing.go
@@ -0,0 +1,164 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// failuresToAvoid in a row make a backend server suspect; a single failure is everyday.
+	failuresToAvoid = 2
+	// trialsToTrust are the requests that a suspect has to serve, one at a time at first, to be trusted again: one that fails
+	// every other request serves the first of them as often as not.
+	trialsToTrust = 3
+	// avoidFirst and avoidMost bound how long a suspect is left alone; the time doubles.
+	avoidFirst = 300 * time.Millisecond
+	avoidMost  = 3 * time.Second
+	// avoidDead is how long a backend server is left alone to which no connection can be made: its
+	// registration outlives it by some heartbeats, and it looks idle meanwhile.
+	avoidDead = 2 * time.Second
+	// deadWord is how many other hosts must say that a backend server is dead, or fails, for this one to believe it.
+	deadWord = 2
+	// failingStale is how long an owner's word that a backend server fails holds.
+	failingStale = time.Second
+)
+
+// failing is what is known of a backend server's failures.
+type failing struct {
+	// failures in a row, the time of the latest, and the trials that succeeded since.
+	failures int
+	failedAt time.Duration
+	trials   int
+	// avoidUntil is until when it is avoided because of them; not zero until it is trusted again.
+	avoidUntil time.Duration
+	avoidFor   time.Duration
+	// unreachable is until when no connection could be made; saidDead are the hosts that say so.
+	unreachable time.Duration
+	saidDead    int
+	// saidFailing are the hosts whose requests it fails, ownersFailing when its owner last said that it fails requests.
+	saidFailing   int
+	ownersFailing time.Duration
+}
+
+// suspect tells that a backend server should be left alone.
+func (f *failing) suspect(now time.Duration) bool {
+	return now < f.avoidUntil || f.dead(now) || f.saidFailing >= deadWord || (f.ownersFailing > 0 && now-f.ownersFailing < failingStale)
+}
+
+// onProbation tells that the backend server failed lately and has not served enough since.
+func (f *failing) onProbation() bool { return f.avoidUntil > 0 }
+
+// dead tells that no connection can be made there, by this host's own try or by several others' word.
+func (f *failing) dead(now time.Duration) bool {
+	return now < f.unreachable || f.saidDead >= deadWord
+}
+
+// succeeded takes that a request which began at a moment was served. One that began before the latest failure says nothing:
+// long streams go on at a backend server that breaks all new ones.
+func (f *failing) succeeded(began time.Duration) {
+	if f.failures > 0 && began < f.failedAt {
+		return
+	}
+	f.trials++
+	if f.failures >= failuresToAvoid && f.trials < trialsToTrust {
+		return
+	}
+	*f = failing{saidDead: f.saidDead, saidFailing: f.saidFailing, ownersFailing: f.ownersFailing}
+}
+
+// refused notes that no connection could be made.
+func (f *failing) refused(now time.Duration) {
+	f.failures++
+	f.failedAt, f.trials = now, 0
+	f.avoidFor = avoidDead
+	f.avoidUntil = now + avoidDead
+	f.unreachable = now + avoidDead
+}
+
+// failed counts a fault in an answer.
+func (f *failing) failed(now time.Duration) {
+	f.failures++
+	f.failedAt, f.trials = now, 0
+	if f.failures < failuresToAvoid {
+		return
+	}
+	f.avoidFor = min(avoidMost, max(avoidFirst, 2*f.avoidFor))
+	f.avoidUntil = now + f.avoidFor
+}
+
+// fails tells that a backend server's failures are worth telling to other hosts.
+func (f *failing) fails() bool { return f.onProbation() && f.failures >= failuresToAvoid }
+
+// noteFailed counts a fault in an answer, and lets others hear soon of a backend server that becomes suspect by it.
+func (r *Router) noteFailed(b *backend) {
+	was := b.fails()
+	b.failed(r.now)
+	if was || !b.fails() || r.backends[b.ID] != b {
+		return
+	}
+	r.changed = r.changed || !r.sharing()
+	r.owners.tellAt = min(r.owners.tellAt, r.now)
+	r.emit(Note{What: "backend server fails", Subject: b.ID, Detail: b.Service})
+}
+
+// failingOf are the hashes of the backend servers that fail requests, among those that a test accepts.
+func (r *Router) failingOf(tell func(*backend) bool) []uint32 {
+	var out []uint32
+	for _, b := range r.allBackends() {
+		if !b.removed && b.fails() && tell(b) {
+			out = append(out, b.hash)
+		}
+	}
+	return out
+}
+
+// takeFailing takes which backend servers fail another host's requests.
+func (r *Router) takeFailing(m *member, list []uint32) {
+	r.countFailing(m.failing, -1)
+	m.failing = list
+	r.countFailing(m.failing, 1)
+}
+
+func (r *Router) countFailing(list []uint32, sign int) {
+	for _, hash := range list {
+		if b, ok := r.byHash[hash]; ok {
+			b.saidFailing += sign
+		}
+	}
+}
+
+// saidFailingAt counts the hosts whose requests a backend server fails.
+func (r *Router) saidFailingAt(hash uint32) int {
+	n := 0
+	for _, h := range r.members.order {
+		if slices.Contains(r.members.byHost[h].failing, hash) {
+			n++
+		}
+	}
+	return n
+}
+
+// takeOwnersFailing takes an owner's word of which of its backend servers fail requests; told are those that it speaks of.
+func (r *Router) takeOwnersFailing(told func(*backend) bool, list []uint32) {
+	for _, b := range r.allBackends() {
+		if !told(b) || r.owns(b) {
+			continue
+		}
+		b.ownersFailing = 0
+		if slices.Contains(list, b.hash) {
+			b.ownersFailing = max(1, r.now)
+		}
+	}
+}
+
+// zoneFailing are those of this zone, as their owners say or this host knows itself.
+func (r *Router) zoneFailing() []uint32 {
+	var out []uint32
+	for _, b := range r.allBackends() {
+		said := b.ownersFailing > 0 && r.now-b.ownersFailing < failingStale
+		if b.Zone == r.opt.Zone && !b.removed && (said || (r.owns(b) && b.fails())) {
+			out = append(out, b.hash)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/router/failing_test.go
@@ -0,0 +1,124 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/gossip/gossippb"
+)
+
+// breaking is a fleet under load of which one engine breaks a share of the requests that begin there. Those that began before go
+// on and end well.
+func breaking(t *testing.T, share float64, engines ...string) *zone {
+	z := newZones(t, 4, 17, 15)
+	z.breaks, z.broken = map[string]float64{}, map[string]int{}
+	z.run(2*time.Second, 300)
+	for _, e := range engines {
+		z.breaks[e] = share
+	}
+	return z
+}
+
+// One engine of sixty breaks each new request for five seconds, and long streams still end well there. It looks idle and each host
+// would learn by itself: 521 requests were lost at one. All hosts of all zones hear of it from those that have lost some.
+func TestOneFailingServerTakesFewRequests(t *testing.T) {
+	z := breaking(t, 1, "e022")
+	z.run(5*time.Second, 300)
+	require.LessOrEqual(t, z.broken["e022"], 15)
+}
+
+// The same while callers ask for more than the fleet serves. All other engines are full, and the one that breaks its requests had
+// room for everybody: four engines lost 1,400 requests in five seconds.
+func TestFailingServerIsNoRefugeFromAnOverload(t *testing.T) {
+	z := breaking(t, 1, "e022")
+	z.run(5*time.Second, 1000)
+	require.Positive(t, z.refused)
+	require.LessOrEqual(t, z.broken["e022"], 15)
+}
+
+// Owners do not answer questions, so that all hosts decide alone. They hear from them which engine fails all the same, in its zone
+// and in the others.
+func TestFailingServerIsToldBeyondAnswers(t *testing.T) {
+	z := breaking(t, 1, "e022")
+	z.lost = func(_, _ string, p *gossippb.Packet) bool { return p.Ask != nil }
+	z.run(5*time.Second, 300)
+	require.LessOrEqual(t, z.broken["e022"], 15)
+	z.from = "z0" // whose work overflows to the others
+	z.breaks["e037"] = 1
+	z.run(5*time.Second, 300)
+	require.LessOrEqual(t, z.broken["e037"], 15)
+}
+
+// All engines of a fleet break a share of their requests. It serves on with them.
+func TestFleetOfSuspectsServes(t *testing.T) {
+	z := newZones(t, 2, 4, 4)
+	z.breaks, z.broken = map[string]float64{}, map[string]int{}
+	for i := range 8 {
+		z.breaks[fmt.Sprintf("e%03d", i)] = 0.6
+	}
+	z.run(5*time.Second, 40)
+	z.dispatched, z.refused = 0, 0
+	z.run(5*time.Second, 40)
+	require.Less(t, z.refused, z.dispatched/10)
+}
+
+// An engine that breaks nearly every other request serves some of its trials; one of them is no reason to trust it.
+func TestHalfFailingServerTakesFewRequests(t *testing.T) {
+	z := breaking(t, 0.45, "e022")
+	z.run(5*time.Second, 300)
+	require.LessOrEqual(t, z.broken["e022"], 15)
+	z.breaks["e022"] = 0
+	z.sends = map[string][]time.Duration{}
+	z.run(10*time.Second, 300)
+	require.Greater(t, len(z.sends["e022"]), 15, "it is trusted again")
+}
+
+// Two of a hundred answers are lost at all engines of a zone. Hardly any is shut out for it.
+func TestServersThatLoseFewAnswersAreNotShutOut(t *testing.T) {
+	z := breaking(t, 0.02, "e015", "e016", "e017", "e018", "e019", "e020", "e021", "e022", "e023", "e024", "e025", "e026", "e027", "e028", "e029")
+	shut, seen := 0, 0
+	for range 50 {
+		z.run(100*time.Millisecond, 300)
+		for _, b := range z.hosts[0].r.allBackends() {
+			if b.Zone == "z1" {
+				seen++
+			}
+			if b.Zone == "z1" && b.suspect(z.hosts[0].r.now) {
+				shut++
+			}
+		}
+	}
+	require.Less(t, float64(shut), 0.1*float64(seen))
+}
+
+// A stream that began before an engine failed ends well there.
+func TestOlderRunsClearNoFailure(t *testing.T) {
+	b := newBackend(changeOf("a", 10, false).Backend)
+	b.failed(2 * time.Second)
+	b.succeeded(time.Second)
+	b.failed(3 * time.Second)
+	require.True(t, b.suspect(3*time.Second))
+	for began := 4 * time.Second; began < 7*time.Second; began += time.Second {
+		require.True(t, b.onProbation())
+		b.succeeded(began)
+	}
+	require.False(t, b.onProbation())
+}
+
+// In a small fleet each host tells what fails its requests. One host alone may have a fault of its own.
+func TestTwoHostsWordsMakeASuspect(t *testing.T) {
+	r := lone(t, "a", "b")
+	says := func(host string, seq uint64, failing ...uint32) {
+		r.Reduce(time.Second, Heard{Beat: &gossippb.Beat{Host: host, Zone: "z0", Incarnation: 1, Seq: seq, Failing: failing}})
+	}
+	a := r.backends["a"]
+	says("10.0.0.8", 1, a.hash)
+	require.False(t, a.suspect(r.now))
+	says("10.0.0.9", 1, a.hash)
+	require.True(t, a.suspect(r.now))
+	says("10.0.0.9", 2)
+	require.False(t, a.suspect(r.now))
+}
--- a/internal/router/grant.go
+++ b/internal/router/grant.go
@@ -105,9 +105,9 @@
 	r.learnFrom(b, rep)
 	switch rep.Outcome {
 	case gossippb.Outcome_OUTCOME_SOUND:
-		b.succeeded()
+		b.succeeded(r.now - time.Duration(rep.AgeMs)*time.Millisecond)
 	case gossippb.Outcome_OUTCOME_FAULTY:
-		b.failed(r.now)
+		r.noteFailed(b)
 	case gossippb.Outcome_OUTCOME_REPLACED:
 		b.replaced = true
 		r.backendEnded(b)
@@ -169,7 +169,7 @@
 		return
 	}
 	rep := q.reportOf(-1, -q.unread)
-	rep.Outcome = outcomeOf(e)
+	rep.Outcome, rep.AgeMs = outcomeOf(e), uint32((r.now - q.sentAt).Milliseconds())
 	if e.Outcome == Answered {
 		rep.IntervalUs, rep.Events = uint32(paceOf(q, e).Microseconds()), uint32(e.Events)
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -112,6 +112,7 @@
 	loads      loads
 	readsStore bool
 	dead       []uint32 // backend servers that it cannot reach
+	failing    []uint32 // backend servers that fail its requests
 	spent      map[string]uint64
 	// differsSince is when its news first differed from this host's; zero while they agree.
 	differsSince time.Duration
@@ -183,6 +184,7 @@
 	}
 	r.takeLoads(m, b.Loads)
 	r.takeDead(m, b.Dead)
+	r.takeFailing(m, b.Failing)
 	r.takeSpeeds(b.Speeds)
 	r.takeSpent(m, b.Spent, returned)
 	r.takeZones(m.zone, b.Zones)
@@ -275,6 +277,7 @@
 			r.countLoads(m.loads, -1)
 			m.loads = nil
 			r.takeDead(m, nil)
+			r.takeFailing(m, nil)
 			r.emit(Note{What: "host silent", Subject: host, Age: quiet})
 		}
 		if quiet > forgetAfter || (m.silent && m.leaving) {
@@ -288,6 +291,7 @@
 func (r *Router) dropMember(m *member) {
 	r.countLoads(m.loads, -1)
 	r.takeDead(m, nil)
+	r.takeFailing(m, nil)
 	for _, q := range r.quotas {
 		q.Forget(m.name)
 	}
--- a/internal/router/place.go
+++ b/internal/router/place.go
@@ -118,13 +118,13 @@
 	}
 }
 
-// triedNow tells whether a backend server on probation has a request already: one of this host, or at its
-// owner, which places everybody's, of anybody.
+// triedNow tells whether a backend server on probation has as many requests as it may: one, and one more for each that it
+// has served. They count if they are this host's, or at its owner, which places everybody's, anybody's.
 func (s *search) triedNow(b *backend) bool {
 	if s.scope == owned {
-		return b.inFlight() > 0
+		return b.inFlight() > b.trials
 	}
-	return b.own.total() > 0
+	return b.own.total() > b.trials
 }
 
 // search is the choice of a backend server for one request.
@@ -180,8 +180,11 @@
 	for _, b := range s.backends() {
 		s.consider(b, &g, lists)
 	}
-	// Dead servers look idle. In an overload every request would try some of them before it is refused;
-	// they are tried only where no other is left at all, as the fault may be this host's own.
+	// Suspects and dead servers look idle. In an overload every request would try some of them before it is refused; they are
+	// tried only where no better one is left at all, full or not, as the fault may be this host's own.
+	if g.Full > g.suspects {
+		lists[suspect] = lists[suspect][:0]
+	}
 	if g.Full > 0 {
 		lists[dead] = lists[dead][:0]
 	}
@@ -209,16 +212,19 @@
 	if s.scope == owned {
 		return s.r.owns(b)
 	}
-	if !s.r.mayServe(s.q.Route, s.q.Workspace, b.Zone) {
-		return false
-	}
 	return len(s.q.full) == 0 || !slices.Contains(s.q.full, s.r.ownerOf(b))
 }
 
 // consider puts a backend server into the list of its class, if it may be used and has room.
 func (s *search) consider(b *backend, g *Grounds, lists *[classes][]candidate) {
 	ok, doubt := b.usable(s.r.now)
-	if !ok || slices.Contains(s.q.tried, b.ID) || !fits(b, s.cfg) || !s.admits(b) {
+	if !ok || !s.r.mayServe(s.q.Route, s.q.Workspace, b.Zone) {
+		if !b.removed {
+			g.Barred++
+		}
+		return
+	}
+	if slices.Contains(s.q.tried, b.ID) || !fits(b, s.cfg) || !s.admits(b) {
 		return
 	}
 	g.Known++
@@ -238,6 +244,9 @@
 		if c != dead {
 			g.Full++
 		}
+		if c == suspect {
+			g.suspects++
+		}
 		return
 	}
 	lists[c] = append(lists[c], candidate{b, s.score(b, held)})
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -59,7 +59,7 @@
 // index finds a backend server by its name in beats from now on, and takes what others have told of it.
 func (r *Router) index(b *backend) {
 	r.byHash[b.hash] = b
-	b.others, b.saidDead = r.othersAt(b.hash), r.saidDeadAt(b.hash)
+	b.others, b.saidDead, b.saidFailing = r.othersAt(b.hash), r.saidDeadAt(b.hash), r.saidFailingAt(b.hash)
 }
 
 // join takes a backend server that was not known.
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -42,6 +42,7 @@
 	// only on proof that the backend server has not run it.
 	ran     bool
 	runs    int
+	sentAt  time.Duration
 	rejects int
 	charged bool
 	// queued tells that its backend server was believed to be busy with others when it was sent.
@@ -129,6 +130,7 @@
 	r.inv.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
+	q.sentAt = r.now
 	r.spendCold(b)
 	b.own.counts[q.bucket()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.unread(r.now) > q.PromptTok
@@ -229,7 +231,7 @@
 func (r *Router) judge(b *backend, q *request, e Ended) {
 	switch e.Outcome {
 	case Answered:
-		b.succeeded()
+		b.succeeded(q.sentAt)
 		pace := paceOf(q, e)
 		b.learnPace(pace)
 		svc := r.serviceNamed(b.Service)
@@ -247,7 +249,7 @@
 		r.backendEnded(b)
 	case Broken, Failed:
 		if e.Fault {
-			b.failed(r.now)
+			r.noteFailed(b)
 		}
 	}
 }
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -31,8 +31,10 @@
 	config   *routing.Config
 	latest   uint64 // version of the configuration that was sent last
 	backends map[string]routing.BackendChange
-	revision uint64
-	storeOff bool
+	// evacuations are the latest words on zones, for good: what a listing shows are those that have not ended.
+	evacuations map[string]routing.Evacuation
+	revision    uint64
+	storeOff    bool
 	// era is how often the store has come back from copy; since is what was written after it was taken, and again what is
 	// still to be written anew.
 	era   uint64
@@ -60,14 +62,15 @@
 
 // storeCopy is what the store held at a moment.
 type storeCopy struct {
-	config   *routing.Config
-	backends map[string]routing.BackendChange
-	revision uint64
+	config      *routing.Config
+	backends    map[string]routing.BackendChange
+	evacuations map[string]routing.Evacuation
+	revision    uint64
 }
 
 // takeCopy takes a copy that the store may come back from.
 func (w *world) takeCopy() {
-	w.copy = &storeCopy{w.config, maps.Clone(w.backends), w.revision}
+	w.copy = &storeCopy{w.config, maps.Clone(w.backends), maps.Clone(w.evacuations), w.revision}
 	w.since = nil
 }
 
@@ -79,6 +82,7 @@
 	}
 	w.era++
 	w.config, w.backends, w.revision = w.copy.config, maps.Clone(w.copy.backends), w.copy.revision
+	w.evacuations = maps.Clone(w.copy.evacuations)
 	w.again = append(slices.Clone(w.since), w.again...)
 	w.since = nil
 	for _, h := range w.hosts {
@@ -128,7 +132,7 @@
 }
 
 func newWorld(t *rapid.T, zones, perZone int) *world {
-	w := &world{t: t, latest: 2, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
+	w := &world{t: t, latest: 2, evacuations: map[string]routing.Evacuation{}, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
 	w.publish()
 	for i := 0; i < 6; i++ {
 		w.register(fmt.Sprintf("b%d", i), false)
@@ -179,7 +183,14 @@
 	w.write(func() {
 		w.revision++
 		w.backends[id] = routing.BackendChange{Revision: w.rev(),
-			Backend: routing.Backend{ID: id, Addr: id, Zone: "z0", Service: "s", Slots: 5, Draining: draining}}
+			Backend: routing.Backend{ID: id, Addr: id, Zone: fmt.Sprintf("z%d", id[1]%2), Service: "s", Slots: 5, Draining: draining}}
+	})
+}
+
+func (w *world) evacuate(zone string, ended bool) {
+	w.write(func() {
+		w.revision++
+		w.evacuations[zone] = routing.Evacuation{Zone: zone, Revision: w.rev(), Ended: ended}
 	})
 }
 
@@ -273,6 +284,7 @@
 	require.Empty(w.t, c.current, "sent while it runs elsewhere")
 	b := h.r.backends[e.Backend.ID]
 	require.False(w.t, b.Draining, "sent to a server that is known to drain")
+	require.False(w.t, h.r.evacuated(b.Zone), "sent to a zone that is known to be evacuated")
 	require.False(w.t, h.told[b.ID], "sent to a server that has told this host that it leaves")
 	if b.removed {
 		require.Less(w.t, w.now-b.removedAt, doubtFor+worldStep, "sent to a server that is long gone")
@@ -399,7 +411,14 @@
 			n.Backends = append(n.Backends, ch)
 		}
 	}
-	if h.listed && len(n.Backends) == 0 && h.version == w.config.Version {
+	for _, zone := range slices.Sorted(maps.Keys(w.evacuations)) {
+		e := w.evacuations[zone]
+		e.Revision.Era = w.era
+		if !h.listed && !e.Ended || h.listed && e.Revision.Number > h.seen {
+			n.Evacuations = append(n.Evacuations, e)
+		}
+	}
+	if h.listed && len(n.Backends)+len(n.Evacuations) == 0 && h.version == w.config.Version {
 		return
 	}
 	if h.listed {
@@ -408,6 +427,9 @@
 	for _, ch := range n.Backends {
 		n.Revision = routing.Latest(n.Revision, ch.Revision)
 	}
+	for _, e := range n.Evacuations {
+		n.Revision = routing.Latest(n.Revision, e.Revision)
+	}
 	h.seen, h.listed = w.revision, true
 	w.post(h, n)
 }
@@ -422,7 +444,11 @@
 }
 
 func (w *world) change() {
-	switch rapid.IntRange(0, 11).Draw(w.t, "change") {
+	switch rapid.IntRange(0, 13).Draw(w.t, "change") {
+	case 12:
+		w.evacuate(rapid.SampledFrom([]string{"z0", "z1"}).Draw(w.t, "zone"), false)
+	case 13:
+		w.evacuate(rapid.SampledFrom([]string{"z0", "z1"}).Draw(w.t, "zone"), true)
 	case 10:
 		w.takeCopy()
 	case 11:
@@ -461,10 +487,14 @@
 	for _, h := range w.hosts {
 		h.refused, h.cut, h.frozen = false, false, 0
 	}
-	for i := 0; i < 400; i++ {
+	for i := 0; i < 600; i++ {
 		w.step()
 	}
 	for _, h := range w.hosts {
+		for _, zone := range []string{"z0", "z1"} {
+			e, ok := w.evacuations[zone]
+			require.Equal(w.t, ok && !e.Ended, h.r.evacuated(zone), "%s of %s", zone, h.ip)
+		}
 		require.Equal(w.t, w.config.Version, h.r.version(), "host %s", h.ip)
 		for id, ch := range w.backends {
 			b := h.r.backends[id]
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -40,6 +40,9 @@
 	pulled func(from string, p Pull)
 	// sends are the moments at which each engine was sent a request, where they are kept.
 	sends map[string][]time.Duration
+	// breaks is the share of requests that an engine breaks off as they begin, and broken counts those.
+	breaks map[string]float64
+	broken map[string]int
 	// lost drops a datagram.
 	lost func(from, to string, p *gossippb.Packet) bool
 
@@ -67,6 +70,7 @@
 	came   time.Duration
 	ends   time.Duration
 	engine string
+	breaks bool
 }
 
 // newZone starts the hosts of a zone before engines of 4 slots, a third of which are four times slower, and
@@ -137,6 +141,9 @@
 		run := z.runs[e.ID]
 		run.engine = e.Backend.ID
 		run.ends = z.now + z.length(e.Backend.ID)
+		if run.breaks = z.breaks != nil && z.rng.Float64() < z.breaks[run.engine]; run.breaks {
+			run.ends = z.now + 3*zoneStep
+		}
 		z.held[run.engine]++
 		if z.sends != nil {
 			z.sends[run.engine] = append(z.sends[run.engine], z.now)
@@ -146,6 +153,8 @@
 		if z.held[run.engine] > e.Backend.Slots+headroom {
 			z.crowds++
 		}
+	case GiveUp:
+		delete(z.runs, e.ID)
 	case Refuse:
 		z.waited = max(z.waited, z.now-z.runs[e.ID].came)
 		delete(z.runs, e.ID)
@@ -218,6 +227,12 @@
 	for _, id := range ended {
 		run := z.runs[id]
 		z.held[run.engine]--
+		if run.breaks {
+			z.broken[run.engine]++
+			run.engine = ""
+			z.post(run.host, Ended{ID: id, Outcome: Broken, Fault: true})
+			continue
+		}
 		delete(z.runs, id)
 		interval := 10 * time.Millisecond
 		if slowEngine(run.engine) {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -194,8 +194,7 @@
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(),
-		Evacuations: r.toldEvacuations()}
+		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
 	for _, b := range r.allBackends() {
 		if b.Zone != r.opt.Zone || b.removed {
 			continue
@@ -241,7 +240,6 @@
 		r.noteZone(s.Speaker, s.Zone)
 		r.takeSuspects(s.Suspects)
 		r.takeLeaving(s.Speaker, s.Leaves)
-		r.takeEvacuations(s.Speaker, s.Evacuations)
 		r.takeZoneSum(s, from == s.Zone)
 	}
 }
@@ -269,6 +267,7 @@
 	z.known = int(s.Known)
 	z.owners, z.stale = s.Owners, false
 	r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
+	r.takeOwnersFailing(func(b *backend) bool { return b.Zone == s.Zone }, s.Failing)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
 			q.Heard(limit.Word{From: z.key(), Spent: float64(sp.Amount), Returned: returned, Young: time.Duration(s.AgeMs)*time.Millisecond <= youngFor})
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -21,6 +21,9 @@
 	suspectTests    = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|LapsedEngine|CutAddUp|Rack"}
 	saidTests       = []string{"./internal/router", "-run", "Leaving|Away|UnlikeTimes"}
 	coreSuspects    = []string{"./internal/core", "-run", "Deadly|FoundOut"}
+	coldTests       = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffRush", "-rapid.shrinktime=1s"}
+	evacuationTests = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
+	failingTests    = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects"}
 	eraTests        = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
@@ -163,6 +166,34 @@
 	{"upstream-permission", "4", "internal/upstream/call.go", "if req.Permitted != nil && !req.Permitted() {", "if false {",
 		[]string{"./internal/upstream", "./internal/gateway"}},
 	{"limit-turns", "limits", "internal/limit/quota.go", "return !q.coarse || q.level", "return true || q.level", limitTests},
+	{"cold-bound", "cold", "internal/router/cold.go", "	return b.warming.rate > 0 && b.warming.level >= 1\n", "	return true\n", coldTests},
+	{"cold-rank", "cold", "internal/router/cold.go", "if before >= senders {", "if false {", coldTests},
+	{"cold-silent-hosts", "cold", "internal/router/cold.go", "		hosts++\n		if coldRank", "		if m.silent {\n			continue\n		}\n		hosts++\n		if coldRank", coldTests},
+	{"cold-age", "cold", "internal/router/cold.go", "r.now < coldAge || ", "", coldTests},
+	{"cold-hears-nobody", "cold", "internal/router/cold.go", " || r.hearsNobody() {", " {", coldTests},
+	{"cold-registration", "cold", "internal/router/registrations.go", "	b.evacuated = r.evacuated(ch.Zone)\n	r.setCold(b, ch.Cold, \"registration\")\n", "	b.evacuated = r.evacuated(ch.Zone)\n", coldTests},
+	{"cold-after-evacuation", "cold", "internal/router/evacuations.go", "			r.presumeCold(b)\n", "", coldTests},
+	{"cold-told", "cold", "internal/router/news.go", "told.Cold = max(0, b.warming.until-r.now)", "told.Cold = b.Cold", coldTests},
+	{"cold-owner", "cold", "internal/router/place.go", "b.cold(s.r.now) && (s.scope == owned || !s.r.bears(b))", "b.cold(s.r.now) && s.scope != owned && !s.r.bears(b)", coldTests},
+	{"cold-offer", "cold", "internal/router/ask.go", "	return ok && !b.cold(r.now) && ", "	return ok && ", coldTests},
+	{"evacuated", "4", "internal/router/backends.go", "	case b.evacuated:\n		return evacuated\n", "", evacuationTests},
+	{"evacuation-order", "4", "internal/router/evacuations.go", "if ok && !e.Revision.After(known.Revision) {", "if false {", evacuationTests},
+	{"evacuation-unlisted", "4", "internal/router/evacuations.go", "!e.Revision.After(n.AsOf) {", "false {", evacuationTests},
+	{"evacuation-older-copy", "4", "internal/router/evacuations.go", "!listed[zone] && e.Revision.Era == n.AsOf.Era && ", "!listed[zone] && ", evacuationTests},
+	{"evacuation-lost", "4", "internal/router/evacuations.go", "!e.Ended && e.Revision.Era < era {", "!e.Ended && e.Revision.Era > era {", evacuationTests},
+	{"evacuation-told", "4", "internal/router/beats.go", ", Evacuations: r.toldEvacuations(),", ",", evacuationTests},
+	{"evacuation-bounded", "4", "internal/router/evacuations.go", "!ok && len(r.evacuations) >= maxEvacuations", "false", evacuationTests},
+	{"evacuation-joins", "4", "internal/router/registrations.go", "	b.evacuated = r.evacuated(b.Zone)\n", "", evacuationTests},
+	{"evacuation-foreign", "4", "platform/store.go", "err != nil || fields == nil", "err != nil && fields != nil", onPlatform("Foreign")},
+	{"regions", "4", "internal/router/regions.go", "	region := r.opt.Regions[zone]\n", "	return true\n	region := r.opt.Regions[zone]\n", []string{"./internal/router", "-run", "Region"}},
+	{"regions-workspace", "4", "internal/router/regions.go", "admitsRegion(route.Regions, region) && (w == nil || admitsRegion(w.Regions, region))", "admitsRegion(route.Regions, region)", []string{"./internal/router", "-run", "Region"}},
+	{"failing-older-runs", "8", "internal/router/failing.go", "f.failures > 0 && began < f.failedAt", "false", failingTests},
+	{"failing-trials", "8", "internal/router/failing.go", "f.failures >= failuresToAvoid && f.trials < trialsToTrust", "false", failingTests},
+	{"failing-refuge", "8", "internal/router/place.go", "	if g.Full > g.suspects {\n", "	if false {\n", failingTests},
+	{"failing-all", "8", "internal/router/place.go", "	if g.Full > g.suspects {\n", "	if true {\n", failingTests},
+	{"failing-owners-word", "8", "internal/router/owners.go", "	o.Failing = r.failingOf(r.owns)\n", "", failingTests},
+	{"failing-zones", "8", "internal/router/zones.go", " Failing: r.zoneFailing()}", "}", failingTests},
+	{"failing-two-words", "8", "internal/router/failing.go", "f.saidFailing >= deadWord", "f.saidFailing > 0", failingTests},
 	{"router-known-hosts", "limits", "internal/router/zones.go", "known += max(z.known, z.hosts)", "known += z.hosts", routerTests},
 	{"router-tight", "limits", "internal/router/requests.go", "	if quota.Tight() {\n", "	if false {\n", routerTests},
 	{"news-once", "8", "internal/gossip/gossip.go", "now.Sub(l.at) < lastFor", "false", []string{"./internal/gossip"}},
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -50,7 +50,10 @@
 	soakKey    = "soak-key"
 	soakDomain = "soak.example"
 	soakGrace  = 8
-	logTail    = 20000 // bytes of a host's log that a failure shows
+	// soakColdFor and soakColdRate are of a backend server that has just started.
+	soakColdFor  = 2 * time.Second
+	soakColdRate = 5.0
+	logTail      = 20000 // bytes of a host's log that a failure shows
 )
 
 // soak is one run.
@@ -136,8 +139,8 @@
 func (s *soak) publish() {
 	s.version += 1 + s.rng.IntN(3)
 	routes := []platformtest.Route{
-		{Host: soakDomain, Prefix: "/stream/", Kind: "streaming", Service: "models", TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true},
-		{Host: soakDomain, Prefix: "/once/", Kind: "non_idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 1, Priority: 1},
+		{Host: soakDomain, Prefix: "/stream/", Kind: "streaming", Service: "models", TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true, ColdS: soakColdFor.Seconds(), ColdRate: soakColdRate},
+		{Host: soakDomain, Prefix: "/once/", Kind: "non_idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 1, Priority: 1, ColdS: soakColdFor.Seconds(), ColdRate: soakColdRate},
 		{Host: soakDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2, Priority: 2},
 		{Host: soakDomain, Prefix: fmt.Sprintf("/v%d/", s.version), Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2},
 	}
@@ -145,13 +148,14 @@
 }
 
 // backend starts a backend server behind a proxy and registers it.
-func (s *soak) backend(service string) {
+func (s *soak) backend(service string) *platformtest.Backend {
 	events := 0
 	if service == "models" {
 		events = soakEvents
 	}
-	id := fmt.Sprintf("%s-%d", service, s.attempts.Add(1))
-	b, err := platformtest.StartBackend(id, service, "zone-a", s.ip(200)+":0", events, 5*time.Millisecond)
+	n := s.attempts.Add(1)
+	id := fmt.Sprintf("%s-%d", service, n)
+	b, err := platformtest.StartBackend(id, service, []string{"zone-a", "zone-b"}[n%2], s.ip(200)+":0", events, 5*time.Millisecond)
 	require.NoError(s.t, err)
 	s.t.Cleanup(b.Close)
 	reg := b.Registration("ready")
@@ -162,6 +166,7 @@
 	s.backends = append(s.backends, b)
 	s.linkOf[id] = addr
 	s.mu.Unlock()
+	return b
 }
 
 func (s *soak) addHost(i int, store string) {
@@ -238,7 +243,7 @@
 // disturb does one thing at random. It runs on one goroutine, so that a seed gives one series.
 func (s *soak) disturb() {
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
-	switch s.rng.IntN(22) {
+	switch s.rng.IntN(25) {
 	case 0:
 		s.later(h, syscall.SIGKILL, time.Duration(s.rng.IntN(500))*time.Millisecond)
 	case 1:
@@ -276,7 +281,11 @@
 		old := s.anyBackend()
 		s.backend(old.Service)
 		old.Leaves() // and its registration goes on saying that it is ready
-	case 18:
+	case 18, 19:
+		s.evacuate([]string{"zone-a", "zone-b"}[s.rng.IntN(2)], time.Duration(200+s.rng.IntN(1500))*time.Millisecond)
+	case 20:
+		s.coldStart()
+	case 21:
 		s.anyBackend().Shed([]string{"0.3", "1.5", "soon"}[s.rng.IntN(3)])
 	default:
 		s.store.SetFault(nil)
@@ -396,6 +405,24 @@
 	time.AfterFunc(time.Second, func() { s.store.Remove(old.Key()) })
 }
 
+// evacuate asks that a zone's backend servers get nothing for a time.
+func (s *soak) evacuate(zone string, d time.Duration) {
+	s.store.Put("op/evacuate/"+zone, map[string]any{})
+	time.AfterFunc(d, func() { s.store.Remove("op/evacuate/" + zone) })
+}
+
+// coldStart puts a backend server beside one that then leaves; the new one crashes under more requests than it bears.
+func (s *soak) coldStart() {
+	old := s.anyBackend()
+	b := s.backend(old.Service)
+	b.Cold(soakColdFor, soakColdRate)
+	reg := b.Registration("ready")
+	s.mu.Lock()
+	reg["address"] = s.linkOf[b.ID]
+	s.mu.Unlock()
+	s.store.Put(b.Key(), reg)
+}
+
 // startAgain breaks a backend server's connections and registers it as the next start under its ID; at
 // times a write of the earlier start comes late.
 func (s *soak) startAgain() {
