--- a/internal/router/failing_test.go
+++ b/internal/router/failing_test.go
@@ -122,3 +122,26 @@
 	says("10.0.0.9", 2)
 	require.False(t, a.suspect(r.now))
 }
+
+// Another zone's sum names an engine that fails. A host that finds nothing better decides alone after some refusals, and leaves it
+// alone all the same.
+func TestSumsOfZonesTellWhatFails(t *testing.T) {
+	z := newZones(t, 3, 10, 3)
+	z.run(2*time.Second, 50)
+	h := z.hosts[0].r
+	b := h.backends["e004"]
+	require.Equal(t, "z1", b.Zone)
+	owner := z.byIP[h.ownerOf(b)]
+	for range failuresToAvoid {
+		owner.r.noteFailed(owner.r.backends["e004"])
+	}
+	z.run(time.Second, 0)
+	require.True(t, b.suspect(h.now))
+	z.run(2*avoidMost, 0)
+	require.True(t, b.suspect(h.now), "until the owner trusts it again")
+	for range trialsToTrust {
+		owner.r.backends["e004"].succeeded(owner.r.now)
+	}
+	z.run(time.Second, 0)
+	require.False(t, b.suspect(h.now))
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -6,8 +6,9 @@
 //
 // One file is one concern: members (who else is there), news (configuration and backend servers), backends
 // (what is believed of each), zones (sums between availability zones), peers (which hosts are named to
-// others), reading (who reads the store), place (where a request goes),
-// owners (who is asked), ask (questions for a place), grant (answers to them), requests (their lives), beats.
+// others), reading (who reads the store), evacuations, cold, failing and regions (why a backend server gets no or few
+// requests), place (where a request goes), owners (who is asked), ask (questions for a place), grant (answers to them),
+// requests (their lives), beats.
 package router
 
 import (
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -23,7 +23,7 @@
 	coreSuspects    = []string{"./internal/core", "-run", "Deadly|FoundOut"}
 	coldTests       = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffRush", "-rapid.shrinktime=1s"}
 	evacuationTests = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
-	failingTests    = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects"}
+	failingTests    = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests        = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
