Cold servers under tight bounds; zones that were taken back are no part of the digest

Found by reading. A rate and bound that allow one request in a second let two through, the one saved up and the one that flows in; a host that started after a zone was taken back differed from the others' digest for good and asked one of them for all its news; 64 zones that were taken back left no room for one that is evacuated. Each has a test.

--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -93,7 +93,7 @@
 	var hopeful []string
 	for _, b := range r.zoneBackendsOf(q.service) {
 		owner := r.ownerOf(b)
-		if ok, _ := b.usable(r.now); !ok || b.cold(r.now) || !r.mayServe(q.Route, q.Workspace, b.Zone) || owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) {
+		if owner == "" || slices.Contains(hopeful, owner) || slices.Contains(q.full, owner) || !r.answers(owner) || !r.offerable(q, b) {
 			continue
 		}
 		if r.now-r.trustOf(owner).fullAt[q.bucket()] >= fullFresh {
@@ -106,6 +106,12 @@
 	return hopeful[r.rng.IntN(len(hopeful))]
 }
 
+// offerable tells whether an owner may offer a place at a backend server for a request.
+func (r *Router) offerable(q *request, b *backend) bool {
+	ok, _ := b.usable(r.now)
+	return ok && !b.cold(r.now) && r.mayServe(q.Route, q.Workspace, b.Zone)
+}
+
 func (r *Router) ask(q *request, owner string, worst class) {
 	r.askNumber++
 	a := &ask{number: r.askNumber, request: q.ID, owner: owner, at: r.now, priority: q.bucket(), prompt: q.PromptTok}
@@ -239,8 +245,7 @@
 }
 
 func (r *Router) mayUse(q *request, b *backend) bool {
-	ok, _ := b.usable(r.now)
-	return ok && !b.cold(r.now) && b.Service == q.service && !slices.Contains(q.tried, b.ID)
+	return r.offerable(q, b) && b.Service == q.service && !slices.Contains(q.tried, b.ID)
 }
 
 // giveBack returns a place that is not used.
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -19,7 +18,7 @@
 	// coldAge is how long a host must have run to be one of them: it has heard of its zone mates by then, and what an
 	// earlier process of it sent is more than a second old.
 	coldAge = 2 * time.Second
-	// coldMargin is the part of the operators' bound that may be used: some hosts compute others, or decided just before
+	// coldMargin is the part of what operators allow beyond the rate that hosts may have saved up: some hosts compute others, or decided just before
 	// they heard that a backend server is cold.
 	coldMargin = 0.5
 )
@@ -49,7 +48,7 @@
 
 // presumeCold takes a backend server for cold that may be, though nothing says so yet.
 func (r *Router) presumeCold(b *backend) {
-	if s := r.serviceOf(b); s != nil {
+	if s := r.serviceOf(b); s != nil && b.warming.until < r.now+s.ColdFor {
 		r.setCold(b, s.ColdFor, "presumed")
 	}
 }
@@ -103,9 +102,9 @@
 	if bound <= 0 || r.now < coldAge || !r.direct(b.Zone) || r.hearsNobody() {
 		return 0
 	}
+	allowed := bound*max(1, r.opt.Bounds.ColdOver) + r.opt.Bounds.ColdSlack
 	// Each may have saved one up, beside what flows in during a second.
-	spare := coldMargin * (bound*(r.opt.Bounds.ColdOver-1) + r.opt.Bounds.ColdSlack)
-	senders := int(math.Max(1, math.Min(coldSenders, spare)))
+	senders := min(coldSenders, max(1, int(coldMargin*(allowed-bound))))
 	before, hosts := 0, 1
 	mine := coldRank(b.hash, r.opt.Host)
 	for _, h := range r.members.order {
@@ -121,7 +120,8 @@
 	if before >= senders {
 		return 0
 	}
-	return bound / float64(min(senders, hosts))
+	senders = min(senders, hosts)
+	return max(0, min(bound, allowed-float64(senders))) / float64(senders)
 }
 
 // hearsNobody tells that this host has heard no other since its start though there are some: it cannot know who sends what.
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -249,6 +249,36 @@
 	require.False(t, r.backends["a"].cold(r.now))
 }
 
+// Operators may allow one request in a second and less than two, or none beyond the rate.
+func TestColdServersWithTightBounds(t *testing.T) {
+	for _, b := range []struct{ rate, over, slack float64 }{{1, 1.5, 0}, {0.5, 1, 1}, {20, 1, 0}, {3, 0, 0}, {0.2, 1, 0}} {
+		r := lone(t, "a")
+		r.opt.Bounds.ColdOver, r.opt.Bounds.ColdSlack = b.over, b.slack
+		r.Reduce(0, News{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 2,
+			Services: []routing.Service{{Name: "m", Model: true, ColdFor: testColdFor, ColdRate: b.rate}}}}})
+		ch := changeOf("a", 60, false)
+		ch.Cold = time.Minute
+		registers(r, 5*time.Second, ch)
+		var sent []time.Duration
+		id := uint64(0)
+		for now := 5 * time.Second; now < 15*time.Second; now += 10 * time.Millisecond {
+			r.Reduce(now, Tick{})
+			id++
+			if _, ok := has[Dispatch](submitted(r, id, now)); ok {
+				sent = append(sent, now)
+				r.Reduce(now, Gone{ID: id})
+			}
+		}
+		allowed := b.rate*max(1, b.over) + b.slack
+		for first, last := 0, 0; last < len(sent); last++ {
+			for sent[last]-sent[first] > time.Second {
+				first++
+			}
+			require.LessOrEqual(t, float64(last-first+1), allowed, "%+v", b)
+		}
+	}
+}
+
 // Plain servers may say for how long they are slow after a start, and bear as much as ever.
 func TestServersWithoutABoundAreNotCold(t *testing.T) {
 	r := lone(t, "a")
--- a/internal/router/evacuations.go
+++ b/internal/router/evacuations.go
@@ -28,8 +28,11 @@
 	at time.Duration // when this host took it
 }
 
-// print stands for the word in a digest.
+// print stands for the word in a digest. That a zone was taken back is none: a host that starts later need not know.
 func (e *evacuation) print() uint64 {
+	if e.Ended {
+		return 0
+	}
 	return xxhash.Sum64String(e.Zone + "/" + e.Revision.String())
 }
 
@@ -45,7 +48,7 @@
 	if ok && !e.Revision.After(known.Revision) {
 		return
 	}
-	if !ok && len(r.evacuations) >= maxEvacuations {
+	if !ok && len(r.evacuations) >= maxEvacuations && !r.forgetEnded() {
 		r.emit(Note{What: "evacuation not taken: too many zones", Subject: e.Zone, Detail: from})
 		return
 	}
@@ -80,6 +83,21 @@
 	}
 }
 
+// forgetEnded forgets the zone that was taken back first; false where all are still evacuated.
+func (r *Router) forgetEnded() bool {
+	var oldest *evacuation
+	for _, zone := range slices.Sorted(maps.Keys(r.evacuations)) {
+		if e := r.evacuations[zone]; e.Ended && (oldest == nil || e.at < oldest.at) {
+			oldest = e
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(r.evacuations, oldest.Zone)
+	return true
+}
+
 // endUnlisted takes back the zones that a complete listing no longer names. Where the listing is of a later era, the store may
 // have lost the request.
 func (r *Router) endUnlisted(n News) {
--- a/internal/router/evacuations_test.go
+++ b/internal/router/evacuations_test.go
@@ -120,6 +120,10 @@
 		Backends: []routing.BackendChange{changeOf("a", 10, false)}}})
 	require.False(t, r.evacuated("z0"))
 	require.NotEqual(t, r.digest(), peer.digest())
+	peer.Reduce(3*time.Second, r.Snapshot(Since{}))
+	require.False(t, peer.evacuated("z0"))
+	require.Equal(t, r.digest(), peer.digest())
+	require.Equal(t, r.digest(), lone(t, "a").digest(), "a host that starts later need not ask")
 }
 
 // The store comes back from a copy that is older than the request. Operators write it again; until then a host that knew of it
@@ -170,4 +174,7 @@
 			Evacuations: []*gossippb.Evacuation{{Zone: itoa(uint64(i)), Revision: uint64(i)}}}})
 	}
 	require.LessOrEqual(t, len(r.evacuations), maxEvacuations)
+	r.Reduce(2*time.Second, takesBack("0", rev(900)))
+	r.Reduce(2*time.Second, evacuates("z0", rev(901)))
+	require.True(t, r.evacuated("z0"), "those that were taken back make room")
 }
