--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -362,3 +362,15 @@
 	require.InDelta(t, 0.2*hosts*cost, admitted(0.2), 0.1*hosts*cost)
 	require.InDelta(t, hosts*cost, admitted(1), 0.02*hosts*cost)
 }
+
+// In a fleet of hundreds each request of usual size is larger than a host's own part. That alone is no reason to tell the others in
+// half the time: all hosts did so all the while.
+func TestUsualRequestIsNotTight(t *testing.T) {
+	q := NewQuota(0, 640_000, 640_000, Allowance{Window: window, Over: 0.25, Slack: 190_000})
+	q.level = q.burst
+	ok, _ := q.Admit(0, 4500, 1, 300)
+	require.True(t, ok)
+	require.False(t, q.Tight())
+	q.share = -3 * 4500
+	require.True(t, q.Tight())
+}
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -224,9 +224,9 @@
 // Left is what the bucket holds, and what this host's own part of it holds, for logs.
 func (q *Quota) Left() (all, own float64) { return q.level, q.share }
 
-// Tight tells that what others admit matters soon: the bucket is half empty, or this host has used up its own part of it, as
-// all hosts do at once when a workspace suddenly asks for many times its quota.
-func (q *Quota) Tight() bool { return q.level < q.burst/2 || q.share <= 0 }
+// Tight tells that what others admit matters soon: the bucket is half empty, or this host is in debt by more than a usual request,
+// as all hosts are at once when a workspace suddenly asks for many times its quota.
+func (q *Quota) Tight() bool { return q.level < q.burst/2 || q.share < -q.usual }
 
 // Spent is what this host has admitted since its start.
 func (q *Quota) Spent() float64 { return q.spent }
--- a/internal/router/failing.go
+++ b/internal/router/failing.go
@@ -153,7 +153,7 @@
 	var out []uint32
 	for _, b := range r.allBackends() {
 		said := b.ownersFailing > 0 && r.now-b.ownersFailing < failingStale
-		if b.Zone == r.opt.Zone && !b.removed && (said || (r.owns(b) && b.fails())) {
+		if b.Zone == r.opt.Zone && !b.removed && (said || (b.fails() && r.owns(b))) {
 			out = append(out, b.hash)
 		}
 	}
