--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -74,6 +74,17 @@
 	return uint32(xxhash.Sum64String(b.ID + "/" + itoa(b.Start)))
 }
 
+// hashesOf names the registered backend servers that a test accepts, in order of their ids, as beats name them.
+func (r *Router) hashesOf(tell func(*backend) bool) []uint32 {
+	var out []uint32
+	for _, b := range r.allBackends() {
+		if !b.removed && tell(b) {
+			out = append(out, b.hash)
+		}
+	}
+	return out
+}
+
 // inFlight is how many requests the backend server is believed to hold.
 func (b *backend) inFlight() int {
 	return b.own.total() + b.believedOthers().total()
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -169,13 +169,7 @@
 
 // ownDead are the backend servers that this host lately could not connect to, or whose address another has.
 func (r *Router) ownDead() []uint32 {
-	var out []uint32
-	for _, b := range r.allBackends() {
-		if !b.removed && (r.now < b.unreachable || b.replaced) {
-			out = append(out, b.hash)
-		}
-	}
-	return out
+	return r.hashesOf(func(b *backend) bool { return r.now < b.unreachable || b.replaced })
 }
 
 // ageMs is how long this host has run, as beats tell it.
--- a/internal/router/failing.go
+++ b/internal/router/failing.go
@@ -1,9 +1,6 @@
 package router
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// failuresToAvoid in a row make a backend server suspect; a single failure is everyday.
@@ -42,7 +39,12 @@
 
 // suspect tells that a backend server should be left alone.
 func (f *failing) suspect(now time.Duration) bool {
-	return now < f.avoidUntil || f.dead(now) || f.saidFailing >= deadWord || (f.ownersFailing > 0 && now-f.ownersFailing < failingStale)
+	return now < f.avoidUntil || f.dead(now) || f.saidFailing >= deadWord || f.ownerSays(now)
+}
+
+// ownerSays tells that its owner has lately said that it fails requests.
+func (f *failing) ownerSays(now time.Duration) bool {
+	return f.ownersFailing > 0 && now-f.ownersFailing < failingStale
 }
 
 // onProbation tells that the backend server failed lately and has not served enough since.
@@ -103,39 +105,18 @@
 
 // failingOf are the hashes of the backend servers that fail requests, among those that a test accepts.
 func (r *Router) failingOf(tell func(*backend) bool) []uint32 {
-	var out []uint32
-	for _, b := range r.allBackends() {
-		if !b.removed && b.fails() && tell(b) {
-			out = append(out, b.hash)
-		}
-	}
-	return out
+	return r.hashesOf(func(b *backend) bool { return b.fails() && tell(b) })
 }
 
 // takeFailing takes which backend servers fail another host's requests.
 func (r *Router) takeFailing(m *member, list []uint32) {
-	r.countFailing(m.failing, -1)
+	r.recount(m.failing, list, func(b *backend) *int { return &b.saidFailing })
 	m.failing = list
-	r.countFailing(m.failing, 1)
-}
-
-func (r *Router) countFailing(list []uint32, sign int) {
-	for _, hash := range list {
-		if b, ok := r.byHash[hash]; ok {
-			b.saidFailing += sign
-		}
-	}
 }
 
 // saidFailingAt counts the hosts whose requests a backend server fails.
 func (r *Router) saidFailingAt(hash uint32) int {
-	n := 0
-	for _, h := range r.members.order {
-		if slices.Contains(r.members.byHost[h].failing, hash) {
-			n++
-		}
-	}
-	return n
+	return r.namedBy(hash, func(m *member) []uint32 { return m.failing })
 }
 
 // takeOwnersFailing takes an owner's word of which of its backend servers fail requests. Those that it no longer names are
@@ -150,12 +131,7 @@
 
 // zoneFailing are those of this zone, as their owners say or this host knows itself.
 func (r *Router) zoneFailing() []uint32 {
-	var out []uint32
-	for _, b := range r.allBackends() {
-		said := b.ownersFailing > 0 && r.now-b.ownersFailing < failingStale
-		if b.Zone == r.opt.Zone && !b.removed && (said || (b.fails() && r.owns(b))) {
-			out = append(out, b.hash)
-		}
-	}
-	return out
+	return r.hashesOf(func(b *backend) bool {
+		return b.Zone == r.opt.Zone && (b.ownerSays(r.now) || (b.fails() && r.owns(b)))
+	})
 }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -219,17 +219,33 @@
 
 // takeDead takes which backend servers a host cannot reach.
 func (r *Router) takeDead(m *member, dead []uint32) {
-	r.countDead(m.dead, -1)
+	r.recount(m.dead, dead, func(b *backend) *int { return &b.saidDead })
 	m.dead = dead
-	r.countDead(m.dead, 1)
 }
 
-func (r *Router) countDead(dead []uint32, sign int) {
-	for _, hash := range dead {
+// recount keeps how many hosts name a backend server, as one of them names others than before.
+func (r *Router) recount(was, now []uint32, hosts func(*backend) *int) {
+	for _, hash := range was {
 		if b, ok := r.byHash[hash]; ok {
-			b.saidDead += sign
+			*hosts(b)--
 		}
 	}
+	for _, hash := range now {
+		if b, ok := r.byHash[hash]; ok {
+			*hosts(b)++
+		}
+	}
+}
+
+// namedBy counts the hosts that name a backend server among others.
+func (r *Router) namedBy(hash uint32, names func(*member) []uint32) int {
+	n := 0
+	for _, h := range r.members.order {
+		if slices.Contains(names(r.members.byHost[h]), hash) {
+			n++
+		}
+	}
+	return n
 }
 
 // countLoads adds others' counts to the beliefs, or takes them away again.
--- a/internal/router/said.go
+++ b/internal/router/said.go
@@ -64,13 +64,7 @@
 }
 
 func (r *Router) leavingOf(tell func(*backend) bool) []uint32 {
-	var out []uint32
-	for _, b := range r.allBackends() {
-		if tell(b) && !b.removed && !b.replaced {
-			out = append(out, b.hash)
-		}
-	}
-	return out
+	return r.hashesOf(func(b *backend) bool { return tell(b) && !b.replaced })
 }
 
 // takeLeaving takes another host's word of backend servers that leave.
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -352,11 +352,5 @@
 
 // saidDeadAt counts the hosts that cannot reach a backend server.
 func (r *Router) saidDeadAt(hash uint32) int {
-	n := 0
-	for _, h := range r.members.order {
-		if slices.Contains(r.members.byHost[h].dead, hash) {
-			n++
-		}
-	}
-	return n
+	return r.namedBy(hash, func(m *member) []uint32 { return m.dead })
 }
