A stopping host waits for connections in use, and ends only where none is

What callers saw: a request that came as a stopping host ended was sent on and cut off in the middle of its answer. Cause: the host ended once its reducer had held no request for 0.4 s, and a request whose head or body is being read, or which waits for the control thread, is not there yet; what had just come got 0.2 s.

Change: connections are in use from the moment a request is read until the last byte of its answer is written, and are what the host waits for, to the end of the grace. It ends in one step with the look that finds none in use; a request that comes after that is told truly that it has not run. The product's own path refuses new requests before it waits, and a request leaves only through its reducer, which it asks; nothing to mend there by reading.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,6 +102,13 @@
 	f.fly()
 }
 
+// TurnAway answers a request that comes as the host ends: it has not run.
+func (g *Gateway) TurnAway(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Connection", "close")
+	f := &flight{g: g, w: w, r: r, call: g.wire.Read(r.Header), began: time.Now(), beganAt: g.control.Now()}
+	f.refuse(http.StatusServiceUnavailable, string(router.ShutDown), router.DrainBack)
+}
+
 // table is the configuration in force; a host that has just started is given a moment to learn it.
 func (g *Gateway) table(ctx context.Context) *routing.Table {
 	if t := g.control.Table(); t != nil {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -48,7 +48,6 @@
 	configured chan struct{}
 	ready      atomic.Bool
 	draining   atomic.Bool
-	held       atomic.Int64
 	suspects   atomic.Bool
 }
 
@@ -111,7 +110,6 @@
 		c.log.Error().Str("violation", v).Msg("An invariant does not hold. Report this with the log.")
 	}
 	c.ready.Store(c.router.Ready())
-	c.held.Store(int64(c.router.Requests()))
 	c.suspects.Store(c.router.Suspects())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,7 +34,7 @@
 	// memoryShare of the machine's memory is the runtime's soft limit; the rest is for what the
 	// kernel holds unread and for stacks.
 	memoryShare = 0.7
-	// quietFor is how long a stopping host must have had no request before it ends.
+	// quietFor is how long no connection of a stopping host must have been in use before it ends.
 	quietFor = 400 * time.Millisecond
 	// endMargin is kept before the platform's SIGKILL.
 	endMargin  = 400 * time.Millisecond
@@ -64,7 +64,7 @@
 	pool        *upstream.Pool
 	socket      *gossip.Socket
 	callers     *http.Server
-	idle        *idleConns
+	connections *connections
 	others      []*http.Server
 }
 
@@ -111,7 +111,7 @@
 		Host: set.IP, Zone: set.Zone, Regions: set.Regions, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
-	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, idle: newIdleConns()}
+	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, connections: newConnections()}
 	n.sent, n.heard = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.For(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
@@ -135,8 +135,8 @@
 		},
 	}
 	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		ConnState: n.idle.note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
+	n.callers = &http.Server{Handler: n.connections.gate(gw, gw.TurnAway), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		ConnState: n.connections.note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
 	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
 		return err
 	}
@@ -259,14 +259,14 @@
 		case now := <-t.C:
 			n.pool.Expire(now)
 			if t := n.control.Table(); t != nil {
-				n.idle.expire(now, t.Config.Limits.IdleTimeout)
+				n.connections.expire(now, t.Config.Limits.IdleTimeout)
 			}
 		}
 	}
 }
 
 // drain is the graceful shutdown: out of the balancer at once, answers with 'Connection: close',
-// and an end when nothing is in flight any more, at the latest just before the platform's SIGKILL.
+// and an end when no connection is in use any more, at the latest just before the platform's SIGKILL.
 func (n *Node) drain() {
 	n.log.Info().Dur("grace", n.set.Grace).Msg("Stopping.")
 	n.control.draining.Store(true)
@@ -275,14 +275,14 @@
 	quietSince := began
 	for time.Since(began) < n.set.Grace-endMargin {
 		time.Sleep(drainPoll)
-		if n.control.held.Load() > 0 {
+		if n.connections.used() > 0 {
 			quietSince = time.Now()
 		}
-		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor {
+		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor && n.connections.end() {
 			return
 		}
 	}
-	n.log.Warn().Int64("cut", n.control.held.Load()).Msg("The grace is over. Answers are cut.")
+	n.log.Warn().Int("cut", n.connections.used()).Msg("The grace is over. Answers are cut.")
 }
 
 func (n *Node) close() {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -23,10 +23,10 @@
 	// takeWhileDraining is how long after its stop signal a host takes new requests as ever: until
 	// the balancer has seen two probes fail.
 	takeWhileDraining = 3 * time.Second
-	// drainBack is when a caller whom a draining host turns away should come back: at once, as its next
+	// DrainBack is when a caller whom a draining host turns away should come back: at once, as its next
 	// connection goes to another host. Told to wait like one for whom there is no place, nearly all such
 	// callers were late: a tenth of all while hosts were restarted one after the other.
-	drainBack = time.Millisecond
+	DrainBack = time.Millisecond
 	// lastPlain is how long before its end a draining host still takes plain calls.
 	lastPlain = 1500 * time.Millisecond
 )
@@ -67,7 +67,7 @@
 func (r *Router) submit(e Submit) {
 	q := &request{Submit: e}
 	if left := r.drainLeft(e); left {
-		r.emit(Refuse{ID: e.ID, Cause: ShutDown, After: drainBack})
+		r.emit(Refuse{ID: e.ID, Cause: ShutDown, After: DrainBack})
 		return
 	}
 	if e.Deadline <= r.now {
