Owners, expiries and words of owners cost by what changes, not by all backend servers

Change: owners are computed when hosts or servers change, or when a host comes of age; what is gone, cold or owned is listed; words that decide only whom to ask first come at a period that stretches with the zone's hosts, so that a host hears the same number a second.

--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -160,8 +160,8 @@
 // avoided are an owner's backend servers that this host cannot use, by its own experience.
 func (r *Router) avoided(q *request, owner string) []uint32 {
 	var out []uint32
-	for _, b := range r.backendsOf(q.service) {
-		if r.ownerOf(b) != owner {
+	for _, b := range r.backendsIn(r.zoneOf(owner)) {
+		if b.Service != q.service || r.ownerOf(b) != owner {
 			continue
 		}
 		ok, _ := b.usable(r.now)
@@ -207,6 +207,14 @@
 	r.seek(q)
 }
 
+// zoneOf is the availability zone of a host that owns backend servers.
+func (r *Router) zoneOf(owner string) string {
+	if zone := r.members.zoneOf[owner]; zone != "" {
+		return zone
+	}
+	return r.opt.Zone
+}
+
 func (r *Router) inOwnZone(host string) bool { return slices.Contains(r.ownShards(), host) }
 
 // offered takes an owner's answer.
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -36,7 +36,9 @@
 	ownersWord   load
 	ownersWordAt time.Duration
 	fromOwner    bool
-	hash         uint32
+	// mine tells that this host owns it, as of the last computation.
+	mine bool
+	hash uint32
 	// interval is the learned time between the events of a stream, or to the answer of a plain call.
 	interval time.Duration
 	samples  int
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -63,6 +64,7 @@
 		return
 	}
 	b.warming.until = r.now + left
+	r.warming[b.ID] = b
 	if was {
 		return
 	}
@@ -74,15 +76,14 @@
 
 func (r *Router) warmed(b *backend, by string) {
 	b.warming = coldState{}
+	delete(r.warming, b.ID)
 	r.emit(Note{What: "backend server is warm", Subject: b.ID, Detail: by})
 }
 
 // expireCold notes which backend servers are warm by now, and computes this host's part for the others.
 func (r *Router) expireCold() {
-	for _, b := range r.allBackends() {
-		if b.warming.until == 0 {
-			continue
-		}
+	for _, id := range slices.Sorted(maps.Keys(r.warming)) {
+		b := r.warming[id]
 		bound, known := r.coldBound(b)
 		switch {
 		case !b.cold(r.now):
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -130,6 +130,8 @@
 	zoneOf map[string]string
 	// otherZones are the zones of known hosts but this one's, in order.
 	otherZones []string
+	// mates are the other hosts of this zone that are heard; nil where the list must be made again.
+	mates []string
 }
 
 func newMembers() members {
@@ -162,6 +164,7 @@
 		r.noteZone(b.Host, b.Zone)
 		r.members.order = append(r.members.order, b.Host)
 		slices.Sort(r.members.order)
+		r.membersChanged()
 		if r.direct(b.Zone) {
 			r.zones.peersAt = 0 // so that the others hear of it with the next beat
 			r.changed = true    // and it hears soon what there is to know
@@ -176,8 +179,12 @@
 	wasCut := returned && r.zoneSilent(m.zone)
 	if m.silent {
 		m.silent = false
+		r.membersChanged()
 		r.emit(Note{What: "host heard again", Subject: m.host, Age: r.now - m.heardAt})
 	}
+	if m.leaving != b.Leaving {
+		r.membersChanged()
+	}
 	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
 	if wasCut {
 		r.zoneBack(m.zone)
@@ -290,6 +297,7 @@
 		}
 		if quiet > patience && !m.silent {
 			m.silent = true
+			r.membersChanged()
 			r.countLoads(m.loads, -1)
 			m.loads = nil
 			r.takeDead(m, nil)
@@ -313,4 +321,11 @@
 	}
 	delete(r.members.byHost, m.host)
 	r.members.order = slices.DeleteFunc(r.members.order, func(h string) bool { return h == m.host })
+	r.membersChanged()
+}
+
+// membersChanged makes what is computed from the hosts that live anew at its next use.
+func (r *Router) membersChanged() {
+	r.members.mates = nil
+	r.owners.valid = false
 }
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -257,9 +257,12 @@
 
 func (r *Router) expireNews() {
 	r.dropLost()
-	for _, b := range r.allBackends() {
-		if b.removed && r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
-			delete(r.backends, b.ID)
+	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
+		b := r.tombstones[id]
+		if r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
+			delete(r.tombstones, id)
+			delete(r.warming, id)
+			delete(r.backends, id)
 			delete(r.byHash, b.hash)
 			r.forgetOrder()
 		}
@@ -277,7 +280,7 @@
 
 // forgetOrder makes the lists of backend servers anew at their next use.
 func (r *Router) forgetOrder() {
-	r.ordered, r.byService, r.inZone = nil, nil, nil
+	r.ordered, r.byService, r.inZone, r.byZone = nil, nil, nil, nil
 	r.owners.valid = false
 }
 
@@ -292,14 +295,23 @@
 	return r.byService[service]
 }
 
+// backendsIn are the known backend servers of an availability zone, in order of their ids.
+func (r *Router) backendsIn(zone string) []*backend {
+	if r.byZone == nil {
+		r.byZone = map[string][]*backend{}
+		for _, b := range r.allBackends() {
+			r.byZone[b.Zone] = append(r.byZone[b.Zone], b)
+		}
+	}
+	return r.byZone[zone]
+}
+
 // zoneBackendsOf are those of a service that are in this host's zone, in order of their ids.
 func (r *Router) zoneBackendsOf(service string) []*backend {
 	if r.inZone == nil {
 		r.inZone = map[string][]*backend{}
-		for _, b := range r.allBackends() {
-			if b.Zone == r.opt.Zone {
-				r.inZone[b.Service] = append(r.inZone[b.Service], b)
-			}
+		for _, b := range r.backendsIn(r.opt.Zone) {
+			r.inZone[b.Service] = append(r.inZone[b.Service], b)
 		}
 	}
 	return r.inZone[service]
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"math/bits"
 	"time"
 
@@ -23,10 +24,12 @@
 	// owns an engine hears of each request there from the first one on.
 	ownerAgeLeast = 300 * time.Millisecond
 	// occupancyEvery is the period at which owners tell their zone what their backend servers carry. It only
-	// decides which owner is asked first: the owner itself knows.
-	occupancyEvery = 250 * time.Millisecond
-	// occupancyStale is when an owner's word no longer counts: four periods.
-	occupancyStale = time.Second
+	// decides which owner is asked first: the owner itself knows. occupancyPerHost stretches it with the zone's hosts,
+	// so that a host hears the same number of words a second, however many owners there are.
+	occupancyEvery   = 250 * time.Millisecond
+	occupancyPerHost = 5 * time.Millisecond
+	// occupancyStale is after how many periods an owner's word no longer counts.
+	occupancyStale = 4
 	// speedsEvery is how many of an owner's words pass between two that tell speeds.
 	speedsEvery = 4
 )
@@ -58,14 +61,19 @@
 // older belief, as if the host had decided alone.
 type ownerState struct {
 	valid bool
+	// until is when a host comes of age that may own some, so that owners must be computed anew.
+	until time.Duration
 	// byShard are the owners' IP numbers; empty where no host has run for long enough.
 	byShard []string
-	// owned is how many shards this host owns.
+	// owned is how many shards this host owns, and mine their backend servers.
 	owned int
+	mine  []*backend
 	// tellAt is when this host next tells what its backend servers carry, and told counts its words.
 	tellAt time.Duration
 	told   int
-	trust  map[string]*trust
+	// expireAt is when words of owners that have fallen silent are next looked for.
+	expireAt time.Duration
+	trust    map[string]*trust
 	// knownUntil is until when owners of other zones know this host by its last beat.
 	knownUntil map[string]time.Duration
 }
@@ -97,7 +105,7 @@
 
 // ownShards are the owners of this zone's backend servers.
 func (r *Router) ownShards() []string {
-	if !r.owners.valid {
+	if !r.owners.valid || r.now >= r.owners.until {
 		r.computeOwners()
 	}
 	return r.owners.byShard
@@ -112,62 +120,95 @@
 	return owner != "" && !r.answers(owner)
 }
 
-func (r *Router) owns(b *backend) bool { return r.ownerOf(b) == r.opt.Host }
+func (r *Router) owns(b *backend) bool {
+	if !r.sharing() || b.Zone != r.opt.Zone {
+		return false
+	}
+	r.ownShards()
+	return b.mine
+}
 
 // computeOwners divides the zone's backend servers into a power of two of shards, so that the number seldom
 // changes, and finds each shard's owner by rendezvous hashing over the hosts that live and stay.
 func (r *Router) computeOwners() {
+	zone := r.backendsIn(r.opt.Zone)
 	n := 0
-	for _, b := range r.allBackends() {
-		if b.Zone == r.opt.Zone && !b.removed {
+	for _, b := range zone {
+		if !b.removed {
 			n++
 		}
 	}
 	shards := 1 << bits.Len(uint(n/shardSize))
-	r.owners.valid = true
 	if len(r.owners.byShard) != shards {
 		r.owners.byShard = make([]string, shards)
 	}
+	hosts := r.ownersOfAge()
 	owned := r.owners.owned
 	r.owners.owned = 0
 	for s := range r.owners.byShard {
-		owner := r.shardOwner(uint64(s), ownerAge)
-		if owner == "" {
-			owner = r.shardOwner(uint64(s), ownerAgeLeast)
-		}
+		owner := bestOwner(hosts, uint64(s))
 		r.owners.byShard[s] = owner
 		if owner == r.opt.Host {
 			r.owners.owned++
 		}
 	}
+	r.owners.valid = true
 	if r.owners.owned != owned {
 		r.emit(Note{What: "owns backend servers", Detail: fmt.Sprintf("%d of %d shards", r.owners.owned, shards)})
 	}
-	for _, b := range r.allBackends() {
-		if b.fromOwner && b.Zone == r.opt.Zone && r.owns(b) {
+	r.owners.mine = r.owners.mine[:0]
+	for _, b := range zone {
+		b.mine = r.owners.byShard[b.hash%uint32(shards)] == r.opt.Host
+		if b.mine {
 			b.fromOwner = false
+			r.owners.mine = append(r.owners.mine, b)
 		}
 	}
 }
 
-// shardOwner is the owner among hosts that have run for so long; empty where there is none.
-func (r *Router) shardOwner(shard uint64, age time.Duration) string {
+// never is a moment that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// ownersOfAge are the hosts of this zone that may own backend servers: those that have run for ownerAge, or where there is
+// none, for ownerAgeLeast. It notes when the next one comes of age.
+func (r *Router) ownersOfAge() []string {
+	var old, young []string
+	r.owners.until = never
+	consider := func(host string, bornAt time.Duration) {
+		switch age := r.now - bornAt; {
+		case age >= ownerAge:
+			old = append(old, host)
+			return
+		case age >= ownerAgeLeast:
+			young = append(young, host)
+			r.owners.until = min(r.owners.until, bornAt+ownerAge)
+		default:
+			r.owners.until = min(r.owners.until, bornAt+ownerAgeLeast)
+		}
+	}
+	if r.drain == nil {
+		consider(r.opt.Host, 0)
+	}
+	for _, h := range r.zoneMates() {
+		if m := r.members.byHost[h]; !m.leaving {
+			consider(h, m.bornAt)
+		}
+	}
+	if len(old) > 0 {
+		return old
+	}
+	return young
+}
+
+// bestOwner is a shard's owner among some hosts; empty where there are none.
+func bestOwner(hosts []string, shard uint64) string {
 	var owner string
 	var best uint64
-	consider := func(host string) {
+	for _, host := range hosts {
 		if v := shardRank(host, shard); owner == "" || v > best {
 			owner, best = host, v
 		}
 	}
-	if r.drain == nil && r.now >= age {
-		consider(r.opt.Host)
-	}
-	for _, h := range r.members.order {
-		m := r.members.byHost[h]
-		if m.zone == r.opt.Zone && !m.silent && !m.leaving && r.now-m.bornAt >= age {
-			consider(h)
-		}
-	}
 	return owner
 }
 
@@ -184,11 +225,12 @@
 	if !r.sharing() || r.now < r.owners.tellAt {
 		return
 	}
-	r.owners.tellAt = r.now + occupancyEvery
+	r.owners.tellAt = r.now + r.occupancyPeriod()
 	o := &gossippb.Occupancy{}
 	speeds := r.owners.told%speedsEvery == 0
-	for _, b := range r.allBackends() {
-		if b.removed || !r.owns(b) {
+	r.ownShards()
+	for _, b := range r.owners.mine {
+		if b.removed {
 			continue
 		}
 		o.Loads = append(o.Loads, b.carried().message(b.hash))
@@ -199,7 +241,11 @@
 	if len(o.Loads) == 0 {
 		return
 	}
-	o.Failing = r.failingOf(r.owns)
+	for _, b := range r.owners.mine {
+		if !b.removed && b.fails() {
+			o.Failing = append(o.Failing, b.hash)
+		}
+	}
 	r.owners.told++
 	r.emit(Send{To: r.zoneMates(), Packet: &gossippb.Packet{Occupancy: o}})
 }
@@ -244,10 +290,20 @@
 	b.fromOwner, b.ownersWord, b.ownersWordAt = true, all, r.now
 }
 
+// occupancyPeriod is the time between two words of an owner that nothing brings forward.
+func (r *Router) occupancyPeriod() time.Duration {
+	return max(occupancyEvery, occupancyPerHost*time.Duration(len(r.zoneMates())))
+}
+
 // expireOccupancy goes back to what the other hosts' beats say where an owner has fallen silent.
 func (r *Router) expireOccupancy() {
+	if r.now < r.owners.expireAt {
+		return
+	}
+	r.owners.expireAt = r.now + occupancyEvery
+	stale := occupancyStale * r.occupancyPeriod()
 	for _, b := range r.allBackends() {
-		if b.fromOwner && r.now-b.ownersWordAt > occupancyStale {
+		if b.fromOwner && r.now-b.ownersWordAt > stale {
 			b.fromOwner = false
 		}
 	}
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -104,6 +104,8 @@
 	r.forgetPrint(b)
 	r.backendEnded(b)
 	delete(r.byHash, b.hash)
+	delete(r.tombstones, b.ID)
+	delete(r.warming, b.ID)
 	r.add(ch)
 	r.emit(BackendGone{b.Backend})
 	r.breakOff(b)
@@ -144,7 +146,9 @@
 	}
 	b.evacuated = r.evacuated(ch.Zone)
 	r.setCold(b, ch.Cold, "registration")
+	r.owners.valid = r.owners.valid && !b.removed
 	b.Backend, b.revision, b.listed, b.removed = ch.Backend, ch.Revision, ch.Revision, false
+	delete(r.tombstones, b.ID)
 	r.news.prints += b.print()
 	if moved {
 		r.forgetOrder()
@@ -171,6 +175,8 @@
 	}
 	r.news.changes++
 	b.removed, b.removedAt, b.doubtUntil = true, r.now, 0
+	r.tombstones[b.ID] = b
+	r.owners.valid = false
 	if !b.Draining && !ch.Foreign && (r.news.lost || r.now-r.news.backAt < outageEcho) {
 		b.doubtUntil = r.now + doubtFor
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -56,12 +56,16 @@
 	news     newsState
 	backends map[string]*backend
 	byHash   map[uint32]*backend
+	// tombstones are the backends whose registration is gone, and warming those that are cold, by id.
+	tombstones map[string]*backend
+	warming    map[string]*backend
 	// ordered are the backends in order of their ids; nil where it must be made again.
 	ordered []*backend
-	// byService are the backends by service, in order, and inZone those of this host's zone; nil where they
-	// must be made again.
+	// byService are the backends by service, in order, inZone those of this host's zone, and byZone all by zone; nil
+	// where they must be made again.
 	byService map[string][]*backend
 	inZone    map[string][]*backend
+	byZone    map[string][]*backend
 	owners    ownerState
 	// asks are the questions to owners, the oldest first.
 	asks      []*ask
@@ -97,19 +101,21 @@
 // New returns a reducer in its first state: no configuration, no peers.
 func New(opt Options) *Router {
 	r := &Router{
-		opt:       opt,
-		rng:       rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
-		members:   newMembers(),
-		news:      newNewsState(),
-		backends:  map[string]*backend{},
-		byHash:    map[uint32]*backend{},
-		zones:     newZoneState(),
-		services:  map[string]*service{},
-		requests:  map[uint64]*request{},
-		quotas:    map[string]*limit.Quota{},
-		toldSpent: map[string]uint64{},
-		owners:    newOwnerState(),
-		suspects:  newSuspectState(),
+		opt:        opt,
+		rng:        rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
+		members:    newMembers(),
+		news:       newNewsState(),
+		backends:   map[string]*backend{},
+		byHash:     map[uint32]*backend{},
+		tombstones: map[string]*backend{},
+		warming:    map[string]*backend{},
+		zones:      newZoneState(),
+		services:   map[string]*service{},
+		requests:   map[uint64]*request{},
+		quotas:     map[string]*limit.Quota{},
+		toldSpent:  map[string]uint64{},
+		owners:     newOwnerState(),
+		suspects:   newSuspectState(),
 
 		evacuations: map[string]*evacuation{},
 	}
@@ -160,6 +166,7 @@
 		r.settle(e)
 	case Drain:
 		r.drain = &e
+		r.membersChanged()
 		r.sendBeats()
 	}
 	r.tellChange()
@@ -215,7 +222,6 @@
 
 // chores are what time does to lists.
 func (r *Router) chores() {
-	r.owners.valid = false
 	r.expireMembers()
 	r.expireZones()
 	r.expireNews()
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -191,8 +191,10 @@
 		z.steps++
 		z.deliver()
 		z.finish()
-		if z.rng.IntN(1000) < perSecond {
-			z.submit()
+		for left := perSecond; left > 0; left -= 1000 {
+			if z.rng.IntN(1000) < left {
+				z.submit()
+			}
 		}
 		for i, h := range z.hosts {
 			if (z.steps+i)%zoneTick == 0 {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -69,15 +69,17 @@
 // direct tells whether this host sends its beats to hosts of a zone.
 func (r *Router) direct(zone string) bool { return zone == r.opt.Zone || !r.relaying() }
 
-// zoneMates are the other hosts of this zone that are heard.
+// zoneMates are the other hosts of this zone that are heard, in order. The list is shared; it is not to be changed.
 func (r *Router) zoneMates() []string {
-	var out []string
-	for _, h := range r.members.order {
-		if m := r.members.byHost[h]; m.zone == r.opt.Zone && !m.silent {
-			out = append(out, h)
+	if r.members.mates == nil {
+		r.members.mates = make([]string, 0, len(r.members.order))
+		for _, h := range r.members.order {
+			if m := r.members.byHost[h]; m.zone == r.opt.Zone && !m.silent {
+				r.members.mates = append(r.members.mates, h)
+			}
 		}
 	}
-	return out
+	return r.members.mates
 }
 
 // duty tells whether this host is among the first n of its zone for a purpose. Each host computes
@@ -195,8 +197,8 @@
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
 		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
-	for _, b := range r.allBackends() {
-		if b.Zone != r.opt.Zone || b.removed {
+	for _, b := range r.backendsIn(r.opt.Zone) {
+		if b.removed {
 			continue
 		}
 		if all := b.carried(); all.total() > 0 {
@@ -281,8 +283,8 @@
 
 // takeZoneLoads takes what another zone's backend servers carry; those that are not named carry nothing.
 func (r *Router) takeZoneLoads(zone string, told loads) {
-	for _, b := range r.allBackends() {
-		if b.Zone == zone && !b.removed {
+	for _, b := range r.backendsIn(zone) {
+		if !b.removed {
 			r.takeOwnersWord(b, told[b.hash])
 		}
 	}
@@ -314,8 +316,8 @@
 // zoneBack takes the backend servers of a zone that was cut off for reachable again. Those that could not
 // be reached stay on probation: one request at a time until one is answered.
 func (r *Router) zoneBack(zone string) {
-	for _, b := range r.allBackends() {
-		if b.Zone == zone && r.now < b.unreachable {
+	for _, b := range r.backendsIn(zone) {
+		if r.now < b.unreachable {
 			b.unreachable = 0
 			b.avoidUntil = r.now
 		}
