Listings of backend servers may be some seconds old: a tenth of the price a page

What a page that may be old lacks the watch tells at once, as it goes on from the oldest page; operators' records are read as they are; where the history is too short, or the era another, the next listing is of now.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -23,7 +23,9 @@
 
 // Store is the platform's metadata store, which can only be read.
 type Store interface {
-	List(ctx context.Context) (Listing, error)
+	// List reads all. Unless fresh, backend servers may be some seconds old, as AsOf tells, which costs less; a watch from there
+	// tells what has changed since.
+	List(ctx context.Context, fresh bool) (Listing, error)
 	// Watch waits for changes after a revision's number. The answer may be of another era.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
 	// Compacted tells that a watch failed because its history is gone.
@@ -82,9 +84,9 @@
 
 // run lists and then watches, until ctx ends.
 func (s *storeReader) run(ctx context.Context, shared bool) {
-	pause := retryFirst
+	pause, fresh := retryFirst, false
 	for ctx.Err() == nil {
-		err := s.follow(ctx, shared, func() { pause = retryFirst })
+		err := s.follow(ctx, shared, fresh, func() { pause = retryFirst })
 		if ctx.Err() != nil {
 			return
 		}
@@ -92,6 +94,7 @@
 		s.log.Warn().Err(err).Dur("pause", pause).Msg("The store gave no news.")
 		again := s.store.Compacted(err) || errors.Is(err, errOtherEra)
 		s.post(router.StoreContact{OK: again})
+		fresh = again // what is some seconds old may be older than the history that is left
 		if again {
 			continue
 		}
@@ -102,13 +105,13 @@
 
 // follow lists once and watches from there until a call fails. A failed watch leads to a new
 // listing: the store may have changed meanwhile in a way that a watch no longer tells.
-func (s *storeReader) follow(ctx context.Context, shared bool, worked func()) error {
+func (s *storeReader) follow(ctx context.Context, shared, fresh bool, worked func()) error {
 	atLeast, spread, between := watchWait, watchSpread, watchPause
 	if shared {
 		atLeast, spread, between = sharedWait, sharedSpread, sharedPause
 	}
 	s.metrics.Count("store.calls", 2)
-	all, err := s.store.List(ctx)
+	all, err := s.store.List(ctx, fresh)
 	if err != nil {
 		return err
 	}
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -21,7 +21,7 @@
 }
 
 // List implements Store.
-func (s *returning) List(context.Context) (Listing, error) {
+func (s *returning) List(context.Context, bool) (Listing, error) {
 	s.lists++
 	return Listing{AsOf: routing.Revision{Era: uint64(s.lists), Number: 100}}, nil
 }
