A workspace's quota has an owner in each zone, who is asked for each request

Cause: a host's own part, a 584th of the quota, is a small fraction of one request, and a bucket in credit admits any.

Owners of the zones hear each other as hosts did. No answer in 20 ms from either: the host decides alone by its own part, as before. A host decides for others only if it takes itself for an owner.

--- a/internal/gossip/kind.go
+++ b/internal/gossip/kind.go
@@ -10,11 +10,13 @@
 	kindReport    = "report"
 	kindOccupancy = "occupancy"
 	kindRelay     = "relay"
+	kindCharge    = "charge"
+	kindCharged   = "charged"
 	kindEmpty     = "empty"
 )
 
 // Kinds are all that Kind returns.
-var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindEmpty}
+var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindCharge, kindCharged, kindEmpty}
 
 // Kind names what a datagram carries, for counters.
 func Kind(p *gossippb.Packet) string {
@@ -31,6 +33,10 @@
 		return kindOccupancy
 	case p.Relay != nil:
 		return kindRelay
+	case p.Charge != nil:
+		return kindCharge
+	case p.Charged != nil:
+		return kindCharged
 	default:
 		return kindEmpty
 	}
--- a/internal/limit/exhaustive_test.go
+++ b/internal/limit/exhaustive_test.go
@@ -47,7 +47,7 @@
 			n := state{[2]*Quota{s.q[0].clone(), s.q[1].clone()}, s.now, maps.Clone(s.admitted)}
 			switch what {
 			case 0, 1:
-				if ok, _ := n.q[what].Admit(n.now, cost, 1, 2); !ok {
+				if ok, _ := n.q[what].Admit(n.now, cost, alone(1, 2)); !ok {
 					continue // refused: nothing has changed but the clock of the bucket
 				}
 				n.admitted[n.now] += cost
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -58,6 +58,9 @@
 	})
 }
 
+// alone is the part of a host that decides for itself only.
+func alone(heardShare float64, hosts int) Part { return Part{Hosts: hosts, For: 1, Heard: heardShare} }
+
 func sum(list []int) int {
 	n := 0
 	for _, v := range list {
@@ -104,7 +107,7 @@
 	got := 0.0
 	for ; *due >= cost; *due -= cost {
 		to := w.quotas[rng.IntN(len(w.quotas))]
-		if ok, _ := to.Admit(time.Duration(n)*step, cost, 1, len(w.quotas)); ok {
+		if ok, _ := to.Admit(time.Duration(n)*step, cost, alone(1, len(w.quotas))); ok {
 			got += cost
 		}
 	}
@@ -183,7 +186,7 @@
 						share = 1 - share
 					}
 				}
-				if ok, _ := w.quotas[to].Admit(now, cost, share, hosts); ok {
+				if ok, _ := w.quotas[to].Admit(now, cost, alone(share, hosts)); ok {
 					got += cost
 				} else {
 					refused++
@@ -201,9 +204,9 @@
 // A request larger than the whole bucket runs when the bucket is in credit; otherwise it never would.
 func TestRequestAboveTheBurstRuns(t *testing.T) {
 	q := NewQuota(0, 100, 100, Allowance{Window: window})
-	ok, _ := q.Admit(0, 5000, 1, 1)
+	ok, _ := q.Admit(0, 5000, alone(1, 1))
 	require.True(t, ok)
-	ok, back := q.Admit(time.Second, 1, 1, 1)
+	ok, back := q.Admit(time.Second, 1, alone(1, 1))
 	require.False(t, ok)
 	require.Positive(t, back)
 }
@@ -211,14 +214,14 @@
 // A request that did not run is given back; a lowered quota binds at once.
 func TestQuotaRefundAndLowering(t *testing.T) {
 	q := NewQuota(0, 100, 100, Allowance{Window: window})
-	ok, _ := q.Admit(0, 90, 1, 1)
+	ok, _ := q.Admit(0, 90, alone(1, 1))
 	require.True(t, ok)
 	q.Refund(90)
 	require.Zero(t, q.Spent())
 	q.Set(10, 10)
-	ok, _ = q.Admit(0, 10, 1, 1)
+	ok, _ = q.Admit(0, 10, alone(1, 1))
 	require.True(t, ok)
-	ok, _ = q.Admit(0, 10, 1, 1)
+	ok, _ = q.Admit(0, 10, alone(1, 1))
 	require.False(t, ok)
 }
 
@@ -227,10 +230,10 @@
 func TestFirstWordIsNotCharged(t *testing.T) {
 	q := NewQuota(0, 100, 100, Allowance{Window: window})
 	q.Heard(Word{From: "old", Spent: 1e9})
-	ok, _ := q.Admit(0, 10, 1, 2)
+	ok, _ := q.Admit(0, 10, alone(1, 2))
 	require.True(t, ok)
 	q.Heard(Word{From: "old", Spent: 1e9 + 500})
-	ok, _ = q.Admit(0, 10, 1, 2)
+	ok, _ = q.Admit(0, 10, alone(1, 2))
 	require.False(t, ok, "what it admits from now on counts")
 }
 
@@ -239,10 +242,10 @@
 func TestHealedCutIsNotChargedTwice(t *testing.T) {
 	q := NewQuota(0, 1000, 1000, Allowance{Window: window})
 	q.Heard(Word{From: "far", Spent: 0})
-	ok, _ := q.Admit(10*time.Second, 100, 0.5, 2)
+	ok, _ := q.Admit(10*time.Second, 100, alone(0.5, 2))
 	require.True(t, ok)
 	q.Heard(Word{From: "far", Spent: 4000, Returned: true})
-	ok, _ = q.Admit(10*time.Second, 100, 1, 2)
+	ok, _ = q.Admit(10*time.Second, 100, alone(1, 2))
 	require.True(t, ok)
 }
 
@@ -308,9 +311,9 @@
 func TestAbsurdWordDoesNotRefuseForGood(t *testing.T) {
 	q := NewQuota(0, 1000, 1000, Allowance{Window: window})
 	q.Heard(Word{From: "mad", Spent: 1e9, Young: true})
-	ok, _ := q.Admit(time.Second, 10, 1, 2)
+	ok, _ := q.Admit(time.Second, 10, alone(1, 2))
 	require.False(t, ok)
-	ok, _ = q.Admit(2*window, 10, 1, 2)
+	ok, _ = q.Admit(2*window, 10, alone(1, 2))
 	require.True(t, ok)
 }
 
@@ -328,7 +331,7 @@
 				q.Stagger(rng.Float64())
 			}
 			for ok := true; ok; {
-				if ok, _ = q.Admit(0, cost, 1, hosts); ok {
+				if ok, _ = q.Admit(0, cost, alone(1, hosts)); ok {
 					got += cost
 				}
 			}
@@ -350,7 +353,7 @@
 			q := NewQuota(0, rate, rate, Allowance{Window: window, Over: 0.25, Slack: 190_000})
 			q.TakeTurns(rng.Float64())
 			q.level = level * rate
-			if ok, back := q.Admit(0, cost, 1, hosts); ok {
+			if ok, back := q.Admit(0, cost, alone(1, hosts)); ok {
 				got += cost
 			} else {
 				require.Positive(t, back)
@@ -368,7 +371,7 @@
 func TestUsualRequestIsNotTight(t *testing.T) {
 	q := NewQuota(0, 640_000, 640_000, Allowance{Window: window, Over: 0.25, Slack: 190_000})
 	q.level = q.burst
-	ok, _ := q.Admit(0, 4500, 1, 300)
+	ok, _ := q.Admit(0, 4500, alone(1, 300))
 	require.True(t, ok)
 	require.False(t, q.Tight())
 	q.share = -3 * 4500
--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -40,6 +40,8 @@
 	// shrinks with the hosts that are heard: nobody makes up for it by admitting less.
 	largeFleet = 17
 	skewLarge  = 1.5
+	// skewZone is the same for a host that decides for a whole zone: zones are more even than hosts.
+	skewZone = 1.25
 	// ownSkew is the same for a workspace most of whose callers have lately come to this host: its
 	// part of what was admitted, and half of that more.
 	ownSkew = 1.5
@@ -106,12 +108,12 @@
 // usualRate is the weight of a request's cost: costs differ a hundredfold.
 const usualRate = 0.05
 
-func (q *Quota) learnUsual(cost, heardShare float64, hosts int) {
+func (q *Quota) learnUsual(cost float64, p Part) {
 	if q.usual == 0 {
 		q.usual = cost
 	}
 	q.usual += usualRate * (cost - q.usual)
-	q.coarse = hosts >= largeFleet && q.usual > q.burst*q.part(hosts, heardShare)
+	q.coarse = p.Hosts >= largeFleet && q.usual > q.burst*q.part(p)
 }
 
 // hasTurn tells whether the bucket is full enough for this host's next request.
@@ -159,26 +161,39 @@
 	}
 }
 
+// Part tells for which part of the hosts that share a quota a host decides.
+type Part struct {
+	// Hosts are all that share it, and For those that the host decides for, itself included.
+	Hosts, For int
+	// Heard is the part of Hosts whose admissions are being heard.
+	Heard float64
+}
+
+// even is the part of the quota that falls to the hosts decided for, if all use the same.
+func (p Part) even() float64 { return float64(max(1, p.For)) / float64(max(p.Hosts, fewestHosts)) }
+
 // part is how much of the quota this host may use by itself. What it lately admitted counts in proportion to
 // the hosts that it hears: one that hears nobody takes all callers for its own.
-func (q *Quota) part(hosts int, heardShare float64) float64 {
+func (q *Quota) part(p Part) float64 {
 	times := float64(skew)
-	if hosts >= largeFleet {
-		times = 1 + (skewLarge-1)*heardShare
+	switch {
+	case p.For > 1:
+		times = 1 + (skewZone-1)*p.Heard
+	case p.Hosts >= largeFleet:
+		times = 1 + (skewLarge-1)*p.Heard
 	}
-	even := times / float64(max(hosts, fewestHosts))
-	lately := heardShare * ownSkew * q.ownLately / max(1, q.ownLately+q.othersLately+latelyLeast*q.rate)
-	return min(1, max(even, lately))
+	lately := p.Heard * ownSkew * q.ownLately / max(1, q.ownLately+q.othersLately+latelyLeast*q.rate)
+	return min(1, max(times*p.even(), lately))
 }
 
 // refillShare lets time pass in this host's own bucket.
-func (q *Quota) refillShare(now time.Duration, hosts int, heardShare float64) {
+func (q *Quota) refillShare(now time.Duration, p Part) {
 	past := max(0, (now - q.shareAt).Seconds())
 	fade := math.Exp(-past / latelyFor.Seconds())
 	q.ownLately *= fade
 	q.othersLately *= fade
-	part := q.part(hosts, heardShare)
-	if q.stagger > 0 && hosts >= largeFleet {
+	part := q.part(p)
+	if q.stagger > 0 && p.Hosts >= largeFleet {
 		q.share = q.burst * part * (1 - 2*q.stagger)
 	}
 	q.stagger = 0
@@ -186,13 +201,13 @@
 	q.shareAt = max(q.shareAt, now)
 }
 
-// Admit takes cost from the bucket, or tells when to come back. hosts is how many share the quota.
-func (q *Quota) Admit(now time.Duration, cost, heardShare float64, hosts int) (ok bool, back time.Duration) {
-	q.refill(now, heardShare)
-	q.refillShare(now, hosts, heardShare)
-	q.learnUsual(cost, heardShare, hosts)
+// Admit takes cost from the bucket, or tells when to come back.
+func (q *Quota) Admit(now time.Duration, cost float64, p Part) (ok bool, back time.Duration) {
+	q.refill(now, p.Heard)
+	q.refillShare(now, p)
+	q.learnUsual(cost, p)
 	if q.share <= 0 {
-		need := -q.share / max(1, q.refillRate()*q.part(hosts, heardShare))
+		need := -q.share / max(1, q.refillRate()*q.part(p))
 		return false, min(waitMost, time.Duration(need*float64(time.Second)))
 	}
 	// A bucket in credit admits a request of any size, or one above the burst would never run.
@@ -213,8 +228,9 @@
 	return true, 0
 }
 
-// Refund gives back what did not run after all.
+// Refund gives back what did not run after all; what was admitted before this host's start is not known to it.
 func (q *Quota) Refund(cost float64) {
+	cost = min(cost, q.spent)
 	q.level = min(q.burst, q.level+cost)
 	q.share += cost
 	q.spent -= cost
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,6 +234,10 @@
 		n.control.Post(router.Occupied{From: from, Occupancy: p.Occupancy})
 	case p.Relay != nil:
 		n.control.Post(router.Relayed{From: from, Relay: p.Relay})
+	case p.Charge != nil:
+		n.control.Post(router.ChargeAsked{From: from, Charge: p.Charge})
+	case p.Charged != nil:
+		n.control.Post(router.ChargeAnswered{From: from, Charged: p.Charged})
 	}
 }
 
--- a/internal/router/ask.go
+++ b/internal/router/ask.go
@@ -186,13 +186,18 @@
 	}
 }
 
-func (r *Router) unanswered(a *ask) {
-	t := r.trustOf(a.owner)
+// missed notes a question that an owner has not answered in time.
+func (r *Router) missed(owner string) {
+	t := r.trustOf(owner)
 	t.misses++
 	if t.misses >= muteAfter {
 		t.muteUntil = r.now + muteFor
-		r.emit(Note{What: "owner does not answer", Subject: a.owner})
+		r.emit(Note{What: "owner does not answer", Subject: owner})
 	}
+}
+
+func (r *Router) unanswered(a *ask) {
+	r.missed(a.owner)
 	q, ok := r.requests[a.request]
 	if !ok || q.asking != a {
 		return
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -117,6 +117,18 @@
 	Ask  *gossippb.Ask
 }
 
+// ChargeAsked is another host's question to the owner of a workspace's quota.
+type ChargeAsked struct {
+	From   string
+	Charge *gossippb.Charge
+}
+
+// ChargeAnswered is the answer to this host's question.
+type ChargeAnswered struct {
+	From    string
+	Charged *gossippb.Charged
+}
+
 // Offered is the answer to this host's question.
 type Offered struct {
 	From  string
@@ -167,25 +179,27 @@
 	Bounds Bounds
 }
 
-func (Settle) event()       {}
-func (Checked) event()      {}
-func (Said) event()         {}
-func (Asked) event()        {}
-func (Offered) event()      {}
-func (Reported) event()     {}
-func (Occupied) event()     {}
-func (Relayed) event()      {}
-func (Tick) event()         {}
-func (Submit) event()       {}
-func (Began) event()        {}
-func (Paced) event()        {}
-func (Stalled) event()      {}
-func (Gone) event()         {}
-func (Ended) event()        {}
-func (Heard) event()        {}
-func (News) event()         {}
-func (StoreContact) event() {}
-func (Drain) event()        {}
+func (ChargeAsked) event()    {}
+func (ChargeAnswered) event() {}
+func (Settle) event()         {}
+func (Checked) event()        {}
+func (Said) event()           {}
+func (Asked) event()          {}
+func (Offered) event()        {}
+func (Reported) event()       {}
+func (Occupied) event()       {}
+func (Relayed) event()        {}
+func (Tick) event()           {}
+func (Submit) event()         {}
+func (Began) event()          {}
+func (Paced) event()          {}
+func (Stalled) event()        {}
+func (Gone) event()           {}
+func (Ended) event()          {}
+func (Heard) event()          {}
+func (News) event()           {}
+func (StoreContact) event()   {}
+func (Drain) event()          {}
 
 // Effect is an output of the reducer, for the node to carry out.
 type Effect interface{ effect() }
@@ -200,7 +214,7 @@
 	Quota     QuotaGrounds
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
-	// Owner is the host that gave the place; empty where this host decided alone.
+	// Owner is the host that gave the place, or decided over the quota; empty where this host decided alone.
 	Owner string
 	// Known, Full and Dead count the service's backend servers: those that may be used, those of them
 	// without room for this priority, and those to which no connection is believed possible. Cold are those of the full
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,6 +64,9 @@
 	valid bool
 	// until is when a host comes of age that may own some, so that owners must be computed anew.
 	until time.Duration
+	// hosts are those that may own, and ofAge tells that they have run for ownerAge.
+	hosts []string
+	ofAge bool
 	// byShard are the owners' IP numbers; empty where no host has run for long enough.
 	byShard []string
 	// owned is how many shards this host owns, and mine their backend servers.
@@ -143,6 +147,8 @@
 		r.owners.byShard = make([]string, shards)
 	}
 	hosts := r.ownersOfAge()
+	r.owners.hosts = hosts
+	clear(r.limits.owners)
 	owned := r.owners.owned
 	r.owners.owned = 0
 	for s := range r.owners.byShard {
@@ -194,7 +200,8 @@
 			consider(h, m.bornAt)
 		}
 	}
-	if len(old) > 0 {
+	r.owners.ofAge = len(old) > 0
+	if r.owners.ofAge {
 		return old
 	}
 	return young
@@ -202,14 +209,27 @@
 
 // bestOwner is a shard's owner among some hosts; empty where there are none.
 func bestOwner(hosts []string, shard uint64) string {
-	var owner string
-	var best uint64
+	first, _ := bestTwo(hosts, shard)
+	return first
+}
+
+// bestOwners are the first two hosts for a shard, as far as there are any.
+func bestOwners(hosts []string, shard uint64) []string {
+	first, second := bestTwo(hosts, shard)
+	return slices.DeleteFunc([]string{first, second}, func(h string) bool { return h == "" })
+}
+
+func bestTwo(hosts []string, shard uint64) (first, second string) {
+	var best, next uint64
 	for _, host := range hosts {
-		if v := shardRank(host, shard); owner == "" || v > best {
-			owner, best = host, v
+		switch v := shardRank(host, shard); {
+		case first == "" || v > best:
+			first, best, second, next = host, v, first, best
+		case second == "" || v > next:
+			second, next = host, v
 		}
 	}
-	return owner
+	return first, second
 }
 
 // shardRank mixes a host with a shard, so that each shard orders the hosts in its own way.
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,14 +29,20 @@
 	bounds    Bounds
 	// admitted are tokens by step, byHost by host since the beginning.
 	admitted []float64
+	step     float64 // since the last of them
 	byHost   map[string]float64
 	// times is how many times its quota the workspace asks for when it is hot.
 	times float64
 }
 
 func newHotWorkspace(t testing.TB, hostsPerZone int) *hotWorkspace {
+	return newWorkspace(t, hostsPerZone, quotaRate)
+}
+
+// newWorkspace is a fleet with a workspace of another quota.
+func newWorkspace(t testing.TB, hostsPerZone int, rate float64) *hotWorkspace {
 	f := &hotWorkspace{zone: newZones(t, 6, hostsPerZone, 60), byHost: map[string]float64{}, times: 6,
-		workspace: routing.Workspace{Name: "w", Rate: quotaRate, Burst: quotaRate, InTokens: true},
+		workspace: routing.Workspace{Name: "w", Rate: rate, Burst: rate, InTokens: true},
 		bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000, QuotaWindow: quotaWindow, QuotaOver: 0.25,
 			QuotaSlack: 190_000}}
 	for _, h := range f.hosts {
@@ -58,24 +65,24 @@
 		if since > hotAt {
 			times = f.times
 		}
-		due += times * quotaRate * quotaStep.Seconds()
-		got := 0.0
+		due += times * f.workspace.Rate * quotaStep.Seconds()
 		for due > 0 {
 			cost := math.Min(53_000, 500+f.rng.ExpFloat64()*4000)
 			due -= cost
-			if host, ok := f.admits(&f.workspace, cost); ok {
-				got += cost
+			f.admits(&f.workspace, cost, func(host string) {
+				f.step += cost
 				f.byHost[host] += cost
-			}
+			})
 		}
-		f.admitted = append(f.admitted, got)
 		f.run(quotaStep, 0)
+		f.admitted = append(f.admitted, f.step)
+		f.step = 0
 	}
 }
 
 // worst is the most that was admitted in a window, as a part of the operators' bound.
 func (f *hotWorkspace) worst() float64 {
-	bound := (quotaRate*quotaWindow.Seconds()+quotaRate)*(1+f.bounds.QuotaOver) + f.bounds.QuotaSlack
+	bound := (f.workspace.Rate*quotaWindow.Seconds()+f.workspace.Rate)*(1+f.bounds.QuotaOver) + f.bounds.QuotaSlack
 	steps, worst := int(quotaWindow/quotaStep), 0.0
 	for from := 0; from+steps <= len(f.admitted); from++ {
 		sum := 0.0
@@ -189,3 +196,101 @@
 	f.ask(func(time.Duration) {})
 	require.Less(t, f.worst(), 1.0)
 }
+
+const smallRate = 47_000.0
+
+// Guards against a workspace that is refused far under its quota because its callers come to few of hundreds of hosts, each of
+// whose parts of the quota is a small fraction of one request.
+func TestSmallWorkspaceIsNotRefusedUnderItsQuota(t *testing.T) {
+	f := newWorkspace(t, 49, smallRate)
+	callers := []*zoneHost{}
+	for i := range 6 {
+		callers = append(callers, f.hosts[i*49+7])
+	}
+	asked, admitted, due := 0, 0, 0.0
+	for range 20 * time.Second / quotaStep {
+		due += smallRate / 4 * quotaStep.Seconds()
+		for due > 0 {
+			cost := math.Min(20_000, 500+f.rng.ExpFloat64()*2500)
+			due -= cost
+			asked++
+			f.submitAt(callers[f.rng.IntN(len(callers))], &f.workspace, cost, func(string) { admitted++ })
+		}
+		f.run(quotaStep, 0)
+	}
+	require.Zero(t, f.unplaced)
+	require.LessOrEqual(t, asked-admitted, asked/100)
+}
+
+// Guards against small quotas that hundreds of hosts overdraw: each lets one request through that is many times its part.
+func TestSmallQuotaHoldsInAFleetOfHundreds(t *testing.T) {
+	f := newWorkspace(t, 49, smallRate)
+	f.times = 20
+	f.ask(func(time.Duration) {})
+	require.Less(t, f.worst(), 1.0)
+}
+
+// Guards against a quota that nobody decides over for seconds after its owners have died, or that is overdrawn as others take over.
+func TestQuotaHoldsAsItsOwnersDie(t *testing.T) {
+	f := newWorkspace(t, 16, smallRate)
+	f.times = 8
+	f.ask(func(at time.Duration) {
+		if at < hotAt || at%(4*time.Second) != 0 {
+			return
+		}
+		for zone := range 6 {
+			if h := f.byIP[f.hosts[zone*16].r.quotaOwners("w")[0]]; h != nil {
+				h.dead = true
+			}
+		}
+	})
+	require.Less(t, f.worst(), 1.0)
+	late := 0.0
+	for _, v := range f.admitted[len(f.admitted)/2:] {
+		late += v
+	}
+	require.Greater(t, late, 0.8*smallRate*(hotAt+hotFor).Seconds()/2, "the workspace has its quota all the while")
+}
+
+// Guards against an owner's late answer that charges a workspace for a request which was decided without it, and against the cost
+// of a request that finds no place staying charged at the owner.
+func TestWhatAnOwnerAdmitsAndDoesNotRunIsGivenBack(t *testing.T) {
+	f := newWorkspace(t, 16, smallRate)
+	asker := f.hosts[0]
+	owner := f.byIP[asker.r.quotaOwners("w")[0]]
+	if owner == asker {
+		asker = f.hosts[1]
+	}
+	spent := func() float64 { return owner.r.quotas["w"].Spent() }
+	f.next++
+	f.post(asker, Submit{ID: f.next, Route: urgent, Workspace: &f.workspace, Cost: 1000, Deadline: f.now + time.Second})
+	f.post(asker, Gone{ID: f.next}) // its caller leaves before the owner answers
+	f.run(20*time.Millisecond, 0)
+	require.Zero(t, spent())
+
+	for _, b := range asker.r.allBackends() {
+		b.evacuated = true
+	}
+	f.next++
+	f.runs[f.next] = &zoneRun{host: asker, came: f.now}
+	f.post(asker, Submit{ID: f.next, Route: urgent, Workspace: &f.workspace, Cost: 1000, Deadline: f.now + time.Second})
+	f.run(20*time.Millisecond, 0)
+	require.Equal(t, 1, f.refused)
+	require.Zero(t, spent())
+}
+
+// Guards against hosts that each take themselves for the owner of a quota and each give out their zone's part of it.
+func TestOnlyOwnersDecideOverAQuota(t *testing.T) {
+	f := newWorkspace(t, 16, smallRate)
+	owners := f.hosts[0].r.quotaOwners("w")
+	require.Len(t, owners, 2)
+	for _, h := range f.hosts[:16] {
+		require.Equal(t, owners, h.r.quotaOwners("w"), "%s", h.ip)
+		var answer *gossippb.Charged
+		for _, e := range effectsOf[Send](h.r.Reduce(f.now, ChargeAsked{"10.0.0.99", &gossippb.Charge{Number: 1, Workspace: "w", Cost: 10}})) {
+			answer = e.Packet.Charged
+		}
+		require.NotNil(t, answer)
+		require.Equal(t, slices.Contains(owners, h.ip), answer.Admitted, "%s", h.ip)
+	}
+}
--- /dev/null
+++ b/internal/router/quotas.go
@@ -0,0 +1,283 @@
+package router
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/limit"
+	"fireflyshift/internal/routing"
+)
+
+// In a fleet of hundreds one host's part of a quota is smaller than one request, so that parts that are kept apart refuse
+// workspaces far under their quotas. So each workspace's quota has an owner in each availability zone, a host that all compute
+// alike. It is asked for each request and decides for its zone. What the owners of the zones admit they hear of each other as
+// hosts do, in beats and sums, but there are only as many of them as zones. A host whose question is not answered decides alone.
+
+// charge is a question to a quota's owner that is open, or whose answer may still come.
+type charge struct {
+	number    uint64
+	request   uint64
+	owner     string
+	workspace string
+	cost      float64
+	at        time.Duration
+	givenUp   bool
+}
+
+// quotaState is what this host knows of quotas beyond the buckets.
+type quotaState struct {
+	// owners are by workspace, as long as the hosts of the zone stay the same.
+	owners map[string][]string
+	// charges are the questions to owners, the oldest first.
+	charges []*charge
+	number  uint64
+}
+
+func newQuotaState() quotaState { return quotaState{owners: map[string][]string{}} }
+
+// CostOf is what a request counts against a workspace's quota.
+func CostOf(w *routing.Workspace, hasTokens bool, prompt, output int) float64 {
+	switch {
+	case !w.InTokens:
+		return 1
+	case hasTokens:
+		return float64(prompt) + float64(output)
+	default:
+		return math.Max(1, float64(w.PlainTokens))
+	}
+}
+
+// charge takes a request's cost from its workspace's quota, or asks its owner to, and sends the request on or refuses it.
+func (r *Router) charge(q *request) {
+	if q.Workspace == nil || r.quotas[q.Workspace.Name] == nil {
+		r.admitted(q)
+		return
+	}
+	switch owner := r.quotaOwner(q.Workspace.Name); owner {
+	case "":
+		r.chargeHere(q, r.ownPart())
+	case r.opt.Host:
+		r.chargeHere(q, r.zonePart())
+	default:
+		r.askCharge(q, owner)
+	}
+}
+
+// ownPart is the part of a host that decides for itself only, zonePart that of one that decides for the hosts of its zone that it
+// hears.
+func (r *Router) ownPart() limit.Part {
+	return limit.Part{Hosts: r.hosts(), For: 1, Heard: r.heardShare()}
+}
+
+func (r *Router) zonePart() limit.Part {
+	p := r.ownPart()
+	_, p.For = r.directCensus()
+	return p
+}
+
+// quotaOwners are the hosts of this zone that decide for it over a workspace's quota: the first by rendezvous hashing of those that
+// live, stay and have run for long enough to know all others, and the one that is asked while it does not answer. Empty in a small
+// fleet, whose hosts decide alone, and where there is none.
+func (r *Router) quotaOwners(workspace string) []string {
+	if !r.sharing() {
+		return nil
+	}
+	r.ownShards() // forgets the owners of quotas where the hosts have changed
+	owners, known := r.limits.owners[workspace]
+	if !known {
+		if r.owners.ofAge {
+			owners = bestOwners(r.owners.hosts, xxhash.Sum64String("quota|"+workspace))
+		}
+		r.limits.owners[workspace] = owners
+	}
+	return owners
+}
+
+// quotaOwner is the one of them to ask now; empty where none answers.
+func (r *Router) quotaOwner(workspace string) string {
+	for _, owner := range r.quotaOwners(workspace) {
+		if owner == r.opt.Host || r.answers(owner) {
+			return owner
+		}
+	}
+	return ""
+}
+
+// chargeHere decides by what this host believes of the quota.
+func (r *Router) chargeHere(q *request, part limit.Part) {
+	quota := r.quotas[q.Workspace.Name]
+	ok, back := r.admit(quota, q.Cost, part)
+	if !ok {
+		delete(r.requests, q.ID)
+		r.emit(Refuse{ID: q.ID, Cause: OverQuota, After: back, Grounds: r.quotaGrounds(q, quota)})
+		return
+	}
+	q.charged = true
+	r.admitted(q)
+}
+
+func (r *Router) admit(quota *limit.Quota, cost float64, part limit.Part) (ok bool, back time.Duration) {
+	ok, back = quota.Admit(r.now, cost, part)
+	if quota.Tight() {
+		r.tightUntil = r.now + tightFor
+	}
+	return ok, back
+}
+
+func (r *Router) quotaGrounds(q *request, quota *limit.Quota) Grounds {
+	g := r.grounds()
+	g.Quota.Cost = q.Cost
+	g.Quota.Left, g.Quota.Own = quota.Left()
+	return g
+}
+
+func (r *Router) grounds() Grounds {
+	return Grounds{Version: r.version(), Era: r.news.complete.Era, BeliefAge: r.oldestBelief()}
+}
+
+func (r *Router) askCharge(q *request, owner string) {
+	r.limits.number++
+	c := &charge{number: r.limits.number, request: q.ID, owner: owner, workspace: q.Workspace.Name, cost: q.Cost, at: r.now}
+	q.charging = c
+	r.limits.charges = append(r.limits.charges, c)
+	r.sendCharge(owner, &gossippb.Charge{Number: c.number, Workspace: c.workspace, Cost: c.cost})
+}
+
+func (r *Router) sendCharge(owner string, c *gossippb.Charge) {
+	r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Charge: c}})
+}
+
+// chargeAsked decides over another host's request, or takes back what has not run. Two hosts that disagree who owns a quota would
+// each give out their zone's part: only one that takes itself for an owner decides.
+func (r *Router) chargeAsked(from string, c *gossippb.Charge) {
+	quota, known := r.quotas[c.Workspace]
+	cost := costOf(c)
+	if c.Back {
+		if known {
+			quota.Refund(cost)
+		}
+		return
+	}
+	answer := &gossippb.Charged{Number: c.Number, Unknown: true}
+	if known && slices.Contains(r.quotaOwners(c.Workspace), r.opt.Host) {
+		ok, back := r.admit(quota, cost, r.zonePart())
+		answer.Unknown, answer.Admitted, answer.BackMs = false, ok, uint32(max(0, back.Milliseconds()))
+		answer.Left, answer.Own = quota.Left()
+	}
+	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Charged: answer}})
+}
+
+// mostCost bounds what one question can take from a quota: no engine's memory holds more tokens.
+const mostCost = 1 << 24
+
+func costOf(c *gossippb.Charge) float64 {
+	if math.IsNaN(c.Cost) {
+		return mostCost
+	}
+	return min(max(0, c.Cost), mostCost)
+}
+
+// chargeAnswered takes an owner's answer.
+func (r *Router) chargeAnswered(from string, a *gossippb.Charged) {
+	c := r.takeCharge(from, a.Number)
+	if c == nil {
+		return
+	}
+	t := r.trustOf(from)
+	t.misses, t.muteUntil = 0, 0
+	q, ok := r.requests[c.request]
+	if !ok || q.charging != c {
+		if a.Admitted {
+			r.sendCharge(from, &gossippb.Charge{Workspace: c.workspace, Cost: c.cost, Back: true})
+		}
+		return
+	}
+	if a.Unknown {
+		r.chargeElsewhere(q)
+		return
+	}
+	q.charging = nil
+	if a.Admitted {
+		q.charged, q.chargedBy = true, from
+		r.admitted(q)
+		return
+	}
+	delete(r.requests, q.ID)
+	g := r.grounds()
+	g.Owner, g.BeliefAge = from, r.now-c.at
+	g.Quota = QuotaGrounds{Cost: q.Cost, Left: a.Left, Own: a.Own}
+	r.emit(Refuse{ID: q.ID, Cause: OverQuota, After: time.Duration(a.BackMs) * time.Millisecond, Grounds: g})
+}
+
+// chargeAlone decides for a request whose owner does not.
+func (r *Router) chargeAlone(q *request) {
+	if r.quotas[q.Workspace.Name] == nil {
+		r.admitted(q) // the quota was lifted meanwhile
+		return
+	}
+	r.chargeHere(q, r.ownPart())
+}
+
+// takeCharge finds the question that an answer belongs to, and forgets it.
+func (r *Router) takeCharge(from string, number uint64) *charge {
+	for i, c := range r.limits.charges {
+		if c.number == number && c.owner == from {
+			r.limits.charges = append(r.limits.charges[:i:i], r.limits.charges[i+1:]...)
+			return c
+		}
+	}
+	return nil
+}
+
+// expireCharges asks the other owner where a question was not answered in time, or decides alone.
+func (r *Router) expireCharges() {
+	for len(r.limits.charges) > 0 && r.now-r.limits.charges[0].at > askForget {
+		r.limits.charges = r.limits.charges[1:]
+	}
+	for _, c := range slices.Clone(r.limits.charges) {
+		if c.givenUp || r.now-c.at < askPatience {
+			continue
+		}
+		c.givenUp = true
+		r.missed(c.owner)
+		if q, ok := r.requests[c.request]; ok && q.charging == c {
+			r.chargeElsewhere(q)
+		}
+	}
+}
+
+// chargeElsewhere asks the next owner where one does not decide, or decides alone.
+func (r *Router) chargeElsewhere(q *request) {
+	silent := q.charging
+	q.charging = nil
+	owners := r.quotaOwners(silent.workspace)
+	if next := slices.Index(owners, silent.owner) + 1; next > 0 && next < len(owners) {
+		if owner := owners[next]; owner == r.opt.Host && r.quotas[silent.workspace] != nil {
+			r.chargeHere(q, r.zonePart())
+			return
+		} else if r.answers(owner) {
+			r.askCharge(q, owner)
+			return
+		}
+	}
+	r.chargeAlone(q)
+}
+
+// refund gives the cost back of what has not run.
+func (r *Router) refund(q *request) {
+	if !q.charged || q.ran {
+		return
+	}
+	q.charged = false
+	if q.chargedBy != "" {
+		r.sendCharge(q.chargedBy, &gossippb.Charge{Workspace: q.Workspace.Name, Cost: q.Cost, Back: true})
+		return
+	}
+	if quota, ok := r.quotas[q.Workspace.Name]; ok {
+		quota.Refund(q.Cost)
+	}
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"math"
 	"time"
 
 	"fireflyshift/internal/limit"
@@ -44,7 +43,11 @@
 	runs    int
 	sentAt  time.Duration
 	rejects int
-	charged bool
+	// charged tells that its cost was taken from its workspace's quota: from what chargedBy holds of it, or where that is
+	// empty this host. charging is the open question for it.
+	charged   bool
+	chargedBy string
+	charging  *charge
 	// queued tells that its backend server was believed to be busy with others when it was sent.
 	queued bool
 	// unread are the prompt tokens that its backend server has still to read; zero once its stream begins.
@@ -83,11 +86,12 @@
 		return
 	}
 	q.service = r.chooseService(e.Route, e.Workspace)
-	if back, ok := r.charge(q); !ok {
-		r.emit(Refuse{ID: e.ID, Cause: OverQuota, After: back, Grounds: r.quotaGrounds(q)})
-		return
-	}
 	r.requests[e.ID] = q
+	r.charge(q)
+}
+
+// admitted sends a request on that its workspace's quota has room for.
+func (r *Router) admitted(q *request) {
 	r.budgetOf(q.service).Earn(r.now, r.hosts())
 	r.dispatch(q)
 }
@@ -333,40 +337,6 @@
 	delete(r.requests, q.ID)
 }
 
-// charge takes a request's cost from its workspace's quota.
-func (r *Router) charge(q *request) (back time.Duration, ok bool) {
-	if q.Workspace == nil {
-		return 0, true
-	}
-	quota, limited := r.quotas[q.Workspace.Name]
-	if !limited {
-		return 0, true
-	}
-	ok, back = quota.Admit(r.now, q.Cost, r.heardShare(), r.hosts())
-	q.charged = ok
-	if quota.Tight() {
-		r.tightUntil = r.now + tightFor
-	}
-	return back, ok
-}
-
-func (r *Router) quotaGrounds(q *request) Grounds {
-	g := Grounds{Version: r.version(), Era: r.news.complete.Era, BeliefAge: r.oldestBelief(), Quota: QuotaGrounds{Cost: q.Cost}}
-	g.Quota.Left, g.Quota.Own = r.quotas[q.Workspace.Name].Left()
-	return g
-}
-
-// refund gives the cost back of what has not run.
-func (r *Router) refund(q *request) {
-	if !q.charged || q.ran {
-		return
-	}
-	q.charged = false
-	if quota, ok := r.quotas[q.Workspace.Name]; ok {
-		quota.Refund(q.Cost)
-	}
-}
-
 func (r *Router) budgetOf(name string) *limit.Budget {
 	s := r.serviceNamed(name)
 	if s.budget == nil {
@@ -375,15 +345,3 @@
 	}
 	return s.budget
 }
-
-// CostOf is what a request counts against a workspace's quota.
-func CostOf(w *routing.Workspace, hasTokens bool, prompt, output int) float64 {
-	switch {
-	case !w.InTokens:
-		return 1
-	case hasTokens:
-		return float64(prompt) + float64(output)
-	default:
-		return math.Max(1, float64(w.PlainTokens))
-	}
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,7 +8,7 @@
 // (what is believed of each), zones (sums between availability zones), peers (which hosts are named to
 // others), reading (who reads the store), evacuations, cold, failing and regions (why a backend server gets no or few
 // requests), place (where a request goes), owners (who is asked), ask (questions for a place), grant (answers to them),
-// requests (their lives), beats.
+// quotas (who decides over a workspace's), requests (their lives), beats.
 package router
 
 import (
@@ -78,6 +78,7 @@
 	// candidates is where decisions gather them, kept so that none allocates.
 	candidates [classes][]candidate
 	quotas     map[string]*limit.Quota
+	limits     quotaState
 	// quotaOrder are the names of quotas, nil where the list must be made again; toldSpent is what beats
 	// last told of each, and spentTold counts them.
 	quotaOrder []string
@@ -115,6 +116,7 @@
 		quotas:     map[string]*limit.Quota{},
 		toldSpent:  map[string]uint64{},
 		owners:     newOwnerState(),
+		limits:     newQuotaState(),
 		suspects:   newSuspectState(),
 
 		evacuations: map[string]*evacuation{},
@@ -152,6 +154,10 @@
 		r.reported(e.From, e.Report)
 	case Occupied:
 		r.takeOccupancy(e.From, e.Occupancy)
+	case ChargeAsked:
+		r.chargeAsked(e.From, e.Charge)
+	case ChargeAnswered:
+		r.chargeAnswered(e.From, e.Charged)
 	case Relayed:
 		r.takeZones(r.opt.Zone, e.Relay.Zones)
 	case News:
@@ -203,6 +209,7 @@
 
 func (r *Router) tick() {
 	r.expireAsks()
+	r.expireCharges()
 	if r.now >= r.choresAt {
 		r.chores()
 		if r.relaying() {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -273,6 +273,10 @@
 		return Occupied{from, p.Occupancy}
 	case p.Relay != nil:
 		return Relayed{from, p.Relay}
+	case p.Charge != nil:
+		return ChargeAsked{from, p.Charge}
+	case p.Charged != nil:
+		return ChargeAnswered{from, p.Charged}
 	default:
 		return Heard{p.Beat}
 	}
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -43,6 +43,9 @@
 	// breaks is the share of requests that an engine breaks off as they begin, and broken counts those.
 	breaks map[string]float64
 	broken map[string]int
+	ended  []zoneEnd
+	// unplaced are requests that end at once and for which there was no place, though their quota had room.
+	unplaced int
 	// lost drops a datagram.
 	lost func(from, to string, p *gossippb.Packet) bool
 
@@ -65,12 +68,20 @@
 	p        *gossippb.Packet
 }
 
+// zoneEnd is a request that ends with the next step.
+type zoneEnd struct {
+	host *zoneHost
+	id   uint64
+}
+
 type zoneRun struct {
-	host   *zoneHost
-	came   time.Duration
-	ends   time.Duration
-	engine string
-	breaks bool
+	// admitted is told that the request is sent, and ends it; nil where it stays at its engine for a while.
+	admitted func(host string)
+	host     *zoneHost
+	came     time.Duration
+	ends     time.Duration
+	engine   string
+	breaks   bool
 }
 
 // newZone starts the hosts of a zone before engines of 4 slots, a third of which are four times slower, and
@@ -112,19 +123,15 @@
 	require.Empty(z.t, h.r.Violations())
 }
 
-// admits submits a request of a workspace to any host, and tells which and whether its quota lets it through. It
-// ends at once.
-func (z *zone) admits(w *routing.Workspace, cost float64) (host string, ok bool) {
-	h := z.hosts[z.rng.IntN(len(z.hosts))]
+// admits submits a request of a workspace to any host, and tells once it is sent to an engine, where it ends at once.
+func (z *zone) admits(w *routing.Workspace, cost float64, admitted func(host string)) {
+	z.submitAt(z.hosts[z.rng.IntN(len(z.hosts))], w, cost, admitted)
+}
+
+func (z *zone) submitAt(h *zoneHost, w *routing.Workspace, cost float64, admitted func(host string)) {
 	z.next++
-	h.r.Reduce(z.now-h.born, Submit{ID: z.next, Route: urgent, Workspace: w, Cost: cost, Deadline: z.now - h.born + time.Second})
-	q := h.r.requests[z.next]
-	if q == nil {
-		return h.ip, false
-	}
-	q.charged = false // it has run
-	h.r.Reduce(z.now-h.born, Gone{ID: z.next})
-	return h.ip, true
+	z.runs[z.next] = &zoneRun{host: h, came: z.now, admitted: admitted}
+	z.post(h, Submit{ID: z.next, Route: urgent, Workspace: w, Cost: cost, Deadline: z.now - h.born + time.Second})
 }
 
 func (z *zone) effect(h *zoneHost, e Effect) {
@@ -139,6 +146,13 @@
 		}
 	case Dispatch:
 		run := z.runs[e.ID]
+		if run.admitted != nil {
+			run.admitted(h.ip)
+			delete(z.runs, e.ID)
+			h.r.requests[e.ID].charged = false // it has run
+			z.ended = append(z.ended, zoneEnd{h, e.ID})
+			return
+		}
 		run.engine = e.Backend.ID
 		run.ends = z.now + z.length(e.Backend.ID)
 		if run.breaks = z.breaks != nil && z.rng.Float64() < z.breaks[run.engine]; run.breaks {
@@ -156,6 +170,9 @@
 	case GiveUp:
 		delete(z.runs, e.ID)
 	case Refuse:
+		if z.runs[e.ID].admitted != nil && e.Cause != OverQuota {
+			z.unplaced++
+		}
 		z.waited = max(z.waited, z.now-z.runs[e.ID].came)
 		delete(z.runs, e.ID)
 		z.refused++
@@ -191,6 +208,10 @@
 		z.steps++
 		z.deliver()
 		z.finish()
+		for _, e := range z.ended {
+			z.post(e.host, Gone{ID: e.id})
+		}
+		z.ended = nil
 		for left := perSecond; left > 0; left -= 1000 {
 			if z.rng.IntN(1000) < left {
 				z.submit()
