Readers that the store refuses are replaced by a few hosts at a time, and none lists it twice

Change: a reading goes on when it becomes a shared one; hosts tell that they list the store, and count as readers to be until it fails them; without enough of either eight times as many read after each 0.4 s.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -64,26 +65,31 @@
 
 // toggle starts and stops the reading.
 type toggle struct {
-	ctx    context.Context
-	run    func(ctx context.Context, shared bool)
+	ctx context.Context
+	run func(ctx context.Context, shared *atomic.Bool)
+	// shared tells a reading that goes on whether other hosts rely on it.
+	shared atomic.Bool
 	cancel context.CancelFunc
 }
 
-// set is called by the control thread only.
+// set is called by the control thread only. A reading that goes on is not begun anew: its listing is the dearest part of it.
 func (t *toggle) set(on, shared bool) {
-	if t.cancel != nil {
+	t.shared.Store(shared)
+	if on == (t.cancel != nil) {
+		return
+	}
+	if !on {
 		t.cancel()
 		t.cancel = nil
+		return
 	}
-	if on {
-		ctx, cancel := context.WithCancel(t.ctx)
-		t.cancel = cancel
-		go t.run(ctx, shared)
-	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.cancel = cancel
+	go t.run(ctx, &t.shared)
 }
 
 // run lists and then watches, until ctx ends.
-func (s *storeReader) run(ctx context.Context, shared bool) {
+func (s *storeReader) run(ctx context.Context, shared *atomic.Bool) {
 	pause, fresh := retryFirst, false
 	for ctx.Err() == nil {
 		err := s.follow(ctx, shared, fresh, func() { pause = retryFirst })
@@ -105,11 +111,7 @@
 
 // follow lists once and watches from there until a call fails. A failed watch leads to a new
 // listing: the store may have changed meanwhile in a way that a watch no longer tells.
-func (s *storeReader) follow(ctx context.Context, shared, fresh bool, worked func()) error {
-	atLeast, spread, between := watchWait, watchSpread, watchPause
-	if shared {
-		atLeast, spread, between = sharedWait, sharedSpread, sharedPause
-	}
+func (s *storeReader) follow(ctx context.Context, shared *atomic.Bool, fresh bool, worked func()) error {
 	s.metrics.Count("store.calls", 2)
 	all, err := s.store.List(ctx, fresh)
 	if err != nil {
@@ -118,8 +120,12 @@
 	worked()
 	s.post(router.News{Changes: all.Changes, Full: true, AsOf: all.AsOf, Revision: revisionOf(all.Changes), FromStore: true})
 	after := all.AsOf
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		s.metrics.Count("store.calls", 1)
+		atLeast, spread, between := watchWait, watchSpread, watchPause
+		if first || shared.Load() { // others may begin to rely on a host that has just started
+			atLeast, spread, between = sharedWait, sharedSpread, sharedPause
+		}
 		wait := atLeast + time.Duration(rand.Int64N(int64(spread)))
 		l, err := s.store.Watch(ctx, after.Number, wait)
 		if err != nil {
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 	s := &returning{stop: stop}
 	var posted []router.Event
 	reader := &storeReader{store: s, post: func(e router.Event) { posted = append(posted, e) }, log: zerolog.Nop(), metrics: telemetry.NewMetrics()}
-	reader.run(ctx, false)
+	reader.run(ctx, new(atomic.Bool))
 	require.Equal(t, 2, s.lists)
 	var asOf []routing.Revision
 	for _, e := range posted {
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -108,7 +108,7 @@
 	b := &gossippb.Beat{
 		Host: r.opt.Host, Zone: r.opt.Zone, Incarnation: r.opt.Incarnation, Seq: r.seq, Leaving: r.drain != nil,
 		ConfigVersion: r.version(), Revision: r.news.revision.Number, Era: r.news.revision.Era, Digest: r.digest(),
-		ReadsStore: r.inContact(), Loads: r.ownLoads(),
+		ReadsStore: r.inContact(), ListsStore: r.lists(), Loads: r.ownLoads(),
 		Dead: r.ownDead(), AgeMs: r.ageMs(), Suspects: r.newSuspects(),
 		Leaves: r.ownLeaving(), Evacuations: r.toldEvacuations(),
 	}
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -111,6 +111,7 @@
 	leaving    bool
 	loads      loads
 	readsStore bool
+	listsStore bool
 	dead       []uint32 // backend servers that it cannot reach
 	failing    []uint32 // backend servers that fail its requests
 	spent      map[string]uint64
@@ -185,7 +186,7 @@
 	if m.leaving != b.Leaving {
 		r.membersChanged()
 	}
-	m.seq, m.heardAt, m.leaving, m.readsStore = b.Seq, r.now, b.Leaving, b.ReadsStore
+	m.seq, m.heardAt, m.leaving, m.readsStore, m.listsStore = b.Seq, r.now, b.Leaving, b.ReadsStore, b.ListsStore
 	if wasCut {
 		r.zoneBack(m.zone)
 	}
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -43,13 +43,16 @@
 	// later ones have to be asked for, and a registration that is older and unknown is gone.
 	complete routing.Revision
 	// eraAt is when complete came into its era of the store, and changes counts what changed of backend servers.
-	eraAt    time.Duration
-	changes  int
-	prints   uint64 // of all live registrations
-	synced   bool   // the store has been read since the start
-	reading  bool   // this host reads the store
-	triedAt  time.Duration
-	lost     bool
+	eraAt   time.Duration
+	changes int
+	prints  uint64 // of all live registrations
+	synced  bool   // the store has been read since the start
+	reading bool   // this host reads the store
+	triedAt time.Duration
+	lost    bool
+	// failed tells that the store has failed this host since it began to read at listedAt.
+	failed   bool
+	listedAt time.Duration
 	backAt   time.Duration
 	pulledAt time.Duration
 	heardAt  time.Duration // latest word of the store
@@ -71,10 +74,15 @@
 	if r.news.triedAt == 0 {
 		r.news.triedAt = max(1, r.now)
 	}
+	if was := r.lists(); !ok {
+		r.news.failed = true
+		r.changed = r.changed || was // those that rely on it hear at once
+	}
 	if ok == !r.news.lost {
 		return
 	}
 	r.news.lost = !ok
+	r.changed = r.changed || r.news.reading
 	if ok {
 		r.news.backAt = r.now
 		r.emit(Note{What: "store answers"})
--- a/internal/router/reading.go
+++ b/internal/router/reading.go
@@ -14,6 +14,8 @@
 	// are all cut off from the store at once hears of a change within three seconds.
 	fewestReaders = 2
 	readAlone     = 400 * time.Millisecond
+	// listingMost is how long a host that lists the store counts as one that is about to be in contact.
+	listingMost = 2 * time.Second
 	// contactFresh is how old the store's latest answer may be for a host to count as in contact: a
 	// watch that hears nothing is answered sooner.
 	contactFresh = 2200 * time.Millisecond
@@ -35,22 +37,27 @@
 }
 
 // decideReading turns the reading of the store on or off: on everywhere in a small fleet; in a large
-// one on the first hosts of each zone, and on any that hears too few of its zone in contact with the
-// store, as the readers may be the ones that are cut off from it.
+// one on the first hosts of each zone. Where too few of these are in contact with the store, or about to be, as they may be
+// cut off from it, several times as many read after each readAlone: all hosts of a large zone that listed the store at once
+// cost more than the readers do in a day.
 func (r *Router) decideReading() {
 	if !r.zones.decided && r.now < r.zones.firstRead {
 		return
 	}
-	others := 0
+	others, listing := 0, 0
 	for _, h := range r.zoneMates() {
-		if m := r.members.byHost[h]; m.readsStore && !m.leaving {
+		switch m := r.members.byHost[h]; {
+		case m.leaving:
+		case m.readsStore:
 			others++
+		case m.listsStore:
+			listing++
 		}
 	}
-	if others >= fewestReaders {
+	if others+listing >= fewestReaders {
 		r.zones.readerAt = r.now
 	}
-	on := !r.relaying() || r.duty("reads the store", readers) || r.now-r.zones.readerAt > readAlone
+	on := !r.relaying() || r.duty("reads the store", r.readersNow())
 	if r.news.reading && r.zones.decided && others < readers {
 		on = true // until others have taken over
 	}
@@ -58,6 +65,9 @@
 	if on == r.news.reading && shared == r.zones.shared && r.zones.decided {
 		return
 	}
+	if on && !r.news.reading {
+		r.news.listedAt, r.news.failed = r.now, false
+	}
 	r.zones.decided = true
 	r.zones.shared = shared
 	r.news.reading = on
@@ -68,6 +78,27 @@
 	r.emit(Note{What: "reads the store", Detail: onOff(on)})
 }
 
+// readersNow is how many hosts of the zone read the store by now.
+func (r *Router) readersNow() int {
+	n := readers
+	for waits := (r.now - r.zones.readerAt) / readAlone; waits > 0 && n < maxReaders; waits-- {
+		n *= moreReaders
+	}
+	return n
+}
+
+const (
+	// moreReaders is how many times more hosts read after each readAlone, and maxReaders more than any zone has. With twice as
+	// many a zone whose next readers are cut off too would wait for seconds.
+	moreReaders = 8
+	maxReaders  = 1 << 12
+)
+
+// lists tells that this host has begun to read the store, which has neither answered nor failed yet.
+func (r *Router) lists() bool {
+	return r.news.reading && r.news.lost && !r.news.failed && r.now-r.news.listedAt < listingMost
+}
+
 // inContact tells whether the store has lately answered this host.
 func (r *Router) inContact() bool {
 	return r.news.reading && !r.news.lost && r.now-r.news.heardAt < contactFresh
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -123,3 +124,125 @@
 	r.now = unheardFor
 	require.Equal(t, 10+30, r.hosts())
 }
+
+// startingFleet is a fleet of some zones whose hosts all start together and read a store that answers a listing after a while.
+type startingFleet struct {
+	*zone
+	news     News
+	listTime time.Duration
+	// refuses are the hosts that the store refuses.
+	refuses map[string]bool
+	reading map[string]bool
+	// listings are how many were begun.
+	listings int
+	due      []startingEvent
+}
+
+type startingEvent struct {
+	at   time.Duration
+	host *zoneHost
+	ev   func() Event
+}
+
+func startFleet(t testing.TB, zones, hosts int) *startingFleet {
+	f := &startingFleet{zone: &zone{t: t, rng: rand.New(rand.NewPCG(1, 2)), byIP: map[string]*zoneHost{}, held: map[string]int{}, runs: map[uint64]*zoneRun{}},
+		listTime: 300 * time.Millisecond, reading: map[string]bool{}, refuses: map[string]bool{},
+		news: News{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1}}}}
+	for i := range zones * hosts {
+		h := &zoneHost{ip: fmt.Sprintf("10.0.%d.%d", i/hosts, i%hosts+1), zone: fmt.Sprintf("z%d", i/hosts), born: time.Duration(f.rng.Int64N(int64(300 * time.Millisecond)))}
+		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: uint64(i + 1), Seed: uint64(i), Seeds: []string{"10.0.0.1", "10.0.1.2"}})
+		f.hosts = append(f.hosts, h)
+		f.byIP[h.ip] = h
+	}
+	f.read = func(h *zoneHost, e ReadStore) {
+		if e.On == f.reading[h.ip] {
+			return
+		}
+		f.reading[h.ip] = e.On
+		if e.On {
+			f.list(h)
+		}
+	}
+	f.pulled = func(from string, p Pull) {
+		f.due = append(f.due, startingEvent{f.now + 50*time.Millisecond, f.byIP[from], func() Event {
+			n := f.byIP[p.Host].r.Snapshot(p.Since)
+			n.FromStore, n.Full, n.From = false, false, p.Host
+			return n
+		}})
+	}
+	return f
+}
+
+func (f *startingFleet) list(h *zoneHost) {
+	f.listings++
+	f.due = append(f.due, startingEvent{f.now + f.listTime, h, func() Event {
+		if f.refuses[h.ip] {
+			return StoreContact{}
+		}
+		return f.news
+	}})
+}
+
+// pass lets time pass; those that the store serves hear from it each second, those that it refuses try again.
+func (f *startingFleet) pass(d time.Duration) {
+	for end := f.now + d; f.now < end; {
+		f.run(zoneStep, 0)
+		later := f.due[:0:0]
+		for _, e := range f.due {
+			if e.at > f.now {
+				later = append(later, e)
+				continue
+			}
+			ev := e.ev()
+			_, pulled := ev.(News)
+			if pulled && ev.(News).FromStore && !f.reading[e.host.ip] {
+				continue // the reading was stopped meanwhile
+			}
+			f.post(e.host, ev)
+			if !f.reading[e.host.ip] || (pulled && !ev.(News).FromStore) {
+				continue
+			}
+			again := startingEvent{f.now + time.Second, e.host, e.ev}
+			later = append(later, again)
+		}
+		f.due = append(later, f.due[len(f.due):]...)
+	}
+}
+
+func (f *startingFleet) configured() int {
+	n := 0
+	for _, h := range f.hosts {
+		if h.r.table != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against all hosts of a zone listing the store where it refuses the zone's readers: how many do must not grow with the zone.
+func TestRefusedReadersAreReplacedByFew(t *testing.T) {
+	const zones = 3
+	listings := func(hosts int) int {
+		f := startFleet(t, zones, hosts)
+		f.pass(6 * time.Second)
+		require.Equal(t, zones*hosts, f.configured())
+		for ip, on := range f.reading {
+			f.refuses[ip] = on
+		}
+		before := f.listings
+		f.pass(4 * time.Second)
+		for z := range zones {
+			served := 0
+			for _, h := range f.hosts[z*hosts : (z+1)*hosts] {
+				if h.r.inContact() {
+					served++
+				}
+			}
+			require.GreaterOrEqual(t, served, fewestReaders)
+		}
+		return f.listings - before
+	}
+	const most = zones * readers * (moreReaders + 1) // the readers and those who take over
+	require.LessOrEqual(t, listings(40), most)
+	require.LessOrEqual(t, listings(80), most)
+}
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -38,6 +38,8 @@
 	from string
 	// pulled hears of questions for news, if set.
 	pulled func(from string, p Pull)
+	// read hears of hosts that begin or cease to read the store, if set.
+	read func(h *zoneHost, e ReadStore)
 	// sends are the moments at which each engine was sent a request, where they are kept.
 	sends map[string][]time.Duration
 	// breaks is the share of requests that an engine breaks off as they begin, and broken counts those.
@@ -114,7 +116,7 @@
 }
 
 func (z *zone) post(h *zoneHost, ev Event) {
-	if h.dead {
+	if h.dead || z.now < h.born {
 		return
 	}
 	for _, e := range h.r.Reduce(z.now-h.born, ev) {
@@ -140,6 +142,10 @@
 		z.send(h, e.To, &gossippb.Packet{Beat: e.Beat})
 	case Send:
 		z.send(h, e.To, e.Packet)
+	case ReadStore:
+		if z.read != nil {
+			z.read(h, e)
+		}
 	case Pull:
 		if z.pulled != nil {
 			z.pulled(h.ip, e)
