--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -228,6 +228,14 @@
 	return true, 0
 }
 
+// Decided notes that another host decided over a request for this one, whose own part is not saved up meanwhile: hosts that are
+// all cut off at once would each spend it, beside what the others admit. They begin to admit one after the other.
+func (q *Quota) Decided(now time.Duration, cost float64, p Part) {
+	q.refillShare(now, p)
+	q.learnUsual(cost, p)
+	q.share = min(q.share, -q.turn*q.usual)
+}
+
 // Refund gives back what did not run after all; what was admitted before this host's start is not known to it.
 func (q *Quota) Refund(cost float64) {
 	cost = min(cost, q.spent)
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -67,8 +67,9 @@
 	// hosts are those that may own, and ofAge tells that they have run for ownerAge.
 	hosts []string
 	ofAge bool
-	// byShard are the owners' IP numbers; empty where no host has run for long enough.
+	// byShard are the owners' IP numbers; empty where no host has run for long enough. shards are the backend servers.
 	byShard []string
+	shards  [][]*backend
 	// owned is how many shards this host owns, and mine their backend servers.
 	owned int
 	mine  []*backend
@@ -163,8 +164,11 @@
 		r.emit(Note{What: "owns backend servers", Detail: fmt.Sprintf("%d of %d shards", r.owners.owned, shards)})
 	}
 	r.owners.mine = r.owners.mine[:0]
+	r.owners.shards = make([][]*backend, shards)
 	for _, b := range zone {
-		b.mine = r.owners.byShard[b.hash%uint32(shards)] == r.opt.Host
+		shard := b.hash % uint32(shards)
+		r.owners.shards[shard] = append(r.owners.shards[shard], b)
+		b.mine = r.owners.byShard[shard] == r.opt.Host
 		if b.mine {
 			b.fromOwner = false
 			r.owners.mine = append(r.owners.mine, b)
@@ -246,19 +250,21 @@
 		return
 	}
 	r.owners.tellAt = r.now + r.occupancyPeriod()
-	o := &gossippb.Occupancy{}
+	o := &gossippb.Occupancy{All: true}
 	speeds := r.owners.told%speedsEvery == 0
 	r.ownShards()
 	for _, b := range r.owners.mine {
 		if b.removed {
 			continue
 		}
-		o.Loads = append(o.Loads, b.carried().message(b.hash))
+		if all := b.carried(); all != (load{}) {
+			o.Loads = append(o.Loads, all.message(b.hash))
+		}
 		if speeds && b.samples > 0 {
 			o.Speeds = append(o.Speeds, b.speedMessage())
 		}
 	}
-	if len(o.Loads) == 0 {
+	if len(r.owners.mine) == 0 {
 		return
 	}
 	for _, b := range r.owners.mine {
@@ -279,7 +285,11 @@
 
 // takeOccupancy takes an owner's word of what its backend servers carry.
 func (r *Router) takeOccupancy(from string, o *gossippb.Occupancy) {
-	r.takeOwnersWords(o.Loads)
+	if o.All {
+		r.takeAllOf(from, loadsOf(o.Loads))
+	} else {
+		r.takeOwnersWords(o.Loads)
+	}
 	r.takeOwnersFailing(o.Failing)
 	for _, s := range o.Speeds {
 		if b, ok := r.byHash[s.Backend]; ok && r.ownerOf(b) == from {
@@ -288,6 +298,18 @@
 	}
 }
 
+// takeAllOf takes an owner's word of all its backend servers; those that it does not name carry nothing.
+func (r *Router) takeAllOf(owner string, told loads) {
+	for shard, o := range r.ownShards() {
+		if o != owner {
+			continue
+		}
+		for _, b := range r.owners.shards[shard] {
+			r.takeOwnersWord(b, told[b.hash])
+		}
+	}
+}
+
 // takeOwnersWords takes what an owner says of several backend servers.
 func (r *Router) takeOwnersWords(list []*gossippb.Load) {
 	for _, l := range list {
--- a/internal/router/quotas.go
+++ b/internal/router/quotas.go
@@ -201,6 +201,9 @@
 		return
 	}
 	q.charging = nil
+	if quota := r.quotas[c.workspace]; quota != nil {
+		quota.Decided(r.now, c.cost, r.ownPart())
+	}
 	if a.Admitted {
 		q.charged, q.chargedBy = true, from
 		r.admitted(q)
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -30,9 +30,12 @@
 
 // zoneState is what this host knows of the other zones, where not all hosts talk to each other.
 type zoneState struct {
-	sums    map[string]*zoneSum
-	sumAt   time.Duration
-	peersAt time.Duration
+	sums  map[string]*zoneSum
+	sumAt time.Duration
+	// sumsTold counts this host's sums, and ownersTold are the owners that they named last.
+	sumsTold   int
+	ownersTold []string
+	peersAt    time.Duration
 	// readerAt is when a zone mate in contact with the store was last heard.
 	readerAt time.Duration
 	decided  bool
@@ -196,7 +199,7 @@
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
+		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: r.ownersToTell(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
 	for _, b := range r.backendsIn(r.opt.Zone) {
 		if b.removed {
 			continue
@@ -213,6 +216,20 @@
 	return s
 }
 
+// ownersEvery is how many sums pass between two that name the zone's owners though these are the same: what was lost is told again.
+const ownersEvery = 4
+
+// ownersToTell are the owners of this zone's backend servers, where they have changed or have not been told for a while.
+func (r *Router) ownersToTell() []string {
+	owners := r.ownShards()
+	r.zones.sumsTold++
+	if r.zones.sumsTold%ownersEvery != 0 && slices.Equal(owners, r.zones.ownersTold) {
+		return nil
+	}
+	r.zones.ownersTold = slices.Clone(owners)
+	return r.zones.ownersTold
+}
+
 // relaySpread spreads what several hosts have heard at once, so that the first passes it on for all.
 const relaySpread = 100 * time.Millisecond
 
@@ -267,7 +284,10 @@
 	}
 	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
 	z.known = int(s.Known)
-	z.owners, z.stale = s.Owners, false
+	z.stale = false
+	if len(s.Owners) > 0 {
+		z.owners = s.Owners
+	}
 	r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
 	r.takeOwnersFailing(s.Failing)
 	for _, sp := range s.Spent {
