--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -377,3 +377,16 @@
 	q.share = -3 * 4500
 	require.True(t, q.Tight())
 }
+
+// Guards against parts that hosts save up while an owner decides for them, and that all spend beside it once they are cut off.
+func TestOwnPartIsNotSavedUpWhileAnotherDecides(t *testing.T) {
+	q := NewQuota(0, 640_000, 640_000, Allowance{Window: window, Over: 0.25, Slack: 190_000})
+	q.TakeTurns(0.5)
+	p := alone(1, 96)
+	q.Decided(time.Minute, 4500, p)
+	ok, back := q.Admit(time.Minute, 4500, p)
+	require.False(t, ok)
+	require.Less(t, back, time.Second)
+	ok, _ = q.Admit(time.Minute+time.Second, 4500, p)
+	require.True(t, ok)
+}
