What hosts tell each other grows slower than the root of the fleet

Loads of a zone's backend servers go with every k-th sum, one of 250 servers for each; speeds and known hosts are told when they change and seldom otherwise; words of other zones hold while their sums come. A test of the slope and of the operators' 18 KB a second and host stands for it.

--- a/internal/limit/quota.go
+++ b/internal/limit/quota.go
@@ -23,6 +23,8 @@
 	// useExtraCoarse is the same where a host's own part of the burst is smaller than a usual request: more is admitted there
 	// before hosts have heard of each other.
 	useExtraCoarse = 0.1
+	// useExtraZone is the same where a host decides for its zone: zones hear of each other later than hosts.
+	useExtraZone = 0.2
 	// restartLevel is how full a bucket is at first: all hosts may have restarted at once, and have
 	// then forgotten what they admitted just before.
 	restartLevel = 0.5
@@ -78,6 +80,8 @@
 	turn, usual float64
 	// coarse tells that a usual request is larger than this host's own part of the burst, in a large fleet.
 	coarse bool
+	// forZone tells that this host decides for its zone.
+	forZone bool
 	// ownLately and othersLately are admissions that fade with latelyFor.
 	ownLately, othersLately float64
 }
@@ -113,6 +117,7 @@
 		q.usual = cost
 	}
 	q.usual += usualRate * (cost - q.usual)
+	q.forZone = p.For > 1
 	q.coarse = p.Hosts >= largeFleet && q.usual > q.burst*q.part(p)
 }
 
@@ -139,8 +144,11 @@
 		return q.rate
 	}
 	use := useExtra
-	if q.coarse {
+	switch {
+	case q.coarse:
 		use = useExtraCoarse
+	case q.forZone:
+		use = useExtraZone
 	}
 	extra := q.allow.Over*(q.rate*w+q.burst) + q.allow.Slack
 	return q.rate + use*extra/w
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -41,8 +41,10 @@
 	// requests more than its choosers believed, and a quarter of the streams began late.
 	changeGap     = 20 * time.Millisecond
 	changePerHost = time.Millisecond
-	// peersEvery is how often a beat names the hosts that its sender knows.
-	peersEvery = time.Second
+	// peersEvery is how often a beat names the hosts that its sender knows, and peersPerHost stretches it with the zone's hosts,
+	// as all of them hear it. Of a host that joins they hear at once.
+	peersEvery   = time.Second
+	peersPerHost = 80 * time.Millisecond
 )
 
 func itoa(n uint64) string { return strconv.FormatUint(n, 36) }
@@ -70,7 +72,7 @@
 		}
 		if r.now >= r.zones.peersAt {
 			b.Peers = r.knownPeers()
-			r.zones.peersAt = r.now + peersEvery
+			r.zones.peersAt = r.now + max(peersEvery, peersPerHost*mates)
 		}
 	})
 	if r.sharing() {
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -31,8 +31,8 @@
 	occupancyPerHost = 5 * time.Millisecond
 	// occupancyStale is after how many periods an owner's word no longer counts.
 	occupancyStale = 4
-	// speedsEvery is how many of an owner's words pass between two that tell speeds.
-	speedsEvery = 4
+	// speedsEvery is how many of an owner's words pass between two that tell all speeds; the others tell those that have changed.
+	speedsEvery = 16
 )
 
 // trust is how an owner has answered this host.
@@ -251,7 +251,7 @@
 	}
 	r.owners.tellAt = r.now + r.occupancyPeriod()
 	o := &gossippb.Occupancy{All: true}
-	speeds := r.owners.told%speedsEvery == 0
+	whole := r.owners.told%speedsEvery == 0
 	r.ownShards()
 	for _, b := range r.owners.mine {
 		if b.removed {
@@ -260,7 +260,8 @@
 		if all := b.carried(); all != (load{}) {
 			o.Loads = append(o.Loads, all.message(b.hash))
 		}
-		if speeds && b.samples > 0 {
+		if b.samples > 0 && (whole || b.speed().differs(b.told)) {
+			b.told = b.speed()
 			o.Speeds = append(o.Speeds, b.speedMessage())
 		}
 	}
@@ -345,7 +346,8 @@
 	r.owners.expireAt = r.now + occupancyEvery
 	stale := occupancyStale * r.occupancyPeriod()
 	for _, b := range r.allBackends() {
-		if b.fromOwner && r.now-b.ownersWordAt > stale {
+		told := b.Zone != r.opt.Zone && !r.zoneSilent(b.Zone) // in its zone's sums, not in each
+		if b.fromOwner && !told && r.now-b.ownersWordAt > stale {
 			b.fromOwner = false
 		}
 	}
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -106,6 +106,7 @@
 // in slow beats only let it through to the last hundredth of the operators' bound, and on a day with cuts beside it
 // beyond. While a quota is near its end, beats go out twice as often.
 func TestQuotaHoldsInALargeFleet(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 16)
 	f.ask(func(time.Duration) {})
 	require.Less(t, f.worst(), 0.89)
@@ -116,6 +117,7 @@
 // any size, so that nearly all hosts go into debt by most of a request in the same moment. With requests of a twentieth of
 // the size, and twelve times the quota, such a fleet keeps to 0.86 of the bound.
 func TestQuotaHoldsInAFleetOfHundreds(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 49)
 	f.times = 20
 	f.ask(func(time.Duration) {})
@@ -124,6 +126,7 @@
 
 // Six times its quota again, in a fleet of 96 hosts, and a third of them start again in the middle of it.
 func TestQuotaHoldsWhileHostsRestart(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 16)
 	f.ask(func(at time.Duration) {
 		if at != hotAt+4*time.Second {
@@ -143,6 +146,7 @@
 // noticed, and took all callers for its own: together they let through twice the quota, twenty times their even
 // part each. They keep to little more than their even part now.
 func TestHostsThatHearNobodyKeepToTheirPart(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 16)
 	cut := map[string]bool{}
 	for i, h := range f.hosts {
@@ -176,6 +180,7 @@
 // now and then, and a workspace asks all of them for six times its quota. After fifteen seconds each zone had forgotten
 // the others, divided the quota among its own hosts only and let a whole quota through: 4.16 times the bound together.
 func TestQuotaHoldsWhileZonesAreApartForLong(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 16)
 	zoneOf := map[string]string{}
 	for _, h := range f.hosts {
@@ -190,6 +195,7 @@
 // The same with twelve hosts, each of them cut off from all others: 4.16 times the bound, and 2.25 with the longer
 // memory alone, since each had kept a bucket as full as the whole fleet's.
 func TestQuotaHoldsWhileHostsAreAloneForLong(t *testing.T) {
+	t.Parallel()
 	f := newHotWorkspace(t, 2)
 	f.lost = func(string, string, *gossippb.Packet) bool { return true }
 	f.run(20*time.Second, 0)
@@ -202,6 +208,7 @@
 // Guards against a workspace that is refused far under its quota because its callers come to few of hundreds of hosts, each of
 // whose parts of the quota is a small fraction of one request.
 func TestSmallWorkspaceIsNotRefusedUnderItsQuota(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 49, smallRate)
 	callers := []*zoneHost{}
 	for i := range 6 {
@@ -224,6 +231,7 @@
 
 // Guards against small quotas that hundreds of hosts overdraw: each lets one request through that is many times its part.
 func TestSmallQuotaHoldsInAFleetOfHundreds(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 49, smallRate)
 	f.times = 20
 	f.ask(func(time.Duration) {})
@@ -232,6 +240,7 @@
 
 // Guards against a quota that nobody decides over for seconds after its owners have died, or that is overdrawn as others take over.
 func TestQuotaHoldsAsItsOwnersDie(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 16, smallRate)
 	f.times = 8
 	f.ask(func(at time.Duration) {
@@ -255,6 +264,7 @@
 // Guards against an owner's late answer that charges a workspace for a request which was decided without it, and against the cost
 // of a request that finds no place staying charged at the owner.
 func TestWhatAnOwnerAdmitsAndDoesNotRunIsGivenBack(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 16, smallRate)
 	asker := f.hosts[0]
 	owner := f.byIP[asker.r.quotaOwners("w")[0]]
@@ -281,6 +291,7 @@
 
 // Guards against hosts that each take themselves for the owner of a quota and each give out their zone's part of it.
 func TestOnlyOwnersDecideOverAQuota(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 16, smallRate)
 	owners := f.hosts[0].r.quotaOwners("w")
 	require.Len(t, owners, 2)
--- a/internal/router/scale_test.go
+++ b/internal/router/scale_test.go
@@ -2,10 +2,41 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
+// perHost is what a host sends a second in a fleet of four zones with five engines a host and three requests a second and host.
+func perHost(t *testing.T, hosts int) (datagrams, bytes float64) {
+	const zones, seconds = 4, 3
+	z := newZones(t, zones, hosts, 5*hosts)
+	z.run(2*time.Second, 3*zones*hosts)
+	z.datagrams, z.bytes = 0, 0
+	z.run(seconds*time.Second, 3*zones*hosts)
+	require.Less(t, z.refused, z.dispatched/100)
+	all := float64(seconds * zones * hosts)
+	return float64(z.datagrams) / all, float64(z.bytes) / all
+}
+
+// Guards against control that grows with the square of the fleet: at the same load a host, what a host sends grows slower than the
+// root of the hosts, and stays under the operators' 18 KB a second.
+func TestControlGrowsSlowerThanTheRootOfTheFleet(t *testing.T) {
+	t.Parallel()
+	small, large := 12, 50
+	d0, b0 := perHost(t, small)
+	d1, b1 := perHost(t, large)
+	root := math.Sqrt(float64(large) / float64(small))
+	t.Logf("%.0f and %.0f datagrams, %.1f and %.1f KB a second and host", d0, d1, b0/1000, b1/1000)
+	require.Less(t, d1/d0, root)
+	require.Less(t, b1/b0, root)
+	require.Less(t, b1, 18_000.0)
+}
+
+// BenchmarkFleet is what a second of a host costs in a fleet of four zones, ten engines a host.
+
 func BenchmarkFleet(b *testing.B) {
 	for _, hosts := range []int{12, 25, 75} {
 		b.Run(fmt.Sprintf("4 zones of %d", hosts), func(b *testing.B) {
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -221,6 +221,7 @@
 
 // Guards against all hosts of a zone listing the store where it refuses the zone's readers: how many do must not grow with the zone.
 func TestRefusedReadersAreReplacedByFew(t *testing.T) {
+	t.Parallel()
 	const zones = 3
 	listings := func(hosts int) int {
 		f := startFleet(t, zones, hosts)
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -200,8 +200,9 @@
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
 		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: r.ownersToTell(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
+	s.WithoutLoads = r.zones.sumsTold%r.loadsEvery() != 0
 	for _, b := range r.backendsIn(r.opt.Zone) {
-		if b.removed {
+		if b.removed || s.WithoutLoads {
 			continue
 		}
 		if all := b.carried(); all.total() > 0 {
@@ -216,6 +217,13 @@
 	return s
 }
 
+// loadsASum is how many of a zone's backend servers there are for each sum that leaves out what they carry, so that the bytes
+// between zones do not grow with them. Those elsewhere decide by it only whom to ask.
+const loadsASum = 250
+
+// loadsEvery is how many sums pass between two that tell what the zone's backend servers carry.
+func (r *Router) loadsEvery() int { return 1 + len(r.backendsIn(r.opt.Zone))/loadsASum }
+
 // ownersEvery is how many sums pass between two that name the zone's owners though these are the same: what was lost is told again.
 const ownersEvery = 4
 
@@ -288,7 +296,9 @@
 	if len(s.Owners) > 0 {
 		z.owners = s.Owners
 	}
-	r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
+	if !s.WithoutLoads {
+		r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
+	}
 	r.takeOwnersFailing(s.Failing)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
