--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -188,7 +188,7 @@
 	}
 	if outcome == string(router.OverQuota) {
 		g := f.grounds.Quota
-		e = e.Float64("cost", g.Cost).Float64("quota_left", math.Round(g.Left)).Float64("own_part_left", math.Round(g.Own))
+		e = e.Str("owner", f.grounds.Owner).Float64("cost", g.Cost).Float64("quota_left", math.Round(g.Left)).Float64("own_part_left", math.Round(g.Own))
 	}
 	e.Msg("Ended.")
 }
--- a/internal/router/beats.go
+++ b/internal/router/beats.go
@@ -18,15 +18,12 @@
 	beatPerHost = 5 * time.Millisecond
 	beatMost    = 300 * time.Millisecond
 	// sharedPerHost and sharedMost are the same where backend servers have owners, who hear of each request
-	// at once: beats then tell who lives, what there is to know and what quotas have spent. A host of a zone
-	// of 50 sends and hears 70 a second; half as often, a zone would go on for five seconds as if a dead
-	// host's requests still filled its engines.
+	// at once: beats then tell who lives, what there is to know and what quotas have spent. At half the pace a
+	// dead host's requests would seem to fill its zone's engines for twice as long.
 	sharedPerHost = 15 * time.Millisecond
 	sharedMost    = time.Second
 	// tightFor is how long after a request of a workspace whose quota is half empty beats go out twice as
-	// often. Three hundred hosts that hear of each other after three quarters of a second let a workspace
-	// that suddenly asks for six times its quota through to within a hundredth of the operators' bound;
-	// twice as often, to within four.
+	// often: what others admit matters soon.
 	tightFor = 2 * time.Second
 	// joinPerHost is changePerHost there, where only hosts that join are told ahead of the next beat.
 	joinPerHost = 4 * time.Millisecond
@@ -36,9 +33,8 @@
 	// namedPeers bounds the hosts that a beat of a large fleet names once nobody is new.
 	namedPeers = 6
 	// changeGap is how soon after the last beat a change of what this host carries is told, and
-	// changePerHost stretches it with the zone's hosts. On heavy days all choose among the few
-	// engines that look free: with 23 hosts a zone and beats each 150 ms, an engine held 1.8
-	// requests more than its choosers believed, and a quarter of the streams began late.
+	// changePerHost stretches it with the zone's hosts. Under load all choose among the few engines that
+	// look free, and streams wait where several have chosen the same one by old counts.
 	changeGap     = 20 * time.Millisecond
 	changePerHost = time.Millisecond
 	// peersEvery is how often a beat names the hosts that its sender knows, and peersPerHost stretches it with the zone's hosts,
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -21,8 +21,7 @@
 	// an hour lets several times a quota through.
 	forgetAfter = 2 * time.Hour
 	// greetEvery is how often seeds and silent hosts are sent a beat. It bounds how long a zone is still
-	// taken for cut off when it is not any more: at once a second, a hundred requests were refused beside
-	// its idle engines.
+	// taken for cut off, and requests are refused beside its idle engines, when it is not any more.
 	greetEvery = 250 * time.Millisecond
 	// youngFor is how long a host counts as just started: all that it says it has admitted is recent then.
 	youngFor = 4 * time.Second
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -88,8 +88,7 @@
 }
 
 // sharing tells whether backend servers have owners that are asked for places. In a small fleet every host
-// tells each change to all others instead; with 50 hosts a zone that took a thousand datagrams a second on
-// each.
+// tells each change to all others instead, which grows with the square of the hosts.
 func (r *Router) sharing() bool { return r.relaying() }
 
 // ownerOf is the host that owns a backend server; empty where none is known. Other zones name theirs in their
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -50,8 +50,7 @@
 }
 
 // namedPeers are the hosts to name: in a large fleet its zone's while some of them are new, later a few at
-// random. A seed that named all that greet it, 300 hosts, in each beat to 50 had its link full for seconds
-// after a start of all.
+// random. A seed that named all that greet it would have its link full for seconds after a start of all.
 func (r *Router) namedPeers() []string {
 	all := r.members.order
 	switch {
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -12,8 +12,7 @@
 
 const (
 	// fullMesh is the most hosts that all talk to each other. Above it beats go to the own zone
-	// only, and sums go between zones: at 79 hosts, all to all cost a fifth of the answers' worth
-	// in bytes between zones alone.
+	// only, and sums go between zones, where bytes are dear.
 	fullMesh = 16
 	// speakers are the hosts of a zone that send its sums to one other zone, and how many hosts
 	// there they are sent to. Two, so that the loss of one goes unnoticed.
@@ -194,8 +193,7 @@
 
 // ownZoneSum adds up what other zones have to know of this one: who owns its backend servers, what these
 // carry, requests of all zones together, and what its hosts have admitted. So each zone tells of its own
-// backend servers, and nothing is told or counted twice: a sum with the loads at all zones took most of small
-// hosts' links at 300 hosts.
+// backend servers, and nothing is told or counted twice.
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
