--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -23,7 +24,9 @@
 
 // Store is the platform's metadata store, which can only be read.
 type Store interface {
-	List(ctx context.Context) (Listing, error)
+	// List reads all. Unless fresh, backend servers may be some seconds old, as AsOf tells, which costs less; a watch from there
+	// tells what has changed since.
+	List(ctx context.Context, fresh bool) (Listing, error)
 	// Watch waits for changes after a revision's number. The answer may be of another era.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
 	// Compacted tells that a watch failed because its history is gone.
@@ -62,29 +65,34 @@
 
 // toggle starts and stops the reading.
 type toggle struct {
-	ctx    context.Context
-	run    func(ctx context.Context, shared bool)
+	ctx context.Context
+	run func(ctx context.Context, shared *atomic.Bool)
+	// shared tells a reading that goes on whether other hosts rely on it.
+	shared atomic.Bool
 	cancel context.CancelFunc
 }
 
-// set is called by the control thread only.
+// set is called by the control thread only. A reading that goes on is not begun anew: its listing is the dearest part of it.
 func (t *toggle) set(on, shared bool) {
-	if t.cancel != nil {
+	t.shared.Store(shared)
+	if on == (t.cancel != nil) {
+		return
+	}
+	if !on {
 		t.cancel()
 		t.cancel = nil
+		return
 	}
-	if on {
-		ctx, cancel := context.WithCancel(t.ctx)
-		t.cancel = cancel
-		go t.run(ctx, shared)
-	}
+	ctx, cancel := context.WithCancel(t.ctx)
+	t.cancel = cancel
+	go t.run(ctx, &t.shared)
 }
 
 // run lists and then watches, until ctx ends.
-func (s *storeReader) run(ctx context.Context, shared bool) {
-	pause := retryFirst
+func (s *storeReader) run(ctx context.Context, shared *atomic.Bool) {
+	pause, fresh := retryFirst, false
 	for ctx.Err() == nil {
-		err := s.follow(ctx, shared, func() { pause = retryFirst })
+		err := s.follow(ctx, shared, fresh, func() { pause = retryFirst })
 		if ctx.Err() != nil {
 			return
 		}
@@ -92,6 +100,7 @@
 		s.log.Warn().Err(err).Dur("pause", pause).Msg("The store gave no news.")
 		again := s.store.Compacted(err) || errors.Is(err, errOtherEra)
 		s.post(router.StoreContact{OK: again})
+		fresh = again // what is some seconds old may be older than the history that is left
 		if again {
 			continue
 		}
@@ -102,21 +111,21 @@
 
 // follow lists once and watches from there until a call fails. A failed watch leads to a new
 // listing: the store may have changed meanwhile in a way that a watch no longer tells.
-func (s *storeReader) follow(ctx context.Context, shared bool, worked func()) error {
-	atLeast, spread, between := watchWait, watchSpread, watchPause
-	if shared {
-		atLeast, spread, between = sharedWait, sharedSpread, sharedPause
-	}
+func (s *storeReader) follow(ctx context.Context, shared *atomic.Bool, fresh bool, worked func()) error {
 	s.metrics.Count("store.calls", 2)
-	all, err := s.store.List(ctx)
+	all, err := s.store.List(ctx, fresh)
 	if err != nil {
 		return err
 	}
 	worked()
 	s.post(router.News{Changes: all.Changes, Full: true, AsOf: all.AsOf, Revision: revisionOf(all.Changes), FromStore: true})
 	after := all.AsOf
-	for ctx.Err() == nil {
+	for first := true; ctx.Err() == nil; first = false {
 		s.metrics.Count("store.calls", 1)
+		atLeast, spread, between := watchWait, watchSpread, watchPause
+		if first || shared.Load() { // others may begin to rely on a host that has just started
+			atLeast, spread, between = sharedWait, sharedSpread, sharedPause
+		}
 		wait := atLeast + time.Duration(rand.Int64N(int64(spread)))
 		l, err := s.store.Watch(ctx, after.Number, wait)
 		if err != nil {
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -43,13 +43,16 @@
 	// later ones have to be asked for, and a registration that is older and unknown is gone.
 	complete routing.Revision
 	// eraAt is when complete came into its era of the store, and changes counts what changed of backend servers.
-	eraAt    time.Duration
-	changes  int
-	prints   uint64 // of all live registrations
-	synced   bool   // the store has been read since the start
-	reading  bool   // this host reads the store
-	triedAt  time.Duration
-	lost     bool
+	eraAt   time.Duration
+	changes int
+	prints  uint64 // of all live registrations
+	synced  bool   // the store has been read since the start
+	reading bool   // this host reads the store
+	triedAt time.Duration
+	lost    bool
+	// failed tells that the store has failed this host since it began to read at listedAt.
+	failed   bool
+	listedAt time.Duration
 	backAt   time.Duration
 	pulledAt time.Duration
 	heardAt  time.Duration // latest word of the store
@@ -71,10 +74,15 @@
 	if r.news.triedAt == 0 {
 		r.news.triedAt = max(1, r.now)
 	}
+	if was := r.lists(); !ok {
+		r.news.failed = true
+		r.changed = r.changed || was // those that rely on it hear at once
+	}
 	if ok == !r.news.lost {
 		return
 	}
 	r.news.lost = !ok
+	r.changed = r.changed || r.news.reading
 	if ok {
 		r.news.backAt = r.now
 		r.emit(Note{What: "store answers"})
@@ -257,9 +265,12 @@
 
 func (r *Router) expireNews() {
 	r.dropLost()
-	for _, b := range r.allBackends() {
-		if b.removed && r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
-			delete(r.backends, b.ID)
+	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
+		b := r.tombstones[id]
+		if r.now-b.removedAt > tombstoneFor && b.own.total() == 0 {
+			delete(r.tombstones, id)
+			delete(r.warming, id)
+			delete(r.backends, id)
 			delete(r.byHash, b.hash)
 			r.forgetOrder()
 		}
@@ -277,7 +288,7 @@
 
 // forgetOrder makes the lists of backend servers anew at their next use.
 func (r *Router) forgetOrder() {
-	r.ordered, r.byService, r.inZone = nil, nil, nil
+	r.ordered, r.byService, r.inZone, r.byZone = nil, nil, nil, nil
 	r.owners.valid = false
 }
 
@@ -292,14 +303,23 @@
 	return r.byService[service]
 }
 
+// backendsIn are the known backend servers of an availability zone, in order of their ids.
+func (r *Router) backendsIn(zone string) []*backend {
+	if r.byZone == nil {
+		r.byZone = map[string][]*backend{}
+		for _, b := range r.allBackends() {
+			r.byZone[b.Zone] = append(r.byZone[b.Zone], b)
+		}
+	}
+	return r.byZone[zone]
+}
+
 // zoneBackendsOf are those of a service that are in this host's zone, in order of their ids.
 func (r *Router) zoneBackendsOf(service string) []*backend {
 	if r.inZone == nil {
 		r.inZone = map[string][]*backend{}
-		for _, b := range r.allBackends() {
-			if b.Zone == r.opt.Zone {
-				r.inZone[b.Service] = append(r.inZone[b.Service], b)
-			}
+		for _, b := range r.backendsIn(r.opt.Zone) {
+			r.inZone[b.Service] = append(r.inZone[b.Service], b)
 		}
 	}
 	return r.inZone[service]
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"math/bits"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,12 +25,14 @@
 	// owns an engine hears of each request there from the first one on.
 	ownerAgeLeast = 300 * time.Millisecond
 	// occupancyEvery is the period at which owners tell their zone what their backend servers carry. It only
-	// decides which owner is asked first: the owner itself knows.
-	occupancyEvery = 250 * time.Millisecond
-	// occupancyStale is when an owner's word no longer counts: four periods.
-	occupancyStale = time.Second
-	// speedsEvery is how many of an owner's words pass between two that tell speeds.
-	speedsEvery = 4
+	// decides which owner is asked first: the owner itself knows. occupancyPerHost stretches it with the zone's hosts,
+	// so that a host hears the same number of words a second, however many owners there are.
+	occupancyEvery   = 250 * time.Millisecond
+	occupancyPerHost = 5 * time.Millisecond
+	// occupancyStale is after how many periods an owner's word no longer counts.
+	occupancyStale = 4
+	// speedsEvery is how many of an owner's words pass between two that tell all speeds; the others tell those that have changed.
+	speedsEvery = 16
 )
 
 // trust is how an owner has answered this host.
@@ -58,14 +62,23 @@
 // older belief, as if the host had decided alone.
 type ownerState struct {
 	valid bool
-	// byShard are the owners' IP numbers; empty where no host has run for long enough.
+	// until is when a host comes of age that may own some, so that owners must be computed anew.
+	until time.Duration
+	// hosts are those that may own, and ofAge tells that they have run for ownerAge.
+	hosts []string
+	ofAge bool
+	// byShard are the owners' IP numbers; empty where no host has run for long enough. shards are the backend servers.
 	byShard []string
-	// owned is how many shards this host owns.
+	shards  [][]*backend
+	// owned is how many shards this host owns, and mine their backend servers.
 	owned int
+	mine  []*backend
 	// tellAt is when this host next tells what its backend servers carry, and told counts its words.
 	tellAt time.Duration
 	told   int
-	trust  map[string]*trust
+	// expireAt is when words of owners that have fallen silent are next looked for.
+	expireAt time.Duration
+	trust    map[string]*trust
 	// knownUntil is until when owners of other zones know this host by its last beat.
 	knownUntil map[string]time.Duration
 }
@@ -75,8 +88,7 @@
 }
 
 // sharing tells whether backend servers have owners that are asked for places. In a small fleet every host
-// tells each change to all others instead; with 50 hosts a zone that took a thousand datagrams a second on
-// each.
+// tells each change to all others instead, which grows with the square of the hosts.
 func (r *Router) sharing() bool { return r.relaying() }
 
 // ownerOf is the host that owns a backend server; empty where none is known. Other zones name theirs in their
@@ -97,7 +109,7 @@
 
 // ownShards are the owners of this zone's backend servers.
 func (r *Router) ownShards() []string {
-	if !r.owners.valid {
+	if !r.owners.valid || r.now >= r.owners.until {
 		r.computeOwners()
 	}
 	return r.owners.byShard
@@ -112,63 +124,115 @@
 	return owner != "" && !r.answers(owner)
 }
 
-func (r *Router) owns(b *backend) bool { return r.ownerOf(b) == r.opt.Host }
+func (r *Router) owns(b *backend) bool {
+	if !r.sharing() || b.Zone != r.opt.Zone {
+		return false
+	}
+	r.ownShards()
+	return b.mine
+}
 
 // computeOwners divides the zone's backend servers into a power of two of shards, so that the number seldom
 // changes, and finds each shard's owner by rendezvous hashing over the hosts that live and stay.
 func (r *Router) computeOwners() {
+	zone := r.backendsIn(r.opt.Zone)
 	n := 0
-	for _, b := range r.allBackends() {
-		if b.Zone == r.opt.Zone && !b.removed {
+	for _, b := range zone {
+		if !b.removed {
 			n++
 		}
 	}
 	shards := 1 << bits.Len(uint(n/shardSize))
-	r.owners.valid = true
 	if len(r.owners.byShard) != shards {
 		r.owners.byShard = make([]string, shards)
 	}
+	hosts := r.ownersOfAge()
+	r.owners.hosts = hosts
+	clear(r.limits.owners)
 	owned := r.owners.owned
 	r.owners.owned = 0
 	for s := range r.owners.byShard {
-		owner := r.shardOwner(uint64(s), ownerAge)
-		if owner == "" {
-			owner = r.shardOwner(uint64(s), ownerAgeLeast)
-		}
+		owner := bestOwner(hosts, uint64(s))
 		r.owners.byShard[s] = owner
 		if owner == r.opt.Host {
 			r.owners.owned++
 		}
 	}
+	r.owners.valid = true
 	if r.owners.owned != owned {
 		r.emit(Note{What: "owns backend servers", Detail: fmt.Sprintf("%d of %d shards", r.owners.owned, shards)})
 	}
-	for _, b := range r.allBackends() {
-		if b.fromOwner && b.Zone == r.opt.Zone && r.owns(b) {
+	r.owners.mine = r.owners.mine[:0]
+	r.owners.shards = make([][]*backend, shards)
+	for _, b := range zone {
+		shard := b.hash % uint32(shards)
+		r.owners.shards[shard] = append(r.owners.shards[shard], b)
+		b.mine = r.owners.byShard[shard] == r.opt.Host
+		if b.mine {
 			b.fromOwner = false
+			r.owners.mine = append(r.owners.mine, b)
 		}
 	}
 }
 
-// shardOwner is the owner among hosts that have run for so long; empty where there is none.
-func (r *Router) shardOwner(shard uint64, age time.Duration) string {
-	var owner string
-	var best uint64
-	consider := func(host string) {
-		if v := shardRank(host, shard); owner == "" || v > best {
-			owner, best = host, v
+// never is a moment that does not come.
+const never = time.Duration(math.MaxInt64)
+
+// ownersOfAge are the hosts of this zone that may own backend servers: those that have run for ownerAge, or where there is
+// none, for ownerAgeLeast. It notes when the next one comes of age.
+func (r *Router) ownersOfAge() []string {
+	var old, young []string
+	r.owners.until = never
+	consider := func(host string, bornAt time.Duration) {
+		switch age := r.now - bornAt; {
+		case age >= ownerAge:
+			old = append(old, host)
+			return
+		case age >= ownerAgeLeast:
+			young = append(young, host)
+			r.owners.until = min(r.owners.until, bornAt+ownerAge)
+		default:
+			r.owners.until = min(r.owners.until, bornAt+ownerAgeLeast)
 		}
 	}
-	if r.drain == nil && r.now >= age {
-		consider(r.opt.Host)
+	if r.drain == nil {
+		consider(r.opt.Host, 0)
 	}
-	for _, h := range r.members.order {
-		m := r.members.byHost[h]
-		if m.zone == r.opt.Zone && !m.silent && !m.leaving && r.now-m.bornAt >= age {
-			consider(h)
+	for _, h := range r.zoneMates() {
+		if m := r.members.byHost[h]; !m.leaving {
+			consider(h, m.bornAt)
 		}
 	}
-	return owner
+	r.owners.ofAge = len(old) > 0
+	if r.owners.ofAge {
+		return old
+	}
+	return young
+}
+
+// bestOwner is a shard's owner among some hosts; empty where there are none.
+func bestOwner(hosts []string, shard uint64) string {
+	first, _ := bestTwo(hosts, shard)
+	return first
+}
+
+// bestOwners are the first two hosts for a shard, as far as there are any.
+func bestOwners(hosts []string, shard uint64) []string {
+	first, second := bestTwo(hosts, shard)
+	return slices.DeleteFunc([]string{first, second}, func(h string) bool { return h == "" })
+}
+
+func bestTwo(hosts []string, shard uint64) (first, second string) {
+	var best, next uint64
+	for _, host := range hosts {
+		switch v := shardRank(host, shard); {
+		case first == "" || v > best:
+			first, best, second, next = host, v, first, best
+		case second == "" || v > next:
+			second, next = host, v
+		}
+	}
+	return first, second
 }
 
 // shardRank mixes a host with a shard, so that each shard orders the hosts in its own way.
@@ -184,22 +248,30 @@
 	if !r.sharing() || r.now < r.owners.tellAt {
 		return
 	}
-	r.owners.tellAt = r.now + occupancyEvery
-	o := &gossippb.Occupancy{}
-	speeds := r.owners.told%speedsEvery == 0
-	for _, b := range r.allBackends() {
-		if b.removed || !r.owns(b) {
+	r.owners.tellAt = r.now + r.occupancyPeriod()
+	o := &gossippb.Occupancy{All: true}
+	whole := r.owners.told%speedsEvery == 0
+	r.ownShards()
+	for _, b := range r.owners.mine {
+		if b.removed {
 			continue
 		}
-		o.Loads = append(o.Loads, b.carried().message(b.hash))
-		if speeds && b.samples > 0 {
+		if all := b.carried(); all != (load{}) {
+			o.Loads = append(o.Loads, all.message(b.hash))
+		}
+		if b.samples > 0 && (whole || b.speed().differs(b.told)) {
+			b.told = b.speed()
 			o.Speeds = append(o.Speeds, b.speedMessage())
 		}
 	}
-	if len(o.Loads) == 0 {
+	if len(r.owners.mine) == 0 {
 		return
 	}
-	o.Failing = r.failingOf(r.owns)
+	for _, b := range r.owners.mine {
+		if !b.removed && b.fails() {
+			o.Failing = append(o.Failing, b.hash)
+		}
+	}
 	r.owners.told++
 	r.emit(Send{To: r.zoneMates(), Packet: &gossippb.Packet{Occupancy: o}})
 }
@@ -213,7 +285,11 @@
 
 // takeOccupancy takes an owner's word of what its backend servers carry.
 func (r *Router) takeOccupancy(from string, o *gossippb.Occupancy) {
-	r.takeOwnersWords(o.Loads)
+	if o.All {
+		r.takeAllOf(from, loadsOf(o.Loads))
+	} else {
+		r.takeOwnersWords(o.Loads)
+	}
 	r.takeOwnersFailing(o.Failing)
 	for _, s := range o.Speeds {
 		if b, ok := r.byHash[s.Backend]; ok && r.ownerOf(b) == from {
@@ -222,6 +298,18 @@
 	}
 }
 
+// takeAllOf takes an owner's word of all its backend servers; those that it does not name carry nothing.
+func (r *Router) takeAllOf(owner string, told loads) {
+	for shard, o := range r.ownShards() {
+		if o != owner {
+			continue
+		}
+		for _, b := range r.owners.shards[shard] {
+			r.takeOwnersWord(b, told[b.hash])
+		}
+	}
+}
+
 // takeOwnersWords takes what an owner says of several backend servers.
 func (r *Router) takeOwnersWords(list []*gossippb.Load) {
 	for _, l := range list {
@@ -244,10 +332,21 @@
 	b.fromOwner, b.ownersWord, b.ownersWordAt = true, all, r.now
 }
 
+// occupancyPeriod is the time between two words of an owner that nothing brings forward.
+func (r *Router) occupancyPeriod() time.Duration {
+	return max(occupancyEvery, occupancyPerHost*time.Duration(len(r.zoneMates())))
+}
+
 // expireOccupancy goes back to what the other hosts' beats say where an owner has fallen silent.
 func (r *Router) expireOccupancy() {
+	if r.now < r.owners.expireAt {
+		return
+	}
+	r.owners.expireAt = r.now + occupancyEvery
+	stale := occupancyStale * r.occupancyPeriod()
 	for _, b := range r.allBackends() {
-		if b.fromOwner && r.now-b.ownersWordAt > occupancyStale {
+		told := b.Zone != r.opt.Zone && !r.zoneSilent(b.Zone) // in its zone's sums, not in each
+		if b.fromOwner && !told && r.now-b.ownersWordAt > stale {
 			b.fromOwner = false
 		}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,7 +8,7 @@
 // (what is believed of each), zones (sums between availability zones), peers (which hosts are named to
 // others), reading (who reads the store), evacuations, cold, failing and regions (why a backend server gets no or few
 // requests), place (where a request goes), owners (who is asked), ask (questions for a place), grant (answers to them),
-// requests (their lives), beats.
+// quotas (who decides over a workspace's), requests (their lives), beats.
 package router
 
 import (
@@ -56,12 +56,16 @@
 	news     newsState
 	backends map[string]*backend
 	byHash   map[uint32]*backend
+	// tombstones are the backends whose registration is gone, and warming those that are cold, by id.
+	tombstones map[string]*backend
+	warming    map[string]*backend
 	// ordered are the backends in order of their ids; nil where it must be made again.
 	ordered []*backend
-	// byService are the backends by service, in order, and inZone those of this host's zone; nil where they
-	// must be made again.
+	// byService are the backends by service, in order, inZone those of this host's zone, and byZone all by zone; nil
+	// where they must be made again.
 	byService map[string][]*backend
 	inZone    map[string][]*backend
+	byZone    map[string][]*backend
 	owners    ownerState
 	// asks are the questions to owners, the oldest first.
 	asks      []*ask
@@ -74,6 +78,7 @@
 	// candidates is where decisions gather them, kept so that none allocates.
 	candidates [classes][]candidate
 	quotas     map[string]*limit.Quota
+	limits     quotaState
 	// quotaOrder are the names of quotas, nil where the list must be made again; toldSpent is what beats
 	// last told of each, and spentTold counts them.
 	quotaOrder []string
@@ -97,19 +102,22 @@
 // New returns a reducer in its first state: no configuration, no peers.
 func New(opt Options) *Router {
 	r := &Router{
-		opt:       opt,
-		rng:       rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
-		members:   newMembers(),
-		news:      newNewsState(),
-		backends:  map[string]*backend{},
-		byHash:    map[uint32]*backend{},
-		zones:     newZoneState(),
-		services:  map[string]*service{},
-		requests:  map[uint64]*request{},
-		quotas:    map[string]*limit.Quota{},
-		toldSpent: map[string]uint64{},
-		owners:    newOwnerState(),
-		suspects:  newSuspectState(),
+		opt:        opt,
+		rng:        rand.New(rand.NewPCG(opt.Seed, opt.Incarnation)),
+		members:    newMembers(),
+		news:       newNewsState(),
+		backends:   map[string]*backend{},
+		byHash:     map[uint32]*backend{},
+		tombstones: map[string]*backend{},
+		warming:    map[string]*backend{},
+		zones:      newZoneState(),
+		services:   map[string]*service{},
+		requests:   map[uint64]*request{},
+		quotas:     map[string]*limit.Quota{},
+		toldSpent:  map[string]uint64{},
+		owners:     newOwnerState(),
+		limits:     newQuotaState(),
+		suspects:   newSuspectState(),
 
 		evacuations: map[string]*evacuation{},
 	}
@@ -146,6 +154,10 @@
 		r.reported(e.From, e.Report)
 	case Occupied:
 		r.takeOccupancy(e.From, e.Occupancy)
+	case ChargeAsked:
+		r.chargeAsked(e.From, e.Charge)
+	case ChargeAnswered:
+		r.chargeAnswered(e.From, e.Charged)
 	case Relayed:
 		r.takeZones(r.opt.Zone, e.Relay.Zones)
 	case News:
@@ -160,6 +172,7 @@
 		r.settle(e)
 	case Drain:
 		r.drain = &e
+		r.membersChanged()
 		r.sendBeats()
 	}
 	r.tellChange()
@@ -196,6 +209,7 @@
 
 func (r *Router) tick() {
 	r.expireAsks()
+	r.expireCharges()
 	if r.now >= r.choresAt {
 		r.chores()
 		if r.relaying() {
@@ -215,7 +229,6 @@
 
 // chores are what time does to lists.
 func (r *Router) chores() {
-	r.owners.valid = false
 	r.expireMembers()
 	r.expireZones()
 	r.expireNews()
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -12,8 +12,7 @@
 
 const (
 	// fullMesh is the most hosts that all talk to each other. Above it beats go to the own zone
-	// only, and sums go between zones: at 79 hosts, all to all cost a fifth of the answers' worth
-	// in bytes between zones alone.
+	// only, and sums go between zones, where bytes are dear.
 	fullMesh = 16
 	// speakers are the hosts of a zone that send its sums to one other zone, and how many hosts
 	// there they are sent to. Two, so that the loss of one goes unnoticed.
@@ -30,9 +29,12 @@
 
 // zoneState is what this host knows of the other zones, where not all hosts talk to each other.
 type zoneState struct {
-	sums    map[string]*zoneSum
-	sumAt   time.Duration
-	peersAt time.Duration
+	sums  map[string]*zoneSum
+	sumAt time.Duration
+	// sumsTold counts this host's sums, and ownersTold are the owners that they named last.
+	sumsTold   int
+	ownersTold []string
+	peersAt    time.Duration
 	// readerAt is when a zone mate in contact with the store was last heard.
 	readerAt time.Duration
 	decided  bool
@@ -69,15 +71,17 @@
 // direct tells whether this host sends its beats to hosts of a zone.
 func (r *Router) direct(zone string) bool { return zone == r.opt.Zone || !r.relaying() }
 
-// zoneMates are the other hosts of this zone that are heard.
+// zoneMates are the other hosts of this zone that are heard, in order. The list is shared; it is not to be changed.
 func (r *Router) zoneMates() []string {
-	var out []string
-	for _, h := range r.members.order {
-		if m := r.members.byHost[h]; m.zone == r.opt.Zone && !m.silent {
-			out = append(out, h)
+	if r.members.mates == nil {
+		r.members.mates = make([]string, 0, len(r.members.order))
+		for _, h := range r.members.order {
+			if m := r.members.byHost[h]; m.zone == r.opt.Zone && !m.silent {
+				r.members.mates = append(r.members.mates, h)
+			}
 		}
 	}
-	return out
+	return r.members.mates
 }
 
 // duty tells whether this host is among the first n of its zone for a purpose. Each host computes
@@ -189,14 +193,14 @@
 
 // ownZoneSum adds up what other zones have to know of this one: who owns its backend servers, what these
 // carry, requests of all zones together, and what its hosts have admitted. So each zone tells of its own
-// backend servers, and nothing is told or counted twice: a sum with the loads at all zones took most of small
-// hosts' links at 300 hosts.
+// backend servers, and nothing is told or counted twice.
 func (r *Router) ownZoneSum() *gossippb.ZoneSum {
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: slices.Clone(r.ownShards()), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
-	for _, b := range r.allBackends() {
-		if b.Zone != r.opt.Zone || b.removed {
+		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: r.ownersToTell(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
+	s.WithoutLoads = r.zones.sumsTold%r.loadsEvery() != 0
+	for _, b := range r.backendsIn(r.opt.Zone) {
+		if b.removed || s.WithoutLoads {
 			continue
 		}
 		if all := b.carried(); all.total() > 0 {
@@ -211,6 +215,27 @@
 	return s
 }
 
+// loadsASum is how many of a zone's backend servers there are for each sum that leaves out what they carry, so that the bytes
+// between zones do not grow with them. Those elsewhere decide by it only whom to ask.
+const loadsASum = 250
+
+// loadsEvery is how many sums pass between two that tell what the zone's backend servers carry.
+func (r *Router) loadsEvery() int { return 1 + len(r.backendsIn(r.opt.Zone))/loadsASum }
+
+// ownersEvery is how many sums pass between two that name the zone's owners though these are the same: what was lost is told again.
+const ownersEvery = 4
+
+// ownersToTell are the owners of this zone's backend servers, where they have changed or have not been told for a while.
+func (r *Router) ownersToTell() []string {
+	owners := r.ownShards()
+	r.zones.sumsTold++
+	if r.zones.sumsTold%ownersEvery != 0 && slices.Equal(owners, r.zones.ownersTold) {
+		return nil
+	}
+	r.zones.ownersTold = slices.Clone(owners)
+	return r.zones.ownersTold
+}
+
 // relaySpread spreads what several hosts have heard at once, so that the first passes it on for all.
 const relaySpread = 100 * time.Millisecond
 
@@ -265,8 +290,13 @@
 	}
 	z.speaker, z.incarnation, z.seq, z.hosts, z.at = s.Speaker, s.Incarnation, s.Seq, int(s.Hosts), r.now
 	z.known = int(s.Known)
-	z.owners, z.stale = s.Owners, false
-	r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
+	z.stale = false
+	if len(s.Owners) > 0 {
+		z.owners = s.Owners
+	}
+	if !s.WithoutLoads {
+		r.takeZoneLoads(s.Zone, loadsOf(s.Loads))
+	}
 	r.takeOwnersFailing(s.Failing)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
@@ -281,8 +311,8 @@
 
 // takeZoneLoads takes what another zone's backend servers carry; those that are not named carry nothing.
 func (r *Router) takeZoneLoads(zone string, told loads) {
-	for _, b := range r.allBackends() {
-		if b.Zone == zone && !b.removed {
+	for _, b := range r.backendsIn(zone) {
+		if !b.removed {
 			r.takeOwnersWord(b, told[b.hash])
 		}
 	}
@@ -314,8 +344,8 @@
 // zoneBack takes the backend servers of a zone that was cut off for reachable again. Those that could not
 // be reached stay on probation: one request at a time until one is answered.
 func (r *Router) zoneBack(zone string) {
-	for _, b := range r.allBackends() {
-		if b.Zone == zone && r.now < b.unreachable {
+	for _, b := range r.backendsIn(zone) {
+		if r.now < b.unreachable {
 			b.unreachable = 0
 			b.avoidUntil = r.now
 		}
