Datagrams to whole zones go at a pace of the link, sums tell what was spent since, news of a configuration go out at once

Evidence, logs of 103 hosts of one zone of the whole fleet: 994 times in a minute a host took another zone for cut off, single hosts at a time, with no cut. Cause: a sum names 490 backend servers, 64 owners and 200 workspaces, and is passed on to a hundred hosts at once by one with 20 Mbit/s: some 300 KB, of which what overflows the link is lost, for those last in the list. Hosts that take zones for cut off keep quotas back and avoid the zones' servers.

Changes of backend servers in a beat that others have overtaken are taken: they have revisions.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/gravitational/trace"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
 
 	"fireflyshift/internal/admin"
 	"fireflyshift/internal/gateway"
@@ -63,6 +64,7 @@
 	sent, heard traffic
 	pool        *upstream.Pool
 	socket      *gossip.Socket
+	pacer       *gossip.Pacer
 	callers     *http.Server
 	connections *connections
 	others      []*http.Server
@@ -112,6 +114,7 @@
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
 	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, connections: newConnections()}
+	n.pacer = gossip.NewPacer(socket, set.LinkMbps)
 	n.sent, n.heard = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.For(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
@@ -157,6 +160,10 @@
 	}
 	g.Go(func() error { n.control.run(ctx); return nil })
 	g.Go(func() error { n.expire(ctx); return nil })
+	g.Go(func() error {
+		n.pacer.Run(ctx, func(err error) { n.sendFailed(1, err) })
+		return nil
+	})
 	if parts.Load != nil {
 		g.Go(func() error { n.watchSettings(ctx, parts.Load, parts.Reload); return nil })
 	}
@@ -210,14 +217,29 @@
 
 // send writes a datagram to hosts.
 func (n *Node) send(to []string, p *gossippb.Packet) {
+	if len(to) > fewHosts && n.pacer.Paces(len(to), proto.Size(p)) {
+		if !n.pacer.Send(to, p) {
+			n.metrics.Count("datagrams.dropped", int64(len(to)))
+			return
+		}
+		n.sent.add(p, len(to), len(to)*proto.Size(p))
+		return
+	}
 	size, failed, err := n.socket.Send(to, p)
 	n.sent.add(p, len(to), len(to)*size)
 	if failed > 0 {
-		n.metrics.Count("datagrams.failed", int64(failed))
-		n.log.Debug().Err(err).Int("failed", failed).Msg("Datagrams not sent.")
+		n.sendFailed(failed, err)
 	}
 }
 
+// fewHosts are sent to at once, whatever the size.
+const fewHosts = 8
+
+func (n *Node) sendFailed(datagrams int, err error) {
+	n.metrics.Count("datagrams.failed", int64(datagrams))
+	n.log.Debug().Err(err).Int("failed", datagrams).Msg("Datagrams not sent.")
+}
+
 // received turns a datagram into an event.
 func (n *Node) received(from string, p *gossippb.Packet, size int) {
 	n.heard.add(p, 1, size)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -22,6 +22,8 @@
 	Seeds    []string
 	Store    string
 	MemoryMB int
+	// LinkMbps is the speed of the host's link; zero where unknown.
+	LinkMbps float64
 	Cores    int
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -144,6 +144,7 @@
 	if b.Host == r.opt.Host || b.Host == "" {
 		return
 	}
+	r.takeChanges(b.Changes) // they have revisions of their own, and go out at the pace of a small link
 	m, known := r.members.byHost[b.Host]
 	if known && b.Incarnation == m.incarnation && b.Seq <= m.seq {
 		return
@@ -195,7 +196,6 @@
 	r.takeSpeeds(b.Speeds)
 	r.takeSpent(m, b.Spent, returned)
 	r.takeZones(m.zone, b.Zones)
-	r.takeChanges(b.Changes)
 	r.takeSuspects(b.Suspects)
 	r.takeLeaving(m.host, b.Leaves)
 	r.takeEvacuations(m.host, b.Evacuations)
@@ -275,6 +275,9 @@
 		m.spent[s.Workspace] = s.Amount
 		if q, ok := r.quotas[s.Workspace]; ok {
 			q.Heard(limit.Word{From: m.name, Spent: float64(s.Amount), InZone: m.zone == r.opt.Zone, Returned: returned, Young: r.now-m.bornAt <= youngFor})
+			if q.Tight() {
+				r.zones.tightUntil = r.now + tightFor
+			}
 		}
 	}
 }
--- a/internal/router/news.go
+++ b/internal/router/news.go
@@ -205,7 +205,8 @@
 
 func (r *Router) adopt(c *routing.Config) {
 	r.inv.Check(c.Version > r.version(), "configuration goes back from %d to %d", r.version(), c.Version)
-	r.changed = r.changed || r.table == nil // those that wait for a first configuration hear of it at once
+	// Those that wait for a first configuration, or rely on this host's reading, hear of it at once.
+	r.changed = r.changed || r.table == nil || r.news.reading
 	r.table = routing.NewTable(c)
 	r.noteUnknownRegions(c)
 	for i := range c.Workspaces {
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"testing"
@@ -305,3 +306,37 @@
 		require.Equal(t, slices.Contains(owners, h.ip), answer.Admitted, "%s", h.ip)
 	}
 }
+
+// Guards against sums that name all of hundreds of workspaces each time: passed on to a hundred hosts at once they overflow a small
+// host's link, and those who miss them take the zone for cut off.
+func TestSumsNameWhatWasSpentSince(t *testing.T) {
+	const workspaces = 200
+	b := newBench(t, 1)
+	cfg := &routing.Config{Version: 9}
+	for i := range workspaces {
+		cfg.Workspaces = append(cfg.Workspaces, routing.Workspace{Name: fmt.Sprintf("w%03d", i), Rate: 1e6, Burst: 1e6, InTokens: true})
+	}
+	b.post(News{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: cfg}})
+	for _, q := range b.r.quotas {
+		ok, _ := q.Admit(b.now, 10, b.r.ownPart())
+		require.True(t, ok)
+	}
+	require.Len(t, b.r.spentToTell(), workspaces, "all have changed")
+	named := map[string]int{}
+	for range spentSums {
+		b.r.zones.sumsTold++
+		list := b.r.spentToTell()
+		require.LessOrEqual(t, len(list), workspaces/spentSums+1)
+		for _, s := range list {
+			named[s.Workspace]++
+		}
+	}
+	require.Len(t, named, workspaces, "what was lost is told again")
+	ok, _ := b.r.quotas["w123"].Admit(b.now, 10, b.r.ownPart())
+	require.True(t, ok)
+	names := []string{}
+	for _, s := range b.r.spentToTell() {
+		names = append(names, s.Workspace)
+	}
+	require.Contains(t, names, "w123")
+}
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -34,7 +34,11 @@
 	// sumsTold counts this host's sums, and ownersTold are the owners that they named last.
 	sumsTold   int
 	ownersTold []string
-	peersAt    time.Duration
+	// loadsAt is when its sums next tell loads, and tightUntil until when they go out twice as often, as some quota is near its end.
+	loadsAt, tightUntil time.Duration
+	// spentTold is what its last sum that named a workspace told of its quota.
+	spentTold map[string]uint64
+	peersAt   time.Duration
 	// readerAt is when a zone mate in contact with the store was last heard.
 	readerAt time.Duration
 	decided  bool
@@ -63,7 +67,9 @@
 
 func (z *zoneSum) key() string { return z.zone + "/" + z.speaker + "/" + itoa(z.incarnation) }
 
-func newZoneState() zoneState { return zoneState{sums: map[string]*zoneSum{}} }
+func newZoneState() zoneState {
+	return zoneState{sums: map[string]*zoneSum{}, spentTold: map[string]uint64{}}
+}
 
 // relaying tells whether there are too many hosts for all to talk to each other.
 func (r *Router) relaying() bool { return len(r.members.zoneOf)+1 > fullMesh }
@@ -176,6 +182,9 @@
 		return
 	}
 	r.zones.sumAt = r.now + sumEvery
+	if r.now < r.zones.tightUntil {
+		r.zones.sumAt = r.now + sumEvery/2
+	}
 	var sum *gossippb.ZoneSum // the same for all zones
 	for _, zone := range r.otherZones() {
 		if !r.duty("speaks to "+zone, speakers) {
@@ -198,7 +207,10 @@
 	known, heard := r.directCensus()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
 		Hosts: uint32(heard), Known: uint32(known), AgeMs: r.ageMs(), Owners: r.ownersToTell(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailing()}
-	s.WithoutLoads = r.zones.sumsTold%r.loadsEvery() != 0
+	s.WithoutLoads = r.now < r.zones.loadsAt
+	if !s.WithoutLoads {
+		r.zones.loadsAt = r.now + r.loadsPeriod()
+	}
 	for _, b := range r.backendsIn(r.opt.Zone) {
 		if b.removed || s.WithoutLoads {
 			continue
@@ -207,20 +219,18 @@
 			s.Loads = append(s.Loads, all.message(b.hash))
 		}
 	}
-	for _, name := range r.quotaNames() {
-		if v := r.quotas[name].ZoneSpent(); v > 0 {
-			s.Spent = append(s.Spent, &gossippb.Spent{Workspace: name, Amount: uint64(v)})
-		}
-	}
+	s.Spent = r.spentToTell()
 	return s
 }
 
-// loadsASum is how many of a zone's backend servers there are for each sum that leaves out what they carry, so that the bytes
-// between zones do not grow with them. Those elsewhere decide by it only whom to ask.
+// loadsASum is how many of a zone's backend servers there are for each sumEvery between two sums that tell what they carry, so that
+// the bytes between zones do not grow with them. Those elsewhere decide by it only whom to ask.
 const loadsASum = 250
 
-// loadsEvery is how many sums pass between two that tell what the zone's backend servers carry.
-func (r *Router) loadsEvery() int { return 1 + len(r.backendsIn(r.opt.Zone))/loadsASum }
+// loadsPeriod is the time between two sums that tell what the zone's backend servers carry, less what a tick may be early.
+func (r *Router) loadsPeriod() time.Duration {
+	return sumEvery*time.Duration(1+len(r.backendsIn(r.opt.Zone))/loadsASum) - sumEvery/4
+}
 
 // ownersEvery is how many sums pass between two that name the zone's owners though these are the same: what was lost is told again.
 const ownersEvery = 4
@@ -236,6 +246,23 @@
 	return r.zones.ownersTold
 }
 
+// spentSums is how many sums pass between two that tell what was spent of a quota though nothing was since.
+const spentSums = 8
+
+// spentToTell is what the zone has spent of the quotas that have changed since the last sum, and of some of the others in turn.
+func (r *Router) spentToTell() []*gossippb.Spent {
+	var out []*gossippb.Spent
+	for i, name := range r.quotaNames() {
+		v := uint64(r.quotas[name].ZoneSpent())
+		inTurn := (i+r.zones.sumsTold)%spentSums == 0
+		if v > 0 && (inTurn || v != r.zones.spentTold[name]) {
+			out = append(out, &gossippb.Spent{Workspace: name, Amount: v})
+			r.zones.spentTold[name] = v
+		}
+	}
+	return out
+}
+
 // relaySpread spreads what several hosts have heard at once, so that the first passes it on for all.
 const relaySpread = 100 * time.Millisecond
 
