Readers that others rely on pause for 0.6 s between watches while things change

Three readers a zone hear of a change after a quarter of that on average; in the whole fleet the store's registrations change all the time, and 18 readers made over fifty calls a second.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -43,7 +43,7 @@
 	// their being in contact, so that silence must show soon.
 	sharedWait   = 1200 * time.Millisecond
 	sharedSpread = 300 * time.Millisecond
-	sharedPause  = 300 * time.Millisecond
+	sharedPause  = 600 * time.Millisecond
 	// retryFirst to retryMost pace the calls to a store that fails.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 800 * time.Millisecond
