--- a/internal/router/news_test.go
+++ b/internal/router/news_test.go
@@ -162,3 +162,13 @@
 
 // rev is a revision of the store's first era.
 func rev(number uint64) routing.Revision { return routing.Revision{Number: number} }
+
+// Guards against changes of backend servers that are lost as a later beat overtakes the one that brings them.
+func TestChangesInAnOvertakenBeatAreTaken(t *testing.T) {
+	b := newBench(t, 0)
+	data, err := json.Marshal([]routing.BackendChange{changeOf("late", 60, false)})
+	require.NoError(t, err)
+	b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 2}})
+	b.post(Heard{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1, Changes: data}})
+	require.Contains(t, b.r.backends, "late")
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -25,7 +25,7 @@
 	evacuationTests = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests    = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests        = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
-	quotaTests      = []string{"./internal/router", "-run", "Quota|Owner"}
+	quotaTests      = []string{"./internal/router", "-run", "Quota|Owner|SumsName"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -148,7 +148,7 @@
 	{"router-dead-last", "8", "internal/router/place.go", "	if g.Full > 0 {\n\t\tlists[dead] = lists[dead][:0]\n\t}\n", "", routerTests},
 	{"router-ghost", "4", "internal/router/registrations.go", "if !ch.Revision.After(r.news.complete) {", "if false {", routerTests},
 	{"router-complete", "6", "internal/router/news.go", "if !n.After.After(r.news.complete) {", "if true {", routerTests},
-	{"router-own-servers", "8", "internal/router/zones.go", "	for _, b := range r.backendsIn(r.opt.Zone) {\n		if b.removed {\n", "	for _, b := range r.allBackends() {\n		if b.removed {\n", routerTests},
+	{"router-own-servers", "8", "internal/router/zones.go", "	for _, b := range r.backendsIn(r.opt.Zone) {\n		if b.removed || s.WithoutLoads {\n", "	for _, b := range r.allBackends() {\n		if b.removed || s.WithoutLoads {\n", routerTests},
 	{"router-own-in-word", "8", "internal/router/owners.go", "all.counts[p] = max(0, all.counts[p]-b.own.counts[p])", "all.counts[p] = max(0, all.counts[p])", routerTests},
 	{"owner-late-offer", "8", "internal/router/ask.go", "	if !ok || q.asking != a {\n\t\tr.giveBack(a, o)\n", "	if !ok || q.asking != a {\n", routerTests},
 	{"owner-own-check", "4", "internal/router/ask.go", "if o.Place == nil || b == nil || !r.mayUse(q, b) {", "if o.Place == nil || b == nil {", routerTests},
@@ -221,6 +221,9 @@
 	{"store-old-pages", "8", "platform/store.go", "		out := node.Listing{AsOf: earliest(operators.asOf, servers.asOf)}\n", "		out := node.Listing{AsOf: operators.asOf}\n", onPlatform("OldListing")},
 	{"store-cheap-pages", "8", "platform/store.go", "			q.Set(\"stale-ok\", \"1\")\n", "", onPlatform("ListingOfMany")},
 	{"reading-few", "8", "internal/router/reading.go", "moreReaders = 8\n", "moreReaders = 1 << 10\n", []string{"./internal/router", "-run", "RefusedReaders"}},
+	{"sums-spent-since", "8", "internal/router/zones.go", "if v > 0 && (inTurn || v != r.zones.spentTold[name]) {", "if v > 0 {", quotaTests},
+	{"beats-overtaken", "8", "internal/router/members.go", "	r.takeChanges(b.Changes) // they have revisions of their own, and go out at the pace of a small link\n", "", []string{"./internal/router", "-run", "Overtaken"}},
+	{"gossip-paced", "8", "internal/gossip/pacer.go", "				if sent += len(f.data); sent >= paceStep {\n", "				if false {\n", []string{"./internal/gossip"}},
 	{"quota-owner-only", "limits", "internal/router/quotas.go", "if known && slices.Contains(r.quotaOwners(c.Workspace), r.opt.Host) {", "if known {", quotaTests},
 	{"quota-other-owner", "limits", "internal/router/quotas.go", "next > 0 && next < len(owners) {", "next < 0 {", quotaTests},
 	{"quota-given-back", "limits", "internal/router/quotas.go", "		if a.Admitted {\n", "		if false {\n", quotaTests},
