--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -390,3 +390,17 @@
 	ok, _ = q.Admit(time.Minute+time.Second, 4500, p)
 	require.True(t, ok)
 }
+
+// Guards against zones that each give out half more than their even part before they hear of each other.
+func TestZoneKeepsNearItsEvenPart(t *testing.T) {
+	const rate, cost, zones, hosts = 640_000.0, 1000.0, 6, 96
+	q := NewQuota(0, rate, rate, Allowance{Window: window, Over: 0.25, Slack: 190_000})
+	admitted := 0.0
+	for ok := true; ok; {
+		if ok, _ = q.Admit(0, cost, Part{Hosts: hosts, For: hosts / zones, Heard: 1}); ok {
+			admitted += cost
+		}
+	}
+	require.GreaterOrEqual(t, admitted, rate/zones)
+	require.LessOrEqual(t, admitted, 1.3*rate/zones)
+}
--- a/internal/node/toggle_test.go
+++ b/internal/node/toggle_test.go
@@ -10,20 +10,21 @@
 
 // Guards against a host that lists the whole store anew as it learns that others rely on its reading.
 func TestReadingGoesOnAsItBecomesShared(t *testing.T) {
-	began, seen := make(chan struct{}, 2), make(chan *atomic.Bool, 2)
-	r := &toggle{ctx: t.Context(), run: func(ctx context.Context, shared *atomic.Bool) {
-		seen <- shared
-		began <- struct{}{}
-		<-ctx.Done()
-	}}
+	type reading struct {
+		ctx    context.Context
+		shared *atomic.Bool
+	}
+	begun := make(chan reading, 2)
+	r := &toggle{ctx: t.Context(), run: func(ctx context.Context, shared *atomic.Bool) { begun <- reading{ctx, shared} }}
 	r.set(true, false)
-	<-began
-	shared := <-seen
-	require.False(t, shared.Load())
+	first := <-begun
+	require.False(t, first.shared.Load())
 	r.set(true, true)
-	require.True(t, shared.Load())
-	require.Empty(t, began)
+	require.True(t, first.shared.Load())
+	require.NoError(t, first.ctx.Err())
 	r.set(false, false)
+	require.Error(t, first.ctx.Err())
 	r.set(true, false)
-	<-began
+	require.NoError(t, (<-begun).ctx.Err())
+	require.Empty(t, begun)
 }
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -340,3 +340,19 @@
 	}
 	require.Contains(t, names, "w123")
 }
+
+// Guards against requests that are decided by a host's own small part for as long as a dead owner of their quota seems to live.
+func TestSecondOwnerDecidesWhileTheFirstIsSilent(t *testing.T) {
+	f := newWorkspace(t, 16, smallRate)
+	owners := f.hosts[0].r.quotaOwners("w")
+	f.byIP[owners[0]].dead = true
+	asker := f.hosts[slices.IndexFunc(f.hosts, func(h *zoneHost) bool { return !slices.Contains(owners, h.ip) })]
+	admitted := 0
+	for range 3 {
+		f.submitAt(asker, &f.workspace, 1000, func(string) { admitted++ })
+		f.run(100*time.Millisecond, 0)
+	}
+	require.Equal(t, 3, admitted)
+	require.InDelta(t, 3000, f.byIP[owners[1]].r.quotas["w"].Spent(), 0.1)
+	require.Zero(t, asker.r.quotas["w"].Spent())
+}
