--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -573,3 +573,23 @@
 	now := z.now
 	run("tick", func(int) { now += zoneTick * zoneStep; owner.r.Reduce(now, Tick{}) })
 }
+
+// Guards against a backend server whose hosts disagree who owns it, as its shard is that of a name that it no longer has.
+func TestOwnerFollowsTheNameOfAServer(t *testing.T) {
+	z := newZone(t, 20, 60)
+	h := z.hosts[0].r
+	for i, b := range h.allBackends() {
+		later, earlier := changeOf(b.ID, uint64(90+i), false), changeOf(b.ID, uint64(80+i), false)
+		earlier.Start, earlier.Zone, later.Zone = 7, b.Zone, b.Zone
+		z.post(z.hosts[0], News{FromStore: true, After: rev(50), AsOf: rev(uint64(90 + i)), Changes: routing.Changes{Backends: []routing.BackendChange{later, earlier}}})
+	}
+	named := 0
+	for _, b := range h.allBackends() {
+		if b.Start == 7 {
+			named++
+		}
+		owner := h.ownShards()[b.hash%uint32(len(h.ownShards()))]
+		require.Equal(t, owner == z.hosts[0].ip, h.owns(b), b.ID)
+	}
+	require.Equal(t, 60, named)
+}
