--- a/internal/router/quotas.go
+++ b/internal/router/quotas.go
@@ -255,19 +255,29 @@
 
 // chargeElsewhere asks the next owner where one does not decide, or decides alone.
 func (r *Router) chargeElsewhere(q *request) {
-	silent := q.charging
+	asked := q.charging
 	q.charging = nil
-	owners := r.quotaOwners(silent.workspace)
-	if next := slices.Index(owners, silent.owner) + 1; next > 0 && next < len(owners) {
-		if owner := owners[next]; owner == r.opt.Host && r.quotas[silent.workspace] != nil {
-			r.chargeHere(q, r.zonePart())
-			return
-		} else if r.answers(owner) {
-			r.askCharge(q, owner)
-			return
-		}
+	switch next := r.nextQuotaOwner(asked); {
+	case next == r.opt.Host && r.quotas[asked.workspace] != nil:
+		r.chargeHere(q, r.zonePart())
+	case next != "" && next != r.opt.Host:
+		r.askCharge(q, next)
+	default:
+		r.chargeAlone(q)
+	}
+}
+
+// nextQuotaOwner is the owner after the one that was asked; empty where there is none that answers.
+func (r *Router) nextQuotaOwner(asked *charge) string {
+	owners := r.quotaOwners(asked.workspace)
+	next := slices.Index(owners, asked.owner) + 1
+	if next == 0 || next >= len(owners) {
+		return ""
 	}
-	r.chargeAlone(q)
+	if owner := owners[next]; owner == r.opt.Host || r.answers(owner) {
+		return owner
+	}
+	return ""
 }
 
 // refund gives the cost back of what has not run.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -225,7 +225,7 @@
 	{"beats-overtaken", "8", "internal/router/members.go", "	r.takeChanges(b.Changes) // they have revisions of their own, and go out at the pace of a small link\n", "", []string{"./internal/router", "-run", "Overtaken"}},
 	{"gossip-paced", "8", "internal/gossip/pacer.go", "				if sent += len(f.data); sent >= paceStep {\n", "				if false {\n", []string{"./internal/gossip"}},
 	{"quota-owner-only", "limits", "internal/router/quotas.go", "if known && slices.Contains(r.quotaOwners(c.Workspace), r.opt.Host) {", "if known {", quotaTests},
-	{"quota-other-owner", "limits", "internal/router/quotas.go", "next > 0 && next < len(owners) {", "next < 0 {", quotaTests},
+	{"quota-other-owner", "limits", "internal/router/quotas.go", "if next == 0 || next >= len(owners) {", "if next >= 0 {", quotaTests},
 	{"quota-given-back", "limits", "internal/router/quotas.go", "		if a.Admitted {\n", "		if false {\n", quotaTests},
 	{"quota-zone-part", "limits", "internal/limit/quota.go", "	case p.For > 1:\n", "	case false:\n", limitTests},
 	{"quota-not-saved-up", "limits", "internal/limit/quota.go", "	q.share = min(q.share, -q.turn*q.usual)\n", "", limitTests},
