An old listing is held until the watch has brought it up to date

Cause: a listing of some seconds ago was used at once. Change: it is held until the watch from there answers, which is at once as the store has changed since, and both are used as one; a store that fails then leaves the old listing in use, one that has lost its history is listed anew. No call more.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -20,6 +20,8 @@
 	routing.Changes
 	// AsOf is the store's revision; a watch goes on from it.
 	AsOf routing.Revision
+	// Old tells that the store has changed since, so that a watch from there answers at once.
+	Old bool
 }
 
 // Store is the platform's metadata store, which can only be read.
@@ -98,7 +100,7 @@
 		}
 		s.metrics.Count("store.failures", 1)
 		s.log.Warn().Err(err).Dur("pause", pause).Msg("The store gave no news.")
-		again := s.store.Compacted(err) || errors.Is(err, errOtherEra)
+		again := s.outdated(err)
 		s.post(router.StoreContact{OK: again})
 		fresh = again // what is some seconds old may be older than the history that is left
 		if again {
@@ -118,7 +120,10 @@
 		return err
 	}
 	worked()
-	s.post(router.News{Changes: all.Changes, Full: true, AsOf: all.AsOf, Revision: revisionOf(all.Changes), FromStore: true})
+	held := all.Old
+	if !held {
+		s.postListing(all)
+	}
 	after := all.AsOf
 	for first := true; ctx.Err() == nil; first = false {
 		s.metrics.Count("store.calls", 1)
@@ -128,13 +133,21 @@
 		}
 		wait := atLeast + time.Duration(rand.Int64N(int64(spread)))
 		l, err := s.store.Watch(ctx, after.Number, wait)
+		if err == nil && l.AsOf.Era != after.Era {
+			err = errOtherEra
+		}
 		if err != nil {
+			if held && ctx.Err() == nil && !s.outdated(err) {
+				s.postListing(all) // the store is away: an old listing serves better than none
+			}
 			return err
 		}
-		if l.AsOf.Era != after.Era {
-			return errOtherEra
+		if held {
+			held = false
+			s.postListing(upToDate(all, l))
+		} else {
+			s.post(router.News{Changes: l.Changes, After: after, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
 		}
-		s.post(router.News{Changes: l.Changes, After: after, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
 		after = routing.Latest(after, l.AsOf)
 		if len(l.Backends) > 0 || len(l.Evacuations) > 0 || l.Config != nil {
 			timing.Sleep(ctx, between)
@@ -143,6 +156,26 @@
 	return nil
 }
 
+func (s *storeReader) postListing(l Listing) {
+	s.post(router.News{Changes: l.Changes, Full: true, AsOf: l.AsOf, Revision: revisionOf(l.Changes), FromStore: true})
+}
+
+// outdated tells that a watch failed because what was listed before says too little of the store as it is now.
+func (s *storeReader) outdated(err error) bool {
+	return s.store.Compacted(err) || errors.Is(err, errOtherEra)
+}
+
+// upToDate is a listing with what has changed since, in the order of the changes.
+func upToDate(all, since Listing) Listing {
+	all.Backends = append(all.Backends, since.Backends...)
+	all.Evacuations = append(all.Evacuations, since.Evacuations...)
+	if since.Config != nil {
+		all.Config = since.Config
+	}
+	all.AsOf, all.Old = since.AsOf, false
+	return all
+}
+
 // revisionOf is the highest revision among changes. The store's own revision also moves for keys
 // that hosts do not follow, and would make hosts look unlike that know the same.
 func revisionOf(c routing.Changes) routing.Revision {
--- a/internal/node/store_test.go
+++ b/internal/node/store_test.go
@@ -59,3 +59,45 @@
 	}
 	require.Equal(t, []routing.Revision{{Era: 1, Number: 100}, {Era: 2, Number: 100}}, asOf)
 }
+
+// lagging is a store whose listing is some seconds old and whose watch fails.
+type lagging struct {
+	compacted bool
+	fresh     []bool
+	stop      context.CancelFunc
+}
+
+// List implements Store.
+func (s *lagging) List(_ context.Context, fresh bool) (Listing, error) {
+	if s.fresh = append(s.fresh, fresh); len(s.fresh) == 2 {
+		s.stop()
+		return Listing{}, errors.New("stopped")
+	}
+	return Listing{AsOf: routing.Revision{Number: 100}, Old: true}, nil
+}
+
+// Watch implements Store.
+func (s *lagging) Watch(context.Context, uint64, time.Duration) (Listing, error) {
+	return Listing{}, errors.New("failed")
+}
+
+// Compacted implements Store.
+func (s *lagging) Compacted(error) bool { return s.compacted }
+
+// Guards against a host that knows nothing as the store fails right after an old listing, and against one that goes by such a listing
+// though the store says that too much has changed since.
+func TestOldListingIsUsedOnlyWhereTheStoreIsAway(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		ctx, stop := context.WithCancel(t.Context())
+		s := &lagging{compacted: compacted, stop: stop}
+		listed := 0
+		reader := &storeReader{store: s, log: zerolog.Nop(), metrics: telemetry.NewMetrics(), post: func(e router.Event) {
+			if _, ok := e.(router.News); ok {
+				listed++
+			}
+		}}
+		reader.run(ctx, new(atomic.Bool))
+		require.Equal(t, !compacted, listed == 1)
+		require.Equal(t, []bool{false, compacted}, s.fresh)
+	}
+}
