--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -263,7 +263,7 @@
 	{"era-lost-ends", "8", "internal/router/news.go", "if !b.removed && b.revision.Era < era {", "if false {", eraTests},
 	{"era-told", "8", "internal/router/beats.go", "Era: r.news.revision.Era, ", "", eraTests},
 	{"era-told-empty", "8", "internal/router/news.go", "	r.news.revision = routing.Latest(r.news.revision, routing.Revision{Era: r.news.complete.Era})\n", "", eraTests},
-	{"era-watch", "8", "internal/node/store.go", "if l.AsOf.Era != after.Era {", "if false {", []string{"./internal/node"}},
+	{"era-watch", "8", "internal/node/store.go", "if err == nil && l.AsOf.Era != after.Era {", "if false {", []string{"./internal/node"}},
 	{"era-pages", "8", "platform/store.go", "!operators.oneEra || !servers.oneEra || operators.asOf.Era != servers.asOf.Era", "false", onPlatform("TwoEras")},
 	{"era-number", "8", "platform/store.go", "	if err != nil {\n		return 0, trace.BadParameter(\"the store's era", "	if err != nil && false {\n		return 0, trace.BadParameter(\"the store's era", onPlatform("SenselessEra")},
 }
