At the end of the grace callers that wait get a status, and the log tells whom the host has cut

What callers saw: a request that was sent on and had no answer yet, or whose body was still coming, as its host's grace ended was cut off without a status; the host logged it as one whose caller had left. Cause: the end was the closing of the connections, nothing told the requests. Change: the gateway is told first. Who has no status gets 502 (it may have run), 503 or, while its body comes, 408 (it has not); an answer that has begun is cut, and logged as cut_by_shutdown. The host logs when it takes no request any more, and why. Answers say 'Connection: close' by what holds as they are written, not as their request came.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -17,6 +17,7 @@
 // to the server: chunks.
 func (f *flight) writeHead(status int, from http.Header, length int64) {
 	h := f.w.Header()
+	f.closeIfDraining()
 	closing := h.Get("Connection")
 	for name, values := range from {
 		h[name] = values
@@ -35,6 +36,13 @@
 	f.w.WriteHeader(status)
 }
 
+// closeIfDraining sends the caller's next request to another host; this one is answered in full.
+func (f *flight) closeIfDraining() {
+	if f.g.control.Draining() {
+		f.w.Header().Set("Connection", "close")
+	}
+}
+
 func (f *flight) writeAnswer(a *heldAnswer) {
 	f.writeHead(a.status, a.header, int64(len(a.body)))
 	_, _ = f.w.Write(a.body)
@@ -58,11 +66,13 @@
 	string(router.ShutDown):    "this host is shutting down; send the request again on a new connection",
 	string(router.OutOfTime):   "allow more time",
 	string(router.Quarantined): "backend servers have ended each time they ran this request; change it, or ask the operator",
+	cutByShutdown:              "this host stopped before the answer was there; repeat the request only if it is idempotent",
 	string(router.BackendLost): "the backend server was lost after the request was sent; repeat it only if it is idempotent",
 }
 
 // refuse answers for the system itself.
 func (f *flight) refuse(status int, cause string, after time.Duration) {
+	f.closeIfDraining()
 	h := f.w.Header()
 	if after > 0 {
 		h.Set("Retry-After", f.g.wire.RetryAfter(after))
@@ -131,8 +141,12 @@
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Not run by the backend server.")
 }
 
-// answered is the outcome of a request whose whole answer went to its caller.
-const answered = "answered"
+const (
+	// answered is the outcome of a request whose whole answer went to its caller.
+	answered = "answered"
+	// cutByShutdown is that of one that was sent on and had no whole answer as the grace of its host ended.
+	cutByShutdown = "cut_by_shutdown"
+)
 
 // late tells why an answer missed its objective: a stream by its first event or by a pause between two,
 // a plain answer as a whole; empty where it did not. What the caller lost in an earlier try is not known.
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -44,9 +44,11 @@
 	grounds     router.Grounds
 	backend     string
 	attempts    int
-	firstByte   time.Duration
-	pauses      pauses
-	cut         cut
+	// mayHaveRun tells that bytes of the request have left this host.
+	mayHaveRun bool
+	firstByte  time.Duration
+	pauses     pauses
+	cut        cut
 	// known is the request's digest; zero until it is asked for.
 	known quarantine.Digest
 }
@@ -101,12 +103,17 @@
 	}
 	rc := http.NewResponseController(f.w)
 	_ = rc.SetReadDeadline(f.deadline)
+	defer context.AfterFunc(f.g.ending, func() { _ = rc.SetReadDeadline(time.Now()) })()
 	body, err := io.ReadAll(io.LimitReader(f.r.Body, bodyBuffer))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		f.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.g.ending.Err() != nil:
+		f.w.Header().Set("Connection", "close")
+		f.refuse(http.StatusRequestTimeout, string(router.ShutDown), router.DrainBack)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		f.w.Header().Set("Connection", "close")
 		f.refuse(http.StatusRequestTimeout, "slow_body", 0)
@@ -163,8 +170,8 @@
 				return
 			}
 			if end.Outcome == router.Canceled {
-				f.logEnd("caller_left", 0)
-				panic(http.ErrAbortHandler)
+				f.canceled()
+				return
 			}
 		case router.Refuse:
 			f.grounds = e.Grounds
@@ -177,6 +184,19 @@
 	}
 }
 
+// canceled ends a request whose caller has left, or whose host ends.
+func (f *flight) canceled() {
+	switch {
+	case f.r.Context().Err() != nil || f.g.ending.Err() == nil:
+		f.logEnd("caller_left", 0)
+		panic(http.ErrAbortHandler)
+	case f.mayHaveRun:
+		f.giveUp(router.GiveUp{Cause: cutByShutdown, PassOn: true})
+	default:
+		f.refuse(http.StatusServiceUnavailable, string(router.ShutDown), router.DrainBack)
+	}
+}
+
 // digestOf names the request in the end of a dispatch that may say something of it: its answer broke, or it succeeded though
 // requests are under suspicion.
 func (f *flight) digestOf(end router.Ended) quarantine.Digest {
@@ -230,9 +250,11 @@
 	}
 	ctx, cancel := context.WithCancel(f.r.Context())
 	defer cancel()
+	defer context.AfterFunc(f.g.ending, cancel)()
 	f.cut.begin(d.Attempt, cancel)
 	sentAt := time.Now()
 	resp, sent, err := f.g.pool.Do(ctx, d.Backend.Addr, f.request(d))
+	f.mayHaveRun = f.mayHaveRun || sent
 	if err != nil {
 		return f.failed(sent, err)
 	}
@@ -317,7 +339,7 @@
 // failed classifies a call that brought no answer.
 func (f *flight) failed(sent bool, err error) router.Ended {
 	switch {
-	case f.r.Context().Err() != nil:
+	case f.r.Context().Err() != nil || f.g.ending.Err() != nil:
 		return router.Ended{Outcome: router.Canceled}
 	case !sent && !time.Now().Before(f.deadline):
 		return router.Ended{Outcome: router.NotSent}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,19 +62,22 @@
 	metrics telemetry.Metrics
 	lastID  atomic.Uint64
 	trails  *trails
+	// ending is done when the host ends with requests in hand.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns a gateway.
 func New(c Control, w Wire, p *upstream.Pool, log zerolog.Logger, m telemetry.Metrics) *Gateway {
-	return &Gateway{control: c, wire: w, pool: p, log: log, metrics: m, trails: newTrails()}
+	ending, end := context.WithCancel(context.Background())
+	return &Gateway{control: c, wire: w, pool: p, log: log, metrics: m, trails: newTrails(), ending: ending, end: end}
 }
 
+// Shutdown gives up the requests in hand: callers that have no status yet get one.
+func (g *Gateway) Shutdown() { g.end() }
+
 // ServeHTTP implements http.Handler. It stands without a ServeMux, which would rewrite paths.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.control.Draining() {
-		// The caller's next request goes to another host; this one is answered in full.
-		w.Header().Set("Connection", "close")
-	}
 	f := g.flightOf(w, r)
 	table := g.table(r.Context())
 	if table == nil {
@@ -108,7 +111,6 @@
 
 // TurnAway answers a request that comes as the host ends: it has not run.
 func (g *Gateway) TurnAway(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Connection", "close")
 	f := g.flightOf(w, r)
 	f.refuse(http.StatusServiceUnavailable, string(router.ShutDown), router.DrainBack)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,6 +67,7 @@
 	pacer       *gossip.Pacer
 	callers     *http.Server
 	connections *connections
+	gateway     *gateway.Gateway
 	others      []*http.Server
 }
 
@@ -137,8 +138,8 @@
 			}()
 		},
 	}
-	gw := gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: n.connections.gate(gw, gw.TurnAway), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+	n.gateway = gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
+	n.callers = &http.Server{Handler: n.connections.gate(n.gateway, n.gateway.TurnAway), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ConnState: n.connections.note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
 	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
 		return err
@@ -146,7 +147,7 @@
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
 		return err
 	}
-	ops := admin.Handler(operators{n, gw.Trail}, n.metrics)
+	ops := admin.Handler(operators{n, n.gateway.Trail}, n.metrics)
 	for _, addr := range []string{n.set.Admin, n.set.Metrics} {
 		if addr == "" {
 			continue
@@ -312,10 +313,12 @@
 			quietSince = time.Now()
 		}
 		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor && n.connections.end() {
+			n.log.Info().Dur("after_ms", time.Since(began)).Msg("No request is in hand. No more are taken.")
 			return
 		}
 	}
-	n.log.Warn().Int("cut", n.connections.used()).Msg("The grace is over. Answers are cut.")
+	n.log.Warn().Int("in_use", n.connections.used()).Msg("The grace is over. Answers are cut.")
+	n.gateway.Shutdown()
 }
 
 func (n *Node) close() {
