A host ends between requests as their callers see it: from the first byte, and with a notice to whoever crosses the end

What callers saw: a stopping host closed their connection with neither an answer nor a refusal, (1) while the head of their request was still coming, (2) when their request had come and the host had not read it yet.

Cause, one class: 'in use' was told by http.Server, which knows of a request once it has read its whole head; and idle connections were shut at once, with whatever was in the socket unread, which resets them.

Change: a package ingress wraps callers' connections, for both paths. A connection is in use from the first byte that is read, in one step with the look by which a host ends. One that is idle is ended by a 408 with 'Connection: close' (RFC 9110, 15.5.9: not read, and never will be), the closing of the sending side, and reading on until the caller has seen it (RFC 9112, 9.6). Whoever sends as the host ends gets that 408 or an answer. The end of idle connections after a limit, which a configuration may shorten, goes the same way.

Why it holds: a byte is either read before the step, and keeps the host, or is dropped after it, when the notice has been decided. A connection of the accept queue that the host has not taken is still reset as the listener closes; its request was not read by anybody.

TestHostEndsOnlyBetweenRequests moves with the code; its checks are the same.

--- /dev/null
+++ b/internal/ingress/connections_test.go
@@ -0,0 +1,254 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// patience is far over what is expected, so that no verdict hangs on the machine's speed.
+const patience = 20 * time.Second
+
+// within is a context that ends after d.
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against a host that ends with a request in hand, and against one that is sent on after the end.
+func TestHostEndsOnlyBetweenRequests(t *testing.T) {
+	c := New()
+	served := 0
+	h := c.Gate(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served++ }),
+		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }))
+	ask := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+		return w.Code
+	}
+	inner, other := net.Pipe()
+	defer inner.Close()
+	defer other.Close()
+	one := c.add(inner)
+	c.Note(one, http.StateNew)
+	c.Note(one, http.StateActive)
+	require.False(t, c.End())
+	require.Equal(t, http.StatusOK, ask())
+	c.Note(one, http.StateIdle)
+	require.Zero(t, c.InUse())
+	require.True(t, c.End())
+	require.Equal(t, http.StatusServiceUnavailable, ask())
+	require.Equal(t, 1, served)
+}
+
+// Guards against a host that ends when only the first byte of a request has come.
+func TestFirstByteOfARequestKeepsTheHost(t *testing.T) {
+	c := New()
+	inner, caller := net.Pipe()
+	defer caller.Close()
+	k := c.add(inner)
+	c.Note(k, http.StateNew)
+	require.Zero(t, c.InUse())
+	go func() { _, _ = caller.Write([]byte("P")) }()
+	n, err := k.Read(make([]byte, 10))
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	require.Equal(t, 1, c.InUse())
+	require.False(t, c.End())
+	c.Note(k, http.StateActive)
+	require.Equal(t, 1, c.InUse())
+	c.Note(k, http.StateClosed)
+	require.Zero(t, c.InUse())
+	require.True(t, c.End())
+}
+
+// heldConn reads nothing until it is released, as a host that has no processor time.
+type heldConn struct {
+	*net.TCPConn
+	held func() <-chan struct{}
+}
+
+// Read implements net.Conn.
+func (h heldConn) Read(p []byte) (int, error) {
+	<-h.held()
+	return h.TCPConn.Read(p)
+}
+
+type heldListener struct {
+	net.Listener
+	held func() <-chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l heldListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return heldConn{conn.(*net.TCPConn), l.held}, nil
+}
+
+// host is an http.Server whose reading can be held up.
+type host struct {
+	t      *testing.T
+	c      *Connections
+	addr   string
+	mu     sync.Mutex
+	gate   chan struct{}
+	served int
+}
+
+func newHost(t *testing.T) *host {
+	h := &host{t: t, c: New(), gate: make(chan struct{})}
+	close(h.gate)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h.addr = l.Addr().String()
+	serve := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		h.mu.Lock()
+		h.served++
+		h.mu.Unlock()
+		_, _ = io.WriteString(w, "answer")
+	})
+	refuse := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	srv := &http.Server{Handler: h.c.Gate(serve, refuse), ConnState: h.c.Note}
+	go func() { _ = srv.Serve(h.c.Listener(heldListener{l, h.held})) }()
+	t.Cleanup(func() { h.release(); _ = srv.Close() })
+	return h
+}
+
+func (h *host) held() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gate
+}
+
+func (h *host) hold() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.gate = make(chan struct{})
+}
+
+func (h *host) release() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.gate:
+	default:
+		close(h.gate)
+	}
+}
+
+type caller struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func (h *host) caller() *caller {
+	conn, err := net.Dial("tcp", h.addr)
+	require.NoError(h.t, err)
+	h.t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+const text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+
+func (c *caller) send() error {
+	_, err := io.WriteString(c, text)
+	return err
+}
+
+// status is that of the next answer, which has to be whole.
+func (c *caller) status(t *testing.T) int {
+	resp, err := http.ReadResponse(c.r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	return resp.StatusCode
+}
+
+// Guards against a host that closes a connection on which a request has come that it has not read: its caller would get a
+// reset, and not know whether the request has run.
+func TestRequestThatIsUnreadAtTheEndIsToldSo(t *testing.T) {
+	h := newHost(t)
+	kept := h.caller()
+	require.NoError(t, kept.send())
+	require.Equal(t, http.StatusOK, kept.status(t))
+	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	h.hold()
+	unread := h.caller()
+	require.NoError(t, unread.send())
+	require.Eventually(t, func() bool { return h.c.left() == 2 }, patience, time.Millisecond)
+	require.True(t, h.c.End())
+	time.AfterFunc(50*time.Millisecond, h.release)
+	require.Zero(t, h.c.Close(within(t, patience)))
+	require.Equal(t, http.StatusRequestTimeout, unread.status(t))
+	require.Equal(t, http.StatusRequestTimeout, kept.status(t), "it had asked for nothing")
+	require.Equal(t, 1, h.served)
+	require.Equal(t, 2, h.c.Notified())
+}
+
+// Guards against a host that cuts a request off whose head is still coming as its time is over.
+func TestHalfAHeadAtTheEndIsToldSo(t *testing.T) {
+	h := newHost(t)
+	half := h.caller()
+	_, err := io.WriteString(half, text[:10])
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return h.c.InUse() == 1 }, patience, time.Millisecond)
+	require.False(t, h.c.End())
+	go func() { _ = half.Conn.(*net.TCPConn).CloseWrite() }()
+	require.Zero(t, h.c.Close(within(t, patience)))
+	require.Equal(t, http.StatusRequestTimeout, half.status(t))
+	require.Zero(t, h.served)
+}
+
+// Guards against a connection that comes after the end and is left without a word.
+func TestConnectionAfterTheEndIsToldSo(t *testing.T) {
+	h := newHost(t)
+	require.Zero(t, h.c.Close(within(t, patience)))
+	late := h.caller()
+	require.NoError(t, late.send())
+	require.Equal(t, http.StatusRequestTimeout, late.status(t))
+	require.Zero(t, h.served)
+}
+
+// Guards against a request that comes as its idle connection is closed for a shorter limit, and is lost.
+func TestRequestThatCrossesTheIdleLimitIsToldSo(t *testing.T) {
+	h := newHost(t)
+	c := h.caller()
+	require.NoError(t, c.send())
+	require.Equal(t, http.StatusOK, c.status(t))
+	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	h.c.Expire(time.Now().Add(time.Second), time.Minute)
+	require.Zero(t, h.c.Notified(), "not yet")
+	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
+	require.Equal(t, 1, h.c.Notified())
+	require.NoError(t, c.send())
+	require.Equal(t, http.StatusRequestTimeout, c.status(t))
+	require.Equal(t, 1, h.served)
+}
+
+// Guards against a caller who does not close its side, and would keep a host or an expired connection for good.
+func TestCallerWhoStaysDoesNotKeepTheHost(t *testing.T) {
+	h := newHost(t)
+	c := h.caller()
+	require.NoError(t, c.send())
+	require.Equal(t, http.StatusOK, c.status(t))
+	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
+	require.Eventually(t, func() bool { return h.c.left() == 0 }, patience, time.Millisecond)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"fireflyshift/internal/gateway"
 	"fireflyshift/internal/gossip"
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/telemetry"
 	"fireflyshift/internal/upstream"
@@ -66,7 +67,7 @@
 	socket      *gossip.Socket
 	pacer       *gossip.Pacer
 	callers     *http.Server
-	connections *connections
+	connections *ingress.Connections
 	gateway     *gateway.Gateway
 	others      []*http.Server
 }
@@ -114,7 +115,7 @@
 		Host: set.IP, Zone: set.Zone, Regions: set.Regions, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]),
 	})
-	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, connections: newConnections()}
+	n := &Node{set: set, root: log, log: telemetry.For(log, "node"), metrics: m, socket: socket, connections: ingress.New()}
 	n.pacer = gossip.NewPacer(socket, set.LinkMbps)
 	n.sent, n.heard = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.For(log, "control"), m)
@@ -139,9 +140,9 @@
 		},
 	}
 	n.gateway = gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: n.connections.gate(n.gateway, n.gateway.TurnAway), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		ConnState: n.connections.note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
-	if err := n.listen(g, n.callers, n.set.Callers); err != nil {
+	n.callers = &http.Server{Handler: n.connections.Gate(n.gateway, http.HandlerFunc(n.gateway.TurnAway)), ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes: headerBytes, ConnState: n.connections.Note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
+	if err := n.listen(g, n.callers, n.set.Callers, n.connections.Listener); err != nil {
 		return err
 	}
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
@@ -178,17 +179,17 @@
 func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	n.others = append(n.others, s)
-	return n.listen(g, s, addr)
+	return n.listen(g, s, addr, func(l net.Listener) net.Listener { return l })
 }
 
-func (n *Node) listen(g *errgroup.Group, s *http.Server, addr string) error {
+func (n *Node) listen(g *errgroup.Group, s *http.Server, addr string, wrap func(net.Listener) net.Listener) error {
 	lc := net.ListenConfig{KeepAliveConfig: upstream.KeepAlive(), Control: upstream.SetUserTimeout}
 	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return trace.Wrap(err, "listen on %s; free the port or correct the settings", addr)
 	}
 	g.Go(func() error {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(wrap(l)); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err)
 		}
 		return nil
@@ -293,7 +294,7 @@
 		case now := <-t.C:
 			n.pool.Expire(now)
 			if t := n.control.Table(); t != nil {
-				n.connections.expire(now, t.Config.Limits.IdleTimeout)
+				n.connections.Expire(now, t.Config.Limits.IdleTimeout)
 			}
 		}
 	}
@@ -309,23 +310,24 @@
 	quietSince := began
 	for time.Since(began) < n.set.Grace-endMargin {
 		time.Sleep(drainPoll)
-		if n.connections.used() > 0 {
+		if n.connections.InUse() > 0 {
 			quietSince = time.Now()
 		}
-		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor && n.connections.end() {
+		if time.Since(began) > n.set.Notice && time.Since(quietSince) > quietFor && n.connections.End() {
 			n.log.Info().Dur("after_ms", time.Since(began)).Msg("No request is in hand. No more are taken.")
 			return
 		}
 	}
-	n.log.Warn().Int("in_use", n.connections.used()).Msg("The grace is over. Answers are cut.")
+	n.log.Warn().Int("in_use", n.connections.InUse()).Msg("The grace is over. Answers are cut.")
 	n.gateway.Shutdown()
 }
 
 func (n *Node) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
 	defer cancel()
-	_ = n.callers.Shutdown(ctx)
+	cut := n.connections.Close(ctx)
 	_ = n.callers.Close()
+	n.log.Info().Int("cut", cut).Int("closed_idle", n.connections.Notified()).Msg("Connections closed.")
 	for _, s := range n.others {
 		_ = s.Close()
 	}
