After the end of a host nothing is sent on, and no read deadline outlasts a body

The dispatch and the last look before the write now ask themselves. - where the grace ended as the last byte of a body was read, a deadline in the past stayed on the connection; net/http then takes the caller for gone, and it gets no status. The function that sets it is now waited for before the deadline is cleared.

--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -44,7 +44,8 @@
 	grounds     router.Grounds
 	backend     string
 	attempts    int
-	// mayHaveRun tells that bytes of the request have left this host.
+	// mayHaveRun tells that bytes of the request have left this host, also where a backend server says that it has not
+	// run it: the cautious side.
 	mayHaveRun bool
 	firstByte  time.Duration
 	pauses     pauses
@@ -103,14 +104,21 @@
 	}
 	rc := http.NewResponseController(f.w)
 	_ = rc.SetReadDeadline(f.deadline)
-	defer context.AfterFunc(f.g.ending, func() { _ = rc.SetReadDeadline(time.Now()) })()
+	cutShort := make(chan struct{})
+	stop := context.AfterFunc(f.g.ending, func() {
+		defer close(cutShort)
+		_ = rc.SetReadDeadline(time.Now())
+	})
 	body, err := io.ReadAll(io.LimitReader(f.r.Body, bodyBuffer))
+	if !stop() {
+		<-cutShort // or its deadline would outlast the body
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		f.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
 		return false
-	case errors.Is(err, os.ErrDeadlineExceeded) && f.g.ending.Err() != nil:
+	case errors.Is(err, os.ErrDeadlineExceeded) && f.g.ended():
 		f.w.Header().Set("Connection", "close")
 		f.refuse(http.StatusRequestTimeout, string(router.ShutDown), router.DrainBack)
 		return false
@@ -187,7 +195,7 @@
 // canceled ends a request whose caller has left, or whose host ends.
 func (f *flight) canceled() {
 	switch {
-	case f.r.Context().Err() != nil || f.g.ending.Err() == nil:
+	case f.r.Context().Err() != nil || !f.g.ended():
 		f.logEnd("caller_left", 0)
 		panic(http.ErrAbortHandler)
 	case f.mayHaveRun:
@@ -245,6 +253,9 @@
 
 // dispatch sends the request once and carries the answer.
 func (f *flight) dispatch(d router.Dispatch) router.Ended {
+	if f.g.ended() {
+		return router.Ended{Outcome: router.Canceled}
+	}
 	if !f.permitted(d) {
 		return router.Ended{Outcome: router.NotSent}
 	}
@@ -264,10 +275,10 @@
 	return end
 }
 
-// permitted tells whether the decision still holds and the caller still has time.
+// permitted tells whether the decision still holds, the caller still has time, and the host goes on.
 func (f *flight) permitted(d router.Dispatch) bool {
 	now := f.g.control.Now()
-	return now <= d.At+permissionFor && now < f.beganAt+f.allowed
+	return now <= d.At+permissionFor && now < f.beganAt+f.allowed && !f.g.ended()
 }
 
 const (
@@ -339,7 +350,7 @@
 // failed classifies a call that brought no answer.
 func (f *flight) failed(sent bool, err error) router.Ended {
 	switch {
-	case f.r.Context().Err() != nil || f.g.ending.Err() != nil:
+	case f.r.Context().Err() != nil || f.g.ended():
 		return router.Ended{Outcome: router.Canceled}
 	case !sent && !time.Now().Before(f.deadline):
 		return router.Ended{Outcome: router.NotSent}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 // Shutdown gives up the requests in hand: callers that have no status yet get one.
 func (g *Gateway) Shutdown() { g.end() }
 
+func (g *Gateway) ended() bool { return g.ending.Err() != nil }
+
 // ServeHTTP implements http.Handler. It stands without a ServeMux, which would rewrite paths.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f := g.flightOf(w, r)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -220,6 +220,8 @@
 	{"ingress-first-byte", "5", "internal/ingress/connections.go", "		c.enter(k, reading)\n", "", []string{"./internal/ingress"}},
 	{"ingress-notice", "5", "internal/ingress/conn.go", "	_, _ = k.Write([]byte(closingNotice))\n", "", []string{"./internal/ingress"}},
 	{"ingress-drops", "5", "internal/ingress/connections.go", "	case closing:\n		return false\n", "", []string{"./internal/ingress"}},
+	{"gateway-end-unsent", "5", "internal/gateway/flight.go", "	if f.g.ended() {\n		return router.Ended{Outcome: router.Canceled}\n	}\n", "", []string{"./internal/gateway"}},
+	{"gateway-end-deadline", "5", "internal/gateway/flight.go", "		<-cutShort //", "		//", []string{"./internal/gateway"}},
 	{"gateway-end-told", "5", "internal/node/node.go", "	n.gateway.Shutdown()\n", "", onPlatform("EndOfTheGrace")},
 	{"gateway-end-truly", "5", "internal/gateway/flight.go", "	f.mayHaveRun = f.mayHaveRun || sent\n", "", onPlatform("EndOfTheGrace")},
 	{"node-reads-once", "8", "internal/node/store.go", "	if on == (t.cancel != nil) {\n		return\n	}\n", "	if t.cancel != nil {\n		t.cancel()\n	}\n", []string{"./internal/node"}},
