--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,7 +1,10 @@
 package ingress
 
 import (
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 )
@@ -22,23 +25,30 @@
 
 func (p phase) inUse() bool { return p == reading || p == serving }
 
-// conn is one connection. It changes its phase under its owner's lock.
+// conn is one connection.
 type conn struct {
 	net.Conn
 	owner *Connections
+	// phase changes under the owner's lock.
 	phase atomic.Int32
-	// idleSince is zero before the first request.
+	// idleSince is zero before the first request. It is guarded by the owner's lock.
 	idleSince time.Time
+	// over: the caller has ended its side, or the connection is broken.
+	over atomic.Bool
 }
 
-// Read implements net.Conn.
+func (k *conn) in() phase { return phase(k.phase.Load()) }
+
+// Read implements net.Conn. It counts the connection as in use before http.Server sees the first byte, as the server's own
+// StateActive comes after the whole head only. On a connection that is closing it drops what comes.
 func (k *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := k.Conn.Read(p)
 		if n == 0 {
+			k.over.Store(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 			return 0, err
 		}
-		if phase(k.phase.Load()).inUse() || k.owner.begin(k) {
+		if k.in().inUse() || k.owner.begin(k) {
 			return n, err
 		}
 		if err != nil {
@@ -51,7 +61,7 @@
 func (k *conn) SetReadDeadline(t time.Time) error {
 	k.owner.mu.Lock()
 	defer k.owner.mu.Unlock()
-	if phase(k.phase.Load()) == closing {
+	if k.in() == closing {
 		return nil
 	}
 	return k.Conn.SetReadDeadline(t)
@@ -68,8 +78,20 @@
 	return nil
 }
 
-// sayClosing ends the sending side with the notice. The server goes on reading until the caller closes, or for lingerFor.
-// Errors are those of a connection that has ended already.
+// Close implements net.Conn. It drops what the caller still sends until the caller has seen the end (RFC 9112, 9.6): with
+// bytes unread the connection would be reset, and the last answer lost.
+func (k *conn) Close() error {
+	if k.owner.finish(k) && !k.over.Load() {
+		until := time.Now().Add(lingerFor)
+		_ = k.CloseWrite()
+		_ = k.Conn.SetReadDeadline(until)
+		_, _ = io.Copy(io.Discard, k.Conn)
+	}
+	return k.Conn.Close()
+}
+
+// sayClosing ends the sending side with the notice; the server's pending Read goes on until the caller closes, or for
+// lingerFor. Errors are those of a connection that has ended already.
 func (k *conn) sayClosing() {
 	until := time.Now().Add(lingerFor)
 	_ = k.Conn.SetWriteDeadline(until)
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -1,5 +1,4 @@
-// Package ingress keeps callers' connections from the first byte of a request to the last one of its answer, and ends
-// them so that no request is left without an answer or a refusal.
+// Package ingress tracks callers' connections, so that a host ends none of them with an unanswered request on it.
 package ingress
 
 import (
@@ -15,24 +14,27 @@
 	// connections up to four fifths of the limit, so that few are closed as a request comes.
 	idleSlack = 1.25
 	// lingerFor bounds the wait for a caller to see that its connection ends. Closed before that, with bytes unread,
-	// the connection would be reset and the notice lost.
+	// the connection would be reset and the last answer lost.
 	lingerFor  = 500 * time.Millisecond
 	lingerPoll = 5 * time.Millisecond
 )
 
-// closingNotice tells the caller of a request that crosses the end of its connection that the request was not read and
-// never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends.
+// closingNotice tells the caller of a request that arrives while its connection is closing that the request was not
+// read and never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends.
 const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 
 // Connections are the callers' connections of one host. Idle ones are closed after a limit that may change while
 // http.Server runs; those in use keep a stopping host from ending.
+//
+// Phases and refusing change under one lock: a byte of a request is counted before End looks, or its request is refused.
 type Connections struct {
 	mu   sync.Mutex
 	open map[*conn]struct{}
 	// inUse is how many of them read or serve a request.
 	inUse int
-	// ended tells that no request is taken any more, closed that idle connections are ended at once.
-	ended, closed bool
+	// refusing: requests are turned away. closing: connections that serve none are ended. abrupt: without a wait for their
+	// callers.
+	refusing, closing, abrupt bool
 	// notified is how many got the closing notice.
 	notified int
 }
@@ -40,7 +42,17 @@
 // New returns an empty set.
 func New() *Connections { return &Connections{open: map[*conn]struct{}{}} }
 
-// Listener makes the connections of l known. It has to be what http.Server serves, outside of TLS.
+// Guard sets a server up to serve connections of Listener. Requests that come after End go to turnAway.
+func (c *Connections) Guard(s *http.Server, turnAway http.Handler) {
+	s.Handler = c.gate(s.Handler, turnAway)
+	s.ConnState = c.connState
+	s.ConnContext = func(ctx context.Context, nc net.Conn) context.Context { return context.WithValue(ctx, connKey{}, nc) }
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Listener tracks the connections of l. It is what http.Server serves, above TLS if there is any.
 func (c *Connections) Listener(l net.Listener) net.Listener { return listener{l, c} }
 
 type listener struct {
@@ -62,14 +74,14 @@
 	defer c.mu.Unlock()
 	k := &conn{Conn: inner, owner: c}
 	c.open[k] = struct{}{}
-	if c.closed {
-		c.retire(k)
+	if c.closing {
+		c.notify(k)
 	}
 	return k
 }
 
-// Note is http.Server's ConnState hook.
-func (c *Connections) Note(nc net.Conn, s http.ConnState) {
+// connState is http.Server's hook.
+func (c *Connections) connState(nc net.Conn, s http.ConnState) {
 	k, ok := nc.(*conn)
 	if !ok {
 		return
@@ -82,8 +94,8 @@
 	case http.StateIdle:
 		c.enter(k, idle)
 		k.idleSince = time.Now()
-		if c.closed {
-			c.retire(k)
+		if c.closing {
+			c.notify(k)
 		}
 	case http.StateClosed, http.StateHijacked:
 		c.enter(k, closing)
@@ -93,7 +105,7 @@
 
 // enter moves a connection to a phase; one that is closing stays so. The lock is held.
 func (c *Connections) enter(k *conn, p phase) {
-	was := phase(k.phase.Load())
+	was := k.in()
 	if was == closing {
 		return
 	}
@@ -111,7 +123,7 @@
 func (c *Connections) begin(k *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch phase(k.phase.Load()) {
+	switch k.in() {
 	case closing:
 		return false
 	case idle:
@@ -120,14 +132,25 @@
 	return true
 }
 
-// retire ends a connection that serves no request: its caller is told, and what still comes is read and dropped until the caller
-// has seen it. The lock is held.
-func (c *Connections) retire(k *conn) {
+// notify ends a connection that serves no request, with the notice. The lock is held.
+func (c *Connections) notify(k *conn) {
+	if k.in() == closing {
+		return
+	}
 	c.enter(k, closing)
 	c.notified++
 	go k.sayClosing()
 }
 
+// finish makes a connection closing. It reports whether to wait for the caller to see that: nobody has done so yet.
+func (c *Connections) finish(k *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	linger := k.in() != closing && !c.abrupt
+	c.enter(k, closing)
+	return linger
+}
+
 // InUse is how many connections read or serve a request.
 func (c *Connections) InUse() int {
 	c.mu.Lock()
@@ -146,17 +169,18 @@
 func (c *Connections) End() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ended = c.inUse == 0
-	return c.ended
+	c.refusing = c.inUse == 0
+	return c.refusing
 }
 
-// Gate turns a request away that comes after the end: nobody would wait for its answer.
-func (c *Connections) Gate(next, turnAway http.Handler) http.Handler {
+// gate turns requests away that come after End, or whose connection is closing: nobody waits for their answer.
+func (c *Connections) gate(next, turnAway http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		k, _ := r.Context().Value(connKey{}).(*conn)
 		c.mu.Lock()
-		ended := c.ended
+		away := c.refusing || (k != nil && k.in() == closing)
 		c.mu.Unlock()
-		if ended {
+		if away {
 			turnAway.ServeHTTP(w, r)
 			return
 		}
@@ -164,29 +188,34 @@
 	})
 }
 
-// Close ends the connections: at once those that serve no request, the others with their answer. It returns when all have
-// ended, or with ctx, and tells how many have not.
-func (c *Connections) Close(ctx context.Context) (left int) {
-	c.mu.Lock()
-	c.ended, c.closed = true, true
-	for k := range c.open {
-		if phase(k.phase.Load()) != serving {
-			c.retire(k)
-		}
-	}
-	c.mu.Unlock()
+// Close ends the connections: at once those that serve no request, the others after their answer. It returns when all have
+// ended, or with ctx, and then tells how many still serve; http.Server's Close, which has to follow, cuts these.
+func (c *Connections) Close(ctx context.Context) (serving int) {
+	c.endUnserved()
 	poll := time.NewTicker(lingerPoll)
 	defer poll.Stop()
-	for {
-		if left = c.left(); left == 0 {
-			return 0
-		}
+	for c.left() > 0 {
 		select {
 		case <-ctx.Done():
-			return c.InUse()
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.abrupt = true
+			return c.inUse
 		case <-poll.C:
 		}
 	}
+	return 0
+}
+
+func (c *Connections) endUnserved() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusing, c.closing = true, true
+	for k := range c.open {
+		if k.in() != serving {
+			c.notify(k)
+		}
+	}
 }
 
 func (c *Connections) left() int {
@@ -203,8 +232,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := range c.open {
-		if phase(k.phase.Load()) == idle && !k.idleSince.IsZero() && now.Sub(k.idleSince) > time.Duration(idleSlack*float64(limit)) {
-			c.retire(k)
+		if k.in() == idle && !k.idleSince.IsZero() && now.Sub(k.idleSince) > time.Duration(idleSlack*float64(limit)) {
+			c.notify(k)
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,8 +39,10 @@
 	// quietFor is how long no connection of a stopping host must have been in use before it ends.
 	quietFor = 400 * time.Millisecond
 	// endMargin is kept before the platform's SIGKILL.
-	endMargin  = 400 * time.Millisecond
-	drainPoll  = 50 * time.Millisecond
+	endMargin = 400 * time.Millisecond
+	drainPoll = 50 * time.Millisecond
+	// closeFor is how long a host that ends with time left waits for its callers to see that their connections end.
+	closeFor   = time.Second
 	expireIdle = 500 * time.Millisecond
 )
 
@@ -95,8 +97,9 @@
 	}
 	n.log.Info().Str("host", set.Name).Str("zone", set.Zone).Str("callers", set.Callers).Msg("Serving.")
 	<-ctx.Done()
+	killAt := time.Now().Add(n.set.Grace)
 	n.drain()
-	n.close()
+	n.close(killAt)
 	stop()
 	n.log.Info().Msg("Stopped.")
 	return trace.Wrap(g.Wait())
@@ -140,8 +143,9 @@
 		},
 	}
 	n.gateway = gateway.New(n.control, parts.Wire, n.pool, telemetry.For(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: n.connections.Gate(n.gateway, http.HandlerFunc(n.gateway.TurnAway)), ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes: headerBytes, ConnState: n.connections.Note, ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
+	n.callers = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+		ErrorLog: stdlog.New(errorLines{n.log}, "", 0)}
+	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.TurnAway))
 	if err := n.listen(g, n.callers, n.set.Callers, n.connections.Listener); err != nil {
 		return err
 	}
@@ -322,12 +326,13 @@
 	n.gateway.Shutdown()
 }
 
-func (n *Node) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), endMargin/2)
+// close ends all connections; killAt is when the platform kills the process.
+func (n *Node) close(killAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(closeFor, time.Until(killAt)-endMargin/2))
 	defer cancel()
 	cut := n.connections.Close(ctx)
 	_ = n.callers.Close()
-	n.log.Info().Int("cut", cut).Int("closed_idle", n.connections.Notified()).Msg("Connections closed.")
+	n.log.Info().Int("cut", cut).Int("notified", n.connections.Notified()).Msg("Connections closed.")
 	for _, s := range n.others {
 		_ = s.Close()
 	}
