--- a/test/end_test.go
+++ b/test/end_test.go
@@ -2,16 +2,36 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/platform/platformtest"
 )
 
+// leastStay is longer than a stopping host stays when no request comes.
+const leastStay = 2600 * time.Millisecond
+
+// connect opens a connection to a host and has one request answered on it.
+func (s *soak) connect(h *soakHost, id string) *soakConn {
+	conn, err := net.DialTimeout("tcp", h.ip+":18221", time.Second)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = conn.Close() })
+	c := &soakConn{conn, bufio.NewReader(conn)}
+	_, _, err = c.send("check", id)
+	require.NoError(s.t, err)
+	return c
+}
+
 // Guards against a stopping host that closes kept connections on which requests have come that it has not read yet: it was
 // paused, or short of processor time, in the last moments before its end.
 func TestRequestsThatAreUnreadAtTheEndOfAHost(t *testing.T) {
@@ -20,29 +40,71 @@
 	h := s.hosts[0]
 	conns := make([]*soakConn, 20)
 	for i := range conns {
-		conn, err := net.DialTimeout("tcp", h.ip+":18221", time.Second)
-		require.NoError(t, err)
-		defer conn.Close()
-		conns[i] = &soakConn{conn, bufio.NewReader(conn)}
-		_, _, err = conns[i].send("check", fmt.Sprintf("before-%d", i))
-		require.NoError(t, err)
+		conns[i] = s.connect(h, fmt.Sprintf("before-%d", i))
 	}
 	h.signal(syscall.SIGTERM)
-	time.Sleep(2300 * time.Millisecond) // shortly before the least time that a stopping host stays
+	require.Eventually(t, func() bool {
+		log, err := os.ReadFile(h.log.Name())
+		return err == nil && bytes.Contains(log, []byte("Stopping."))
+	}, patience, time.Millisecond)
 	h.signal(syscall.SIGSTOP)
-	errs := make([]error, len(conns))
-	var sent, answered sync.WaitGroup
+	errs, statuses := make([]error, len(conns)), make([]int, len(conns))
+	var answered sync.WaitGroup
 	for i, c := range conns {
-		sent.Add(1)
 		answered.Go(func() {
-			time.AfterFunc(300*time.Millisecond, sent.Done)
-			_, _, errs[i] = c.send("check", fmt.Sprintf("unread-%d", i))
+			var resp *http.Response
+			if resp, _, errs[i] = c.send("check", fmt.Sprintf("unread-%d", i)); resp != nil {
+				statuses[i] = resp.StatusCode
+			}
 		})
 	}
-	sent.Wait()
+	time.Sleep(leastStay)
 	h.signal(syscall.SIGCONT)
 	answered.Wait()
 	for i, err := range errs {
 		require.NoError(t, err, "request %d has neither an answer nor a refusal", i)
 	}
+	require.Contains(t, statuses, http.StatusRequestTimeout, "all were read before the end")
+}
+
+// Guards against a stopping host that sends a stream on whose body came as it was about to end, and cuts it.
+func TestStreamWhoseBodyComesAroundTheEndIsAnsweredWhole(t *testing.T) {
+	s := newSoak(t, 1)
+	s.settle()
+	s.mu.Lock()
+	for _, b := range s.backends {
+		b.Pace = 100 * time.Millisecond
+	}
+	s.mu.Unlock()
+	var wg sync.WaitGroup
+	for i, h := range s.hosts {
+		c := s.connect(h, fmt.Sprintf("before-%d", i))
+		wg.Go(func() {
+			h.signal(syscall.SIGTERM)
+			time.Sleep(2430 * time.Millisecond)
+			_, err := fmt.Fprintf(c, "POST /stream/x HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: around-%d\r\nX-Fireflyshift-Credential: %s\r\n"+
+				"X-Fireflyshift-Deadline-Ms: 4000\r\nContent-Length: 4\r\n\r\nbo", soakDomain, i, soakKey)
+			if err != nil {
+				return // it was late, and its host has ended
+			}
+			time.Sleep(time.Duration(100+10*i) * time.Millisecond)
+			_, _ = io.WriteString(c, "dy")
+			resp, err := http.ReadResponse(c.r, nil)
+			if !assertAnswer(t, err) || resp.StatusCode != http.StatusOK {
+				return
+			}
+			body, err := io.ReadAll(resp.Body)
+			if assertAnswer(t, err) && string(body) != platformtest.Stream(0, soakEvents) {
+				t.Errorf("host %d: %q", i, body)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func assertAnswer(t *testing.T, err error) bool {
+	if err != nil {
+		t.Errorf("neither a whole answer nor a refusal: %v", err)
+	}
+	return err == nil
 }
