--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -30,7 +30,8 @@
 	net.Conn
 	owner *Connections
 	// phase changes under the owner's lock.
-	phase atomic.Int32
+	phase      atomic.Int32
+	acceptedAt time.Time
 	// idleSince is zero before the first request. It is guarded by the owner's lock.
 	idleSince time.Time
 	// over: the caller has ended its side, or the connection is broken.
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -15,8 +15,11 @@
 	idleSlack = 1.25
 	// lingerFor bounds the wait for a caller to see that its connection ends. Closed before that, with bytes unread,
 	// the connection would be reset and the last answer lost.
-	lingerFor  = 500 * time.Millisecond
-	lingerPoll = 5 * time.Millisecond
+	lingerFor = 500 * time.Millisecond
+	// firstWithin is how soon after its connection a caller's first request is here as a rule, on a slow link too. A host that
+	// ends sooner refuses what it could have answered.
+	firstWithin = 250 * time.Millisecond
+	lingerPoll  = 5 * time.Millisecond
 )
 
 // closingNotice tells the caller of a request that arrives while its connection is closing that the request was not
@@ -72,7 +75,7 @@
 func (c *Connections) add(inner net.Conn) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := &conn{Conn: inner, owner: c}
+	k := &conn{Conn: inner, owner: c, acceptedAt: time.Now()}
 	c.open[k] = struct{}{}
 	if c.closing {
 		c.notify(k)
@@ -165,14 +168,26 @@
 	return c.notified
 }
 
-// End makes the host take no request any more, unless one is in hand.
-func (c *Connections) End() bool {
+// End makes the host take no request any more, unless one is in hand or is likely to come on a new connection.
+func (c *Connections) End() bool { return c.end(time.Now()) }
+
+func (c *Connections) end(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.refusing = c.inUse == 0
+	c.refusing = c.inUse == 0 && !c.awaited(now)
 	return c.refusing
 }
 
+// awaited tells whether a new connection is about to bring its first request. The lock is held.
+func (c *Connections) awaited(now time.Time) bool {
+	for k := range c.open {
+		if k.in() == idle && k.idleSince.IsZero() && now.Sub(k.acceptedAt) < firstWithin {
+			return true
+		}
+	}
+	return false
+}
+
 // gate turns requests away that come after End, or whose connection is closing: nobody waits for their answer.
 func (c *Connections) gate(next, turnAway http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
