--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -31,8 +32,9 @@
 //
 // Phases and refusing change under one lock: a byte of a request is counted before End looks, or its request is refused.
 type Connections struct {
-	mu   sync.Mutex
-	open map[*conn]struct{}
+	mu        sync.Mutex
+	open      map[*conn]struct{}
+	listeners []net.Listener
 	// inUse is how many of them read or serve a request.
 	inUse int
 	// refusing: requests are turned away. closing: connections that serve none are ended. abrupt: without a wait for their
@@ -56,7 +58,12 @@
 type connKey struct{}
 
 // Listener tracks the connections of l. It is what http.Server serves, above TLS if there is any.
-func (c *Connections) Listener(l net.Listener) net.Listener { return listener{l, c} }
+func (c *Connections) Listener(l net.Listener) net.Listener {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, l)
+	return listener{l, c}
+}
 
 type listener struct {
 	net.Listener
@@ -66,6 +73,9 @@
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
 	inner, err := l.Listener.Accept()
+	if errors.Is(err, net.ErrClosed) {
+		return nil, http.ErrServerClosed
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -203,23 +213,34 @@
 	})
 }
 
-// Close ends the connections: at once those that serve no request, the others after their answer. It returns when all have
-// ended, or with ctx, and then tells how many still serve; http.Server's Close, which has to follow, cuts these.
+// Close ends the connections: at once those that serve no request, the others after their answer. Then it closes the
+// listeners, and ends what was still accepted. It returns when all have ended, or with ctx, and then tells how many still
+// serve; http.Server's Close, which has to follow, cuts these.
 func (c *Connections) Close(ctx context.Context) (serving int) {
 	c.endUnserved()
+	c.await(ctx)
+	c.mu.Lock()
+	for _, l := range c.listeners {
+		_ = l.Close()
+	}
+	c.mu.Unlock()
+	c.await(ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.abrupt = true
+	return c.inUse
+}
+
+// await returns when no connection is open, or with ctx.
+func (c *Connections) await(ctx context.Context) {
 	poll := time.NewTicker(lingerPoll)
 	defer poll.Stop()
-	for c.left() > 0 {
+	for c.left() > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			c.abrupt = true
-			return c.inUse
 		case <-poll.C:
 		}
 	}
-	return 0
 }
 
 func (c *Connections) endUnserved() {
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -241,11 +242,41 @@
 // Guards against a connection that comes after the end and is left without a word.
 func TestConnectionAfterTheEndIsToldSo(t *testing.T) {
 	h := newHost(t)
-	require.Zero(t, h.c.Close(within(t, patience)))
+	h.c.endUnserved()
 	late := h.caller()
 	require.NoError(t, late.send())
 	require.Equal(t, http.StatusRequestTimeout, late.status(t))
+	require.Zero(t, h.c.Close(within(t, patience)))
 	require.Zero(t, h.served)
+	_, err := net.Dial("tcp", h.addr)
+	require.Error(t, err, "nobody takes connections any more")
+}
+
+// Guards against connections that are accepted in the last moments before the listener closes, and are closed without a word.
+func TestConnectionsAsTheListenerClosesAreToldSo(t *testing.T) {
+	for range 20 {
+		h := newHost(t)
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				conn, err := net.Dial("tcp", h.addr)
+				if err != nil {
+					return // the listener has closed
+				}
+				defer conn.Close()
+				_ = conn.SetDeadline(time.Now().Add(patience))
+				c := &caller{conn, bufio.NewReader(conn)}
+				if c.send() != nil {
+					return
+				}
+				if _, err := http.ReadResponse(c.r, nil); errors.Is(err, io.ErrUnexpectedEOF) {
+					t.Error("accepted, and closed without a status") // a reset is of a connection that was not accepted
+				}
+			})
+		}
+		h.c.Close(within(t, patience))
+		wg.Wait()
+	}
 }
 
 // Guards against a request that comes as its idle connection is closed for a shorter limit, and is lost.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,9 +38,10 @@
 	memoryShare = 0.7
 	// quietFor is how long no connection of a stopping host must have been in use before it ends.
 	quietFor = 400 * time.Millisecond
-	// endMargin is kept before the platform's SIGKILL.
-	endMargin = 400 * time.Millisecond
-	drainPoll = 50 * time.Millisecond
+	// endMargin is kept before the platform's SIGKILL: answers go on until then. exitMargin of it is for the end of the process.
+	endMargin  = 200 * time.Millisecond
+	exitMargin = 80 * time.Millisecond
+	drainPoll  = 50 * time.Millisecond
 	// closeFor is how long a host that ends with time left waits for its callers to see that their connections end.
 	closeFor   = time.Second
 	expireIdle = 500 * time.Millisecond
@@ -328,7 +329,7 @@
 
 // close ends all connections; killAt is when the platform kills the process.
 func (n *Node) close(killAt time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(closeFor, time.Until(killAt)-endMargin/2))
+	ctx, cancel := context.WithTimeout(context.Background(), min(closeFor, time.Until(killAt)-exitMargin))
 	defer cancel()
 	cut := n.connections.Close(ctx)
 	_ = n.callers.Close()
