A host that ends accepts what the kernel has accepted for it

Cause: the listener was closed at once where no accepted connection was open, with connections in the kernel's queue. A connection that is made in the instant of the close is still reset.

--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -21,6 +21,8 @@
 	// ends sooner refuses what it could have answered.
 	firstWithin = 250 * time.Millisecond
 	lingerPoll  = 5 * time.Millisecond
+	// acceptFor is for connections that the kernel has made and nobody has accepted yet: closing the listener resets them.
+	acceptFor = 50 * time.Millisecond
 )
 
 // closingNotice tells the caller of a request that arrives while its connection is closing that the request was not
@@ -213,12 +215,18 @@
 	})
 }
 
-// Close ends the connections: at once those that serve no request, the others after their answer. Then it closes the
-// listeners, and ends what was still accepted. It returns when all have ended, or with ctx, and then tells how many still
+// Close ends the connections: at once those that serve no request, the others after their answer. Then, and after
+// acceptFor, it closes the listeners, and ends what was still accepted. It returns when all have ended, or with ctx, and then tells how many still
 // serve; http.Server's Close, which has to follow, cuts these.
 func (c *Connections) Close(ctx context.Context) (serving int) {
 	c.endUnserved()
+	accepted := time.NewTimer(acceptFor)
+	defer accepted.Stop()
 	c.await(ctx)
+	select {
+	case <-accepted.C:
+	case <-ctx.Done():
+	}
 	c.mu.Lock()
 	for _, l := range c.listeners {
 		_ = l.Close()
