The product's own path ends between requests as its callers see it

What callers saw: a request whose head or body was half read as its host was told to stop got "unexpected EOF", on a new connection and on a kept one; a body that was never finished too.

Cause: the drain counted what the reducer held. A request is there only when its body has been read, so that the host ended with requests half read; and http.Server.Shutdown closes idle connections with what has come on them unread, and drops a request whose head is back from the reader meanwhile.

Mend: callers' connections are those of package ingress, as on the platform's path, outside of TLS: in use from the first byte of a request to the last one of its answer. The host ends in one step when none is in use and the reducer holds no request; what comes later is refused as `draining`, and whoever crosses the end on a connection gets the closing notice, which on this path carries `Fireflyshift-Work: not run` (ingress.New takes header lines; the platform's path gives none). Shutdown is not called any more. Every answer of a draining host carries `Connection: close`, a backend server's too. A body that is still read when the host's time is over is refused as `draining`. The notice now sets its deadline for both ways before it writes: on a TLS connection whose handshake is not over the write reads first.

Why it holds: there is no moment at which a byte of a request has been read and its connection does not count, and none at which the decision to end and a new request can both be taken, since both are made under one lock. A request that nobody has read when the decision falls is read, dropped and told so. Not covered: connections that the kernel has accepted and the process has not, which are reset as the listener closes; a host that callers go on calling directly, past its readiness, ends at the drain limit if there is no moment at which none of them is in use.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/edge"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer"
 	"fireflyshift/internal/peer/peerpb"
@@ -47,9 +48,12 @@
 	sender  *peer.Sender
 	peers   *grpc.Server
 	callers *http.Server
-	admin   *http.Server
-	reader  *toggle
-	engines *engineWatch
+	// connections are the callers'.
+	connections *ingress.Connections
+	edge        *edge.Server
+	admin       *http.Server
+	reader      *toggle
+	engines     *engineWatch
 }
 
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
@@ -101,7 +105,8 @@
 	self := member.Host{ID: set.Host.ID, Zone: set.Host.Zone, Addr: set.Listen.AdvertisePeers}
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.For(log, "control"))
-	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl}
+	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl,
+		connections: ingress.New(edge.NotRunLine)}
 	d.sender = peer.NewSender(ctx, peer.Options{
 		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
 		Creds:  clientCreds,
@@ -130,15 +135,16 @@
 }
 
 func (d *Daemon) buildServers(incarnation uint64, log zerolog.Logger) {
-	e := edge.New(edge.Options{
+	d.edge = edge.New(edge.Options{
 		Host:           d.set.Host.ID,
 		Incarnation:    incarnation,
 		MaxBodyBytes:   d.set.Limits.MaxBodyBytes,
 		MaxAnswerBytes: d.set.Limits.MaxAnswerBytes,
 		BodyTimeout:    d.set.Limits.BodyTimeout,
 	}, d.control, d.tracing, d.metrics, telemetry.For(log, "edge"))
-	d.callers = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
+	d.callers = &http.Server{Handler: d.connections.Gate(d.edge.Handler(), http.HandlerFunc(d.edge.TurnAway)),
+		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: d.set.Limits.MaxHeaderBytes,
+		ConnState: d.connections.Note}
 	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout}
 }
 
@@ -174,7 +180,7 @@
 
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, l listeners) {
 	g.Go(func() error { d.control.run(ctx); return nil })
-	g.Go(func() error { return ignoreClosed(d.callers.Serve(l.callers)) })
+	g.Go(func() error { return ignoreClosed(d.callers.Serve(d.connections.Listener(l.callers))) })
 	g.Go(func() error { return ignoreClosed(d.admin.Serve(l.admin)) })
 	g.Go(func() error { return trace.Wrap(d.peers.Serve(l.peers)) })
 	if len(d.set.Peers) > 0 {
@@ -195,10 +201,11 @@
 
 // drain is the graceful shutdown. Readiness goes first, so that the balancer looks elsewhere, and
 // requests are still taken for the grace; then new ones are refused and duties move; then it waits
-// for the answers in flight. Drain.Limit or a second signal ends the wait.
+// until no request is in hand, those that are still read among them. Drain.Limit or a second signal ends the wait.
 func (d *Daemon) drain(hard context.Context) {
 	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal stops at once.")
 	d.control.unready()
+	d.edge.Drain()
 	if !timing.Sleep(hard, d.set.Drain.Grace) {
 		return
 	}
@@ -207,7 +214,7 @@
 	for time.Now().Before(until) {
 		held := 1
 		d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
-		if held == 0 {
+		if held == 0 && d.connections.End() {
 			d.log.Info().Msg("Drained.")
 			return
 		}
@@ -222,8 +229,10 @@
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	_ = d.callers.Shutdown(ctx)
+	d.edge.Shutdown()
+	cut := d.connections.Close(ctx)
 	_ = d.callers.Close()
+	d.log.Info().Int("cut", cut).Int("closed_idle", d.connections.Notified()).Msg("Connections closed.")
 	_ = d.admin.Close()
 	d.peers.Stop()
 	_ = d.tracing.Close(ctx)
--- /dev/null
+++ b/internal/edge/drain.go
@@ -0,0 +1,46 @@
+package edge
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"fireflyshift/internal/fault"
+)
+
+// NotRunLine is the header line that says that a request has not run, for answers that are not this package's.
+const NotRunLine = headerWork + ": " + string(fault.NotRun)
+
+// Drain makes every answer from now on the last one of its connection.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Shutdown refuses the requests whose bodies are still read.
+func (s *Server) Shutdown() { s.end() }
+
+// TurnAway refuses a request that comes as the host ends: it has not run.
+func (s *Server) TurnAway(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set(headerRequest, newID())
+	s.refuse(w, s.drainingFault())
+}
+
+func (s *Server) drainingFault() *fault.Error {
+	return fault.New(fault.Draining, "host %s is shutting down", s.opt.Host)
+}
+
+// closingWriter ends the connection with the answer if the host drains when the head is written, so that the
+// caller's next request goes to another host.
+type closingWriter struct {
+	http.ResponseWriter
+	draining *atomic.Bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w closingWriter) WriteHeader(status int) {
+	if w.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap is for http.ResponseController.
+func (w closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
--- /dev/null
+++ b/internal/edge/drain_test.go
@@ -0,0 +1,77 @@
+package edge
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/core"
+	"fireflyshift/internal/fault"
+	"fireflyshift/internal/telemetry"
+)
+
+const bodyTimeout = time.Minute
+
+func newServer(t *testing.T) *Server {
+	tracing, err := telemetry.NewTracing(t.Context(), telemetry.TraceOptions{Exporter: "none"})
+	require.NoError(t, err)
+	return New(Options{Host: "a1", MaxBodyBytes: 1 << 20, BodyTimeout: bodyTimeout}, lateClock{}, tracing, telemetry.NewMetrics(), zerolog.Nop())
+}
+
+// Guards against callers that go on using the connection to a host which shuts down.
+func TestAnswersOfADrainingHostEndTheirConnection(t *testing.T) {
+	s := newServer(t)
+	closes := func(h http.Handler) bool {
+		srv := httptest.NewServer(h)
+		defer srv.Close()
+		resp, err := http.Get(srv.URL)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		return resp.Close
+	}
+	passed := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p := &plainAttempt{server: s, call: &call{Request: r}, w: closingWriter{w, &s.draining}}
+		resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{"Connection": {"keep-alive"}}, Body: http.NoBody}
+		require.NoError(t, p.copy(core.Dispatch{}, resp))
+	})
+	require.False(t, closes(s.Handler()))
+	require.False(t, closes(passed))
+	s.Drain()
+	require.True(t, closes(s.Handler()), "a refusal")
+	require.True(t, closes(passed), "a backend server's answer")
+}
+
+// Guards against a caller whose body is still read as the host ends, and who gets no answer or one that does not say that
+// nothing ran.
+func TestBodyThatIsReadAtTheEndIsRefusedAsNotRun(t *testing.T) {
+	s := newServer(t)
+	reading := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(reading)
+		_, f := s.readBody(w, r)
+		writeFault(w, f)
+	}))
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(bodyTimeout / 2))
+	fmt.Fprint(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nhalf")
+	<-reading
+	s.Shutdown()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Equal(t, string(fault.NotRun), resp.Header.Get(headerWork))
+	require.Contains(t, string(body), fault.Draining)
+}
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -108,10 +108,10 @@
 // error, so a short answer is never taken for a whole one.
 func (p *plainAttempt) copy(d core.Dispatch, resp *http.Response) error {
 	h := p.w.Header()
+	dropHopHeaders(resp.Header)
 	for k, v := range resp.Header {
 		h[k] = v
 	}
-	dropHopHeaders(h)
 	h.Set(headerRequest, p.call.id)
 	h.Set(headerBackend, d.Backend.Name)
 	p.begun = true
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -50,12 +51,19 @@
 	tracing *telemetry.Tracing
 	metrics telemetry.Metrics
 	log     zerolog.Logger
+	// draining tells that answers are the last of their connections.
+	draining atomic.Bool
+	// ending is done when the host ends with requests in hand.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New returns an edge.
 func New(opt Options, c Control, tracing *telemetry.Tracing, m telemetry.Metrics, log zerolog.Logger) *Server {
+	ending, end := context.WithCancel(context.Background())
 	return &Server{opt: opt, control: c, engines: engine.NewClient(), tracing: tracing, metrics: m, log: log,
-		plain: &http.Client{Transport: wire.NewTransport(), CheckRedirect: noRedirect}}
+		plain:  &http.Client{Transport: wire.NewTransport(), CheckRedirect: noRedirect},
+		ending: ending, end: end}
 }
 
 // noRedirect passes redirects to the caller: following one would be a second dispatch.
@@ -70,7 +78,9 @@
 	mux.Handle("/", s.handler(func(http.ResponseWriter, *call) *fault.Error {
 		return fault.New(fault.UnknownService, "no such path; use /v1/chat/completions or /services/NAME/...")
 	}))
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mux.ServeHTTP(closingWriter{w, &s.draining}, r)
+	})
 }
 
 // call is one caller's request with what the headers say.
@@ -94,13 +104,17 @@
 			f = next(w, c)
 		}
 		if f != nil {
-			writeFault(w, f)
-			s.metrics.Count("edge.refused."+string(f.Kind), 1)
+			s.refuse(w, f)
 		}
 		s.metrics.Timer("edge.request").UpdateSince(started)
 	})
 }
 
+func (s *Server) refuse(w http.ResponseWriter, f *fault.Error) {
+	writeFault(w, f)
+	s.metrics.Count("edge.refused."+string(f.Kind), 1)
+}
+
 // newID is a request id: unique over all hosts, ordered by time for people who read logs.
 func newID() string { return uuid.Must(uuid.NewV7()).String() }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -71,9 +71,8 @@
 // sayClosing ends the sending side with the notice. The server goes on reading until the caller closes, or for lingerFor.
 // Errors are those of a connection that has ended already.
 func (k *conn) sayClosing() {
-	until := time.Now().Add(lingerFor)
-	_ = k.Conn.SetWriteDeadline(until)
-	_, _ = k.Write([]byte(closingNotice))
+	// Both ways: a TLS handshake that is not over yet reads before the notice can be written.
+	_ = k.Conn.SetDeadline(time.Now().Add(lingerFor))
+	_, _ = k.Write(k.owner.notice)
 	_ = k.CloseWrite()
-	_ = k.Conn.SetReadDeadline(until)
 }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -21,14 +21,16 @@
 )
 
 // closingNotice tells the caller of a request that crosses the end of its connection that the request was not read and
-// never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends.
-const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends. The empty line that ends
+// the head is still to come.
+const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n"
 
 // Connections are the callers' connections of one host. Idle ones are closed after a limit that may change while
 // http.Server runs; those in use keep a stopping host from ending.
 type Connections struct {
-	mu   sync.Mutex
-	open map[*conn]struct{}
+	notice []byte
+	mu     sync.Mutex
+	open   map[*conn]struct{}
 	// inUse is how many of them read or serve a request.
 	inUse int
 	// ended tells that no request is taken any more, closed that idle connections are ended at once.
@@ -37,8 +39,14 @@
 	notified int
 }
 
-// New returns an empty set.
-func New() *Connections { return &Connections{open: map[*conn]struct{}{}} }
+// New returns an empty set. The closing notice carries the header lines, each "Name: value".
+func New(headerLines ...string) *Connections {
+	notice := closingNotice
+	for _, line := range headerLines {
+		notice += line + "\r\n"
+	}
+	return &Connections{notice: []byte(notice + "\r\n"), open: map[*conn]struct{}{}}
+}
 
 // Listener makes the connections of l known. It has to be what http.Server serves, outside of TLS.
 func (c *Connections) Listener(l net.Listener) net.Listener { return listener{l, c} }
