At the drain limit and at a second signal callers that wait get a true answer on the product's own path

What callers saw: EOF where their host reached its drain limit or got a second signal, for work at a backend server and for requests that waited for a place and had never been sent.

Cause: nothing told the requests that their host ends. Connections were closed under the handlers; the second signal also ended the control thread and the links to peers, since the process's work was derived from it, and what was queued on the links went with them.

Mend: a new event core.Stop gives every request its final answer. What was never sent is `draining`, not run, taken back from its scheduler, and its claim is settled as not run; what was sent is released as canceled and is `stopped`, a new kind, 502, may have run (the remedy of `outcome_unknown` says that the backend server was lost, which is untrue here). The control thread and the links live until the connections have ended; then peer.Sender.Close sends what waits and returns when the other hosts have it; all within closeTimeout.

Why it holds: the answer is decided where the at-most-once mark is kept. Without the mark nothing was sent, and a grant that comes later finds no request and is given back; with it, "may have run" is all that anybody can say. The effects of one event leave in order, so that what peers have to hear is queued before the caller is answered, and Close waits for the receiver's end of the stream, not for a buffer. Not covered: a peer that cannot be reached in that moment, or for the two seconds; its claims end with the ticket.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -115,13 +115,23 @@
 	case CacheEvicted:
 		c.eachGroupOf(e.Backend, func(g *sched.Group) { g.Evicted(e.Backend, e.Hashes) })
 	case Drain:
-		c.drain = true
-		c.view.SetDraining()
-		c.refreshDuties()
-		c.sendHeartbeats()
+		c.beginDrain()
+	case Stop:
+		c.endRequests()
+		c.beginDrain()
 	}
 }
 
+func (c *Core) beginDrain() {
+	if c.drain {
+		return
+	}
+	c.drain = true
+	c.view.SetDraining()
+	c.refreshDuties()
+	c.sendHeartbeats()
+}
+
 func (c *Core) tick() {
 	c.tickCatchUp()
 	c.tickDuties()
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -129,7 +129,7 @@
 
 func (c *Core) refuseSubmit(e Submit) *fault.Error {
 	if c.drain {
-		return fault.New(fault.Draining, "host %s is shutting down", c.opt.Self.ID)
+		return c.drainingFault()
 	}
 	if !c.gossip.synced {
 		return fault.New(fault.NotReady, "host %s has no proved configuration", c.opt.Self.ID)
@@ -332,6 +332,25 @@
 	}
 }
 
+func (c *Core) drainingFault() *fault.Error {
+	return fault.New(fault.Draining, "host %s is shutting down", c.opt.Self.ID)
+}
+
+// endRequests gives every request its final answer. Work that runs is canceled by the traffic side when it sees Finish.
+func (c *Core) endRequests() {
+	for _, r := range c.requestsWhere(func(*request) bool { return true }) {
+		if r.runs() {
+			c.sendRelease(r, Ended{Outcome: Canceled})
+		}
+		c.abandon(r)
+		if r.sent {
+			c.finish(r, fault.New(fault.Stopped, "host %s ended with the request in hand", c.opt.Self.ID))
+		} else {
+			c.finish(r, c.drainingFault())
+		}
+	}
+}
+
 // abandon takes a waiting request back from its scheduler.
 func (c *Core) abandon(r *request) {
 	if r.phase != seeking {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -121,6 +121,9 @@
 // Drain begins the graceful shutdown: the host's duties move at once, new requests are refused.
 type Drain struct{}
 
+// Stop ends what is in hand: each request gets its final answer.
+type Stop struct{}
+
 func (Tick) event()            {}
 func (Submit) event()          {}
 func (Gone) event()            {}
@@ -135,6 +138,7 @@
 func (LoadReport) event()      {}
 func (CacheEvicted) event()    {}
 func (Drain) event()           {}
+func (Stop) event()            {}
 
 // Effect is an output of the reducer, for the daemon to carry out.
 type Effect interface{ effect() }
--- a/internal/core/random_test.go
+++ b/internal/core/random_test.go
@@ -116,6 +116,11 @@
 				w.drain(h)
 			}
 		},
+		"stop": deaf(func(rt *rapid.T) {
+			if h := host(rt); h.alive && !h.paused {
+				w.stop(h)
+			}
+		}),
 		"pause": faulty(func(rt *rapid.T) { host(rt).paused = true }),
 		"wake":  func(rt *rapid.T) { w.wake(host(rt)) },
 		"cut zones": deaf(func(*rapid.T) {
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -464,9 +464,19 @@
 	if !h.draining || h.core.Requests() > 0 {
 		return
 	}
+	w.end(h)
+}
+
+// stop ends a host whose time to drain is over, with what it has in hand, and replaces it.
+func (w *world) stop(h *fakeHost) {
+	w.feed(h, core.Stop{})
+	w.end(h)
+}
+
+func (w *world) end(h *fakeHost) {
 	for _, r := range w.requests {
 		if r.host == h && len(r.answers) == 0 {
-			w.fail("host %s ended its drain with request %s unanswered", h.id, r.id)
+			w.fail("host %s ended with request %s unanswered", h.id, r.id)
 		}
 	}
 	w.kill(h)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,12 +57,12 @@
 }
 
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
-// stops at once.
+// ends the wait for answers.
 func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger, m telemetry.Metrics) error {
 	if set.Host.Threads > 0 {
 		runtime.GOMAXPROCS(set.Host.Threads)
 	}
-	work, stop := context.WithCancel(hard)
+	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	d, err := build(work, set, log, m)
 	if err != nil {
@@ -75,11 +75,10 @@
 	g, _ := errgroup.WithContext(work)
 	d.serve(work, g, listeners)
 	d.log.Info().Str("host", set.Host.ID).Str("zone", set.Host.Zone).Str("callers", set.Listen.Callers).Msg("Serving.")
-	select {
-	case <-ctx.Done():
-		d.drain(hard)
-	case <-hard.Done():
-	case <-work.Done():
+	<-ctx.Done()
+	if !d.drain(hard) {
+		d.edge.Shutdown()
+		d.control.Post(core.Stop{})
 	}
 	d.close()
 	stop()
@@ -201,38 +200,51 @@
 
 // drain is the graceful shutdown. Readiness goes first, so that the balancer looks elsewhere, and
 // requests are still taken for the grace; then new ones are refused and duties move; then it waits
-// until no request is in hand, those that are still read among them. Drain.Limit or a second signal ends the wait.
-func (d *Daemon) drain(hard context.Context) {
-	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal stops at once.")
+// until no request is in hand, those that are still read among them. It reports false where Drain.Limit or a second
+// signal ends the wait.
+func (d *Daemon) drain(hard context.Context) bool {
+	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal ends the wait for answers.")
 	d.control.unready()
 	d.edge.Drain()
-	if !timing.Sleep(hard, d.set.Drain.Grace) {
-		return
+	if timing.Sleep(hard, d.set.Drain.Grace) {
+		d.control.Post(core.Drain{})
+		if d.awaitAnswers(hard) {
+			d.log.Info().Msg("Drained.")
+			return true
+		}
+	}
+	in := d.log.Warn().Int("in_use", d.connections.InUse()).Int64("held", d.control.held.Load())
+	if hard.Err() != nil {
+		in.Msg("Second signal. Answers are cut.")
+	} else {
+		in.Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
 	}
-	d.control.Post(core.Drain{})
+	return false
+}
+
+func (d *Daemon) awaitAnswers(hard context.Context) bool {
 	until := time.Now().Add(d.set.Drain.Limit)
 	for time.Now().Before(until) {
-		held := 1
-		d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
-		if held == 0 && d.connections.End() {
-			d.log.Info().Msg("Drained.")
-			return
+		held := 0
+		known := d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
+		if known && held == 0 && d.connections.End() {
+			return true
 		}
 		if !timing.Sleep(hard, drainPoll) {
-			d.log.Warn().Int("cut", held).Msg("Second signal. Answers are cut.")
-			return
+			return false
 		}
 	}
-	d.log.Warn().Int64("cut", d.control.held.Load()).Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
+	return false
 }
 
+// close ends the connections, and then the links to peers, which have to learn how requests ended.
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	d.edge.Shutdown()
 	cut := d.connections.Close(ctx)
 	_ = d.callers.Close()
 	d.log.Info().Int("cut", cut).Int("closed_idle", d.connections.Notified()).Msg("Connections closed.")
+	d.sender.Close(ctx)
 	_ = d.admin.Close()
 	d.peers.Stop()
 	_ = d.tracing.Close(ctx)
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -19,6 +19,8 @@
 	reattachTries = 5
 	reattachFirst = 20 * time.Millisecond
 	suspendWait   = 3 * time.Second
+	// lastCancel bounds the wait for an engine to take a cancel as the host ends: a caller waits for it too.
+	lastCancel = 250 * time.Millisecond
 )
 
 // chat serves POST /v1/chat/completions.
@@ -82,7 +84,7 @@
 	}
 	e := m.follow(ctx, st)
 	if e.Outcome == core.Canceled || e.Outcome == core.Failed {
-		m.server.engines.Cancel(m.addr, m.call.id)
+		m.cancel()
 	}
 	return m.timed(e)
 }
@@ -109,7 +111,7 @@
 		return core.Ended{Outcome: core.NotSent}
 	}
 	if ctx.Err() != nil {
-		m.server.engines.Cancel(m.addr, m.call.id)
+		m.cancel()
 		return core.Ended{Outcome: core.Canceled}
 	}
 	// The request was written and its answer lost: the engine may have it. Asking for the stream
@@ -124,6 +126,17 @@
 	return core.Ended{Outcome: core.Failed, BackendEnded: upstream.IsRefused(again), Fault: fault.New(fault.OutcomeUnknown, "backend server %s: %v", d.Backend.Name, err)}
 }
 
+// cancel ends the work at the engine.
+func (m *modelAttempt) cancel() {
+	ctx := context.Background()
+	if m.server.ending.Err() != nil {
+		var done context.CancelFunc
+		ctx, done = context.WithTimeout(ctx, lastCancel)
+		defer done()
+	}
+	m.server.engines.Cancel(ctx, m.addr, m.call.id)
+}
+
 // notAdmitted tells that the engine itself says that it has not begun the work.
 func notAdmitted(err error) bool {
 	var s *engine.StatusError
@@ -169,7 +182,7 @@
 			return core.Ended{Outcome: core.Canceled}, ctx.Err() == nil
 		}
 		if c.Suspended() {
-			return m.suspended(), false
+			return m.suspended(ctx), false
 		}
 		if c.Offset < m.offset {
 			continue // a repeat after re-attachment
@@ -197,12 +210,14 @@
 }
 
 // suspended waits for the export whose end mark the stream has shown.
-func (m *modelAttempt) suspended() core.Ended {
+func (m *modelAttempt) suspended(ctx context.Context) core.Ended {
 	select {
 	case kv := <-m.exported:
 		m.kv = kv
 		m.kv.Offset = m.offset
 		return core.Ended{Outcome: core.Suspended}
+	case <-ctx.Done():
+		return core.Ended{Outcome: core.Canceled}
 	case <-time.After(suspendWait):
 		return core.Ended{Outcome: core.Failed, Fault: fault.New(fault.AnswerCut, "the exported stream was lost")}
 	}
--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -14,7 +15,9 @@
 	"github.com/stretchr/testify/require"
 
 	"fireflyshift/internal/core"
+	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/record"
 	"fireflyshift/internal/telemetry"
 )
 
@@ -75,3 +78,26 @@
 	require.Equal(t, string(fault.NotRun), resp.Header.Get(headerWork))
 	require.Contains(t, string(body), fault.Draining)
 }
+
+// Guards against an engine that hangs and takes from its callers the time in which their host could still answer them.
+func TestEngineThatHangsDoesNotDelayTheLastAnswer(t *testing.T) {
+	s := newServer(t)
+	asked := make(chan struct{}, 2)
+	release := make(chan struct{})
+	hung := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked <- struct{}{}; <-release }))
+	defer hung.Close()
+	defer close(release)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	m := &modelAttempt{server: s, call: &call{id: "r"}, sink: newSink(httptest.NewRecorder(), &call{id: "r"}, false, 1), exported: make(chan *engine.KV, 1)}
+	ended := make(chan core.Ended, 1)
+	go func() {
+		ended <- m.run(ctx, core.Dispatch{Backend: record.Backend{Addr: hung.Listener.Addr().String()}})
+	}()
+	<-asked
+	s.Shutdown()
+	began := time.Now()
+	cancel()
+	require.Equal(t, core.Canceled, (<-ended).Outcome)
+	require.Less(t, time.Since(began), time.Second, "the daemon gives the last answers two")
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -168,8 +168,8 @@
 }
 
 // Cancel ends a stream whose answer nobody waits for.
-func (c *Client) Cancel(addr, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+func (c *Client) Cancel(ctx context.Context, addr, id string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+addr+"/v1/streams/"+id, nil)
 	if err != nil {
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -51,6 +51,7 @@
 	AnswerCut          Kind = "answer_cut"
 	DeadlineExceeded   Kind = "deadline_exceeded"
 	Quarantined        Kind = "quarantined"
+	Stopped            Kind = "stopped"
 	// Moved is internal: the group has another scheduler. It never reaches a caller.
 	Moved Kind = "moved"
 )
@@ -91,6 +92,7 @@
 	AnswerCut:          {AnswerCut, http.StatusBadGateway, MayHaveRun, time.Second, "the answer was cut and could not be resumed; discard what came and, if idempotent, send a new request"},
 	DeadlineExceeded:   {DeadlineExceeded, http.StatusGatewayTimeout, MayHaveRun, 0, "the deadline passed while the work ran; allow more time"},
 	Quarantined:        {Quarantined, http.StatusServiceUnavailable, NotRun, time.Minute, "backend servers have ended each time they ran this request; change it, or ask the operator"},
+	Stopped:            {Stopped, http.StatusBadGateway, MayHaveRun, time.Second, "this host stopped before the answer was there; idempotent work can be sent again as a new request"},
 	Moved:              {Moved, http.StatusServiceUnavailable, NotRun, 0, "ask the group's current scheduler"},
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -48,6 +48,9 @@
 	mu     sync.Mutex
 	links  map[string]*link
 	wg     sync.WaitGroup
+	// closing is closed, and closed set, when no more messages are taken.
+	closing chan struct{}
+	closed  bool
 }
 
 // Options of a Sender.
@@ -63,24 +66,34 @@
 
 // NewSender returns a sender whose links end with ctx.
 func NewSender(ctx context.Context, o Options) *Sender {
-	return &Sender{ctx: ctx, self: o.Self, creds: o.Creds, routes: o.Routes, opened: o.Opened, count: o.Count, links: map[string]*link{}}
+	return &Sender{ctx: ctx, self: o.Self, creds: o.Creds, routes: o.Routes, opened: o.Opened, count: o.Count, links: map[string]*link{},
+		closing: make(chan struct{})}
 }
 
 // Send queues a message. It never blocks: the control thread calls it.
 func (s *Sender) Send(to member.Host, m *peerpb.Message) {
+	l := s.linkTo(to)
+	if l == nil {
+		s.count.Dropped.Inc(1)
+		return
+	}
 	select {
-	case s.linkTo(to).queue <- m:
+	case l.queue <- m:
 	default:
 		s.count.Dropped.Inc(1)
 	}
 }
 
+// linkTo is nil once the sender closes.
 func (s *Sender) linkTo(to member.Host) *link {
 	if other, ok := s.routes[to.ID]; ok {
 		to.Addr = other
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
 	l, ok := s.links[to.ID]
 	if ok && l.addr == to.Addr {
 		return l
@@ -108,6 +121,25 @@
 	}
 }
 
+// Close takes no more messages, and returns when the other hosts have those that wait on open links, or with ctx.
+func (s *Sender) Close(ctx context.Context) {
+	s.mu.Lock()
+	if !s.closed {
+		s.closed = true
+		close(s.closing)
+	}
+	s.mu.Unlock()
+	ended := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
 // Wait returns when all links have ended; the context given to NewSender ends them.
 func (s *Sender) Wait() { s.wg.Wait() }
 
@@ -148,6 +180,8 @@
 		}
 		select {
 		case <-ctx.Done():
+		case <-l.sender.closing:
+			return
 		case <-time.After(wait):
 		}
 		wait = min(2*wait, redialMost)
@@ -189,6 +223,9 @@
 		case <-timer.C:
 			_, _ = st.CloseAndRecv()
 			return true, true
+		case <-l.sender.closing:
+			l.finish(st)
+			return true, true
 		case m := <-l.queue:
 			batch := l.coalesce(m)
 			if err := st.Send(batch); err != nil {
@@ -199,6 +236,16 @@
 	}
 }
 
+// finish sends what waits and returns when the other host has it.
+func (l *link) finish(st grpc.ClientStreamingClient[peerpb.Batch, peerpb.LinkClosed]) {
+	for len(l.queue) > 0 {
+		if err := st.Send(l.coalesce(<-l.queue)); err != nil {
+			return
+		}
+	}
+	_, _ = st.CloseAndRecv()
+}
+
 // coalesce takes what else waits, so that a burst costs one write.
 func (l *link) coalesce(first *peerpb.Message) *peerpb.Batch {
 	b := &peerpb.Batch{Messages: []*peerpb.Message{first}}
--- /dev/null
+++ b/internal/peer/link_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"fireflyshift/internal/member"
+	"fireflyshift/internal/peer/peerpb"
+	"fireflyshift/internal/telemetry"
+)
+
+// counting is a host that counts the messages that it gets.
+type counting struct{ got int }
+
+func (*counting) Linked(member.Host, uint64) {}
+func (*counting) Unlinked(string, uint64)    {}
+func (c *counting) Message(string, uint64, *peerpb.Message) {
+	time.Sleep(time.Millisecond) // slower than the sender
+	c.got++
+}
+
+// Guards against a host that ends before others have heard how its requests ended: the tickets of work that never ran would
+// stay claimed.
+func TestCloseSendsWhatWaits(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	to, m := &counting{}, telemetry.NewMetrics()
+	server := NewServer(insecure.NewCredentials(), to, m.Counter("received"))
+	go func() { _ = server.Serve(l) }()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	s := NewSender(ctx, Options{Self: &peerpb.Sender{Host: "a1", Incarnation: 1}, Creds: insecure.NewCredentials(), Opened: func(string) {},
+		Count: Counters{m.Counter("messages"), m.Counter("bytes"), m.Counter("dropped")}})
+	const messages = 300
+	for range messages {
+		s.Send(member.Host{ID: "a2", Addr: l.Addr().String()}, &peerpb.Message{})
+	}
+	closing, done := context.WithTimeout(ctx, 20*time.Second)
+	defer done()
+	s.Close(closing)
+	require.NoError(t, closing.Err())
+	cancel()
+	server.Stop() // returns when no link is served any more
+	require.Equal(t, messages, to.got)
+	s.Send(member.Host{ID: "a3", Addr: l.Addr().String()}, &peerpb.Message{})
+	s.Wait()
+}
