SIGHUP does not end a host of the product's own path

What callers saw: EOF for requests in flight when the host got SIGHUP, as at the end of the terminal or session that it was started from. Cause: the own path had no handler, and the default action ends the process. Mend: SIGHUP is taken from the start on, logged and ignored; the settings are read at the start only, which docs/OPERATORS.md says.

Why it holds: the signal has a handler before the host serves, and nothing acts on it.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -61,6 +61,7 @@
 	}
 	metrics := telemetry.NewMetrics()
 	log, flush := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON, metrics)
+	go ignoreHangups(log, hangups())
 	ctx, hard := signals()
 	stopped(log, flush, daemon.Run(ctx, hard, set, log, metrics))
 }
@@ -100,6 +101,13 @@
 	return out
 }
 
+// ignoreHangups guards requests against the end of a terminal or of a session.
+func ignoreHangups(log zerolog.Logger, hangups <-chan struct{}) {
+	for range hangups {
+		log.Info().Msg("SIGHUP is ignored. Replace the host to apply new settings.")
+	}
+}
+
 func refuse(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
