A host that drains issues no tickets

What callers saw: a ticket from a draining host was refused at its first use elsewhere as `ticket_home_gone`, may have run, though nothing had. Cause: the edge, which issues tickets, did not know of the drain, and only the host that issued a ticket can say whether it has been used. Mend: from the first signal on the edge refuses to issue one as `draining`, not run, which sends the caller to another host; the same where a refusal would have carried one.

Why it holds: no ticket is issued after the flag is set, which is before the drain. Not covered: tickets that were issued before the signal and are not used before the host ends.

--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -181,19 +181,31 @@
 	if !h.nonIdempotent || h.callerID == "" || h.ticket != nil {
 		return nil
 	}
-	f := fault.New(fault.TicketRequired, "non-idempotent request %s has an id of the caller's and no ticket", h.callerID)
-	f.Ticket = s.newTicket()
+	issued, f := s.newTicket()
+	if f != nil {
+		return f
+	}
+	f = fault.New(fault.TicketRequired, "non-idempotent request %s has an id of the caller's and no ticket", h.callerID)
+	f.Ticket = issued
 	return f
 }
 
-func (s *Server) newTicket() string {
+// newTicket refuses while the host drains: only this host could say whether the ticket has been used.
+func (s *Server) newTicket() (string, *fault.Error) {
+	if s.draining.Load() {
+		return "", s.drainingFault()
+	}
 	t := ticket.Ticket{Home: s.opt.Host, Incarnation: s.opt.Incarnation, Issued: s.control.Now(), Nonce: uuid.NewString()[:13]}
-	return t.String()
+	return t.String(), nil
 }
 
 // issueTicket gives a caller a ticket before its first try.
 func (s *Server) issueTicket(w http.ResponseWriter, _ *call) *fault.Error {
-	writeJSON(w, http.StatusOK, map[string]any{"ticket": s.newTicket(), "valid_ms": ticket.TTL.Milliseconds()})
+	issued, f := s.newTicket()
+	if f != nil {
+		return f
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"ticket": issued, "valid_ms": ticket.TTL.Milliseconds()})
 	return nil
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -94,6 +94,7 @@
 	{"stop-releases", "5", "internal/core/entry.go", "		if r.runs() {\n			c.sendRelease", "		if false {\n			c.sendRelease", []string{"./internal/core", "-run", "Stop"}},
 	{"stop-peers-hear", "5", "internal/peer/link.go", "	_, _ = st.CloseAndRecv()\n}\n", "}\n", []string{"./internal/peer"}},
 	{"stop-engine-hangs", "5", "internal/edge/chat.go", "context.WithTimeout(ctx, lastCancel)", "context.WithCancel(ctx)", []string{"./internal/edge"}},
+	{"drain-no-ticket", "2", "internal/edge/server.go", "	if s.draining.Load() {\n", "	if false {\n", real("TicketOfADraining")},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, hangups())\n", "	_ = ignoreHangups\n", real("Hangup")},
 	{"drain-grace", "5", "internal/daemon/daemon.go", "if timing.Sleep(hard, d.set.Drain.Grace) {", "if timing.Sleep(hard, 0) {", real("Roll")},
 	{"revision-comparison", "6", "internal/confstate/confstate.go", "if known && r.Revision <= old.raw.Revision {", "if false {", coreTests},
