Hosts of a zone that all drain keep their duties

What callers saw: a request that waited for a place while the only host of its zone drained waited for its whole deadline, its backend server idle, and the host did not end before that. Cause: a draining host takes no duties, so that such a zone had no scheduler: the group was dissolved, and the request looked for its scheduler until its deadline.

Mend: where no host of the zone takes duties, those that drain and can be reached do. Hosts that catch up after a pause stay left out, for which a peer's two reasons to take no duties are told apart.

Why it holds: the schedulers of a zone are a function of its membership view, as before, and the set that it is computed from is empty only if no host of the zone is there or all catch up. A host that starts takes the duties over as it becomes live; one that ends with duties is taken for gone as any other. Several hosts that drain together share the duties and may each wait for the other's requests; none of them waits for a scheduler that is not there.

--- a/internal/core/duty.go
+++ b/internal/core/duty.go
@@ -308,6 +308,7 @@
 	inc := c.view.Incarnation(from)
 	wasLive := c.view.Alive(c.now, from)
 	c.view.Heard(c.now, from, inc, h.SentMs, h.Draining || h.CatchingUp)
+	c.view.NoteCatchingUp(from, h.CatchingUp)
 	for _, s := range h.Groups {
 		s.Scheduler = from
 		c.duty.summary[GroupKey{s.Service, s.Shard}] = groupRow{s, c.now}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -43,7 +43,8 @@
 	heard       bool
 	seenAt      time.Duration // latest link or heartbeat
 	echo        uint64        // the peer's clock in its latest heartbeat, ms
-	draining    bool
+	draining    bool          // takes no duties while another host does
+	catchingUp  bool
 	links       int // open links from the peer
 	unlinkedAt  time.Duration
 }
@@ -272,14 +273,29 @@
 	return out
 }
 
-// Live lists the ids of the hosts of this zone that take duties, by id.
+// NoteCatchingUp notes whether a peer may know only what was before a pause.
+func (v *View) NoteCatchingUp(id string, on bool) {
+	if p, ok := v.peers[id]; ok {
+		p.catchingUp = on
+	}
+}
+
+// Live lists the ids of the hosts of this zone that take duties, by id. Where all drain they keep their duties: what
+// waits with them would wait for good.
 func (v *View) Live(now time.Duration) []string {
+	if live := v.zoneIDs(v.takesDuties(), func(p *peer) bool { return v.alive(now, p) }); len(live) > 0 {
+		return live
+	}
+	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })
+}
+
+func (v *View) zoneIDs(self bool, want func(*peer) bool) []string {
 	var out []string
-	if v.takesDuties() {
+	if self {
 		out = append(out, v.self.ID)
 	}
 	for id, p := range v.peers {
-		if p.Zone == v.self.Zone && v.alive(now, p) {
+		if p.Zone == v.self.Zone && want(p) {
 			out = append(out, id)
 		}
 	}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -57,3 +57,18 @@
 		}
 	}
 }
+
+// Guards against a zone that is shut down as a whole and in which nobody schedules what still waits; and against duties of a
+// host that may know only what was before a pause.
+func TestHostsThatAllDrainKeepTheirDuties(t *testing.T) {
+	v := testView(3)
+	v.SetDraining()
+	v.Heard(0, "h1", 1, 2, true)
+	require.Equal(t, []string{"h2"}, v.Live(0), "one that stays has all duties")
+	v.Heard(0, "h2", 1, 2, true)
+	require.Equal(t, []string{"h0", "h1", "h2"}, v.Live(0))
+	v.NoteCatchingUp("h2", true)
+	require.Equal(t, []string{"h0", "h1"}, v.Live(0))
+	v.SetCatchingUp(true)
+	require.Equal(t, []string{"h1"}, v.Live(0))
+}
