--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/edge"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/member"
 	"fireflyshift/internal/peer"
 	"fireflyshift/internal/peer/peerpb"
@@ -47,18 +48,21 @@
 	sender  *peer.Sender
 	peers   *grpc.Server
 	callers *http.Server
-	admin   *http.Server
-	reader  *toggle
-	engines *engineWatch
+	// connections are the callers'.
+	connections *ingress.Connections
+	edge        *edge.Server
+	admin       *http.Server
+	reader      *toggle
+	engines     *engineWatch
 }
 
 // Run serves until ctx ends, then shuts down gracefully; a second signal, seen as the end of hard,
-// stops at once.
+// ends the wait for answers.
 func Run(ctx, hard context.Context, set *settings.Settings, log zerolog.Logger, m telemetry.Metrics) error {
 	if set.Host.Threads > 0 {
 		runtime.GOMAXPROCS(set.Host.Threads)
 	}
-	work, stop := context.WithCancel(hard)
+	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	d, err := build(work, set, log, m)
 	if err != nil {
@@ -71,11 +75,10 @@
 	g, _ := errgroup.WithContext(work)
 	d.serve(work, g, listeners)
 	d.log.Info().Str("host", set.Host.ID).Str("zone", set.Host.Zone).Str("callers", set.Listen.Callers).Msg("Serving.")
-	select {
-	case <-ctx.Done():
-		d.drain(hard)
-	case <-hard.Done():
-	case <-work.Done():
+	<-ctx.Done()
+	if !d.drain(hard) {
+		d.edge.Shutdown()
+		d.control.Post(core.Stop{})
 	}
 	d.close()
 	stop()
@@ -101,7 +104,8 @@
 	self := member.Host{ID: set.Host.ID, Zone: set.Host.Zone, Addr: set.Listen.AdvertisePeers}
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.For(log, "control"))
-	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl}
+	d := &Daemon{set: set, log: telemetry.For(log, "daemon"), tracing: tracing, metrics: m, control: ctl,
+		connections: ingress.New(edge.NotRunLine)}
 	d.sender = peer.NewSender(ctx, peer.Options{
 		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
 		Creds:  clientCreds,
@@ -130,15 +134,16 @@
 }
 
 func (d *Daemon) buildServers(incarnation uint64, log zerolog.Logger) {
-	e := edge.New(edge.Options{
+	d.edge = edge.New(edge.Options{
 		Host:           d.set.Host.ID,
 		Incarnation:    incarnation,
 		MaxBodyBytes:   d.set.Limits.MaxBodyBytes,
 		MaxAnswerBytes: d.set.Limits.MaxAnswerBytes,
 		BodyTimeout:    d.set.Limits.BodyTimeout,
 	}, d.control, d.tracing, d.metrics, telemetry.For(log, "edge"))
-	d.callers = &http.Server{Handler: e.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	d.callers = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
+	d.connections.Guard(d.callers, http.HandlerFunc(d.edge.TurnAway))
 	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout}
 }
 
@@ -174,7 +179,7 @@
 
 func (d *Daemon) serve(ctx context.Context, g *errgroup.Group, l listeners) {
 	g.Go(func() error { d.control.run(ctx); return nil })
-	g.Go(func() error { return ignoreClosed(d.callers.Serve(l.callers)) })
+	g.Go(func() error { return ignoreClosed(d.callers.Serve(d.connections.Listener(l.callers))) })
 	g.Go(func() error { return ignoreClosed(d.admin.Serve(l.admin)) })
 	g.Go(func() error { return trace.Wrap(d.peers.Serve(l.peers)) })
 	if len(d.set.Peers) > 0 {
@@ -195,35 +200,51 @@
 
 // drain is the graceful shutdown. Readiness goes first, so that the balancer looks elsewhere, and
 // requests are still taken for the grace; then new ones are refused and duties move; then it waits
-// for the answers in flight. Drain.Limit or a second signal ends the wait.
-func (d *Daemon) drain(hard context.Context) {
-	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal stops at once.")
+// until no request is in hand, those that are still read among them. It reports false where Drain.Limit or a second
+// signal ends the wait.
+func (d *Daemon) drain(hard context.Context) bool {
+	d.log.Info().Dur("grace", d.set.Drain.Grace).Msg("Draining. A second signal ends the wait for answers.")
 	d.control.unready()
-	if !timing.Sleep(hard, d.set.Drain.Grace) {
-		return
+	d.edge.Drain()
+	if timing.Sleep(hard, d.set.Drain.Grace) {
+		d.control.Post(core.Drain{})
+		if d.awaitAnswers(hard) {
+			d.log.Info().Msg("Drained.")
+			return true
+		}
+	}
+	in := d.log.Warn().Int("in_use", d.connections.InUse()).Int64("held", d.control.held.Load())
+	if hard.Err() != nil {
+		in.Msg("Second signal. Answers are cut.")
+	} else {
+		in.Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
 	}
-	d.control.Post(core.Drain{})
+	return false
+}
+
+func (d *Daemon) awaitAnswers(hard context.Context) bool {
 	until := time.Now().Add(d.set.Drain.Limit)
 	for time.Now().Before(until) {
-		held := 1
-		d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
-		if held == 0 {
-			d.log.Info().Msg("Drained.")
-			return
+		held := 0
+		known := d.control.query(queryTimeout, func(c *core.Core) { held = c.Requests() })
+		if known && held == 0 && d.connections.End() {
+			return true
 		}
 		if !timing.Sleep(hard, drainPoll) {
-			d.log.Warn().Int("cut", held).Msg("Second signal. Answers are cut.")
-			return
+			return false
 		}
 	}
-	d.log.Warn().Int64("cut", d.control.held.Load()).Msg("Drain limit reached. Answers are cut. Raise [drain] limit if they matter.")
+	return false
 }
 
+// close ends the connections, and then the links to peers, which have to learn how requests ended.
 func (d *Daemon) close() {
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	_ = d.callers.Shutdown(ctx)
+	cut := d.connections.Close(ctx)
 	_ = d.callers.Close()
+	d.log.Info().Int("cut", cut).Int("notified", d.connections.Notified()).Msg("Connections closed.")
+	d.sender.Close(ctx)
 	_ = d.admin.Close()
 	d.peers.Stop()
 	_ = d.tracing.Close(ctx)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -94,9 +94,8 @@
 // sayClosing ends the sending side with the notice; the server's pending Read goes on until the caller closes, or for
 // lingerFor. Errors are those of a connection that has ended already.
 func (k *conn) sayClosing() {
-	until := time.Now().Add(lingerFor)
-	_ = k.Conn.SetWriteDeadline(until)
-	_, _ = k.Write([]byte(closingNotice))
+	// Both ways: a TLS handshake that is not over yet reads before the notice can be written.
+	_ = k.Conn.SetDeadline(time.Now().Add(lingerFor))
+	_, _ = k.Write(k.owner.notice)
 	_ = k.CloseWrite()
-	_ = k.Conn.SetReadDeadline(until)
 }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -26,14 +26,16 @@
 )
 
 // closingNotice tells the caller of a request that arrives while its connection is closing that the request was not
-// read and never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends.
-const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// read and never will be (RFC 9110, 15.5.9). A caller that has sent none sees that the connection ends. The empty line
+// that ends the head is still to come.
+const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n"
 
 // Connections are the callers' connections of one host. Idle ones are closed after a limit that may change while
 // http.Server runs; those in use keep a stopping host from ending.
 //
 // Phases and refusing change under one lock: a byte of a request is counted before End looks, or its request is refused.
 type Connections struct {
+	notice    []byte
 	mu        sync.Mutex
 	open      map[*conn]struct{}
 	listeners []net.Listener
@@ -46,8 +48,14 @@
 	notified int
 }
 
-// New returns an empty set.
-func New() *Connections { return &Connections{open: map[*conn]struct{}{}} }
+// New returns an empty set. The closing notice carries the header lines, each "Name: value".
+func New(headerLines ...string) *Connections {
+	notice := closingNotice
+	for _, line := range headerLines {
+		notice += line + "\r\n"
+	}
+	return &Connections{notice: []byte(notice + "\r\n"), open: map[*conn]struct{}{}}
+}
 
 // Guard sets a server up to serve connections of Listener. Requests that come after End go to turnAway.
 func (c *Connections) Guard(s *http.Server, turnAway http.Handler) {
