--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -82,20 +82,19 @@
 // Close implements net.Conn. It drops what the caller still sends until the caller has seen the end (RFC 9112, 9.6): with
 // bytes unread the connection would be reset, and the last answer lost.
 func (k *conn) Close() error {
-	if k.owner.finish(k) && !k.over.Load() {
-		until := time.Now().Add(lingerFor)
-		_ = k.CloseWrite()
-		_ = k.Conn.SetReadDeadline(until)
+	if linger, notice := k.owner.finish(k); linger {
+		k.endSending(notice)
 		_, _ = io.Copy(io.Discard, k.Conn)
 	}
 	return k.Conn.Close()
 }
 
-// sayClosing ends the sending side with the notice; the server's pending Read goes on until the caller closes, or for
-// lingerFor. Errors are those of a connection that has ended already.
-func (k *conn) sayClosing() {
+// endSending closes the sending side, and bounds what is still read to lingerFor. Errors are those of a connection that has ended already.
+func (k *conn) endSending(notice bool) {
 	// Both ways: a TLS handshake that is not over yet reads before the notice can be written.
-	_ = k.Conn.SetDeadline(time.Now().Add(lingerFor))
-	_, _ = k.Write(k.owner.notice)
+	_ = k.Conn.SetDeadline(time.Now().Add(k.owner.linger))
+	if notice {
+		_, _ = k.Write(k.owner.notice)
+	}
 	_ = k.CloseWrite()
 }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -35,7 +35,9 @@
 //
 // Phases and refusing change under one lock: a byte of a request is counted before End looks, or its request is refused.
 type Connections struct {
-	notice    []byte
+	notice []byte
+	// linger is lingerFor.
+	linger    time.Duration
 	mu        sync.Mutex
 	open      map[*conn]struct{}
 	listeners []net.Listener
@@ -54,7 +56,7 @@
 	for _, line := range headerLines {
 		notice += line + "\r\n"
 	}
-	return &Connections{notice: []byte(notice + "\r\n"), open: map[*conn]struct{}{}}
+	return &Connections{notice: []byte(notice + "\r\n"), linger: lingerFor, open: map[*conn]struct{}{}}
 }
 
 // Guard sets a server up to serve connections of Listener. Requests that come after End go to turnAway.
@@ -155,23 +157,30 @@
 	return true
 }
 
-// notify ends a connection that serves no request, with the notice. The lock is held.
+// notify ends a connection that serves no request, with the notice; the server's pending Read drops what still comes. The
+// lock is held.
 func (c *Connections) notify(k *conn) {
 	if k.in() == closing {
 		return
 	}
 	c.enter(k, closing)
 	c.notified++
-	go k.sayClosing()
+	go k.endSending(true)
 }
 
-// finish makes a connection closing. It reports whether to wait for the caller to see that: nobody has done so yet.
-func (c *Connections) finish(k *conn) bool {
+// finish makes a connection closing. It reports whether to wait for the caller to see that, as nobody has done so yet, and
+// whether to give it the notice first, as no byte of a next request was read.
+func (c *Connections) finish(k *conn) (linger, notice bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	linger := k.in() != closing && !c.abrupt
+	was := k.in()
 	c.enter(k, closing)
-	return linger
+	linger = was != closing && !c.abrupt && !k.over.Load()
+	notice = linger && was == idle
+	if notice {
+		c.notified++
+	}
+	return linger, notice
 }
 
 // InUse is how many connections read or serve a request.
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -80,10 +80,10 @@
 	defer caller.Close()
 	k := c.add(inner)
 	c.connState(k, http.StateNew)
-	require.False(t, c.end(time.Now()))
-	require.True(t, c.end(time.Now().Add(firstWithin)), "a caller that says nothing does not keep it")
+	require.False(t, c.end(k.acceptedAt))
+	require.True(t, c.end(k.acceptedAt.Add(firstWithin)), "a caller that says nothing does not keep it")
 	c.connState(k, http.StateIdle)
-	require.True(t, c.end(time.Now()), "nor one that has been answered")
+	require.True(t, c.end(k.acceptedAt), "nor one that has been answered")
 }
 
 // heldConn reads nothing until it is released, as a host that has no processor time.
@@ -119,11 +119,18 @@
 	addr   string
 	mu     sync.Mutex
 	gate   chan struct{}
+	server *http.Server
 	served int
 }
 
-func newHost(t *testing.T) *host {
-	h := &host{t: t, c: New(), gate: make(chan struct{})}
+// lingers makes a host wait for its callers as long as a test may take.
+func lingers(h *host) { h.c.linger = patience }
+
+func newHost(t *testing.T, options ...func(*host)) *host {
+	h := &host{t: t, c: New(), gate: make(chan struct{}), server: &http.Server{}}
+	for _, set := range options {
+		set(h)
+	}
 	close(h.gate)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -147,7 +154,8 @@
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
-	srv := &http.Server{Handler: serve}
+	srv := h.server
+	srv.Handler = serve
 	h.c.Guard(srv, refuse)
 	go func() { _ = srv.Serve(h.c.Listener(heldListener{l, h.held})) }()
 	t.Cleanup(func() { h.release(); _ = srv.Close() })
@@ -281,7 +289,7 @@
 
 // Guards against a request that comes as its idle connection is closed for a shorter limit, and is lost.
 func TestRequestThatCrossesTheIdleLimitIsToldSo(t *testing.T) {
-	h := newHost(t)
+	h := newHost(t, lingers)
 	c := h.caller()
 	require.NoError(t, c.send())
 	require.Equal(t, http.StatusOK, c.status(t))
@@ -295,6 +303,20 @@
 	require.Equal(t, 1, h.served)
 }
 
+// Guards against a request that comes as the server itself closes an idle connection, and is lost.
+func TestRequestThatCrossesTheServersIdleLimitIsToldSo(t *testing.T) {
+	h := newHost(t, lingers, func(h *host) { h.server.IdleTimeout = 50 * time.Millisecond })
+	c := h.caller()
+	require.NoError(t, c.send())
+	require.Equal(t, http.StatusOK, c.status(t))
+	_, err := c.r.Peek(1) // its limit has passed
+	require.NoError(t, err)
+	require.NoError(t, c.send())
+	c.requireReadOn(t)
+	require.Equal(t, 1, h.served)
+	require.Equal(t, 1, h.c.Notified())
+}
+
 // Guards against a caller who does not close its side, and would keep a host or an expired connection for good.
 func TestCallerWhoStaysDoesNotKeepTheHost(t *testing.T) {
 	h := newHost(t)
@@ -321,7 +343,7 @@
 
 // Guards against an answer that is lost because its connection is reset: the caller was still sending what the host did not read.
 func TestAnswerToAnUnreadBodyIsNotReset(t *testing.T) {
-	h := newHost(t)
+	h := newHost(t, lingers)
 	c := h.caller()
 	_, err := io.WriteString(c, "POST /unread HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n")
 	require.NoError(t, err)
@@ -344,7 +366,7 @@
 
 // Guards against a notice that is lost because its connection is reset: the caller has sent a request and goes on sending.
 func TestNoticeIsNotReset(t *testing.T) {
-	h := newHost(t)
+	h := newHost(t, lingers)
 	c := h.caller()
 	require.NoError(t, c.send())
 	require.Equal(t, http.StatusOK, c.status(t))
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -236,7 +236,7 @@
 	{"ingress-first-byte", "5", "internal/ingress/connections.go", "		c.enter(k, reading)\n", "", []string{"./internal/ingress"}},
 	{"ingress-awaited", "5", "internal/ingress/connections.go", "c.refusing = c.inUse == 0 && !c.awaited(now)", "c.refusing = c.inUse == 0 || c.awaited(now)", []string{"./internal/ingress"}},
 	{"ingress-accepts", "5", "internal/ingress/connections.go", "	case <-accepted.C:\n", "	default:\n", real("TestRequestsOnConnectionsThatWait")},
-	{"ingress-notice", "5", "internal/ingress/conn.go", "	_, _ = k.Write(k.owner.notice)\n", "", []string{"./internal/ingress"}},
+	{"ingress-notice", "5", "internal/ingress/conn.go", "		_, _ = k.Write(k.owner.notice)\n", "", []string{"./internal/ingress"}},
 	{"ingress-tls", "5", "internal/ingress/conn.go", "k.Conn.SetDeadline(", "k.Conn.SetWriteDeadline(", []string{"./internal/ingress"}},
 	{"ingress-drops", "5", "internal/ingress/connections.go", "	case closing:\n		return false\n", "", []string{"./internal/ingress"}},
 	{"ingress-lingers", "5", "internal/ingress/conn.go", "		_, _ = io.Copy(io.Discard, k.Conn)\n", "		_ = io.Discard\n", []string{"./internal/ingress"}},
