--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -197,6 +197,15 @@
 	return &caller{conn, bufio.NewReader(conn)}
 }
 
+// keptCaller has had an answer on its connection, which is idle.
+func (h *host) keptCaller() *caller {
+	c := h.caller()
+	require.NoError(h.t, c.send())
+	require.Equal(h.t, http.StatusOK, c.status(h.t))
+	require.Eventually(h.t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	return c
+}
+
 const text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
 
 func (c *caller) send() error {
@@ -217,10 +226,7 @@
 // reset, and not know whether the request has run.
 func TestRequestThatIsUnreadAtTheEndIsToldSo(t *testing.T) {
 	h := newHost(t)
-	kept := h.caller()
-	require.NoError(t, kept.send())
-	require.Equal(t, http.StatusOK, kept.status(t))
-	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	kept := h.keptCaller()
 	h.hold()
 	unread := h.caller()
 	require.NoError(t, unread.send())
@@ -290,10 +296,7 @@
 // Guards against a request that comes as its idle connection is closed for a shorter limit, and is lost.
 func TestRequestThatCrossesTheIdleLimitIsToldSo(t *testing.T) {
 	h := newHost(t, lingers)
-	c := h.caller()
-	require.NoError(t, c.send())
-	require.Equal(t, http.StatusOK, c.status(t))
-	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	c := h.keptCaller()
 	h.c.Expire(time.Now().Add(time.Second), time.Minute)
 	require.Zero(t, h.c.Notified(), "not yet")
 	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
@@ -320,10 +323,7 @@
 // Guards against a caller who does not close its side, and would keep a host or an expired connection for good.
 func TestCallerWhoStaysDoesNotKeepTheHost(t *testing.T) {
 	h := newHost(t)
-	c := h.caller()
-	require.NoError(t, c.send())
-	require.Equal(t, http.StatusOK, c.status(t))
-	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	h.keptCaller()
 	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
 	require.Eventually(t, func() bool { return h.c.left() == 0 }, patience, time.Millisecond)
 }
@@ -331,10 +331,7 @@
 // Guards against a connection that is told twice, first by its idle limit and then by the end of its host.
 func TestOneNoticeForEachConnection(t *testing.T) {
 	h := newHost(t)
-	c := h.caller()
-	require.NoError(t, c.send())
-	require.Equal(t, http.StatusOK, c.status(t))
-	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	c := h.keptCaller()
 	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
 	require.Equal(t, http.StatusRequestTimeout, c.status(t))
 	h.c.Close(within(t, patience))
@@ -367,10 +364,7 @@
 // Guards against a notice that is lost because its connection is reset: the caller has sent a request and goes on sending.
 func TestNoticeIsNotReset(t *testing.T) {
 	h := newHost(t, lingers)
-	c := h.caller()
-	require.NoError(t, c.send())
-	require.Equal(t, http.StatusOK, c.status(t))
-	require.Eventually(t, func() bool { return h.c.InUse() == 0 }, patience, time.Millisecond)
+	c := h.keptCaller()
 	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
 	_, err := c.r.Peek(1)
 	require.NoError(t, err)
