A test of a host's end does not ask its runtime for an order

Which goes first as a paused process wakes up, its timer or its sockets, is not the test's to choose. Its promise, an answer or a refusal for each, is asked as before; that an unread request is told so is held, without chance, by TestRequestThatIsUnreadAtTheEndIsToldSo.

--- a/test/end_test.go
+++ b/test/end_test.go
@@ -60,7 +60,8 @@
 	for i, err := range errs {
 		require.NoError(t, err, "request %d has neither an answer nor a refusal", i)
 	}
-	require.Contains(t, statuses, http.StatusRequestTimeout, "all were read before the end")
+	// How many the host reads before it ends is its runtime's choice.
+	t.Logf("statuses: %v", statuses)
 }
 
 // Guards against a stopping host that sends a stream on whose body came as it was about to end, and cuts it.
