--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,7 +35,9 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	drainPoll     = 20 * time.Millisecond
-	closeTimeout  = 2 * time.Second
+	// closeTimeout bounds the end of callers' connections, peersTimeout then the last words to peers.
+	closeTimeout = 1500 * time.Millisecond
+	peersTimeout = 500 * time.Millisecond
 )
 
 // Daemon is one running host.
@@ -239,11 +241,13 @@
 
 // close ends the connections, and then the links to peers, which have to learn how requests ended.
 func (d *Daemon) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	callers, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	cut := d.connections.Close(ctx)
+	cut := d.connections.Close(callers)
 	_ = d.callers.Close()
 	d.log.Info().Int("cut", cut).Int("notified", d.connections.Notified()).Msg("Connections closed.")
+	ctx, cancel := context.WithTimeout(context.Background(), peersTimeout)
+	defer cancel()
 	d.sender.Close(ctx)
 	_ = d.admin.Close()
 	d.peers.Stop()
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -20,7 +20,9 @@
 	// firstWithin is how soon after its connection a caller's first request is here as a rule, on a slow link too. A host that
 	// ends sooner refuses what it could have answered.
 	firstWithin = 250 * time.Millisecond
-	lingerPoll  = 5 * time.Millisecond
+	// awaitFor bounds how long a host waits for such requests in all, where new connections go on coming.
+	awaitFor   = 4 * firstWithin
+	lingerPoll = 5 * time.Millisecond
 	// acceptFor is for connections that the kernel has made and nobody has accepted yet: closing the listener resets them.
 	acceptFor = 50 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 	// refusing: requests are turned away. closing: connections that serve none are ended. abrupt: without a wait for their
 	// callers.
 	refusing, closing, abrupt bool
+	// awaitUntil is set when only requests on new connections keep the host.
+	awaitUntil time.Time
 	// notified is how many got the closing notice.
 	notified int
 }
@@ -209,6 +213,12 @@
 
 // awaited tells whether a new connection is about to bring its first request. The lock is held.
 func (c *Connections) awaited(now time.Time) bool {
+	if c.awaitUntil.IsZero() {
+		c.awaitUntil = now.Add(awaitFor)
+	}
+	if now.After(c.awaitUntil) {
+		return false
+	}
 	for k := range c.open {
 		if k.in() == idle && k.idleSince.IsZero() && now.Sub(k.acceptedAt) < firstWithin {
 			return true
@@ -232,23 +242,18 @@
 	})
 }
 
-// Close ends the connections: at once those that serve no request, the others after their answer. Then, and after
-// acceptFor, it closes the listeners, and ends what was still accepted. It returns when all have ended, or with ctx, and then tells how many still
-// serve; http.Server's Close, which has to follow, cuts these.
+// Close ends the connections: at once those that serve no request, the others after their answer. After acceptFor it closes
+// the listeners. It returns when all connections have ended, or with ctx, and then tells how many still serve; http.Server's
+// Close, which has to follow, cuts these.
 func (c *Connections) Close(ctx context.Context) (serving int) {
 	c.endUnserved()
 	accepted := time.NewTimer(acceptFor)
 	defer accepted.Stop()
-	c.await(ctx)
 	select {
 	case <-accepted.C:
 	case <-ctx.Done():
 	}
-	c.mu.Lock()
-	for _, l := range c.listeners {
-		_ = l.Close()
-	}
-	c.mu.Unlock()
+	c.closeListeners()
 	c.await(ctx)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -256,6 +261,14 @@
 	return c.inUse
 }
 
+func (c *Connections) closeListeners() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.listeners {
+		_ = l.Close()
+	}
+}
+
 // await returns when no connection is open, or with ctx.
 func (c *Connections) await(ctx context.Context) {
 	poll := time.NewTicker(lingerPoll)
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -86,6 +86,37 @@
 	require.True(t, c.end(k.acceptedAt), "nor one that has been answered")
 }
 
+// Guards against new connections that go on coming and keep a host for good.
+func TestNewConnectionsKeepTheHostForABoundedTime(t *testing.T) {
+	c := New()
+	now := time.Now()
+	for ; c.inUse == 0 && !c.end(now); now = now.Add(firstWithin / 2) {
+		inner, caller := net.Pipe()
+		defer inner.Close()
+		defer caller.Close()
+		c.add(inner).acceptedAt = now
+		require.Less(t, now.Sub(c.awaitUntil), time.Minute)
+	}
+	require.True(t, c.end(now))
+}
+
+// Guards against a host that takes connections until its time is over, and then has none left to tell them so.
+func TestListenerClosesBeforeTheLastConnection(t *testing.T) {
+	h := newHost(t, lingers)
+	stays := h.keptCaller()
+	done := make(chan int)
+	go func() { done <- h.c.Close(within(t, patience)) }()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", h.addr)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, patience, time.Millisecond)
+	require.NoError(t, stays.Close())
+	require.Zero(t, <-done)
+}
+
 // heldConn reads nothing until it is released, as a host that has no processor time.
 type heldConn struct {
 	*net.TCPConn
