--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -19,15 +19,14 @@
 
 // readBody reads the whole body within size and time limits, so that a slow caller holds nothing
 // but its own connection: no slot is asked for before the body is here.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *fault.Error) {
+func (s *Server) readBody(w http.ResponseWriter, c *call) ([]byte, *fault.Error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
 	defer context.AfterFunc(s.ending, func() { _ = rc.SetReadDeadline(time.Now()) })()
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opt.MaxBodyBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(w, c.Body, s.opt.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		w.Header().Set("Connection", "close") // rather than read what is refused
 		return nil, fault.New(fault.BodyTooLarge, "the body has more than %d bytes", s.opt.MaxBodyBytes)
 	case errors.Is(err, os.ErrDeadlineExceeded) && s.ending.Err() != nil:
 		return nil, s.drainingFault()
@@ -37,6 +36,7 @@
 		return nil, fault.New(fault.BadBody, "the body could not be read: %v", err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
+	c.bodyRead = true
 	return data, nil
 }
 
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -25,7 +25,7 @@
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, c *call) *fault.Error {
-	data, f := s.readBody(w, c.Request)
+	data, f := s.readBody(w, c)
 	if f != nil {
 		return f
 	}
--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -59,7 +59,7 @@
 	reading := make(chan struct{})
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		close(reading)
-		_, f := s.readBody(w, r)
+		_, f := s.readBody(w, &call{Request: r})
 		writeFault(w, f)
 	}))
 	defer srv.Close()
--- a/internal/edge/flight.go
+++ b/internal/edge/flight.go
@@ -34,7 +34,7 @@
 	defer wait.End()
 	sub.Traceparent = s.tracing.Traceparent(ctx)
 	s.control.Submit(sub, effects)
-	running, addr := false, ""
+	running, answered, addr := false, false, ""
 	gone := c.Context().Done()
 	for {
 		select {
@@ -48,16 +48,20 @@
 			case core.Finish:
 				cancel()
 				if running {
-					<-ended
+					answered = (<-ended).Outcome == core.Done
 				}
-				a.conclude(e.Fault)
-				if e.Fault != nil {
-					s.metrics.Count("edge.refused."+string(e.Fault.Kind), 1)
+				f := e.Fault
+				if answered {
+					f = nil // the answer was whole before the reducer heard of it
+				}
+				a.conclude(f)
+				if f != nil {
+					s.metrics.Count("edge.refused."+string(f.Kind), 1)
 				}
 				return
 			}
 		case e := <-ended:
-			running = false
+			running, answered = false, e.Outcome == core.Done
 			s.control.Post(e)
 		case <-gone:
 			gone = nil
--- a/internal/edge/pass.go
+++ b/internal/edge/pass.go
@@ -29,7 +29,7 @@
 	if c.config.Service(name).Kind != record.ServicePlain {
 		return fault.New(fault.UnknownService, "service %q is a model service; use /v1/chat/completions", name)
 	}
-	body, f := s.readBody(w, c.Request)
+	body, f := s.readBody(w, c)
 	if f != nil {
 		return f
 	}
@@ -104,9 +104,17 @@
 	}
 }
 
+// answerBuffer is how much of an answer is read before the caller gets its status: one that breaks off within it becomes a
+// refusal instead of a closed connection.
+const answerBuffer = 256 << 10
+
 // copy passes the answer on. net/http reports a body that ends before its declared length as an
 // error, so a short answer is never taken for a whole one.
 func (p *plainAttempt) copy(d core.Dispatch, resp *http.Response) error {
+	begin, err := io.ReadAll(io.LimitReader(resp.Body, answerBuffer))
+	if err != nil {
+		return err
+	}
 	h := p.w.Header()
 	dropHopHeaders(resp.Header)
 	for k, v := range resp.Header {
@@ -116,7 +124,7 @@
 	h.Set(headerBackend, d.Backend.Name)
 	p.begun = true
 	p.w.WriteHeader(resp.StatusCode)
-	_, err := io.Copy(deadlineWriter{p.w}, resp.Body)
+	_, err = io.Copy(deadlineWriter{p.w}, io.MultiReader(bytes.NewReader(begin), resp.Body))
 	return err
 }
 
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -89,6 +89,8 @@
 	id      string
 	headers headers
 	config  *confstate.Snapshot
+	// bodyRead tells that the whole body was read.
+	bodyRead bool
 }
 
 // handler checks the key and the headers, then runs next; a fault becomes the answer.
@@ -104,6 +106,11 @@
 			f = next(w, c)
 		}
 		if f != nil {
+			if c.ContentLength != 0 && !c.bodyRead {
+				// net/http would wait for a body that may never come, before the refusal and after it.
+				w.Header().Set("Connection", "close")
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+			}
 			s.refuse(w, f)
 		}
 		s.metrics.Timer("edge.request").UpdateSince(started)
--- a/test/notice_test.go
+++ b/test/notice_test.go
@@ -1,12 +1,17 @@
 package test
 
 import (
+	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/standin/fleet"
 )
 
 // Guards against a stop that ends a connection in the middle of a head: the caller would get no reason and no time to come
@@ -37,3 +42,75 @@
 	require.True(t, r.last)
 	require.NoError(t, b.hosts["a1"].Wait(patience))
 }
+
+// Guards against a drain limit that cuts a caller off whose answer has begun at this host only.
+func TestDrainLimitWhereAPlainServiceHasBegun(t *testing.T) {
+	b := newBed(t, "a1")
+	b.extra = "limit = 1s\n"
+	begun := make(chan struct{}, 1)
+	addr, stop := fleet.Serve(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, "part")
+		w.(http.Flusher).Flush()
+		begun <- struct{}{}
+		<-r.Context().Done()
+	}))
+	t.Cleanup(stop)
+	b.platform.PublishRaw(fleet.Backend("git-1", "git", "zone-a", addr, 4, "active"))
+	b.start()
+	c := connect(t, b.callers("a1"))
+	_, err := c.Write([]byte(strings.Replace(stockRequest, "Content-Length", "Fireflyshift-Deadline-Ms: "+longDeadline+"\r\nContent-Length", 1)))
+	require.NoError(t, err)
+	<-begun
+	b.hosts["a1"].Signal(syscall.SIGTERM)
+	r := c.read()
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusBadGateway, r.status)
+}
+
+// Guards against a caller without a valid key whose body never comes, and that keeps a stopping host until its drain limit.
+func TestRefusedCallerWhoseBodyStaysAwayDoesNotKeepAHost(t *testing.T) {
+	b := newBed(t, "a1")
+	b.addPlain("git-1", "zone-a", time.Millisecond)
+	b.start()
+	c := connect(t, b.callers("a1"))
+	_, err := c.Write([]byte("POST /services/git/x HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer wrong\r\nContent-Length: 1000\r\n\r\nhalf"))
+	require.NoError(t, err)
+	b.hosts["a1"].Signal(syscall.SIGTERM)
+	r := c.read()
+	require.NoError(t, r.err)
+	require.Equal(t, http.StatusUnauthorized, r.status)
+	require.NoError(t, b.hosts["a1"].Wait(patience))
+}
+
+// Guards against new connections that keep a stopping host until its drain limit, as from a balancer that looks at readiness late.
+func TestConnectionsThatComeOnDoNotKeepAHost(t *testing.T) {
+	b := newBed(t, "a1")
+	b.addPlain("git-1", "zone-a", time.Millisecond)
+	b.start()
+	done := make(chan struct{})
+	go func() { // eight new connections a second, each with one whole request a little later
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(125 * time.Millisecond):
+			}
+			go func() {
+				c, err := net.Dial("tcp", b.callers("a1"))
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				time.Sleep(150 * time.Millisecond)
+				fmt.Fprint(c, stockRequest)
+				_ = c.SetDeadline(time.Now().Add(patience))
+				_, _ = c.Read(make([]byte, 100))
+			}()
+		}
+	}()
+	time.Sleep(500 * time.Millisecond)
+	b.hosts["a1"].Signal(syscall.SIGTERM)
+	err := b.hosts["a1"].Wait(patience)
+	close(done)
+	require.NoError(t, err, "the stop waits for its limit")
+}
