--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -219,7 +219,7 @@
 	stopping := b.life.stopped.Load() > 0 && b.seen.After(stopped)
 	ending := stopping && b.life.ended.Load() > 0 && b.seen.After(ended.Add(-endEcho))
 	switch {
-	case b.life.killed.Load():
+	case b.life.killed.Load() > 0 && !b.seen.Before(time.UnixMilli(b.life.killed.Load())):
 		s.excused["killed"]++
 		return
 	case b.life.pausedUntil.Load() >= b.sent.UnixMilli() && stopping && b.seen.Sub(stopped) > graceEnds:
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -102,7 +102,7 @@
 	stopped, ended atomic.Int64
 	// stopping is closed as the process is told to stop.
 	stopping    chan struct{}
-	killed      atomic.Bool
+	killed      atomic.Int64 // when it was sent SIGKILL
 	pausedUntil atomic.Int64 // and what it did late because of it is over
 }
 
@@ -239,7 +239,7 @@
 
 // kill ends a process without its doing.
 func (h *soakHost) kill() {
-	h.life.Load().killed.Store(true)
+	h.life.Load().killed.Store(time.Now().UnixMilli())
 	h.signal(syscall.SIGKILL)
 }
 
