--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -38,17 +38,20 @@
 // Phases and refusing change under one lock: a byte of a request is counted before End looks, or its request is refused.
 type Connections struct {
 	notice []byte
-	// linger is lingerFor.
+	// linger is lingerFor, longer in tests.
 	linger    time.Duration
 	mu        sync.Mutex
 	open      map[*conn]struct{}
 	listeners []net.Listener
 	// inUse is how many of them read or serve a request.
 	inUse int
-	// refusing: requests are turned away. closing: connections that serve none are ended. abrupt: without a wait for their
-	// callers.
-	refusing, closing, abrupt bool
-	// awaitUntil is set when only requests on new connections keep the host.
+	// refusing: no request is taken any more.
+	refusing bool
+	// closing: connections that serve no request are ended.
+	closing bool
+	// abrupt: connections end without a wait for their callers.
+	abrupt bool
+	// awaitUntil is when awaitFor is over; it begins as nothing but new connections keeps the host from ending.
 	awaitUntil time.Time
 	// notified is how many got the closing notice.
 	notified int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,8 +38,9 @@
 	memoryShare = 0.7
 	// quietFor is how long no connection of a stopping host must have been in use before it ends.
 	quietFor = 400 * time.Millisecond
-	// endMargin is kept before the platform's SIGKILL: answers go on until then. exitMargin of it is for the end of the process.
-	endMargin  = 200 * time.Millisecond
+	// endMargin before the platform's SIGKILL answers are cut.
+	endMargin = 200 * time.Millisecond
+	// exitMargin before it connections are closed, whatever their callers have read.
 	exitMargin = 80 * time.Millisecond
 	drainPoll  = 50 * time.Millisecond
 	// closeFor is how long a host that ends with time left waits for its callers to see that their connections end.
