One way to end the reading of a body, for both paths; tests with one way to a server and to a stop

The gateway and the edge each set a read deadline as their host ends; only the gateway waited for the function that sets it, so that on the product's own path the deadline could outlast a body (seen by the review, no harm found). ingress.CutReads is both now. Tests: newServer and stopServer were the same, and the wait for a host's 'Stopping.' stood twice; no assertion changed.

--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -12,6 +11,7 @@
 
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/ingress"
 )
 
 // defaultOutputTokens is assumed where a caller sets no bound.
@@ -22,8 +22,9 @@
 func (s *Server) readBody(w http.ResponseWriter, c *call) ([]byte, *fault.Error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
-	defer context.AfterFunc(s.ending, func() { _ = rc.SetReadDeadline(time.Now()) })()
+	stop := ingress.CutReads(s.ending, rc)
 	data, err := io.ReadAll(http.MaxBytesReader(w, c.Body, s.opt.MaxBodyBytes))
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/internal/edge/drain_test.go
+++ b/internal/edge/drain_test.go
@@ -23,10 +23,12 @@
 
 const bodyTimeout = time.Minute
 
-func newServer(t *testing.T) *Server {
+func newServer(t *testing.T) *Server { return newServerWith(t, lateClock{}) }
+
+func newServerWith(t *testing.T, c Control) *Server {
 	tracing, err := telemetry.NewTracing(t.Context(), telemetry.TraceOptions{Exporter: "none"})
 	require.NoError(t, err)
-	return New(Options{Host: "a1", MaxBodyBytes: 1 << 20, BodyTimeout: bodyTimeout}, lateClock{}, tracing, telemetry.NewMetrics(), zerolog.Nop())
+	return New(Options{Host: "a1", MaxBodyBytes: 1 << 20, MaxAnswerBytes: 1 << 20, BodyTimeout: bodyTimeout}, c, tracing, telemetry.NewMetrics(), zerolog.Nop())
 }
 
 // Guards against callers that go on using the connection to a host which shuts down.
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -10,14 +10,12 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 	"github.com/stretchr/testify/require"
 
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/record"
-	"fireflyshift/internal/telemetry"
 )
 
 // stopping is a control thread that dispatches at once and on which the Stop comes just before the word that the dispatch
@@ -49,12 +47,6 @@
 	}
 }
 
-func stopServer(t *testing.T, c Control) *Server {
-	tracing, err := telemetry.NewTracing(t.Context(), telemetry.TraceOptions{Exporter: "none"})
-	require.NoError(t, err)
-	return New(Options{Host: "a1", MaxBodyBytes: 1 << 20, BodyTimeout: bodyTimeout, MaxAnswerBytes: 1 << 20}, c, tracing, telemetry.NewMetrics(), zerolog.Nop())
-}
-
 func askPlain(t *testing.T, s *Server) (*http.Response, string, error) {
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{Request: r, id: "r"}
@@ -74,7 +66,7 @@
 func TestWholePlainAnswerAsTheStopComesIsKept(t *testing.T) {
 	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") }))
 	defer backend.Close()
-	s := stopServer(t, &stopping{addr: backend.Listener.Addr().String()})
+	s := newServerWith(t, &stopping{addr: backend.Listener.Addr().String()})
 	resp, body, err := askPlain(t, s)
 	require.NoError(t, err, "neither an answer nor a refusal")
 	require.Equal(t, http.StatusOK, resp.StatusCode)
@@ -92,7 +84,7 @@
 	}))
 	defer backend.Close()
 	c.addr = backend.Listener.Addr().String()
-	s := stopServer(t, c)
+	s := newServerWith(t, c)
 	resp, body, err := askPlain(t, s)
 	require.NoError(t, err, "no status at all")
 	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
@@ -106,7 +98,7 @@
 			fmt.Fprint(w, "data: {\"id\":\"r\",\"offset\":0,\"choices\":[{\"delta\":{\"content\":\"hi\"}}]}\n\n")
 			fmt.Fprint(w, "data: {\"id\":\"r\",\"offset\":1,\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n")
 		}))
-		s := stopServer(t, &stopping{addr: backend.Listener.Addr().String()})
+		s := newServerWith(t, &stopping{addr: backend.Listener.Addr().String()})
 		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			c := &call{Request: r, id: "r"}
 			s.fly(c, core.Submit{ID: "r"}, &modelAttempt{server: s, call: c, body: []byte("{}"), sink: newSink(closingWriter{w, &s.draining}, c, stream, 1<<20),
--- a/internal/gateway/flight.go
+++ b/internal/gateway/flight.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
@@ -104,15 +105,9 @@
 	}
 	rc := http.NewResponseController(f.w)
 	_ = rc.SetReadDeadline(f.deadline)
-	cutShort := make(chan struct{})
-	stop := context.AfterFunc(f.g.ending, func() {
-		defer close(cutShort)
-		_ = rc.SetReadDeadline(time.Now())
-	})
+	stop := ingress.CutReads(f.g.ending, rc)
 	body, err := io.ReadAll(io.LimitReader(f.r.Body, bodyBuffer))
-	if !stop() {
-		<-cutShort // or its deadline would outlast the body
-	}
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- /dev/null
+++ b/internal/ingress/body.go
@@ -0,0 +1,22 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// CutReads ends the reading of a request's body when ctx is done. After stop it sets no deadline any more; one that it has set
+// is the caller's to clear.
+func CutReads(ctx context.Context, rc *http.ResponseController) (stop func()) {
+	cut := make(chan struct{})
+	release := context.AfterFunc(ctx, func() {
+		defer close(cut)
+		_ = rc.SetReadDeadline(time.Now())
+	})
+	return func() {
+		if !release() {
+			<-cut // or its deadline would outlast the body
+		}
+	}
+}
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -89,7 +89,8 @@
 	return k.Conn.Close()
 }
 
-// endSending closes the sending side, and bounds what is still read to lingerFor. Errors are those of a connection that has ended already.
+// endSending closes the sending side, and bounds what is still read to lingerFor. Errors are those of a connection that has
+// ended already.
 func (k *conn) endSending(notice bool) {
 	// Both ways: a TLS handshake that is not over yet reads before the notice can be written.
 	_ = k.Conn.SetDeadline(time.Now().Add(k.owner.linger))
--- a/test/end_test.go
+++ b/test/end_test.go
@@ -28,6 +28,15 @@
 	return c
 }
 
+// beginStop returns once a host has taken its stop signal.
+func (s *soak) beginStop(h *soakHost) {
+	h.signal(syscall.SIGTERM)
+	require.Eventually(s.t, func() bool {
+		log, err := os.ReadFile(h.log.Name())
+		return err == nil && bytes.Contains(log, []byte("Stopping."))
+	}, patience, time.Millisecond)
+}
+
 // Guards against a stopping host that closes kept connections on which requests have come that it has not read yet: it was
 // paused, or short of processor time, in the last moments before its end.
 func TestRequestsThatAreUnreadAtTheEndOfAHost(t *testing.T) {
@@ -38,11 +47,7 @@
 	for i := range conns {
 		conns[i] = s.connect(h, fmt.Sprintf("before-%d", i))
 	}
-	h.signal(syscall.SIGTERM)
-	require.Eventually(t, func() bool {
-		log, err := os.ReadFile(h.log.Name())
-		return err == nil && bytes.Contains(log, []byte("Stopping."))
-	}, patience, time.Millisecond)
+	s.beginStop(h)
 	h.signal(syscall.SIGSTOP)
 	errs, statuses := make([]error, len(conns)), make([]int, len(conns))
 	var answered sync.WaitGroup
@@ -112,11 +117,7 @@
 	s := newSoak(t, 1)
 	s.settle()
 	h := s.hosts[0]
-	h.signal(syscall.SIGTERM)
-	require.Eventually(t, func() bool {
-		log, err := os.ReadFile(h.log.Name())
-		return err == nil && bytes.Contains(log, []byte("Stopping."))
-	}, patience, time.Millisecond)
+	s.beginStop(h)
 	time.Sleep(soakNotice / 2)
 	h.signal(syscall.SIGSTOP)
 	errs := make([]error, 20)
