--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -56,6 +56,15 @@
 	Others     int     `json:"in_flight_others"`
 	Slots      int     `json:"slots"`
 	IntervalMS float64 `json:"interval_ms"`
+	// RateLimit is nil if the backend server has stated none.
+	RateLimit *RateLimitStatus `json:"rate_limit,omitempty"`
+}
+
+// RateLimitStatus is the rate limit that a backend server states in its answers, in requests per second.
+type RateLimitStatus struct {
+	PerSecond float64 `json:"per_second"` // from all hosts together
+	SinceMS   int64   `json:"since_ms"`   // time since it was first stated
+	Sent      int     `json:"sent"`       // by this host since then
 }
 
 // PeerStatus is another host as seen by this one.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -109,16 +109,24 @@
 		}
 		if !hasHeader {
 			hasHeader = true
-			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL")
+			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL\tRATE LIMIT")
 		}
 		for _, b := range r.Status.Backends {
-			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
-				b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS)
+			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\t%s\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
+				b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS, formatRateLimit(b.RateLimit))
 		}
 	}
 	w.Flush()
 }
 
+// formatRateLimit formats the rate limit that a backend server states.
+func formatRateLimit(l *core.RateLimitStatus) string {
+	if l == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%g/s since %d ms, %d sent", l.PerSecond, l.SinceMS, l.Sent)
+}
+
 // printQuarantined prints the quarantined requests. A request that several hosts report is printed once.
 func (t *Tool) printQuarantined(reports []hostReport) {
 	shown := map[string]bool{}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -129,9 +129,14 @@
 	if d.Attempt > 1 {
 		a.g.metrics.Count("requests.sent_again", 1)
 	}
-	a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
+	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
-		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).Str("owner", d.Basis.Owner).Msg("Sent.")
+		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).Str("owner", d.Basis.Owner)
+	if d.RateLimited {
+		a.g.metrics.Count("requests.sent_rate_limited", 1)
+		e = e.Bool("rate_limited", true)
+	}
+	e.Msg("Sent.")
 }
 
 // logRejected logs a backend server's statement that it has not run the request.
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -43,6 +43,10 @@
 	// HoldOff is how long a backend server that rejected the request wants no further requests from this host; zero if
 	// not stated.
 	HoldOff time.Duration
+	// RateLimit is the number of requests per second that the backend server accepts from all hosts together; +Inf if the
+	// answer states no limit, NaN if its limit cannot be parsed. InvalidRateLimit is the text that cannot be parsed.
+	RateLimit        float64
+	InvalidRateLimit string
 }
 
 // HeaderCodec translates between the platform's headers and this package's types.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -13,11 +14,11 @@
 
 // relay classifies an answer and passes it on. What the backend server announces about itself in the head is reported
 // to the reducer first: the body may take long, or break off.
-func (a *activeRequest) relay(from routing.Backend, resp *upstream.Response, sentAt time.Time) router.DispatchEnded {
+func (a *activeRequest) relay(d router.Dispatch, resp *upstream.Response, sentAt time.Time) router.DispatchEnded {
 	info := a.g.codec.Classify(resp.Status, resp.Header)
 	success := isSuccess(resp.Status)
-	if resp.Status != http.StatusMisdirectedRequest && (info.Leaving || info.HoldOff > 0) {
-		a.g.control.Post(router.BackendAnnouncement{ID: from.ID, Start: from.Start, Leaving: info.Leaving, HoldOff: info.HoldOff})
+	if resp.Status != http.StatusMisdirectedRequest {
+		a.postAnnouncement(d, info)
 	}
 	switch {
 	case info.NotRun && resp.Status == http.StatusMisdirectedRequest:
@@ -38,6 +39,28 @@
 	}
 }
 
+// postAnnouncement reports what a backend server announces about itself in the head of an answer. That it states no rate
+// limit is reported only by a signed answer and if a limit was known.
+func (a *activeRequest) postAnnouncement(d router.Dispatch, info AnswerInfo) {
+	announcement := router.BackendAnnouncement{ID: d.Backend.ID, Start: d.Backend.Start, Leaving: info.Leaving, HoldOff: info.HoldOff}
+	switch {
+	case math.IsNaN(info.RateLimit):
+		a.g.metrics.Count("backend.rate_limit.invalid", 1)
+		a.g.log.Warn().Str("id", a.call.AttemptID).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidRateLimit)).
+			Msg("Rate limit of a backend server ignored: it is not a decimal number of zero or more.")
+	case !math.IsInf(info.RateLimit, 1), d.RateLimited && info.Signed:
+		announcement.RateLimit = &router.RateObservation{PerSecond: info.RateLimit, SentAt: d.At}
+	}
+	if info.Leaving || info.HoldOff > 0 || announcement.RateLimit != nil {
+		a.g.control.Post(announcement)
+	}
+}
+
+// maxLoggedValue limits the length of a header's value in a log line, in bytes.
+const maxLoggedValue = 64
+
+func truncate(s string) string { return s[:min(len(s), maxLoggedValue)] }
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
 // answerBuffer is how much of a plain answer is read before its status is written to the caller: an answer that breaks
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -267,7 +267,7 @@
 		return a.classifyFailure(sent, err)
 	}
 	defer resp.Close()
-	end := a.relay(d.Backend, resp, sentAt)
+	end := a.relay(d, resp, sentAt)
 	end.Success = end.Outcome == router.Answered && isSuccess(resp.Status)
 	return end
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -38,8 +38,12 @@
 	}
 	s.Suspects = v.Suspects
 	for _, b := range v.Backends {
-		s.Backends = append(s.Backends, core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, State: b.State, Owner: b.Owner,
-			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000})
+		status := core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, State: b.State, Owner: b.Owner,
+			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000}
+		if l := b.RateLimit; l != nil {
+			status.RateLimit = &core.RateLimitStatus{PerSecond: l.PerSecond, SinceMS: (v.Now - l.Since).Milliseconds(), Sent: l.Sent}
+		}
+		s.Backends = append(s.Backends, status)
 	}
 	return s, true
 }
--- a/internal/router/announcements.go
+++ b/internal/router/announcements.go
@@ -28,6 +28,9 @@
 	if e.HoldOff > 0 {
 		r.holdOff(b, min(e.HoldOff, maxHoldOff))
 	}
+	if e.RateLimit != nil {
+		r.observeRateLimit(b, rateLimit{perSecond: e.RateLimit.PerSecond, sentAt: e.RateLimit.SentAt, heardAt: r.now}, r.opt.Host)
+	}
 }
 
 // markLeaving records that a backend server is about to shut down, as reported by the host that received the announcement.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -98,6 +98,16 @@
 	Leaving bool
 	// HoldOff is how long it asks this host to send it nothing; zero if it does not ask.
 	HoldOff time.Duration
+	// RateLimit is what the answer states about a rate limit; nil if that is unknown.
+	RateLimit *RateObservation
+}
+
+// RateObservation is the rate limit of a backend server according to one answer.
+type RateObservation struct {
+	// PerSecond is the number of requests per second that it accepts from all hosts together; +Inf if there is no limit.
+	PerSecond float64
+	// SentAt is when the answered request was sent, on the reducer's clock. The answer is from a later moment.
+	SentAt time.Duration
 }
 
 // ProbeResult is the result of a Probe of one start of a backend server: its address accepted a connection or refused it.
@@ -241,8 +251,10 @@
 	// MaxIdleConns limits the idle connections that this host keeps to the backend server.
 	MaxIdleConns int
 	// At is the time of the decision. A dispatch must start soon after it.
-	At    time.Duration
-	Basis DecisionBasis
+	At time.Duration
+	// RateLimited is set if a rate limit of the backend server is known. The answer is then to be reported even if it states none.
+	RateLimited bool
+	Basis       DecisionBasis
 }
 
 // Cause is the reason why a request ends without a backend server's answer.
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -137,13 +137,16 @@
 	q.runs++
 	q.sentAt = r.now
 	r.takeColdToken(b)
+	if b.rateLimited() {
+		b.rateLimit.sent++
+	}
 	b.ownLoad.counts[q.priority()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
 	q.prefillTokens = q.PromptTok
 	b.ownLoad.prefillBacklog += q.prefillTokens
 	r.markLoadChanged()
 	r.reportAssigned(q)
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, RateLimited: b.rateLimit != nil, Basis: g})
 }
 
 const (
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -44,6 +44,15 @@
 	Owner                   string // the host that grants its slots; empty if there is none
 	Own, Others, Slots      int
 	Interval                time.Duration
+	// RateLimit is nil if the backend server has stated none.
+	RateLimit *RateLimitView
+}
+
+// RateLimitView is the rate limit that a backend server states in its answers, in requests per second.
+type RateLimitView struct {
+	PerSecond float64       // from all hosts together
+	Since     time.Duration // the first statement of a limit
+	Sent      int           // by this host since then
 }
 
 // View returns the current state for operators.
@@ -59,7 +68,7 @@
 	}
 	for _, b := range r.allBackends() {
 		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.state(r.now), r.ownerOf(b),
-			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval})
+			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b)})
 	}
 	for _, c := range r.suspects.ledger.Quarantined() {
 		v.Quarantined = append(v.Quarantined, QuarantineView{c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
