Failing tests: backend servers that state a rate limit get more from all hosts together

Reducers and real hosts beside engines that state a limit and count what all hosts send them in each 4 s: any size of fleet, one engine or all of a service, limits that change and end, hosts that restart, stop, crash, freeze and are cut off.

--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -50,6 +50,13 @@
 	unassigned int
 	// drops, if set, reports whether a datagram is lost.
 	drops func(from, to string, p *gossippb.Packet) bool
+	// frozen, if set, reports whether a host's process stands still; what arrives meanwhile is lost.
+	frozen func(h *zoneHost) bool
+	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
+	onStep     func()
+	onDispatch func(h *zoneHost, e Dispatch)
+	// rank, if set, returns the rank of the next request.
+	rank func() float64
 
 	// longestWait is the longest time from a request to its decision, and overloads counts dispatches beyond an engine's limit.
 	longestWait                    time.Duration
@@ -116,7 +123,7 @@
 }
 
 func (z *zone) post(h *zoneHost, ev Event) {
-	if h.dead || z.now < h.startedAt {
+	if h.dead || z.now < h.startedAt || (z.frozen != nil && z.frozen(h)) {
 		return
 	}
 	for _, e := range h.r.Reduce(z.now-h.startedAt, ev) {
@@ -169,6 +176,9 @@
 		if z.sends != nil {
 			z.sends[run.engine] = append(z.sends[run.engine], z.now)
 		}
+		if z.onDispatch != nil {
+			z.onDispatch(h, e)
+		}
 		z.dispatched++
 		z.longestWait = max(z.longestWait, z.now-run.submittedAt)
 		if z.streams[run.engine] > e.Backend.Slots+headroom {
@@ -229,6 +239,9 @@
 				z.post(h, Tick{})
 			}
 		}
+		if z.onStep != nil {
+			z.onStep()
+		}
 	}
 }
 
@@ -281,7 +294,11 @@
 	}
 	z.next++
 	z.runs[z.next] = &zoneRun{host: h, submittedAt: z.now}
-	z.post(h, Submit{ID: z.next, Route: urgentRoute, Rank: 0, PromptTok: 1000, OutputTok: 160, Deadline: z.now + 10*time.Second})
+	rank := 0.0
+	if z.rank != nil {
+		rank = z.rank()
+	}
+	z.post(h, Submit{ID: z.next, Route: urgentRoute, Rank: rank, PromptTok: 1000, OutputTok: 160, Deadline: z.now + 10*time.Second})
 }
 
 // owners returns the owners of engines as known to the first host.
