--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -394,3 +394,159 @@
 		require.Empty(rt, f.overLimit(false))
 	})
 }
+
+// Statements are ordered by when they can have been made. Guards against an answer that was overtaken, or a report that was
+// on its way for long, lifting a limit that still holds.
+func TestRateLimitStatementsInAnyOrder(t *testing.T) {
+	at := func(rate float64, sent, heard int) statement {
+		return statement{rate, time.Duration(sent) * time.Second, time.Duration(heard) * time.Second}
+	}
+	for name, c := range map[string]struct {
+		known, seen statement
+		replaces    bool
+	}{
+		"later and higher":             {at(2, 1, 2), at(3, 3, 4), true},
+		"later and without a limit":    {at(2, 1, 2), at(unlimited, 3, 4), true},
+		"later and lower":              {at(2, 1, 2), at(1, 3, 4), true},
+		"earlier and lower":            {at(2, 3, 4), at(1, 1, 2), false},
+		"earlier and higher":           {at(2, 3, 4), at(3, 1, 2), false},
+		"perhaps earlier, higher":      {at(2, 1, 4), at(3, 2, 5), false},
+		"perhaps earlier, no limit":    {at(2, 1, 4), at(unlimited, 2, 5), false},
+		"perhaps earlier, lower":       {at(2, 1, 4), at(1, 2, 5), true},
+		"the same, heard later":        {at(2, 1, 4), at(2, 2, 5), true},
+		"the same, heard earlier":      {at(2, 1, 4), at(2, 2, 3), false},
+		"limit, long after the end":    {at(unlimited, 1, 2), at(2, 3, 4), true},
+		"limit, long before the end":   {at(unlimited, 3, 4), at(2, 1, 2), false},
+		"limit, perhaps after the end": {at(unlimited, 1, 4), at(2, 2, 3), true},
+	} {
+		require.Equal(t, c.replaces, c.seen.supersedes(c.known), name)
+	}
+}
+
+// observe reports to a host what an answer of a backend server states, for a request sent just before.
+func observe(r *Router, at time.Duration, id string, perSecond float64) []Effect {
+	return r.Reduce(at, BackendAnnouncement{ID: id, RateLimit: &RateObservation{PerSecond: perSecond, SentAt: at - time.Millisecond}})
+}
+
+// The only server accepts nothing or next to nothing. Guards against a limit that is never seen to end because nobody sends.
+func TestRateTrialFindsTheEndOfALimit(t *testing.T) {
+	r := newStandalone(t, "a")
+	observe(r, 3*time.Second, "a", 0)
+	id := uint64(0)
+	var sent []time.Duration
+	for now := 3 * time.Second; now < 100*time.Second; now += 100 * time.Millisecond {
+		r.Reduce(now, Tick{})
+		id++
+		if d, ok := findEffect[Dispatch](submitted(r, id, now)); ok {
+			require.True(t, d.ReportRate)
+			sent = append(sent, now)
+			observe(r, now+time.Millisecond, "a", 0)
+			r.Reduce(now+time.Millisecond, CallerLeft{ID: id})
+		}
+	}
+	require.Len(t, sent, 3, "%v", sent)
+	observe(r, 101*time.Second, "a", unlimited)
+	for range 4 {
+		id++
+		dispatchOf(t, submitted(r, id, 102*time.Second))
+	}
+}
+
+// All hosts of a fleet have heard nothing of a server for long. Guards against trials that all of them send at once.
+func TestRateTrialsAreSpread(t *testing.T) {
+	f := newLimitFleet(t, 1, 15, 1)
+	f.drops = func(string, string, *gossippb.Packet) bool { return true }
+	f.state(0, "e000")
+	f.run(5*time.Second, 100)
+	from := f.now
+	f.run(90*time.Second, 30)
+	require.Empty(t, f.overLimit(true))
+	require.NotZero(t, f.sentSince(from))
+}
+
+// The only server of a service has stated a limit. Guards against a refusal that names another cause, or that tells all callers
+// to return at once: at two requests a second the tenth caller finds no place within four seconds.
+func TestRefusalsAtARateLimitFitTheRate(t *testing.T) {
+	r := newStandalone(t, "a")
+	observe(r, 3*time.Second, "a", 2)
+	var returns []time.Duration
+	for id := uint64(1); id <= 10; id++ {
+		e, ok := findEffect[Refuse](r.Reduce(3*time.Second, Submit{ID: id, Route: fragile, Rank: routing.LeastUrgent, Deadline: time.Minute}))
+		require.True(t, ok)
+		require.Equal(t, RateLimited, e.Cause)
+		require.Equal(t, RateBasis{PerSecond: 2, Share: 2}, e.Basis.Rate)
+		returns = append(returns, e.RetryAfter)
+	}
+	require.Less(t, returns[0], time.Second)
+	require.Greater(t, returns[9], 4*time.Second)
+	urgent, ok := findEffect[Refuse](r.Reduce(3*time.Second, Submit{ID: 11, Route: urgentRoute, Deadline: time.Minute}))
+	require.True(t, ok)
+	require.Less(t, urgent.RetryAfter, time.Second, "the most urgent callers do not queue behind others")
+}
+
+// A server states a limit, and its next start registers under the same ID. Guards against a limit that outlives its server.
+func TestRateLimitEndsWithTheStart(t *testing.T) {
+	r := newStandalone(t, "a")
+	ready := changeOf("a", 60, false)
+	ready.Start = 5
+	register(r, time.Second, ready)
+	statement := BackendAnnouncement{ID: "a", Start: 5, RateLimit: &RateObservation{PerSecond: 0, SentAt: 2 * time.Second}}
+	r.Reduce(3*time.Second, statement)
+	require.Equal(t, &RateLimitView{Since: 3 * time.Second}, r.View().Backends[0].RateLimit)
+	ready.Start, ready.Revision = 6, rev(61)
+	register(r, 4*time.Second, ready)
+	require.Nil(t, r.View().Backends[0].RateLimit)
+	r.Reduce(5*time.Second, statement)
+	dispatchOf(t, submitted(r, 1, 5*time.Second))
+	r.Reduce(6*time.Second, Tick{})
+	require.Empty(t, r.rateLimits)
+}
+
+// Any host may ask an owner for a slot, and only a few may send to a rate-limited server. Guards against offers of such a server,
+// and against the use of one that was made before the limit was known.
+func TestOwnersOfferNoRateLimitedServer(t *testing.T) {
+	for _, known := range []string{"owner", "asker"} {
+		z := newZones(t, 1, 20, 23)
+		asker := z.hosts[0]
+		ask, owner := z.requestSlot(asker)
+		if known == "owner" {
+			for _, b := range z.hosts[0].r.allBackends() {
+				observe(z.byIP[owner].r, z.now, b.ID, 5)
+			}
+		}
+		offers := offersOf(z.byIP[owner].r.Reduce(z.now, SlotRequestReceived{asker.ip, ask}))
+		if known == "owner" {
+			require.Nil(t, offers[0].Place)
+			continue
+		}
+		require.NotNil(t, offers[0].Place)
+		offered := asker.r.byHash[offers[0].Place.Backend]
+		observe(asker.r, z.now, offered.ID, 5)
+		require.True(t, releasesSlot(asker.r.Reduce(z.now, SlotOfferReceived{owner, offers[0]}), offered.hash))
+	}
+}
+
+// A host that was told of a limit tells the others, in fleets with a full mesh of heartbeats and in those with owners, with every
+// tenth datagram lost. Guards against hosts that send as before until they are told themselves.
+func TestOtherHostsLearnOfRateLimits(t *testing.T) {
+	for _, c := range []struct{ zones, hosts int }{{3, 3}, {6, 20}} {
+		z := newZones(t, c.zones, c.hosts, 4)
+		z.drops = func(_, _ string, _ *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
+		z.post(z.hosts[len(z.hosts)-1], BackendAnnouncement{ID: "e001", RateLimit: &RateObservation{PerSecond: 1.5, SentAt: z.now - time.Millisecond}})
+		z.run(1500*time.Millisecond, 0)
+		for _, h := range z.hosts {
+			require.True(t, h.r.backends["e001"].rateLimited(), h.ip)
+		}
+	}
+}
+
+// A draining host stops sending to rate-limited servers, as others take over its shares. Guards against both sending.
+func TestDrainingHostLeavesItsRateShares(t *testing.T) {
+	r := newStandalone(t, "a")
+	observe(r, 3*time.Second, "a", 10)
+	r.Reduce(4*time.Second, Tick{})
+	r.Reduce(5*time.Second, Drain{Until: 13 * time.Second, Grace: 8 * time.Second})
+	r.Reduce(5*time.Second+25*time.Millisecond, Tick{})
+	_, refused := findEffect[Refuse](submitted(r, 1, 6*time.Second))
+	require.True(t, refused)
+}
