Soak: backend servers state rate limits that change, beside all other faults

The stand-in keeps its rate limit apart from its other headers, as a server may leave and be limited at once. The soak checks its other promises with it, not the bound: windows without a restart or pause are too rare in it; the bound is checked by the fleets of reducers and by TestHostsKeepToAStatedRateLimit.

--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -23,7 +23,7 @@
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
 	coldTests           = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffOverload", "-rapid.shrinktime=1s"}
-	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial", "-rapid.shrinktime=1s"}
+	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShares", "-rapid.shrinktime=1s"}
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests            = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
@@ -198,8 +198,8 @@
 	{"cold-told", "cold", "internal/router/updates.go", "registration.Cold = max(0, b.warming.until-r.now)", "registration.Cold = b.Cold", coldTests},
 	{"cold-owner", "cold", "internal/router/select.go", "b.cold(s.r.now) && (s.scope == scopeOwned || !s.r.coldTokenAvailable(b))", "b.cold(s.r.now) && s.scope != scopeOwned && !s.r.coldTokenAvailable(b)", coldTests},
 	{"cold-offer", "cold", "internal/router/slotrequests.go", "	return ok && !b.cold(r.now) && ", "	return ok && ", coldTests},
-	{"rate-share", "limits", "internal/router/ratelimits.go", "	return b.rateLimit.perSecond / float64(min(maxSenders, hosts))\n", "	return b.rateLimit.perSecond\n", rateLimitTests},
-	{"rate-senders", "limits", "internal/router/ratelimits.go", "	if rank >= maxSenders {", "	if false {", rateLimitTests},
+	{"rate-share", "limits", "internal/router/ratelimits.go", "	return b.rateLimit.perSecond / float64(min(maxSenders, hosts))\n", "	return b.rateLimit.perSecond * float64(hosts) / float64(hosts)\n", rateLimitTests},
+	{"rate-senders", "limits", "internal/router/ratelimits.go", "	if rank >= maxSenders {", "	if rank < 0 {", rateLimitTests},
 	{"rate-burst", "limits", "internal/router/ratelimits.go", "	rateBurst = 1.25\n", "	rateBurst = 12.5\n", rateLimitTests},
 	{"rate-token", "limits", "internal/router/ratelimits.go", "		l.bucket.Take(r.now)\n", "", rateLimitTests},
 	{"rate-order", "limits", "internal/router/ratelimits.go", "	case s.sentAt > known.heardAt, s.perSecond < known.perSecond:\n", "	case true:\n", rateLimitTests},
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -330,6 +330,23 @@
 	}
 }
 
+// injectRateLimit changes the rate limit that a backend server or all of a service state, or injects another fault.
+func (s *soak) injectRateLimit() {
+	if s.rng.IntN(3) > 0 {
+		s.injectFault()
+		return
+	}
+	rate := []string{"", "0", "0.5", "3", "20", "few"}[s.rng.IntN(6)]
+	one, all := s.randomBackend(), s.rng.IntN(3) == 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.backends {
+		if b == one || (all && b.Service == one.Service) {
+			b.StateRateLimit(rate)
+		}
+	}
+}
+
 // restartHost stops a process by a signal in the background and starts it again after a pause.
 func (s *soak) restartHost(h *soakHost, sig syscall.Signal, downtime time.Duration) {
 	go func() {
@@ -562,6 +579,7 @@
 	s.mu.Lock()
 	for _, b := range s.backends {
 		b.Behave(nil)
+		b.StateRateLimit("")
 	}
 	s.mu.Unlock()
 	s.addBackend("models")
@@ -693,3 +711,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, duration, step) })
 	}
 }
+
+// TestSoakRateLimits injects changing rate limits beside the other faults. Guards against requests that are lost, run twice or
+// refused although they ran when a server's share is used up, and against hosts that do not recover from a limit.
+func TestSoakRateLimits(t *testing.T) { runSeeds(t, []uint64{1, 2}, (*soak).injectRateLimit) }
