--- a/internal/bound/report.go
+++ b/internal/bound/report.go
@@ -35,7 +35,7 @@
 
 // causeByOutcome maps the outcome in the log to its cause. Other outcomes count as Failed.
 var causeByOutcome = map[string]Cause{
-	"over_quota": OverLimit, "overloaded": NoCapacity, "rate_limited": NoCapacity, "no_configuration": NotServing, "no_backend": NotServing, "shutting_down": NotServing,
+	"over_quota": OverLimit, "overloaded": NoCapacity, "backends_rate_limited": NoCapacity, "no_configuration": NotServing, "no_backend": NotServing, "shutting_down": NotServing,
 }
 
 var causeByLateness = map[string]Cause{"first": LateFirst, "pause": LatePause, "answer": LateAnswer}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -206,7 +206,7 @@
 		e = e.Int("in_flight", a.basis.InFlight).Int("limit", a.basis.Limit).Int64("belief_age_ms", a.basis.ViewAge.Milliseconds()).
 			Int("known", a.basis.Known).Int("full", a.basis.Full).Int("dead", a.basis.Unreachable).Int("cold", a.basis.Cold).Int("barred", a.basis.Excluded).Uint64("config", a.basis.Version).Uint64("era", a.basis.Era)
 	}
-	if outcome == string(router.RateLimited) {
+	if a.attempts == 0 && a.basis.RateLimited > 0 {
 		e = e.Int("rate_limited", a.basis.RateLimited).Float64("rate_limit", a.basis.Rate.PerSecond).Float64("rate_share", a.basis.Rate.Share)
 	}
 	if outcome == string(router.OverQuota) {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -230,8 +230,9 @@
 	Rate RateBasis
 	// Known, Full and Unreachable count the service's backend servers: those that may be used, those of them
 	// without a slot for this priority, and those assumed to be unreachable. Cold counts those of the full ones that take no
-	// more more from this host because they started recently, RateLimited those that state a rate limit which is used up. Excluded ones may not be used at all: they are leaving, their
-	// availability zone is evacuated, or their region may not serve the request.
+	// more from this host because they started recently, RateLimited those that take no more from it by the rate limit that they
+	// state. Excluded ones may not be used at all: they are leaving, their availability zone is evacuated, or their region may
+	// not serve the request.
 	Known, Full, Unreachable, Cold, RateLimited, Excluded int
 	// suspects counts those of the full ones that are avoided because they fail requests or cannot be reached.
 	suspects int
@@ -278,7 +279,8 @@
 	OutOfTime   Cause = "out_of_time"
 	BackendLost Cause = "backend_lost"
 	Quarantined Cause = "quarantined"
-	RateLimited Cause = "rate_limited"
+	// BackendsRateLimited: what the service's backend servers accept according to their answers is used up.
+	BackendsRateLimited Cause = "backends_rate_limited"
 )
 
 // Abort cancels one attempt because its backend server has restarted since it was sent. Whether the request ran is
--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -473,7 +473,7 @@
 	for id := uint64(1); id <= 10; id++ {
 		e, ok := findEffect[Refuse](r.Reduce(3*time.Second, Submit{ID: id, Route: fragile, Rank: routing.LeastUrgent, Deadline: time.Minute}))
 		require.True(t, ok)
-		require.Equal(t, RateLimited, e.Cause)
+		require.Equal(t, BackendsRateLimited, e.Cause)
 		require.Equal(t, RateBasis{PerSecond: 2, Share: 2}, e.Basis.Rate)
 		returns = append(returns, e.RetryAfter)
 	}
@@ -550,3 +550,34 @@
 	_, refused := findEffect[Refuse](submitted(r, 1, 6*time.Second))
 	require.True(t, refused)
 }
+
+// Hosts with better ranks join and drain again. Guards against a sender that keeps its saved tokens while others use the rate.
+func TestRateShareBeginsEmptyAgain(t *testing.T) {
+	r := newStandalone(t, "a")
+	observe(r, 3*time.Second, "a", 10)
+	others := func(at time.Duration, seq uint64, leaving bool) {
+		for i := range 12 {
+			r.Reduce(at, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i+2), Zone: "z0", Incarnation: 1, Seq: seq, Leaving: leaving}})
+		}
+		r.Reduce(at, Tick{})
+	}
+	others(5*time.Second, 1, false)
+	require.Zero(t, r.View().Backends[0].RateLimit.Share)
+	others(6*time.Second, 2, true)
+	require.Equal(t, 10.0, r.View().Backends[0].RateLimit.Share)
+	_, refused := findEffect[Refuse](submitted(r, 1, 6*time.Second))
+	require.True(t, refused)
+}
+
+// The senders' shares, saved tokens, a trial and two hosts that wrongly believe to be senders stay within the platform's bound for
+// any rate. Guards against constants that no longer do.
+func TestRateBoundArithmetic(t *testing.T) {
+	seconds := limitWindow.Seconds()
+	require.GreaterOrEqual(t, rateTrialStagger, limitWindow, "one trial in a window")
+	for i := range 20_000 {
+		rate := float64(i) / 100
+		each := math.Floor(rateBurst + rate/maxSenders*seconds)
+		extra := 2 * math.Floor(rate/maxSenders*seconds)
+		require.LessOrEqual(t, maxSenders*each+1+extra, limitOverage*rate*seconds+limitSlack+1e-9, "%g a second", rate)
+	}
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -180,7 +180,9 @@
 	case g.InFlight < 0:
 		cause = NoBackend
 	case g.RateLimited > 0 && g.RateLimited == g.Full:
-		cause = RateLimited
+		cause = BackendsRateLimited
+	}
+	if g.RateLimited > 0 {
 		g.Rate = r.rateBasis(q.service)
 	}
 	r.finish(q)
@@ -192,7 +194,7 @@
 	if at := r.holdOffEnd(q.service); cause == NoBackend && at > 0 {
 		after = max(after, at-r.now)
 	}
-	if cause == RateLimited {
+	if cause == BackendsRateLimited {
 		after = max(after, r.rateRetryAfter(q, g.Rate))
 	}
 	r.emit(Refuse{ID: q.ID, Cause: cause, RetryAfter: after, Basis: g})
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -23,7 +23,7 @@
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
 	coldTests           = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffOverload", "-rapid.shrinktime=1s"}
-	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShares", "-rapid.shrinktime=1s"}
+	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShare", "-rapid.shrinktime=1s"}
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests            = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
@@ -189,7 +189,7 @@
 		[]string{"./internal/upstream", "./internal/gateway"}},
 	{"limit-turns", "limits", "internal/limit/quota.go", "return !q.coarse || q.level", "return true || q.level", limitTests},
 	{"cold-bound", "cold", "internal/router/cold.go", "	return b.warming.bucket.Available(r.now)\n", "	return true\n", coldTests},
-	{"cold-rank", "cold", "internal/router/cold.go", "if rank >= senders {", "if false {", coldTests},
+	{"cold-rank", "cold", "internal/router/cold.go", "if rank >= senders {", "if rank < 0 {", coldTests},
 	{"cold-silent-hosts", "cold", "internal/router/senders.go", "		if m.leaving || ", "		if m.leaving || m.unreachable || ", coldTests},
 	{"cold-age", "cold", "internal/router/senders.go", "r.now >= minSenderAge && ", "", coldTests},
 	{"cold-hears-nobody", "cold", "internal/router/senders.go", " && !r.noPeersSeen()", "", coldTests},
@@ -212,7 +212,7 @@
 	{"rate-draining", "limits", "internal/router/senders.go", "r.drain == nil && ", "", rateLimitTests},
 	{"rate-replacement", "limits", "internal/router/ratelimits.go", "		l.bucket.Empty(r.now)\n", "", rateLimitTests},
 	{"rate-trial", "limits", "internal/router/ratelimits.go", "	return r.rateTrialDue(b)\n", "	return false\n", rateLimitTests},
-	{"rate-trial-order", "limits", "internal/router/ratelimits.go", "+time.Duration(rank)*rateTrialStagger", "", rateLimitTests},
+	{"rate-trial-order", "limits", "internal/router/ratelimits.go", "+time.Duration(rank)*rateTrialStagger", "+time.Duration(rank)*0", rateLimitTests},
 	{"rate-start", "limits", "internal/router/registrations.go", "	delete(r.rateLimits, b.ID)\n", "", rateLimitTests},
 	{"rate-retry-after", "limits", "internal/router/ratelimits.go", "	return at - r.now\n", "	return 0\n", rateLimitTests},
 	{"evacuated", "4", "internal/router/backends.go", "	case b.evacuated:\n		return evacuated\n", "", evacuationTests},
