--- a/internal/limit/budget.go
+++ b/internal/limit/budget.go
@@ -1,5 +1,5 @@
-// Package limit enforces limits that hold over all hosts without a shared counter: the retry budget and the workspaces'
-// quotas. It is pure: the time is an argument.
+// Package limit enforces limits that hold over all hosts without a shared counter: the retry budget, the workspaces'
+// quotas, and hosts' shares of a backend server's rate. It is pure: the time is an argument.
 package limit
 
 import "time"
--- a/internal/router/ratelimits.go
+++ b/internal/router/ratelimits.go
@@ -63,7 +63,7 @@
 	// since is when the limit was first stated, or when it ended.
 	since time.Duration
 	// bucket holds this host's share of the rate. sent counts the requests that this host has sent since the limit was first
-	// stated, and sentAt is the time of the latest.
+	// stated, and lastSentAt is the time of the latest.
 	bucket     limit.Bucket
 	sent       int
 	lastSentAt time.Duration
