--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -258,6 +258,7 @@
 		for _, rate := range []float64{0, 0.01, 0.4, 1.3, 2.2, 20} {
 			for _, all := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%d zones of %d, %g a second, all=%t", size.zones, size.hosts, rate, all), func(t *testing.T) {
+					t.Parallel()
 					f := newLimitFleet(t, size.zones, size.hosts, size.engines)
 					load := 15 * size.zones * size.engines
 					f.run(time.Second, load)
@@ -279,6 +280,7 @@
 	for _, size := range limitedFleets {
 		for _, rate := range []float64{1.3, 2.2, 20} {
 			t.Run(fmt.Sprintf("%d zones of %d, %g a second", size.zones, size.hosts, rate), func(t *testing.T) {
+				t.Parallel()
 				f := newLimitFleet(t, size.zones, size.hosts, size.engines)
 				load := int(4 * rate * float64(size.zones*size.engines))
 				f.state(rate, f.engineNames()...)
@@ -324,6 +326,7 @@
 func TestRateLimitsThatChange(t *testing.T) {
 	for _, size := range limitedFleets {
 		t.Run(fmt.Sprintf("%d zones of %d", size.zones, size.hosts), func(t *testing.T) {
+			t.Parallel()
 			f := newLimitFleet(t, size.zones, size.hosts, size.engines)
 			f.slowAnswers = 0.1
 			load := 15 * size.zones * size.engines
