Each log line is written or counted, also around a flush

Seen: the last lines of a stopping host were missing, and log.dropped did not tell.

Cause, in how the ring between loggers and the writing goroutine was used: - The reader asks the ring for a line, finds none, and then asks whether the ring has been closed. If lines are logged and the log is flushed between the two, it ends with these lines in the ring. - A logger wakes the reader without the reader's lock. If the reader has found the ring empty and does not wait yet, it misses the call, and the line stays in the ring until the next one or the flush. - A logger that meets another one at a place of a full ring takes a second place, and the first counts as a dropped line. It also prints to the standard logger. - A flush ends when the reader finds the ring empty. While others log it may not end, and what they log after it is neither written nor counted.

Change: a queue of lines (lineQueue) on a buffered channel. Lines are added, displaced and counted under one mutex that is held for operations in memory only; a flush closes the channel under it. A receive from a closed channel yields what is left before it says that the channel has ended, so that the reader cannot ask in the wrong order.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 )
 
 const componentField = "part"
@@ -18,11 +17,13 @@
 func init() { zerolog.TimeFieldFormat = timeFormat }
 
 // NewLogger returns the root logger, which writes text or JSON lines, and a function that flushes it. Logging never
-// blocks; see nonBlocking.
+// blocks: lines that the reader of w does not take in time are dropped and counted in "log.dropped", and so are lines that
+// are logged after the flush.
 func NewLogger(w io.Writer, level string, json bool, m Metrics) (zerolog.Logger, func()) {
-	dw, flush := nonBlocking(w, m)
+	queue := newLineQueue(w, m.Counter("log.dropped"))
+	var dw io.Writer = queue
 	if !json {
-		dw = zerolog.ConsoleWriter{Out: dw, NoColor: true, TimeFormat: time.RFC3339Nano,
+		dw = zerolog.ConsoleWriter{Out: queue, NoColor: true, TimeFormat: time.RFC3339Nano,
 			PartsOrder:    []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, componentField, zerolog.MessageFieldName},
 			FieldsExclude: []string{componentField},
 			FormatPartValueByName: func(value any, _ string) string {
@@ -34,7 +35,7 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return zerolog.New(dw).Level(l).With().Timestamp().Logger().Sample(sampler(m)), flush
+	return zerolog.New(dw).Level(l).With().Timestamp().Logger().Sample(sampler(m)), queue.Close
 }
 
 // ComponentLogger returns the logger of one component, which adds the component's name to every line.
@@ -50,20 +51,11 @@
 }
 
 const (
-	// logBuffer is the number of lines that are buffered for a slow reader. Later lines displace the oldest.
-	logBuffer = 4096
 	// sampleBurst is the number of information lines written per samplePeriod. Further ones are only counted.
 	sampleBurst  = 400
 	samplePeriod = time.Second
 )
 
-// nonBlocking returns a writer that never blocks and a function that flushes it. Lines that the reader does not consume
-// in time are dropped and counted in "log.dropped".
-func nonBlocking(w io.Writer, m Metrics) (io.Writer, func()) {
-	dw := diode.NewWriter(w, logBuffer, 0, func(missed int) { m.Count("log.dropped", int64(missed)) })
-	return dw, func() { _ = dw.Close() }
-}
-
 // sampler drops information lines beyond a rate and counts them in "log.sampled".
 func sampler(m Metrics) zerolog.Sampler {
 	return zerolog.LevelSampler{InfoSampler: &zerolog.BurstSampler{Burst: sampleBurst, Period: samplePeriod, NextSampler: countingSampler{m}}}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -27,6 +27,7 @@
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests            = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
+	logTests            = []string{"./internal/telemetry"}
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
 	limitTests          = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
@@ -100,6 +101,9 @@
 	{"stop-peers-hear", "5", "internal/peer/link.go", "	_, _ = st.CloseAndRecv()\n}\n", "}\n", []string{"./internal/peer"}},
 	{"stop-engine-hangs", "5", "internal/edge/chat.go", "context.WithTimeout(ctx, shutdownCancelTimeout)", "context.WithCancel(ctx)", []string{"./internal/edge"}},
 	{"drain-no-ticket", "2", "internal/edge/server.go", "	if s.draining.Load() {\n", "	if false {\n", processTests("TicketOfADraining")},
+	{"log-late-counted", "log", "internal/telemetry/linequeue.go", "	if q.closed {\n		q.dropped.Inc(1)\n", "	if q.closed {\n", logTests},
+	{"log-overrun-counted", "log", "internal/telemetry/linequeue.go", "		q.dropped.Inc(1)\n		recycle(oldest)\n", "		recycle(oldest)\n", logTests},
+	{"log-error-counted", "log", "internal/telemetry/linequeue.go", "line.Bytes()); err != nil {\n", "line.Bytes()); err != nil && false {\n", logTests},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, notifyHangup())\n", "	_ = ignoreHangups\n", processTests("Hangup")},
 	{"drain-last-duties", "5", "internal/member/member.go", "	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })\n",
 		"	return nil\n", []string{"./internal/member"}},
