The flush of the log has a limit

On the users' platform it would be killed at the end of its grace period.

Cause: the flush waited for the collector without a limit, as the last step of the process.

Change: the flush takes at most two seconds, on the users' platform at most what is left of the grace period but for 40 ms. The lines that it gives up count in log.dropped. Nobody can read that counter any more, so one line with their number goes to the other standard stream, which has its own limit. The line that is being written when the limit is reached counts as dropped until its write has succeeded.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -6,9 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
+	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
@@ -28,6 +31,12 @@
 	exitSettings = 3
 )
 
+const (
+	// exitMargin is what remains of the platform's grace period for the report of lost log lines and the exit.
+	exitMargin    = 40 * time.Millisecond
+	reportTimeout = 20 * time.Millisecond
+)
+
 type options struct {
 	Settings string `short:"c" long:"settings" description:"INI file with this host's settings"`
 	Platform bool   `long:"platform" description:"serve the users' platform, with the settings file that the environment names"`
@@ -64,7 +73,7 @@
 	log, flush := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON, metrics)
 	go ignoreHangups(log, notifyHangup())
 	ctx, hard := shutdownContexts()
-	exitAfterRun(log, flush, daemon.Run(ctx, hard, set, log, metrics))
+	exitAfterRun(log, flush, os.Stdout, daemon.Run(ctx, hard, set, log, metrics))
 }
 
 func runPlatform(opt options) {
@@ -79,11 +88,28 @@
 	}
 	node.Tune(set)
 	metrics := telemetry.NewMetrics()
-	log, flush := telemetry.NewLogger(os.Stdout, "info", true, metrics)
-	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.ComponentLogger(log, "store"))
+	log := telemetry.OpenLog(os.Stdout, "info", true, metrics)
+	left := graceLeft(ctx, set.Grace)
+	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.ComponentLogger(log.Logger, "store"))
 	err = node.Run(ctx, set, node.Dependencies{Store: store, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
-		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log, metrics)
-	exitAfterRun(log, flush, err)
+		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log.Logger, metrics)
+	flush := func() error { return log.Close(min(telemetry.FlushTimeout, left()-exitMargin)) }
+	exitAfterRun(log.Logger, flush, os.Stderr, err)
+}
+
+// graceLeft returns a function that returns how much is left of the grace period that begins when ctx is done.
+func graceLeft(ctx context.Context, grace time.Duration) func() time.Duration {
+	var end atomic.Pointer[time.Time]
+	context.AfterFunc(ctx, func() {
+		t := time.Now().Add(grace)
+		end.Store(&t)
+	})
+	return func() time.Duration {
+		if t := end.Load(); t != nil {
+			return time.Until(*t)
+		}
+		return grace
+	}
 }
 
 // notifyHangup returns a channel that receives after a SIGHUP, the signal to reload the settings file.
@@ -117,17 +143,27 @@
 	}
 }
 
-// exitAfterRun logs err, flushes the log, and exits with exitFailed if err is not nil.
-func exitAfterRun(log zerolog.Logger, flush func(), err error) {
+// exitAfterRun logs err, flushes the log, and exits with exitFailed if err is not nil. Lines that the flush lost are reported to
+// fallback.
+func exitAfterRun(log zerolog.Logger, flush func() error, fallback io.Writer, err error) {
 	if err != nil {
 		log.Error().Err(err).Msg("Stopped with an error.")
 	}
-	flush()
+	if lost := flush(); lost != nil {
+		reportLostLines(fallback, lost)
+	}
 	if err != nil {
 		os.Exit(exitFailed)
 	}
 }
 
+// reportLostLines writes a log line to a stream other than the log's, which may hang as well.
+func reportLostLines(w io.Writer, err error) {
+	log := telemetry.OpenLog(w, "error", true, telemetry.NewMetrics())
+	log.Error().Err(err).Msg("Log lines are lost.")
+	_ = log.Close(reportTimeout)
+}
+
 // shutdownContexts returns a context that is canceled at the first SIGTERM or SIGINT, and one at the second.
 func shutdownContexts() (soft, hard context.Context) {
 	soft, cancelSoft := context.WithCancel(context.Background())
--- a/internal/telemetry/linequeue.go
+++ b/internal/telemetry/linequeue.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"io"
 	"sync"
+	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rcrowley/go-metrics"
 )
 
@@ -26,8 +28,11 @@
 	lines   chan *bytes.Buffer
 	ended   chan struct{} // closed when the last line has been written
 
-	mu     sync.Mutex // held for operations in memory only
-	closed bool       // no line is accepted any more
+	mu sync.Mutex // held for operations in memory only
+	// unsettled is the number of lines that are neither written nor dropped yet.
+	unsettled int64
+	closed    bool // no line is accepted any more
+	abandoned bool // the remaining lines have been counted as dropped
 }
 
 func newLineQueue(out io.Writer, dropped metrics.Counter) *lineQueue {
@@ -47,6 +52,7 @@
 		recycle(line)
 		return len(p), nil
 	}
+	q.unsettled++
 	select {
 	case q.lines <- line:
 		return len(p), nil
@@ -54,6 +60,7 @@
 	}
 	select {
 	case oldest := <-q.lines:
+		q.unsettled--
 		q.dropped.Inc(1)
 		recycle(oldest)
 	default: // run has made room in the meantime
@@ -62,26 +69,65 @@
 	return len(p), nil
 }
 
-// run writes queued lines until the queue is closed and empty.
+// run writes queued lines until the queue is closed and empty, or abandoned.
 func (q *lineQueue) run() {
 	defer close(q.ended)
 	for line := range q.lines {
-		if _, err := q.out.Write(line.Bytes()); err != nil {
-			q.dropped.Inc(1)
+		_, err := q.out.Write(line.Bytes())
+		if !q.settle(err) {
+			return
 		}
 		recycle(line)
 	}
 }
 
-// Close accepts no more lines and returns when those queued are written.
-func (q *lineQueue) Close() {
+// settle records the result of a write. It returns false if the queue has been abandoned.
+func (q *lineQueue) settle(err error) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.abandoned {
+		if err == nil {
+			q.dropped.Dec(1) // abandon counted the line while it was being written
+		}
+		return false
+	}
+	q.unsettled--
+	if err != nil {
+		q.dropped.Inc(1)
+	}
+	return true
+}
+
+// Close accepts no more lines and returns when those queued are written, at the latest after limit. It returns an error
+// if it gave up the remaining ones, which then count as dropped. The one that is being written counts as dropped until its
+// write has succeeded.
+func (q *lineQueue) Close(limit time.Duration) error {
 	q.mu.Lock()
 	if !q.closed {
 		q.closed = true
 		close(q.lines)
 	}
 	q.mu.Unlock()
-	<-q.ended
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-q.ended:
+		return nil
+	case <-timer.C:
+		return q.abandon(limit)
+	}
+}
+
+func (q *lineQueue) abandon(limit time.Duration) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	lost := q.unsettled
+	q.abandoned, q.unsettled = true, 0
+	q.dropped.Inc(lost)
+	if lost == 0 {
+		return nil
+	}
+	return trace.LimitExceeded("%d log lines were not read within %s and are lost; check the program that reads the log", lost, limit)
 }
 
 // recycle returns a line's buffer to the pool.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -16,10 +16,21 @@
 
 func init() { zerolog.TimeFieldFormat = timeFormat }
 
-// NewLogger returns the root logger, which writes text or JSON lines, and a function that flushes it. Logging never
-// blocks: lines that the reader of w does not take in time are dropped and counted in "log.dropped", and so are lines that
-// are logged after the flush.
-func NewLogger(w io.Writer, level string, json bool, m Metrics) (zerolog.Logger, func()) {
+// Log is the root logger of a process. Logging never blocks: lines that the program which reads w does not take in time are
+// dropped and counted in "log.dropped".
+type Log struct {
+	zerolog.Logger
+	queue *lineQueue
+}
+
+// NewLogger returns the logger of OpenLog, and a function that closes it within FlushTimeout.
+func NewLogger(w io.Writer, level string, json bool, m Metrics) (zerolog.Logger, func() error) {
+	l := OpenLog(w, level, json, m)
+	return l.Logger, func() error { return l.Close(FlushTimeout) }
+}
+
+// OpenLog returns a log that writes text or JSON lines to w.
+func OpenLog(w io.Writer, level string, json bool, m Metrics) *Log {
 	queue := newLineQueue(w, m.Counter("log.dropped"))
 	var dw io.Writer = queue
 	if !json {
@@ -35,9 +46,13 @@
 	if err != nil {
 		l = zerolog.InfoLevel
 	}
-	return zerolog.New(dw).Level(l).With().Timestamp().Logger().Sample(sampler(m)), queue.Close
+	return &Log{zerolog.New(dw).Level(l).With().Timestamp().Logger().Sample(sampler(m)), queue}
 }
 
+// Close returns when all lines are written, at the latest after limit. Lines that are logged later are dropped. It returns an
+// error if it gave up lines that were not written in time; these count as dropped, too.
+func (l *Log) Close(limit time.Duration) error { return l.queue.Close(limit) }
+
 // ComponentLogger returns the logger of one component, which adds the component's name to every line.
 func ComponentLogger(root zerolog.Logger, component string) zerolog.Logger {
 	return root.Hook(componentHook(component))
@@ -51,6 +66,9 @@
 }
 
 const (
+	// FlushTimeout limits the wait of a stopping process for a collector that does not read its log. Supervisors kill a process
+	// that waits for much longer.
+	FlushTimeout = 2 * time.Second
 	// sampleBurst is the number of information lines written per samplePeriod. Further ones are only counted.
 	sampleBurst  = 400
 	samplePeriod = time.Second
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -94,11 +94,11 @@
 }
 
 // returnsInTime calls f and reports whether it returns within waitTimeout.
-func returnsInTime(f func()) bool {
+func returnsInTime(f func() error) bool {
 	returned := make(chan struct{})
 	go func() {
 		defer close(returned)
-		f()
+		_ = f()
 	}()
 	select {
 	case <-returned:
@@ -240,6 +240,23 @@
 	require.Equal(t, int64(lines), m.Counter("log.dropped").Count())
 }
 
+// Guards against a stopping host that waits for a hanging collector of its log until it is killed.
+func TestFlushReturnsWhileTheCollectorHangs(t *testing.T) {
+	for _, lines := range []int{1, 3 * logBuffer} {
+		m := NewMetrics()
+		w := &blockedWriter{unblock: make(chan struct{})}
+		log, flush := NewLogger(w, "info", true, m)
+		logFrom(log, 1, lines)
+		require.True(t, returnsInTime(flush), "the flush does not return")
+		require.Equal(t, int64(lines), m.Counter("log.dropped").Count())
+		log.Warn().Msg("A warning.")
+		require.Equal(t, int64(lines+1), m.Counter("log.dropped").Count())
+		close(w.unblock)
+		require.Eventually(t, func() bool { return m.Counter("log.dropped").Count() == int64(lines) }, waitTimeout, time.Millisecond,
+			"the line whose write succeeded in the end still counts as dropped")
+	}
+}
+
 func BenchmarkLog(b *testing.B) {
 	for _, goroutines := range []int{1, 8} {
 		b.Run(fmt.Sprintf("%d goroutines a processor", goroutines), func(b *testing.B) {
