A host outlives the collector of its log

Seen by a test: a host ended, with the requests of its callers, at the first line that it wrote after the collector of its log had ended.

Cause: a write to a broken pipe on standard output or standard error sends SIGPIPE, which ends a Go process that does not handle it.

Change: the daemon ignores SIGPIPE.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -51,6 +51,8 @@
 		}
 		os.Exit(exitUsage)
 	}
+	// A write to a log whose collector has ended must fail, not end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	switch {
 	case opt.Platform:
 		runPlatform(opt)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -111,6 +111,7 @@
 	{"log-error-counted", "log", "internal/telemetry/linequeue.go", "	q.unsettled--\n	if err != nil {\n", "	q.unsettled--\n	if false {\n", logTests},
 	{"log-grace", "5", "cmd/fireflyshiftd/main.go", "min(telemetry.FlushTimeout, left()-exitMargin)", "telemetry.FlushTimeout", processTests("FlushStays")},
 	{"log-lost-reported", "5", "cmd/fireflyshiftd/main.go", "		reportLostLines(fallback, lost)\n", "		_ = reportLostLines\n", processTests("CollectorOfItsLogHangs")},
+	{"log-collector-ends", "5", "cmd/fireflyshiftd/main.go", "	signal.Ignore(syscall.SIGPIPE)\n", "", processTests("OutlivesTheCollector")},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, notifyHangup())\n", "	_ = ignoreHangups\n", processTests("Hangup")},
 	{"drain-last-duties", "5", "internal/member/member.go", "	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })\n",
 		"	return nil\n", []string{"./internal/member"}},
--- a/test/log_test.go
+++ b/test/log_test.go
@@ -1,8 +1,10 @@
 package test
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -94,6 +96,19 @@
 	}
 }
 
+// counter returns a counter of the host, or -1 if the host cannot be asked.
+func (h *pipedHost) counter(name string) int {
+	code, body, err := fleet.Get("http://" + h.admin + "/metrics")
+	if err != nil || code != http.StatusOK {
+		return -1
+	}
+	var values map[string]struct{ Count int }
+	if json.Unmarshal([]byte(body), &values) != nil {
+		return -1
+	}
+	return values[name].Count
+}
+
 // Guards against a stopping host that waits for a hanging collector of its log until it is killed, and that reports the lost lines
 // nowhere.
 func TestHostStopsWhileTheCollectorOfItsLogHangs(t *testing.T) {
@@ -130,3 +145,18 @@
 	data = []byte(strings.Replace(string(data), current, fmt.Sprintf(`"grace-s":%d`, int(grace.Seconds())), 1))
 	require.NoError(t, os.WriteFile(path, data, 0o600))
 }
+
+// Guards against a host that ends, with its callers' requests, as soon as the collector of its log has ended.
+func TestHostOutlivesTheCollectorOfItsLog(t *testing.T) {
+	for path, newHost := range newPipedHost {
+		t.Run(path, func(t *testing.T) {
+			h := newHost(t)
+			h.start(t, false)
+			require.NoError(t, h.collector.Close())
+			require.NoError(t, h.cmd.Process.Signal(syscall.SIGHUP)) // is logged
+			require.True(t, fleet.WaitUntil(waitTimeout, func() bool { return h.counter("log.dropped") != 0 }))
+			require.Positive(t, h.counter("log.dropped"), "the host has ended: %s", &h.other)
+			require.NoError(t, h.stop(t))
+		})
+	}
+}
