Messages of libraries are lines of the log

Seen by a test: what libraries print, such as net/http on a failed accept or the exporter of traces on a failed export, came unstructured on standard error, past the log's sampling. With a collector that hangs there, the goroutine that prints, for example the one that accepts callers' connections, would wait for it (by reading).

Cause: the standard logger and the one of grpc-go write to standard error.

Change: both write through the log.

--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"io"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"sync/atomic"
@@ -15,6 +16,7 @@
 
 	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc/grpclog"
 
 	"fireflyshift/internal/daemon"
 	"fireflyshift/internal/node"
@@ -73,6 +75,7 @@
 	}
 	metrics := telemetry.NewMetrics()
 	log, flush := telemetry.NewLogger(os.Stderr, set.Log.Level, set.Log.JSON, metrics)
+	captureLibraryMessages(log)
 	go ignoreHangups(log, notifyHangup())
 	ctx, hard := shutdownContexts()
 	exitAfterRun(log, flush, os.Stdout, daemon.Run(ctx, hard, set, log, metrics))
@@ -91,6 +94,7 @@
 	node.Tune(set)
 	metrics := telemetry.NewMetrics()
 	log := telemetry.OpenLog(os.Stdout, "info", true, metrics)
+	captureLibraryMessages(log.Logger)
 	left := graceLeft(ctx, set.Grace)
 	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.ComponentLogger(log.Logger, "store"))
 	err = node.Run(ctx, set, node.Dependencies{Store: store, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
@@ -99,6 +103,15 @@
 	exitAfterRun(log.Logger, flush, os.Stderr, err)
 }
 
+// captureLibraryMessages writes what libraries print to the log: otherwise it goes to standard error, and blocks its goroutine
+// while nobody reads there.
+func captureLibraryMessages(log zerolog.Logger) {
+	w := telemetry.LibraryWriter(log)
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(w)
+	grpclog.SetLoggerV2(grpclog.NewLoggerV2(io.Discard, io.Discard, w))
+}
+
 // graceLeft returns a function that returns how much is left of the grace period that begins when ctx is done.
 func graceLeft(ctx context.Context, grace time.Duration) func() time.Duration {
 	var end atomic.Pointer[time.Time]
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -65,6 +66,18 @@
 	e.Str(componentField, string(p))
 }
 
+// LibraryWriter returns a writer for the messages that libraries print, for example through the standard logger. It writes each
+// as an information line of log.
+func LibraryWriter(log zerolog.Logger) io.Writer { return libraryWriter{log} }
+
+type libraryWriter struct{ log zerolog.Logger }
+
+// Write implements io.Writer.
+func (w libraryWriter) Write(p []byte) (int, error) {
+	w.log.Info().Str("detail", strings.TrimSpace(string(p))).Msg("Message of a library.")
+	return len(p), nil
+}
+
 const (
 	// FlushTimeout limits the wait of a stopping process for a collector that does not read its log. Supervisors kill a process
 	// that waits for much longer.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -112,6 +112,7 @@
 	{"log-grace", "5", "cmd/fireflyshiftd/main.go", "min(telemetry.FlushTimeout, left()-exitMargin)", "telemetry.FlushTimeout", processTests("FlushStays")},
 	{"log-lost-reported", "5", "cmd/fireflyshiftd/main.go", "		reportLostLines(fallback, lost)\n", "		_ = reportLostLines\n", processTests("CollectorOfItsLogHangs")},
 	{"log-collector-ends", "5", "cmd/fireflyshiftd/main.go", "	signal.Ignore(syscall.SIGPIPE)\n", "", processTests("OutlivesTheCollector")},
+	{"log-libraries", "log", "cmd/fireflyshiftd/main.go", "	stdlog.SetOutput(w)\n", "", processTests("MessagesOfLibraries")},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, notifyHangup())\n", "	_ = ignoreHangups\n", processTests("Hangup")},
 	{"drain-last-duties", "5", "internal/member/member.go", "	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })\n",
 		"	return nil\n", []string{"./internal/member"}},
