Spans are exported although a peer hangs

Seen by a test: a host that stopped beside a peer that hung lost the spans of its last seconds, without a log line.

Cause: the export of the remaining spans shared its time with the sending of queued messages to peers, which a peer that hangs uses up, and its error was ignored.

Change: the export has its own 500 ms, and its error is logged. A stop may take so much longer on the product's own path.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,10 +35,11 @@
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
 	drainPoll     = 20 * time.Millisecond
-	// closeTimeout limits the closing of callers' connections, and peerCloseTimeout after that the sending of queued messages
-	// to peers.
-	closeTimeout     = 1500 * time.Millisecond
-	peerCloseTimeout = 500 * time.Millisecond
+	// closeTimeout limits the closing of callers' connections, peerCloseTimeout after that the sending of queued messages to
+	// peers, and traceCloseTimeout at last the export of spans.
+	closeTimeout      = 1500 * time.Millisecond
+	peerCloseTimeout  = 500 * time.Millisecond
+	traceCloseTimeout = 500 * time.Millisecond
 )
 
 // Daemon is one running host.
@@ -247,12 +248,21 @@
 	cut := d.connections.Close(callers)
 	_ = d.callers.Close()
 	d.log.Info().Int("cut", cut).Int("notified", d.connections.Notified()).Msg("Connections closed.")
-	ctx, cancel := context.WithTimeout(context.Background(), peerCloseTimeout)
+	peers, cancel := context.WithTimeout(context.Background(), peerCloseTimeout)
 	defer cancel()
-	d.sender.Close(ctx)
+	d.sender.Close(peers)
 	_ = d.admin.Close()
 	d.peers.Stop()
-	_ = d.tracing.Close(ctx)
+	d.closeTracing()
+}
+
+// closeTracing exports the remaining spans. Its time is its own, as a peer that hangs may have used up that of the links.
+func (d *Daemon) closeTracing() {
+	ctx, cancel := context.WithTimeout(context.Background(), traceCloseTimeout)
+	defer cancel()
+	if err := d.tracing.Close(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("Spans are lost: they were not exported in time. Check the collector of traces.")
+	}
 }
 
 // Ready implements admin.Source.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -113,6 +113,8 @@
 	{"log-lost-reported", "5", "cmd/fireflyshiftd/main.go", "		reportLostLines(fallback, lost)\n", "		_ = reportLostLines\n", processTests("CollectorOfItsLogHangs")},
 	{"log-collector-ends", "5", "cmd/fireflyshiftd/main.go", "	signal.Ignore(syscall.SIGPIPE)\n", "", processTests("OutlivesTheCollector")},
 	{"log-libraries", "log", "cmd/fireflyshiftd/main.go", "	stdlog.SetOutput(w)\n", "", processTests("MessagesOfLibraries")},
+	{"stop-spans", "5", "internal/daemon/daemon.go", "	ctx, cancel := context.WithTimeout(context.Background(), traceCloseTimeout)\n",
+		"	ctx, cancel := context.WithTimeout(context.Background(), 0)\n", processTests("SpansAreExported")},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, notifyHangup())\n", "	_ = ignoreHangups\n", processTests("Hangup")},
 	{"drain-last-duties", "5", "internal/member/member.go", "	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })\n",
 		"	return nil\n", []string{"./internal/member"}},
--- a/test/spans_test.go
+++ b/test/spans_test.go
@@ -25,6 +25,16 @@
 	return b.hosts["a1"].Log.String()
 }
 
+// Guards against spans that are lost as a host stops, after a hanging peer has used up the time for their export.
+func TestSpansAreExportedWhileAPeerHangs(t *testing.T) {
+	b := newTestbed(t, "a1", "a2")
+	b.addPlainService("git-1", "zone-a", time.Millisecond)
+	b.extraSettings = "limit = 1s\n[traces]\nexporter = stdout\n"
+	b.start()
+	log := b.stopAfterOneRequest(func() { b.hosts["a2"].Signal(syscall.SIGSTOP) })
+	require.Contains(t, log, "caller to host")
+}
+
 // Guards against messages of libraries that bypass the log: unstructured, and blocking while its collector hangs.
 func TestMessagesOfLibrariesAreLogLines(t *testing.T) {
 	b := newTestbed(t, "a1")
