Messages between hosts that a closing link drops are counted

Seen by a test: messages queued for an unreachable host were lost without a count in peer.dropped as the host stopped. By reading: a link that ends for idleness with a message just queued lost it as well. Callers saw nothing, as lost messages between hosts are repeated or repaired by digests.

Cause: the links are consumers that may end with something left in their queue, and a message could be queued at a link after its end.

Change: messages are queued under the mutex that also removes links; a link ends for idleness only if its queue is empty then, and one that ends otherwise counts what is left.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -72,28 +72,25 @@
 
 // Send queues a message. It never blocks, since the control thread calls it.
 func (s *Sender) Send(to member.Host, m *peerpb.Message) {
-	l := s.linkTo(to)
-	if l == nil {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
 		s.count.Dropped.Inc(1)
 		return
 	}
 	select {
-	case l.queue <- m:
+	case s.linkTo(to).queue <- m:
 	default:
 		s.count.Dropped.Inc(1)
 	}
 }
 
-// linkTo returns the link to a host, opened if necessary, or nil once the sender is closing.
+// linkTo returns the link to a host, opened if necessary. The caller holds the mutex, so that no message is queued at a link that
+// has been removed.
 func (s *Sender) linkTo(to member.Host) *link {
 	if other, ok := s.routes[to.ID]; ok {
 		to.Addr = other
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed {
-		return nil
-	}
 	l, ok := s.links[to.ID]
 	if ok && l.addr == to.Addr {
 		return l
@@ -112,10 +109,27 @@
 	return l
 }
 
-// removeLink removes a link that has ended by itself.
+// removeLink removes a link that has ended and drops the messages that it has not sent.
 func (s *Sender) removeLink(l *link) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.forget(l)
+	l.dropQueued()
+}
+
+// removeIdle removes a link unless a message is queued there. It reports whether it has.
+func (s *Sender) removeIdle(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(l.queue) > 0 {
+		return false
+	}
+	s.forget(l)
+	return true
+}
+
+// forget removes l if it has not been replaced. The caller holds the mutex.
+func (s *Sender) forget(l *link) {
 	if s.links[l.host] == l {
 		delete(s.links, l.host)
 	}
@@ -221,6 +235,9 @@
 		case <-st.Context().Done():
 			return false, true
 		case <-timer.C:
+			if !l.sender.removeIdle(l) {
+				continue // the queued message restarts the timer
+			}
 			_, _ = st.CloseAndRecv()
 			return true, true
 		case <-l.sender.closing:
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -115,6 +115,8 @@
 	{"log-libraries", "log", "cmd/fireflyshiftd/main.go", "	stdlog.SetOutput(w)\n", "", processTests("MessagesOfLibraries")},
 	{"stop-spans", "5", "internal/daemon/daemon.go", "	ctx, cancel := context.WithTimeout(context.Background(), traceCloseTimeout)\n",
 		"	ctx, cancel := context.WithTimeout(context.Background(), 0)\n", processTests("SpansAreExported")},
+	{"stop-peers-counted", "log", "internal/peer/link.go", "	s.forget(l)\n	l.dropQueued()\n", "	s.forget(l)\n", []string{"./internal/peer"}},
+	{"idle-link-queue", "8", "internal/peer/link.go", "	if len(l.queue) > 0 {\n		return false\n	}\n", "", []string{"./internal/peer"}},
 	{"hangup-ignored", "5", "cmd/fireflyshiftd/main.go", "	go ignoreHangups(log, notifyHangup())\n", "	_ = ignoreHangups\n", processTests("Hangup")},
 	{"drain-last-duties", "5", "internal/member/member.go", "	return v.zoneIDs(!v.catchingUp, func(p *peer) bool { return v.reachable(now, p) && !p.catchingUp })\n",
 		"	return nil\n", []string{"./internal/member"}},
