Posting to the control thread returns after its end

By reading, shown by a test: on the users' platform, a goroutine that posts to the control thread when this has ended and its queue is full waits for ever. A stopping host waits for some of these goroutines, and would not end before it is killed.

Change: as on the product's own path, posting returns when the control thread has ended.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -41,6 +41,7 @@
 	log     zerolog.Logger
 	metrics telemetry.Metrics
 	queue   chan any
+	done    chan struct{} // closed when run has returned
 	// callers holds the effect channels of the gateway's requests, by request ID.
 	callers map[uint64]gateway.Caller
 	table   atomic.Pointer[routing.Table]
@@ -65,11 +66,12 @@
 
 func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
 	return &control{router: r, clock: timing.NewBootClock(), log: log, metrics: m,
-		queue: make(chan any, queueLength), callers: map[uint64]gateway.Caller{}, configured: make(chan struct{})}
+		queue: make(chan any, queueLength), done: make(chan struct{}), callers: map[uint64]gateway.Caller{}, configured: make(chan struct{})}
 }
 
 // run handles events until ctx is done.
 func (c *control) run(ctx context.Context) {
+	defer close(c.done)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	c.reduce(router.Tick{})
@@ -166,11 +168,19 @@
 
 // Submit implements gateway.Control.
 func (c *control) Submit(s router.Submit, caller gateway.Caller) {
-	c.queue <- submission{s, caller}
+	c.put(submission{s, caller})
 }
 
 // Post implements gateway.Control.
-func (c *control) Post(ev router.Event) { c.queue <- ev }
+func (c *control) Post(ev router.Event) { c.put(ev) }
+
+// put queues an entry. It blocks while the queue is full and the control thread runs.
+func (c *control) put(entry any) {
+	select {
+	case c.queue <- entry:
+	case <-c.done:
+	}
+}
 
 // Now implements gateway.Control.
 func (c *control) Now() time.Duration { return c.clock.Now() }
