The mutant of the flush's limit builds

log-grace left an unused variable behind, so that it did not build. It now takes the longer of the two limits in place of the shorter, and TestFlushStaysWithinTheGracePeriod catches it.

--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -109,7 +109,7 @@
 	{"log-abandoned-counted", "log", "internal/telemetry/linequeue.go", "	q.dropped.Inc(lost)\n", "", logTests},
 	{"log-abandoned-written", "log", "internal/telemetry/linequeue.go", "			q.dropped.Dec(1) // abandon counted the line while it was being written\n", "", logTests},
 	{"log-error-counted", "log", "internal/telemetry/linequeue.go", "	q.unsettled--\n	if err != nil {\n", "	q.unsettled--\n	if false {\n", logTests},
-	{"log-grace", "5", "cmd/fireflyshiftd/main.go", "min(telemetry.FlushTimeout, left()-exitMargin)", "telemetry.FlushTimeout", processTests("FlushStays")},
+	{"log-grace", "5", "cmd/fireflyshiftd/main.go", "min(telemetry.FlushTimeout, left()-exitMargin)", "max(telemetry.FlushTimeout, left()-exitMargin)", processTests("FlushStays")},
 	{"log-lost-reported", "5", "cmd/fireflyshiftd/main.go", "		reportLostLines(fallback, lost)\n", "		_ = reportLostLines\n", processTests("CollectorOfItsLogHangs")},
 	{"log-collector-ends", "5", "cmd/fireflyshiftd/main.go", "	signal.Ignore(syscall.SIGPIPE)\n", "", processTests("OutlivesTheCollector")},
 	{"log-libraries", "log", "cmd/fireflyshiftd/main.go", "	stdlog.SetOutput(w)\n", "", processTests("MessagesOfLibraries")},
