Lines of failed calls have their cause

A request that was not sent had the line "no connection to ADDR", without why; a call that broke off had an error text that differs with the layer that saw it. Both now have a cause (refused, dial_timeout, unreachable, reset, closed, stalled, silence), a broken call also how long nothing had been read, and a counter per cause: an exchange that our own kernel ended for want of acknowledgements is told apart from one that the server reset.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/upstream"
 )
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
@@ -146,6 +147,14 @@
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Backend server rejected the request without running it.")
 }
 
+// logBroken logs and counts a call that broke off after the request was sent.
+func (a *activeRequest) logBroken(err error) {
+	cause := upstream.CauseOf(err)
+	a.g.metrics.Count("backend.exchanges_broken."+string(cause), 1)
+	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(cause)).
+		Int64("silent_ms", upstream.SilenceOf(err).Milliseconds()).Stringer("digest", a.digest()).Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
+}
+
 const (
 	// answered is the outcome of a request whose complete answer was written to its caller.
 	answered = "answered"
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -356,13 +356,13 @@
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Dispatch decision expired before the send.")
 		return router.DispatchEnded{Outcome: router.NotSent} // no fault of the backend server
 	case !sent:
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not sent to the backend server.")
+		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(upstream.CauseOf(err))).
+			Msg("Request not sent to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, Fault: true}
 	case !time.Now().Before(a.deadline):
 		return router.DispatchEnded{Outcome: router.TimedOut}
 	default:
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Stringer("digest", a.digest()).
-			Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
+		a.logBroken(err)
 		return router.DispatchEnded{Outcome: a.withoutRetry(router.Broken), Fault: true, Delivered: a.headWritten}
 	}
 }
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -93,15 +93,15 @@
 	x := &call{pool: p, addr: addr, conn: c, maxIdle: req.MaxIdle}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(req.Deadline)
-	c.deadline, c.stallTimeout, c.onStall = req.Deadline, req.StallTimeout, req.OnStall
+	c.deadline, c.stallTimeout, c.onStall, c.heardAt = req.Deadline, req.StallTimeout, req.OnStall, time.Now()
 	if err := x.write(req); err != nil {
 		x.end()
-		return nil, true, err
+		return nil, true, x.broken(err)
 	}
 	resp, err = x.read(req)
 	if err != nil {
 		x.end()
-		return nil, true, err
+		return nil, true, x.broken(err)
 	}
 	return resp, true, nil
 }
@@ -176,6 +176,9 @@
 // Read implements io.Reader over the body. io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
+	if err != nil && err != io.EOF {
+		err = r.call.broken(err)
+	}
 	if err != nil {
 		r.err = err
 	}
@@ -212,6 +215,10 @@
 	return x.written
 }
 
+func (x *call) broken(err error) error {
+	return &BrokenError{Err: err, Silent: time.Since(x.conn.heardAt)}
+}
+
 // end closes the connection, which also stops the server's work.
 func (x *call) end() {
 	if x.closed {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -67,14 +67,25 @@
 	deadline     time.Time
 	stallTimeout time.Duration
 	onStall      func() bool
+	// heardAt is when the last bytes were read, or when the current exchange began.
+	heardAt time.Time
 }
 
 // ErrStalled is returned if a call is abandoned because the server sent nothing for the stall timeout.
 var ErrStalled = errors.New("the server sent nothing within the stall timeout")
 
-// Read implements io.Reader. The stall timeout is applied here, below all buffers, so that reading can continue if the
-// call is not abandoned.
+// Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.readUnlessStalled(p)
+	if n > 0 {
+		c.heardAt = time.Now()
+	}
+	return n, err
+}
+
+// readUnlessStalled reads. The stall timeout is applied here, below all buffers, so that reading can continue if the
+// call is not abandoned.
+func (c *conn) readUnlessStalled(p []byte) (int, error) {
 	if c.stallTimeout <= 0 {
 		return c.Conn.Read(p)
 	}
@@ -100,7 +111,7 @@
 func dial(ctx context.Context, d *net.Dialer, addr string) (*conn, error) {
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
+		return nil, trace.ConnectionProblem(err, "no connection to %s: %v", addr, err)
 	}
 	out := &conn{Conn: c}
 	out.r = bufio.NewReaderSize(out, readBuffer)
