Logs say how a host learned that a backend server leaves, and how old that was

The line of a backend server that drains or is gone said when a host learned of it, not how. So a request that reached a server two seconds after the store had accepted its leaving could not be told apart by its cause: a watch that hung, a pull that came late, an older decision, or a mark that was taken back.

The lines now have the revision of the change and its source (watch or listing, with the store's silence before it, pull or push, with the peer) and the time for which the peer had known it; a mark that is taken back has a line of its own. 'Sent.' has the revision up to which the host knew every change, and the time since the store's last answer. The lines about pulls have their duration.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -131,7 +131,8 @@
 	}
 	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
-		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).Str("owner", d.Basis.Owner)
+		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).
+		Uint64("revision", d.Basis.Revision).Int64("store_age_ms", d.Basis.StoreAge.Milliseconds()).Str("owner", d.Basis.Owner)
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,12 +279,13 @@
 }
 
 func (n *Node) pull(ctx context.Context, p *gossip.Puller, request router.Pull) {
+	began := time.Now()
 	update, err := p.Pull(ctx, request.Host, request.Since)
 	if err != nil {
-		n.log.Warn().Err(err).Str("from", request.Host).Msg("Reading updates from a peer failed.")
+		n.log.Warn().Err(err).Str("from", request.Host).Int64("after_ms", time.Since(began).Milliseconds()).Msg("Reading updates from a peer failed.")
 		return
 	}
-	n.log.Info().Str("from", request.Host).Stringer("after", request.Revision).Stringer("revision", update.Revision).
+	n.log.Info().Str("from", request.Host).Int64("after_ms", time.Since(began).Milliseconds()).Stringer("after", request.Revision).Stringer("revision", update.Revision).
 		Int("backends", len(update.Backends)).Bool("config", update.Config != nil).Msg("Updates received from a peer.")
 	update.FromStore, update.Full, update.From = false, false, request.Host
 	n.control.Post(update)
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -24,9 +24,11 @@
 	// latest registration.
 	removedRevision    routing.Revision
 	registeredRevision routing.Revision
-	removed            bool
-	removedAt          time.Duration
-	graceUntil         time.Duration
+	// changedAt is when its registration last changed, as far as known: when a host first read the change.
+	changedAt  time.Duration
+	removed    bool
+	removedAt  time.Duration
+	graceUntil time.Duration
 	// ownLoad and othersLoad are the load from this host and from the other hosts, by their latest heartbeats.
 	ownLoad, othersLoad load
 	// othersReportedAt is when other hosts' load was last reported.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -221,6 +221,10 @@
 	ViewAge  time.Duration // age of the oldest heartbeat that was counted
 	Version  uint64        // of the configuration
 	Era      uint64        // of the store that the backend servers were read from
+	// Revision is the store's revision up to which every change of backend servers was known, and StoreAge the time since the
+	// store last answered this host. Set for a dispatch only.
+	Revision uint64
+	StoreAge time.Duration
 	Quota    QuotaBasis
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -145,7 +145,7 @@
 	if b.Host == r.opt.Host || b.Host == "" {
 		return
 	}
-	r.applyPushedChanges(b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes
+	r.applyPushedChanges(b.Host, b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes
 	m, known := r.members.byHost[b.Host]
 	if known && b.Incarnation == m.incarnation && b.Seq <= m.seq {
 		return
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -80,9 +80,14 @@
 	return fmt.Sprintf("%s %s slots=%d", b.Service, b.Addr, b.Slots)
 }
 
+// describeChange formats a change of a registration, and how it reached this host, for logs.
+func (r *Router) describeChange(ch routing.BackendChange) string {
+	return fmt.Sprintf("%s revision=%s via=%s", ch.Service, ch.Revision, r.updates.source)
+}
+
 func (r *Router) addBackend(ch routing.BackendChange) {
 	b := newBackend(ch.Backend)
-	b.revision, b.registeredRevision = ch.Revision, ch.Revision
+	b.revision, b.registeredRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
 	r.updates.changes++
 	r.backends[ch.ID] = b
 	r.indexBackend(b)
@@ -134,7 +139,10 @@
 		r.markLeaving(b, "store")
 	}
 	if ch.Draining && !b.Draining {
-		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
+		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
+	}
+	if b.Draining && !ch.Draining {
+		r.emit(Note{What: "backend server no longer drains", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
 	}
 	if b.removed {
 		b.exited = false // the registration had merely lapsed
@@ -147,6 +155,7 @@
 	}
 	b.evacuated = r.evacuated(ch.Zone)
 	r.setCold(b, ch.Cold, "registration")
+	b.changedAt = r.now - ch.Age
 	r.owners.valid = r.owners.valid && !b.removed
 	b.Backend, b.revision, b.registeredRevision, b.removed = ch.Backend, ch.Revision, ch.Revision, false
 	delete(r.tombstones, b.ID)
@@ -167,7 +176,7 @@
 // that it is alive.
 func (r *Router) removeBackend(b *backend, ch routing.BackendChange) {
 	r.dropFingerprint(b)
-	b.revision, b.removedRevision = ch.Revision, ch.Revision
+	b.revision, b.removedRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
 	if ch.Foreign {
 		b.graceUntil = 0
 	}
@@ -184,6 +193,7 @@
 	if !b.Draining && !b.leaving && !ch.Foreign && b.graceUntil == 0 {
 		r.recordBackendEnd(b)
 	}
-	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.graceUntil > 0, ch.Foreign)})
+	r.emit(Note{What: "backend server gone", Subject: b.ID, Age: ch.Age,
+		Detail: fmt.Sprintf("%s doubt=%t foreign=%t revision=%s via=%s", b.Service, b.graceUntil > 0, ch.Foreign, ch.Revision, r.updates.source)})
 	r.emit(BackendGone{b.Backend})
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -147,6 +147,7 @@
 	b.ownLoad.prefillBacklog += q.prefillTokens
 	r.markLoadChanged()
 	r.reportAssigned(q)
+	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
 	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
 }
 
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -58,6 +58,8 @@
 	pulledAt        time.Duration
 	storeAnsweredAt time.Duration // time of the latest answer
 	configWithheld  bool          // the configuration has not been activated yet; see activateConfig
+	// source is where the changes that are being merged come from, for logs.
+	source string
 }
 
 func newUpdateState() updateState {
@@ -95,6 +97,7 @@
 // applyUpdate merges an update from the store or a peer. The version of the configuration and the revision of each
 // registration decide, so updates may arrive in any order, and an outdated peer or a stale read cannot undo anything.
 func (r *Router) applyUpdate(n Update) {
+	r.updates.source = r.sourceOf(n)
 	if n.FromStore {
 		r.handleStoreStatus(true)
 		r.updates.synced = true
@@ -123,6 +126,18 @@
 	}
 }
 
+// sourceOf describes for logs where an update comes from. silent_ms is how long the store had not answered this host before.
+func (r *Router) sourceOf(n Update) string {
+	if !n.FromStore {
+		return "pull peer=" + n.From
+	}
+	how := "watch"
+	if n.Full {
+		how = "listing"
+	}
+	return fmt.Sprintf("%s silent_ms=%d", how, (r.now - r.updates.storeAnsweredAt).Milliseconds())
+}
+
 // lostBackendTTL is how long a backend server is kept that a later era of the store does not list: one that is alive
 // registers again within two seconds of the store's return.
 const lostBackendTTL = 2500 * time.Millisecond
@@ -157,6 +172,7 @@
 	}
 	for _, b := range r.allBackends() {
 		if !b.removed && b.revision.Era < era {
+			r.updates.source = "absent from the restored store"
 			r.removeBackend(b, routing.BackendChange{Revision: routing.Revision{Era: era}, Removed: true})
 		}
 	}
@@ -189,7 +205,7 @@
 }
 
 // applyPushedChanges merges changes pushed by a peer.
-func (r *Router) applyPushedChanges(data []byte) {
+func (r *Router) applyPushedChanges(from string, data []byte) {
 	if len(data) == 0 {
 		return
 	}
@@ -198,6 +214,7 @@
 		r.emit(Note{What: "pushed changes malformed", Detail: err.Error()})
 		return
 	}
+	r.updates.source = "push peer=" + from
 	for _, ch := range list {
 		r.applyBackendChange(ch)
 	}
@@ -386,7 +403,7 @@
 		}
 		registration := b.Backend
 		registration.Cold = max(0, b.warming.until-r.now)
-		n.Backends = append(n.Backends, routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed})
+		n.Backends = append(n.Backends, routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed, Age: r.now - b.changedAt})
 	}
 	return n
 }
--- a/internal/router/updates_test.go
+++ b/internal/router/updates_test.go
@@ -133,7 +133,7 @@
 	pushed := 0
 	for _, e := range reader.post(Update{FromStore: true, After: rev(50), AsOf: rev(80), Revision: rev(76), Changes: routing.Changes{Backends: list}}) {
 		if s, ok := e.(SendHeartbeat); ok && len(s.Heartbeat.Changes) > 0 {
-			peer.r.applyPushedChanges(s.Heartbeat.Changes)
+			peer.r.applyPushedChanges("10.0.0.1", s.Heartbeat.Changes)
 			pushed++
 		}
 	}
@@ -149,7 +149,7 @@
 	b := newFixture(t, 1) // complete as of revision 50
 	late, err := json.Marshal([]routing.BackendChange{changeOf("later", 90, false)})
 	require.NoError(t, err)
-	b.r.applyPushedChanges(late)
+	b.r.applyPushedChanges("10.0.0.1", late)
 	beat := func(seq uint64) *gossippb.Beat {
 		return &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: seq, ConfigVersion: 1, Revision: 90, Digest: 7}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -245,6 +245,8 @@
 	// Foreign, with Removed, is set if something other than the backend server overwrote its registration. Unlike a
 	// lapsed registration, that gives no reason to assume that the backend server is still running.
 	Foreign bool
+	// Age is how long ago the sending host learned of the change; zero if it was read from the store.
+	Age time.Duration `json:",omitempty"`
 }
 
 // Changes are updates of the configuration and of the backend servers.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -293,7 +293,7 @@
 	{"store-cheap-pages", "8", "platform/store.go", "			q.Set(\"stale-ok\", \"1\")\n", "", platformTests("ListingOfMany")},
 	{"reading-few", "8", "internal/router/reading.go", "readerGrowth = 8\n", "readerGrowth = 1 << 10\n", []string{"./internal/router", "-run", "RefusedReaders"}},
 	{"sums-spent-since", "8", "internal/router/zones.go", "if v > 0 && (inTurn || v != r.zones.spentSent[name]) {", "if v > 0 && (inTurn || true) {", quotaTests},
-	{"beats-overtaken", "8", "internal/router/members.go", "	r.applyPushedChanges(b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes\n", "", []string{"./internal/router", "-run", "Overtaken"}},
+	{"beats-overtaken", "8", "internal/router/members.go", "	r.applyPushedChanges(b.Host, b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes\n", "", []string{"./internal/router", "-run", "Overtaken"}},
 	{"gossip-paced", "8", "internal/gossip/pacer.go", "				if sent += len(f.data); sent >= burstBytes {\n", "				if false {\n", []string{"./internal/gossip"}},
 	{"quota-owner-only", "limits", "internal/router/quotas.go", "if known && slices.Contains(r.quotaOwners(c.Workspace), r.opt.Host) {", "if known {", quotaTests},
 	{"quota-other-owner", "limits", "internal/router/quotas.go", "if next == 0 || next >= len(owners) {", "if next >= 0 {", quotaTests},
