Draining is final for a start of a backend server

Callers' requests reached backend servers that had said that they leave, seconds after the store had accepted it, and could break off with them.

Cause: a host took whatever the registration with the highest revision says. A server's own older write, which still says 'ready', may be accepted by the store after the one that says 'draining': all hosts then took the mark back and sent there again until the server exits. No start of a server goes back from draining, as each start has an ID of its own, or a later start time. Shown by TestDrainingIsFinalForAStart, which failed in all six cases (read by watch, by listing, from a peer, repeated, after a removal, after a foreign write). That it caused what was reported is not shown: that record doesn't say what the host knew.

A host that reads only the later write, by a listing, never learned of the draining at all: its digest equals that of the others, so it pulled nothing (TestHostsThatMissedTheDrainingLearnOfIt failed).

Now a server whose draining is overwritten counts as leaving for that start, as one that says so in an answer does, and heartbeats carry it. It was so already if the store was restored from an older copy; that condition is gone.

Compared: (1) this; (2) the mark stays part of the registration. With (2) the first test passes; the second fails, as the mark doesn't spread where revisions are equal, and TestPromisesSmallFleet and TestPromisesLargeFleet fail, as hosts then differ from the store for an ID that registers again without a start time. The sequence number that a server writes isn't used: a host that read only the later write has nothing to compare it with.

go test ./internal/router passes.

--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -51,8 +51,8 @@
 	failureState
 	// replaced is set if another instance has its address: this one never comes back.
 	replaced bool
-	// leaving is set if it has announced in an answer that it is about to shut down; announcedLeaving if that answer went to
-	// this host.
+	// leaving is set if it has announced that it is about to shut down, other than by its present registration: in an answer, or
+	// in a registration that an older one has overwritten. announcedLeaving is set if this host has that from the server itself.
 	leaving, announcedLeaving bool
 	// holdOffUntil is until when it has asked this host to send it nothing.
 	holdOffUntil time.Duration
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -134,15 +134,15 @@
 // updateBackend applies a newer registration of the same start.
 func (r *Router) updateBackend(b *backend, ch routing.BackendChange) {
 	r.updates.revision = routing.Latest(r.updates.revision, ch.Revision)
-	if b.Draining && !ch.Draining && ch.Revision.Era > b.revision.Era {
-		// The store was restored from a copy that is older than the announcement, which therefore still holds.
-		r.markLeaving(b, "store")
-	}
 	if ch.Draining && !b.Draining {
 		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
 	}
 	if b.Draining && !ch.Draining {
-		r.emit(Note{What: "backend server no longer drains", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
+		// No start of a server stops draining: it wrote this before, and the store accepted it late or was restored from an
+		// older copy. Hosts that read only this write learn of the draining from the others.
+		r.emit(Note{What: "draining was overwritten by an older state", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
+		b.announcedLeaving = true
+		r.markLeaving(b, "store")
 	}
 	if b.removed {
 		b.exited = false // the registration had merely lapsed
