Hosts take turns at pulling from their peers

A host sent requests to a backend server more than two seconds after the store had accepted that it drains.

Cause, shown by tests: a host whose watch of the store hangs learns of changes by pulls from peers. A pull was made when a heartbeat arrived, from its sender, at most one in 300 ms. Heartbeats come every 100 ms, so that each pull went to the same peer as the one before. If that peer didn't answer its pulls, the host learned nothing until its watch ended, up to 3.6 s after it began.

Now a pull goes to the peer that wasn't asked for the longest time, among all that hold different data, and in a small fleet it doesn't wait for the next heartbeat.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -115,9 +115,8 @@
 	deadBackends        []uint32 // hashes of backend servers that it cannot reach
 	failingBackends     []uint32 // hashes of backend servers that fail its requests
 	spent               map[string]uint64
-	// differsSince is when its digest first differed from this host's; zero while they are equal.
-	differsSince time.Duration
-	unreachable  bool
+	data                peerData
+	unreachable         bool
 	// startedAt is when it started, on this host's clock.
 	startedAt time.Duration
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -222,6 +222,7 @@
 	if r.updates.configWithheld {
 		r.activateConfig()
 	}
+	r.pullMissing()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -20,13 +20,6 @@
 	// storeTimeout is how long a host that has obtained a configuration from a peer waits for the store before it becomes
 	// ready.
 	storeTimeout = 1200 * time.Millisecond
-	// pullDelay is how long a peer may hold newer data before this host pulls it: updates from the store mostly arrive within
-	// milliseconds, which makes an earlier pull superfluous.
-	pullDelay = 250 * time.Millisecond
-	// pullInterval is the minimum interval between pulls.
-	pullInterval = 300 * time.Millisecond
-	// fullPullInterval is the same for pulls of everything, from hosts whose digest differs though they have nothing newer.
-	fullPullInterval = 3 * time.Second
 	// tombstoneTTL is how long removed backend servers are remembered: longer than any network partition after which a peer may
 	// report an outdated registration.
 	tombstoneTTL = 2 * time.Minute
@@ -55,7 +48,7 @@
 	storeFailed     bool
 	listedAt        time.Duration
 	storeBackAt     time.Duration
-	pulledAt        time.Duration
+	pulledAt        time.Duration // time of the latest pull from any peer
 	storeAnsweredAt time.Duration // time of the latest answer
 	configWithheld  bool          // the configuration has not been activated yet; see activateConfig
 	// source is where the changes that are being merged come from, for logs.
@@ -359,34 +352,6 @@
 // digest is equal on hosts with the same configuration, registrations and evacuations.
 func (r *Router) digest() uint64 { return r.version()*versionFactor + r.updates.fingerprints }
 
-// compareDigests pulls an update from a peer whose digest has differed for a while: the store may be unreachable for
-// this host, or may refuse it alone.
-func (r *Router) compareDigests(m *member, b *gossippb.Beat) {
-	if b.Digest == r.digest() {
-		m.differsSince = 0
-		return
-	}
-	if m.differsSince == 0 {
-		m.differsSince = max(1, r.now)
-	}
-	// There may be gaps between completeTo and the highest revision, if a push was lost and a later one arrived.
-	newer := b.ConfigVersion > r.version() || routing.Revision{Era: b.Era, Number: b.Revision}.After(r.updates.completeTo)
-	wait, interval := pullDelay, pullInterval
-	since := Since{Revision: r.updates.completeTo, Version: r.version()}
-	if !newer {
-		// Some change was missed before completeTo: pull everything.
-		wait, interval, since = fullPullInterval, fullPullInterval, Since{}
-	}
-	if r.table == nil {
-		wait = 0
-	}
-	if b.Digest == 0 || r.now-m.differsSince < wait || (r.updates.pulledAt > 0 && r.now-r.updates.pulledAt < interval) {
-		return
-	}
-	r.updates.pulledAt = r.now
-	r.emit(Pull{m.host, since})
-}
-
 // Snapshot returns what this host knows beyond what the pulling host has already. At 3,000 backend servers the whole is
 // most of a megabyte, which cannot be sent in time to a hundred hosts that pull at once.
 func (r *Router) Snapshot(since Since) Update {
