Silence ends an exchange only when its answer is of no use any more

Callers of non-idempotent requests, of streams without resumption and of requests whose retry was not allowed got a 502, or a connection that closed in the middle of the answer, though their backend server was sound: it had been silent for a second or so. Callers who took nothing for a second lost their connection in the middle of an answer.

Cause: TCP_USER_TIMEOUT was one second on every connection, whatever it carried. On Linux it counts unacknowledged bytes, a closed receive window and unanswered keep-alive probes alike, so neither retransmissions nor the count of probes made up for it.

The limit now follows what the connection carries. During an exchange it is the time left to the deadline (streams: twice the time after which the caller leaves, as the retransmission after a silence may take as long again); the deadline, the stall timeout, the caller's leaving and an abort end exchanges as before. An idle connection keeps one second. A second witness shortens the limit: once the registration of the server is gone beyond doubt, its exchanges get 4 s; a server that finishes its answers acknowledges and keeps them. A registration that lapsed around an outage of the store is reported gone when its grace period ends. Callers' connections get 7 s. The count of keep-alive probes no longer decides anywhere.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -302,10 +302,24 @@
 		d := time.Duration(stallPlainTargets * float64(a.route.Target))
 		return d, d
 	}
-	callerTimeout := float64(max(minCallerTimeout, callerTimeoutTargets*a.route.Target, callerTimeoutGaps*a.route.MaxGap))
+	callerTimeout := float64(a.callerTimeout())
 	return time.Duration(stallFirstFraction * callerTimeout), time.Duration(stallNextFraction * callerTimeout)
 }
 
+// callerTimeout returns how long a stream may send nothing until its caller abandons it.
+func (a *activeRequest) callerTimeout() time.Duration {
+	return max(minCallerTimeout, callerTimeoutTargets*a.route.Target, callerTimeoutGaps*a.route.MaxGap)
+}
+
+// maxSilence returns for how long a backend server's host may acknowledge nothing; zero stands for the time left. After a
+// silence, the next retransmission may take as long again as the silence lasted.
+func (a *activeRequest) maxSilence() time.Duration {
+	if a.route.Kind != routing.Streaming {
+		return 0
+	}
+	return 2 * a.callerTimeout()
+}
+
 // shouldMove asks the reducer whether to abandon a backend server that sends nothing.
 func (a *activeRequest) shouldMove() bool {
 	a.g.control.Post(router.Stalled{ID: a.id})
@@ -338,7 +352,7 @@
 	if a.bodyRest != nil {
 		req.Rest, req.Length = a.bodyRest, a.r.ContentLength
 	}
-	req.MaxIdle = d.MaxIdleConns
+	req.MaxIdle, req.Server, req.MaxSilence = d.MaxIdleConns, d.Backend.ID, a.maxSilence()
 	req.Permitted = func() bool { return a.permitted(d) }
 	req.StallTimeout, _ = a.stallTimeouts()
 	req.OnStall = a.shouldMove
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,6 +29,8 @@
 	pull      func(p router.Pull)
 	readStore func(on, shared bool)
 	dropConns func(addr string)
+	// limitWait ends the calls to a backend server that is gone unless its host still acknowledges.
+	limitWait func(id string)
 	// probe posts a ProbeResult event.
 	probe func(c router.Probe)
 }
@@ -146,6 +148,9 @@
 		c.log.Info().Uint64("version", e.Table.Config.Version).Int("routes", len(e.Table.Config.Routes)).Msg("Configuration activated.")
 	case router.BackendGone:
 		c.out.dropConns(e.Backend.Addr)
+		if !e.Doubtful {
+			c.out.limitWait(e.Backend.ID)
+		}
 	case router.Probe:
 		c.out.probe(e)
 	case router.Note:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -137,6 +138,7 @@
 		send:      n.send,
 		pull:      func(p router.Pull) { go n.pull(ctx, puller, p) },
 		dropConns: n.pool.CloseIdle,
+		limitWait: n.pool.ServerGone,
 		probe: func(c router.Probe) {
 			go func() {
 				reached, refused := n.pool.Probe(ctx, c.Backend.Addr, c.MaxIdleConns)
@@ -148,7 +150,7 @@
 	n.callers = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		ErrorLog: stdlog.New(httpErrorLog{n.log}, "", 0)}
 	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.RejectShutdown))
-	if err := n.listen(g, n.callers, n.set.Callers, n.connections.Listener); err != nil {
+	if err := n.listen(g, n.callers, n.set.Callers, upstream.SetCallerSilence, n.connections.Listener); err != nil {
 		return err
 	}
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
@@ -185,11 +187,14 @@
 func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	n.auxServers = append(n.auxServers, s)
-	return n.listen(g, s, addr, func(l net.Listener) net.Listener { return l })
+	return n.listen(g, s, addr, upstream.SetIdleSilence, func(l net.Listener) net.Listener { return l })
 }
 
-func (n *Node) listen(g *errgroup.Group, s *http.Server, addr string, wrap func(net.Listener) net.Listener) error {
-	lc := net.ListenConfig{KeepAliveConfig: upstream.KeepAlive(), Control: upstream.SetUserTimeout}
+// socketControl sets options of a socket, as net.ListenConfig.Control.
+type socketControl func(network, addr string, c syscall.RawConn) error
+
+func (n *Node) listen(g *errgroup.Group, s *http.Server, addr string, control socketControl, wrap func(net.Listener) net.Listener) error {
+	lc := net.ListenConfig{KeepAliveConfig: upstream.KeepAlive(), Control: control}
 	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return trace.Wrap(err, "listen on %s; free the port or correct the settings", addr)
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -343,8 +343,13 @@
 // ConfigActivated puts a newer configuration into force.
 type ConfigActivated struct{ Table *routing.Table }
 
-// BackendGone reports that a backend server is no longer used, so that connections to it can be closed.
-type BackendGone struct{ Backend routing.Backend }
+// BackendGone reports that a backend server is no longer used, so that idle connections to it can be closed. Doubtful is
+// set if only its registration has lapsed, around an outage of the store; another BackendGone follows if that is not
+// renewed.
+type BackendGone struct {
+	Backend  routing.Backend
+	Doubtful bool
+}
 
 // Probe asks whether a backend server is still reachable; the answer is a ProbeResult. A connection made for it is kept
 // for the next request, among at most MaxIdleConns idle ones.
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -108,7 +108,7 @@
 	delete(r.warming, b.ID)
 	delete(r.rateLimits, b.ID)
 	r.addBackend(ch)
-	r.emit(BackendGone{b.Backend})
+	r.emit(BackendGone{Backend: b.Backend})
 	r.abortRequests(b)
 }
 
@@ -185,5 +185,5 @@
 		r.recordBackendEnd(b)
 	}
 	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.graceUntil > 0, ch.Foreign)})
-	r.emit(BackendGone{b.Backend})
+	r.emit(BackendGone{Backend: b.Backend, Doubtful: b.graceUntil > 0})
 }
--- a/internal/router/select_test.go
+++ b/internal/router/select_test.go
@@ -243,6 +243,25 @@
 	require.Equal(t, NoBackend, refused.Cause)
 }
 
+// Guards against ending answers of a server whose registration has merely lapsed with the store, and against waiting to
+// the deadline for one that is gone.
+func TestLapsedRegistrationIsGoneAfterItsGracePeriod(t *testing.T) {
+	b := newFixture(t, 1)
+	gone := func(effects []Effect) (out []bool) {
+		for _, eff := range effects {
+			if e, ok := eff.(BackendGone); ok {
+				out = append(out, e.Doubtful)
+			}
+		}
+		return out
+	}
+	b.r.Reduce(b.now, StoreStatus{OK: false})
+	require.Equal(t, []bool{true}, gone(b.r.Reduce(b.now, Update{FromStore: true, Full: true, AsOf: rev(60)})))
+	require.Empty(t, gone(b.r.Reduce(b.now+lapsedGracePeriod-time.Millisecond, Tick{})))
+	require.Equal(t, []bool{false}, gone(b.r.Reduce(b.now+lapsedGracePeriod, Tick{})))
+	require.Empty(t, gone(b.r.Reduce(b.now+lapsedGracePeriod+tombstoneTTL/2, Tick{})), "reported once")
+}
+
 // A draining server is removed when the store returns. It announced that it leaves, so it is not kept as doubtful.
 func TestDrainedServerIsNeverUsedAgain(t *testing.T) {
 	b := newFixture(t, 1)
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -267,6 +267,10 @@
 	r.removeLostBackends()
 	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
 		b := r.tombstones[id]
+		if b.graceUntil > 0 && r.now >= b.graceUntil {
+			b.graceUntil = 0
+			r.emit(BackendGone{Backend: b.Backend})
+		}
 		if r.now-b.removedAt > tombstoneTTL && b.ownLoad.total() == 0 {
 			delete(r.tombstones, id)
 			delete(r.warming, id)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -29,6 +29,11 @@
 	IsOwn func(h http.Header) bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Server names the server for Pool.ServerGone.
+	Server string
+	// MaxSilence, if not zero, is how long the server's host may acknowledge nothing until the call ends; otherwise that
+	// is the time left until Deadline.
+	MaxSilence time.Duration
 	// MaxIdle is how many idle connections to the server may be kept after the call.
 	MaxIdle int
 	// StallTimeout, if not zero, is how long the server may send nothing until OnStall is asked whether to abandon the
@@ -60,8 +65,10 @@
 type call struct {
 	pool             *Pool
 	addr             string
+	server           string
 	conn             *conn
 	maxIdle          int
+	silenceLimit     time.Duration // guarded by the pool's lock
 	stopCancel       func() bool
 	writeDone        chan error // result of a body that is written while the answer is read
 	written          bool       // the request was written completely
@@ -84,13 +91,19 @@
 		_ = c.Close()
 		return nil, false, trace.Wrap(context.Cause(ctx), "the request ended before it was sent")
 	}
+	limit := req.silenceLimit(time.Now())
+	if err := c.limitSilence(limit); err != nil {
+		_ = c.Close()
+		return nil, false, err
+	}
 	// A process that was paused after its decision, or waited long for a connection, would send on a view that is
 	// outdated: a request would reach a backend server that had been told to leave before.
 	if req.Permitted != nil && !req.Permitted() {
 		p.putUnused(addr, c, req.MaxIdle)
 		return nil, false, ErrNotPermitted
 	}
-	x := &call{pool: p, addr: addr, conn: c, maxIdle: req.MaxIdle}
+	x := &call{pool: p, addr: addr, server: req.Server, conn: c, maxIdle: req.MaxIdle, silenceLimit: limit}
+	p.begin(x)
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
 	_ = c.SetDeadline(req.Deadline)
 	c.deadline, c.stallTimeout, c.onStall, c.heardAt = req.Deadline, req.StallTimeout, req.OnStall, time.Now()
@@ -195,6 +208,7 @@
 	if keep {
 		if idle := idleTimeout(r.resp); idle > 0 && r.call.stopCancel() {
 			r.call.closed = true
+			r.call.pool.finish(r.call)
 			r.call.pool.put(r.call.addr, r.call.conn, idle, r.call.maxIdle)
 			return
 		}
@@ -225,6 +239,7 @@
 		return
 	}
 	x.closed = true
+	x.pool.finish(x)
 	x.stopCancel()
 	_ = x.conn.Close()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -21,14 +21,12 @@
 const (
 	// dialTimeout is many times a round trip between zones; a server behind a network partition does not answer.
 	dialTimeout = 200 * time.Millisecond
-	// userTimeout closes a connection whose sent bytes are not acknowledged: four retransmissions.
-	userTimeout = time.Second
-	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive: a peer that vanished without a
-	// reset is detected within about three seconds.
+	// keepAliveIdle and keepAliveInterval are when keep-alive probes are sent to a peer that has nothing to acknowledge.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-	readBuffer        = 8 << 10
+	// keepAliveCount is Linux's maximum, so that the silence limit decides when a peer is given up.
+	keepAliveCount = 127
+	readBuffer     = 8 << 10
 )
 
 // Dialer returns a dialer whose connections detect unreachable peers.
@@ -36,7 +34,7 @@
 	return &net.Dialer{
 		Timeout:         timeout,
 		KeepAliveConfig: KeepAlive(),
-		Control:         SetUserTimeout,
+		Control:         SetIdleSilence,
 	}
 }
 
@@ -45,17 +43,6 @@
 	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 }
 
-// SetUserTimeout makes the kernel close a connection whose bytes are not acknowledged within userTimeout.
-func SetUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	}); e != nil {
-		return trace.Wrap(e)
-	}
-	return trace.Wrap(err)
-}
-
 // conn is one connection to a backend server. It serves one request at a time.
 type conn struct {
 	net.Conn
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,17 +9,18 @@
 	"time"
 )
 
-// Pool keeps idle connections by address.
+// Pool keeps idle connections by address, and knows the calls in progress.
 type Pool struct {
 	dialer *net.Dialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	calls  map[*call]struct{}
 	onDial func()
 }
 
 // NewPool returns an empty pool; onDial is called for each new connection.
 func NewPool(onDial func()) *Pool {
-	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, onDial: onDial}
+	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, calls: map[*call]struct{}{}, onDial: onDial}
 }
 
 // get takes the most recently used idle connection, or dials.
@@ -87,7 +88,7 @@
 
 // put keeps a connection for the given time, unless maxIdle are kept already.
 func (p *Pool) put(addr string, c *conn, keep time.Duration, maxIdle int) {
-	if keep <= 0 || c.SetDeadline(time.Time{}) != nil {
+	if keep <= 0 || c.SetDeadline(time.Time{}) != nil || c.limitSilence(idleSilence) != nil {
 		_ = c.Close()
 		return
 	}
--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -7,10 +7,13 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // pausingServer answers each request after a pause in which its receive window is closed: it reads the head, and the
@@ -74,3 +77,54 @@
 		})
 	}
 }
+
+// silenceLimitOf returns a connection's TCP_USER_TIMEOUT.
+func silenceLimitOf(t *testing.T, c *conn) time.Duration {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	require.NoError(t, err)
+	var ms int
+	require.NoError(t, raw.Control(func(fd uintptr) { ms, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }))
+	require.NoError(t, err)
+	return time.Duration(ms) * time.Millisecond
+}
+
+// Guards against a connection that keeps the limit of an earlier use: an exchange that ends too soon, an idle connection
+// to a vanished server that is used again, or calls at a server that is gone which hold their callers to the deadline.
+func TestSilenceLimitFollowsTheUseOfAConnection(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}))
+	defer srv.Close()
+	pool := NewPool(func() {})
+	addr := srv.Listener.Addr().String()
+	call := func(server string, left, maxSilence time.Duration) *Response {
+		resp, _, err := pool.Do(context.Background(), addr, &Request{Method: http.MethodGet, Target: "/x", Host: "h", Header: http.Header{},
+			Server: server, Deadline: time.Now().Add(left), MaxSilence: maxSilence, MaxIdle: 4, IsOwn: func(http.Header) bool { return true }})
+		require.NoError(t, err)
+		return resp
+	}
+	whole := call("a", time.Minute, 0)
+	require.Greater(t, silenceLimitOf(t, whole.call.conn), 50*time.Second)
+	stream := call("a", time.Minute, 8*time.Second)
+	require.Equal(t, 8*time.Second, silenceLimitOf(t, stream.call.conn))
+	ending := call("a", 2*time.Second, 0)
+	atDeadline := silenceLimitOf(t, ending.call.conn)
+	require.Greater(t, atDeadline, 2*time.Second, "the deadline ends it first")
+	next := call("b", time.Minute, 0)
+
+	pool.ServerGone("a")
+	require.Equal(t, goneSilence, silenceLimitOf(t, whole.call.conn))
+	require.Equal(t, goneSilence, silenceLimitOf(t, stream.call.conn))
+	require.Equal(t, atDeadline, silenceLimitOf(t, ending.call.conn), "must not be extended")
+	require.Greater(t, silenceLimitOf(t, next.call.conn), 50*time.Second, "another server at the same address")
+
+	for _, resp := range []*Response{whole, stream, ending, next} {
+		c := resp.call.conn
+		_, err := io.ReadAll(resp)
+		require.NoError(t, err)
+		resp.Close()
+		require.Equal(t, idleSilence, silenceLimitOf(t, c))
+	}
+	require.Empty(t, pool.calls)
+	again := call("a", time.Minute, 0)
+	require.Greater(t, silenceLimitOf(t, again.call.conn), 50*time.Second)
+	again.Close()
+}
