--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -113,7 +113,7 @@
 	delete(r.warming, b.ID)
 	delete(r.rateLimits, b.ID)
 	r.addBackend(ch)
-	r.emit(BackendGone{b.Backend})
+	r.emit(BackendGone{Backend: b.Backend})
 	r.abortRequests(b)
 }
 
@@ -195,5 +195,5 @@
 	}
 	r.emit(Note{What: "backend server gone", Subject: b.ID, Age: ch.Age,
 		Detail: fmt.Sprintf("%s doubt=%t foreign=%t revision=%s via=%s", b.Service, b.graceUntil > 0, ch.Foreign, ch.Revision, r.updates.source)})
-	r.emit(BackendGone{b.Backend})
+	r.emit(BackendGone{Backend: b.Backend, Doubtful: b.graceUntil > 0})
 }
