Small fleets push departures to hosts that lag behind

In a fleet of up to 16 hosts a host whose watch of the store hangs had a single other way to learn that a backend server drains or is gone: the digest in a heartbeat and a pull. If its pulls hang, or the heartbeats to it are lost, it kept sending to the server until its watch ended, up to 3.6 s after that began; 2 s are allowed.

Now its peers see by its heartbeats that its data has differed for 250 ms, and push it the departures of the last 4 s, as readers in large fleets push changes; again every 300 ms while it lags behind. The message is the one that large fleets use, so hosts of earlier builds understand it.

--- a/internal/router/drainspread_test.go
+++ b/internal/router/drainspread_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -125,3 +126,67 @@
 		require.Less(t, s.drain("e001", 2*drainBound), drainBound)
 	}
 }
+
+// Guards against ways of learning of a draining that depend on each other: with any two of them failing, the others suffice.
+func TestDrainingSpreadsWhileAnyTwoWaysFail(t *testing.T) {
+	const blindHost = 7
+	isPush := func(p *gossippb.Packet) bool { return p.Beat != nil && len(p.Beat.Changes) > 0 }
+	for name, fail := range map[string]func(s *spread, other *zoneHost){
+		"watch and all pulls": func(s *spread, _ *zoneHost) {
+			s.onPull = func(string, Pull) {}
+		},
+		"watch and all pushes, and a peer": func(s *spread, other *zoneHost) {
+			s.mute[other.ip] = true
+			s.drops = func(_, _ string, p *gossippb.Packet) bool { return isPush(p) }
+		},
+		"watch and all heartbeats but pushes": func(s *spread, _ *zoneHost) {
+			s.drops = func(_, to string, p *gossippb.Packet) bool {
+				return to == s.hosts[blindHost].ip && p.Beat != nil && !isPush(p)
+			}
+		},
+		"watches of all hosts but one, and that one's pushes": func(s *spread, other *zoneHost) {
+			for _, h := range s.hosts {
+				s.blind[h.ip] = h != other
+			}
+			s.drops = func(_, _ string, p *gossippb.Packet) bool { return isPush(p) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for other := range blindHost {
+				for phase := range 4 {
+					s := newSpread(t, 4, 2, 1)
+					s.run(time.Duration(25*phase)*time.Millisecond, 0)
+					s.blind[s.hosts[blindHost].ip] = true
+					fail(s, s.hosts[other])
+					require.Less(t, s.drain("e001", 2*drainBound), drainBound)
+				}
+			}
+		})
+	}
+}
+
+// Guards against pushes that use up small hosts' links: in fleets of 8 and 16 hosts, twelve servers drain within a second, and one
+// host neither reads that nor gets a datagram. What a host sends in that second stays below the operators' 18 KB.
+func TestPushesOfDrainingServersAreSmall(t *testing.T) {
+	for _, perZone := range []int{2, 4} {
+		s := newSpread(t, 4, perZone, 1)
+		deaf := s.hosts[len(s.hosts)-1]
+		s.drops = func(_, to string, _ *gossippb.Packet) bool { return to == deaf.ip }
+		cost := func(drain bool) float64 {
+			s.bytes = 0
+			for i := range 12 {
+				if drain {
+					for _, h := range s.hosts[:len(s.hosts)-1] {
+						s.post(h, Update{FromStore: true, After: rev(uint64(59 + i)), AsOf: rev(uint64(60 + i)), Revision: rev(uint64(60 + i)),
+							Changes: routing.Changes{Backends: []routing.BackendChange{drainingAt(fmt.Sprintf("e%03d", i), uint64(60+i))}}})
+					}
+				}
+				s.run(time.Second/12, 0)
+			}
+			return float64(s.bytes) / float64(len(s.hosts))
+		}
+		idle, busy := cost(false), cost(true)
+		t.Logf("%d hosts: %.1f KB a second and host while nothing changes, %.1f KB with 12 servers that drain", len(s.hosts), idle/1000, busy/1000)
+		require.Less(t, busy, 18_000.0)
+	}
+}
--- a/internal/router/pulls.go
+++ b/internal/router/pulls.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"fireflyshift/internal/gossip/gossippb"
@@ -15,6 +17,9 @@
 	pullInterval = 300 * time.Millisecond
 	// fullPullInterval is the same for pulls of everything, from hosts whose digest differs though they have nothing newer.
 	fullPullInterval = 3 * time.Second
+	// departureTTL is how long a change that takes a backend server out of use is pushed to hosts that lag behind: longer than a
+	// watch of the store that hangs. Later, they have listed the store again.
+	departureTTL = 4 * time.Second
 )
 
 // peerData is what a peer knows of the configuration and the backend servers, by its latest heartbeat.
@@ -24,8 +29,8 @@
 	revision routing.Revision
 	// differsSince is when its digest first differed from this host's; zero while they are equal.
 	differsSince time.Duration
-	// pulledAt is when this host last pulled from it.
-	pulledAt time.Duration
+	// pulledAt is when this host last pulled from it, and pushedAt when this host last pushed changes to it.
+	pulledAt, pushedAt time.Duration
 }
 
 // compareDigests records what a peer knows. Data that differs for a while is pulled: the store may be unreachable for
@@ -75,8 +80,7 @@
 
 // pullDue reports whether a peer's data has differed for so long that it should be pulled now.
 func (r *Router) pullDue(m *member) bool {
-	d := &m.data
-	if d.digest == 0 || d.differsSince == 0 || m.unreachable || d.digest == r.digest() {
+	if m.data.digest == 0 || !r.differs(m) {
 		return false
 	}
 	wait, interval := pullDelay, pullInterval
@@ -86,7 +90,7 @@
 	if r.table == nil {
 		wait = 0
 	}
-	return r.now-d.differsSince >= wait && (r.updates.pulledAt == 0 || r.now-r.updates.pulledAt >= interval)
+	return r.now-m.data.differsSince >= wait && (r.updates.pulledAt == 0 || r.now-r.updates.pulledAt >= interval)
 }
 
 // isAhead reports whether a peer has newer data. There may be gaps between completeTo and the highest revision, if a push was
@@ -94,3 +98,49 @@
 func (r *Router) isAhead(m *member) bool {
 	return m.data.version > r.version() || m.data.revision.After(r.updates.completeTo)
 }
+
+// differs reports whether a reachable peer has other data than this host.
+func (r *Router) differs(m *member) bool {
+	return m.data.differsSince > 0 && !m.unreachable && m.data.digest != r.digest()
+}
+
+// pushDepartures pushes recent changes that take backend servers out of use to peers whose data has differed for a while. A peer
+// whose watch hangs then depends neither on its pulls nor on the heartbeats that it gets. Not in a large fleet, where its readers
+// push each change.
+func (r *Router) pushDepartures() {
+	if r.largeFleet() {
+		return
+	}
+	var to []*member
+	for _, h := range r.members.order {
+		m := r.members.byHost[h]
+		if r.differs(m) && r.now-m.data.differsSince >= pullDelay && r.now-m.data.pushedAt >= pullInterval {
+			to = append(to, m)
+		}
+	}
+	if len(to) == 0 {
+		return
+	}
+	list := r.recentDepartures()
+	if len(list) == 0 {
+		return
+	}
+	var hosts []string
+	for _, m := range to {
+		m.data.pushedAt = r.now
+		hosts = append(hosts, m.host)
+	}
+	r.emitChanges(hosts, list)
+}
+
+// recentDepartures returns the latest changes within departureTTL that take backend servers out of use, at most maxChangesPerPush.
+func (r *Router) recentDepartures() []routing.BackendChange {
+	var list []routing.BackendChange
+	for _, b := range r.allBackends() {
+		if (b.removed || b.Draining) && r.now-b.changedAt < departureTTL {
+			list = append(list, r.latestChange(b))
+		}
+	}
+	slices.SortStableFunc(list, func(a, b routing.BackendChange) int { return cmp.Compare(a.Age, b.Age) })
+	return list[:min(len(list), maxChangesPerPush)]
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -223,6 +223,7 @@
 		r.activateConfig()
 	}
 	r.pullMissing()
+	r.pushDepartures()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -188,13 +188,17 @@
 		if pushes++; pushes > maxPushDatagrams {
 			return
 		}
-		data, err := json.Marshal(part)
-		if err != nil {
-			r.emit(Note{What: "changes not pushed", Detail: err.Error()})
-			return
-		}
-		r.emitHeartbeat(r.zonePeers(), func(b *gossippb.Beat) { b.Changes = data })
+		r.emitChanges(r.zonePeers(), part)
+	}
+}
+
+func (r *Router) emitChanges(to []string, list []routing.BackendChange) {
+	data, err := json.Marshal(list)
+	if err != nil {
+		r.emit(Note{What: "changes not pushed", Detail: err.Error()})
+		return
 	}
+	r.emitHeartbeat(to, func(b *gossippb.Beat) { b.Changes = data })
 }
 
 // applyPushedChanges merges changes pushed by a peer.
@@ -366,9 +370,14 @@
 		if !b.revision.After(since.Revision) {
 			continue
 		}
-		registration := b.Backend
-		registration.Cold = max(0, b.warming.until-r.now)
-		n.Backends = append(n.Backends, routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed, Age: r.now - b.changedAt})
+		n.Backends = append(n.Backends, r.latestChange(b))
 	}
 	return n
 }
+
+// latestChange returns the latest change of a backend server, for other hosts.
+func (r *Router) latestChange(b *backend) routing.BackendChange {
+	registration := b.Backend
+	registration.Cold = max(0, b.warming.until-r.now)
+	return routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed, Age: r.now - b.changedAt}
+}
