--- a/internal/router/drainspread_test.go
+++ b/internal/router/drainspread_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -190,3 +191,33 @@
 		require.Less(t, busy, 18_000.0)
 	}
 }
+
+// The same in a large fleet, in which three hosts of each zone read the store: the watches of two of them hang in each zone, pushes to some
+// hosts are lost, some hosts do not answer pulls, and a tenth of all other datagrams is lost.
+func TestDrainingSpreadsInALargeFleet(t *testing.T) {
+	t.Parallel()
+	const zones, hosts, outOfReach = 6, 100, 10
+	s := newSpread(t, zones, hosts, 1)
+	sighted := map[string]bool{}
+	for i, h := range s.hosts {
+		s.blind[h.ip] = !h.r.updates.reading || sighted[h.zone]
+		if !s.blind[h.ip] {
+			sighted[h.zone] = true
+		}
+		s.mute[h.ip] = i%4 == 0
+	}
+	require.Len(t, sighted, zones)
+	s.drops = func(_, to string, p *gossippb.Packet) bool {
+		unlucky := slices.IndexFunc(s.hosts, func(h *zoneHost) bool { return h.ip == to })%hosts < outOfReach
+		if unlucky && p.Beat != nil && len(p.Beat.Changes) > 0 {
+			return true
+		}
+		return s.rng.IntN(10) == 0
+	}
+	took := s.drain("e001", 2*largeDrainBound)
+	t.Log(took)
+	require.Less(t, took, largeDrainBound)
+}
+
+// largeDrainBound is drainBound for large fleets.
+const largeDrainBound = 5 * time.Second
