Router: a host finds out that it is cut off from a service's backend servers

Nothing in the reducer told a lost path from servers that have ended.

Each host now records when connections to a backend server last succeeded and failed. After a first failed connection, broken answer or silence it probes the servers of that service: all of a small service, a sample of its zone's, four at a time, in a large fleet. If more than two thirds fail it says so in its heartbeat (Beat.cut_off); peers then probe for themselves and say which services they reach (Beat.reaches). It is cut off once a peer reaches most of the servers. While that holds, two servers are probed every half second, all as soon as one is reached. Answers do not count as evidence of the path, as open connections may live on while new ones are refused.

cutOff(service) and relayCandidates(service) are for the requests, which do not use them yet.

--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -47,6 +47,7 @@
 	// reportedSpeed is the speed last sent to other hosts.
 	reportedSpeed speed
 	failureState
+	reach reachState
 	// replaced is set if another instance has its address: this one never comes back.
 	replaced bool
 	// leaving is set if it has announced in an answer that it is about to shut down; announcedLeaving if that answer went to
@@ -62,8 +63,6 @@
 	// exited is set if its process has ended without announcing it. brokenRuns are requests that broke there before that was known.
 	exited     bool
 	brokenRuns []brokenRequest
-	// probedUntil is until when it is not probed again.
-	probedUntil time.Duration
 }
 
 func newBackend(b routing.Backend) *backend {
--- a/internal/router/failing.go
+++ b/internal/router/failing.go
@@ -70,7 +70,12 @@
 	if f.failures >= suspectAfterFailures && f.successes < probationSuccesses {
 		return
 	}
-	*f = failureState{unreachableReports: f.unreachableReports, failingReports: f.failingReports, ownerFailingAt: f.ownerFailingAt}
+	*f = f.onlyReports()
+}
+
+// onlyReports returns the part of the state that other hosts have reported.
+func (f *failureState) onlyReports() failureState {
+	return failureState{unreachableReports: f.unreachableReports, failingReports: f.failingReports, ownerFailingAt: f.ownerFailingAt}
 }
 
 // connectFailed records a failed connection.
@@ -82,6 +87,13 @@
 	f.unreachableUntil = now + unreachableDuration
 }
 
+// reachableAgain ends the avoidance of a backend server that could not be reached. It stays on probation.
+func (f *failureState) reachableAgain(now time.Duration) {
+	if now < f.unreachableUntil {
+		f.unreachableUntil, f.avoidUntil = 0, now
+	}
+}
+
 // failed records a fault in an answer.
 func (f *failureState) failed(now time.Duration) {
 	f.failures++
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -111,6 +111,7 @@
 		ReadsStore: r.storeAnswers(), ListsStore: r.listingStore(), Loads: r.ownLoads(),
 		Dead: r.ownUnreachable(), AgeMs: r.uptimeMs(), Suspects: r.newSuspects(),
 		Leaves: r.ownLeaving(), Evacuations: r.evacuationsToSend(), RateLimits: r.ownRateLimits(),
+		CutOff: r.lostServices(), Reaches: r.reachedServices(),
 	}
 	if !r.usesOwners() {
 		b.Failing = r.hashesOf(func(b *backend) bool { return b.isFailing() })
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -114,7 +114,9 @@
 	listsStore          bool
 	deadBackends        []uint32 // hashes of backend servers that it cannot reach
 	failingBackends     []uint32 // hashes of backend servers that fail its requests
-	spent               map[string]uint64
+	// cutOff and reaches are the hashes of the services that it cannot and can reach.
+	cutOff, reaches []uint32
+	spent           map[string]uint64
 	// differsSince is when its digest first differed from this host's; zero while they are equal.
 	differsSince time.Duration
 	unreachable  bool
@@ -192,6 +194,7 @@
 		r.zoneRecovered(m.zone)
 	}
 	r.applyLoads(m, b.Loads)
+	r.applyReach(m, b)
 	r.applyDead(m, b.Dead)
 	r.applyFailing(m, b.Failing)
 	r.applySpeeds(b.Speeds)
--- /dev/null
+++ b/internal/router/reach_world_test.go
@@ -0,0 +1,157 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// path is the state of the network between a host and an engine.
+type path int
+
+const (
+	open path = iota
+	refuses
+	hangs
+	// refusesNew lets open connections live on.
+	refusesNew
+)
+
+const (
+	// dialTimeout and exchangeTimeout are when the node gives up a connection that is not answered, and an exchange whose
+	// bytes are not acknowledged.
+	dialTimeout     = 200 * time.Millisecond
+	exchangeTimeout = 6 * time.Second
+)
+
+type zoneProbe struct {
+	at     time.Duration
+	host   *zoneHost
+	result ProbeResult
+}
+
+func (z *zone) path(h *zoneHost, engine string) path {
+	if z.paths == nil {
+		return open
+	}
+	return z.paths(h, engine)
+}
+
+func (z *zone) probe(h *zoneHost, e Probe) {
+	if z.probed != nil {
+		z.probed[h.ip]++
+	}
+	if z.paths == nil {
+		return
+	}
+	p := zoneProbe{z.now + zoneStep, h, ProbeResult{ID: e.Backend.ID, Start: e.Backend.Start}}
+	switch z.path(h, e.Backend.ID) {
+	case open:
+		p.result.Reached = true
+	case hangs:
+		p.at = z.now + dialTimeout
+	default:
+		p.result.Refused = true
+	}
+	z.probes = append(z.probes, p)
+}
+
+func (z *zone) answerProbes() {
+	var rest []zoneProbe
+	for _, p := range z.probes {
+		if z.now < p.at {
+			rest = append(rest, p)
+		}
+	}
+	due := z.probes
+	z.probes = rest
+	for _, p := range due {
+		if z.now >= p.at {
+			z.post(p.host, p.result)
+		}
+	}
+}
+
+// applyPath sets how a dispatch ends if its path is cut. Where exchanges hang, every other one still found an open connection.
+func (z *zone) applyPath(h *zoneHost, run *zoneRun) {
+	switch z.path(h, run.engine) {
+	case refuses:
+		run.outcome, run.ends = NotSent, z.now+zoneStep
+	case refusesNew:
+		if z.rng.IntN(2) == 0 {
+			run.outcome, run.ends = NotSent, z.now+zoneStep
+		}
+	case hangs:
+		run.outcome, run.ends = NotSent, z.now+dialTimeout
+		if z.rng.IntN(2) == 0 {
+			run.outcome, run.ends = Broken, z.now+exchangeTimeout
+		}
+	}
+}
+
+// cut sets the path from the first n hosts to the engines that match, and breaks their open exchanges with these. The exchanges
+// of a path that hangs break later.
+func (z *zone) cut(n int, to path, match func(engine string) bool) {
+	cutOff := map[string]bool{}
+	for _, h := range z.hosts[:n] {
+		cutOff[h.ip] = true
+	}
+	z.paths = func(h *zoneHost, engine string) path {
+		if cutOff[h.ip] && match(engine) {
+			return to
+		}
+		return open
+	}
+	for _, run := range z.runs {
+		if run.engine == "" || z.path(run.host, run.engine) == open || to == refusesNew {
+			continue
+		}
+		run.outcome, run.ends = Broken, z.now+zoneStep
+		if to == hangs {
+			run.ends = z.now + exchangeTimeout
+		}
+	}
+}
+
+// heal ends a cut.
+func (z *zone) heal() { z.paths = func(*zoneHost, string) path { return open } }
+
+func anyEngine(string) bool { return true }
+
+// newCutWorld returns nine hosts in three zones with twelve engines, under a load of eight requests a second and host.
+func newCutWorld(t *testing.T) *zone {
+	z := newZones(t, 3, 3, 4)
+	z.heal()
+	z.run(3*time.Second, cutWorldRate)
+	return z
+}
+
+const cutWorldRate = 72
+
+// runUntil runs until a condition holds, for no longer than most, and returns the time that it took.
+func (z *zone) runUntil(most time.Duration, perSecond int, done func() bool) time.Duration {
+	start := z.now
+	for z.now-start < most && !done() {
+		z.run(10*time.Millisecond, perSecond)
+	}
+	return z.now - start
+}
+
+func (z *zone) allCutOff(hosts []*zoneHost, want bool) func() bool {
+	return func() bool {
+		for _, h := range hosts {
+			if h.r.cutOff("m") != want {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+var pathNames = map[path]string{refuses: "refuses", hangs: "hangs", refusesNew: "refuses new connections"}
+
+func engineNumber(id string) int {
+	var n int
+	_, _ = fmt.Sscanf(id, "e%d", &n)
+	return n
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -61,6 +61,8 @@
 	fullOwners    []string
 	decideLocally bool
 	owner         string
+	// begun is set once the first event of the stream has arrived.
+	begun bool
 	// onTrial is set if the request is quarantined but runs once to test whether it is harmful.
 	onTrial bool
 }
@@ -135,7 +137,7 @@
 	r.invariants.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
-	q.sentAt = r.now
+	q.sentAt, q.begun = r.now, false
 	r.takeColdToken(b)
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
@@ -252,6 +254,9 @@
 
 // recordOutcome updates what is known of a backend server from the end of a dispatch.
 func (r *Router) recordOutcome(b *backend, q *request, e DispatchEnded) {
+	if e.Outcome == Answered || e.Outcome == Failed || e.Outcome == Rejected {
+		r.heard(b)
+	}
 	switch e.Outcome {
 	case Answered:
 		b.succeeded(q.sentAt)
@@ -262,7 +267,7 @@
 		svc.learnStreamLength(e.Events)
 	case NotSent:
 		if e.Fault {
-			b.connectFailed(r.now)
+			r.connectionFailed(b)
 		}
 	case WrongInstance:
 		// The address now belongs to another instance, so this backend server is gone even if it is still
@@ -271,9 +276,12 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault {
+		if e.Fault && !r.cutOff(b.Service) {
 			r.recordFailure(b)
 		}
+		if e.Outcome == Broken {
+			r.answerBroke(b)
+		}
 	}
 }
 
@@ -329,6 +337,9 @@
 	}
 	q.retryPaid = reassign
 	r.emit(StallDecision{ID: id, Reassign: reassign})
+	if q.backend != nil {
+		r.answerBroke(q.backend)
+	}
 }
 
 // prefillDone removes a request's prompt from its backend server's prefill backlog.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -97,6 +97,7 @@
 	earlyHeartbeatAt time.Duration
 	drain            *Drain
 	suspects         suspectState
+	reach            reachTracker
 	// evacuations are by availability zone.
 	evacuations map[string]*evacuation
 }
@@ -121,6 +122,7 @@
 		owners:        newOwnerState(),
 		quotaState:    newQuotaState(),
 		suspects:      newSuspectState(),
+		reach:         newReachTracker(),
 
 		evacuations: map[string]*evacuation{},
 	}
@@ -222,6 +224,7 @@
 	if r.updates.configWithheld {
 		r.activateConfig()
 	}
+	r.tickReach()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -37,7 +37,12 @@
 // handleStreamStarted processes the first event of a stream: its prompt has been prefilled.
 func (r *Router) handleStreamStarted(e StreamStarted) {
 	q, ok := r.requests[e.ID]
-	if !ok || q.backend == nil || q.prefillTokens == 0 {
+	if !ok || q.backend == nil {
+		return
+	}
+	q.begun = true
+	r.heard(q.backend)
+	if q.prefillTokens == 0 {
 		return
 	}
 	prefilled := q.prefillTokens
@@ -63,6 +68,7 @@
 	if !ok || q.backend == nil {
 		return
 	}
+	r.heard(q.backend)
 	if q.backend.samples == 0 {
 		r.serviceState(q.service).learnEventInterval(e.Interval)
 	}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -77,9 +77,8 @@
 	if len(b.brokenRuns) < maxBrokenRequests {
 		b.brokenRuns = append(b.brokenRuns, run)
 	}
-	if e.Outcome == Broken && r.now >= b.probedUntil {
-		b.probedUntil = r.now + endConfirmWindow
-		r.emit(Probe{Backend: b.Backend, MaxIdleConns: r.idleConnLimit(b)})
+	if e.Outcome == Broken && !r.knownLost(b) {
+		r.requestProbe(b)
 	}
 }
 
@@ -90,22 +89,27 @@
 	return q.Workspace.Name
 }
 
-// handleProbeResult processes whether a backend server whose answer broke can still be reached.
+// handleProbeResult processes whether a backend server can be reached.
 func (r *Router) handleProbeResult(e ProbeResult) {
 	b, ok := r.backends[e.ID]
 	if !ok || b.Start != e.Start {
 		return
 	}
+	b.reach.probing = false
 	if e.Reached {
 		// These requests did not end it, even if it ends later. Keeping them would quarantine innocent requests.
 		b.brokenRuns = nil
+		r.connected(b)
+		return
 	}
 	if !e.Refused {
-		b.probedUntil = r.now
+		r.noteConnectFailure(b)
 		return
 	}
-	b.connectFailed(r.now)
-	r.recordBackendEnd(b)
+	r.connectionFailed(b)
+	if len(b.brokenRuns) > 0 {
+		r.recordBackendEnd(b)
+	}
 }
 
 // recordBackendEnd records that a backend server ended without draining, and suspects the requests in flight there.
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/routing"
 )
 
@@ -52,6 +53,11 @@
 	drops func(from, to string, p *gossippb.Packet) bool
 	// frozen, if set, reports whether a host's process stands still; what arrives meanwhile is lost.
 	frozen func(h *zoneHost) bool
+	// paths, if set, returns the path from a host to an engine. Probes are answered then.
+	paths func(h *zoneHost, engine string) path
+	// probes are those under way, and probed counts all by host.
+	probes []zoneProbe
+	probed map[string]int
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
@@ -91,6 +97,9 @@
 	ends        time.Duration
 	engine      string
 	breaks      bool
+	// outcome is how the dispatch ends if the path to the engine is cut.
+	outcome Outcome
+	digest  quarantine.Digest
 }
 
 // newZone starts a zone with engines of 4 slots, a third of which are four times slower, and
@@ -172,6 +181,7 @@
 		if run.breaks = z.breaks != nil && z.rng.Float64() < z.breaks[run.engine]; run.breaks {
 			run.ends = z.now + 3*zoneStep
 		}
+		z.applyPath(h, run)
 		z.streams[run.engine]++
 		if z.sends != nil {
 			z.sends[run.engine] = append(z.sends[run.engine], z.now)
@@ -184,6 +194,8 @@
 		if z.streams[run.engine] > e.Backend.Slots+headroom {
 			z.overloads++
 		}
+	case Probe:
+		z.probe(h, e)
 	case GiveUp:
 		delete(z.runs, e.ID)
 	case Refuse:
@@ -225,6 +237,7 @@
 		z.steps++
 		z.deliver()
 		z.finish()
+		z.answerProbes()
 		for _, e := range z.ended {
 			z.post(e.host, CallerLeft{ID: e.id})
 		}
@@ -270,6 +283,12 @@
 	for _, id := range ended {
 		run := z.runs[id]
 		z.streams[run.engine]--
+		if run.outcome != 0 {
+			outcome := run.outcome
+			run.engine, run.outcome = "", 0
+			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: true, Digest: run.digest})
+			continue
+		}
 		if run.breaks {
 			z.broken[run.engine]++
 			run.engine = ""
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -378,10 +378,7 @@
 // be reached stay on probation: one request at a time until one is answered.
 func (r *Router) zoneRecovered(zone string) {
 	for _, b := range r.backendsIn(zone) {
-		if r.now < b.unreachableUntil {
-			b.unreachableUntil = 0
-			b.avoidUntil = r.now
-		}
+		b.reachableAgain(r.now)
 	}
 	r.emit(Note{What: "zone reachable again", Subject: zone})
 }
