A host that is cut off reaches backend servers through another host

While a host is cut off from a service, its dispatches carry Via, a host that reaches the servers. The first host decides as always: selection, quota, retry budget, at-most-once mark, stall timers, deadline. Only its connection goes through the relay, as a tunnel opened with CONNECT at the port for traffic between hosts. From then on it is a connection like any other: an exchange that breaks after its first byte may have run, one that fails before has not been sent.

- The relay serves only hosts that it knows, and only addresses of registered backend servers, which it always dials itself (one hop).
- The end of a tunnel is an orderly one only if the backend server closed its side.
Reset servers, and relays that end or crash, reset it: an answer without a length that ends early can't look complete.
- The relay sets no timeout on its connection to the server, so that the first host's limits decide, and silence of a server passes through.
Dispatches are direct again as soon as the host is no longer cut off.

Ways compared. (2) Hand the request over, and let the other host decide: quota, retry budget, shares of stated limits and the at-most-once mark would have to be passed on with it, and an answer lost between the hosts leaves it open whether the request ran. Neither was built.

TestPartitionedHostServesThroughAnother fails with the relay left out: 0 of 1088 requests (connections refused) and 0 of 4 (no answer) are served from three seconds after the cut on, by another host 27 of 27.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -132,6 +132,10 @@
 	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
 		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).Str("owner", d.Basis.Owner)
+	if d.Via != "" {
+		a.g.metrics.Count("requests.relayed", 1)
+		e = e.Str("via", d.Via)
+	}
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -168,7 +168,7 @@
 			}
 			a.logDispatch(e)
 			end := a.dispatch(e)
-			end.ID, end.Digest = a.id, a.outcomeDigest(end)
+			end.ID, end.Via, end.Digest = a.id, e.Via, a.outcomeDigest(end)
 			a.g.control.Post(end)
 			if end.Outcome == router.Answered {
 				a.logEnd(answered, 0)
@@ -338,7 +338,7 @@
 	if a.bodyRest != nil {
 		req.Rest, req.Length = a.bodyRest, a.r.ContentLength
 	}
-	req.MaxIdle = d.MaxIdleConns
+	req.Via, req.MaxIdle = d.Via, d.MaxIdleConns
 	req.Permitted = func() bool { return a.permitted(d) }
 	req.StallTimeout, _ = a.stallTimeouts()
 	req.OnStall = a.shouldMove
@@ -355,6 +355,9 @@
 	case errors.Is(err, upstream.ErrNotPermitted):
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Dispatch decision expired before the send.")
 		return router.DispatchEnded{Outcome: router.NotSent} // no fault of the backend server
+	case errors.Is(err, upstream.ErrRelay), errors.Is(err, upstream.ErrUnknownAtRelay):
+		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not relayed to the backend server.")
+		return router.DispatchEnded{Outcome: router.NotSent, RelayFault: errors.Is(err, upstream.ErrRelay)}
 	case !sent:
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not sent to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, Fault: true}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -221,3 +221,12 @@
 	ok := c.query(func(r *router.Router) { n = r.Snapshot(since) })
 	return n, ok
 }
+
+// RelayPermission reports whether another host may use this one as a relay to a backend server's address.
+func (c *control) RelayPermission(host, addr string) router.RelayPermission {
+	var permission router.RelayPermission
+	if !c.query(func(r *router.Router) { permission = r.RelayPermission(host, addr) }) {
+		return router.RelayUnavailable
+	}
+	return permission
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"fireflyshift/internal/gossip"
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/ingress"
+	"fireflyshift/internal/relay"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/telemetry"
 	"fireflyshift/internal/upstream"
@@ -55,6 +56,8 @@
 	// Load reads the settings again, and Reload requests that immediately. Both may be nil.
 	Load   func() (*Settings, error)
 	Reload <-chan struct{}
+	// BackendDialer connects to backend servers; nil for the default.
+	BackendDialer upstream.ContextDialer
 }
 
 // Node is one running host.
@@ -70,6 +73,7 @@
 	pool           *upstream.Pool
 	socket         *gossip.Socket
 	pacer          *gossip.Pacer
+	relay          *relay.Server
 	callers        *http.Server
 	connections    *ingress.Connections
 	gateway        *gateway.Gateway
@@ -125,6 +129,7 @@
 	n.sent, n.received = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.ComponentLogger(log, "control"), m)
 	n.pool = upstream.NewPool(func() { m.Count("backend.connections", 1) })
+	n.pool.UseRelays(relay.NewClient(set.IP, set.PeerPort))
 	return n, nil
 }
 
@@ -132,6 +137,7 @@
 	puller := gossip.NewPuller(n.set.PeerPort)
 	reader := &storeReader{store: deps.Store, post: n.control.Post, log: telemetry.ComponentLogger(n.root, "store"), metrics: n.metrics}
 	reading := &toggle{ctx: ctx, run: reader.run}
+	n.useBackendDialer(deps.BackendDialer)
 	n.control.out = effectHandlers{
 		readStore: reading.set,
 		send:      n.send,
@@ -163,7 +169,7 @@
 			n.log.Error().Err(err).Msg("Admin listener not started. Status and metrics are unavailable; callers are served.")
 		}
 	}
-	if err := n.serve(g, gossip.Handler(n.control), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
+	if err := n.serve(g, n.relay.Handler(gossip.Handler(n.control)), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
 		return err
 	}
 	g.Go(func() error { n.control.run(ctx); return nil })
@@ -182,6 +188,16 @@
 	return nil
 }
 
+// useBackendDialer sets how this host connects to backend servers, for its own callers and as a relay.
+func (n *Node) useBackendDialer(d upstream.ContextDialer) {
+	dial := relay.DirectDial()
+	if d != nil {
+		n.pool.UseDialer(d)
+		dial = d.DialContext
+	}
+	n.relay = relay.NewServer(n.control.RelayPermission, dial, telemetry.ComponentLogger(n.root, "relay"), n.metrics)
+}
+
 func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
 	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	n.auxServers = append(n.auxServers, s)
@@ -316,7 +332,7 @@
 	idleSince := began
 	for time.Since(began) < n.set.Grace-shutdownMargin {
 		time.Sleep(drainPoll)
-		if n.connections.InUse() > 0 {
+		if n.connections.InUse() > 0 || n.relay.InUse() > 0 {
 			idleSince = time.Now()
 		}
 		if time.Since(began) > n.set.BalancerDelay && time.Since(idleSince) > drainIdleTime && n.connections.TryStop() {
@@ -324,7 +340,7 @@
 			return
 		}
 	}
-	n.log.Warn().Int("in_use", n.connections.InUse()).Msg("Grace period over. Responses in progress are aborted.")
+	n.log.Warn().Int("in_use", n.connections.InUse()).Int("relayed", n.relay.InUse()).Msg("Grace period over. Responses in progress are aborted.")
 	n.gateway.Shutdown()
 }
 
@@ -338,5 +354,7 @@
 	for _, s := range n.auxServers {
 		_ = s.Close()
 	}
+	n.pool.Close()
+	n.relay.Close()
 	_ = n.socket.Close()
 }
--- /dev/null
+++ b/internal/relay/tunnel.go
@@ -0,0 +1,138 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	bufferSize = 16 << 10
+	// legTimeout closes the connection between two hosts if the other one is gone. An exchange that is silent for seconds
+	// goes on; its own deadline ends it earlier.
+	legTimeout = 6 * time.Second
+	// keepAliveInterval and keepAliveCount probe a silent connection between two hosts for legTimeout.
+	keepAliveInterval = time.Second
+	keepAliveCount    = 5
+	acceptedHead      = "HTTP/1.1 200 OK\r\n\r\n"
+)
+
+var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
+
+// tunnel joins a connection from another host with one to a backend server.
+type tunnel struct {
+	host *net.TCPConn
+	// hostReader holds what the host sent behind the head of CONNECT.
+	hostReader *bufio.Reader
+	backend    net.Conn
+	// up and down are the bytes carried to and from the backend server, and backendErr is how its side failed.
+	up, down   int64
+	backendErr error
+}
+
+// accept prepares the host's connection and answers CONNECT. The connection is reset when it is closed, also by the
+// kernel at the end of this process: an answer that ends with its connection would otherwise look complete.
+func (t *tunnel) accept() error {
+	if err := setLegTimeout(t.host); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := t.host.SetLinger(0); err != nil {
+		return trace.Wrap(err)
+	}
+	_, err := io.WriteString(t.host, acceptedHead)
+	return trace.Wrap(err)
+}
+
+// carry copies both ways until both sides have ended.
+func (t *tunnel) carry() {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.carryUp()
+	}()
+	t.carryDown()
+	<-done
+	t.reset()
+}
+
+// carryUp copies to the backend server until the host closes its connection, which it does only as a whole, and which has
+// to end the work at the backend server at once. What a backend server no longer takes is discarded: its answer may still
+// be on the way.
+func (t *tunnel) carryUp() {
+	var writeErr error
+	t.up, _, writeErr = pump(t.backend, t.hostReader)
+	if writeErr != nil {
+		_, _, _ = pump(io.Discard, t.hostReader)
+	}
+	t.reset()
+}
+
+// carryDown copies from the backend server and passes on how its side ends.
+func (t *tunnel) carryDown() {
+	var readErr, writeErr error
+	t.down, readErr, writeErr = pump(t.host, t.backend)
+	if writeErr == nil && readErr == io.EOF {
+		writeErr = t.host.CloseWrite()
+	} else if writeErr == nil {
+		t.backendErr = readErr
+	}
+	if writeErr != nil || readErr != io.EOF {
+		t.reset()
+	}
+}
+
+// reset closes both connections, the host's with a reset.
+func (t *tunnel) reset() {
+	_ = t.host.Close()
+	_ = t.backend.Close()
+}
+
+// pump copies until reading or writing fails, and returns which of them did. The end of src is io.EOF.
+func pump(dst io.Writer, src io.Reader) (n int64, readErr, writeErr error) {
+	buf := buffers.Get().(*[bufferSize]byte)
+	defer buffers.Put(buf)
+	for {
+		k, err := src.Read(buf[:])
+		if k > 0 {
+			if _, err := dst.Write(buf[:k]); err != nil {
+				return n, nil, err
+			}
+			n += int64(k)
+		}
+		if err != nil {
+			return n, err, nil
+		}
+	}
+}
+
+// setLegTimeout makes a connection between two hosts survive some seconds of silence.
+func setLegTimeout(c *net.TCPConn) error {
+	if err := c.SetKeepAliveConfig(legKeepAlive); err != nil {
+		return trace.Wrap(err)
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return setUserTimeout("", "", raw)
+}
+
+var legKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
+
+// setUserTimeout limits how long sent bytes may stay unacknowledged. The option also ends keep-alive probing, so it must
+// not be shorter than that.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var err error
+	if e := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(legTimeout.Milliseconds()))
+	}); e != nil {
+		return trace.Wrap(e)
+	}
+	return trace.Wrap(err)
+}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -84,6 +84,10 @@
 	Events   int
 	// Fault is set if the backend server was at fault and should be avoided for a while.
 	Fault bool
+	// Via is the relay that the dispatch went through; empty if it went directly. RelayFault is set if the relay did not
+	// serve, which tells nothing of the backend server.
+	Via        string
+	RelayFault bool
 	// Success is set if the answer was a complete success.
 	Success bool
 	// Digest identifies the request if the way it ended counts for or against it in quarantine; zero otherwise.
@@ -255,6 +259,8 @@
 type Dispatch struct {
 	ID      uint64
 	Backend routing.Backend
+	// Via is the host that relays the connection to the backend server; empty if this host connects directly.
+	Via string
 	// Attempt counts the sends of this request, from 1.
 	Attempt int
 	// MaxIdleConns limits the idle connections that this host keeps to the backend server.
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -149,7 +149,7 @@
 	b.ownLoad.prefillBacklog += q.prefillTokens
 	r.markLoadChanged()
 	r.reportAssigned(q)
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: r.relayTo(b), Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
 }
 
 const (
@@ -254,7 +254,8 @@
 
 // recordOutcome updates what is known of a backend server from the end of a dispatch.
 func (r *Router) recordOutcome(b *backend, q *request, e DispatchEnded) {
-	if e.Outcome == Answered || e.Outcome == Failed || e.Outcome == Rejected {
+	direct := e.Via == ""
+	if direct && (e.Outcome == Answered || e.Outcome == Failed || e.Outcome == Rejected) {
 		r.heard(b)
 	}
 	switch e.Outcome {
@@ -266,8 +267,10 @@
 		svc.learnEventInterval(interval)
 		svc.learnStreamLength(e.Events)
 	case NotSent:
-		if e.Fault {
+		if e.Fault && direct {
 			r.connectionFailed(b)
+		} else if e.Fault {
+			b.connectFailed(r.now)
 		}
 	case WrongInstance:
 		// The address now belongs to another instance, so this backend server is gone even if it is still
@@ -276,10 +279,10 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault && !r.cutOff(b.Service) {
+		if e.Fault && (!direct || !r.cutOff(b.Service)) {
 			r.recordFailure(b)
 		}
-		if e.Outcome == Broken {
+		if e.Outcome == Broken && direct {
 			r.answerBroke(b)
 		}
 	}
@@ -288,7 +291,11 @@
 // redispatch tries the next backend server on proof that the request did not run. A send that reached the
 // first one counts as an arrival there all the same, so a rejected send is charged to the retry budget.
 func (r *Router) redispatch(q *request, e DispatchEnded) {
-	q.tried = append(q.tried, q.backend.ID)
+	if e.RelayFault {
+		r.relayFailed(e.Via)
+	} else {
+		q.tried = append(q.tried, q.backend.ID)
+	}
 	reached := e.Outcome != NotSent
 	if reached {
 		q.rejects++
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,6 +8,7 @@
 // peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
+// relays (calls through other hosts),
 // quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none).
 package router
@@ -100,6 +101,8 @@
 	reach            reachTracker
 	// evacuations are by availability zone.
 	evacuations map[string]*evacuation
+	// relayBackoff is until when a host is not used as a relay.
+	relayBackoff map[string]time.Duration
 }
 
 // New returns a Router with no configuration and no peers.
@@ -124,7 +127,8 @@
 		suspects:      newSuspectState(),
 		reach:         newReachTracker(),
 
-		evacuations: map[string]*evacuation{},
+		evacuations:  map[string]*evacuation{},
+		relayBackoff: map[string]time.Duration{},
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -29,6 +29,8 @@
 	IsOwn func(h http.Header) bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Via is the host through which the server is called; empty for a direct call.
+	Via string
 	// MaxIdle is how many idle connections to the server may be kept after the call.
 	MaxIdle int
 	// StallTimeout, if not zero, is how long the server may send nothing until OnStall is asked whether to abandon the
@@ -75,7 +77,7 @@
 // Do writes a request once and reads the head of its answer. sent reports whether bytes of it may have reached the
 // server. When ctx ends, the connection is closed, which stops the work.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (resp *Response, sent bool, err error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, req.Via)
 	if err != nil {
 		return nil, false, err
 	}
--- a/internal/upstream/call_test.go
+++ b/internal/upstream/call_test.go
@@ -54,7 +54,7 @@
 	require.True(t, reached)
 	require.False(t, refused)
 	require.False(t, ProbeRefused(context.Background(), addr))
-	c, err := pool.get(context.Background(), addr)
+	c, err := pool.get(context.Background(), addr, "")
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
 	require.Equal(t, 1, dialed)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -60,6 +60,8 @@
 type conn struct {
 	net.Conn
 	r *bufio.Reader
+	// via is the host that relays the connection; empty if it is direct.
+	via string
 	// idleUntil is when the server may close the connection for being idle.
 	idleUntil time.Time
 	// deadline ends the current exchange; stallTimeout, if not zero, is how long the server may send nothing until
@@ -97,14 +99,12 @@
 	}
 }
 
-func dial(ctx context.Context, d *net.Dialer, addr string) (*conn, error) {
+func dial(ctx context.Context, d ContextDialer, addr string) (*conn, error) {
 	c, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "no connection to %s", addr)
 	}
-	out := &conn{Conn: c}
-	out.r = bufio.NewReaderSize(out, readBuffer)
-	return out, nil
+	return newConn(c), nil
 }
 
 // reusable reports whether an idle connection is open and has nothing to read. Bytes that follow a complete answer
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -11,7 +10,8 @@
 
 // Pool keeps idle connections by address.
 type Pool struct {
-	dialer *net.Dialer
+	dialer ContextDialer
+	relays RelayDialer
 	mu     sync.Mutex
 	idle   map[string][]*conn
 	onDial func()
@@ -22,10 +22,10 @@
 	return &Pool{dialer: Dialer(dialTimeout), idle: map[string][]*conn{}, onDial: onDial}
 }
 
-// get takes the most recently used idle connection, or dials.
-func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+// get takes the most recently used idle connection through the host via, or dials; directly if via is empty.
+func (p *Pool) get(ctx context.Context, addr, via string) (*conn, error) {
 	for {
-		c := p.pop(addr)
+		c := p.pop(addr, via)
 		if c == nil {
 			break
 		}
@@ -34,19 +34,14 @@
 		}
 		_ = c.Close()
 	}
-	p.onDial()
-	return dial(ctx, p.dialer, addr)
+	return p.connect(ctx, addr, via)
 }
 
-func (p *Pool) pop(addr string) *conn {
+func (p *Pool) pop(addr, via string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	p.idle[addr] = list[:len(list)-1]
+	var c *conn
+	c, p.idle[addr] = popVia(p.idle[addr], via)
 	return c
 }
 
@@ -76,8 +71,7 @@
 // Probe reports whether addr accepts or refuses a connection; neither if there is no answer. A successful connection is
 // kept for the next call, unless maxIdle are kept already.
 func (p *Pool) Probe(ctx context.Context, addr string, maxIdle int) (reached, refused bool) {
-	p.onDial()
-	c, err := dial(ctx, p.dialer, addr)
+	c, err := p.connect(ctx, addr, "")
 	if err != nil {
 		return false, IsRefused(err)
 	}
@@ -91,15 +85,24 @@
 		_ = c.Close()
 		return
 	}
+	if c.via != "" {
+		keep = min(keep, maxRelayedIdle)
+	}
 	c.idleUntil = time.Now().Add(keep)
 	c.stallTimeout, c.onStall = 0, nil
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[addr]) >= maxIdle {
+	list := p.idle[addr]
+	if len(list) >= maxIdle && len(list) > 0 && list[0].via != c.via {
+		// It was made before the way to the backend server changed.
+		_ = list[0].Close()
+		list = list[1:]
+	}
+	if len(list) >= maxIdle {
 		_ = c.Close()
 		return
 	}
-	p.idle[addr] = append(p.idle[addr], c)
+	p.idle[addr] = append(list, c)
 }
 
 // CloseIdle closes the idle connections to an address that is no longer used.
@@ -133,3 +136,15 @@
 		p.idle[addr] = kept
 	}
 }
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+	clear(p.idle)
+}
