Router: what a host has reached itself outweighs reports of others

Callers of hosts with a sound path were refused: two hosts that had lost theirs reported each backend server as unreachable or failing, and every host of the fleet then avoided it (reportQuorum).

A vote is no cure, as most hosts may be cut. Now - reports make a server unreachable only if this host has not reached it within the last two seconds; it probes a reported server at once and each second, so that a dead one is known as soon as the probe is refused or given up (200 ms); - a host that reaches hardly any server of a service leaves its servers out of its reports, also in reports to owners, and what such a host says is not counted; - failed connections no longer make a server "failing", nor do answers that broke while connections failed: after the end of a cut every server had failures in a row to report. A server that this host has never reached is still believed to be unreachable at once, as before.

Tests: TestReportsOfCutHostsShutOutNoServer failed in all six cases before, at the first step after the cut, and ...InALargeFleet avoided sound servers in 1368 of 7200 samples (refused; 184 hanging), now in 0. The gain of the reports stays: a dead server is sent 2 requests by nine hosts if it refuses and 3 if it hangs (0 and 3 before), by sixty 0 and 1 (0 and 1 before); the tests of failing servers pass unchanged.

--- a/internal/router/failing.go
+++ b/internal/router/failing.go
@@ -30,6 +30,8 @@
 	failures  int
 	failedAt  time.Duration
 	successes int
+	// faults counts those of the failures that were faults in answers.
+	faults int
 	// avoidUntil is when the backend server may be tried again. It stays set until the server is trusted again.
 	avoidUntil time.Duration
 	avoidFor   time.Duration
@@ -43,8 +45,8 @@
 }
 
 // suspect reports whether the backend server should be avoided.
-func (f *failureState) suspect(now time.Duration) bool {
-	return now < f.avoidUntil || f.isUnreachable(now) || f.failingReports >= reportQuorum || f.failingAtOwner(now)
+func (b *backend) suspect(now time.Duration) bool {
+	return now < b.avoidUntil || b.isUnreachable(now) || b.failingReports >= reportQuorum || b.failingAtOwner(now)
 }
 
 // failingAtOwner reports whether the owner has recently reported that the backend server fails.
@@ -55,9 +57,10 @@
 // onProbation reports whether the backend server failed and has not served enough requests since.
 func (f *failureState) onProbation() bool { return f.avoidUntil > 0 }
 
-// isUnreachable reports whether connections are expected to fail, by this host's own attempt or reports of others.
-func (f *failureState) isUnreachable(now time.Duration) bool {
-	return now < f.unreachableUntil || f.unreachableReports >= reportQuorum
+// isUnreachable reports whether connections are expected to fail, by this host's own attempt or reports of others. Its own
+// recent contact outweighs reports: their senders may be cut off.
+func (b *backend) isUnreachable(now time.Duration) bool {
+	return now < b.unreachableUntil || (b.unreachableReports >= reportQuorum && !b.reach.outweighsReports(now))
 }
 
 // succeeded records that a request sent at the given time was served. A request sent before the latest failure
@@ -78,9 +81,10 @@
 	return failureState{unreachableReports: f.unreachableReports, failingReports: f.failingReports, ownerFailingAt: f.ownerFailingAt}
 }
 
-// connectFailed records a failed connection.
+// connectFailed records a failed connection. Faults in answers before it may have had the same cause.
 func (f *failureState) connectFailed(now time.Duration) {
 	f.failures++
+	f.faults = 0
 	f.failedAt, f.successes = now, 0
 	f.avoidFor = unreachableDuration
 	f.avoidUntil = now + unreachableDuration
@@ -89,6 +93,7 @@
 
 // reachableAgain ends the avoidance of a backend server that could not be reached. It stays on probation.
 func (f *failureState) reachableAgain(now time.Duration) {
+	f.faults = 0
 	if now < f.unreachableUntil {
 		f.unreachableUntil, f.avoidUntil = 0, now
 	}
@@ -97,6 +102,7 @@
 // failed records a fault in an answer.
 func (f *failureState) failed(now time.Duration) {
 	f.failures++
+	f.faults++
 	f.failedAt, f.successes = now, 0
 	if f.failures < suspectAfterFailures {
 		return
@@ -106,7 +112,12 @@
 }
 
 // isFailing reports whether the failures should be reported to other hosts.
-func (f *failureState) isFailing() bool { return f.onProbation() && f.failures >= suspectAfterFailures }
+func (f *failureState) isFailing() bool { return f.onProbation() && f.faults >= suspectAfterFailures }
+
+// reportsFailing reports whether this host tells others that a backend server fails. It does not if its own connections fail.
+func (r *Router) reportsFailing(b *backend) bool {
+	return b.isFailing() && !b.reach.connectFails() && !r.mayBeCutOff(b.Service)
+}
 
 // recordFailure records a fault in an answer and reports a backend server that becomes suspect to other hosts early.
 func (r *Router) recordFailure(b *backend) {
@@ -145,6 +156,6 @@
 // host's own data if it is the owner.
 func (r *Router) zoneFailingBackends() []uint32 {
 	return r.hashesOf(func(b *backend) bool {
-		return b.Zone == r.opt.Zone && (b.failingAtOwner(r.now) || (b.isFailing() && r.owns(b)))
+		return b.Zone == r.opt.Zone && (b.failingAtOwner(r.now) || (r.owns(b) && r.reportsFailing(b)))
 	})
 }
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -114,7 +114,7 @@
 		CutOff: r.lostServices(), Reaches: r.reachedServices(),
 	}
 	if !r.usesOwners() {
-		b.Failing = r.hashesOf(func(b *backend) bool { return b.isFailing() })
+		b.Failing = r.hashesOf(r.reportsFailing)
 	}
 	addParts(b)
 	r.emit(SendHeartbeat{To: to, Heartbeat: b})
@@ -169,9 +169,11 @@
 }
 
 // ownUnreachable returns the backend servers that this host recently could not connect to, or whose address
-// now belongs to another instance.
+// now belongs to another instance. Those of services that it may be cut off from are left out.
 func (r *Router) ownUnreachable() []uint32 {
-	return r.hashesOf(func(b *backend) bool { return r.now < b.unreachableUntil || b.replaced })
+	return r.hashesOf(func(b *backend) bool {
+		return b.replaced || (r.now < b.unreachableUntil && !r.mayBeCutOff(b.Service))
+	})
 }
 
 // uptimeMs is how long this host has run, capped to what a heartbeat can carry.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -195,8 +195,8 @@
 	}
 	r.applyLoads(m, b.Loads)
 	r.applyReach(m, b)
-	r.applyDead(m, b.Dead)
-	r.applyFailing(m, b.Failing)
+	r.applyDead(m, r.credible(m, b.Dead))
+	r.applyFailing(m, r.credible(m, b.Failing))
 	r.applySpeeds(b.Speeds)
 	r.applySpent(m, b.Spent, wasUnreachable)
 	r.applyZoneSummaries(m.zone, b.Zones)
@@ -229,10 +229,15 @@
 	r.addOthersLoads(m.loads, 1)
 }
 
-// applyDead records which backend servers a host cannot reach.
+// applyDead records which backend servers a host cannot reach, and probes those that enough hosts report.
 func (r *Router) applyDead(m *member, dead []uint32) {
 	r.updateReportCounts(m.deadBackends, dead, func(b *backend) *int { return &b.unreachableReports })
 	m.deadBackends = dead
+	for _, hash := range dead {
+		if b, ok := r.byHash[hash]; ok && b.unreachableReports >= reportQuorum {
+			r.verify(b)
+		}
+	}
 }
 
 // updateReportCounts adjusts, for each backend server, the number of hosts that report it, when one host's report changes
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -260,7 +260,7 @@
 		return
 	}
 	for _, b := range r.owners.ownedBackends {
-		if !b.removed && b.isFailing() {
+		if !b.removed && r.reportsFailing(b) {
 			o.Failing = append(o.Failing, b.hash)
 		}
 	}
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -18,6 +18,8 @@
 	// connectFailureTTL is how long a failed connection counts if nothing shows that most of the service's backend
 	// servers cannot be reached.
 	connectFailureTTL = 2 * time.Second
+	// ownReachTTL is how long contact with a backend server outweighs what other hosts report of it.
+	ownReachTTL = 2 * time.Second
 	// confirmDelay is how long peers have to probe the backend servers that this host does not reach.
 	confirmDelay = 300 * time.Millisecond
 	// reachesTTL is how recent the contact with a service must be that a host reports to others.
@@ -31,6 +33,8 @@
 	// heardAt is the time of the latest answer or new connection; connectedAt and failedAt are those of the latest
 	// new connection and the latest failed one. Zero if there was none.
 	heardAt, connectedAt, failedAt time.Duration
+	// restoredAt is the time of the latest connection that followed a failed one.
+	restoredAt time.Duration
 	// probeAt is the time of the latest probe. probeDue is set if another one is to follow.
 	probeAt  time.Duration
 	probing  bool
@@ -41,6 +45,18 @@
 // while new ones are refused.
 func (s *reachState) connectFails() bool { return s.failedAt > s.connectedAt }
 
+// outweighsReports reports whether recent contact, or a probe that may still show it, outweighs other hosts' reports.
+func (s *reachState) outweighsReports(now time.Duration) bool {
+	switch {
+	case s.heardAt == 0 || s.connectFails():
+		return false
+	case s.probeAt > s.heardAt:
+		return s.probing && now-s.probeAt < probeTimeout
+	default:
+		return now-s.heardAt < ownReachTTL
+	}
+}
+
 // serviceReach is whether this host reaches the backend servers of one service.
 type serviceReach struct {
 	hash uint32
@@ -60,6 +76,7 @@
 	// probing are the backend servers with a probe under way, due those with one that must wait.
 	probing, due []*backend
 	checkAt      time.Duration
+	verifyAt     time.Duration
 }
 
 func newReachTracker() reachTracker { return reachTracker{services: map[string]*serviceReach{}} }
@@ -125,7 +142,8 @@
 	failed := b.reach.connectFails()
 	b.reach.connectedAt = max(1, r.now)
 	r.heard(b)
-	if failed && !r.cutOff(b.Service) {
+	if failed {
+		b.reach.restoredAt = r.now
 		b.reachableAgain(r.now)
 	}
 	s := r.reachOf(b.Service)
@@ -164,6 +182,12 @@
 	r.requestProbe(b)
 }
 
+// isPathFailure reports whether a broken answer is due to this host's path to the backend server: this host is cut off, or
+// connections failed after the request was sent.
+func (r *Router) isPathFailure(b *backend, sentAt time.Duration) bool {
+	return r.cutOff(b.Service) || sentAt < b.reach.restoredAt
+}
+
 // knownLost reports whether a backend server is among those that this host cannot reach, which are probed in turn.
 func (r *Router) knownLost(b *backend) bool {
 	return b.reach.connectFails() && r.reachOf(b.Service).lost
@@ -252,6 +276,19 @@
 	}
 }
 
+// mayBeCutOff reports whether most of the service's backend servers that this host has tried to reach lately did not answer.
+func (r *Router) mayBeCutOff(service string) bool {
+	s, ok := r.reach.services[service]
+	if !ok {
+		return false
+	}
+	if s.lost || !s.surveying {
+		return s.lost
+	}
+	c := r.countReach(s, r.reachSample(service))
+	return c.failed >= minLostBackends && c.failed > 2*c.connected
+}
+
 // lostServices returns the hashes of the services most of whose backend servers this host cannot reach.
 func (r *Router) lostServices() []uint32 {
 	return r.servicesWhere(func(_ string, s *serviceReach) bool { return s.lost })
@@ -298,3 +335,23 @@
 		r.checkReachFor(m.cutOff, lost)
 	}
 }
+
+// reportsCount reports whether what another host says of a service's backend servers is to be believed. One that reaches
+// hardly any of them is most likely at fault itself.
+func (m *member) reportsCount(b *backend) bool {
+	return len(m.cutOff) == 0 || !slices.Contains(m.cutOff, hashOfService(b.Service))
+}
+
+// credible returns the reported backend servers of services that the reporting host reaches.
+func (r *Router) credible(m *member, reported []uint32) []uint32 {
+	if len(m.cutOff) == 0 {
+		return reported
+	}
+	var out []uint32
+	for _, hash := range reported {
+		if b, ok := r.byHash[hash]; !ok || m.reportsCount(b) {
+			out = append(out, hash)
+		}
+	}
+	return out
+}
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,79 @@
 		z.run(time.Second, cutWorldRate)
 	}
 }
+
+// Two or six hosts lose their path to most or all backend servers and report them. For the other
+// hosts these must remain usable, at the latest once they have reached them.
+func TestReportsOfCutHostsShutOutNoServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut, lost int
+		to        path
+	}{
+		"two hosts, refused":            {2, 10, refuses},
+		"two hosts, hanging":            {2, 10, hangs},
+		"six hosts, refused":            {6, 12, refuses},
+		"six hosts, hanging":            {6, 12, hangs},
+		"six hosts, new ones refused":   {6, 12, refusesNew},
+		"two hosts, a third is refused": {2, 4, refuses},
+	} {
+		t.Run(name, func(t *testing.T) {
+			z := newCutWorld(t)
+			others := z.hosts[c.cut:]
+			z.cut(c.cut, c.to, func(e string) bool { return engineNumber(e) < c.lost })
+			z.onStep = func() {
+				for _, h := range others {
+					for _, b := range h.r.allBackends() {
+						require.False(t, b.reach.heardAt > 0 && b.suspect(h.r.now), "%s at %s", b.ID, h.ip)
+					}
+				}
+			}
+			z.run(6*time.Second, cutWorldRate)
+			z.heal()
+			z.run(3*time.Second, cutWorldRate)
+		})
+	}
+}
+
+// The same in a large fleet, where owners count the failures that hosts report. The other hosts must keep serving.
+func TestReportsOfCutHostsShutOutNoServerInALargeFleet(t *testing.T) {
+	for _, to := range []path{refuses, hangs} {
+		t.Run(pathNames[to], func(t *testing.T) {
+			z := newLargeCutWorld(t)
+			z.cut(12, to, anyEngine)
+			others := z.hosts[12:20]
+			avoided, seen := 0, 0
+			for range 60 {
+				z.run(100*time.Millisecond, largeCutWorldRate)
+				for _, h := range others {
+					for _, b := range h.r.zoneBackendsOf("m") {
+						seen++
+						if b.suspect(h.r.now) {
+							avoided++
+						}
+					}
+				}
+			}
+			t.Logf("avoided in %d of %d samples", avoided, seen)
+			require.Less(t, avoided, seen/20)
+		})
+	}
+}
+
+// A backend server that stops answering must still cost each host no more than one request: reports of two hosts suffice.
+func TestDeadServerIsLearnedFromReports(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		for _, to := range []path{refuses, hangs} {
+			t.Run(fmt.Sprintf("large=%t %s", large, pathNames[to]), func(t *testing.T) {
+				z, rate := newCutWorld(t), cutWorldRate
+				if large {
+					z, rate = newLargeCutWorld(t), largeCutWorldRate
+				}
+				z.sends = map[string][]time.Duration{}
+				z.cut(len(z.hosts), to, func(e string) bool { return e == "e005" })
+				z.run(2*time.Second, rate)
+				t.Logf("%d requests", len(z.sends["e005"]))
+				require.LessOrEqual(t, len(z.sends["e005"]), len(z.hosts))
+			})
+		}
+	}
+}
--- a/internal/router/reach_world_test.go
+++ b/internal/router/reach_world_test.go
@@ -126,7 +126,18 @@
 	return z
 }
 
-const cutWorldRate = 72
+// newLargeCutWorld returns sixty hosts in three zones with forty-five engines under load.
+func newLargeCutWorld(t *testing.T) *zone {
+	z := newZones(t, 3, 20, 15)
+	z.heal()
+	z.run(3*time.Second, largeCutWorldRate)
+	return z
+}
+
+const (
+	cutWorldRate      = 72
+	largeCutWorldRate = 300
+)
 
 // runUntil runs until a condition holds, for no longer than most, and returns the time that it took.
 func (z *zone) runUntil(most time.Duration, perSecond int, done func() bool) time.Duration {
--- a/internal/router/reachprobes.go
+++ b/internal/router/reachprobes.go
@@ -24,6 +24,8 @@
 	silenceTimeout = 500 * time.Millisecond
 	// reachCheckInterval is how often the time limits of this file are checked.
 	reachCheckInterval = 50 * time.Millisecond
+	// verifyInterval is how often backend servers are probed that other hosts report as unreachable.
+	verifyInterval = time.Second
 	// surveyTimeout limits how long results of probes are awaited to find out whether this host is at fault.
 	surveyTimeout = 600 * time.Millisecond
 )
@@ -114,6 +116,7 @@
 	r.reach.checkAt = r.now + reachCheckInterval
 	r.sendDueProbes()
 	r.probeSilentBackends()
+	r.verifyReports()
 	for _, name := range r.reachNames() {
 		s := r.reach.services[name]
 		if !s.lost && !s.surveying {
@@ -175,6 +178,26 @@
 	}
 }
 
+// verifyReports probes the backend servers that other hosts report as unreachable.
+func (r *Router) verifyReports() {
+	if r.now < r.reach.verifyAt {
+		return
+	}
+	r.reach.verifyAt = r.now + verifyInterval
+	for _, b := range r.allBackends() {
+		if b.unreachableReports >= reportQuorum {
+			r.verify(b)
+		}
+	}
+}
+
+// verify probes a backend server that other hosts report as unreachable, unless it was heard or probed just now.
+func (r *Router) verify(b *backend) {
+	if r.now-max(b.reach.heardAt, b.reach.probeAt) >= probeInterval && r.now >= b.unreachableUntil {
+		r.answerBroke(b)
+	}
+}
+
 // checkReachFor probes backend servers of the services that another host does not reach, so that it learns whether this host
 // does: at first all, then a few whenever none was heard for a while. known are the services that it has reported before.
 func (r *Router) checkReachFor(services, known []uint32) {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -276,7 +276,7 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault && !r.cutOff(b.Service) {
+		if e.Fault && !r.isPathFailure(b, q.sentAt) {
 			r.recordFailure(b)
 		}
 		if e.Outcome == Broken {
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -103,6 +103,9 @@
 		return
 	}
 	r.learnFromReport(b, rep)
+	if known && !m.reportsCount(b) && isFailureReport(rep.Outcome) {
+		return
+	}
 	switch rep.Outcome {
 	case gossippb.Outcome_OUTCOME_SOUND:
 		b.succeeded(r.now - time.Duration(rep.AgeMs)*time.Millisecond)
@@ -118,6 +121,10 @@
 	}
 }
 
+func isFailureReport(o gossippb.Outcome) bool {
+	return o == gossippb.Outcome_OUTCOME_FAULTY || o == gossippb.Outcome_OUTCOME_UNREACHABLE
+}
+
 func (r *Router) learnFromReport(b *backend, rep *gossippb.Report) {
 	svc := r.serviceState(b.Service)
 	if interval := min(time.Duration(rep.IntervalUs)*time.Microsecond, maxEventInterval); interval > 0 {
@@ -170,7 +177,7 @@
 		return
 	}
 	rep := q.newReport(-1, -q.prefillTokens)
-	rep.Outcome, rep.AgeMs = reportOutcome(e), uint32((r.now - q.sentAt).Milliseconds())
+	rep.Outcome, rep.AgeMs = r.reportOutcome(q, e), uint32((r.now - q.sentAt).Milliseconds())
 	if e.Outcome == Answered {
 		rep.IntervalUs, rep.Events = uint32(observedInterval(q, e).Microseconds()), uint32(e.Events)
 	}
@@ -178,12 +185,14 @@
 }
 
 // reportOutcome maps the end of a dispatch to what it shows of the backend server.
-func reportOutcome(e DispatchEnded) gossippb.Outcome {
+func (r *Router) reportOutcome(q *request, e DispatchEnded) gossippb.Outcome {
 	switch {
 	case e.Outcome == Answered:
 		return gossippb.Outcome_OUTCOME_SOUND
 	case e.Outcome == WrongInstance:
 		return gossippb.Outcome_OUTCOME_REPLACED
+	case e.Fault && (r.mayBeCutOff(q.backend.Service) || r.isPathFailure(q.backend, q.sentAt)):
+		return gossippb.Outcome_OUTCOME_NONE
 	case e.Outcome == NotSent && e.Fault:
 		return gossippb.Outcome_OUTCOME_UNREACHABLE
 	case (e.Outcome == Broken || e.Outcome == Failed) && e.Fault:
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -58,6 +58,8 @@
 	// probes are those under way, and probed counts all by host.
 	probes []zoneProbe
 	probed map[string]int
+	// digest identifies all requests that the path to their engine breaks.
+	digest quarantine.Digest
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
@@ -99,7 +101,6 @@
 	breaks      bool
 	// outcome is how the dispatch ends if the path to the engine is cut.
 	outcome Outcome
-	digest  quarantine.Digest
 }
 
 // newZone starts a zone with engines of 4 slots, a third of which are four times slower, and
@@ -286,7 +287,7 @@
 		if run.outcome != 0 {
 			outcome := run.outcome
 			run.engine, run.outcome = "", 0
-			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: true, Digest: run.digest})
+			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: true, Digest: z.digest})
 			continue
 		}
 		if run.breaks {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -249,7 +249,7 @@
 	{"failing-all", "8", "internal/router/select.go", "	if g.Full > g.suspects {\n", "	if true {\n", failingTests},
 	{"failing-owners-word", "8", "internal/router/owners.go", "			o.Failing = append(o.Failing, b.hash)\n", "", failingTests},
 	{"failing-zones", "8", "internal/router/zones.go", " Failing: r.zoneFailingBackends(),", "", failingTests},
-	{"failing-two-words", "8", "internal/router/failing.go", "f.failingReports >= reportQuorum", "f.failingReports > 0", failingTests},
+	{"failing-two-words", "8", "internal/router/failing.go", "b.failingReports >= reportQuorum", "b.failingReports > 0", failingTests},
 	{"router-known-hosts", "limits", "internal/router/zones.go", "known += max(z.known, z.hosts)", "known += z.hosts", routerTests},
 	{"router-tight", "limits", "internal/router/quotas.go", "	if quota.NearlyExhausted() {\n", "	if false {\n", routerTests},
 	{"news-once", "8", "internal/gossip/gossip.go", "now.Sub(c.at) < responseTTL", "false", []string{"./internal/gossip"}},
