Router: a refused connection proves no end while most servers refuse

Innocent requests were quarantined in the whole fleet 0.6 s after hosts lost their path to the backend servers. Their exchanges were reset and the probe that followed was refused, which counted as proof that the server's process had ended with the request in flight; after three such "ends" a request that callers repeat was refused everywhere.

A refusal is now held until the other servers of the service have been probed, for 600 ms at most. If most of them refuse at the same moment it proves nothing; otherwise the end counts as before. A host without reachable peers, or a service of one server, has nothing to compare with: there a refusal counts at once, as before.

TestCutHostsBlameNoRequest failed in its three cases before (six hosts from all servers, two from most, all nine from all), at the first step after the cut. A request that crashes one engine after another is still known to all hosts in time, also while probes are answered (TestDeadlyRequestIsFound...), and where no engine is left once the last registration is gone (...EndsAllServersIsFound). Compared with recording an end after the wait if no peer reaches the service: that blamed requests where all hosts are cut, so it was dropped.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -68,6 +68,8 @@
 	surveying         bool
 	surveyAt          time.Duration
 	nextRecoveryProbe time.Duration
+	// refusals await the outcome of a survey.
+	refusals []refusal
 }
 
 // reachTracker holds this host's contact with the services.
@@ -217,7 +219,7 @@
 	return c
 }
 
-// evaluateReach decides whether this host is cut off from a service.
+// evaluateReach decides whether this host is cut off from a service, and what its refused connections prove.
 func (r *Router) evaluateReach(service string, s *serviceReach) {
 	c := r.countReach(s, r.reachSample(service))
 	r.updateLost(service, s, c)
@@ -225,6 +227,7 @@
 	if s.surveying && (c.unknown == 0 || (r.largeFleet() && c.connected >= maxProbesLargeFleet && 2*c.failed <= c.connected)) {
 		s.surveying = false
 	}
+	r.resolveRefusals(s, c)
 }
 
 func (r *Router) updateLost(service string, s *serviceReach, c reachCounts) {
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/routing"
 )
 
 // maxRecognitionTime is how soon a cut host must serve its callers through others, as required by the operators.
@@ -153,3 +155,75 @@
 		}
 	}
 }
+
+// Hosts that are cut off see answers break and connections refused, as if the backend servers had ended. The requests that were in
+// flight must not be quarantined for it, at any host.
+func TestCutHostsBlameNoRequest(t *testing.T) {
+	for name, c := range map[string]struct{ cut, lost int }{"from all servers": {6, 12}, "from most servers": {2, 10}, "all hosts": {9, 12}} {
+		t.Run(name, func(t *testing.T) {
+			z := newCutWorld(t)
+			z.digest = popular
+			z.cut(c.cut, refuses, func(e string) bool { return engineNumber(e) < c.lost })
+			z.onStep = func() {
+				for _, h := range z.hosts {
+					require.False(t, h.r.HasSuspects(), h.ip)
+				}
+			}
+			z.run(6*time.Second, cutWorldRate)
+			z.heal()
+			z.run(3*time.Second, cutWorldRate)
+		})
+	}
+}
+
+// A request that crashes one engine after another must still be known to all hosts in time.
+func TestDeadlyRequestIsFoundWhileConnectionsAreProbed(t *testing.T) {
+	for _, c := range []struct{ zones, hosts, engines, rate int }{{3, 3, 4, 72}, {3, 20, 15, 300}} {
+		t.Run(fmt.Sprintf("%d zones of %d with %d engines", c.zones, c.hosts, c.engines), func(t *testing.T) {
+			z := newZones(t, c.zones, c.hosts, c.engines)
+			newCrashes(z, c.rate, 100*time.Millisecond)
+			z.run(maxSpreadTime, c.rate)
+			requireBlamed(t, z)
+		})
+	}
+}
+
+// The same where three engines are all there are. That the last one has ended shows when its registration is removed, as connections to
+// most engines are refused then.
+func TestDeadlyRequestThatEndsAllServersIsFound(t *testing.T) {
+	z := newZones(t, 3, 3, 1)
+	o := newCrashes(z, 6, time.Second)
+	z.run(time.Second, 6)
+	gone := Update{FromStore: true, After: rev(50), AsOf: rev(60)}
+	for engine := range o.ended {
+		gone.Backends = append(gone.Backends, routing.BackendChange{Backend: routing.Backend{ID: engine}, Revision: rev(60), Removed: true})
+	}
+	for _, h := range z.hosts {
+		z.post(h, gone)
+	}
+	z.run(maxSpreadTime, 6)
+	requireBlamed(t, z)
+}
+
+// newCrashes sends the crashing request to three hosts in turn while probes are answered.
+func newCrashes(z *zone, rate int, pause time.Duration) *crashSender {
+	o := newCrashSender(z)
+	z.paths = func(_ *zoneHost, engine string) path {
+		if o.ended[engine] {
+			return refuses
+		}
+		return open
+	}
+	z.run(time.Second, rate)
+	for i := range 3 {
+		o.send(z.hosts[(i*7)%len(z.hosts)])
+		z.run(pause, rate)
+	}
+	return o
+}
+
+func requireBlamed(t *testing.T, z *zone) {
+	for _, h := range z.hosts {
+		require.NotNil(t, h.r.suspects.ledger.Blamed(crashing), h.ip)
+	}
+}
--- a/internal/router/reachprobes.go
+++ b/internal/router/reachprobes.go
@@ -119,9 +119,12 @@
 	r.verifyReports()
 	for _, name := range r.reachNames() {
 		s := r.reach.services[name]
-		if !s.lost && !s.surveying {
+		if !s.lost && !s.surveying && len(s.refusals) == 0 {
 			continue
 		}
+		if s.awaitsSurvey() {
+			r.startSurvey(s)
+		}
 		if s.surveying && r.now-s.surveyAt >= surveyTimeout && !s.lost {
 			s.surveying = false
 		}
--- /dev/null
+++ b/internal/router/refusals.go
@@ -0,0 +1,58 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// sameMoment is how soon one after the other connections are refused if a lost path is the common cause.
+const sameMoment = 500 * time.Millisecond
+
+// refusal is a connection that a backend server refused after an answer from it broke off. It proves the end of the server only if
+// this host reaches the others of its service: a lost path refuses connections too.
+type refusal struct {
+	backend *backend
+	at      time.Duration
+}
+
+// refusedAfterBreak records a refusal until it is known what it proves.
+func (r *Router) refusedAfterBreak(b *backend) {
+	s := r.reachOf(b.Service)
+	if !slices.ContainsFunc(s.refusals, func(f refusal) bool { return f.backend == b }) {
+		s.refusals = append(s.refusals, refusal{b, r.now})
+	}
+	r.evaluateReach(b.Service, s)
+}
+
+// awaitsSurvey reports whether a refusal is later than the latest survey.
+func (s *serviceReach) awaitsSurvey() bool {
+	return !s.lost && len(s.refusals) > 0 && s.refusals[len(s.refusals)-1].at > s.surveyAt
+}
+
+// resolveRefusals decides what refusals prove: nothing if most backend servers of the service refuse connections at the same
+// moment, otherwise the end of the server, as soon as a survey has shown that others are reached, or after surveyTimeout. An end
+// that is not recorded here still is when the registration is removed or replaced.
+func (r *Router) resolveRefusals(s *serviceReach, c reachCounts) {
+	if len(s.refusals) == 0 {
+		return
+	}
+	pending := s.refusals
+	s.refusals = nil
+	alone := c.all <= 1 || !r.hasReachablePeer()
+	for _, f := range pending {
+		surveyed := !s.surveying && f.at <= s.surveyAt
+		switch {
+		case r.backends[f.backend.ID] != f.backend:
+		case s.lost && !alone && s.lostSince-f.at < sameMoment:
+		case alone || s.lost || surveyed || r.now-f.at >= surveyTimeout:
+			r.recordBackendEnd(f.backend)
+		default:
+			s.refusals = append(s.refusals, f)
+		}
+	}
+}
+
+// hasReachablePeer reports whether there is another host that could reach what this one does not.
+func (r *Router) hasReachablePeer() bool {
+	return slices.ContainsFunc(r.members.order, func(h string) bool { return !r.members.byHost[h].unreachable })
+}
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -108,7 +108,7 @@
 	}
 	r.connectionFailed(b)
 	if len(b.brokenRuns) > 0 {
-		r.recordBackendEnd(b)
+		r.refusedAfterBreak(b)
 	}
 }
 
