--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -1,10 +1,13 @@
 package router
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/routing"
 )
 
 // maxRecognitionTime is how soon a cut host must serve its callers through others, as required by the operators.
@@ -76,3 +79,151 @@
 		z.run(time.Second, cutWorldRate)
 	}
 }
+
+// Two or six hosts lose their path to most or all backend servers and report them. For the other
+// hosts these must remain usable, at the latest once they have reached them.
+func TestReportsOfCutHostsShutOutNoServer(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut, lost int
+		to        path
+	}{
+		"two hosts, refused":            {2, 10, refuses},
+		"two hosts, hanging":            {2, 10, hangs},
+		"six hosts, refused":            {6, 12, refuses},
+		"six hosts, hanging":            {6, 12, hangs},
+		"six hosts, new ones refused":   {6, 12, refusesNew},
+		"two hosts, a third is refused": {2, 4, refuses},
+	} {
+		t.Run(name, func(t *testing.T) {
+			z := newCutWorld(t)
+			others := z.hosts[c.cut:]
+			z.cut(c.cut, c.to, func(e string) bool { return engineNumber(e) < c.lost })
+			z.onStep = func() {
+				for _, h := range others {
+					for _, b := range h.r.allBackends() {
+						require.False(t, b.reach.heardAt > 0 && b.suspect(h.r.now), "%s at %s", b.ID, h.ip)
+					}
+				}
+			}
+			z.run(6*time.Second, cutWorldRate)
+			z.heal()
+			z.run(3*time.Second, cutWorldRate)
+		})
+	}
+}
+
+// The same in a large fleet, where owners count the failures that hosts report. The other hosts must keep serving.
+func TestReportsOfCutHostsShutOutNoServerInALargeFleet(t *testing.T) {
+	for _, to := range []path{refuses, hangs} {
+		t.Run(pathNames[to], func(t *testing.T) {
+			z := newLargeCutWorld(t)
+			z.cut(12, to, anyEngine)
+			others := z.hosts[12:20]
+			avoided, seen := 0, 0
+			for range 60 {
+				z.run(100*time.Millisecond, largeCutWorldRate)
+				for _, h := range others {
+					for _, b := range h.r.zoneBackendsOf("m") {
+						seen++
+						if b.suspect(h.r.now) {
+							avoided++
+						}
+					}
+				}
+			}
+			t.Logf("avoided in %d of %d samples", avoided, seen)
+			require.Less(t, avoided, seen/20)
+		})
+	}
+}
+
+// A backend server that stops answering must still cost each host no more than one request: reports of two hosts suffice.
+func TestDeadServerIsLearnedFromReports(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		for _, to := range []path{refuses, hangs} {
+			t.Run(fmt.Sprintf("large=%t %s", large, pathNames[to]), func(t *testing.T) {
+				z, rate := newCutWorld(t), cutWorldRate
+				if large {
+					z, rate = newLargeCutWorld(t), largeCutWorldRate
+				}
+				z.sends = map[string][]time.Duration{}
+				z.cut(len(z.hosts), to, func(e string) bool { return e == "e005" })
+				z.run(2*time.Second, rate)
+				t.Logf("%d requests", len(z.sends["e005"]))
+				require.LessOrEqual(t, len(z.sends["e005"]), len(z.hosts))
+			})
+		}
+	}
+}
+
+// Hosts that are cut off see answers break and connections refused, as if the backend servers had ended. The requests that were in
+// flight must not be quarantined for it, at any host.
+func TestCutHostsBlameNoRequest(t *testing.T) {
+	for name, c := range map[string]struct{ cut, lost int }{"from all servers": {6, 12}, "from most servers": {2, 10}, "all hosts": {9, 12}} {
+		t.Run(name, func(t *testing.T) {
+			z := newCutWorld(t)
+			z.digest = popular
+			z.cut(c.cut, refuses, func(e string) bool { return engineNumber(e) < c.lost })
+			z.onStep = func() {
+				for _, h := range z.hosts {
+					require.False(t, h.r.HasSuspects(), h.ip)
+				}
+			}
+			z.run(6*time.Second, cutWorldRate)
+			z.heal()
+			z.run(3*time.Second, cutWorldRate)
+		})
+	}
+}
+
+// A request that crashes one engine after another must still be known to all hosts in time.
+func TestDeadlyRequestIsFoundWhileConnectionsAreProbed(t *testing.T) {
+	for _, c := range []struct{ zones, hosts, engines, rate int }{{3, 3, 4, 72}, {3, 20, 15, 300}} {
+		t.Run(fmt.Sprintf("%d zones of %d with %d engines", c.zones, c.hosts, c.engines), func(t *testing.T) {
+			z := newZones(t, c.zones, c.hosts, c.engines)
+			newCrashes(z, c.rate, 100*time.Millisecond)
+			z.run(maxSpreadTime, c.rate)
+			requireBlamed(t, z)
+		})
+	}
+}
+
+// The same where three engines are all there are. That the last one has ended shows when its registration is removed, as connections to
+// most engines are refused then.
+func TestDeadlyRequestThatEndsAllServersIsFound(t *testing.T) {
+	z := newZones(t, 3, 3, 1)
+	o := newCrashes(z, 6, time.Second)
+	z.run(time.Second, 6)
+	gone := Update{FromStore: true, After: rev(50), AsOf: rev(60)}
+	for engine := range o.ended {
+		gone.Backends = append(gone.Backends, routing.BackendChange{Backend: routing.Backend{ID: engine}, Revision: rev(60), Removed: true})
+	}
+	for _, h := range z.hosts {
+		z.post(h, gone)
+	}
+	z.run(maxSpreadTime, 6)
+	requireBlamed(t, z)
+}
+
+// newCrashes sends the crashing request to three hosts in turn while probes are answered.
+func newCrashes(z *zone, rate int, pause time.Duration) *crashSender {
+	o := newCrashSender(z)
+	z.paths = func(_ *zoneHost, engine string) path {
+		if o.ended[engine] {
+			return refuses
+		}
+		return open
+	}
+	z.run(time.Second, rate)
+	for i := range 3 {
+		o.send(z.hosts[(i*7)%len(z.hosts)])
+		z.run(pause, rate)
+	}
+	return o
+}
+
+func requireBlamed(t *testing.T, z *zone) {
+	for _, h := range z.hosts {
+		require.NotNil(t, h.r.suspects.ledger.Blamed(crashing), h.ip)
+	}
+}
--- a/internal/router/relays.go
+++ b/internal/router/relays.go
@@ -33,7 +33,7 @@
 	switch {
 	case b == nil:
 		return RelayUnknownBackend
-	case r.drain != nil || r.reachOf(b.Service).lost:
+	case r.drain != nil || r.mayBeCutOff(b.Service):
 		return RelayUnavailable
 	default:
 		return RelayAllowed
