Tests of relays in the reducer, and mutants of their guards

Hosts that are cut off call through others, spread over them, and directly again after the end; a relay that fails costs no request its answer and no backend server its good name; who may use a relay, and for what.

--- a/internal/router/reach_world_test.go
+++ b/internal/router/reach_world_test.go
@@ -73,7 +73,15 @@
 }
 
 // applyPath sets how a dispatch ends if its path is cut. Where exchanges hang, every other one still found an open connection.
+// The path of a relayed dispatch is that of its relay.
 func (z *zone) applyPath(h *zoneHost, run *zoneRun) {
+	if run.relayFault = z.failedRelays[run.via]; run.relayFault {
+		run.outcome, run.ends = NotSent, z.now+zoneStep
+		return
+	}
+	if run.via != "" {
+		h = z.byIP[run.via]
+	}
 	switch z.path(h, run.engine) {
 	case refuses:
 		run.outcome, run.ends = NotSent, z.now+zoneStep
@@ -103,7 +111,7 @@
 		return open
 	}
 	for _, run := range z.runs {
-		if run.engine == "" || z.path(run.host, run.engine) == open || to == refusesNew {
+		if run.engine == "" || run.via != "" || z.path(run.host, run.engine) == open || to == refusesNew {
 			continue
 		}
 		run.outcome, run.ends = Broken, z.now+zoneStep
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -55,6 +55,8 @@
 	frozen func(h *zoneHost) bool
 	// paths, if set, returns the path from a host to an engine. Probes are answered then.
 	paths func(h *zoneHost, engine string) path
+	// failedRelays do not serve.
+	failedRelays map[string]bool
 	// probes are those under way, and probed counts all by host.
 	probes []zoneProbe
 	probed map[string]int
@@ -98,9 +100,11 @@
 	submittedAt time.Duration
 	ends        time.Duration
 	engine      string
+	via         string // the relay of the dispatch
 	breaks      bool
-	// outcome is how the dispatch ends if the path to the engine is cut.
-	outcome Outcome
+	// outcome is how the dispatch ends if the path to the engine is cut, or relayFault is set because the relay does not serve.
+	outcome    Outcome
+	relayFault bool
 }
 
 // newZone starts a zone with engines of 4 slots, a third of which are four times slower, and
@@ -177,7 +181,7 @@
 			z.ended = append(z.ended, zoneEnd{h, e.ID})
 			return
 		}
-		run.engine = e.Backend.ID
+		run.engine, run.via = e.Backend.ID, e.Via
 		run.ends = z.now + z.length(e.Backend.ID)
 		if run.breaks = z.breaks != nil && z.rng.Float64() < z.breaks[run.engine]; run.breaks {
 			run.ends = z.now + 3*zoneStep
@@ -287,7 +291,7 @@
 		if run.outcome != 0 {
 			outcome := run.outcome
 			run.engine, run.outcome = "", 0
-			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: true, Digest: z.digest})
+			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: !run.relayFault, Via: run.via, RelayFault: run.relayFault, Digest: z.digest})
 			continue
 		}
 		if run.breaks {
@@ -302,7 +306,7 @@
 			interval *= 4
 		}
 		z.post(run.host, StreamStarted{ID: id, First: 20 * time.Millisecond})
-		z.post(run.host, DispatchEnded{ID: id, Outcome: Answered, First: 20 * time.Millisecond, Interval: interval, Events: 20})
+		z.post(run.host, DispatchEnded{ID: id, Outcome: Answered, Via: run.via, First: 20 * time.Millisecond, Interval: interval, Events: 20})
 	}
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -28,6 +28,7 @@
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
 	eraTests            = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
 	logTests            = []string{"./internal/telemetry"}
+	relayTests          = []string{"./internal/router", "-run", "Relay|CallThroughOthers"}
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
 	limitTests          = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
@@ -336,4 +337,13 @@
 	{"era-watch", "8", "internal/node/store.go", "if err == nil && l.AsOf.Era != after.Era {", "if false {", []string{"./internal/node"}},
 	{"era-pages", "8", "platform/store.go", "!operators.sameEra || !servers.sameEra || operators.asOf.Era != servers.asOf.Era", "false", platformTests("TwoEras")},
 	{"era-number", "8", "platform/store.go", "	if err != nil {\n		return 0, trace.BadParameter(\"the store's era", "	if err != nil && false {\n		return 0, trace.BadParameter(\"the store's era", platformTests("SenselessEra")},
+	{"relay-strangers", "relay", "internal/router/relays.go", "	if r.members.byHost[host] == nil {\n", "	if false {\n", relayTests},
+	{"relay-one-hop", "relay", "internal/router/relays.go", "case r.drain != nil || r.mayBeCutOff(b.Service):", "case r.drain != nil:", relayTests},
+	{"relay-backoff", "relay", "internal/router/relays.go", "	r.relayBackoff[host] = r.now + relayBackoff\n", "", relayTests},
+	{"relay-no-blame", "relay", "internal/gateway/request.go", "RelayFault: errors.Is(err, upstream.ErrRelay)}", "Fault: true}", platformTests("Partitioned|Relay")},
+	{"relay-orderly-end", "2", "internal/relay/tunnel.go", "	if err := t.host.SetLinger(0); err != nil {\n", "	if err := t.host.SetLinger(-1); err != nil {\n", []string{"./internal/relay"}},
+	{"relay-early-answer", "2", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n", "", []string{"./internal/relay"}},
+	{"relay-caller-left", "1", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n	t.reset()\n", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n", []string{"./internal/relay"}},
+	{"relay-bounded", "relay", "internal/relay/server.go", "s.closed || len(s.open)+s.opening >= maxTunnels", "s.closed", []string{"./internal/relay"}},
+	{"relay-drain", "4", "internal/node/node.go", "n.connections.InUse() > 0 || n.relay.InUse() > 0", "n.connections.InUse() > 0", platformTests("RelayThatStops")},
 }
