Router: hosts of a zone that is cut off as a whole find hosts of other zones

In a large fleet heartbeats stay within a zone. If all hosts of a zone lose their path to the backend servers, none of those that they hear from reaches any, so that none could take over their requests, and each took the servers for dead. Such a host now sends a heartbeat to two owners in each other zone, once an interval, which answer with theirs and so say which services they reach.

A smaller loss, more than half of a service's servers, counts beside the loss of another service: the fault is the same. Heartbeats name 32 services at most, those first that some host does not reach.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -26,6 +26,10 @@
 	reachesTTL = 1500 * time.Millisecond
 	// minLostBackends is the number of unreachable backend servers from which the fault may be this host's.
 	minLostBackends = 2
+	// maxReachServices limits the services named in a heartbeat, so that it fits into a datagram.
+	maxReachServices = 32
+	// askedHostsPerZone is the number of hosts of each other zone that are asked whether they reach a service.
+	askedHostsPerZone = 2
 )
 
 // reachState is what this host's own attempts show of its path to a backend server.
@@ -79,6 +83,7 @@
 	probing, due []*backend
 	checkAt      time.Duration
 	verifyAt     time.Duration
+	askAt        time.Duration
 }
 
 func newReachTracker() reachTracker { return reachTracker{services: map[string]*serviceReach{}} }
@@ -120,7 +125,7 @@
 
 // memberReaches reports whether another host says that it reaches a service.
 func (r *Router) memberReaches(m *member, service uint32) bool {
-	return !m.unreachable && r.exchangesHeartbeats(m.zone) && slices.Contains(m.reaches, service) && !slices.Contains(m.cutOff, service)
+	return !m.unreachable && slices.Contains(m.reaches, service) && !slices.Contains(m.cutOff, service)
 }
 
 func (r *Router) countPeersThatReach(service uint32) int {
@@ -200,6 +205,8 @@
 
 func (c reachCounts) mostFail() bool { return 3*c.failed > 2*c.all }
 
+func (c reachCounts) halfFail() bool { return 2*c.failed > c.all }
+
 // countReach counts the sampled backend servers of a service by the outcome of the latest connection. While a survey is under way, those
 // without an outcome since its start are unknown.
 func (r *Router) countReach(s *serviceReach, sample []*backend) reachCounts {
@@ -232,10 +239,10 @@
 
 func (r *Router) updateLost(service string, s *serviceReach, c reachCounts) {
 	switch {
-	case !s.lost && c.mostFail() && (c.failed >= minLostBackends || r.cutOffElsewhere(service)):
+	case !s.lost && (c.mostFail() && c.failed >= minLostBackends || c.halfFail() && r.cutOffElsewhere(service)):
 		s.lost, s.lostSince, s.nextRecoveryProbe = true, r.now, r.now+recoveryProbeInterval
 		r.heartbeatPending = true
-	case s.lost && 2*c.failed <= c.all:
+	case s.lost && !c.halfFail():
 		s.lost = false
 		r.heartbeatPending = true
 	}
@@ -252,11 +259,11 @@
 }
 
 func (r *Router) updateCut(service string, s *serviceReach, c reachCounts) {
-	peers := 0
-	if s.lost && (s.cut || r.now-s.lostSince >= confirmDelay) {
-		peers = r.countPeersThatReach(s.hash)
+	if !s.lost && !s.cut {
+		return
 	}
-	cut := peers > 0
+	peers := r.countPeersThatReach(s.hash)
+	cut := s.lost && peers > 0 && (s.cut || r.now-s.lostSince >= confirmDelay)
 	if cut == s.cut {
 		return
 	}
@@ -310,7 +317,7 @@
 		return true
 	}
 	c := r.countReach(s, r.reachSample(service))
-	return 2*c.failed <= c.all
+	return !c.halfFail()
 }
 
 func (r *Router) servicesWhere(match func(string, *serviceReach) bool) []uint32 {
@@ -321,7 +328,23 @@
 		}
 	}
 	slices.Sort(out)
-	return out
+	if len(out) <= maxReachServices {
+		return out
+	}
+	asked, rest := r.splitByAsked(out)
+	return append(asked, rest...)[:maxReachServices]
+}
+
+// splitByAsked separates the services that some other host does not reach.
+func (r *Router) splitByAsked(services []uint32) (asked, rest []uint32) {
+	for _, hash := range services {
+		if slices.ContainsFunc(r.members.order, func(h string) bool { return slices.Contains(r.members.byHost[h].cutOff, hash) }) {
+			asked = append(asked, hash)
+		} else {
+			rest = append(rest, hash)
+		}
+	}
+	return asked, rest
 }
 
 // applyReach applies which services another host reaches, and checks this host's own contact with those that it does not.
@@ -336,6 +359,7 @@
 	}
 	if len(m.cutOff) > 0 {
 		r.checkReachFor(m.cutOff, lost)
+		r.replyToCutOff(m)
 	}
 }
 
@@ -358,3 +382,31 @@
 	}
 	return out
 }
+
+// askOtherZones asks hosts of the other zones of a large fleet whether they reach a service if none of this zone does.
+func (r *Router) askOtherZones(service uint32) {
+	if !r.largeFleet() || r.now < r.reach.askAt {
+		return
+	}
+	if slices.ContainsFunc(r.zonePeers(), func(h string) bool { return r.memberReaches(r.members.byHost[h], service) }) {
+		return
+	}
+	r.reach.askAt = r.now + r.heartbeatInterval()
+	var to []string
+	for _, zone := range r.otherZones() {
+		if z, ok := r.zones.summaries[zone]; ok && !z.stale {
+			to = append(to, r.sample(z.owners, askedHostsPerZone)...)
+		}
+	}
+	slices.Sort(to)
+	if to = slices.Compact(to); len(to) > 0 {
+		r.sendCrossZoneHeartbeat(to)
+	}
+}
+
+// replyToCutOff sends a heartbeat to a host of another zone that asks which services this one reaches.
+func (r *Router) replyToCutOff(m *member) {
+	if !r.exchangesHeartbeats(m.zone) && r.now >= r.owners.announcedUntil[m.host] {
+		r.sendCrossZoneHeartbeat([]string{m.host})
+	}
+}
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
 
+	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/routing"
 )
 
@@ -227,3 +229,84 @@
 		require.NotNil(t, h.r.suspects.ledger.Blamed(crashing), h.ip)
 	}
 }
+
+// A whole zone of a large fleet is cut off from all backend servers. Its hosts must find out, and find hosts of other zones.
+func TestZoneThatIsCutOffFindsHostsOfOtherZones(t *testing.T) {
+	for _, to := range []path{refuses, hangs} {
+		t.Run(pathNames[to], func(t *testing.T) {
+			z := newLargeCutWorld(t)
+			cut := z.hosts[:20]
+			z.cut(20, to, anyEngine)
+			took := z.runUntil(maxRecognitionTime, largeCutWorldRate, z.allCutOff(cut, true))
+			t.Logf("recognised after %v", took)
+			require.Less(t, took, maxRecognitionTime)
+			for range 30 {
+				z.run(100*time.Millisecond, largeCutWorldRate)
+				for _, h := range cut {
+					require.NotEmpty(t, h.r.relayCandidates("m"), h.ip)
+				}
+			}
+			z.heal()
+			took = z.runUntil(maxReturnTime, largeCutWorldRate, z.allCutOff(cut, false))
+			t.Logf("returned after %v", took)
+			require.Less(t, took, maxReturnTime)
+		})
+	}
+}
+
+// One service is cut off, the other is not.
+func TestCutOfOneServiceLeavesTheOther(t *testing.T) {
+	h := newTwoServices(t)
+	h.run(time.Second, map[string]bool{"x": true, "y": true, "z": true})
+	require.True(t, h.r.cutOff("m"))
+	require.False(t, h.r.cutOff("other"))
+	require.Equal(t, []string{"10.0.0.8"}, h.r.relayCandidates("m"))
+	h.beat.Seq, h.beat.CutOff = h.beat.Seq+1, []uint32{hashOfService("m")}
+	h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: h.beat})
+	require.Empty(t, h.r.relayCandidates("m"), "a host that is cut off itself is none")
+	require.False(t, h.r.cutOff("m"))
+}
+
+// A host that has lost two of three backend servers may reach the third only. Beside the loss of another service that is the same fault.
+func TestLossOfTwoInThreeCountsBesideACut(t *testing.T) {
+	h := newTwoServices(t)
+	h.run(time.Second, map[string]bool{"a": true, "b": true, "c": true, "z": true})
+	require.False(t, h.r.cutOff("other"))
+	h.run(time.Second, map[string]bool{"z": true})
+	require.True(t, h.r.cutOff("m"))
+	require.True(t, h.r.cutOff("other"))
+	h.run(time.Second, map[string]bool{"a": true, "b": true, "c": true, "x": true, "z": true})
+	require.False(t, h.r.cutOff("m"))
+	require.False(t, h.r.cutOff("other"))
+}
+
+// twoServices is a host with a peer that reaches both services, "m" with engines a to c and "other" with x to z.
+type twoServices struct {
+	r    *Router
+	now  time.Duration
+	beat *gossippb.Beat
+}
+
+func newTwoServices(t *testing.T) *twoServices {
+	r := newStandalone(t, "a", "b", "c")
+	n := Update{FromStore: true, After: rev(50), AsOf: rev(60)}
+	for _, id := range []string{"x", "y", "z"} {
+		ch := changeOf(id, 60, false)
+		ch.Service, ch.Slots, ch.Zone = "other", 4, "z0"
+		n.Backends = append(n.Backends, ch)
+	}
+	r.Reduce(time.Second, n)
+	return &twoServices{r, 2 * time.Second, &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Reaches: []uint32{hashOfService("m"), hashOfService("other")}}}
+}
+
+// run probes all engines again and again, of which some are reached and the others refuse.
+func (h *twoServices) run(d time.Duration, reached map[string]bool) {
+	for end := h.now + d; h.now < end; h.now += 50 * time.Millisecond {
+		h.beat.Seq++
+		h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: proto.Clone(h.beat).(*gossippb.Beat)})
+		for _, id := range []string{"a", "b", "c", "x", "y", "z"} {
+			h.r.Reduce(h.now, ProbeResult{ID: id, Reached: reached[id], Refused: !reached[id]})
+		}
+		h.r.Reduce(h.now, Tick{})
+	}
+}
--- a/internal/router/reachprobes.go
+++ b/internal/router/reachprobes.go
@@ -130,6 +130,9 @@
 		}
 		r.continueSurvey(name, s)
 		r.probeForRecovery(name, s)
+		if s.lost {
+			r.askOtherZones(s.hash)
+		}
 		r.evaluateReach(name, s)
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,7 +9,8 @@
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
 // quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
-// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none).
+// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
+// reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
 package router
 
 import (
