Relays: hosts of other zones of a large fleet are told of a host before it needs them

All hosts of a zone that is cut off call through hosts of other zones, which know hosts of this one only for a while after their heartbeats: 10 of 302 calls were turned away in the test of twenty such hosts. A heartbeat now goes ahead of the call if none was sent for an interval, as with owners.

--- a/internal/router/relays.go
+++ b/internal/router/relays.go
@@ -64,6 +64,9 @@
 			best = host
 		}
 	}
+	if best != "" {
+		r.announceToOwner(best) // it relays only for hosts that it knows
+	}
 	return best
 }
 
--- a/internal/router/relays_test.go
+++ b/internal/router/relays_test.go
@@ -87,3 +87,42 @@
 	z.post(z.hosts[0], Drain{Until: z.now + 10*time.Second, Grace: 10 * time.Second})
 	require.Equal(t, RelayUnavailable, r.RelayPermission(peer, r.backends["e000"].Addr))
 }
+
+// All hosts of a zone of a large fleet are cut off. They have to call through hosts of other zones, which hear of them
+// only now and must accept them.
+func TestZoneThatIsCutOffCallsThroughOtherZones(t *testing.T) {
+	z := newLargeCutWorld(t)
+	cut := z.hosts[:20]
+	z.cut(20, refuses, anyEngine)
+	require.Less(t, z.runUntil(maxRecognitionTime, largeCutWorldRate, z.allCutOff(cut, true)), maxRecognitionTime)
+	z.refused = 0
+	relays := map[string]int{}
+	type tunnel struct {
+		from, relay *zoneHost
+		addr        string
+		at          time.Duration
+	}
+	var opening []tunnel
+	relayed := 0
+	z.onDispatch = func(h *zoneHost, e Dispatch) {
+		if e.Via == "" {
+			require.NotContains(t, cut, h)
+			return
+		}
+		relayed++
+		relays[e.Via]++
+		opening = append(opening, tunnel{h, z.byIP[e.Via], e.Backend.Addr, z.now + 2*zoneStep})
+	}
+	z.onStep = func() {
+		for ; len(opening) > 0 && z.now >= opening[0].at; opening = opening[1:] {
+			o := opening[0]
+			require.Equal(t, RelayAllowed, o.relay.r.RelayPermission(o.from.ip, o.addr), "%s for %s", o.relay.ip, o.from.ip)
+		}
+	}
+	z.run(3*time.Second, largeCutWorldRate)
+	t.Logf("%d relayed by %d hosts, %d refused", relayed, len(relays), z.refused)
+	require.Zero(t, z.refused)
+	for host, n := range relays {
+		require.Less(t, n, relayed/2, host)
+	}
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -340,7 +340,7 @@
 	{"relay-strangers", "relay", "internal/router/relays.go", "	if r.members.byHost[host] == nil {\n", "	if false {\n", relayTests},
 	{"relay-one-hop", "relay", "internal/router/relays.go", "case r.drain != nil || r.mayBeCutOff(b.Service):", "case r.drain != nil:", relayTests},
 	{"relay-backoff", "relay", "internal/router/relays.go", "	r.relayBackoff[host] = r.now + relayBackoff\n", "", relayTests},
-	{"relay-no-blame", "relay", "internal/gateway/request.go", "RelayFault: errors.Is(err, upstream.ErrRelay)}", "Fault: true}", platformTests("Partitioned|Relay")},
+	{"relay-no-blame", "relay", "internal/gateway/request.go", "RelayFault: errors.Is(err, upstream.ErrRelay)}", "Fault: true}", []string{"./internal/gateway"}},
 	{"relay-orderly-end", "2", "internal/relay/tunnel.go", "	if err := t.host.SetLinger(0); err != nil {\n", "	if err := t.host.SetLinger(-1); err != nil {\n", []string{"./internal/relay"}},
 	{"relay-early-answer", "2", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n", "", []string{"./internal/relay"}},
 	{"relay-caller-left", "1", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n	t.reset()\n", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n", []string{"./internal/relay"}},
