Router: answers across a lost path teach no speed

A plain answer that was on its way while the path to its backend server was lost took as long as the loss, and counted as the server's speed: by the learned interval the server looked slow afterwards, here and at hosts that were told. Found by looking for other conclusions from a lost path.

The time of an answer counts only if no connection to its server failed and was made again since the request was sent, and not while this host is cut off; the same holds for prefill times and for what owners are told.

TestAnswersAcrossALostPathTeachNoSpeed failed before: an interval of 3 s was learned.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -189,9 +189,9 @@
 	r.requestProbe(b)
 }
 
-// isPathFailure reports whether a broken answer is due to this host's path to the backend server: this host is cut off, or
-// connections failed after the request was sent.
-func (r *Router) isPathFailure(b *backend, sentAt time.Duration) bool {
+// pathLostSince reports whether this host's path to a backend server was lost after a request was sent there, so that neither a
+// broken answer nor the time that it took says anything of the server.
+func (r *Router) pathLostSince(b *backend, sentAt time.Duration) bool {
 	return r.cutOff(b.Service) || sentAt < b.reach.restoredAt
 }
 
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -310,3 +310,17 @@
 		h.r.Reduce(h.now, Tick{})
 	}
 }
+
+// The path to a backend server was lost while it answered. The time that this took says nothing of its speed.
+func TestAnswersAcrossALostPathTeachNoSpeed(t *testing.T) {
+	plain := &routing.Route{Name: "plain", Kind: routing.Idempotent, MaxAttempts: 1, Shares: fragile.Shares}
+	for _, route := range []*routing.Route{plain, fragile} {
+		r := newStandalone(t, "a")
+		r.Reduce(2*time.Second, Submit{ID: 1, Route: route, PromptTok: minPromptTokens, Deadline: time.Minute})
+		r.Reduce(3*time.Second, ProbeResult{ID: "a"})
+		r.Reduce(5*time.Second, ProbeResult{ID: "a", Reached: true})
+		r.Reduce(5*time.Second, StreamStarted{ID: 1, First: 3 * time.Second})
+		r.Reduce(6*time.Second, DispatchEnded{ID: 1, Outcome: Answered, First: 3 * time.Second, Interval: 2 * time.Second, Events: 2})
+		require.Zero(t, r.backends["a"].speed(), route.Name)
+	}
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -244,8 +244,11 @@
 	}
 }
 
-// observedInterval returns the time between events of a complete answer, or the time to a plain answer.
-func observedInterval(q *request, e DispatchEnded) time.Duration {
+// observedInterval returns the time between events of a complete answer, or the time to a plain answer; zero if it is unknown.
+func (r *Router) observedInterval(q *request, e DispatchEnded) time.Duration {
+	if r.pathLostSince(q.backend, q.sentAt) {
+		return 0
+	}
 	if q.Route.Kind != routing.Streaming {
 		return e.First
 	}
@@ -260,7 +263,7 @@
 	switch e.Outcome {
 	case Answered:
 		b.succeeded(q.sentAt)
-		interval := observedInterval(q, e)
+		interval := r.observedInterval(q, e)
 		b.learnEventInterval(interval)
 		svc := r.serviceState(b.Service)
 		svc.learnEventInterval(interval)
@@ -276,7 +279,7 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault && !r.isPathFailure(b, q.sentAt) {
+		if e.Fault && !r.pathLostSince(b, q.sentAt) {
 			r.recordFailure(b)
 		}
 		if e.Outcome == Broken {
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -179,7 +179,7 @@
 	rep := q.newReport(-1, -q.prefillTokens)
 	rep.Outcome, rep.AgeMs = r.reportOutcome(q, e), uint32((r.now - q.sentAt).Milliseconds())
 	if e.Outcome == Answered {
-		rep.IntervalUs, rep.Events = uint32(observedInterval(q, e).Microseconds()), uint32(e.Events)
+		rep.IntervalUs, rep.Events = uint32(r.observedInterval(q, e).Microseconds()), uint32(e.Events)
 	}
 	r.sendReport(to, rep)
 }
@@ -191,7 +191,7 @@
 		return gossippb.Outcome_OUTCOME_SOUND
 	case e.Outcome == WrongInstance:
 		return gossippb.Outcome_OUTCOME_REPLACED
-	case e.Fault && (r.mayBeCutOff(q.backend.Service) || r.isPathFailure(q.backend, q.sentAt)):
+	case e.Fault && (r.mayBeCutOff(q.backend.Service) || r.pathLostSince(q.backend, q.sentAt)):
 		return gossippb.Outcome_OUTCOME_NONE
 	case e.Outcome == NotSent && e.Fault:
 		return gossippb.Outcome_OUTCOME_UNREACHABLE
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -49,7 +49,7 @@
 	q.prefillDone()
 	r.markLoadChanged()
 	var perToken time.Duration
-	if q.PromptTok >= minPromptTokens && !q.queued && e.First > 0 {
+	if q.PromptTok >= minPromptTokens && !q.queued && e.First > 0 && !r.pathLostSince(q.backend, q.sentAt) {
 		perToken = e.First / time.Duration(q.PromptTok)
 		q.backend.learnPrefill(perToken)
 		r.serviceState(q.service).learnPrefill(perToken)
