--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -168,7 +168,7 @@
 			}
 			a.logDispatch(e)
 			end := a.dispatch(e)
-			end.ID, end.Via, end.Digest = a.id, e.Via, a.outcomeDigest(end)
+			end.ID, end.Digest = a.id, a.outcomeDigest(end)
 			a.g.control.Post(end)
 			if end.Outcome == router.Answered {
 				a.logEnd(answered, 0)
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -84,9 +84,7 @@
 	Events   int
 	// Fault is set if the backend server was at fault and should be avoided for a while.
 	Fault bool
-	// Via is the relay that the dispatch went through; empty if it went directly. RelayFault is set if the relay did not
-	// serve, which tells nothing of the backend server.
-	Via        string
+	// RelayFault is set if the relay of the dispatch did not serve, which tells nothing of the backend server.
 	RelayFault bool
 	// Success is set if the answer was a complete success.
 	Success bool
--- a/internal/router/relays.go
+++ b/internal/router/relays.go
@@ -88,6 +88,11 @@
 	return all
 }
 
+// ownPathLost reports whether a request went over this host's own path to its backend server, and that was lost since.
+func (r *Router) ownPathLost(q *request) bool {
+	return q.via == "" && r.pathLostSince(q.backend, q.sentAt)
+}
+
 // relayFailed avoids a relay for a while.
 func (r *Router) relayFailed(host string) {
 	if r.now >= r.relayBackoff[host] {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -61,6 +61,8 @@
 	fullOwners    []string
 	decideLocally bool
 	owner         string
+	// via is the relay of the latest dispatch; empty if it went directly.
+	via string
 	// begun is set once the first event of the stream has arrived.
 	begun bool
 	// onTrial is set if the request is quarantined but runs once to test whether it is harmful.
@@ -137,7 +139,7 @@
 	r.invariants.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
-	q.sentAt, q.begun = r.now, false
+	q.sentAt, q.begun, q.via = r.now, false, r.relayTo(b)
 	r.takeColdToken(b)
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
@@ -149,7 +151,7 @@
 	b.ownLoad.prefillBacklog += q.prefillTokens
 	r.markLoadChanged()
 	r.reportAssigned(q)
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: r.relayTo(b), Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
 }
 
 const (
@@ -244,8 +246,11 @@
 	}
 }
 
-// observedInterval returns the time between events of a complete answer, or the time to a plain answer.
-func observedInterval(q *request, e DispatchEnded) time.Duration {
+// observedInterval returns the time between events of a complete answer, or the time to a plain answer; zero if it is unknown.
+func (r *Router) observedInterval(q *request, e DispatchEnded) time.Duration {
+	if r.ownPathLost(q) {
+		return 0
+	}
 	if q.Route.Kind != routing.Streaming {
 		return e.First
 	}
@@ -254,14 +259,14 @@
 
 // recordOutcome updates what is known of a backend server from the end of a dispatch.
 func (r *Router) recordOutcome(b *backend, q *request, e DispatchEnded) {
-	direct := e.Via == ""
+	direct := q.via == ""
 	if direct && (e.Outcome == Answered || e.Outcome == Failed || e.Outcome == Rejected) {
 		r.heard(b)
 	}
 	switch e.Outcome {
 	case Answered:
 		b.succeeded(q.sentAt)
-		interval := observedInterval(q, e)
+		interval := r.observedInterval(q, e)
 		b.learnEventInterval(interval)
 		svc := r.serviceState(b.Service)
 		svc.learnEventInterval(interval)
@@ -279,7 +284,7 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault && (!direct || !r.isPathFailure(b, q.sentAt)) {
+		if e.Fault && !r.ownPathLost(q) {
 			r.recordFailure(b)
 		}
 		if e.Outcome == Broken && direct {
@@ -292,7 +297,7 @@
 // first one counts as an arrival there all the same, so a rejected send is charged to the retry budget.
 func (r *Router) redispatch(q *request, e DispatchEnded) {
 	if e.RelayFault {
-		r.relayFailed(e.Via)
+		r.relayFailed(q.via)
 	} else {
 		q.tried = append(q.tried, q.backend.ID)
 	}
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -291,7 +291,7 @@
 		if run.outcome != 0 {
 			outcome := run.outcome
 			run.engine, run.outcome = "", 0
-			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: !run.relayFault, Via: run.via, RelayFault: run.relayFault, Digest: z.digest})
+			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: !run.relayFault, RelayFault: run.relayFault, Digest: z.digest})
 			continue
 		}
 		if run.breaks {
@@ -306,7 +306,7 @@
 			interval *= 4
 		}
 		z.post(run.host, StreamStarted{ID: id, First: 20 * time.Millisecond})
-		z.post(run.host, DispatchEnded{ID: id, Outcome: Answered, Via: run.via, First: 20 * time.Millisecond, Interval: interval, Events: 20})
+		z.post(run.host, DispatchEnded{ID: id, Outcome: Answered, First: 20 * time.Millisecond, Interval: interval, Events: 20})
 	}
 }
 
