Relay: its limit on silence between hosts is longer than the first host's

The first host limits its exchanges itself; a relay with a shorter limit would end them. The relay's 6 s were shorter than deadlines of streams.

--- a/internal/relay/tunnel.go
+++ b/internal/relay/tunnel.go
@@ -14,12 +14,13 @@
 
 const (
 	bufferSize = 16 << 10
-	// legTimeout closes the connection between two hosts if the other one is gone. An exchange that is silent for seconds
-	// goes on; its own deadline ends it earlier.
-	legTimeout = 6 * time.Second
-	// keepAliveInterval and keepAliveCount probe a silent connection between two hosts for legTimeout.
+	// legTimeout closes the connection between two hosts if the other one is gone. The first host limits its exchanges
+	// itself, so this is longer than most of them.
+	legTimeout = 15 * time.Second
+	// keepAliveInterval is the interval of the probes of a silent connection between two hosts, and keepAliveCount is more
+	// of them than legTimeout allows.
 	keepAliveInterval = time.Second
-	keepAliveCount    = 5
+	keepAliveCount    = 127
 	acceptedHead      = "HTTP/1.1 200 OK\r\n\r\n"
 )
 
