--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -352,7 +352,7 @@
 	if a.bodyRest != nil {
 		req.Rest, req.Length = a.bodyRest, a.r.ContentLength
 	}
-	req.MaxIdle, req.Server, req.MaxSilence = d.MaxIdleConns, d.Backend.ID, a.maxSilence()
+	req.Via, req.MaxIdle, req.Server, req.MaxSilence = d.Via, d.MaxIdleConns, d.Backend.ID, a.maxSilence()
 	req.Permitted = func() bool { return a.permitted(d) }
 	req.StallTimeout, _ = a.stallTimeouts()
 	req.OnStall = a.shouldMove
@@ -369,6 +369,9 @@
 	case errors.Is(err, upstream.ErrNotPermitted):
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Dispatch decision expired before the send.")
 		return router.DispatchEnded{Outcome: router.NotSent} // no fault of the backend server
+	case errors.Is(err, upstream.ErrRelay), errors.Is(err, upstream.ErrUnknownAtRelay):
+		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not relayed to the backend server.")
+		return router.DispatchEnded{Outcome: router.NotSent, RelayFault: errors.Is(err, upstream.ErrRelay)}
 	case !sent:
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(upstream.CauseOf(err))).
 			Msg("Request not sent to the backend server.")
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -114,9 +114,11 @@
 	listsStore          bool
 	deadBackends        []uint32 // hashes of backend servers that it cannot reach
 	failingBackends     []uint32 // hashes of backend servers that fail its requests
-	spent               map[string]uint64
-	data                peerData
-	unreachable         bool
+	// cutOff and reaches are the hashes of the services that it cannot and can reach.
+	cutOff, reaches []uint32
+	spent           map[string]uint64
+	data            peerData
+	unreachable     bool
 	// startedAt is when it started, on this host's clock.
 	startedAt time.Duration
 }
@@ -191,8 +193,9 @@
 		r.zoneRecovered(m.zone)
 	}
 	r.applyLoads(m, b.Loads)
-	r.applyDead(m, b.Dead)
-	r.applyFailing(m, b.Failing)
+	r.applyReach(m, b)
+	r.applyDead(m, r.credible(m, b.Dead))
+	r.applyFailing(m, r.credible(m, b.Failing))
 	r.applySpeeds(b.Speeds)
 	r.applySpent(m, b.Spent, wasUnreachable)
 	r.applyZoneSummaries(m.zone, b.Zones)
@@ -225,10 +228,15 @@
 	r.addOthersLoads(m.loads, 1)
 }
 
-// applyDead records which backend servers a host cannot reach.
+// applyDead records which backend servers a host cannot reach, and probes those that enough hosts report.
 func (r *Router) applyDead(m *member, dead []uint32) {
 	r.updateReportCounts(m.deadBackends, dead, func(b *backend) *int { return &b.unreachableReports })
 	m.deadBackends = dead
+	for _, hash := range dead {
+		if b, ok := r.byHash[hash]; ok && b.unreachableReports >= reportQuorum {
+			r.verify(b)
+		}
+	}
 }
 
 // updateReportCounts adjusts, for each backend server, the number of hosts that report it, when one host's report changes
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -61,6 +61,10 @@
 	fullOwners    []string
 	decideLocally bool
 	owner         string
+	// via is the relay of the latest dispatch; empty if it went directly.
+	via string
+	// begun is set once the first event of the stream has arrived.
+	begun bool
 	// onTrial is set if the request is quarantined but runs once to test whether it is harmful.
 	onTrial bool
 }
@@ -135,7 +139,7 @@
 	r.invariants.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
-	q.sentAt = r.now
+	q.sentAt, q.begun, q.via = r.now, false, r.relayTo(b)
 	r.takeColdToken(b)
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
@@ -148,7 +152,7 @@
 	r.markLoadChanged()
 	r.reportAssigned(q)
 	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
 }
 
 const (
@@ -243,8 +247,11 @@
 	}
 }
 
-// observedInterval returns the time between events of a complete answer, or the time to a plain answer.
-func observedInterval(q *request, e DispatchEnded) time.Duration {
+// observedInterval returns the time between events of a complete answer, or the time to a plain answer; zero if it is unknown.
+func (r *Router) observedInterval(q *request, e DispatchEnded) time.Duration {
+	if r.ownPathLost(q) {
+		return 0
+	}
 	if q.Route.Kind != routing.Streaming {
 		return e.First
 	}
@@ -253,16 +260,22 @@
 
 // recordOutcome updates what is known of a backend server from the end of a dispatch.
 func (r *Router) recordOutcome(b *backend, q *request, e DispatchEnded) {
+	direct := q.via == ""
+	if direct && (e.Outcome == Answered || e.Outcome == Failed || e.Outcome == Rejected) {
+		r.heard(b)
+	}
 	switch e.Outcome {
 	case Answered:
 		b.succeeded(q.sentAt)
-		interval := observedInterval(q, e)
+		interval := r.observedInterval(q, e)
 		b.learnEventInterval(interval)
 		svc := r.serviceState(b.Service)
 		svc.learnEventInterval(interval)
 		svc.learnStreamLength(e.Events)
 	case NotSent:
-		if e.Fault {
+		if e.Fault && direct {
+			r.connectionFailed(b)
+		} else if e.Fault {
 			b.connectFailed(r.now)
 		}
 	case WrongInstance:
@@ -272,16 +285,23 @@
 		r.emit(Note{What: "backend server replaced", Subject: b.ID, Detail: b.Service})
 		r.recordBackendEnd(b)
 	case Broken, Failed:
-		if e.Fault {
+		if e.Fault && !r.ownPathLost(q) {
 			r.recordFailure(b)
 		}
+		if e.Outcome == Broken && direct {
+			r.answerBroke(b)
+		}
 	}
 }
 
 // redispatch tries the next backend server on proof that the request did not run. A send that reached the
 // first one counts as an arrival there all the same, so a rejected send is charged to the retry budget.
 func (r *Router) redispatch(q *request, e DispatchEnded) {
-	q.tried = append(q.tried, q.backend.ID)
+	if e.RelayFault {
+		r.relayFailed(q.via)
+	} else {
+		q.tried = append(q.tried, q.backend.ID)
+	}
 	reached := e.Outcome != NotSent
 	if reached {
 		q.rejects++
@@ -330,6 +350,9 @@
 	}
 	q.retryPaid = reassign
 	r.emit(StallDecision{ID: id, Reassign: reassign})
+	if q.backend != nil {
+		r.answerBroke(q.backend)
+	}
 }
 
 // prefillDone removes a request's prompt from its backend server's prefill backlog.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,8 +8,10 @@
 // peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
+// relays (calls through other hosts),
 // quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
-// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none).
+// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
+// reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
 package router
 
 import (
@@ -97,8 +99,11 @@
 	earlyHeartbeatAt time.Duration
 	drain            *Drain
 	suspects         suspectState
+	reach            reachTracker
 	// evacuations are by availability zone.
 	evacuations map[string]*evacuation
+	// relayBackoff is until when a host is not used as a relay.
+	relayBackoff map[string]time.Duration
 }
 
 // New returns a Router with no configuration and no peers.
@@ -121,8 +126,10 @@
 		owners:        newOwnerState(),
 		quotaState:    newQuotaState(),
 		suspects:      newSuspectState(),
+		reach:         newReachTracker(),
 
-		evacuations: map[string]*evacuation{},
+		evacuations:  map[string]*evacuation{},
+		relayBackoff: map[string]time.Duration{},
 	}
 	r.zones.firstRead = r.firstRead()
 	return r
@@ -224,6 +231,7 @@
 	}
 	r.pullMissing()
 	r.pushDepartures()
+	r.tickReach()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/routing"
 )
 
@@ -52,6 +53,15 @@
 	drops func(from, to string, p *gossippb.Packet) bool
 	// frozen, if set, reports whether a host's process stands still; what arrives meanwhile is lost.
 	frozen func(h *zoneHost) bool
+	// paths, if set, returns the path from a host to an engine. Probes are answered then.
+	paths func(h *zoneHost, engine string) path
+	// failedRelays do not serve.
+	failedRelays map[string]bool
+	// probes are those under way, and probed counts all by host.
+	probes []zoneProbe
+	probed map[string]int
+	// digest identifies all requests that the path to their engine breaks.
+	digest quarantine.Digest
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
@@ -90,7 +100,11 @@
 	submittedAt time.Duration
 	ends        time.Duration
 	engine      string
+	via         string // the relay of the dispatch
 	breaks      bool
+	// outcome is how the dispatch ends if the path to the engine is cut, or relayFault is set because the relay does not serve.
+	outcome    Outcome
+	relayFault bool
 }
 
 // newZone starts a zone with engines of 4 slots, a third of which are four times slower, and
@@ -167,11 +181,12 @@
 			z.ended = append(z.ended, zoneEnd{h, e.ID})
 			return
 		}
-		run.engine = e.Backend.ID
+		run.engine, run.via = e.Backend.ID, e.Via
 		run.ends = z.now + z.length(e.Backend.ID)
 		if run.breaks = z.breaks != nil && z.rng.Float64() < z.breaks[run.engine]; run.breaks {
 			run.ends = z.now + 3*zoneStep
 		}
+		z.applyPath(h, run)
 		z.streams[run.engine]++
 		if z.sends != nil {
 			z.sends[run.engine] = append(z.sends[run.engine], z.now)
@@ -184,6 +199,8 @@
 		if z.streams[run.engine] > e.Backend.Slots+headroom {
 			z.overloads++
 		}
+	case Probe:
+		z.probe(h, e)
 	case GiveUp:
 		delete(z.runs, e.ID)
 	case Refuse:
@@ -225,6 +242,7 @@
 		z.steps++
 		z.deliver()
 		z.finish()
+		z.answerProbes()
 		for _, e := range z.ended {
 			z.post(e.host, CallerLeft{ID: e.id})
 		}
@@ -270,6 +288,12 @@
 	for _, id := range ended {
 		run := z.runs[id]
 		z.streams[run.engine]--
+		if run.outcome != 0 {
+			outcome := run.outcome
+			run.engine, run.outcome = "", 0
+			z.post(run.host, DispatchEnded{ID: id, Outcome: outcome, Fault: !run.relayFault, RelayFault: run.relayFault, Digest: z.digest})
+			continue
+		}
 		if run.breaks {
 			z.broken[run.engine]++
 			run.engine = ""
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -34,6 +34,8 @@
 	// MaxSilence, if not zero, is how long the server's host may acknowledge nothing until the call ends; otherwise that
 	// is the time left until Deadline.
 	MaxSilence time.Duration
+	// Via is the host through which the server is called; empty for a direct call.
+	Via string
 	// MaxIdle is how many idle connections to the server may be kept after the call.
 	MaxIdle int
 	// StallTimeout, if not zero, is how long the server may send nothing until OnStall is asked whether to abandon the
@@ -82,7 +84,7 @@
 // Do writes a request once and reads the head of its answer. sent reports whether bytes of it may have reached the
 // server. When ctx ends, the connection is closed, which stops the work.
 func (p *Pool) Do(ctx context.Context, addr string, req *Request) (resp *Response, sent bool, err error) {
-	c, err := p.get(ctx, addr)
+	c, err := p.get(ctx, addr, req.Via)
 	if err != nil {
 		return nil, false, err
 	}
