A mute server is left also on a route without an objective

A request that may run again, on a route for plain answers that states no latency objective, was held to its deadline and answered 504 if its backend server sent nothing: the stall timeout is a multiple of the objective, and none means zero, which stands for no stall timeout. Until now only the transport's limit of one second ended some of these exchanges, those whose server did not acknowledge either.

Such a request is now offered to another server after a third of the time that it is allowed.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -288,8 +288,10 @@
 	callerTimeoutGaps    = 8
 	stallFirstFraction   = 0.45
 	stallNextFraction    = 0.3
-	// stallPlainTargets is how many times its objective a plain answer may take.
-	stallPlainTargets = 2.5
+	// stallPlainTargets is how many times its objective a plain answer may take; without an objective,
+	// stallPlainFraction is the part of the allowed time.
+	stallPlainTargets  = 2.5
+	stallPlainFraction = 1.0 / 3
 )
 
 // stallTimeouts returns how long a backend server may send nothing before the first byte and after it; zero if the
@@ -300,6 +302,9 @@
 	}
 	if a.route.Kind != routing.Streaming {
 		d := time.Duration(stallPlainTargets * float64(a.route.Target))
+		if d == 0 {
+			d = time.Duration(stallPlainFraction * float64(a.allowed))
+		}
 		return d, d
 	}
 	callerTimeout := float64(a.callerTimeout())
