A broken call's cause does not depend on who saw it

The kernel reports an error of a connection once. If the goroutine that writes a long body got the time-out, the reader of the answer only saw the connection's end, and the line said closed, as if by the server; net/http also hides the writer's error in one of its own. The writer's error is now kept, and counts.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -108,12 +108,10 @@
 	_ = c.SetDeadline(req.Deadline)
 	c.deadline, c.stallTimeout, c.onStall, c.heardAt = req.Deadline, req.StallTimeout, req.OnStall, time.Now()
 	if err := x.write(req); err != nil {
-		x.end()
 		return nil, true, x.broken(err)
 	}
 	resp, err = x.read(req)
 	if err != nil {
-		x.end()
 		return nil, true, x.broken(err)
 	}
 	return resp, true, nil
@@ -146,16 +144,35 @@
 	}
 	x.writeDone = make(chan error, 1)
 	go func() {
-		err := hr.Write(x.conn)
+		w := &errorKeeper{Writer: x.conn}
+		err := hr.Write(w)
 		if err != nil {
 			// A partial request is never run, so waiting for its answer is pointless.
 			_ = x.conn.Close()
 		}
+		if w.err != nil {
+			err = w.err
+		}
 		x.writeDone <- err
 	}()
 	return nil
 }
 
+// errorKeeper keeps the error of a writer, which net/http hides in another.
+type errorKeeper struct {
+	io.Writer
+	err error
+}
+
+// Write implements io.Writer.
+func (w *errorKeeper) Write(p []byte) (n int, err error) {
+	n, err = w.Writer.Write(p)
+	if err != nil {
+		w.err = err
+	}
+	return n, err
+}
+
 // read reads the head of the answer. It skips interim answers and late answers to other requests, which carry another
 // ID.
 func (x *call) read(req *Request) (*Response, error) {
@@ -229,7 +246,23 @@
 	return x.written
 }
 
+// writerTimeout is how long to wait for the writer of a body to report why a connection ended.
+const writerTimeout = 20 * time.Millisecond
+
+// broken ends an exchange that has failed and returns its error. The kernel reports an error of a connection only once:
+// if the writer of the body got it, the reader only sees the end of the connection.
 func (x *call) broken(err error) error {
+	if x.writeDone != nil && !x.written && CauseOf(err) == CauseClosed {
+		select {
+		case writeErr := <-x.writeDone:
+			x.written = writeErr == nil
+			if writeErr != nil {
+				err = writeErr
+			}
+		case <-time.After(writerTimeout):
+		}
+	}
+	x.end()
 	return &BrokenError{Err: err, Silent: time.Since(x.conn.heardAt)}
 }
 
--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// Guards against a log line that blames the server for an exchange that the silence limit has ended: the kernel reports
+// the time-out only once, to the reader or to the writer of the body.
+func TestSilenceIsTheCauseWhoeverSeesIt(t *testing.T) {
+	addr := pausingServer(t, 4*time.Second)
+	for range 4 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			_, sent, err := NewPool(func() {}).Do(context.Background(), addr, &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+				Body: largeBody, Length: int64(len(largeBody)), Deadline: time.Now().Add(time.Minute), MaxSilence: time.Second, IsOwn: func(http.Header) bool { return true }})
+			require.True(t, sent)
+			require.Equal(t, CauseSilence, CauseOf(err), "%v", err)
+			require.GreaterOrEqual(t, SilenceOf(err), time.Second)
+		})
+	}
+}
+
 // silenceLimitOf returns a connection's TCP_USER_TIMEOUT.
 func silenceLimitOf(t *testing.T, c *conn) time.Duration {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
