--- a/internal/router/drainspread_test.go
+++ b/internal/router/drainspread_test.go
@@ -102,13 +102,14 @@
 	require.Less(t, worst, drainBound)
 }
 
-// The same without lost datagrams, so that heartbeats come at even intervals. Guards against a host that asks the same peer
+// The same with lost pushes and without other losses, so that heartbeats come at even intervals. Guards against a host that asks the same peer
 // again and again, as the interval of its pulls is a multiple of that of the heartbeats.
 func TestPullsTakeTurns(t *testing.T) {
 	var worst time.Duration
 	for mute := range 7 {
 		for phase := range 10 {
 			s := newSpread(t, 4, 2, 1)
+			s.drops = func(_, _ string, p *gossippb.Packet) bool { return isPush(p) }
 			s.run(time.Duration(10*phase)*time.Millisecond, 0)
 			s.blind[s.hosts[7].ip], s.mute[s.hosts[mute].ip] = true, true
 			worst = max(worst, s.drain("e001", 3*drainBound))
@@ -128,10 +129,12 @@
 	}
 }
 
+// isPush reports whether a datagram pushes changes.
+func isPush(p *gossippb.Packet) bool { return p.Beat != nil && len(p.Beat.Changes) > 0 }
+
 // Guards against ways of learning of a draining that depend on each other: with any two of them failing, the others suffice.
 func TestDrainingSpreadsWhileAnyTwoWaysFail(t *testing.T) {
 	const blindHost = 7
-	isPush := func(p *gossippb.Packet) bool { return p.Beat != nil && len(p.Beat.Changes) > 0 }
 	for name, fail := range map[string]func(s *spread, other *zoneHost){
 		"watch and all pulls": func(s *spread, _ *zoneHost) {
 			s.onPull = func(string, Pull) {}
@@ -209,7 +212,7 @@
 	require.Len(t, sighted, zones)
 	s.drops = func(_, to string, p *gossippb.Packet) bool {
 		unlucky := slices.IndexFunc(s.hosts, func(h *zoneHost) bool { return h.ip == to })%hosts < outOfReach
-		if unlucky && p.Beat != nil && len(p.Beat.Changes) > 0 {
+		if unlucky && isPush(p) {
 			return true
 		}
 		return s.rng.IntN(10) == 0
