A deadline beyond a socket option's range is served

A caller that allows over 24 days on a route without a timeout was refused, and each backend server that its request was offered to counted as unreachable for two seconds: TCP_USER_TIMEOUT takes 31 bits of milliseconds, the limit on silence was set to the time left, and a call whose limit could not be set was not sent.

The limit is clamped, and failing to set it stops no call: the deadline ends it all the same.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -92,10 +92,7 @@
 		return nil, false, trace.Wrap(context.Cause(ctx), "the request ended before it was sent")
 	}
 	limit := req.silenceLimit(time.Now())
-	if err := c.limitSilence(limit); err != nil {
-		_ = c.Close()
-		return nil, false, err
-	}
+	_ = c.limitSilence(limit) // the deadline ends the call all the same
 	// A process that was paused after its decision, or waited long for a connection, would send on a view that is
 	// outdated: a request would reach a backend server that had been told to leave before.
 	if req.Permitted != nil && !req.Permitted() {
--- a/internal/upstream/timeouts.go
+++ b/internal/upstream/timeouts.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"math"
 	"syscall"
 	"time"
 
@@ -40,7 +41,7 @@
 func setSilenceLimit(c syscall.RawConn, d time.Duration) error {
 	var err error
 	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(max(time.Millisecond, d).Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(min(max(1, d.Milliseconds()), math.MaxInt32)))
 	}); e != nil {
 		return trace.Wrap(e)
 	}
--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -144,3 +144,16 @@
 	require.Greater(t, silenceLimitOf(t, again.call.conn), 50*time.Second)
 	again.Close()
 }
+
+// Guards against a deadline beyond the range of the socket option: nothing was sent, and sound servers counted as
+// unreachable.
+func TestDeadlineBeyondTheOptionsRangeIsServed(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	resp, sent, err := NewPool(func() {}).Do(context.Background(), srv.Listener.Addr().String(), &Request{Method: http.MethodGet, Target: "/x", Host: "h",
+		Header: http.Header{}, Deadline: time.Now().Add(26 * 24 * time.Hour), IsOwn: func(http.Header) bool { return true }})
+	require.NoError(t, err)
+	require.True(t, sent)
+	require.Equal(t, http.StatusOK, resp.Status)
+	resp.Close()
+}
