An abandoned request is not delivered later

A request that its host had given up, because its caller left or it moved to another backend server, still reached a server that had been silent meanwhile, and ran there for no one.

Cause: closing a connection leaves its unsent bytes to the kernel, which retransmits them until the limit on silence.

A connection on which the server has not begun to answer is reset instead, which drops what has not arrived. After the first byte of an answer the request has arrived, and the close is retransmitted as before, so that the server stops its work. Not covered: what a relay has already taken for its own connection to the server.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -101,9 +101,10 @@
 	}
 	x := &call{pool: p, addr: addr, server: req.Server, conn: c, maxIdle: req.MaxIdle, silenceLimit: limit}
 	p.begin(x)
-	x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stopCancel = context.AfterFunc(ctx, c.abort)
 	_ = c.SetDeadline(req.Deadline)
 	c.deadline, c.stallTimeout, c.onStall, c.heardAt = req.Deadline, req.StallTimeout, req.OnStall, time.Now()
+	c.answering.Store(false)
 	if err := x.write(req); err != nil {
 		return nil, true, x.broken(err)
 	}
@@ -271,5 +272,5 @@
 	x.closed = true
 	x.pool.finish(x)
 	x.stopCancel()
-	_ = x.conn.Close()
+	x.conn.abort()
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,8 @@
 	onStall      func() bool
 	// heardAt is when the last bytes were read, or when the current exchange began.
 	heardAt time.Time
+	// answering is set once bytes were read in the current exchange.
+	answering atomic.Bool
 }
 
 // ErrStalled is returned if a call is abandoned because the server sent nothing for the stall timeout.
@@ -66,10 +69,20 @@
 	n, err := c.readUnlessStalled(p)
 	if n > 0 {
 		c.heardAt = time.Now()
+		c.answering.Store(true)
 	}
 	return n, err
 }
 
+// abort closes the connection of an exchange that has not ended. Until the server answers, it may not have all of the
+// request: a reset keeps the kernel from sending the rest to a server that is silent now, which would run it later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && !c.answering.Load() {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // readUnlessStalled reads. The stall timeout is applied here, below all buffers, so that reading can continue if the
 // call is not abandoned.
 func (c *conn) readUnlessStalled(p []byte) (int, error) {
--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -157,3 +157,35 @@
 	require.Equal(t, http.StatusOK, resp.Status)
 	resp.Close()
 }
+
+// Guards against a request that reaches a silent server after its host has given it up: the server would run it for no
+// one.
+func TestAbandonedRequestIsNotDeliveredLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	abandoned := make(chan struct{})
+	received := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			received <- err
+			return
+		}
+		defer c.Close()
+		<-abandoned
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		received <- err
+	}()
+	body := largeBody[:1<<20] // fits into the buffers of the connection
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(300*time.Millisecond, cancel)
+	_, _, err = NewPool(func() {}).Do(ctx, l.Addr().String(), &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+		Body: body, Length: int64(len(body)), Deadline: time.Now().Add(time.Minute), IsOwn: func(http.Header) bool { return true }})
+	require.Error(t, err)
+	close(abandoned)
+	require.Error(t, <-received, "the server got the whole request")
+}
