--- a/internal/upstream/timeouts_test.go
+++ b/internal/upstream/timeouts_test.go
@@ -78,6 +78,22 @@
 	}
 }
 
+// Guards against a log line that blames the server for an exchange that the silence limit has ended: the kernel reports
+// the time-out only once, to the reader or to the writer of the body.
+func TestSilenceIsTheCauseWhoeverSeesIt(t *testing.T) {
+	addr := pausingServer(t, 4*time.Second)
+	for range 4 {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			_, sent, err := NewPool(func() {}).Do(context.Background(), addr, &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+				Body: largeBody, Length: int64(len(largeBody)), Deadline: time.Now().Add(time.Minute), MaxSilence: time.Second, IsOwn: func(http.Header) bool { return true }})
+			require.True(t, sent)
+			require.Equal(t, CauseSilence, CauseOf(err), "%v", err)
+			require.GreaterOrEqual(t, SilenceOf(err), time.Second)
+		})
+	}
+}
+
 // silenceLimitOf returns a connection's TCP_USER_TIMEOUT.
 func silenceLimitOf(t *testing.T, c *conn) time.Duration {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -128,3 +144,48 @@
 	require.Greater(t, silenceLimitOf(t, again.call.conn), 50*time.Second)
 	again.Close()
 }
+
+// Guards against a deadline beyond the range of the socket option: nothing was sent, and sound servers counted as
+// unreachable.
+func TestDeadlineBeyondTheOptionsRangeIsServed(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	resp, sent, err := NewPool(func() {}).Do(context.Background(), srv.Listener.Addr().String(), &Request{Method: http.MethodGet, Target: "/x", Host: "h",
+		Header: http.Header{}, Deadline: time.Now().Add(26 * 24 * time.Hour), IsOwn: func(http.Header) bool { return true }})
+	require.NoError(t, err)
+	require.True(t, sent)
+	require.Equal(t, http.StatusOK, resp.Status)
+	resp.Close()
+}
+
+// Guards against a request that reaches a silent server after its host has given it up: the server would run it for no
+// one.
+func TestAbandonedRequestIsNotDeliveredLater(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	abandoned := make(chan struct{})
+	received := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			received <- err
+			return
+		}
+		defer c.Close()
+		<-abandoned
+		r, err := http.ReadRequest(bufio.NewReader(c))
+		if err == nil {
+			_, err = io.Copy(io.Discard, r.Body)
+		}
+		received <- err
+	}()
+	body := largeBody[:1<<20] // fits into the buffers of the connection
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(300*time.Millisecond, cancel)
+	_, _, err = NewPool(func() {}).Do(ctx, l.Addr().String(), &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{},
+		Body: body, Length: int64(len(body)), Deadline: time.Now().Add(time.Minute), IsOwn: func(http.Header) bool { return true }})
+	require.Error(t, err)
+	close(abandoned)
+	require.Error(t, <-received, "the server got the whole request")
+}
