Relay: a reset that a write gets is no orderly end of an answer

A backend server that resets its connection while a body is on its way to it looked, through a relay, as if it had closed its side: a short answer without a length was complete for the first host.

Cause: the kernel reports a reset once. If the relay's write to the server got it, its read saw the end of the bytes. Found as an end of half of an answer in a test under load.

The end is passed on as a close only if the connection is in CLOSE_WAIT. What arrived before a reset is delivered first, for up to a second, as a reset discards what the first host's kernel has not acknowledged.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -144,31 +145,68 @@
 	}))
 	require.Equal(t, 1, p.server.InUse())
 	require.NoError(t, c.Close())
+	p.eventually("the backend server's connection has ended", func() bool { return len(ended) == 1 })
 	require.Error(t, <-ended)
 	p.eventually("no tunnel is left", func() bool { return p.server.InUse() == 0 })
 }
 
-// A backend server may answer and close before it has read all of a body. Guards against a relay that resets the tunnel
-// when the rest of the body is not taken, and loses the answer.
+// A backend server may answer and close its side before it has read all of a body. Guards against a relay that waits for the
+// body to be taken first.
 func TestAnswerBeforeTheEndOfTheBodyArrives(t *testing.T) {
 	p := newPair(t)
 	answer := make([]byte, 1<<20)
+	received := make(chan struct{})
 	c := p.open(p.listen(func(c *net.TCPConn) {
 		_, _ = c.Read(make([]byte, 1))
-		_ = c.CloseRead()
 		_, _ = c.Write(answer)
 		_ = c.CloseWrite()
+		<-received
+		_ = c.Close()
 	}))
-	go func() {
-		for i := 0; i < 1000; i++ {
-			if _, err := c.Write(make([]byte, 1<<10)); err != nil {
-				return
-			}
-		}
-	}()
+	defer close(received)
+	go func() { _, _ = c.Write(make([]byte, unreadBody)) }()
 	got, err := io.ReadAll(c)
 	require.NoError(t, err)
-	require.Len(t, got, len(answer))
+	require.Equal(t, len(answer), len(got))
+}
+
+// unreadBody is more than the buffers on the way to a backend server hold.
+const unreadBody = 32 << 20
+
+// A backend server resets its connection while a body is on its way to it. The kernel reports that once, to a write or to a
+// read. Guards against a relay whose write gets it, and which then passes on an orderly end: a short answer without a length
+// looked complete. What the backend server had sent before must arrive.
+func TestResetWhileABodyIsSentIsNoOrderlyEnd(t *testing.T) {
+	const length = 512 << 10
+	p := newPair(t)
+	body := make([]byte, unreadBody)
+	blocked := make(chan struct{}, 1)
+	addr := p.listen(func(c *net.TCPConn) {
+		_, _ = c.Read(make([]byte, 1))
+		_, _ = c.Write(make([]byte, length))
+		<-blocked
+		for unacknowledged(c) > 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_ = c.SetLinger(0)
+		_ = c.Close()
+	})
+	for range 20 {
+		c := p.open(addr)
+		_, err := c.Write(body[:1])
+		require.NoError(t, err)
+		require.NoError(t, c.SetWriteDeadline(time.Now().Add(50*time.Millisecond)))
+		_, err = c.Write(body)
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		blocked <- struct{}{}
+		time.Sleep(5 * time.Millisecond) // the reset is under way before anything is read
+		_, err = io.ReadFull(c, make([]byte, length))
+		require.NoError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.NotEqual(t, io.EOF, err)
+		_ = c.Close()
+	}
 }
 
 // Guards against a host that blames a backend server for its relay, or the reverse.
--- a/internal/relay/tunnel.go
+++ b/internal/relay/tunnel.go
@@ -5,11 +5,9 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -21,7 +19,10 @@
 	// of them than legTimeout allows.
 	keepAliveInterval = time.Second
 	keepAliveCount    = 127
-	acceptedHead      = "HTTP/1.1 200 OK\r\n\r\n"
+	// flushTimeout and flushPoll limit the wait for bytes on their way to the host before its connection is reset.
+	flushTimeout = time.Second
+	flushPoll    = 5 * time.Millisecond
+	acceptedHead = "HTTP/1.1 200 OK\r\n\r\n"
 )
 
 var buffers = sync.Pool{New: func() any { return new([bufferSize]byte) }}
@@ -78,13 +79,20 @@
 func (t *tunnel) carryDown() {
 	var readErr, writeErr error
 	t.down, readErr, writeErr = pump(t.host, t.backend)
-	if writeErr == nil && readErr == io.EOF {
-		writeErr = t.host.CloseWrite()
-	} else if writeErr == nil {
+	if writeErr == nil && readErr == io.EOF && hasClosed(t.backend) && t.host.CloseWrite() == nil {
+		return
+	}
+	if writeErr == nil {
 		t.backendErr = readErr
+		t.flush()
 	}
-	if writeErr != nil || readErr != io.EOF {
-		t.reset()
+	t.reset()
+}
+
+// flush waits until the host has received what was written to it, which a reset would discard.
+func (t *tunnel) flush() {
+	for end := time.Now().Add(flushTimeout); time.Now().Before(end) && unacknowledged(t.host) > 0; {
+		time.Sleep(flushPoll)
 	}
 }
 
@@ -111,29 +119,3 @@
 		}
 	}
 }
-
-// setLegTimeout makes a connection between two hosts survive some seconds of silence.
-func setLegTimeout(c *net.TCPConn) error {
-	if err := c.SetKeepAliveConfig(legKeepAlive); err != nil {
-		return trace.Wrap(err)
-	}
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	return setUserTimeout("", "", raw)
-}
-
-var legKeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveCount}
-
-// setUserTimeout limits how long sent bytes may stay unacknowledged. The option also ends keep-alive probing, so it must
-// not be shorter than that.
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var err error
-	if e := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(legTimeout.Milliseconds()))
-	}); e != nil {
-		return trace.Wrap(e)
-	}
-	return trace.Wrap(err)
-}
