Router: operators see which backend servers a host is cut off from

The state of a backend server in fireflyctl status is "cut off" where this host cannot connect to it and is cut off from its service; it was "unreachable" or "ready", as if it were the server's.

--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -261,6 +261,7 @@
 	require.True(t, h.r.cutOff("m"))
 	require.False(t, h.r.cutOff("other"))
 	require.Equal(t, []string{"10.0.0.8"}, h.r.relayCandidates("m"))
+	require.Equal(t, []string{"cut off", "ready"}, []string{h.r.View().Backends[0].State, h.r.View().Backends[3].State})
 	h.beat.Seq, h.beat.CutOff = h.beat.Seq+1, []uint32{hashOfService("m")}
 	h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: h.beat})
 	require.Empty(t, h.r.relayCandidates("m"), "a host that is cut off itself is none")
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -68,7 +68,7 @@
 		v.Peers = append(v.Peers, PeerView{h, m.zone, !m.unreachable, r.now - m.lastSeen})
 	}
 	for _, b := range r.allBackends() {
-		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.state(r.now), r.ownerOf(b),
+		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, r.backendState(b), r.ownerOf(b),
 			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b)})
 	}
 	for _, c := range r.suspects.ledger.Quarantined() {
@@ -78,6 +78,14 @@
 	return v
 }
 
+// backendState describes the state of a backend server for operators, which is this host's own if it is cut off from the server.
+func (r *Router) backendState(b *backend) string {
+	if r.cutOff(b.Service) && b.reach.connectFails() && b.excluded(r.now) == notExcluded {
+		return "cut off"
+	}
+	return b.state(r.now)
+}
+
 // state describes the state of a backend server for operators.
 func (b *backend) state(now time.Duration) string {
 	if reason := b.excluded(now); reason != notExcluded {
