Router: a reported server is probed at most once a second; mutants for reach

Each heartbeat that reported a backend server as unreachable made the receiver probe it again after 300 ms, and a timer did so besides. The timer was worth nothing (its mutant survived) and is gone; a server is probed when the reports come in, and then once a second if nothing is heard from it.

The table of mutants has a row for each guard of reach and refusals; all twelve are caught.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -82,7 +82,6 @@
 	// probing are the backend servers with a probe under way, due those with one that must wait.
 	probing, due []*backend
 	checkAt      time.Duration
-	verifyAt     time.Duration
 	askAt        time.Duration
 }
 
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -21,7 +21,7 @@
 // Hosts that are cut off from all backend servers kept on trying each of them. They must find out soon, name only hosts that
 // reach the servers, and return soon after the end; the other hosts must not take themselves for cut off.
 func TestCutHostsFindOut(t *testing.T) {
-	for _, to := range []path{refuses, hangs, refusesNew} {
+	for _, to := range []path{refuses, hangs, silent, refusesNew} {
 		t.Run(pathNames[to], func(t *testing.T) {
 			z := newCutWorld(t)
 			cut, others := z.hosts[:6], z.hosts[6:]
@@ -325,3 +325,20 @@
 		require.Zero(t, r.backends["a"].speed(), route.Name)
 	}
 }
+
+// Open exchanges with a backend server that can no longer be reached break one by one. That is no fault in answers to tell others.
+func TestUnreachableServerIsNotReportedAsFailing(t *testing.T) {
+	r := newStandalone(t, "a")
+	r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Seq: 1}})
+	for id := range uint64(3) {
+		r.Reduce(2*time.Second, Submit{ID: id, Route: fragile, Deadline: time.Minute})
+	}
+	r.Reduce(3*time.Second, ProbeResult{ID: "a", Refused: true})
+	for id := range uint64(3) {
+		r.Reduce(3*time.Second, DispatchEnded{ID: id, Outcome: Broken, Fault: true})
+	}
+	beat, ok := findEffect[SendHeartbeat](r.Reduce(4*time.Second, Tick{}))
+	require.True(t, ok)
+	require.Empty(t, beat.Heartbeat.Failing)
+	require.Equal(t, []uint32{r.backends["a"].hash}, beat.Heartbeat.Dead)
+}
--- a/internal/router/reach_world_test.go
+++ b/internal/router/reach_world_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 )
@@ -13,6 +15,8 @@
 	open path = iota
 	refuses
 	hangs
+	// silent is a path that hangs while all requests find open connections.
+	silent
 	// refusesNew lets open connections live on.
 	refusesNew
 )
@@ -22,6 +26,8 @@
 	// bytes are not acknowledged.
 	dialTimeout     = 200 * time.Millisecond
 	exchangeTimeout = 6 * time.Second
+	// maxResetDelay is when the last exchange of a path that refuses is reset, as it sends or receives.
+	maxResetDelay = 2 * time.Second
 )
 
 type zoneProbe struct {
@@ -48,7 +54,7 @@
 	switch z.path(h, e.Backend.ID) {
 	case open:
 		p.result.Reached = true
-	case hangs:
+	case hangs, silent:
 		p.at = z.now + dialTimeout
 	default:
 		p.result.Refused = true
@@ -86,11 +92,13 @@
 		if z.rng.IntN(2) == 0 {
 			run.outcome, run.ends = Broken, z.now+exchangeTimeout
 		}
+	case silent:
+		run.outcome, run.ends = Broken, z.now+exchangeTimeout
 	}
 }
 
-// cut sets the path from the first n hosts to the engines that match, and breaks their open exchanges with these. The exchanges
-// of a path that hangs break later.
+// cut sets the path from the first n hosts to the engines that match, and breaks their open exchanges with these. Those of a path
+// that hangs break later.
 func (z *zone) cut(n int, to path, match func(engine string) bool) {
 	cutOff := map[string]bool{}
 	for _, h := range z.hosts[:n] {
@@ -102,12 +110,13 @@
 		}
 		return open
 	}
-	for _, run := range z.runs {
+	for _, id := range slices.Sorted(maps.Keys(z.runs)) {
+		run := z.runs[id]
 		if run.engine == "" || z.path(run.host, run.engine) == open || to == refusesNew {
 			continue
 		}
-		run.outcome, run.ends = Broken, z.now+zoneStep
-		if to == hangs {
+		run.outcome, run.ends = Broken, z.now+time.Duration(z.rng.Int64N(int64(maxResetDelay)))
+		if to != refuses {
 			run.ends = z.now + exchangeTimeout
 		}
 	}
@@ -159,7 +168,7 @@
 	}
 }
 
-var pathNames = map[path]string{refuses: "refuses", hangs: "hangs", refusesNew: "refuses new connections"}
+var pathNames = map[path]string{refuses: "refuses", hangs: "hangs", silent: "is silent", refusesNew: "refuses new connections"}
 
 func engineNumber(id string) int {
 	var n int
--- a/internal/router/reachprobes.go
+++ b/internal/router/reachprobes.go
@@ -24,7 +24,7 @@
 	silenceTimeout = 500 * time.Millisecond
 	// reachCheckInterval is how often the time limits of this file are checked.
 	reachCheckInterval = 50 * time.Millisecond
-	// verifyInterval is how often backend servers are probed that other hosts report as unreachable.
+	// verifyInterval is the least time between two probes of a backend server that other hosts report as unreachable.
 	verifyInterval = time.Second
 	// surveyTimeout limits how long results of probes are awaited to find out whether this host is at fault.
 	surveyTimeout = 600 * time.Millisecond
@@ -116,7 +116,6 @@
 	r.reach.checkAt = r.now + reachCheckInterval
 	r.sendDueProbes()
 	r.probeSilentBackends()
-	r.verifyReports()
 	for _, name := range r.reachNames() {
 		s := r.reach.services[name]
 		if !s.lost && !s.surveying && len(s.refusals) == 0 {
@@ -184,22 +183,11 @@
 	}
 }
 
-// verifyReports probes the backend servers that other hosts report as unreachable.
-func (r *Router) verifyReports() {
-	if r.now < r.reach.verifyAt {
-		return
-	}
-	r.reach.verifyAt = r.now + verifyInterval
-	for _, b := range r.allBackends() {
-		if b.unreachableReports >= reportQuorum {
-			r.verify(b)
-		}
-	}
-}
-
-// verify probes a backend server that other hosts report as unreachable, unless it was heard or probed just now.
+// verify probes a backend server that other hosts report as unreachable, unless it was heard or probed recently.
 func (r *Router) verify(b *backend) {
-	if r.now-max(b.reach.heardAt, b.reach.probeAt) >= probeInterval && r.now >= b.unreachableUntil {
+	s := &b.reach
+	recent := s.heardAt > 0 && r.now-s.heardAt < probeInterval || s.probeAt > 0 && r.now-s.probeAt < verifyInterval
+	if !recent && r.now >= b.unreachableUntil {
 		r.answerBroke(b)
 	}
 }
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -26,6 +26,7 @@
 	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShare", "-rapid.shrinktime=1s"}
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
+	reachTests          = []string{"./internal/router", "-run", "NotReportedAsFailing|CutHosts|LostSome|AreDown|EndInTurn|CutOf|TwoInThree|AcrossALost|Deadly|ThatIsCutOff"}
 	eraTests            = []string{"./internal/router", "-run", "Era|Copy|Lost|Promises"}
 	logTests            = []string{"./internal/telemetry"}
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
@@ -249,6 +250,18 @@
 	{"failing-all", "8", "internal/router/select.go", "	if g.Full > g.suspects {\n", "	if true {\n", failingTests},
 	{"failing-owners-word", "8", "internal/router/owners.go", "			o.Failing = append(o.Failing, b.hash)\n", "", failingTests},
 	{"failing-zones", "8", "internal/router/zones.go", " Failing: r.zoneFailingBackends(),", "", failingTests},
+	{"reach-own-contact", "8", "internal/router/failing.go", " && !b.reach.outweighsReports(now))", ")", reachTests},
+	{"reach-peers", "8", "internal/router/reach.go", "cut := s.lost && peers > 0 &&", "cut := s.lost &&", reachTests},
+	{"reach-confirm", "8", "internal/router/reach.go", "(s.cut || r.now-s.lostSince >= confirmDelay)", "true", reachTests},
+	{"reach-silence", "8", "internal/router/reachprobes.go", "	r.probeSilentBackends()\n", "", reachTests},
+	{"reach-recovery", "8", "internal/router/reachprobes.go", "		r.probeForRecovery(name, s)\n", "", reachTests},
+	{"reach-verify", "8", "internal/router/members.go", "			r.verify(b)\n", "", reachTests},
+	{"reach-failing-path", "8", "internal/router/failing.go", "return b.isFailing() && !b.reach.connectFails() && !r.mayBeCutOff(b.Service)", "return b.isFailing()", reachTests},
+	{"reach-no-speed", "8", "internal/router/reach.go", "return r.cutOff(b.Service) || sentAt < b.reach.restoredAt", "return r.cutOff(b.Service)", reachTests},
+	{"reach-zones", "8", "internal/router/reachprobes.go", "			r.askOtherZones(s.hash)\n", "", reachTests},
+	{"reach-half", "8", "internal/router/reach.go", "c.halfFail() && r.cutOffElsewhere(service)", "false", reachTests},
+	{"refusals-prove-nothing", "ends", "internal/router/refusals.go", "s.lost && !alone && s.lostSince-f.at < sameMoment", "false", reachTests},
+	{"refusals-survey", "ends", "internal/router/refusals.go", "alone || s.lost || surveyed || r.now-f.at >= surveyTimeout", "alone || surveyed || true", reachTests},
 	{"failing-two-words", "8", "internal/router/failing.go", "b.failingReports >= reportQuorum", "b.failingReports > 0", failingTests},
 	{"router-known-hosts", "limits", "internal/router/zones.go", "known += max(z.known, z.hosts)", "known += z.hosts", routerTests},
 	{"router-tight", "limits", "internal/router/quotas.go", "	if quota.NearlyExhausted() {\n", "	if false {\n", routerTests},
