--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -21,7 +21,7 @@
 // Hosts that are cut off from all backend servers kept on trying each of them. They must find out soon, name only hosts that
 // reach the servers, and return soon after the end; the other hosts must not take themselves for cut off.
 func TestCutHostsFindOut(t *testing.T) {
-	for _, to := range []path{refuses, hangs, refusesNew} {
+	for _, to := range []path{refuses, hangs, silent, refusesNew} {
 		t.Run(pathNames[to], func(t *testing.T) {
 			z := newCutWorld(t)
 			cut, others := z.hosts[:6], z.hosts[6:]
@@ -261,6 +261,7 @@
 	require.True(t, h.r.cutOff("m"))
 	require.False(t, h.r.cutOff("other"))
 	require.Equal(t, []string{"10.0.0.8"}, h.r.relayCandidates("m"))
+	require.Equal(t, []string{"cut off", "ready"}, []string{h.r.View().Backends[0].State, h.r.View().Backends[3].State})
 	h.beat.Seq, h.beat.CutOff = h.beat.Seq+1, []uint32{hashOfService("m")}
 	h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: h.beat})
 	require.Empty(t, h.r.relayCandidates("m"), "a host that is cut off itself is none")
@@ -324,3 +325,20 @@
 		require.Zero(t, r.backends["a"].speed(), route.Name)
 	}
 }
+
+// Open exchanges with a backend server that can no longer be reached break one by one. That is no fault in answers to tell others.
+func TestUnreachableServerIsNotReportedAsFailing(t *testing.T) {
+	r := newStandalone(t, "a")
+	r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Seq: 1}})
+	for id := range uint64(3) {
+		r.Reduce(2*time.Second, Submit{ID: id, Route: fragile, Deadline: time.Minute})
+	}
+	r.Reduce(3*time.Second, ProbeResult{ID: "a", Refused: true})
+	for id := range uint64(3) {
+		r.Reduce(3*time.Second, DispatchEnded{ID: id, Outcome: Broken, Fault: true})
+	}
+	beat, ok := findEffect[SendHeartbeat](r.Reduce(4*time.Second, Tick{}))
+	require.True(t, ok)
+	require.Empty(t, beat.Heartbeat.Failing)
+	require.Equal(t, []uint32{r.backends["a"].hash}, beat.Heartbeat.Dead)
+}
