Router: a host that is cut off from one service probes the others at once

The cause is one, so the other services' servers are probed as soon as one is cut off.

TestCutOfOneServiceProbesTheOther failed before: no probe without a request.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -272,12 +272,24 @@
 	if cut {
 		s.cutAt = r.now
 		r.forgetFailures(service)
+		r.surveyOthers(service)
 		r.emit(Note{What: "cut off from a service's backend servers", Subject: service, Detail: detail, Age: r.now - s.lostSince})
 		return
 	}
 	r.emit(Note{What: "no longer cut off from a service's backend servers", Subject: service, Detail: detail, Age: r.now - s.cutAt})
 }
 
+// surveyOthers probes the backend servers of the other services, as their path may be lost too.
+func (r *Router) surveyOthers(service string) {
+	for _, name := range r.reachNames() {
+		s := r.reach.services[name]
+		if name != service && !s.lost {
+			r.startSurvey(s)
+			r.continueSurvey(name, s)
+		}
+	}
+}
+
 // forgetFailures drops the failures that this host has seen of a service's backend servers.
 func (r *Router) forgetFailures(service string) {
 	for _, b := range r.backendsOf(service) {
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -281,11 +282,23 @@
 	require.False(t, h.r.cutOff("other"))
 }
 
+// A host that is cut off from one service must not wait for requests to fail to learn that it has lost another one too.
+func TestCutOfOneServiceProbesTheOther(t *testing.T) {
+	h := newTwoServices(t)
+	h.r.Reduce(h.now, ProbeResult{ID: "x", Reached: true})
+	h.engines = []string{"a", "b", "c"}
+	h.run(time.Second, nil)
+	require.True(t, h.r.cutOff("m"))
+	require.ElementsMatch(t, []string{"x", "y", "z"}, h.probed)
+}
+
 // twoServices is a host with a peer that reaches both services, "m" with engines a to c and "other" with x to z.
 type twoServices struct {
 	r    *Router
 	now  time.Duration
 	beat *gossippb.Beat
+	// engines are those whose probes are answered, probed the others that were probed.
+	engines, probed []string
 }
 
 func newTwoServices(t *testing.T) *twoServices {
@@ -297,18 +310,24 @@
 		n.Backends = append(n.Backends, ch)
 	}
 	r.Reduce(time.Second, n)
-	return &twoServices{r, 2 * time.Second, &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Reaches: []uint32{hashOfService("m"), hashOfService("other")}}}
+	beat := &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Reaches: []uint32{hashOfService("m"), hashOfService("other")}}
+	return &twoServices{r: r, now: 2 * time.Second, beat: beat, engines: []string{"a", "b", "c", "x", "y", "z"}}
 }
 
 // run probes all engines again and again, of which some are reached and the others refuse.
 func (h *twoServices) run(d time.Duration, reached map[string]bool) {
 	for end := h.now + d; h.now < end; h.now += 50 * time.Millisecond {
 		h.beat.Seq++
-		h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: proto.Clone(h.beat).(*gossippb.Beat)})
-		for _, id := range []string{"a", "b", "c", "x", "y", "z"} {
-			h.r.Reduce(h.now, ProbeResult{ID: id, Reached: reached[id], Refused: !reached[id]})
+		out := h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: proto.Clone(h.beat).(*gossippb.Beat)})
+		for _, id := range h.engines {
+			out = append(out, h.r.Reduce(h.now, ProbeResult{ID: id, Reached: reached[id], Refused: !reached[id]})...)
+		}
+		out = append(out, h.r.Reduce(h.now, Tick{})...)
+		for _, e := range effectsOf[Probe](out) {
+			if !slices.Contains(h.engines, e.Backend.ID) {
+				h.probed = append(h.probed, e.Backend.ID)
+			}
 		}
-		h.r.Reduce(h.now, Tick{})
 	}
 }
 
