--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -288,8 +288,10 @@
 	callerTimeoutGaps    = 8
 	stallFirstFraction   = 0.45
 	stallNextFraction    = 0.3
-	// stallPlainTargets is how many times its objective a plain answer may take.
-	stallPlainTargets = 2.5
+	// stallPlainTargets is how many times its objective a plain answer may take; without an objective,
+	// stallPlainFraction is the part of the allowed time.
+	stallPlainTargets  = 2.5
+	stallPlainFraction = 1.0 / 3
 )
 
 // stallTimeouts returns how long a backend server may send nothing before the first byte and after it; zero if the
@@ -300,12 +302,29 @@
 	}
 	if a.route.Kind != routing.Streaming {
 		d := time.Duration(stallPlainTargets * float64(a.route.Target))
+		if d == 0 {
+			d = time.Duration(stallPlainFraction * float64(a.allowed))
+		}
 		return d, d
 	}
-	callerTimeout := float64(max(minCallerTimeout, callerTimeoutTargets*a.route.Target, callerTimeoutGaps*a.route.MaxGap))
+	callerTimeout := float64(a.callerTimeout())
 	return time.Duration(stallFirstFraction * callerTimeout), time.Duration(stallNextFraction * callerTimeout)
 }
 
+// callerTimeout returns how long a stream may send nothing until its caller abandons it.
+func (a *activeRequest) callerTimeout() time.Duration {
+	return max(minCallerTimeout, callerTimeoutTargets*a.route.Target, callerTimeoutGaps*a.route.MaxGap)
+}
+
+// maxSilence returns for how long a backend server's host may acknowledge nothing; zero stands for the time left. After a
+// silence, the next retransmission may take as long again as the silence lasted.
+func (a *activeRequest) maxSilence() time.Duration {
+	if a.route.Kind != routing.Streaming {
+		return 0
+	}
+	return 2 * a.callerTimeout()
+}
+
 // shouldMove asks the reducer whether to abandon a backend server that sends nothing.
 func (a *activeRequest) shouldMove() bool {
 	a.g.control.Post(router.Stalled{ID: a.id})
@@ -338,7 +357,7 @@
 	if a.bodyRest != nil {
 		req.Rest, req.Length = a.bodyRest, a.r.ContentLength
 	}
-	req.Via, req.MaxIdle = d.Via, d.MaxIdleConns
+	req.Via, req.MaxIdle, req.Server, req.MaxSilence = d.Via, d.MaxIdleConns, d.Backend.ID, a.maxSilence()
 	req.Permitted = func() bool { return a.permitted(d) }
 	req.StallTimeout, _ = a.stallTimeouts()
 	req.OnStall = a.shouldMove
@@ -359,13 +378,13 @@
 		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not relayed to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, RelayFault: errors.Is(err, upstream.ErrRelay)}
 	case !sent:
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not sent to the backend server.")
+		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(upstream.CauseOf(err))).
+			Msg("Request not sent to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, Fault: true}
 	case !time.Now().Before(a.deadline):
 		return router.DispatchEnded{Outcome: router.TimedOut}
 	default:
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Stringer("digest", a.digest()).
-			Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
+		a.logBroken(err)
 		return router.DispatchEnded{Outcome: a.withoutRetry(router.Broken), Fault: true, Delivered: a.headWritten}
 	}
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -230,6 +230,8 @@
 		r.activateConfig()
 	}
 	r.tickReach()
+	r.pullMissing()
+	r.pushDepartures()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -20,13 +20,6 @@
 	// storeTimeout is how long a host that has obtained a configuration from a peer waits for the store before it becomes
 	// ready.
 	storeTimeout = 1200 * time.Millisecond
-	// pullDelay is how long a peer may hold newer data before this host pulls it: updates from the store mostly arrive within
-	// milliseconds, which makes an earlier pull superfluous.
-	pullDelay = 250 * time.Millisecond
-	// pullInterval is the minimum interval between pulls.
-	pullInterval = 300 * time.Millisecond
-	// fullPullInterval is the same for pulls of everything, from hosts whose digest differs though they have nothing newer.
-	fullPullInterval = 3 * time.Second
 	// tombstoneTTL is how long removed backend servers are remembered: longer than any network partition after which a peer may
 	// report an outdated registration.
 	tombstoneTTL = 2 * time.Minute
@@ -55,9 +48,11 @@
 	storeFailed     bool
 	listedAt        time.Duration
 	storeBackAt     time.Duration
-	pulledAt        time.Duration
+	pulledAt        time.Duration // time of the latest pull from any peer
 	storeAnsweredAt time.Duration // time of the latest answer
 	configWithheld  bool          // the configuration has not been activated yet; see activateConfig
+	// source is where the changes that are being merged come from, for logs.
+	source string
 }
 
 func newUpdateState() updateState {
@@ -95,6 +90,7 @@
 // applyUpdate merges an update from the store or a peer. The version of the configuration and the revision of each
 // registration decide, so updates may arrive in any order, and an outdated peer or a stale read cannot undo anything.
 func (r *Router) applyUpdate(n Update) {
+	r.updates.source = r.sourceOf(n)
 	if n.FromStore {
 		r.handleStoreStatus(true)
 		r.updates.synced = true
@@ -123,6 +119,18 @@
 	}
 }
 
+// sourceOf describes for logs where an update comes from. silent_ms is how long the store had not answered this host before.
+func (r *Router) sourceOf(n Update) string {
+	if !n.FromStore {
+		return "pull peer=" + n.From
+	}
+	how := "watch"
+	if n.Full {
+		how = "listing"
+	}
+	return fmt.Sprintf("%s silent_ms=%d", how, (r.now - r.updates.storeAnsweredAt).Milliseconds())
+}
+
 // lostBackendTTL is how long a backend server is kept that a later era of the store does not list: one that is alive
 // registers again within two seconds of the store's return.
 const lostBackendTTL = 2500 * time.Millisecond
@@ -157,6 +165,7 @@
 	}
 	for _, b := range r.allBackends() {
 		if !b.removed && b.revision.Era < era {
+			r.updates.source = "absent from the restored store"
 			r.removeBackend(b, routing.BackendChange{Revision: routing.Revision{Era: era}, Removed: true})
 		}
 	}
@@ -179,17 +188,21 @@
 		if pushes++; pushes > maxPushDatagrams {
 			return
 		}
-		data, err := json.Marshal(part)
-		if err != nil {
-			r.emit(Note{What: "changes not pushed", Detail: err.Error()})
-			return
-		}
-		r.emitHeartbeat(r.zonePeers(), func(b *gossippb.Beat) { b.Changes = data })
+		r.emitChanges(r.zonePeers(), part)
+	}
+}
+
+func (r *Router) emitChanges(to []string, list []routing.BackendChange) {
+	data, err := json.Marshal(list)
+	if err != nil {
+		r.emit(Note{What: "changes not pushed", Detail: err.Error()})
+		return
 	}
+	r.emitHeartbeat(to, func(b *gossippb.Beat) { b.Changes = data })
 }
 
 // applyPushedChanges merges changes pushed by a peer.
-func (r *Router) applyPushedChanges(data []byte) {
+func (r *Router) applyPushedChanges(from string, data []byte) {
 	if len(data) == 0 {
 		return
 	}
@@ -198,6 +211,7 @@
 		r.emit(Note{What: "pushed changes malformed", Detail: err.Error()})
 		return
 	}
+	r.updates.source = "push peer=" + from
 	for _, ch := range list {
 		r.applyBackendChange(ch)
 	}
@@ -267,6 +281,10 @@
 	r.removeLostBackends()
 	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
 		b := r.tombstones[id]
+		if b.graceUntil > 0 && r.now >= b.graceUntil {
+			b.graceUntil = 0
+			r.emit(BackendGone{Backend: b.Backend})
+		}
 		if r.now-b.removedAt > tombstoneTTL && b.ownLoad.total() == 0 {
 			delete(r.tombstones, id)
 			delete(r.warming, id)
@@ -342,34 +360,6 @@
 // digest is equal on hosts with the same configuration, registrations and evacuations.
 func (r *Router) digest() uint64 { return r.version()*versionFactor + r.updates.fingerprints }
 
-// compareDigests pulls an update from a peer whose digest has differed for a while: the store may be unreachable for
-// this host, or may refuse it alone.
-func (r *Router) compareDigests(m *member, b *gossippb.Beat) {
-	if b.Digest == r.digest() {
-		m.differsSince = 0
-		return
-	}
-	if m.differsSince == 0 {
-		m.differsSince = max(1, r.now)
-	}
-	// There may be gaps between completeTo and the highest revision, if a push was lost and a later one arrived.
-	newer := b.ConfigVersion > r.version() || routing.Revision{Era: b.Era, Number: b.Revision}.After(r.updates.completeTo)
-	wait, interval := pullDelay, pullInterval
-	since := Since{Revision: r.updates.completeTo, Version: r.version()}
-	if !newer {
-		// Some change was missed before completeTo: pull everything.
-		wait, interval, since = fullPullInterval, fullPullInterval, Since{}
-	}
-	if r.table == nil {
-		wait = 0
-	}
-	if b.Digest == 0 || r.now-m.differsSince < wait || (r.updates.pulledAt > 0 && r.now-r.updates.pulledAt < interval) {
-		return
-	}
-	r.updates.pulledAt = r.now
-	r.emit(Pull{m.host, since})
-}
-
 // Snapshot returns what this host knows beyond what the pulling host has already. At 3,000 backend servers the whole is
 // most of a megabyte, which cannot be sent in time to a hundred hosts that pull at once.
 func (r *Router) Snapshot(since Since) Update {
@@ -384,9 +374,14 @@
 		if !b.revision.After(since.Revision) {
 			continue
 		}
-		registration := b.Backend
-		registration.Cold = max(0, b.warming.until-r.now)
-		n.Backends = append(n.Backends, routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed})
+		n.Backends = append(n.Backends, r.latestChange(b))
 	}
 	return n
 }
+
+// latestChange returns the latest change of a backend server, for other hosts.
+func (r *Router) latestChange(b *backend) routing.BackendChange {
+	registration := b.Backend
+	registration.Cold = max(0, b.warming.until-r.now)
+	return routing.BackendChange{Backend: registration, Revision: b.revision, Removed: b.removed, Age: r.now - b.changedAt}
+}
