--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 // Hosts that are cut off from all backend servers kept on trying each of them. They must find out soon, name only hosts that
 // reach the servers, and return soon after the end; the other hosts must not take themselves for cut off.
 func TestCutHostsFindOut(t *testing.T) {
-	for _, to := range []path{refuses, hangs, refusesNew} {
+	for _, to := range []path{refuses, hangs, silent, refusesNew} {
 		t.Run(pathNames[to], func(t *testing.T) {
 			z := newCutWorld(t)
 			cut, others := z.hosts[:6], z.hosts[6:]
@@ -261,6 +262,7 @@
 	require.True(t, h.r.cutOff("m"))
 	require.False(t, h.r.cutOff("other"))
 	require.Equal(t, []string{"10.0.0.8"}, h.r.relayCandidates("m"))
+	require.Equal(t, []string{"cut off", "ready"}, []string{h.r.View().Backends[0].State, h.r.View().Backends[3].State})
 	h.beat.Seq, h.beat.CutOff = h.beat.Seq+1, []uint32{hashOfService("m")}
 	h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: h.beat})
 	require.Empty(t, h.r.relayCandidates("m"), "a host that is cut off itself is none")
@@ -280,11 +282,23 @@
 	require.False(t, h.r.cutOff("other"))
 }
 
+// A host that is cut off from one service must not wait for requests to fail to learn that it has lost another one too.
+func TestCutOfOneServiceProbesTheOther(t *testing.T) {
+	h := newTwoServices(t)
+	h.r.Reduce(h.now, ProbeResult{ID: "x", Reached: true})
+	h.engines = []string{"a", "b", "c"}
+	h.run(time.Second, nil)
+	require.True(t, h.r.cutOff("m"))
+	require.ElementsMatch(t, []string{"x", "y", "z"}, h.probed)
+}
+
 // twoServices is a host with a peer that reaches both services, "m" with engines a to c and "other" with x to z.
 type twoServices struct {
 	r    *Router
 	now  time.Duration
 	beat *gossippb.Beat
+	// engines are those whose probes are answered, probed the others that were probed.
+	engines, probed []string
 }
 
 func newTwoServices(t *testing.T) *twoServices {
@@ -296,18 +310,24 @@
 		n.Backends = append(n.Backends, ch)
 	}
 	r.Reduce(time.Second, n)
-	return &twoServices{r, 2 * time.Second, &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Reaches: []uint32{hashOfService("m"), hashOfService("other")}}}
+	beat := &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Reaches: []uint32{hashOfService("m"), hashOfService("other")}}
+	return &twoServices{r: r, now: 2 * time.Second, beat: beat, engines: []string{"a", "b", "c", "x", "y", "z"}}
 }
 
 // run probes all engines again and again, of which some are reached and the others refuse.
 func (h *twoServices) run(d time.Duration, reached map[string]bool) {
 	for end := h.now + d; h.now < end; h.now += 50 * time.Millisecond {
 		h.beat.Seq++
-		h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: proto.Clone(h.beat).(*gossippb.Beat)})
-		for _, id := range []string{"a", "b", "c", "x", "y", "z"} {
-			h.r.Reduce(h.now, ProbeResult{ID: id, Reached: reached[id], Refused: !reached[id]})
+		out := h.r.Reduce(h.now, HeartbeatReceived{Heartbeat: proto.Clone(h.beat).(*gossippb.Beat)})
+		for _, id := range h.engines {
+			out = append(out, h.r.Reduce(h.now, ProbeResult{ID: id, Reached: reached[id], Refused: !reached[id]})...)
+		}
+		out = append(out, h.r.Reduce(h.now, Tick{})...)
+		for _, e := range effectsOf[Probe](out) {
+			if !slices.Contains(h.engines, e.Backend.ID) {
+				h.probed = append(h.probed, e.Backend.ID)
+			}
 		}
-		h.r.Reduce(h.now, Tick{})
 	}
 }
 
@@ -324,3 +344,20 @@
 		require.Zero(t, r.backends["a"].speed(), route.Name)
 	}
 }
+
+// Open exchanges with a backend server that can no longer be reached break one by one. That is no fault in answers to tell others.
+func TestUnreachableServerIsNotReportedAsFailing(t *testing.T) {
+	r := newStandalone(t, "a")
+	r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Seq: 1}})
+	for id := range uint64(3) {
+		r.Reduce(2*time.Second, Submit{ID: id, Route: fragile, Deadline: time.Minute})
+	}
+	r.Reduce(3*time.Second, ProbeResult{ID: "a", Refused: true})
+	for id := range uint64(3) {
+		r.Reduce(3*time.Second, DispatchEnded{ID: id, Outcome: Broken, Fault: true})
+	}
+	beat, ok := findEffect[SendHeartbeat](r.Reduce(4*time.Second, Tick{}))
+	require.True(t, ok)
+	require.Empty(t, beat.Heartbeat.Failing)
+	require.Equal(t, []uint32{r.backends["a"].hash}, beat.Heartbeat.Dead)
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -229,9 +229,9 @@
 	if r.updates.configWithheld {
 		r.activateConfig()
 	}
+	r.tickReach()
 	r.pullMissing()
 	r.pushDepartures()
-	r.tickReach()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -29,13 +29,13 @@
 	IsOwn func(h http.Header) bool
 	// Deadline ends the call.
 	Deadline time.Time
+	// Via is the host through which the server is called; empty for a direct call.
+	Via string
 	// Server names the server for Pool.ServerGone.
 	Server string
 	// MaxSilence, if not zero, is how long the server's host may acknowledge nothing until the call ends; otherwise that
 	// is the time left until Deadline.
 	MaxSilence time.Duration
-	// Via is the host through which the server is called; empty for a direct call.
-	Via string
 	// MaxIdle is how many idle connections to the server may be kept after the call.
 	MaxIdle int
 	// StallTimeout, if not zero, is how long the server may send nothing until OnStall is asked whether to abandon the
