Read and share the limits on rejected requests that backend servers state

A backend server that fails when it has to reject many requests states in its answers how many a second it tolerates. Hosts passed the header on and did not read it.

The codec decodes it like the stated rate limit; hosts share it in heartbeats and zone summaries (Beat.brittle_limits 29, ZoneSum.brittle_limits 16), with the two times between which it was stated. The code for a statement and its order moves from ratelimits.go to statements.go, where both limits use it. Nothing acts on the new limit yet.

go test ./platform -run HeaderValues; go test -race ./internal/router -run "RateLimit|StatedRate|RateTrial|RateShare|Promises": pass.

--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -47,6 +47,10 @@
 	// answer states no limit, NaN if its limit cannot be parsed. InvalidRateLimit is the text that cannot be parsed.
 	RateLimit        float64
 	InvalidRateLimit string
+	// BrittleLimit is the number of requests per second above which the backend server fails if it has to reject them because
+	// it is full; +Inf and NaN as for RateLimit. InvalidBrittleLimit is the text that cannot be parsed.
+	BrittleLimit        float64
+	InvalidBrittleLimit string
 }
 
 // HeaderCodec translates between the platform's headers and this package's types.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -39,23 +39,35 @@
 	}
 }
 
-// postAnnouncement reports what a backend server announces about itself in the head of an answer. That it states no rate
+// postAnnouncement reports what a backend server announces about itself in the head of an answer. That it states no
 // limit is reported only by a signed answer and if a limit was known.
 func (a *activeRequest) postAnnouncement(d router.Dispatch, info AnswerInfo) {
 	announcement := router.BackendAnnouncement{ID: d.Backend.ID, Start: d.Backend.Start, Leaving: info.Leaving, HoldOff: info.HoldOff}
-	switch {
-	case math.IsNaN(info.RateLimit):
+	if math.IsNaN(info.RateLimit) {
 		a.g.metrics.Count("backend.rate_limit.invalid", 1)
 		a.g.log.Warn().Str("id", a.call.AttemptID).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidRateLimit)).
 			Msg("Rate limit of a backend server ignored: it is not a decimal number of zero or more.")
-	case !math.IsInf(info.RateLimit, 1), d.ReportRate && info.Signed:
-		announcement.RateLimit = &router.RateObservation{PerSecond: info.RateLimit, SentAt: d.At}
 	}
-	if info.Leaving || info.HoldOff > 0 || announcement.RateLimit != nil {
+	if math.IsNaN(info.BrittleLimit) {
+		a.g.metrics.Count("backend.brittle_limit.invalid", 1)
+		a.g.log.Warn().Str("id", a.call.AttemptID).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidBrittleLimit)).
+			Msg("Limit on rejected requests of a backend server ignored: it is not a decimal number of zero or more.")
+	}
+	announcement.RateLimit = observation(d, info.RateLimit, d.ReportRate && info.Signed)
+	announcement.BrittleLimit = observation(d, info.BrittleLimit, d.ReportBrittle && info.Signed)
+	if info.Leaving || info.HoldOff > 0 || announcement.RateLimit != nil || announcement.BrittleLimit != nil {
 		a.g.control.Post(announcement)
 	}
 }
 
+// observation returns what an answer states about a limit, or nil if that is unknown or not to be reported.
+func observation(d router.Dispatch, perSecond float64, reportNone bool) *router.RateObservation {
+	if math.IsNaN(perSecond) || (math.IsInf(perSecond, 1) && !reportNone) {
+		return nil
+	}
+	return &router.RateObservation{PerSecond: perSecond, SentAt: d.At}
+}
+
 // maxLoggedValue limits the length of a header's value in a log line, in bytes.
 const maxLoggedValue = 64
 
--- a/internal/router/announcements.go
+++ b/internal/router/announcements.go
@@ -29,7 +29,10 @@
 		r.holdOff(b, min(e.HoldOff, maxHoldOff))
 	}
 	if e.RateLimit != nil {
-		r.observeRateLimit(b, statement{perSecond: e.RateLimit.PerSecond, sentAt: e.RateLimit.SentAt, heardAt: r.now}, r.opt.Host)
+		r.observeRateLimit(b, r.ownStatement(e.RateLimit), r.opt.Host)
+	}
+	if e.BrittleLimit != nil {
+		r.observeBrittleLimit(b, r.ownStatement(e.BrittleLimit), r.opt.Host)
 	}
 }
 
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -59,6 +59,8 @@
 	warming   coldState
 	// rateLimit is set while it states a rate limit in its answers, and for a time afterwards.
 	rateLimit *rateLimit
+	// brittle is the same for a limit on rejected requests.
+	brittle *brittleLimit
 	// exited is set if its process has ended without announcing it. brokenRuns are requests that broke there before that was known.
 	exited     bool
 	brokenRuns []brokenRequest
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -100,11 +100,14 @@
 	HoldOff time.Duration
 	// RateLimit is what the answer states about a rate limit; nil if that is unknown.
 	RateLimit *RateObservation
+	// BrittleLimit is what the answer states about a limit on rejected requests; nil if that is unknown.
+	BrittleLimit *RateObservation
 }
 
-// RateObservation is the rate limit of a backend server according to one answer.
+// RateObservation is a limit of a backend server according to one answer.
 type RateObservation struct {
-	// PerSecond is the number of requests per second that it accepts from all hosts together; +Inf if there is no limit.
+	// PerSecond is the number of requests per second, from all hosts together, that it accepts or that it may have to reject;
+	// +Inf if there is no limit.
 	PerSecond float64
 	// SentAt is when the answered request was sent, on the reducer's clock. The answer is from a later moment.
 	SentAt time.Duration
@@ -264,7 +267,9 @@
 	// ReportRate is set if the backend server has stated a rate limit. What the answer states about it is then reported even if
 	// it states none.
 	ReportRate bool
-	Basis      DecisionBasis
+	// ReportBrittle is the same for a limit on rejected requests.
+	ReportBrittle bool
+	Basis         DecisionBasis
 }
 
 // Cause is the reason why a request ends without a backend server's answer.
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -110,7 +110,7 @@
 		ConfigVersion: r.version(), Revision: r.updates.revision.Number, Era: r.updates.revision.Era, Digest: r.digest(),
 		ReadsStore: r.storeAnswers(), ListsStore: r.listingStore(), Loads: r.ownLoads(),
 		Dead: r.ownUnreachable(), AgeMs: r.uptimeMs(), Suspects: r.newSuspects(),
-		Leaves: r.ownLeaving(), Evacuations: r.evacuationsToSend(), RateLimits: r.ownRateLimits(),
+		Leaves: r.ownLeaving(), Evacuations: r.evacuationsToSend(), RateLimits: r.ownRateLimits(), BrittleLimits: r.ownBrittleLimits(),
 	}
 	if !r.usesOwners() {
 		b.Failing = r.hashesOf(func(b *backend) bool { return b.isFailing() })
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -200,6 +200,7 @@
 	r.applySuspects(b.Suspects)
 	r.applyLeaving(m.host, b.Leaves)
 	r.applyRateLimits(m.host, b.RateLimits)
+	r.applyBrittleLimits(m.host, b.BrittleLimits)
 	r.applyEvacuations(m.host, b.Evacuations)
 	r.compareDigests(m, b)
 	for _, p := range b.Peers {
--- a/internal/router/ratelimits.go
+++ b/internal/router/ratelimits.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -24,44 +23,13 @@
 	// to end.
 	rateTrialDelay   = 30 * time.Second
 	rateTrialStagger = 5 * time.Second
-	// maxStatementDelay is the longest time that a statement is assumed to spend on its way from one host to the next.
-	maxStatementDelay = 500 * time.Millisecond
-	// endedRateTTL is how long hosts remember and report that a limit has ended, so that one that missed it gets to know.
-	endedRateTTL = 15 * time.Second
 	// maxReturnDelay limits how far ahead refused callers are told to return. By then the limit has often ended.
 	maxReturnDelay = 10 * time.Second
 )
 
-// statement is what a backend server stated about its rate limit in one answer.
-type statement struct {
-	// perSecond is in requests per second; +Inf if it stated no limit.
-	perSecond float64
-	// The server made the statement between sentAt, when the answered request was sent, and heardAt, when its answer came.
-	sentAt, heardAt time.Duration
-}
-
-func (s statement) limited() bool { return !math.IsInf(s.perSecond, 1) }
-
-// supersedes reports whether the statement replaces a known one. Answers overtake each other, so a higher rate replaces a
-// lower one only if it was certainly stated later.
-func (s statement) supersedes(known statement) bool {
-	switch {
-	case s.heardAt < known.sentAt:
-		return false
-	case s.sentAt > known.heardAt, s.perSecond < known.perSecond:
-		return true
-	default:
-		return s.perSecond == known.perSecond && s.heardAt > known.heardAt
-	}
-}
-
 // rateLimit is the state of a backend server that has stated a rate limit.
 type rateLimit struct {
-	statement
-	// own is set if the statement was made to this host, inZone if to a host of this zone.
-	own, inZone bool
-	// since is when the limit was first stated, or when it ended.
-	since time.Duration
+	statedLimit
 	// bucket holds this host's share of the rate. sent counts the requests that this host has sent since the limit was first
 	// stated, and lastSentAt is the time of the latest.
 	bucket     limit.Bucket
@@ -79,18 +47,16 @@
 		if !s.limited() {
 			return
 		}
-		l = &rateLimit{statement: statement{perSecond: math.Inf(1)}}
+		l = &rateLimit{statedLimit: newStatedLimit()}
 		b.rateLimit = l
 		r.rateLimits[b.ID] = b
-	} else if !s.supersedes(l.statement) {
+	}
+	was, ok := r.observe(&l.statedLimit, s, source)
+	if !ok {
 		return
 	}
-	was := l.statement
-	l.statement = s
-	l.own = source == r.opt.Host
-	l.inZone = l.own || r.members.zoneOf[source] == r.opt.Zone
 	if was.limited() != s.limited() {
-		l.since, l.lastSentAt, l.sent = r.now, r.now, 0
+		l.lastSentAt, l.sent = r.now, 0
 		l.bucket = limit.NewBucket(r.now, rateBurst, r.firstRateToken(b))
 	}
 	if was.perSecond == s.perSecond {
@@ -112,7 +78,7 @@
 func (r *Router) updateRateLimits() {
 	for _, id := range slices.Sorted(maps.Keys(r.rateLimits)) {
 		b := r.rateLimits[id]
-		if l := b.rateLimit; !l.limited() && r.now-l.since > endedRateTTL {
+		if b.rateLimit.endedLongAgo(r.now) {
 			b.rateLimit = nil
 			delete(r.rateLimits, id)
 			continue
@@ -220,52 +186,21 @@
 	l.lastSentAt = r.now
 }
 
+func (b *backend) rateStatement() *statedLimit { return &b.rateLimit.statedLimit }
+
 // ownRateLimits returns the statements that backend servers have made to this host, for its heartbeats.
 func (r *Router) ownRateLimits() []*gossippb.RateLimit {
-	return r.rateLimitsToSend(func(l *rateLimit) bool { return l.own })
+	return r.statementsToSend(r.rateLimits, (*backend).rateStatement, toThisHost)
 }
 
 // zoneRateLimits returns the statements made to hosts of this zone, for other zones.
 func (r *Router) zoneRateLimits() []*gossippb.RateLimit {
-	return r.rateLimitsToSend(func(l *rateLimit) bool { return l.inZone })
-}
-
-func (r *Router) rateLimitsToSend(match func(*rateLimit) bool) []*gossippb.RateLimit {
-	var out []*gossippb.RateLimit
-	for _, id := range slices.Sorted(maps.Keys(r.rateLimits)) {
-		b := r.rateLimits[id]
-		l := b.rateLimit
-		if b.removed || b.replaced || !match(l) {
-			continue
-		}
-		p := &gossippb.RateLimit{Backend: b.hash, Ended: !l.limited(), SentMsAgo: millisSince(r.now, l.sentAt), HeardMsAgo: millisSince(r.now, l.heardAt)}
-		if l.limited() {
-			p.PerSecond = l.perSecond
-		}
-		out = append(out, p)
-	}
-	return out
-}
-
-// millisSince returns the time from at until now in milliseconds, capped to what a message can carry.
-func millisSince(now, at time.Duration) uint32 {
-	return uint32(min(max(0, (now-at).Milliseconds()), math.MaxUint32))
+	return r.statementsToSend(r.rateLimits, (*backend).rateStatement, toThisZone)
 }
 
 // applyRateLimits merges the statements that another host reports.
 func (r *Router) applyRateLimits(from string, list []*gossippb.RateLimit) {
-	for _, p := range list {
-		b, ok := r.byHash[p.Backend]
-		if !ok || !(p.PerSecond >= 0) || math.IsInf(p.PerSecond, 1) {
-			continue
-		}
-		s := statement{perSecond: p.PerSecond, heardAt: r.now - time.Duration(p.HeardMsAgo)*time.Millisecond}
-		if p.Ended {
-			s.perSecond = math.Inf(1)
-		}
-		s.sentAt = min(s.heardAt, r.now-time.Duration(p.SentMsAgo)*time.Millisecond-maxStatementDelay)
-		r.observeRateLimit(b, s, from)
-	}
+	r.applyStatements(list, func(b *backend, s statement) { r.observeRateLimit(b, s, from) })
 }
 
 // rateBasis describes the rate limits of a service's usable backend servers for logs.
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -107,6 +107,7 @@
 	delete(r.tombstones, b.ID)
 	delete(r.warming, b.ID)
 	delete(r.rateLimits, b.ID)
+	delete(r.brittle, b.ID)
 	r.addBackend(ch)
 	r.emit(BackendGone{b.Backend})
 	r.abortRequests(b)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -147,7 +147,7 @@
 	b.ownLoad.prefillBacklog += q.prefillTokens
 	r.markLoadChanged()
 	r.reportAssigned(q)
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, ReportBrittle: b.brittle != nil, Basis: g})
 }
 
 const (
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,8 +8,9 @@
 // peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
-// quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
-// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none).
+// quotas (quota owners), statements (limits that backend servers state), senders (which hosts share the rate of a backend
+// server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle, failing,
+// evacuations, regions and announcements (reasons to send a backend server few requests or none).
 package router
 
 import (
@@ -62,6 +63,8 @@
 	warming    map[string]*backend
 	// rateLimits are the backend servers that state rate limits, or did until recently, by ID.
 	rateLimits map[string]*backend
+	// brittle are the backend servers that state a limit on rejected requests, or did until recently, by ID.
+	brittle map[string]*backend
 	// sortedBackends are the backend servers in order of ID; nil if the list must be rebuilt.
 	sortedBackends []*backend
 	// byService groups sortedBackends by service, byZone by zone, and zoneByService those of this host's zone by service;
@@ -113,6 +116,7 @@
 		tombstones:    map[string]*backend{},
 		warming:       map[string]*backend{},
 		rateLimits:    map[string]*backend{},
+		brittle:       map[string]*backend{},
 		zones:         newZoneState(),
 		services:      map[string]*service{},
 		requests:      map[uint64]*request{},
@@ -238,6 +242,7 @@
 	r.expireEvacuations()
 	r.updateCold()
 	r.updateRateLimits()
+	r.updateBrittleLimits()
 	r.expireOwnerLoads()
 	r.expireSuspects()
 	r.updateReading()
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -271,6 +271,7 @@
 			delete(r.tombstones, id)
 			delete(r.warming, id)
 			delete(r.rateLimits, id)
+			delete(r.brittle, id)
 			delete(r.backends, id)
 			delete(r.byHash, b.hash)
 			r.invalidateBackendLists()
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -202,7 +202,7 @@
 func (r *Router) ownZoneSummary() *gossippb.ZoneSum {
 	known, reachable := r.countDirectHosts()
 	s := &gossippb.ZoneSum{Zone: r.opt.Zone, Speaker: r.opt.Host, Incarnation: r.opt.Incarnation, Seq: r.seq + 1,
-		Hosts: uint32(reachable), Known: uint32(known), AgeMs: r.uptimeMs(), Owners: r.ownersToSend(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailingBackends(), RateLimits: r.zoneRateLimits()}
+		Hosts: uint32(reachable), Known: uint32(known), AgeMs: r.uptimeMs(), Owners: r.ownersToSend(), Suspects: r.suspects.ledger.ForZones(r.now), Leaves: r.zoneLeaving(), Failing: r.zoneFailingBackends(), RateLimits: r.zoneRateLimits(), BrittleLimits: r.zoneBrittleLimits()}
 	s.WithoutLoads = r.now < r.zones.loadsAt
 	if !s.WithoutLoads {
 		r.zones.loadsAt = r.now + r.loadsInterval()
@@ -298,6 +298,7 @@
 		r.applySuspects(s.Suspects)
 		r.applyLeaving(s.Speaker, s.Leaves)
 		r.applyRateLimits(s.Speaker, s.RateLimits)
+		r.applyBrittleLimits(s.Speaker, s.BrittleLimits)
 		r.applyZoneSummary(s, from == s.Zone)
 	}
 }
