Divide the rejections that a brittle backend server survives over the hosts

Backend servers that fail when they have to reject more than N requests a second were sent to as any other: each host sent to the free slot that all saw by counts some 20 to 300 ms old, and to queue places that were gone. Callers saw broken answers, and servers that failed again as soon as they were back.

What is divided is the rejections, as the room is known late: a request counts against its host's share from its dispatch until its answer begins (200 ms at most), and for a second after a rejection. In a small fleet the first floor(N) hosts of a server send, floor(N / senders) each; in a large one its owner alone grants slots, by exact counts and within N / 2. Servers that have stated nothing yet are taken for as brittle as the others of their service.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -209,6 +209,9 @@
 	if a.attempts == 0 && a.basis.RateLimited > 0 {
 		e = e.Int("rate_limited", a.basis.RateLimited).Float64("rate_limit", a.basis.Rate.PerSecond).Float64("rate_share", a.basis.Rate.Share)
 	}
+	if a.attempts == 0 && a.basis.Brittle > 0 {
+		e = e.Int("brittle", a.basis.Brittle)
+	}
 	if outcome == string(router.OverQuota) {
 		g := a.basis.Quota
 		e = e.Str("owner", a.basis.Owner).Float64("cost", g.Cost).Float64("quota_left", math.Round(g.Remaining)).Float64("own_part_left", math.Round(g.OwnShare))
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -234,9 +234,9 @@
 	// Known, Full and Unreachable count the service's backend servers: those that may be used, those of them
 	// without a slot for this priority, and those assumed to be unreachable. Cold counts those of the full ones that take no
 	// more from this host because they started recently, RateLimited those that take no more from it by the rate limit that they
-	// state. Excluded ones may not be used at all: they are leaving, their availability zone is evacuated, or their region may
+	// state, Brittle those that take no more from it because they fail when they have to reject requests. Excluded ones may not be used at all: they are leaving, their availability zone is evacuated, or their region may
 	// not serve the request.
-	Known, Full, Unreachable, Cold, RateLimited, Excluded int
+	Known, Full, Unreachable, Cold, RateLimited, Brittle, Excluded int
 	// suspects counts those of the full ones that are avoided because they fail requests or cannot be reached.
 	suspects int
 }
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -48,6 +48,8 @@
 	charged   bool
 	chargedBy string
 	quotaCall *quotaRequest
+	// admitted is set once the backend server has begun to answer.
+	admitted bool
 	// queued is set if the backend server seemed busy with other requests when this one was sent.
 	queued bool
 	// prefillTokens is the request's part of its backend server's prefill backlog. It is zero once the stream
@@ -141,6 +143,8 @@
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
 		r.takeRateToken(b)
 	}
+	q.admitted = false
+	r.countRisk(b)
 	b.ownLoad.counts[q.priority()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
 	q.prefillTokens = q.PromptTok
@@ -343,6 +347,7 @@
 		return
 	}
 	r.reportEnded(q, e)
+	r.requestEnded(q, reportOutcome(e))
 	p := q.priority()
 	own := &q.backend.ownLoad
 	own.counts[p]--
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -80,6 +80,9 @@
 // requestLimit returns the number of requests in flight at which a backend server accepts no further
 // request of this priority.
 func (s *selector) requestLimit(b *backend) int {
+	if s.r.isBrittle(b) {
+		return s.brittleRequestLimit(b)
+	}
 	slots := max(1, b.Slots)
 	if s.q.Route.Kind != routing.Streaming {
 		return slots * plainRequestsPerSlot
@@ -252,7 +255,11 @@
 	if rateLimited {
 		g.RateLimited++
 	}
-	if cold || rateLimited || held >= limit-s.r.crossZoneMargin(b) {
+	brittle := !s.mayUseBrittle(b)
+	if brittle {
+		g.Brittle++
+	}
+	if cold || rateLimited || brittle || held >= limit-s.r.crossZoneMargin(b) {
 		if c != classUnreachable {
 			g.Full++
 		}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -26,6 +26,8 @@
 	budget          *limit.Budget
 	// returnAt is when the next caller that is refused because of rate limits may return, by priority.
 	returnAt [priorities]time.Duration
+	// brittleLimit is the lowest limit on rejected requests that its backend servers state; nil if none does.
+	brittleLimit *float64
 }
 
 // serviceState returns the state of a service and creates it if necessary.
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -26,6 +26,7 @@
 	o := &gossippb.Offer{Number: a.Number, Place: c.backend.totalLoad().toProto(c.backend.hash), Limit: uint32(max(0, c.basis.Limit)),
 		WaitUs: uint32(max(0, c.basis.Wait).Microseconds())}
 	r.adjustLoad(m, c.backend.hash, q.priority(), 1, q.PromptTok)
+	r.countRisk(c.backend)
 	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: o}})
 }
 
@@ -103,6 +104,7 @@
 		return
 	}
 	r.learnFromReport(b, rep)
+	r.applyReportedRisk(b, rep)
 	switch rep.Outcome {
 	case gossippb.Outcome_OUTCOME_SOUND:
 		b.succeeded(r.now - time.Duration(rep.AgeMs)*time.Millisecond)
@@ -182,6 +184,8 @@
 	switch {
 	case e.Outcome == Answered:
 		return gossippb.Outcome_OUTCOME_SOUND
+	case e.Outcome == Rejected:
+		return gossippb.Outcome_OUTCOME_REJECTED
 	case e.Outcome == WrongInstance:
 		return gossippb.Outcome_OUTCOME_REPLACED
 	case e.Outcome == NotSent && e.Fault:
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -63,7 +63,7 @@
 func (r *Router) requestSlotOrSend(q *request, c selection) {
 	owner := r.ownerOf(c.backend)
 	// Owners grant no slots at cold or rate-limited backend servers. Few hosts send to those, without asking.
-	if c.backend.cold(r.now) || c.backend.rateLimited() || q.decideLocally || len(q.fullOwners) >= maxSlotRequests || !r.canAsk(owner) {
+	if c.backend.cold(r.now) || c.backend.rateLimited() || !r.mayAsk(q, owner) {
 		c.basis.ViewAge = r.oldestHeartbeatAge()
 		r.send(q, c.backend, c.basis)
 		return
@@ -71,6 +71,11 @@
 	r.requestSlot(q, owner, c.class)
 }
 
+// mayAsk reports whether the owner of a backend server is asked for a slot for a request.
+func (r *Router) mayAsk(q *request, owner string) bool {
+	return !q.decideLocally && len(q.fullOwners) < maxSlotRequests && r.canAsk(owner)
+}
+
 // canAsk reports whether an owner is another host that is expected to reply.
 func (r *Router) canAsk(owner string) bool {
 	if owner == "" || owner == r.opt.Host || r.now < r.statusOf(owner).backoffUntil {
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -37,7 +37,11 @@
 // handleStreamStarted processes the first event of a stream: its prompt has been prefilled.
 func (r *Router) handleStreamStarted(e StreamStarted) {
 	q, ok := r.requests[e.ID]
-	if !ok || q.backend == nil || q.prefillTokens == 0 {
+	if !ok || q.backend == nil {
+		return
+	}
+	r.requestAdmitted(q)
+	if q.prefillTokens == 0 {
 		return
 	}
 	prefilled := q.prefillTokens
@@ -51,7 +55,7 @@
 	}
 	if to := r.reportTarget(q); to != "" {
 		rep := q.newReport(0, -prefilled)
-		rep.ReadNs = uint32(perToken.Nanoseconds())
+		rep.ReadNs, rep.AgeMs = uint32(perToken.Nanoseconds()), uint32((r.now - q.sentAt).Milliseconds())
 		r.sendReport(to, rep)
 	}
 }
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -55,6 +55,8 @@
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
+	// onRefuse, if set, is called for each request that is refused.
+	onRefuse func(e Refuse)
 	// rank, if set, returns the rank of the next request.
 	rank func() float64
 
@@ -193,6 +195,9 @@
 		z.longestWait = max(z.longestWait, z.now-z.runs[e.ID].submittedAt)
 		delete(z.runs, e.ID)
 		z.refused++
+		if z.onRefuse != nil {
+			z.onRefuse(e)
+		}
 	}
 }
 
