A caller that leaves while a slot is requested frees no slot twice

In a large fleet a request that a backend server rejected asks an owner for the next slot. If its caller left before the reply, the request was taken off the first server once more: the host counted -1 requests there, reported that to its peers and broke an invariant.

callerGone released the slot of the last dispatch without asking whether it was still held. While a slot request is open, it is not.

TestCallerLeavesWhileTheNextSlotIsRequested: failed before ("backend server e000 has -1 requests in flight"), passes now.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -213,10 +213,14 @@
 
 // callerGone ends a request whose caller disconnected. The gateway stops the call itself.
 func (r *Router) callerGone(id uint64) {
-	if q, ok := r.requests[id]; ok {
+	q, ok := r.requests[id]
+	if !ok {
+		return
+	}
+	if q.slotCall == nil { // otherwise it is at no backend server
 		r.releaseSlot(q, DispatchEnded{Outcome: Canceled})
-		r.finish(q)
 	}
+	r.finish(q)
 }
 
 func (r *Router) handleDispatchEnded(e DispatchEnded) {
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -617,3 +617,21 @@
 	}
 	require.Equal(t, 60, named)
 }
+
+// A backend server rejects a request, and its caller leaves while an owner is asked for the next slot. Guards against a host that
+// takes the request off the first server twice.
+func TestCallerLeavesWhileTheNextSlotIsRequested(t *testing.T) {
+	z := newZones(t, 1, 20, 23)
+	h := z.hosts[0]
+	ask, owner := z.requestSlot(h)
+	offer := offersOf(z.byIP[owner].r.Reduce(z.now, SlotRequestReceived{h.ip, ask}))[0]
+	sent := dispatchOf(t, h.r.Reduce(z.now, SlotOfferReceived{owner, offer}))
+	for _, s := range effectsOf[Send](h.r.Reduce(z.now, DispatchEnded{ID: sent.ID, Outcome: Rejected})) {
+		if s.Packet.Ask != nil {
+			h.r.Reduce(z.now, CallerLeft{ID: sent.ID})
+		}
+	}
+	require.NotContains(t, h.r.requests, sent.ID, "an owner was asked, and the request has ended")
+	require.Empty(t, h.r.Violations())
+	require.Zero(t, h.r.backends[sent.Backend.ID].ownLoad)
+}
