Hosts that may not send to a brittle backend server borrow a slot there

With the rejections divided over few hosts, the others of a small fleet had no backend server to send to.

Such a host asks one of the hosts that may send, by the slot request that large fleets use. The request counts against the share of the host that grants it, so the sum over all hosts stays; rejections are reported back. That also serves callers of hosts that drain or have just started.

--- a/internal/router/brittle.go
+++ b/internal/router/brittle.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -32,6 +33,12 @@
 	risk    riskBudget
 }
 
+// rejects is the number of requests that it may reject within a second.
+func (l *brittleLimit) rejects() int { return int(min(l.perSecond, math.MaxInt32)) }
+
+// senders is the number of hosts that may send to it in a small fleet.
+func (l *brittleLimit) senders(hosts int) int { return max(1, min(hosts, l.rejects())) }
+
 // riskBudget counts the requests to a backend server that it may still reject, and those that it has rejected lately.
 type riskBudget struct {
 	// undecided and rejected hold the times at which the requests no longer count, in order.
@@ -68,7 +75,7 @@
 // isBrittle reports whether the backend server states a limit on rejected requests or is expected to: one that has just
 // started is taken for as brittle as the others of its service until its first answer.
 func (r *Router) isBrittle(b *backend) bool {
-	if b.brittle == nil {
+	if b.brittle == nil && len(r.brittle) > 0 {
 		if limit := r.serviceState(b.Service).brittleLimit; limit != nil {
 			b.brittle = &brittleLimit{statedLimit: newStatedLimit(), assumed: true}
 			b.brittle.perSecond = *limit
@@ -80,7 +87,7 @@
 // rejectionShare returns how many requests of this host a brittle backend server may have to reject within a second. If it is
 // zero and sole is set, this host alone sends there, by exact counts.
 func (r *Router) rejectionShare(b *backend) (share int, sole bool) {
-	limit := int(min(b.brittle.perSecond, math.MaxInt32))
+	limit := b.brittle.rejects()
 	if r.usesOwners() {
 		return int(ownerRejectionShare * float64(limit)), r.owns(b)
 	}
@@ -88,7 +95,7 @@
 		return 0, false
 	}
 	rank, hosts := r.senderRank(b)
-	senders := max(1, min(hosts, limit))
+	senders := b.brittle.senders(hosts)
 	if rank >= senders {
 		return 0, false
 	}
@@ -128,6 +135,52 @@
 	return slots
 }
 
+// maySlotsBeRequested reports whether this host grants slots of a backend server to others: as its owner, or in a small fleet as
+// one of the few hosts that send there.
+func (r *Router) maySlotsBeRequested(b *backend) bool {
+	if r.usesOwners() {
+		return r.owns(b)
+	}
+	return r.isBrittle(b)
+}
+
+// chooseLender returns a host that may send to a brittle backend server at which a request would fit by the known load, or ""
+// if there is none to ask.
+func (r *Router) chooseLender(q *request) string {
+	if q.decideLocally || len(q.fullOwners) >= maxSlotRequests {
+		return ""
+	}
+	s := r.newSelector(q, scopeAll)
+	var lenders []string
+	for _, b := range r.backendsOf(q.service) {
+		if !r.isBrittle(b) || !r.usableFor(q, b) || b.suspect(r.now) || b.inFlight() >= s.requestLimit(b) {
+			continue
+		}
+		for _, h := range r.brittleSenders(b) {
+			if r.canAsk(h) && !slices.Contains(q.fullOwners, h) && !slices.Contains(lenders, h) {
+				lenders = append(lenders, h)
+			}
+		}
+	}
+	if len(lenders) == 0 {
+		return ""
+	}
+	return lenders[r.rng.IntN(len(lenders))]
+}
+
+// brittleSenders returns the other hosts that may send to a brittle backend server in a small fleet.
+func (r *Router) brittleSenders(b *backend) []string {
+	hosts := []string{r.opt.Host}
+	for _, h := range r.members.order {
+		if !r.members.byHost[h].leaving {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, func(a, c string) int { return cmp.Compare(senderHash(b.hash, a), senderHash(b.hash, c)) })
+	hosts = hosts[:b.brittle.senders(len(hosts))]
+	return slices.DeleteFunc(hosts, func(h string) bool { return h == r.opt.Host })
+}
+
 // countRisk counts a request that this host sends to a brittle backend server, or for which it grants a slot there.
 func (r *Router) countRisk(b *backend) {
 	if r.isBrittle(b) {
@@ -137,7 +190,7 @@
 
 // requestAdmitted records that a backend server has begun to answer a request, so that it does not reject it any more.
 func (r *Router) requestAdmitted(q *request) {
-	if !q.admitted {
+	if !q.admitted && q.owner == "" {
 		q.admitted = true
 		r.riskEnded(q.backend, q.sentAt, gossippb.Outcome_OUTCOME_SOUND)
 	}
@@ -145,8 +198,12 @@
 
 // requestEnded records the end of a request at its backend server.
 func (r *Router) requestEnded(q *request, outcome gossippb.Outcome) {
-	if !q.admitted || outcome != gossippb.Outcome_OUTCOME_SOUND {
+	decided := q.admitted && outcome == gossippb.Outcome_OUTCOME_SOUND
+	switch {
+	case q.owner == "" && !decided:
 		r.riskEnded(q.backend, q.sentAt, outcome)
+	case q.owner != "" && outcome == gossippb.Outcome_OUTCOME_REJECTED && q.backend.brittle != nil:
+		q.backend.brittle.risk.wasRejected(r.now)
 	}
 }
 
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -314,7 +314,7 @@
 // applyOwnerLoad replaces the known load of other hosts at a backend server by its owner's report, less this
 // host's own requests, which the report includes.
 func (r *Router) applyOwnerLoad(b *backend, all load) {
-	if r.owns(b) {
+	if r.owns(b) || !r.usesOwners() {
 		return
 	}
 	for p := range all.counts {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -118,16 +118,21 @@
 		r.refuseQuarantined(q, retryAfter)
 		return
 	}
-	if r.usesOwners() {
-		r.schedule(q)
+	r.schedule(q)
+}
+
+// sendOrBorrow selects a backend server in a small fleet. If this host may send to none, it requests a slot at a brittle one.
+func (r *Router) sendOrBorrow(q *request) {
+	b, g := r.selectBackend(q)
+	if b != nil {
+		r.send(q, b, g)
 		return
 	}
-	b, g := r.selectBackend(q)
-	if b == nil {
-		r.refuse(q, g)
+	if lender := r.chooseLender(q); lender != "" {
+		r.requestSlot(q, lender, classHealthy)
 		return
 	}
-	r.send(q, b, g)
+	r.refuse(q, g)
 }
 
 // send counts a request at a backend server and emits its dispatch.
@@ -144,7 +149,9 @@
 		r.takeRateToken(b)
 	}
 	q.admitted = false
-	r.countRisk(b)
+	if q.owner == "" {
+		r.countRisk(b)
+	}
 	b.ownLoad.counts[q.priority()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
 	q.prefillTokens = q.PromptTok
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -211,7 +211,7 @@
 }
 
 func (s *selector) backends() []*backend {
-	if s.scope == scopeAll {
+	if s.scope == scopeAll || !s.r.usesOwners() {
 		return s.r.backendsOf(s.q.service)
 	}
 	return s.r.zoneBackendsOf(s.q.service)
@@ -221,7 +221,7 @@
 // reported no free slot for this request are skipped.
 func (s *selector) eligible(b *backend) bool {
 	if s.scope == scopeOwned {
-		return s.r.owns(b)
+		return s.r.maySlotsBeRequested(b)
 	}
 	return len(s.q.fullOwners) == 0 || !slices.Contains(s.q.fullOwners, s.r.ownerOf(b))
 }
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -103,8 +103,11 @@
 	if !ok {
 		return
 	}
-	r.learnFromReport(b, rep)
 	r.applyReportedRisk(b, rep)
+	if !r.usesOwners() {
+		return // heartbeats carry the rest
+	}
+	r.learnFromReport(b, rep)
 	switch rep.Outcome {
 	case gossippb.Outcome_OUTCOME_SOUND:
 		b.succeeded(r.now - time.Duration(rep.AgeMs)*time.Millisecond)
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -34,10 +34,14 @@
 	prompt   int
 }
 
-// schedule obtains a slot from the owner of a backend server. This host's load data, some hundred
+// schedule obtains a slot from the owner of a backend server if backend servers have owners. This host's load data, some hundred
 // milliseconds old, selects the owner to call, and the owner selects the backend server by exact counts.
 // If no owner replies, this host decides locally.
 func (r *Router) schedule(q *request) {
+	if !r.usesOwners() {
+		r.sendOrBorrow(q)
+		return
+	}
 	c := r.selectInScope(q, scopeZone)
 	if c.backend == nil || c.class != classHealthy || c.basis.InFlight >= c.backend.Slots {
 		c = r.selectInScope(q, scopeAll) // the zone's own backend servers are busy
@@ -161,8 +165,12 @@
 // excludedBackends returns the hashes of an owner's backend servers that this host itself found unusable.
 func (r *Router) excludedBackends(q *request, owner string) []uint32 {
 	var out []uint32
-	for _, b := range r.backendsIn(r.ownerZone(owner)) {
-		if b.Service != q.service || r.ownerOf(b) != owner {
+	candidates := r.backendsOf(q.service)
+	if r.usesOwners() {
+		candidates = r.backendsIn(r.ownerZone(owner))
+	}
+	for _, b := range candidates {
+		if b.Service != q.service || (r.usesOwners() && r.ownerOf(b) != owner) {
 			continue
 		}
 		ok, _ := b.usable(r.now)
@@ -203,7 +211,7 @@
 		return
 	}
 	q.slotCall = nil
-	if r.isLocalOwner(a.owner) {
+	if r.usesOwners() && r.isLocalOwner(a.owner) {
 		q.decideLocally = true
 	} else {
 		// The other zone may be disconnected, and its backend servers with it.
