A brittle backend server whose senders are gone is tried again

The few hosts that may send to a brittle server keep their place while they cannot be reached, for two hours. If they are gone for good, the server got no request any more, and the end of its limit was never seen.

As with rate limits, hosts send one request each in their order after 30 s without a word of the server (trialDue, now in senders.go for both). TestBrittleServerIsTriedWhenItsSendersAreGone: no request in 116 s before, trials now.

--- a/internal/router/brittle.go
+++ b/internal/router/brittle.go
@@ -31,6 +31,8 @@
 	// assumed is set if it has stated none itself, but others of its service have.
 	assumed bool
 	risk    riskBudget
+	// lastSentAt is when this host last sent a request there.
+	lastSentAt time.Duration
 }
 
 // rejects is the number of requests that it may reject within a second.
@@ -78,7 +80,7 @@
 	if b.brittle == nil && len(r.brittle) > 0 {
 		if limit := r.serviceState(b.Service).brittleLimit; limit != nil {
 			b.brittle = &brittleLimit{statedLimit: newStatedLimit(), assumed: true}
-			b.brittle.perSecond = *limit
+			b.brittle.perSecond, b.brittle.since = *limit, r.now
 		}
 	}
 	return b.brittle != nil && b.brittle.limited()
@@ -106,10 +108,14 @@
 func (r *Router) mayRisk(b *backend) bool {
 	share, sole := r.rejectionShare(b)
 	used := b.brittle.risk.used(r.now)
-	if share == 0 {
-		return sole && len(b.brittle.risk.rejected) == 0
+	switch {
+	case share == 0 && sole:
+		return len(b.brittle.risk.rejected) == 0
+	case share == 0:
+		return !r.usesOwners() && r.trialDue(b, max(b.brittle.heardAt, b.brittle.since, b.brittle.lastSentAt))
+	default:
+		return used < share && (sole || !r.usesOwners())
 	}
-	return used < share && (sole || !r.usesOwners())
 }
 
 // mayUseBrittle reports whether a backend server may get the selector's request as far as it is brittle. In a large fleet only
@@ -185,6 +191,7 @@
 func (r *Router) countRisk(b *backend) {
 	if r.isBrittle(b) {
 		b.brittle.risk.sent(r.now)
+		b.brittle.lastSentAt = r.now
 	}
 }
 
--- a/internal/router/brittle_test.go
+++ b/internal/router/brittle_test.go
@@ -375,3 +375,25 @@
 		})
 	}
 }
+
+// The hosts that may send to a brittle server are gone for good. Guards against a server that is never used again, and whose limit
+// is never seen to end.
+func TestBrittleServerIsTriedWhenItsSendersAreGone(t *testing.T) {
+	r := newStandalone(t, "a")
+	for i := range 12 {
+		r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i+2), Zone: "z0", Incarnation: 1, Seq: 1}})
+	}
+	r.Reduce(3*time.Second, BackendAnnouncement{ID: "a", BrittleLimit: &RateObservation{PerSecond: 0, SentAt: 2 * time.Second}})
+	sent, id := 0, uint64(0)
+	for now := 4 * time.Second; now < 120*time.Second; now += 500 * time.Millisecond {
+		r.Reduce(now, Tick{})
+		id++
+		if d, ok := findEffect[Dispatch](submitted(r, id, now)); ok {
+			require.True(t, d.ReportBrittle)
+			r.Reduce(now+time.Millisecond, CallerLeft{ID: id})
+			sent++
+		}
+	}
+	require.Positive(t, sent)
+	require.Less(t, sent, 4, "a trial in 30 s")
+}
--- a/internal/router/ratelimits.go
+++ b/internal/router/ratelimits.go
@@ -18,11 +18,6 @@
 	// rateBurst is the number of tokens that a sender may save up. All senders together may then send maxSenders*rateBurst
 	// requests beyond the rate at one moment. The part above one lets tokens accrue while one is kept for urgent requests.
 	rateBurst = 1.25
-	// After rateTrialDelay without a statement of a server, one host after the other sends it a single request, in the order of
-	// their ranks and rateTrialStagger apart: its senders may be gone, or its rate is so low that the limit would never be seen
-	// to end.
-	rateTrialDelay   = 30 * time.Second
-	rateTrialStagger = 5 * time.Second
 	// maxReturnDelay limits how far ahead refused callers are told to return. By then the limit has often ended.
 	maxReturnDelay = 10 * time.Second
 )
@@ -124,12 +119,7 @@
 // long.
 func (r *Router) rateTrialDue(b *backend) bool {
 	l := b.rateLimit
-	quiet := r.now - max(l.heardAt, l.lastSentAt)
-	if quiet < rateTrialDelay || r.now < minSenderAge || !r.exchangesHeartbeats(b.Zone) {
-		return false
-	}
-	rank, _ := r.senderRank(b)
-	return quiet >= rateTrialDelay+time.Duration(rank)*rateTrialStagger
+	return r.trialDue(b, max(l.heardAt, l.lastSentAt))
 }
 
 // mayTakeRateToken reports whether a rate-limited backend server may get the selector's request now.
--- a/internal/router/senders.go
+++ b/internal/router/senders.go
@@ -19,8 +19,24 @@
 	// minSenderAge is how long a host must have run to be one of them. By then it knows its zone peers, and anything sent by
 	// its previous process is more than a second old.
 	minSenderAge = 2 * time.Second
+	// After rateTrialDelay without a statement of a server, one host after the other sends it a single request, in the order of
+	// their ranks and rateTrialStagger apart: its senders may be gone, or its rate is so low that the limit would never be seen
+	// to end.
+	rateTrialDelay   = 30 * time.Second
+	rateTrialStagger = 5 * time.Second
 )
 
+// trialDue reports whether this host may send a single request to a backend server with few senders, after nothing was heard of
+// it since the given time.
+func (r *Router) trialDue(b *backend, quietSince time.Duration) bool {
+	quiet := r.now - quietSince
+	if quiet < rateTrialDelay || r.now < minSenderAge || !r.exchangesHeartbeats(b.Zone) {
+		return false
+	}
+	rank, _ := r.senderRank(b)
+	return quiet >= rateTrialDelay+time.Duration(rank)*rateTrialStagger
+}
+
 // maySendToLimited reports whether this host may be a sender of a backend server at all.
 func (r *Router) maySendToLimited(b *backend) bool {
 	return r.now >= minSenderAge && r.drain == nil && r.exchangesHeartbeats(b.Zone) && !r.noPeersSeen()
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -229,7 +229,7 @@
 	{"rate-draining", "limits", "internal/router/senders.go", "r.drain == nil && ", "", rateLimitTests},
 	{"rate-replacement", "limits", "internal/router/ratelimits.go", "		l.bucket.Empty(r.now)\n", "", rateLimitTests},
 	{"rate-trial", "limits", "internal/router/ratelimits.go", "	return r.rateTrialDue(b)\n", "	return false\n", rateLimitTests},
-	{"rate-trial-order", "limits", "internal/router/ratelimits.go", "+time.Duration(rank)*rateTrialStagger", "+time.Duration(rank)*0", rateLimitTests},
+	{"rate-trial-order", "limits", "internal/router/senders.go", "+time.Duration(rank)*rateTrialStagger", "+time.Duration(rank)*0", rateLimitTests},
 	{"rate-start", "limits", "internal/router/registrations.go", "	delete(r.rateLimits, b.ID)\n", "", rateLimitTests},
 	{"rate-retry-after", "limits", "internal/router/ratelimits.go", "	return at - r.now\n", "	return 0\n", rateLimitTests},
 	{"evacuated", "4", "internal/router/backends.go", "	case b.evacuated:\n		return evacuated\n", "", evacuationTests},
