--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,6 +9,7 @@
 
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/upstream"
 )
 
 func itoa(n int64) string { return strconv.FormatInt(n, 10) }
@@ -131,7 +132,8 @@
 	}
 	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
-		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).Str("owner", d.Basis.Owner)
+		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).
+		Uint64("revision", d.Basis.Revision).Int64("store_age_ms", d.Basis.StoreAge.Milliseconds()).Str("owner", d.Basis.Owner)
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
@@ -146,6 +148,14 @@
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Backend server rejected the request without running it.")
 }
 
+// logBroken logs and counts a call that broke off after the request was sent.
+func (a *activeRequest) logBroken(err error) {
+	cause := upstream.CauseOf(err)
+	a.g.metrics.Count("backend.exchanges_broken."+string(cause), 1)
+	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(cause)).
+		Int64("silent_ms", upstream.SilenceOf(err).Milliseconds()).Stringer("digest", a.digest()).Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
+}
+
 const (
 	// answered is the outcome of a request whose complete answer was written to its caller.
 	answered = "answered"
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -24,9 +24,11 @@
 	// latest registration.
 	removedRevision    routing.Revision
 	registeredRevision routing.Revision
-	removed            bool
-	removedAt          time.Duration
-	graceUntil         time.Duration
+	// changedAt is when its registration last changed, as far as known: when a host first read the change.
+	changedAt  time.Duration
+	removed    bool
+	removedAt  time.Duration
+	graceUntil time.Duration
 	// ownLoad and othersLoad are the load from this host and from the other hosts, by their latest heartbeats.
 	ownLoad, othersLoad load
 	// othersReportedAt is when other hosts' load was last reported.
@@ -49,8 +51,8 @@
 	failureState
 	// replaced is set if another instance has its address: this one never comes back.
 	replaced bool
-	// leaving is set if it has announced in an answer that it is about to shut down; announcedLeaving if that answer went to
-	// this host.
+	// leaving is set if it has announced that it is about to shut down, other than by its present registration: in an answer, or
+	// in a registration that an older one has overwritten. announcedLeaving is set if this host has that from the server itself.
 	leaving, announcedLeaving bool
 	// holdOffUntil is until when it has asked this host to send it nothing.
 	holdOffUntil time.Duration
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -224,6 +224,10 @@
 	ViewAge  time.Duration // age of the oldest heartbeat that was counted
 	Version  uint64        // of the configuration
 	Era      uint64        // of the store that the backend servers were read from
+	// Revision is the store's revision up to which every change of backend servers was known, and StoreAge the time since the
+	// store last answered this host. Set for a dispatch only.
+	Revision uint64
+	StoreAge time.Duration
 	Quota    QuotaBasis
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
@@ -348,8 +352,13 @@
 // ConfigActivated puts a newer configuration into force.
 type ConfigActivated struct{ Table *routing.Table }
 
-// BackendGone reports that a backend server is no longer used, so that connections to it can be closed.
-type BackendGone struct{ Backend routing.Backend }
+// BackendGone reports that a backend server is no longer used, so that idle connections to it can be closed. Doubtful is
+// set if only its registration has lapsed, around an outage of the store; another BackendGone follows if that is not
+// renewed.
+type BackendGone struct {
+	Backend  routing.Backend
+	Doubtful bool
+}
 
 // Probe asks whether a backend server is still reachable; the answer is a ProbeResult. A connection made for it is kept
 // for the next request, among at most MaxIdleConns idle ones.
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -115,9 +115,8 @@
 	deadBackends        []uint32 // hashes of backend servers that it cannot reach
 	failingBackends     []uint32 // hashes of backend servers that fail its requests
 	spent               map[string]uint64
-	// differsSince is when its digest first differed from this host's; zero while they are equal.
-	differsSince time.Duration
-	unreachable  bool
+	data                peerData
+	unreachable         bool
 	// startedAt is when it started, on this host's clock.
 	startedAt time.Duration
 }
@@ -145,7 +144,7 @@
 	if b.Host == r.opt.Host || b.Host == "" {
 		return
 	}
-	r.applyPushedChanges(b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes
+	r.applyPushedChanges(b.Host, b.Changes) // even from an overtaken heartbeat: each change has its own revision, and small links delay pushes
 	m, known := r.members.byHost[b.Host]
 	if known && b.Incarnation == m.incarnation && b.Seq <= m.seq {
 		return
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -80,9 +80,14 @@
 	return fmt.Sprintf("%s %s slots=%d", b.Service, b.Addr, b.Slots)
 }
 
+// describeChange formats a change of a registration, and how it reached this host, for logs.
+func (r *Router) describeChange(ch routing.BackendChange) string {
+	return fmt.Sprintf("%s revision=%s via=%s", ch.Service, ch.Revision, r.updates.source)
+}
+
 func (r *Router) addBackend(ch routing.BackendChange) {
 	b := newBackend(ch.Backend)
-	b.revision, b.registeredRevision = ch.Revision, ch.Revision
+	b.revision, b.registeredRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
 	r.updates.changes++
 	r.backends[ch.ID] = b
 	r.indexBackend(b)
@@ -109,7 +114,7 @@
 	delete(r.rateLimits, b.ID)
 	delete(r.brittle, b.ID)
 	r.addBackend(ch)
-	r.emit(BackendGone{b.Backend})
+	r.emit(BackendGone{Backend: b.Backend})
 	r.abortRequests(b)
 }
 
@@ -130,12 +135,15 @@
 // updateBackend applies a newer registration of the same start.
 func (r *Router) updateBackend(b *backend, ch routing.BackendChange) {
 	r.updates.revision = routing.Latest(r.updates.revision, ch.Revision)
-	if b.Draining && !ch.Draining && ch.Revision.Era > b.revision.Era {
-		// The store was restored from a copy that is older than the announcement, which therefore still holds.
-		r.markLeaving(b, "store")
-	}
 	if ch.Draining && !b.Draining {
-		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: ch.Service})
+		r.emit(Note{What: "backend server drains", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
+	}
+	if b.Draining && !ch.Draining {
+		// No start of a server stops draining: it wrote this before, and the store accepted it late or was restored from an
+		// older copy. Hosts that read only this write learn of the draining from the others.
+		r.emit(Note{What: "draining was overwritten by an older state", Subject: ch.ID, Detail: r.describeChange(ch), Age: ch.Age})
+		b.announcedLeaving = true
+		r.markLeaving(b, "store")
 	}
 	if b.removed {
 		b.exited = false // the registration had merely lapsed
@@ -148,6 +156,7 @@
 	}
 	b.evacuated = r.evacuated(ch.Zone)
 	r.setCold(b, ch.Cold, "registration")
+	b.changedAt = r.now - ch.Age
 	r.owners.valid = r.owners.valid && !b.removed
 	b.Backend, b.revision, b.registeredRevision, b.removed = ch.Backend, ch.Revision, ch.Revision, false
 	delete(r.tombstones, b.ID)
@@ -168,7 +177,7 @@
 // that it is alive.
 func (r *Router) removeBackend(b *backend, ch routing.BackendChange) {
 	r.dropFingerprint(b)
-	b.revision, b.removedRevision = ch.Revision, ch.Revision
+	b.revision, b.removedRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
 	if ch.Foreign {
 		b.graceUntil = 0
 	}
@@ -185,6 +194,7 @@
 	if !b.Draining && !b.leaving && !ch.Foreign && b.graceUntil == 0 {
 		r.recordBackendEnd(b)
 	}
-	r.emit(Note{What: "backend server gone", Subject: b.ID, Detail: fmt.Sprintf("%s doubt=%t foreign=%t", b.Service, b.graceUntil > 0, ch.Foreign)})
-	r.emit(BackendGone{b.Backend})
+	r.emit(Note{What: "backend server gone", Subject: b.ID, Age: ch.Age,
+		Detail: fmt.Sprintf("%s doubt=%t foreign=%t revision=%s via=%s", b.Service, b.graceUntil > 0, ch.Foreign, ch.Revision, r.updates.source)})
+	r.emit(BackendGone{Backend: b.Backend, Doubtful: b.graceUntil > 0})
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -227,6 +227,8 @@
 	if r.updates.configWithheld {
 		r.activateConfig()
 	}
+	r.pullMissing()
+	r.pushDepartures()
 	r.relaySummaries()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
