Mutants of the limits on rejected requests, and tests for two that survived

Two of nine mutants were not caught: hosts of a large fleet that send to brittle servers when their owner does not answer, and grants of an owner that do not count until a request is rejected. TestOnlyOwnersSendToBrittleServersAlone and TestOwnerGrantsWithinItsShare catch them; the other seven were caught as they were. mayRisk no longer repeats the check for the owner that its callers make.

--- a/internal/router/brittle.go
+++ b/internal/router/brittle.go
@@ -86,12 +86,12 @@
 	return b.brittle != nil && b.brittle.limited()
 }
 
-// rejectionShare returns how many requests of this host a brittle backend server may have to reject within a second. If it is
-// zero and sole is set, this host alone sends there, by exact counts.
+// rejectionShare returns how many requests of this host a brittle backend server may have to reject within a second, in a large
+// fleet those of its owner. If it is zero and sole is set, one host alone decides, by exact counts.
 func (r *Router) rejectionShare(b *backend) (share int, sole bool) {
 	limit := b.brittle.rejects()
 	if r.usesOwners() {
-		return int(ownerRejectionShare * float64(limit)), r.owns(b)
+		return int(ownerRejectionShare * float64(limit)), true
 	}
 	if !r.maySendToLimited(b) {
 		return 0, false
@@ -104,7 +104,7 @@
 	return limit / senders, senders == 1
 }
 
-// mayRisk reports whether this host may send one more request to a brittle backend server by its own decision.
+// mayRisk reports whether this host, in a large fleet the owner, may send one more request to a brittle backend server.
 func (r *Router) mayRisk(b *backend) bool {
 	share, sole := r.rejectionShare(b)
 	used := b.brittle.risk.used(r.now)
@@ -112,9 +112,9 @@
 	case share == 0 && sole:
 		return len(b.brittle.risk.rejected) == 0
 	case share == 0:
-		return !r.usesOwners() && r.trialDue(b, max(b.brittle.heardAt, b.brittle.since, b.brittle.lastSentAt))
+		return r.trialDue(b, max(b.brittle.heardAt, b.brittle.since, b.brittle.lastSentAt))
 	default:
-		return used < share && (sole || !r.usesOwners())
+		return used < share
 	}
 }
 
--- a/internal/router/brittle_test.go
+++ b/internal/router/brittle_test.go
@@ -397,3 +397,43 @@
 	require.Positive(t, sent)
 	require.Less(t, sent, 4, "a trial in 30 s")
 }
+
+// Many hosts ask an owner for slots at once. Guards against grants whose requests do not count until one is rejected.
+func TestOwnerGrantsWithinItsShare(t *testing.T) {
+	z := newZones(t, 1, 20, 23)
+	asker := z.hosts[0]
+	ask, owner := z.requestSlot(asker)
+	for _, b := range asker.r.allBackends() {
+		z.byIP[owner].r.Reduce(z.now, BackendAnnouncement{ID: b.ID, BrittleLimit: &RateObservation{PerSecond: 4, SentAt: z.now - time.Millisecond}})
+	}
+	granted := map[uint32]int{}
+	for range 40 {
+		for _, o := range offersOf(z.byIP[owner].r.Reduce(z.now, SlotRequestReceived{asker.ip, ask})) {
+			if o.Place != nil {
+				granted[o.Place.Backend]++
+			}
+		}
+	}
+	require.NotEmpty(t, granted)
+	for _, n := range granted {
+		require.LessOrEqual(t, n, 2, "half of the limit")
+	}
+}
+
+// Owners do not answer. Guards against hosts of a large fleet that send to brittle servers by their own decision.
+func TestOnlyOwnersSendToBrittleServersAlone(t *testing.T) {
+	z := newZones(t, 1, 20, 23)
+	for _, h := range z.hosts {
+		for _, b := range h.r.allBackends() {
+			z.post(h, BackendAnnouncement{ID: b.ID, BrittleLimit: &RateObservation{PerSecond: 8, SentAt: z.now - time.Millisecond}})
+		}
+	}
+	z.drops = func(string, string, *gossippb.Packet) bool { return true }
+	sent := 0
+	z.onDispatch = func(h *zoneHost, d Dispatch) {
+		sent++
+		require.True(t, h.r.owns(h.r.backends[d.Backend.ID]), "%s at %s", d.Backend.ID, h.ip)
+	}
+	z.run(500*time.Millisecond, 200)
+	require.NotZero(t, sent)
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -23,6 +23,7 @@
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
 	coldTests           = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffOverload", "-rapid.shrinktime=1s"}
+	brittleTests        = []string{"./internal/router", "-run", "Brittle|Rejections|NewServerIs|OwnerGrants|OnlyOwnersSend"}
 	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShare", "-rapid.shrinktime=1s"}
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
@@ -215,6 +216,15 @@
 	{"cold-told", "cold", "internal/router/updates.go", "registration.Cold = max(0, b.warming.until-r.now)", "registration.Cold = b.Cold", coldTests},
 	{"cold-owner", "cold", "internal/router/select.go", "b.cold(s.r.now) && (s.scope == scopeOwned || !s.r.coldTokenAvailable(b))", "b.cold(s.r.now) && s.scope != scopeOwned && !s.r.coldTokenAvailable(b)", coldTests},
 	{"cold-offer", "cold", "internal/router/slotrequests.go", "	return ok && !b.cold(r.now) && ", "	return ok && ", coldTests},
+	{"brittle-share", "limits", "internal/router/brittle.go", "	return limit / senders, senders == 1\n", "	return limit, senders == 1\n", brittleTests},
+	{"brittle-senders", "limits", "internal/router/brittle.go", "	if rank >= senders {", "	if rank < 0 {", brittleTests},
+	{"brittle-rejected", "limits", "internal/router/brittle.go", "		b.brittle.risk.wasRejected(r.now)\n", "", brittleTests},
+	{"brittle-owner", "limits", "internal/router/brittle.go", "	if r.usesOwners() && !r.owns(b) {\n", "	if false {\n", brittleTests},
+	{"brittle-granted", "limits", "internal/router/slotgrants.go", "	r.countRisk(c.backend)\n", "", brittleTests},
+	{"brittle-new", "limits", "internal/router/brittle.go", "assumed: true}", "assumed: false}", brittleTests},
+	{"brittle-told", "limits", "internal/router/members.go", "	r.applyBrittleLimits(m.host, b.BrittleLimits)\n", "", brittleTests},
+	{"brittle-borrow", "limits", "internal/router/requests.go", "	if lender := r.chooseLender(q); lender != \"\" {", "	if lender := \"\"; lender != \"\" {", brittleTests},
+	{"brittle-trial", "limits", "internal/router/brittle.go", "		return r.trialDue(b,", "		return false && r.trialDue(b,", brittleTests},
 	{"rate-share", "limits", "internal/router/ratelimits.go", "	return b.rateLimit.perSecond / float64(min(maxSenders, hosts))\n", "	return b.rateLimit.perSecond * float64(hosts) / float64(hosts)\n", rateLimitTests},
 	{"rate-senders", "limits", "internal/router/ratelimits.go", "	if rank >= maxSenders {", "	if rank < 0 {", rateLimitTests},
 	{"rate-burst", "limits", "internal/router/ratelimits.go", "	rateBurst = 1.25\n", "	rateBurst = 12.5\n", rateLimitTests},
