--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -120,16 +120,21 @@
 		r.refuseQuarantined(q, retryAfter)
 		return
 	}
-	if r.usesOwners() {
-		r.schedule(q)
+	r.schedule(q)
+}
+
+// sendOrBorrow selects a backend server in a small fleet. If this host may send to none, it requests a slot at a brittle one.
+func (r *Router) sendOrBorrow(q *request) {
+	b, g := r.selectBackend(q)
+	if b != nil {
+		r.send(q, b, g)
 		return
 	}
-	b, g := r.selectBackend(q)
-	if b == nil {
-		r.refuse(q, g)
+	if lender := r.chooseLender(q); lender != "" {
+		r.requestSlot(q, lender, classHealthy)
 		return
 	}
-	r.send(q, b, g)
+	r.refuse(q, g)
 }
 
 // send counts a request at a backend server and emits its dispatch.
@@ -145,6 +150,9 @@
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
 		r.takeRateToken(b)
 	}
+	if q.owner == "" {
+		r.countRisk(b)
+	}
 	b.ownLoad.counts[q.priority()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
 	q.prefillTokens = q.PromptTok
@@ -152,7 +160,8 @@
 	r.markLoadChanged()
 	r.reportAssigned(q)
 	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now,
+		ReportRate: b.rateLimit != nil, ReportBrittle: b.brittle != nil, Basis: g})
 }
 
 const (
@@ -214,10 +223,14 @@
 
 // callerGone ends a request whose caller disconnected. The gateway stops the call itself.
 func (r *Router) callerGone(id uint64) {
-	if q, ok := r.requests[id]; ok {
+	q, ok := r.requests[id]
+	if !ok {
+		return
+	}
+	if q.slotCall == nil { // otherwise it is at no backend server
 		r.releaseSlot(q, DispatchEnded{Outcome: Canceled})
-		r.finish(q)
 	}
+	r.finish(q)
 }
 
 func (r *Router) handleDispatchEnded(e DispatchEnded) {
@@ -367,6 +380,7 @@
 		return
 	}
 	r.reportEnded(q, e)
+	r.requestEnded(q, r.reportOutcome(q, e))
 	p := q.priority()
 	own := &q.backend.ownLoad
 	own.counts[p]--
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,15 +1,16 @@
 // Package router is the state machine of one host, a reducer: events go in, effects come out as data. It does no I/O,
 // reads no clock, starts no goroutine and makes no unseeded choice. In a small fleet each host decides locally where its
-// requests go, from the loads that hosts report in heartbeats, and exchanges no message per request. In a large fleet a
-// host requests a slot from the host that owns the backend server, and decides locally if the owner does not reply.
+// requests go, from the loads that hosts report in heartbeats, and exchanges no message per request, except to borrow a slot
+// at a brittle backend server. In a large fleet a host requests a slot from the host that owns the backend server, and
+// decides locally if the owner does not reply.
 //
 // Each file covers one concern: members (other hosts), updates (configuration and backend servers, from the store or
 // a peer), registrations and backends (state of each backend server), zones (summaries between availability zones),
 // peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
-// relays (calls through other hosts),
-// quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
+// relays (calls through other hosts), quotas (quota owners), statements (limits that backend servers state), senders (which hosts
+// share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
 // reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
 package router
@@ -64,6 +65,8 @@
 	warming    map[string]*backend
 	// rateLimits are the backend servers that state rate limits, or did until recently, by ID.
 	rateLimits map[string]*backend
+	// brittle are the backend servers that state a limit on rejected requests, or did until recently, by ID.
+	brittle map[string]*backend
 	// sortedBackends are the backend servers in order of ID; nil if the list must be rebuilt.
 	sortedBackends []*backend
 	// byService groups sortedBackends by service, byZone by zone, and zoneByService those of this host's zone by service;
@@ -118,6 +121,7 @@
 		tombstones:    map[string]*backend{},
 		warming:       map[string]*backend{},
 		rateLimits:    map[string]*backend{},
+		brittle:       map[string]*backend{},
 		zones:         newZoneState(),
 		services:      map[string]*service{},
 		requests:      map[uint64]*request{},
@@ -248,6 +252,7 @@
 	r.expireEvacuations()
 	r.updateCold()
 	r.updateRateLimits()
+	r.updateBrittleLimits()
 	r.expireOwnerLoads()
 	r.expireSuspects()
 	r.updateReading()
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -26,6 +26,7 @@
 	o := &gossippb.Offer{Number: a.Number, Place: c.backend.totalLoad().toProto(c.backend.hash), Limit: uint32(max(0, c.basis.Limit)),
 		WaitUs: uint32(max(0, c.basis.Wait).Microseconds())}
 	r.adjustLoad(m, c.backend.hash, q.priority(), 1, q.PromptTok)
+	r.countRisk(c.backend)
 	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: o}})
 }
 
@@ -102,6 +103,10 @@
 	if !ok {
 		return
 	}
+	r.applyReportedRisk(b, rep)
+	if !r.usesOwners() {
+		return // heartbeats carry the rest
+	}
 	r.learnFromReport(b, rep)
 	if known && !m.reportsCount(b) && isFailureReport(rep.Outcome) {
 		return
@@ -189,6 +194,8 @@
 	switch {
 	case e.Outcome == Answered:
 		return gossippb.Outcome_OUTCOME_SOUND
+	case e.Outcome == Rejected:
+		return gossippb.Outcome_OUTCOME_REJECTED
 	case e.Outcome == WrongInstance:
 		return gossippb.Outcome_OUTCOME_REPLACED
 	case e.Fault && (r.mayBeCutOff(q.backend.Service) || r.pathLostSince(q.backend, q.sentAt)):
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -40,6 +40,7 @@
 	if !ok || q.backend == nil {
 		return
 	}
+	r.requestAdmitted(q)
 	q.begun = true
 	r.heard(q.backend)
 	if q.prefillTokens == 0 {
@@ -56,7 +57,7 @@
 	}
 	if to := r.reportTarget(q); to != "" {
 		rep := q.newReport(0, -prefilled)
-		rep.ReadNs = uint32(perToken.Nanoseconds())
+		rep.ReadNs, rep.AgeMs = uint32(perToken.Nanoseconds()), uint32((r.now - q.sentAt).Milliseconds())
 		r.sendReport(to, rep)
 	}
 }
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -23,6 +23,7 @@
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
 	coldTests           = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffOverload", "-rapid.shrinktime=1s"}
+	brittleTests        = []string{"./internal/router", "-run", "Brittle|Rejections|NewServerIs|OwnerGrants|OnlyOwnersSend"}
 	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShare", "-rapid.shrinktime=1s"}
 	evacuationTests     = []string{"./internal/router", "-run", "Evacu", "-rapid.shrinktime=1s"}
 	failingTests        = []string{"./internal/router", "-run", "Failing|OlderRuns|MakeASuspect|FleetOfSuspects|WhatFails"}
@@ -217,12 +218,21 @@
 	{"cold-told", "cold", "internal/router/updates.go", "registration.Cold = max(0, b.warming.until-r.now)", "registration.Cold = b.Cold", coldTests},
 	{"cold-owner", "cold", "internal/router/select.go", "b.cold(s.r.now) && (s.scope == scopeOwned || !s.r.coldTokenAvailable(b))", "b.cold(s.r.now) && s.scope != scopeOwned && !s.r.coldTokenAvailable(b)", coldTests},
 	{"cold-offer", "cold", "internal/router/slotrequests.go", "	return ok && !b.cold(r.now) && ", "	return ok && ", coldTests},
+	{"brittle-share", "limits", "internal/router/brittle.go", "	return limit / senders, senders == 1\n", "	return limit, senders == 1\n", brittleTests},
+	{"brittle-senders", "limits", "internal/router/brittle.go", "	if rank >= senders {", "	if rank < 0 {", brittleTests},
+	{"brittle-rejected", "limits", "internal/router/brittle.go", "		b.brittle.risk.wasRejected(r.now)\n", "", brittleTests},
+	{"brittle-owner", "limits", "internal/router/brittle.go", "	if r.usesOwners() && !r.owns(b) {\n", "	if false {\n", brittleTests},
+	{"brittle-granted", "limits", "internal/router/slotgrants.go", "	r.countRisk(c.backend)\n", "", brittleTests},
+	{"brittle-new", "limits", "internal/router/brittle.go", "assumed: true}", "assumed: false}", brittleTests},
+	{"brittle-told", "limits", "internal/router/members.go", "	r.applyBrittleLimits(m.host, b.BrittleLimits)\n", "", brittleTests},
+	{"brittle-borrow", "limits", "internal/router/requests.go", "	if lender := r.chooseLender(q); lender != \"\" {", "	if lender := \"\"; lender != \"\" {", brittleTests},
+	{"brittle-trial", "limits", "internal/router/brittle.go", "		return r.trialDue(b,", "		return false && r.trialDue(b,", brittleTests},
 	{"rate-share", "limits", "internal/router/ratelimits.go", "	return b.rateLimit.perSecond / float64(min(maxSenders, hosts))\n", "	return b.rateLimit.perSecond * float64(hosts) / float64(hosts)\n", rateLimitTests},
 	{"rate-senders", "limits", "internal/router/ratelimits.go", "	if rank >= maxSenders {", "	if rank < 0 {", rateLimitTests},
 	{"rate-burst", "limits", "internal/router/ratelimits.go", "	rateBurst = 1.25\n", "	rateBurst = 12.5\n", rateLimitTests},
 	{"rate-token", "limits", "internal/router/ratelimits.go", "		l.bucket.Take(r.now)\n", "", rateLimitTests},
-	{"rate-order", "limits", "internal/router/ratelimits.go", "	case s.sentAt > known.heardAt, s.perSecond < known.perSecond:\n", "	case true:\n", rateLimitTests},
-	{"rate-older", "limits", "internal/router/ratelimits.go", "	case s.heardAt < known.sentAt:\n		return false\n", "", rateLimitTests},
+	{"rate-order", "limits", "internal/router/statements.go", "	case s.sentAt > known.heardAt, s.perSecond < known.perSecond:\n", "	case true:\n", rateLimitTests},
+	{"rate-older", "limits", "internal/router/statements.go", "	case s.heardAt < known.sentAt:\n		return false\n", "", rateLimitTests},
 	{"rate-told", "limits", "internal/router/members.go", "	r.applyRateLimits(m.host, b.RateLimits)\n", "", rateLimitTests},
 	{"rate-told-zones", "limits", "internal/router/zones.go", "		r.applyRateLimits(s.Speaker, s.RateLimits)\n", "", rateLimitTests},
 	{"rate-owner", "limits", "internal/router/select.go", "b.rateLimited() && (s.scope == scopeOwned || !s.mayTakeRateToken(b))", "b.rateLimited() && s.scope != scopeOwned && !s.mayTakeRateToken(b)", rateLimitTests},
@@ -231,7 +241,7 @@
 	{"rate-draining", "limits", "internal/router/senders.go", "r.drain == nil && ", "", rateLimitTests},
 	{"rate-replacement", "limits", "internal/router/ratelimits.go", "		l.bucket.Empty(r.now)\n", "", rateLimitTests},
 	{"rate-trial", "limits", "internal/router/ratelimits.go", "	return r.rateTrialDue(b)\n", "	return false\n", rateLimitTests},
-	{"rate-trial-order", "limits", "internal/router/ratelimits.go", "+time.Duration(rank)*rateTrialStagger", "+time.Duration(rank)*0", rateLimitTests},
+	{"rate-trial-order", "limits", "internal/router/senders.go", "+time.Duration(rank)*rateTrialStagger", "+time.Duration(rank)*0", rateLimitTests},
 	{"rate-start", "limits", "internal/router/registrations.go", "	delete(r.rateLimits, b.ID)\n", "", rateLimitTests},
 	{"rate-retry-after", "limits", "internal/router/ratelimits.go", "	return at - r.now\n", "	return 0\n", rateLimitTests},
 	{"evacuated", "4", "internal/router/backends.go", "	case b.evacuated:\n		return evacuated\n", "", evacuationTests},
@@ -281,7 +291,7 @@
 	{"gateway-no-repeat-event", "2", "internal/gateway/request.go", "		s.LastEvent = itoa(a.lastEvent)\n", "", platformTests("Resum|GoesOn")},
 	{"gateway-own-answer", "2", "internal/gateway/request.go", "return id == \"\" || id == a.call.AttemptID", "return id != \"none\"", platformTests("Faulty|Anothers")},
 	{"gateway-signature", "2", "internal/gateway/relay.go", "case success && (!info.Signed || ", "case success && (false || ", platformTests("Faulty")},
-	{"gateway-caller-left", "1", "internal/upstream/call.go", "x.stopCancel = context.AfterFunc(ctx, func() { _ = c.Close() })", "x.stopCancel = func() bool { return true }", platformTests("Leav")},
+	{"gateway-caller-left", "1", "internal/upstream/call.go", "x.stopCancel = context.AfterFunc(ctx, c.abort)", "x.stopCancel = func() bool { return true }", platformTests("Leav")},
 	{"gateway-system-headers", "keys", "platform/headers.go", "	for _, name := range systemHeaders {\n\t\th.Del(name)\n\t}\n", "", platformTests("SystemHeaders")},
 	{"gateway-instance", "4", "platform/headers.go", "	h.Set(headerInstance, d.Backend)\n", "", platformTests("SystemHeaders|Reused")},
 	{"upstream-left-over", "2", "internal/upstream/conn.go", "idle = err == unix.EAGAIN", "idle = err != unix.EBADF", platformTests("ClosedIdle|Faulty|Anothers")},
