Test: a slot at a draining engine isn't used, whichever host knows it

The owner of an engine or the host that asks for a slot may be the first to know that the engine drains. Both hold today; the test guards that.

--- a/internal/router/draining_test.go
+++ b/internal/router/draining_test.go
@@ -81,3 +81,31 @@
 
 // drainBound is the time within which all hosts of a small fleet must stop to use a backend server that drains.
 const drainBound = 2 * time.Second
+
+// The owner of an engine has not read yet that it drains, and the host that asks for a slot has, or the reverse. Guards against
+// requests sent there by the word of the one that doesn't know.
+func TestSlotAtADrainingEngineIsNotUsed(t *testing.T) {
+	z := newZone(t, 20, 23)
+	asker := z.hosts[0]
+	request, owner := z.requestSlot(asker)
+	offers := offersOf(z.byIP[owner].r.Reduce(z.now, SlotRequestReceived{asker.ip, request}))
+	place := offers[0].Place
+	require.NotNil(t, place)
+	engine := asker.r.byHash[place.Backend]
+	drains := drainingAt(engine.ID, 60)
+	drains.Slots = engine.Slots
+	register(asker.r, z.now, drains)
+	out := asker.r.Reduce(z.now, SlotOfferReceived{owner, offers[0]})
+	require.True(t, releasesSlot(out, place.Backend))
+	if d, ok := findEffect[Dispatch](out); ok {
+		require.NotEqual(t, engine.ID, d.Backend.ID)
+	}
+
+	register(z.byIP[owner].r, z.now, drains)
+	for n := range uint64(30) {
+		request.Number = 1000 + n
+		for _, o := range offersOf(z.byIP[owner].r.Reduce(z.now, SlotRequestReceived{z.hosts[1].ip, request})) {
+			require.NotEqual(t, place.Backend, o.GetPlace().GetBackend())
+		}
+	}
+}
