--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -100,18 +100,27 @@
 	if !s.reserve() {
 		return refuseFull
 	}
-	defer s.release()
+	t, f := s.connect(w, r)
+	if f != nil {
+		s.release()
+		return f
+	}
+	s.start(t, from, r.Host)
+	return nil
+}
+
+// connect joins the request's connection with one to the backend server.
+func (s *Server) connect(w http.ResponseWriter, r *http.Request) (*tunnel, *refusal) {
 	backend, err := s.dial(r.Context(), "tcp", r.Host)
 	if err != nil {
-		return dialRefusal(err)
+		return nil, dialRefusal(err)
 	}
 	t, err := accept(w, backend)
 	if err != nil {
 		_ = backend.Close()
-		return refuseInternal
+		return nil, refuseInternal
 	}
-	s.start(t, from, r.Host)
-	return nil
+	return t, nil
 }
 
 // reserve counts a tunnel that is being made; false if there are too many.
@@ -135,6 +144,7 @@
 func (s *Server) start(t *tunnel, from, addr string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.opening--
 	if s.closed {
 		t.reset()
 		return
