Router: fewer probes where nothing is lost

Now the one server that has been silent for the longest is probed, once per half second, which is enough: if it fails, the others are probed.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -18,6 +18,8 @@
 	// connectFailureTTL is how long a failed connection counts if nothing shows that most of the service's backend
 	// servers cannot be reached.
 	connectFailureTTL = 2 * time.Second
+	// knownFailureTTL is how long a further failed connection to the same backend server is no reason to try the others.
+	knownFailureTTL = 10 * time.Second
 	// ownReachTTL is how long contact with a backend server outweighs what other hosts report of it.
 	ownReachTTL = 2 * time.Second
 	// confirmDelay is how long peers have to probe the backend servers that this host does not reach.
@@ -83,6 +85,7 @@
 	probing, due []*backend
 	checkAt      time.Duration
 	askAt        time.Duration
+	silenceAt    time.Duration
 }
 
 func newReachTracker() reachTracker { return reachTracker{services: map[string]*serviceReach{}} }
@@ -168,12 +171,14 @@
 	}
 }
 
-// noteConnectFailure records a failed connection as evidence on this host's path only.
+// noteConnectFailure records a failed connection as evidence on this host's path only. The first one of a while is reason to try
+// the other backend servers too.
 func (r *Router) noteConnectFailure(b *backend) {
+	known := b.reach.connectFails() && r.now-b.reach.failedAt < knownFailureTTL
 	b.reach.failedAt = max(1, r.now, b.reach.connectedAt+1)
 	s := r.reachOf(b.Service)
 	s.failedAt = b.reach.failedAt
-	if !s.lost {
+	if !s.lost && !known {
 		r.startSurvey(s)
 	}
 	r.continueSurvey(b.Service, s)
--- a/internal/router/reachprobes.go
+++ b/internal/router/reachprobes.go
@@ -20,7 +20,7 @@
 	recoveryProbeInterval = 500 * time.Millisecond
 	recoveryProbes        = 2
 	// silenceTimeout is how long a request may wait for the first byte of its answer, with nothing else heard from its
-	// backend server, until that is probed. Several such timeouts fit into the time that callers wait.
+	// backend server, until that is probed, one server at a time.
 	silenceTimeout = 500 * time.Millisecond
 	// reachCheckInterval is how often the time limits of this file are checked.
 	reachCheckInterval = 50 * time.Millisecond
@@ -115,7 +115,7 @@
 	}
 	r.reach.checkAt = r.now + reachCheckInterval
 	r.sendDueProbes()
-	r.probeSilentBackends()
+	r.probeSilentBackend()
 	for _, name := range r.reachNames() {
 		s := r.reach.services[name]
 		if !s.lost && !s.surveying && len(s.refusals) == 0 {
@@ -166,20 +166,26 @@
 	}
 }
 
-// probeSilentBackends probes backend servers that have sent nothing since a request was sent there.
-func (r *Router) probeSilentBackends() {
-	silent := map[*backend]bool{}
+// probeSilentBackend probes the backend server that has sent nothing for the longest time since a request was sent there.
+func (r *Router) probeSilentBackend() {
+	if r.now < r.reach.silenceAt {
+		return
+	}
+	var silent *backend
+	var since time.Duration
 	for _, q := range r.requests {
 		b := q.backend
 		if b == nil || q.slotCall != nil || q.begun {
 			continue
 		}
-		if r.now-max(q.sentAt, b.reach.heardAt, b.reach.probeAt) >= silenceTimeout {
-			silent[b] = true
+		at := max(q.sentAt, b.reach.heardAt, b.reach.probeAt)
+		if silent == nil || at < since || (at == since && b.ID < silent.ID) {
+			silent, since = b, at
 		}
 	}
-	for _, b := range slices.SortedFunc(maps.Keys(silent), func(a, b *backend) int { return cmp.Compare(a.ID, b.ID) }) {
-		r.answerBroke(b)
+	if silent != nil && r.now-since >= silenceTimeout {
+		r.reach.silenceAt = r.now + silenceTimeout
+		r.answerBroke(silent)
 	}
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -253,7 +253,7 @@
 	{"reach-own-contact", "8", "internal/router/failing.go", " && !b.reach.outweighsReports(now))", ")", reachTests},
 	{"reach-peers", "8", "internal/router/reach.go", "cut := s.lost && peers > 0 &&", "cut := s.lost &&", reachTests},
 	{"reach-confirm", "8", "internal/router/reach.go", "(s.cut || r.now-s.lostSince >= confirmDelay)", "true", reachTests},
-	{"reach-silence", "8", "internal/router/reachprobes.go", "	r.probeSilentBackends()\n", "", reachTests},
+	{"reach-silence", "8", "internal/router/reachprobes.go", "	r.probeSilentBackend()\n", "", reachTests},
 	{"reach-recovery", "8", "internal/router/reachprobes.go", "		r.probeForRecovery(name, s)\n", "", reachTests},
 	{"reach-verify", "8", "internal/router/members.go", "			r.verify(b)\n", "", reachTests},
 	{"reach-failing-path", "8", "internal/router/failing.go", "return b.isFailing() && !b.reach.connectFails() && !r.mayBeCutOff(b.Service)", "return b.isFailing()", reachTests},
