Router: half of a service's servers that refuse at once prove no end either

A refusal that was held also counted if the server accepted a connection meanwhile.

Refusals are compared by when connections to the servers began to fail. Servers that a request crashes in turn fail one after the other and still count. A server that accepts a connection again has not ended.

TestCutHostsBlameNoRequest/two_of_three_servers and TestServerThatIsReachedAfterARefusalHasNotEnded failed before.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -41,6 +41,8 @@
 	heardAt, connectedAt, failedAt time.Duration
 	// restoredAt is the time of the latest connection that followed a failed one.
 	restoredAt time.Duration
+	// failingSince is when connections began to fail.
+	failingSince time.Duration
 	// probeAt is the time of the latest probe. probeDue is set if another one is to follow.
 	probeAt  time.Duration
 	probing  bool
@@ -174,6 +176,9 @@
 // noteConnectFailure records a failed connection as evidence on this host's path only. The first one of a while is reason to try
 // the other backend servers too.
 func (r *Router) noteConnectFailure(b *backend) {
+	if !b.reach.connectFails() {
+		b.reach.failingSince = r.now
+	}
 	known := b.reach.connectFails() && r.now-b.reach.failedAt < knownFailureTTL
 	b.reach.failedAt = max(1, r.now, b.reach.connectedAt+1)
 	s := r.reachOf(b.Service)
@@ -238,7 +243,7 @@
 	if s.surveying && (c.unknown == 0 || (r.largeFleet() && c.connected >= maxProbesLargeFleet && 2*c.failed <= c.connected)) {
 		s.surveying = false
 	}
-	r.resolveRefusals(s, c)
+	r.resolveRefusals(service, s, c)
 }
 
 func (r *Router) updateLost(service string, s *serviceReach, c reachCounts) {
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -162,9 +162,12 @@
 // Hosts that are cut off see answers break and connections refused, as if the backend servers had ended. The requests that were in
 // flight must not be quarantined for it, at any host.
 func TestCutHostsBlameNoRequest(t *testing.T) {
-	for name, c := range map[string]struct{ cut, lost int }{"from all servers": {6, 12}, "from most servers": {2, 10}, "all hosts": {9, 12}} {
+	for name, c := range map[string]struct{ engines, rate, cut, lost int }{"from all servers": {4, cutWorldRate, 6, 12},
+		"from most servers": {4, cutWorldRate, 2, 10}, "all hosts": {4, cutWorldRate, 9, 12}, "two of three servers": {1, 12, 6, 2}} {
 		t.Run(name, func(t *testing.T) {
-			z := newCutWorld(t)
+			z := newZones(t, 3, 3, c.engines)
+			z.heal()
+			z.run(3*time.Second, c.rate)
 			z.digest = popular
 			z.cut(c.cut, refuses, func(e string) bool { return engineNumber(e) < c.lost })
 			z.onStep = func() {
@@ -172,9 +175,9 @@
 					require.False(t, h.r.HasSuspects(), h.ip)
 				}
 			}
-			z.run(6*time.Second, cutWorldRate)
+			z.run(6*time.Second, c.rate)
 			z.heal()
-			z.run(3*time.Second, cutWorldRate)
+			z.run(3*time.Second, c.rate)
 		})
 	}
 }
@@ -361,3 +364,19 @@
 	require.Empty(t, beat.Heartbeat.Failing)
 	require.Equal(t, []uint32{r.backends["a"].hash}, beat.Heartbeat.Dead)
 }
+
+// A backend server that refused a connection while others were probed, and accepts one now, has not ended.
+func TestServerThatIsReachedAfterARefusalHasNotEnded(t *testing.T) {
+	h := newTwoServices(t)
+	h.engines = []string{"b", "c"}
+	reached := map[string]bool{"b": true, "c": true}
+	h.run(time.Second, reached)
+	h.r.Reduce(h.now, Submit{ID: 1, Route: fragile, Digest: crashing, Deadline: time.Minute})
+	engine := h.r.requests[1].backend.ID
+	h.r.Reduce(h.now, DispatchEnded{ID: 1, Outcome: Broken, Fault: true, Digest: crashing})
+	h.r.Reduce(h.now, ProbeResult{ID: engine, Refused: true})
+	h.r.Reduce(h.now, ProbeResult{ID: engine, Reached: true})
+	h.run(time.Second, reached)
+	require.False(t, h.r.HasSuspects())
+	require.False(t, h.r.backends[engine].exited)
+}
--- a/internal/router/refusals.go
+++ b/internal/router/refusals.go
@@ -29,10 +29,10 @@
 	return !s.lost && len(s.refusals) > 0 && s.refusals[len(s.refusals)-1].at > s.surveyAt
 }
 
-// resolveRefusals decides what refusals prove: nothing if most backend servers of the service refuse connections at the same
-// moment, otherwise the end of the server, as soon as a survey has shown that others are reached, or after surveyTimeout. An end
-// that is not recorded here still is when the registration is removed or replaced.
-func (r *Router) resolveRefusals(s *serviceReach, c reachCounts) {
+// resolveRefusals decides what refusals prove: nothing if they may be due to a lost path, otherwise the end of the backend server, as
+// soon as a survey has shown that others are reached, or after surveyTimeout. An end that is not recorded here still is when the
+// registration is removed or replaced.
+func (r *Router) resolveRefusals(service string, s *serviceReach, c reachCounts) {
 	if len(s.refusals) == 0 {
 		return
 	}
@@ -42,9 +42,9 @@
 	for _, f := range pending {
 		surveyed := !s.surveying && f.at <= s.surveyAt
 		switch {
-		case r.backends[f.backend.ID] != f.backend:
-		case s.lost && !alone && s.lostSince-f.at < sameMoment:
-		case alone || s.lost || surveyed || r.now-f.at >= surveyTimeout:
+		case r.backends[f.backend.ID] != f.backend || !f.backend.reach.connectFails():
+		case !alone && r.mayBeLostPath(service, f.backend.reach.failingSince):
+		case alone || surveyed || r.now-f.at >= surveyTimeout:
 			r.recordBackendEnd(f.backend)
 		default:
 			s.refusals = append(s.refusals, f)
@@ -52,6 +52,27 @@
 	}
 }
 
+// mayBeLostPath reports whether connections to at least half of a service's backend servers, two or more, began to fail at about
+// the given time, or to most of another service's.
+func (r *Router) mayBeLostPath(service string, at time.Duration) bool {
+	sample := r.reachSample(service)
+	failing := 0
+	for _, b := range sample {
+		if b.reach.connectFails() && (b.reach.failingSince-at).Abs() < sameMoment {
+			failing++
+		}
+	}
+	if failing >= minLostBackends && 2*failing >= len(sample) {
+		return true
+	}
+	for name, s := range r.reach.services {
+		if name != service && s.lost && (s.cut || (s.lostSince-at).Abs() < sameMoment) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasReachablePeer reports whether there is another host that could reach what this one does not.
 func (r *Router) hasReachablePeer() bool {
 	return slices.ContainsFunc(r.members.order, func(h string) bool { return !r.members.byHost[h].unreachable })
