--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -18,6 +18,8 @@
 	// connectFailureTTL is how long a failed connection counts if nothing shows that most of the service's backend
 	// servers cannot be reached.
 	connectFailureTTL = 2 * time.Second
+	// knownFailureTTL is how long a further failed connection to the same backend server is no reason to try the others.
+	knownFailureTTL = 10 * time.Second
 	// ownReachTTL is how long contact with a backend server outweighs what other hosts report of it.
 	ownReachTTL = 2 * time.Second
 	// confirmDelay is how long peers have to probe the backend servers that this host does not reach.
@@ -39,6 +41,8 @@
 	heardAt, connectedAt, failedAt time.Duration
 	// restoredAt is the time of the latest connection that followed a failed one.
 	restoredAt time.Duration
+	// failingSince is when connections began to fail.
+	failingSince time.Duration
 	// probeAt is the time of the latest probe. probeDue is set if another one is to follow.
 	probeAt  time.Duration
 	probing  bool
@@ -83,6 +87,7 @@
 	probing, due []*backend
 	checkAt      time.Duration
 	askAt        time.Duration
+	silenceAt    time.Duration
 }
 
 func newReachTracker() reachTracker { return reachTracker{services: map[string]*serviceReach{}} }
@@ -168,12 +173,17 @@
 	}
 }
 
-// noteConnectFailure records a failed connection as evidence on this host's path only.
+// noteConnectFailure records a failed connection as evidence on this host's path only. The first one of a while is reason to try
+// the other backend servers too.
 func (r *Router) noteConnectFailure(b *backend) {
+	if !b.reach.connectFails() {
+		b.reach.failingSince = r.now
+	}
+	known := b.reach.connectFails() && r.now-b.reach.failedAt < knownFailureTTL
 	b.reach.failedAt = max(1, r.now, b.reach.connectedAt+1)
 	s := r.reachOf(b.Service)
 	s.failedAt = b.reach.failedAt
-	if !s.lost {
+	if !s.lost && !known {
 		r.startSurvey(s)
 	}
 	r.continueSurvey(b.Service, s)
@@ -233,7 +243,7 @@
 	if s.surveying && (c.unknown == 0 || (r.largeFleet() && c.connected >= maxProbesLargeFleet && 2*c.failed <= c.connected)) {
 		s.surveying = false
 	}
-	r.resolveRefusals(s, c)
+	r.resolveRefusals(service, s, c)
 }
 
 func (r *Router) updateLost(service string, s *serviceReach, c reachCounts) {
