Removals bind hosts though the store fails them alone

What callers saw: requests reached backend servers up to 2.09 s after the removal of their entries, which never said that they drain; 2 s are allowed. A host that the store had failed kept them for 1.8 s from when it learned of the removal, and a decision is valid for 0.25 s.

Cause: each host took its own loss of the store for an outage, counted the grace period from the learning and not from the removal, and overlooked that a peer's removal says that the server drained.

Now the grace period applies to outages for all: not while the store answers a peer. It ends 1.6 s after the removal, and after the first return of the store that the host hears of. Servers that drained, or said in an answer that they leave, get none. A foreign overwrite within it reports the end.

Evidence: the tests of lapse_test.go, on the code before: 2.07 s while the store fails one host (8 hosts, simulated), 2.093 s after an outage, each against 1.75 s for the last decision; drained servers were usable, and the end after a foreign overwrite was not reported. All pass now, as do the existing ones unchanged. A cap by the age of the removal alone does not suffice: TestGracePeriodEndsWithTheFleets and TestRemovalWhileTheStoreAnswersAPeerHasNoGracePeriod fail without the others.

Cost: after an outage, a live server whose registration lapsed and that registers again 1.6 to 1.8 s after the return is refused in between.

--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -187,6 +187,9 @@
 		r.membersChanged()
 	}
 	m.seq, m.lastSeen, m.leaving, m.readsStore, m.listsStore = b.Seq, r.now, b.Leaving, b.ReadsStore, b.ListsStore
+	if m.readsStore {
+		r.noteStoreServes()
+	}
 	if zoneWasCutOff {
 		r.zoneRecovered(m.zone)
 	}
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -19,6 +19,8 @@
 	case ch.Removed:
 		if ch.Revision.After(b.revision) || (ch.Foreign && ch.Revision == b.revision) {
 			r.removeBackend(b, ch)
+		} else if b.removed {
+			r.learnDraining(b, ch)
 		}
 	case !ch.Revision.After(b.removedRevision):
 		// A later removal overrides this change.
@@ -172,13 +174,14 @@
 }
 
 // removeBackend marks a registration as removed. If it lapsed during an outage of the store, the backend server stays usable a
-// little longer: mostly it is alive and about to register again. One overwritten by another program does not, as nothing shows
-// that it is alive.
+// little longer: mostly it is alive and about to register again. One that has announced that it leaves does not, nor one overwritten
+// by another program, as nothing shows that it is alive.
 func (r *Router) removeBackend(b *backend, ch routing.BackendChange) {
 	r.dropFingerprint(b)
 	b.revision, b.removedRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
+	r.learnDraining(b, ch)
 	if ch.Foreign {
-		b.graceUntil = 0
+		r.endGrace(b)
 	}
 	if b.removed {
 		return
@@ -187,10 +190,12 @@
 	b.removed, b.removedAt, b.graceUntil = true, r.now, 0
 	r.tombstones[b.ID] = b
 	r.owners.valid = false
-	if !b.Draining && !ch.Foreign && (r.updates.storeLost || r.now-r.updates.storeBackAt < lapseWindow) {
-		b.graceUntil = r.now + lapsedGracePeriod
+	announced := b.Draining || ch.Draining || b.leaving
+	lapsed := !announced && !ch.Foreign && r.mayHaveLapsed()
+	if lapsed {
+		b.graceUntil = r.graceEnd(ch)
 	}
-	if !b.Draining && !b.leaving && !ch.Foreign && b.graceUntil == 0 {
+	if !announced && !ch.Foreign && !lapsed {
 		r.recordBackendEnd(b)
 	}
 	r.emit(Note{What: "backend server gone", Subject: b.ID, Age: ch.Age,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,7 @@
 	table      *routing.Table
 	members    members
 	updates    updateState
+	outage     storeOutage
 	backends   map[string]*backend
 	byHash     map[uint32]*backend
 	// tombstones are the backend servers whose registration was removed, warming the cold ones; both by ID.
@@ -235,6 +236,7 @@
 // runMaintenance expires outdated state and decides whether this host reads the store.
 func (r *Router) runMaintenance() {
 	r.expireMembers()
+	r.detectOutage()
 	r.expireZones()
 	r.expireBackends()
 	r.expireEvacuations()
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -23,11 +23,6 @@
 	// tombstoneTTL is how long removed backend servers are remembered: longer than any network partition after which a peer may
 	// report an outdated registration.
 	tombstoneTTL = 2 * time.Minute
-	// lapsedGracePeriod is how long a backend server may still be used whose registration lapsed around an outage of the
-	// store: one that is alive registers again within two seconds of the store's return.
-	lapsedGracePeriod = 1800 * time.Millisecond
-	// lapseWindow is how long after the store's return removals are treated as lapses caused by the outage.
-	lapseWindow = 3 * time.Second
 )
 
 // updateState is what this host knows of the store and of the data read from it.
@@ -47,7 +42,6 @@
 	// storeFailed is set if the store has failed this host since listedAt, when it began to read.
 	storeFailed     bool
 	listedAt        time.Duration
-	storeBackAt     time.Duration
 	pulledAt        time.Duration // time of the latest pull from any peer
 	storeAnsweredAt time.Duration // time of the latest answer
 	configWithheld  bool          // the configuration has not been activated yet; see activateConfig
@@ -80,10 +74,11 @@
 	r.updates.storeLost = !ok
 	r.heartbeatPending = r.heartbeatPending || r.updates.reading
 	if ok {
-		r.updates.storeBackAt = r.now
+		r.noteStoreServes()
 		r.emit(Note{What: "store answers"})
 		return
 	}
+	r.detectOutage()
 	r.emit(Note{What: "store does not answer"})
 }
 
@@ -281,9 +276,8 @@
 	r.removeLostBackends()
 	for _, id := range slices.Sorted(maps.Keys(r.tombstones)) {
 		b := r.tombstones[id]
-		if b.graceUntil > 0 && r.now >= b.graceUntil {
-			b.graceUntil = 0
-			r.emit(BackendGone{Backend: b.Backend})
+		if r.now >= b.graceUntil {
+			r.endGrace(b)
 		}
 		if r.now-b.removedAt > tombstoneTTL && b.ownLoad.total() == 0 {
 			delete(r.tombstones, id)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -21,6 +21,7 @@
 	quarantineTests     = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
 	suspectTests        = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|LapsedEngine|CutAddUp|Rack"}
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
+	lapseTests          = []string{"./internal/router", "-run", "Removal|Lapsed|GracePeriod"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
 	coldTests           = []string{"./internal/router", "-run", "Cold|BackAtOnce|CutOffOverload", "-rapid.shrinktime=1s"}
 	rateLimitTests      = []string{"./internal/router", "-run", "RateLimit|StatedRate|RateTrial|RateShare", "-rapid.shrinktime=1s"}
@@ -153,7 +154,7 @@
 	{"router-start-aborts", "1", "internal/router/registrations.go", "	r.abortRequests(b)\n", "", routerTests},
 	{"router-start-hash", "4", "internal/router/backends.go", "	if b.Start == 0 {\n", "	if true {\n", routerTests},
 	{"router-gone-at", "4", "internal/router/registrations.go", "	case !ch.Revision.After(b.removedRevision):\n", "	case false:\n", routerTests},
-	{"router-foreign-doubt", "4", "internal/router/registrations.go", "!b.Draining && !ch.Foreign && (", "!b.Draining && (", routerTests},
+	{"router-foreign-doubt", "4", "internal/router/registrations.go", "lapsed := !announced && !ch.Foreign && ", "lapsed := !announced && ", routerTests},
 	{"router-kind", "4", "internal/router/select.go", "return s == nil || !s.Model || b.Model", "return s == nil || s != nil", routerTests},
 	{"platform-foreign", "4", "platform/store.go", "		ch.Removed, ch.Foreign = true, true\n", "		return routing.BackendChange{}\n", platformFormatTests},
 	{"platform-types", "4", "platform/registration.go", "ok = ok && string(raw) != \"null\" && ", "ok = ok && ", platformFormatTests},
@@ -275,7 +276,11 @@
 	{"upstream-silence-reset", "1", "internal/upstream/pool.go", " || c.limitSilence(idleSilence) != nil", "", []string{"./internal/upstream"}},
 	{"upstream-silence-gone", "1", "internal/upstream/timeouts.go", "if x.server == server && x.silenceLimit > goneSilence {", "if false {", []string{"./internal/upstream"}},
 	{"upstream-silence-caller", "1", "internal/node/node.go", "n.set.Callers, upstream.SetCallerSilence, ", "n.set.Callers, upstream.SetIdleSilence, ", platformTests("SilentCaller")},
-	{"backend-gone-doubt", "4", "internal/router/updates.go", "			r.emit(BackendGone{Backend: b.Backend})\n", "", []string{"./internal/router", "-run", "Lapsed"}},
+	{"backend-gone-doubt", "4", "internal/router/lapses.go", "		r.emit(BackendGone{Backend: b.Backend})\n", "", []string{"./internal/router", "-run", "Lapsed"}},
+	{"lapse-peers", "8", "internal/router/lapses.go", "		if m.readsStore && !m.unreachable {\n", "		if m == nil {\n", lapseTests},
+	{"lapse-from-removal", "8", "internal/router/lapses.go", "end := r.now - ch.Age + ", "end := r.now + ", lapseTests},
+	{"lapse-from-outage", "8", "internal/router/lapses.go", "		end = min(end, r.outage.endAt+lapsedGracePeriod)\n", "", lapseTests},
+	{"lapse-drained", "8", "internal/router/lapses.go", "		b.Draining = true\n", "", lapseTests},
 	{"node-drain-waits", "5", "internal/ingress/connections.go", "	c.rejecting = c.inUse == 0 && !c.expectsRequest(now)\n", "	c.rejecting = true\n", []string{"./internal/ingress"}},
 	{"ingress-first-byte", "5", "internal/ingress/connections.go", "		c.setState(k, stateReading)\n", "", []string{"./internal/ingress"}},
 	{"ingress-awaited", "5", "internal/ingress/connections.go", "c.rejecting = c.inUse == 0 && !c.expectsRequest(now)", "c.rejecting = c.inUse == 0 || c.expectsRequest(now)", []string{"./internal/ingress"}},
