A request that leaves a silent server keeps the place found for it

Callers lost streams although all servers were sound: one was silent for a while, the host decided to move the stream and closed that exchange, and then found no server for it (backend_lost).

Cause: the decision checked that another server had room but reserved nothing. Another request could take the place before the end of the exchange reached the reducer. And a move that was not connected, or rejected, or broken off, could not go back: the server that had only been silent was out as tried.

Now the place counts as this host's load from the decision on, with its cold and rate tokens, and the server's owner is told. The request goes there without asking again, if that server may still get requests; otherwise, and on every other way out, the place is released. A request for which no server is left may go back once to one that it left for its silence, within the limits on runs, rejects and sends, the retry budget and the deadline. It is sent there without asking an owner, which would exclude a server that has just failed.

TestEveryShortHistoryOfARequest now also checks that no place is held after an answer.

--- a/internal/router/exhaustive_test.go
+++ b/internal/router/exhaustive_test.go
@@ -116,6 +116,7 @@
 			if l.answered {
 				require.False(t, l.inFlight, "%s: answered while under way", name)
 				require.Zero(t, l.b.r.Requests(), "%s: kept after its answer", name)
+				require.Zero(t, l.b.held(), "%s: a place is held after its answer", name)
 				return
 			}
 			require.True(t, l.inFlight, "%s: neither answered nor under way", name)
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -55,6 +55,10 @@
 	prefillTokens int
 	// retryPaid is set if the retry budget was charged when the move was decided.
 	retryPaid bool
+	// reserved is the place for the move that was decided, nil if there is none. left are the backend servers left only
+	// because of their silence.
+	reserved *reservation
+	left     []*backend
 	// slotCall is the open slot request and fullOwners are the owners not to ask again: they had no usable slot,
 	// or did not reply from another zone. decideLocally is set if an owner in this zone did not reply. owner granted the slot; it is empty if this host chose the backend server.
 	slotCall      *slotRequest
@@ -116,36 +120,65 @@
 		r.refuseQuarantined(q, retryAfter)
 		return
 	}
+	if r.sendToReserved(q) {
+		return
+	}
 	if r.usesOwners() {
 		r.schedule(q)
 		return
 	}
 	b, g := r.selectBackend(q)
 	if b == nil {
-		r.refuse(q, g)
+		r.returnOrRefuse(q, g)
 		return
 	}
 	r.send(q, b, g)
 }
 
+// returnOrRefuse ends a request for which no backend server has room, unless it may go back to one that it left.
+func (r *Router) returnOrRefuse(q *request, g DecisionBasis) {
+	if !r.returnToLeft(q) {
+		r.refuse(q, g)
+	}
+}
+
 // send counts a request at a backend server and emits its dispatch.
 func (r *Router) send(q *request, b *backend, g DecisionBasis) {
+	r.occupy(q, b)
+	r.sendCounted(q, b, g)
+}
+
+// occupy counts a request at a backend server and takes the tokens that it needs there.
+func (r *Router) occupy(q *request, b *backend) {
+	r.takeColdToken(b)
+	r.takeRateToken(b)
+	b.ownLoad.counts[q.priority()]++
+	b.ownLoad.prefillBacklog += q.PromptTok
+	r.markLoadChanged()
+}
+
+// vacate undoes the count of a request at a backend server whose prompt has promptTokens unread.
+func (r *Router) vacate(b *backend, priority, promptTokens int) {
+	own := &b.ownLoad
+	own.counts[priority]--
+	own.prefillBacklog -= promptTokens
+	r.markLoadChanged()
+	r.invariants.Check(own.counts[priority] >= 0 && own.prefillBacklog >= 0, "backend server %s has %d requests in flight and a prefill backlog of %d tokens", b.ID, own.counts[priority], own.prefillBacklog)
+}
+
+// sendCounted emits the dispatch of a request that is counted at its backend server.
+func (r *Router) sendCounted(q *request, b *backend, g DecisionBasis) {
 	q.attempt++
 	q.backend = b
 	r.invariants.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
 	q.sentAt = r.now
-	r.takeColdToken(b)
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
-		r.takeRateToken(b)
 	}
-	b.ownLoad.counts[q.priority()]++
 	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
 	q.prefillTokens = q.PromptTok
-	b.ownLoad.prefillBacklog += q.prefillTokens
-	r.markLoadChanged()
 	r.reportAssigned(q)
 	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
 	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, ReportRate: b.rateLimit != nil, Basis: g})
@@ -302,7 +335,7 @@
 	}
 	if allowed && (q.retryPaid || r.retryBudget(q.service).Spend(r.now, r.hostCount())) {
 		q.retryPaid = false
-		if b, _ := r.selectBackend(q); b != nil {
+		if r.hasRoomFor(q) {
 			r.dispatch(q)
 			return
 		}
@@ -311,25 +344,13 @@
 	r.emit(GiveUp{ID: q.ID, Cause: BackendLost, DeliverFailure: true})
 }
 
-// handleStalled decides whether a request whose backend server sends nothing moves to another one. It moves
-// only if it may run again, another server has room and the retry budget allows it. No data may mean a cut or
-// a crashed server, and callers abandon a stalled stream after a few seconds, but it may also mean a long queue.
-func (r *Router) handleStalled(id uint64) {
-	q, ok := r.requests[id]
-	if !ok {
-		r.emit(StallDecision{ID: id})
-		return
+// hasRoomFor reports whether a backend server has room for a request, which may be one that it left.
+func (r *Router) hasRoomFor(q *request) bool {
+	if q.reserved != nil {
+		return true
 	}
-	reassign := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now < q.Deadline
-	if reassign {
-		triedBefore := q.tried
-		q.tried = append(q.tried[:len(q.tried):len(q.tried)], q.backend.ID)
-		b, _ := r.selectBackend(q)
-		q.tried = triedBefore
-		reassign = b != nil && r.retryBudget(q.service).Spend(r.now, r.hostCount())
-	}
-	q.retryPaid = reassign
-	r.emit(StallDecision{ID: id, Reassign: reassign})
+	b, _ := r.selectBackend(q)
+	return b != nil || r.leftWithRoom(q) != nil
 }
 
 // prefillDone removes a request's prompt from its backend server's prefill backlog.
@@ -344,15 +365,12 @@
 		return
 	}
 	r.reportEnded(q, e)
-	p := q.priority()
-	own := &q.backend.ownLoad
-	own.counts[p]--
-	q.prefillDone()
-	r.markLoadChanged()
-	r.invariants.Check(own.counts[p] >= 0 && own.prefillBacklog >= 0, "backend server %s has %d requests in flight and a prefill backlog of %d tokens", q.backend.ID, own.counts[p], own.prefillBacklog)
+	r.vacate(q.backend, q.priority(), q.prefillTokens)
+	q.prefillTokens = 0
 }
 
 func (r *Router) finish(q *request) {
+	r.releaseReservation(q)
 	r.refund(q)
 	delete(r.requests, q.ID)
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -5,7 +5,8 @@
 //
 // Each file covers one concern: members (other hosts), updates (configuration and backend servers, from the store or
 // a peer), registrations and backends (state of each backend server), zones (summaries between availability zones),
-// peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), select
+// peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), moves (from a silent
+// backend server to another one), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
 // quotas (quota owners), senders (which hosts share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits,
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -149,17 +149,16 @@
 	return to
 }
 
-// newReport returns a report of requests and prompt tokens added to the request's backend server, or
-// removed if negative.
-func (q *request) newReport(requests, promptTokens int) *gossippb.Report {
-	return &gossippb.Report{Backend: q.backend.hash, Priority: uint32(q.priority()), Requests: int32(requests), Unread: int32(promptTokens)}
+// newReport returns a report of requests and prompt tokens added to a backend server, or removed if negative.
+func (q *request) newReport(b *backend, requests, promptTokens int) *gossippb.Report {
+	return &gossippb.Report{Backend: b.hash, Priority: uint32(q.priority()), Requests: int32(requests), Unread: int32(promptTokens)}
 }
 
 // reportAssigned reports a request that was sent without a slot request to the owner of its backend server, which does
 // not count it yet.
 func (r *Router) reportAssigned(q *request) {
 	if to := r.reportTarget(q); to != "" && q.owner == "" {
-		r.sendReport(to, q.newReport(1, q.prefillTokens))
+		r.sendReport(to, q.newReport(q.backend, 1, q.prefillTokens))
 	}
 }
 
@@ -169,7 +168,7 @@
 	if to == "" {
 		return
 	}
-	rep := q.newReport(-1, -q.prefillTokens)
+	rep := q.newReport(q.backend, -1, -q.prefillTokens)
 	rep.Outcome, rep.AgeMs = reportOutcome(e), uint32((r.now - q.sentAt).Milliseconds())
 	if e.Outcome == Answered {
 		rep.IntervalUs, rep.Events = uint32(observedInterval(q, e).Microseconds()), uint32(e.Events)
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -52,7 +52,7 @@
 	}
 	if c.backend == nil {
 		c.basis.ViewAge = r.oldestHeartbeatAge()
-		r.refuse(q, c.basis)
+		r.returnOrRefuse(q, c.basis)
 		return
 	}
 	r.requestSlotOrSend(q, c)
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -50,7 +50,7 @@
 		r.serviceState(q.service).learnPrefill(perToken)
 	}
 	if to := r.reportTarget(q); to != "" {
-		rep := q.newReport(0, -prefilled)
+		rep := q.newReport(q.backend, 0, -prefilled)
 		rep.ReadNs = uint32(perToken.Nanoseconds())
 		r.sendReport(to, rep)
 	}
