--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -56,7 +56,7 @@
 		r.serviceState(q.service).learnPrefill(perToken)
 	}
 	if to := r.reportTarget(q); to != "" {
-		rep := q.newReport(0, -prefilled)
+		rep := q.newReport(q.backend, 0, -prefilled)
 		rep.ReadNs, rep.AgeMs = uint32(perToken.Nanoseconds()), uint32((r.now - q.sentAt).Milliseconds())
 		r.sendReport(to, rep)
 	}
