A request's own prompt is not counted as the queue in front of it

The own prompt is subtracted; the own part of the backlog does not shrink with time, so that this is exact.

--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -177,7 +177,7 @@
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
 	}
-	q.queued = b.inFlight() > b.Slots || 2*b.prefillBacklog(r.now) > q.PromptTok
+	q.queued = b.inFlight() > b.Slots || 2*(b.prefillBacklog(r.now)-q.PromptTok) > q.PromptTok
 	q.prefillTokens = q.PromptTok
 	r.reportAssigned(q)
 	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
