A plain request without an objective leaves a silent server after half its time

Callers of a repeatable plain request without an objective got 504 although all servers worked: the request was moved after a third of its time, and again, so that work of over a third of the time was ended twice and the last attempt had only a third. A plain server that works normally sends nothing until it is done.

Now the move comes after half of the allowed time. An attempt that begins after that is never left, as its stall timeout lies behind the deadline: there is one move at most, with max-attempts 3 too.

Compared, both with TestServerThatWorksUnderHalfOfTheTimeIsNotLeft (three servers that need 45 % of the time, max-attempts 3): with a third it fails with 504, with half it passes; TestMuteServerIsLeftOnARouteWithoutObjective passes unchanged, 1 run each with -race. To move only from a suspect server or one that does not acknowledge was not tried: the mute server of that test acknowledges. Work of over half of the time is still moved once and then late.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -289,9 +289,10 @@
 	stallFirstFraction   = 0.45
 	stallNextFraction    = 0.3
 	// stallPlainTargets is how many times its objective a plain answer may take; without an objective,
-	// stallPlainFraction is the part of the allowed time.
+	// stallPlainFraction is the part of the allowed time. A plain server sends nothing until it is done. With half of the
+	// time, there is one move at most and no attempt is cut shorter than the one after it.
 	stallPlainTargets  = 2.5
-	stallPlainFraction = 1.0 / 3
+	stallPlainFraction = 0.5
 )
 
 // stallTimeouts returns how long a backend server may send nothing before the first byte and after it; zero if the
