A place reserved at an earlier start of a server is not used

A server that started again between the decision to move a request and its dispatch has a new state under the same ID. The reservation still pointed to the earlier one, so that the request went there uncounted by the limits on the new start. Such a place, and such a server as one to go back to, now count as gone; the request is dispatched anew.

TestReservedPlaceAtAnEarlierStartIsNotUsed failed before and passes.

--- a/internal/router/moves.go
+++ b/internal/router/moves.go
@@ -101,10 +101,10 @@
 	return nil
 }
 
-// reachable reports whether a backend server may get a request and is not known to be unreachable.
+// reachable reports whether a backend server may get a request, is not known to be unreachable and has not started again.
 func (r *Router) reachable(q *request, b *backend) bool {
 	ok, _ := b.usable(r.now)
-	return ok && !b.isUnreachable(r.now) && r.mayServe(q.Route, q.Workspace, b.Zone)
+	return ok && r.backends[b.ID] == b && !b.isUnreachable(r.now) && r.mayServe(q.Route, q.Workspace, b.Zone)
 }
 
 // basisOf returns the basis of a dispatch to a backend server that was not selected by load.
--- a/internal/router/moves_test.go
+++ b/internal/router/moves_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/routing"
 )
 
 // newFixtureWithBudget returns a fixture whose retry budget allows some retries.
@@ -102,6 +104,26 @@
 	require.Zero(t, b.r.backends[reserved].ownLoad.total())
 }
 
+// Guards against sending a moved request to the earlier start of a server, past the limits of the present one.
+func TestReservedPlaceAtAnEarlierStartIsNotUsed(t *testing.T) {
+	b := newFixtureWithBudget(t, 2)
+	first, _ := b.submit(urgentRoute, 0, 10)
+	id := b.next
+	require.True(t, b.stall(id))
+	for name, be := range b.r.backends {
+		if name != first {
+			ch := routing.BackendChange{Revision: rev(70), Backend: be.Backend}
+			ch.Start = 2000
+			b.receive(ch)
+			require.NotSame(t, be, b.r.backends[name])
+			break
+		}
+	}
+	second := b.endsAt(DispatchEnded{ID: id, Outcome: Broken, Fault: true})
+	require.NotContains(t, []string{"", first}, second)
+	require.Equal(t, 1, b.r.backends[second].ownLoad.total(), "counted at the present start")
+}
+
 // Guards against ending a stream whose first server is sound because the server that it moved to doesn't take it.
 func TestMovedRequestReturnsIfItIsNotTaken(t *testing.T) {
 	for name, o := range map[string]Outcome{"not sent": NotSent, "rejected": Rejected, "broken": Broken} {
