--- a/internal/router/lapse_test.go
+++ b/internal/router/lapse_test.go
@@ -10,8 +10,12 @@
 	"fireflyshift/internal/routing"
 )
 
-// lastDecision is when the last decision for a backend server that has left may be made: it is valid for a quarter of a second.
-const lastDecision = drainBound - 250*time.Millisecond
+const (
+	// dispatchValidity is how long a decision is valid.
+	dispatchValidity = 250 * time.Millisecond
+	// lastDecision is when the last decision for a backend server that has left may be made.
+	lastDecision = drainBound - dispatchValidity
+)
 
 // answerFor keeps the store answering the hosts that read it, and runs the fleet meanwhile.
 func (s *spread) answerFor(d time.Duration) {
