--- a/internal/router/lapse_test.go
+++ b/internal/router/lapse_test.go
@@ -10,8 +10,12 @@
 	"fireflyshift/internal/routing"
 )
 
-// lastDecision is when the last decision for a backend server that has left may be made: it is valid for a quarter of a second.
-const lastDecision = drainBound - 250*time.Millisecond
+const (
+	// dispatchValidity is how long a decision is valid.
+	dispatchValidity = 250 * time.Millisecond
+	// lastDecision is when the last decision for a backend server that has left may be made.
+	lastDecision = drainBound - dispatchValidity
+)
 
 // answerFor keeps the store answering the hosts that read it, and runs the fleet meanwhile.
 func (s *spread) answerFor(d time.Duration) {
@@ -30,13 +34,7 @@
 // limit.
 func (s *spread) accept(ch routing.BackendChange, limit time.Duration) time.Duration {
 	began := s.now
-	update := Update{FromStore: true, After: rev(50), AsOf: ch.Revision, Revision: ch.Revision, Changes: routing.Changes{Backends: []routing.BackendChange{ch}}}
-	for _, h := range s.hosts {
-		if !s.blind[h.ip] {
-			s.run(storeStaggering, 0)
-			s.post(h, update)
-		}
-	}
+	s.readChanges(routing.Changes{Backends: []routing.BackendChange{ch}}, ch.Revision)
 	for s.now-began < limit && s.anyUses(ch.ID) {
 		s.answerFor(zoneStep)
 	}
