Hosts that learn of a removal by a push announce it

What callers would see: in a zone of 59 hosts, one that missed the push of a removal used the backend server until the end of the test, 8 s later.

Cause: a removal did not raise the revision that a host announces, unlike a registration. Of 58 peers that knew of the removal only the one that had read it looked ahead. The host asked that one alone, and it did not answer; those pulls also kept it from the full pull that is due with the others.

--- a/internal/router/drainsizes_test.go
+++ b/internal/router/drainsizes_test.go
@@ -9,7 +9,7 @@
 	"fireflyshift/internal/gossip/gossippb"
 )
 
-// Guards against requests that reach a backend server long after it drains, in fleets of the operators' sizes in which a tenth of the
+// Guards against requests that reach a backend server long after it drains or its registration is removed, in fleets of the operators' sizes in which a tenth of the
 // datagrams and all pushes to a tenth of the hosts are lost, all readers' watches but one in each zone hang, and a quarter of the hosts
 // don't answer pulls.
 func TestDrainingSpreadsAtTheOperatorsSizes(t *testing.T) {
@@ -40,6 +40,10 @@
 				took := s.drain("e001", 2*size.bound)
 				t.Log(took)
 				require.Less(t, took, size.bound-dispatchValidity)
+				s.answerFor(time.Second)
+				took = s.accept(changeOf("e002", 61, true), 2*size.bound)
+				t.Log("removal", took)
+				require.Less(t, took, size.bound-dispatchValidity)
 			}
 		})
 	}
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -177,6 +177,7 @@
 // little longer: mostly it is alive and about to register again. One that has announced that it leaves does not, nor one overwritten
 // by another program, as nothing shows that it is alive.
 func (r *Router) removeBackend(b *backend, ch routing.BackendChange) {
+	r.updates.revision = routing.Latest(r.updates.revision, ch.Revision)
 	r.dropFingerprint(b)
 	b.revision, b.removedRevision, b.changedAt = ch.Revision, ch.Revision, r.now-ch.Age
 	r.learnDraining(b, ch)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -342,6 +342,8 @@
 	{"drain-told", "4", "internal/router/registrations.go", "		b.announcedLeaving = true\n		r.markLeaving(b, \"store\")", "		r.markLeaving(b, \"store\")", []string{"./internal/router", "-run", "Draining"}},
 	{"pull-turns", "8", "internal/router/pulls.go", "c.data.pulledAt < next.data.pulledAt", "false", []string{"./internal/router", "-run", "TakeTurns"}},
 	{"push-departures", "8", "internal/router/router.go", "	r.pushDepartures()\n", "", []string{"./internal/router", "-run", "AnyTwoWays"}},
+	{"removal-announced", "8", "internal/router/registrations.go", "	r.updates.revision = routing.Latest(r.updates.revision, ch.Revision)\n	r.dropFingerprint(b)\n", "	r.dropFingerprint(b)\n",
+		[]string{"./internal/router", "-run", "AtTheOperatorsSizes"}},
 	{"push-departure-turns", "8", "internal/router/pulls.go", "	m.data.pushedDeparture = turn[len(turn)-1].ID\n", "", []string{"./internal/router", "-run", "PushesAllDraining"}},
 	{"era-lost-lives", "8", "internal/router/updates.go", "b.revision.Era < n.AsOf.Era // by", "false // by", eraTests},
 	{"era-lost-ends", "8", "internal/router/updates.go", "if !b.removed && b.revision.Era < era {", "if false {", eraTests},
