Software version of backend servers in logs, status and explain

Hosts checked the version in a registration and dropped it, and did not log that a request takes up a stream. The logs of the incident therefore could not tell a stream that moved within one answer from one that its caller took up at another host.

'Sent.' has the server's version, the last event that the caller already has, and the attempt that the caller names as the stream's origin; 'Ended.' and the counters streams.continued.OUTCOME count how taken up streams end. No decision uses any of it.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -50,6 +50,7 @@
 	Service    string  `json:"service"`
 	Zone       string  `json:"zone"`
 	Addr       string  `json:"addr"`
+	Version    string  `json:"version,omitempty"` // of its software
 	State      string  `json:"state"`
 	Owner      string  `json:"owner,omitempty"`
 	Own        int     `json:"in_flight_own"`
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -109,11 +109,11 @@
 		}
 		if !hasHeader {
 			hasHeader = true
-			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL\tRATE LIMIT")
+			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tVERSION\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL\tRATE LIMIT")
 		}
 		for _, b := range r.Status.Backends {
-			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\t%s\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
-				b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS, formatRateLimit(b.RateLimit))
+			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\t%s\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
+				cmp.Or(b.Version, "-"), b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS, formatRateLimit(b.RateLimit))
 		}
 	}
 	w.Flush()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -125,12 +125,12 @@
 // logDispatch logs a dispatch to a backend server.
 func (a *activeRequest) logDispatch(d router.Dispatch) {
 	a.g.metrics.Count("requests.dispatched", 1)
-	a.g.histories.add(a.call.AttemptID, d.At, "sent to %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d",
-		d.Backend.ID, d.Attempt, d.Basis.InFlight, d.Basis.Limit, d.Basis.ViewAge, d.Basis.Version)
+	a.g.histories.add(a.call.AttemptID, d.At, "sent to %s of version %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d",
+		d.Backend.ID, d.Backend.Version, d.Attempt, d.Basis.InFlight, d.Basis.Limit, d.Basis.ViewAge, d.Basis.Version)
 	if d.Attempt > 1 {
 		a.g.metrics.Count("requests.sent_again", 1)
 	}
-	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Int("attempt", d.Attempt).
+	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Str("version", d.Backend.Version).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
 		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).
 		Uint64("revision", d.Basis.Revision).Int64("store_age_ms", d.Basis.StoreAge.Milliseconds()).Str("owner", d.Basis.Owner)
@@ -138,6 +138,12 @@
 		a.g.metrics.Count("requests.relayed", 1)
 		e = e.Str("via", d.Via)
 	}
+	if a.lastEvent > 0 {
+		e = e.Int64("last_event", a.lastEvent)
+	}
+	if a.continuesStream() {
+		e = e.Str("resumes", truncate(a.call.Resumes)).Str("resumes_after", truncate(a.call.LastEvent))
+	}
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
@@ -202,6 +208,10 @@
 	if a.pauses.longest > 0 {
 		e = e.Int64("pause_ms", a.pauses.longest.Milliseconds())
 	}
+	if a.route != nil && a.continuesStream() {
+		a.g.metrics.Count("streams.continued."+outcome, 1)
+		e = e.Str("resumes", truncate(a.call.Resumes))
+	}
 	if outcome == answered {
 		if late := a.late(took); late != "" {
 			a.g.metrics.Count("requests.late_"+late, 1)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -16,7 +16,10 @@
 	// Deadline is how long the caller waits; zero if not stated.
 	Deadline time.Duration
 	// LastEvent is the last event of an earlier stream that the caller has received.
-	LastEvent    string
+	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream that this one continues; empty if
+	// the caller does not name it.
+	Resumes      string
 	HasTokens    bool
 	PromptTokens int
 	OutputTokens int // at most
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -233,6 +233,11 @@
 	return s
 }
 
+// continuesStream reports whether the caller takes up a stream that an earlier attempt of it has begun.
+func (a *activeRequest) continuesStream() bool {
+	return a.route.Kind == routing.Streaming && (a.call.LastEvent != "" || a.call.Resumes != "")
+}
+
 // hopHeaders apply to one connection only.
 var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding",
 	"Upgrade", "Expect", "Content-Length", "Host"}
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -79,7 +79,7 @@
 
 // describe formats a registration for logs.
 func describe(b routing.Backend) string {
-	return fmt.Sprintf("%s %s slots=%d", b.Service, b.Addr, b.Slots)
+	return fmt.Sprintf("%s %s slots=%d version=%s", b.Service, b.Addr, b.Slots, b.Version)
 }
 
 // describeChange formats a change of a registration, and how it reached this host, for logs.
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -40,6 +40,7 @@
 // BackendView is a backend server as known to this host.
 type BackendView struct {
 	ID, Service, Zone, Addr string
+	Version                 string // of its software
 	State                   string
 	Owner                   string // the host that grants its slots; empty if there is none
 	Own, Others, Slots      int
@@ -68,7 +69,7 @@
 		v.Peers = append(v.Peers, PeerView{h, m.zone, !m.unreachable, r.now - m.lastSeen})
 	}
 	for _, b := range r.allBackends() {
-		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, r.backendState(b), r.ownerOf(b),
+		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.Version, r.backendState(b), r.ownerOf(b),
 			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b)})
 	}
 	for _, c := range r.suspects.ledger.Quarantined() {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -116,10 +116,12 @@
 	// Start is when this process of the backend server started, in Unix milliseconds. It is zero if the server does not
 	// register it; each start then has an ID of its own. The state kept about a backend server applies to one start of
 	// it.
-	Start    uint64
-	Addr     string
-	Zone     string
-	Service  string
+	Start   uint64
+	Addr    string
+	Zone    string
+	Service string
+	// Version is the version of its software; empty if it is unknown, as from a host that does not report it.
+	Version  string
 	Slots    int
 	Draining bool
 	// Cold is for how much longer the backend server can take only few requests, at the time of its registration.
