A stream goes on only at the software version that began it

What callers saw: a stream that broke off went on at a backend server of another software version, within one answer or when its caller took it up, at any host.

Cause: no choice of a backend server looked at the version, and no host kept which one had begun a stream. State of one request that only one host could know, while its caller may come to any other.

Change: the first event binds a request to the version. exclusionFor is the one place that says why a backend server may not get a request; own choice, owners' grants, second tries, moves, returns and borrowed slots use it, and sendCounted asserts it. The host reports the origin as the first event arrives: to all hosts of a small fleet, to three of a large one, by the stream's hash. A host that does not know asks, 50 ms a round, and refuses the stream unless no other version has been in use for as long as a stream may last. A record is kept for 30 to 60 s and bounded; its name is a hash of workspace and attempt.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -56,19 +56,21 @@
 }
 
 var remedies = map[string]string{
-	"no_configuration":         "this host is starting; send the request again",
-	"no_route":                 "check host and path against the published routes",
-	"unknown_key":              "send a key that the configuration lists for a workspace",
-	"body_too_large":           "send a smaller body",
-	"slow_body":                "send the whole body in time",
-	string(router.OverQuota):   "slow down to the workspace's quota, or ask the operator to raise it",
-	string(router.Overloaded):  "come back after the time in Retry-After",
-	string(router.NoBackend):   "no backend server of this service can be reached; come back later",
-	string(router.ShutDown):    "this host is shutting down; send the request again on a new connection",
-	string(router.OutOfTime):   "allow more time",
-	string(router.Quarantined): "backend servers have ended each time they ran this request; change it, or ask the operator",
-	interruptedByShutdown:      "this host stopped before the answer was there; repeat the request only if it is idempotent",
-	string(router.BackendLost): "the backend server was lost after the request was sent; repeat it only if it is idempotent",
+	"no_configuration":                "this host is starting; send the request again",
+	"no_route":                        "check host and path against the published routes",
+	"unknown_key":                     "send a key that the configuration lists for a workspace",
+	"body_too_large":                  "send a smaller body",
+	"slow_body":                       "send the whole body in time",
+	string(router.OverQuota):          "slow down to the workspace's quota, or ask the operator to raise it",
+	string(router.Overloaded):         "come back after the time in Retry-After",
+	string(router.NoBackend):          "no backend server of this service can be reached; come back later",
+	string(router.OriginUnknown):      "no host knows which software version began this stream; begin it again without Last-Event-Id",
+	string(router.NoBackendOfVersion): "no backend server of the software version that began this stream takes requests; begin it again without Last-Event-Id",
+	string(router.ShutDown):           "this host is shutting down; send the request again on a new connection",
+	string(router.OutOfTime):          "allow more time",
+	string(router.Quarantined):        "backend servers have ended each time they ran this request; change it, or ask the operator",
+	interruptedByShutdown:             "this host stopped before the answer was there; repeat the request only if it is idempotent",
+	string(router.BackendLost):        "the backend server was lost after the request was sent; repeat it only if it is idempotent",
 }
 
 // refuse returns an error of the gateway itself.
@@ -125,8 +127,8 @@
 // logDispatch logs a dispatch to a backend server.
 func (a *activeRequest) logDispatch(d router.Dispatch) {
 	a.g.metrics.Count("requests.dispatched", 1)
-	a.g.histories.add(a.call.AttemptID, d.At, "sent to %s of version %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d",
-		d.Backend.ID, d.Backend.Version, d.Attempt, d.Basis.InFlight, d.Basis.Limit, d.Basis.ViewAge, d.Basis.Version)
+	a.g.histories.add(a.call.AttemptID, d.At, "sent to %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d, software version %s",
+		d.Backend.ID, d.Attempt, d.Basis.InFlight, d.Basis.Limit, d.Basis.ViewAge, d.Basis.Version, d.Backend.Version)
 	if d.Attempt > 1 {
 		a.g.metrics.Count("requests.sent_again", 1)
 	}
@@ -144,6 +146,11 @@
 	if a.continuesStream() {
 		e = e.Str("resumes", truncate(a.call.Resumes)).Str("resumes_after", truncate(a.call.LastEvent))
 	}
+	if d.Binding.Version != "" {
+		a.g.metrics.Count("streams.bound_by."+string(d.Binding.Source), 1)
+		e = e.Str("bound_version", d.Binding.Version).Str("bound_by", string(d.Binding.Source)).Str("bound_from", d.Binding.From).Int64("bound_age_ms", d.Binding.Age.Milliseconds())
+		a.g.histories.add(a.call.AttemptID, d.At, "the stream is bound to version %s, known by %s %s for %s", d.Binding.Version, d.Binding.Source, d.Binding.From, d.Binding.Age)
+	}
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
@@ -228,7 +235,7 @@
 		e = e.Str("backend", a.backend).Int("attempts", a.attempts).Int64("first_ms", a.firstByte.Milliseconds()).Int64("last_event", a.lastEvent)
 	} else {
 		e = e.Int("in_flight", a.basis.InFlight).Int("limit", a.basis.Limit).Int64("belief_age_ms", a.basis.ViewAge.Milliseconds()).
-			Int("known", a.basis.Known).Int("full", a.basis.Full).Int("dead", a.basis.Unreachable).Int("cold", a.basis.Cold).Int("barred", a.basis.Excluded).Uint64("config", a.basis.Version).Uint64("era", a.basis.Era)
+			Int("known", a.basis.Known).Int("full", a.basis.Full).Int("dead", a.basis.Unreachable).Int("cold", a.basis.Cold).Int("barred", a.basis.Excluded).Int("other_version", a.basis.OtherVersion).Uint64("config", a.basis.Version).Uint64("era", a.basis.Era)
 	}
 	if a.attempts == 0 && a.basis.RateLimited > 0 {
 		e = e.Int("rate_limited", a.basis.RateLimited).Float64("rate_limit", a.basis.Rate.PerSecond).Float64("rate_share", a.basis.Rate.Share)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -14,6 +14,7 @@
 	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/streams"
 	"fireflyshift/internal/upstream"
 )
 
@@ -224,6 +225,16 @@
 	if a.g.control.NeedsDigests() {
 		s.Digest = a.digest()
 	}
+	workspace := ""
+	if a.workspace != nil {
+		workspace = a.workspace.Name
+	}
+	if a.route.Kind == routing.Streaming && a.route.Resumable {
+		s.Stream = streams.NewID(workspace, a.call.AttemptID)
+	}
+	if a.continuesStream() {
+		s.Continues, s.Resumes = true, streams.NewID(workspace, a.call.Resumes)
+	}
 	if a.call.LengthHint > 0 {
 		s.OutputTok = min(s.OutputTok, a.call.LengthHint)
 	}
@@ -235,7 +246,8 @@
 
 // continuesStream reports whether the caller takes up a stream that an earlier attempt of it has begun.
 func (a *activeRequest) continuesStream() bool {
-	return a.route.Kind == routing.Streaming && (a.call.LastEvent != "" || a.call.Resumes != "")
+	hasEvents := a.call.LastEvent != "" && a.call.LastEvent != "0"
+	return a.route.Kind == routing.Streaming && (hasEvents || a.call.Resumes != "")
 }
 
 // hopHeaders apply to one connection only.
--- a/internal/gossip/kind.go
+++ b/internal/gossip/kind.go
@@ -12,11 +12,14 @@
 	kindRelay     = "relay"
 	kindCharge    = "charge"
 	kindCharged   = "charged"
+	kindOrigin    = "origin"
+	kindQuery     = "origin_query"
+	kindReply     = "origin_reply"
 	kindEmpty     = "empty"
 )
 
 // Kinds lists all values that Kind returns.
-var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindCharge, kindCharged, kindEmpty}
+var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindCharge, kindCharged, kindOrigin, kindQuery, kindReply, kindEmpty}
 
 // Kind returns the kind of a datagram for the names of counters.
 func Kind(p *gossippb.Packet) string {
@@ -37,6 +40,12 @@
 		return kindCharge
 	case p.Charged != nil:
 		return kindCharged
+	case p.StreamOrigin != nil:
+		return kindOrigin
+	case p.OriginQuery != nil:
+		return kindQuery
+	case p.OriginReply != nil:
+		return kindReply
 	default:
 		return kindEmpty
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -296,6 +296,12 @@
 		n.control.Post(router.QuotaRequestReceived{From: from, Charge: p.Charge})
 	case p.Charged != nil:
 		n.control.Post(router.QuotaReplyReceived{From: from, Charged: p.Charged})
+	case p.StreamOrigin != nil:
+		n.control.Post(router.OriginReceived{From: from, Origin: p.StreamOrigin})
+	case p.OriginQuery != nil:
+		n.control.Post(router.OriginQueryReceived{From: from, Query: p.OriginQuery})
+	case p.OriginReply != nil:
+		n.control.Post(router.OriginReplyReceived{From: from, Reply: p.OriginReply})
 	}
 }
 
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -106,46 +106,6 @@
 	return b.othersLoad
 }
 
-// exclusion is the reason why a backend server may not get new requests.
-type exclusion string
-
-// The exclusions. They are shown to operators.
-const (
-	notExcluded exclusion = ""
-	gone        exclusion = "gone"
-	evacuated   exclusion = "evacuated"
-	draining    exclusion = "draining"
-	leaving     exclusion = "leaving"
-	replaced    exclusion = "replaced"
-	holdingOff  exclusion = "away"
-)
-
-// excluded returns why a backend server may get no new requests, or notExcluded.
-func (b *backend) excluded(now time.Duration) exclusion {
-	switch {
-	case b.removed && now >= b.graceUntil:
-		return gone
-	case b.evacuated:
-		return evacuated
-	case b.Draining:
-		return draining
-	case b.leaving:
-		return leaving
-	case b.replaced:
-		return replaced
-	case now < b.holdOffUntil:
-		return holdingOff
-	default:
-		return notExcluded
-	}
-}
-
-// usable reports whether the backend server may get new requests, and if so whether only when there is no other, because its
-// registration has lapsed.
-func (b *backend) usable(now time.Duration) (ok, doubtful bool) {
-	return b.excluded(now) == notExcluded, b.removed
-}
-
 // learnEventInterval adds an observed time between events, or to a plain answer.
 func (b *backend) learnEventInterval(interval time.Duration) {
 	if interval <= 0 {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -6,6 +6,7 @@
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/streams"
 )
 
 // Event is an input of the reducer.
@@ -27,6 +28,12 @@
 	Deadline  time.Duration      // on the reducer's clock
 	// Digest identifies the request across attempts; zero if it is not needed, as no request is suspected.
 	Digest quarantine.Digest
+	// Stream is the ID under which a caller may later take up the stream that this request begins; zero if it may not.
+	Stream streams.ID
+	// Continues is set if the caller takes up a stream that an earlier attempt has begun. Resumes is that stream; zero if the
+	// caller does not name it.
+	Continues bool
+	Resumes   streams.ID
 }
 
 // StreamStarted reports the first event of a stream, First after the request was sent.
@@ -168,6 +175,24 @@
 	Relay *gossippb.Relay
 }
 
+// OriginReceived is another host's report of what has begun a stream.
+type OriginReceived struct {
+	From   string
+	Origin *gossippb.StreamOrigin
+}
+
+// OriginQueryReceived is another host's question of what has begun a stream.
+type OriginQueryReceived struct {
+	From  string
+	Query *gossippb.OriginQuery
+}
+
+// OriginReplyReceived is another host's reply to this host's question.
+type OriginReplyReceived struct {
+	From  string
+	Reply *gossippb.OriginReply
+}
+
 // Update holds changes read from the platform's store or pulled from another host. It is sent between hosts as JSON.
 type Update struct {
 	routing.Changes
@@ -194,6 +219,9 @@
 	Bounds Bounds
 }
 
+func (OriginReceived) event()       {}
+func (OriginQueryReceived) event()  {}
+func (OriginReplyReceived) event()  {}
 func (QuotaRequestReceived) event() {}
 func (QuotaReplyReceived) event()   {}
 func (SettingsChanged) event()      {}
@@ -242,7 +270,8 @@
 	// more from this host because they started recently, RateLimited those that take no more from it by the rate limit that they
 	// state, Brittle those that take no more from it because they fail when they have to reject requests. Excluded ones may not be used at all: they are leaving, their availability zone is evacuated, or their region may
 	// not serve the request.
-	Known, Full, Unreachable, Cold, RateLimited, Brittle, Excluded int
+	// OtherVersion counts those of the excluded ones that only have another software version than the one that began the stream.
+	Known, Full, Unreachable, Cold, RateLimited, Brittle, Excluded, OtherVersion int
 	// suspects counts those of the full ones that are avoided because they fail requests or cannot be reached.
 	suspects int
 }
@@ -277,9 +306,33 @@
 	ReportRate bool
 	// ReportBrittle is the same for a limit on rejected requests.
 	ReportBrittle bool
-	Basis         DecisionBasis
+	// Binding is what the stream is bound to; its Version is empty if it has not begun.
+	Binding Binding
+	Basis   DecisionBasis
+}
+
+// Binding is the software version that a stream is bound to, and how this host knows it.
+type Binding struct {
+	Version string
+	Source  BindingSource
+	// From is the host that reported it, if another one did.
+	From string
+	// Age is how long this host has known it.
+	Age time.Duration
 }
 
+// BindingSource is how a host knows what a stream is bound to.
+type BindingSource string
+
+// The sources.
+const (
+	BoundByAnswer      BindingSource = "answer"       // the stream began within the same answer
+	BoundByRecord      BindingSource = "record"       // the stream began at this host
+	BoundByReport      BindingSource = "report"       // another host reported it as the stream began
+	BoundByReply       BindingSource = "reply"        // another host answered a query
+	BoundBySoleVersion BindingSource = "sole_version" // there is no other version
+)
+
 // Cause is the reason why a request ends without a backend server's answer.
 type Cause string
 
@@ -292,6 +345,10 @@
 	OutOfTime   Cause = "out_of_time"
 	BackendLost Cause = "backend_lost"
 	Quarantined Cause = "quarantined"
+	// OriginUnknown: no host knows which software version began the stream, and there are several.
+	OriginUnknown Cause = "stream_origin_unknown"
+	// NoBackendOfVersion: no backend server of the version that began the stream may be used.
+	NoBackendOfVersion Cause = "no_backend_of_version"
 	// BackendsRateLimited: what the service's backend servers accept according to their answers is used up.
 	BackendsRateLimited Cause = "backends_rate_limited"
 )
--- a/internal/router/moves.go
+++ b/internal/router/moves.go
@@ -108,8 +108,7 @@
 
 // reachable reports whether a backend server may get a request, is not known to be unreachable and has not started again.
 func (r *Router) reachable(q *request, b *backend) bool {
-	ok, _ := b.usable(r.now)
-	return ok && r.backends[b.ID] == b && !b.isUnreachable(r.now) && r.mayServe(q.Route, q.Workspace, b.Zone)
+	return r.mayGet(q, b) && r.backends[b.ID] == b && !b.isUnreachable(r.now)
 }
 
 // basisOf returns the basis of a dispatch to a backend server that was not selected by load.
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -110,6 +110,7 @@
 	r.emit(Note{What: "backend server started again", Subject: b.ID, Detail: describe(ch.Backend)})
 	r.dropFingerprint(b)
 	r.recordBackendEnd(b)
+	r.noteEndedVersion(b)
 	delete(r.byHash, b.hash)
 	delete(r.tombstones, b.ID)
 	delete(r.warming, b.ID)
@@ -156,6 +157,9 @@
 	if b.Backend != ch.Backend || b.removed {
 		r.updates.changes++
 	}
+	if b.Version != ch.Version {
+		r.noteEndedVersion(b)
+	}
 	b.evacuated = r.evacuated(ch.Zone)
 	r.setCold(b, ch.Cold, "registration")
 	b.changedAt = r.now - ch.Age
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -69,6 +69,14 @@
 	via string
 	// begun is set once the first event of the stream has arrived.
 	begun bool
+	// bound is set once the stream has begun, with this or an earlier attempt of the caller: binding and boundService are what
+	// it is bound to, known since boundAt. continued is set for those that count as ahead of new streams.
+	bound, continued bool
+	binding          Binding
+	boundService     string
+	boundAt          time.Duration
+	// originReported is set once other hosts have been told what began the stream.
+	originReported bool
 	// onTrial is set if the request is quarantined but runs once to test whether it is harmful.
 	onTrial bool
 }
@@ -94,8 +102,17 @@
 		r.emit(Refuse{ID: e.ID, Cause: Quarantined, RetryAfter: retryAfter, Basis: r.basis()})
 		return
 	}
-	q.service = r.chooseService(e.Route, e.Workspace)
 	r.requests[e.ID] = q
+	if e.Continues {
+		r.resolveOrigin(q)
+		return
+	}
+	r.admitRequest(q)
+}
+
+// admitRequest chooses the service of a request and charges the workspace's quota.
+func (r *Router) admitRequest(q *request) {
+	q.service = r.chooseService(q)
 	r.chargeQuota(q)
 }
 
@@ -179,6 +196,7 @@
 func (r *Router) sendCounted(q *request, b *backend, g DecisionBasis) {
 	q.attempt++
 	q.backend = b
+	r.invariants.Check(q.versionFits(b), "a stream of %s goes on at %s of version %s", q.binding.Version, b.ID, b.Version)
 	r.invariants.Check(!q.ran || q.Route.Repeatable(), "request %d of %s runs again", q.ID, q.Route.Name)
 	q.ran = true
 	q.runs++
@@ -193,7 +211,9 @@
 	q.prefillTokens = q.PromptTok
 	r.reportAssigned(q)
 	g.Revision, g.StoreAge = r.updates.completeTo.Number, r.now-r.updates.storeAnsweredAt
-	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now,
+	binding := q.binding
+	binding.Age = r.now - q.boundAt
+	r.emit(Dispatch{ID: q.ID, Backend: b.Backend, Via: q.via, Attempt: q.attempt, MaxIdleConns: r.idleConnLimit(b), At: r.now, Binding: binding,
 		ReportRate: b.rateLimit != nil, ReportBrittle: b.brittle != nil, Basis: g})
 }
 
@@ -224,6 +244,8 @@
 func (r *Router) refuse(q *request, g DecisionBasis) {
 	cause := Overloaded
 	switch {
+	case g.InFlight < 0 && g.OtherVersion > 0:
+		cause = NoBackendOfVersion
 	case g.InFlight < 0:
 		cause = NoBackend
 	case g.RateLimited > 0 && g.RateLimited == g.Full:
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,7 +10,8 @@
 // backend server to another one), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
-// relays (calls through other hosts), quotas (quota owners), statements (limits that backend servers state), senders (which hosts
+// relays (calls through other hosts), origins (which software version began a stream), eligibility (whether a backend server may
+// get a request at all), quotas (quota owners), statements (limits that backend servers state), senders (which hosts
 // share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
 // reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
@@ -104,6 +105,7 @@
 	earlyHeartbeatAt time.Duration
 	drain            *Drain
 	suspects         suspectState
+	origins          originState
 	reach            reachTracker
 	// evacuations are by availability zone.
 	evacuations map[string]*evacuation
@@ -132,6 +134,7 @@
 		owners:        newOwnerState(),
 		quotaState:    newQuotaState(),
 		suspects:      newSuspectState(),
+		origins:       newOriginState(),
 		reach:         newReachTracker(),
 
 		evacuations:  map[string]*evacuation{},
@@ -174,6 +177,12 @@
 		r.handleQuotaRequest(e.From, e.Charge)
 	case QuotaReplyReceived:
 		r.handleQuotaReply(e.From, e.Charged)
+	case OriginReceived:
+		r.handleOrigin(e.From, e.Origin)
+	case OriginQueryReceived:
+		r.handleOriginQuery(e.From, e.Query)
+	case OriginReplyReceived:
+		r.handleOriginReply(e.From, e.Reply)
 	case RelayReceived:
 		r.applyZoneSummaries(r.opt.Zone, e.Relay.Zones)
 	case Update:
@@ -226,6 +235,7 @@
 func (r *Router) tick() {
 	r.expireSlotRequests()
 	r.expireQuotaRequests()
+	r.expireOriginQueries()
 	if r.now >= r.maintenanceAt {
 		r.runMaintenance()
 		if r.largeFleet() {
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -42,13 +42,14 @@
 	score   float64
 }
 
-// chooseService picks one of the route's services at random by weight, among those with a usable
-// backend server.
-func (r *Router) chooseService(route *routing.Route, w *routing.Workspace) string {
+// chooseService picks one of the route's services at random by weight, among those with a backend server that may get
+// the request.
+func (r *Router) chooseService(q *request) string {
+	route := q.Route
 	sum := 0.0
 	var eligible []routing.Share
 	for _, s := range route.Shares {
-		if s.Weight > 0 && r.hasUsableBackend(s.Service, route, w) {
+		if s.Weight > 0 && r.hasUsableBackend(q, s.Service) {
 			eligible = append(eligible, s)
 			sum += s.Weight
 		}
@@ -68,13 +69,8 @@
 	return ""
 }
 
-func (r *Router) hasUsableBackend(name string, route *routing.Route, w *routing.Workspace) bool {
-	for _, b := range r.backendsOf(name) {
-		if ok, _ := b.usable(r.now); ok && kindMatches(b, r.serviceConfig(b)) && r.mayServe(route, w, b.Zone) {
-			return true
-		}
-	}
-	return false
+func (r *Router) hasUsableBackend(q *request, service string) bool {
+	return slices.ContainsFunc(r.backendsOf(service), func(b *backend) bool { return r.mayGet(q, b) })
 }
 
 // requestLimit returns the number of requests in flight at which a backend server accepts no further
@@ -87,7 +83,11 @@
 	if s.q.Route.Kind != routing.Streaming {
 		return slots * plainRequestsPerSlot
 	}
-	extra := headroom - int(headroomPerRank*s.q.Rank+0.5)
+	rank := s.q.Rank
+	if s.q.continued {
+		rank = 0 // few backend servers may get it, and its caller loses the whole stream
+	}
+	extra := headroom - int(headroomPerRank*rank+0.5)
 	if interval := s.slotReleaseInterval(b); extra > 0 && s.q.Route.Target > 0 {
 		extra = min(extra, int(maxWaitShare*float64(s.q.Route.Target)/float64(interval)+0.5))
 	}
@@ -228,18 +228,21 @@
 
 // addCandidate adds a backend server to the candidates of its class if it is usable and has room.
 func (s *selector) addCandidate(b *backend, g *DecisionBasis, byClass *[numClasses][]candidate) {
-	ok, doubt := b.usable(s.r.now)
-	if !ok || !s.r.mayServe(s.q.Route, s.q.Workspace, b.Zone) {
-		if !b.removed {
-			g.Excluded++
+	switch reason := s.r.exclusionFor(s.q, b); {
+	case reason == otherKind || (reason != notExcluded && b.removed):
+		return
+	case reason != notExcluded:
+		g.Excluded++
+		if reason == otherVersion {
+			g.OtherVersion++
 		}
 		return
 	}
-	if slices.Contains(s.q.tried, b.ID) || !kindMatches(b, s.cfg) || !s.eligible(b) {
+	if slices.Contains(s.q.tried, b.ID) || !s.eligible(b) {
 		return
 	}
 	g.Known++
-	c := s.classOf(b, doubt)
+	c := s.classOf(b, b.removed)
 	if c == classUnreachable {
 		g.Unreachable++
 	}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -28,6 +28,8 @@
 	returnAt [priorities]time.Duration
 	// brittleLimit is the lowest limit on rejected requests that its backend servers state; nil if none does.
 	brittleLimit *float64
+	// endedVersions are the software versions of starts that were replaced under the same ID, with the time of that.
+	endedVersions map[string]time.Duration
 }
 
 // serviceState returns the state of a service and creates it if necessary.
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -36,7 +36,7 @@
 	if a.Streaming {
 		kind = routing.Streaming
 	}
-	q := &request{service: a.Service, Submit: Submit{
+	q := &request{service: a.Service, continued: a.Continued, Submit: Submit{
 		Route: &routing.Route{Kind: kind, Target: time.Duration(a.TargetMs) * time.Millisecond},
 		Rank:  askRank(a), PromptTok: int(min(a.Prompt, maxPrefillBacklog)), OutputTok: int(a.Output),
 		Deadline: r.now + time.Duration(a.LeftMs)*time.Millisecond,
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -113,8 +113,7 @@
 
 // assignable reports whether an owner may grant a slot at a backend server for a request.
 func (r *Router) assignable(q *request, b *backend) bool {
-	ok, _ := b.usable(r.now)
-	return ok && !b.cold(r.now) && !b.rateLimited() && r.mayServe(q.Route, q.Workspace, b.Zone)
+	return r.mayGet(q, b) && !b.cold(r.now) && !b.rateLimited()
 }
 
 func (r *Router) requestSlot(q *request, owner string, worst class) {
@@ -126,7 +125,7 @@
 		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
 		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
 		LeftMs: uint32(max(0, q.Deadline-r.now).Milliseconds()), TargetMs: uint32(q.Route.Target.Milliseconds()),
-		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, owner),
+		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, owner), Continued: q.continued,
 	}}})
 }
 
@@ -162,7 +161,8 @@
 	return out
 }
 
-// excludedBackends returns the hashes of an owner's backend servers that this host itself found unusable.
+// excludedBackends returns the hashes of an owner's backend servers that this host itself found unusable, or that may not get
+// the request.
 func (r *Router) excludedBackends(q *request, owner string) []uint32 {
 	var out []uint32
 	candidates := r.backendsOf(q.service)
@@ -173,8 +173,7 @@
 		if b.Service != q.service || (r.usesOwners() && r.ownerOf(b) != owner) {
 			continue
 		}
-		ok, _ := b.usable(r.now)
-		if !ok || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
+		if !r.mayGet(q, b) || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
 			out = append(out, b.hash)
 		}
 	}
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -42,6 +42,7 @@
 	}
 	r.requestAdmitted(q)
 	q.begun = true
+	r.bindStarted(q)
 	r.heard(q.backend)
 	if q.prefillTokens == 0 {
 		return
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -13,6 +13,7 @@
 
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/streams"
 )
 
 const (
@@ -43,6 +44,15 @@
 	lostWrites []func()
 	// calls are all requests ever submitted.
 	calls map[uint64]*call
+	// streams are those that callers may take up.
+	streams []*worldStream
+}
+
+// worldStream is a stream as its caller sees it over all attempts.
+type worldStream struct {
+	origin  streams.ID // zero until its first event
+	version string     // of the servers that sent its events
+	latest  *call
 }
 
 type worldHost struct {
@@ -121,6 +131,7 @@
 	sends    int
 	current  string
 	finished bool
+	stream   *worldStream // nil if its caller may not take it up
 }
 
 type message struct {
@@ -183,7 +194,7 @@
 	w.write(func() {
 		w.revision++
 		w.backends[id] = routing.BackendChange{Revision: w.rev(),
-			Backend: routing.Backend{ID: id, Addr: id, Zone: fmt.Sprintf("z%d", id[1]%2), Service: "s", Slots: 5, Draining: draining}}
+			Backend: routing.Backend{ID: id, Addr: id, Zone: fmt.Sprintf("z%d", id[1]%2), Service: "s", Version: fmt.Sprintf("v%d", id[1]/2%2), Slots: 5, Draining: draining}}
 	})
 }
 
@@ -277,6 +288,12 @@
 		return QuotaRequestReceived{from, p.Charge}
 	case p.Charged != nil:
 		return QuotaReplyReceived{from, p.Charged}
+	case p.StreamOrigin != nil:
+		return OriginReceived{from, p.StreamOrigin}
+	case p.OriginQuery != nil:
+		return OriginQueryReceived{from, p.OriginQuery}
+	case p.OriginReply != nil:
+		return OriginReplyReceived{from, p.OriginReply}
 	default:
 		return HeartbeatReceived{p.Beat}
 	}
@@ -326,7 +343,43 @@
 	routes := h.r.Table().Config.Routes
 	route := &routes[rapid.IntRange(0, len(routes)-1).Draw(w.t, "route")]
 	w.calls[w.nextID] = &call{id: w.nextID, host: h, route: route}
-	w.post(h, Submit{ID: w.nextID, Route: route, Deadline: w.now + 3*time.Second, Rank: rapid.Float64Range(0, 2).Draw(w.t, "rank")})
+	s := Submit{ID: w.nextID, Route: route, Deadline: w.now + 3*time.Second, Rank: rapid.Float64Range(0, 2).Draw(w.t, "rank")}
+	if route.Resumable {
+		stream := w.stream()
+		stream.latest = w.calls[w.nextID]
+		stream.latest.stream = stream
+		s.Stream, s.Resumes, s.Continues = streams.ID(w.nextID), stream.origin, stream.origin != 0
+	}
+	w.post(h, s)
+}
+
+// stream returns a new stream, or one whose latest attempt has ended and that its caller takes up.
+func (w *world) stream() *worldStream {
+	var ended []*worldStream
+	for _, s := range w.streams {
+		if s.latest.finished {
+			ended = append(ended, s)
+		}
+	}
+	if len(ended) > 0 && rapid.Bool().Draw(w.t, "takes up") {
+		return ended[rapid.IntRange(0, len(ended)-1).Draw(w.t, "stream")]
+	}
+	s := &worldStream{}
+	w.streams = append(w.streams, s)
+	return s
+}
+
+// sendEvent delivers an event of a running stream to its caller.
+func (w *world) sendEvent(c *call) {
+	if c.stream == nil || !rapid.Bool().Draw(w.t, "sends an event") {
+		return
+	}
+	version := c.host.r.backends[c.current].Version
+	w.post(c.host, StreamStarted{ID: c.id, First: time.Millisecond})
+	if c.stream.origin == 0 {
+		c.stream.origin, c.stream.version = streams.ID(c.id), version
+	}
+	require.Equal(w.t, c.stream.version, version, "a stream has events of two software versions")
 }
 
 // end ends one running dispatch with a random outcome.
@@ -342,6 +395,7 @@
 	}
 	slices.Sort(open)
 	c := w.calls[open[rapid.IntRange(0, len(open)-1).Draw(w.t, "call")]]
+	w.sendEvent(c)
 	if rapid.IntRange(0, 9).Draw(w.t, "stalls") == 0 {
 		w.post(c.host, Stalled{ID: c.id})
 	}
@@ -536,7 +590,7 @@
 
 // Checks a small fleet under crashes, freezes, partitions, a store that is unavailable or refuses some hosts, backend servers
 // that drain, vanish and come back, and dispatches with every outcome. In any order of events, what may
-// not be repeated runs at most once, a refusal as not run is true, no request is answered twice, a configuration never goes
+// not be repeated runs at most once, a stream has events of one software version over all attempts, a refusal as not run is true, no request is answered twice, a configuration never goes
 // back, and after the faults all hosts agree with the store.
 func TestPromisesSmallFleet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) { runWorld(t, 3, 2) })
