Streams taken up in another zone of a large fleet, and what is not known

A host knows few hosts of other zones and asked only the one that may hold the stream there.

Tests: any host of a small and a large fleet, with hosts that are killed, restart or are cut off, and lost datagrams; one version only, at hosts that have just started; a version that is gone; an ID used for two streams; servers of the version that drain; few servers left. A host of an earlier build that reports no version no longer hides a known one.

--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -27,8 +27,9 @@
 	remoteHolders      = 1
 	askedZoneHolders   = zoneHolders + 3
 	askedRemoteHolders = remoteHolders + 1
-	// zoneQueryInterval limits how often a host of a large fleet asks its whole zone, after those that should know did not.
-	zoneQueryInterval = 50 * time.Millisecond
+	// wideQueryInterval limits how often a host of a large fleet asks its whole zone and all other zones, after the hosts that
+	// should know did not.
+	wideQueryInterval = 50 * time.Millisecond
 )
 
 // originState is what this host knows of the streams that callers may take up.
@@ -37,7 +38,7 @@
 	// queries are the open queries by number.
 	queries     map[uint64]*originQuery
 	lastNumber  uint64
-	zoneQueryAt time.Duration // when the whole zone may be asked again
+	wideQueryAt time.Duration // when the whole zone and all others may be asked again
 }
 
 func newOriginState() originState {
@@ -53,6 +54,8 @@
 	asked, pending []string
 	sentAt         time.Duration
 	rounds         int
+	// wide is set once all zones have been asked.
+	wide bool
 	// versions are the software versions that the replies name. complete is set if one of them lacks none.
 	versions []string
 	complete bool
@@ -199,19 +202,33 @@
 			query.asked = append(query.asked, h)
 		}
 	}
-	r.emit(Send{To: to, Packet: &gossippb.Packet{OriginQuery: &gossippb.OriginQuery{Number: number, Stream: uint64(query.stream), Service: query.service}}})
+	r.emit(Send{To: to, Packet: &gossippb.Packet{OriginQuery: &gossippb.OriginQuery{Number: number, Stream: uint64(query.stream), Service: query.service,
+		Forward: query.wide}}})
 }
 
-// handleOriginQuery replies to another host's query.
+// handleOriginQuery replies to another host's query. One from another zone is forwarded if this host does not know: that host knows
+// few hosts here.
 func (r *Router) handleOriginQuery(from string, e *gossippb.OriginQuery) {
 	reply := &gossippb.OriginReply{Number: e.Number}
+	forwarded := e.ReplyTo != ""
 	record, ok := r.origins.ledger.Get(r.now, streams.ID(e.Stream))
-	if ok && e.Stream != 0 && !record.Ambiguous {
+	switch {
+	case ok && e.Stream != 0 && !record.Ambiguous:
 		reply.Origin = originToProto(streams.ID(e.Stream), record.Origin)
-	} else if e.Service != "" {
+	case forwarded:
+		return // the forwarding host has replied
+	case e.Service != "":
 		reply.Versions, reply.Complete = r.recentVersions(e.Service), r.knowsAllVersions()
 	}
-	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{OriginReply: reply}})
+	to := from
+	if forwarded {
+		to = e.ReplyTo
+	}
+	if reply.Origin == nil && e.Forward && r.members.zoneOf[from] != r.opt.Zone {
+		r.emit(Send{To: r.zoneHoldersOf(streams.ID(e.Stream), askedZoneHolders), Packet: &gossippb.Packet{OriginQuery: &gossippb.OriginQuery{
+			Number: e.Number, Stream: e.Stream, ReplyTo: from}}})
+	}
+	r.emit(Send{To: []string{to}, Packet: &gossippb.Packet{OriginReply: reply}})
 }
 
 // handleOriginReply processes another host's reply. A late one is recorded for the caller's next attempt.
@@ -220,7 +237,7 @@
 	if e.Origin != nil {
 		r.handleOrigin(from, e.Origin)
 	}
-	if !open || !slices.Contains(query.pending, from) {
+	if !open {
 		return
 	}
 	if record, ok := r.origins.ledger.Get(r.now, query.stream); ok && query.stream != 0 {
@@ -230,10 +247,13 @@
 		}
 		return
 	}
+	if !slices.Contains(query.pending, from) {
+		return
+	}
 	query.pending = slices.DeleteFunc(query.pending, func(h string) bool { return h == from })
 	query.complete = query.complete || e.Complete
 	query.versions = appendNew(query.versions, e.Versions)
-	if len(query.pending) == 0 {
+	if len(query.pending) == 0 && !query.wide { // hosts to which the query was forwarded reply later
 		r.endOriginRound(e.Number, query)
 	}
 }
@@ -257,20 +277,23 @@
 	}
 }
 
-// endOriginRound starts another round, or decides. The second round asks those again that have not replied; in a large fleet it asks
-// the whole zone.
+// endOriginRound starts another round, or decides. The second round asks those again that have not replied, and in a large fleet the
+// whole zone and one host of each other zone, which forwards the query.
 func (r *Router) endOriginRound(number uint64, query *originQuery) {
 	if r.requests[query.requestID] == nil {
 		delete(r.origins.queries, number)
 		return
 	}
-	next := query.pending
-	if r.largeFleet() && query.stream != 0 && r.now >= r.origins.zoneQueryAt {
-		r.origins.zoneQueryAt = r.now + zoneQueryInterval
-		next = appendNew(slices.Clone(next), slices.DeleteFunc(slices.Clone(r.zonePeers()), func(h string) bool { return slices.Contains(query.asked, h) }))
-	}
 	if query.rounds >= maxOriginRounds {
-		next = nil
+		r.decideOrigin(number, query)
+		return
+	}
+	next := query.pending
+	if r.largeFleet() && query.stream != 0 && r.now >= r.origins.wideQueryAt {
+		r.origins.wideQueryAt = r.now + wideQueryInterval
+		query.wide = true
+		unasked := slices.DeleteFunc(slices.Clone(r.zonePeers()), func(h string) bool { return slices.Contains(query.asked, h) })
+		next = appendNew(appendNew(slices.Clone(next), unasked), r.remoteHoldersOf(query.stream, len(r.otherZones())))
 	}
 	r.sendOriginQuery(number, query, next)
 }
--- a/internal/router/registrations.go
+++ b/internal/router/registrations.go
@@ -157,7 +157,10 @@
 	if b.Backend != ch.Backend || b.removed {
 		r.updates.changes++
 	}
-	if b.Version != ch.Version {
+	switch {
+	case ch.Version == "":
+		ch.Version = b.Version // from a host that does not report versions
+	case b.Version != "" && b.Version != ch.Version:
 		r.noteEndedVersion(b)
 	}
 	b.evacuated = r.evacuated(ch.Zone)
