Soak: two software versions side by side, kills in series, streams taken up anywhere

Callers lose or close the connection in the middle of a stream and take it up at any host; releases leave two versions, hosts are killed in series or together, and paused, beside the other faults. Checked: events of one version, each once and in order, over all attempts.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -83,6 +83,9 @@
 	removed  map[string]bool
 	// evacuated has the zones under evacuation.
 	evacuated map[string]bool
+	// release is the number of the newest software version of versionedService; servers of the one before serve beside it.
+	release  int
+	versions versionCounts
 }
 
 type soakHost struct {
@@ -173,6 +176,7 @@
 	s.version += 1 + s.rng.IntN(3)
 	routes := []platformtest.Route{
 		{Host: soakDomain, Prefix: "/stream/", Kind: "streaming", Service: "models", TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true, ColdS: soakColdStart.Seconds(), ColdRate: soakColdStartRate},
+		{Host: soakDomain, Prefix: "/versioned/", Kind: "streaming", Service: versionedService, TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true},
 		{Host: soakDomain, Prefix: "/once/", Kind: "non_idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 1, Priority: 1, ColdS: soakColdStart.Seconds(), ColdRate: soakColdStartRate},
 		{Host: soakDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2, Priority: 2},
 		{Host: soakDomain, Prefix: fmt.Sprintf("/v%d/", s.version), Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2},
@@ -183,13 +187,19 @@
 // addBackend starts a backend server behind a proxy and registers it.
 func (s *soak) addBackend(service string) *platformtest.Backend {
 	events := 0
-	if service == "models" {
+	switch service {
+	case "models":
 		events = soakEvents
+	case versionedService:
+		events = versionedEvents
 	}
 	n := s.attempts.Add(1)
 	id := fmt.Sprintf("%s-%d", service, n)
 	b, err := platformtest.StartBackend(id, service, []string{"zone-a", "zone-b"}[n%2], s.ip(200)+":0", events, 5*time.Millisecond)
 	require.NoError(s.t, err)
+	if service == versionedService {
+		b.Version = s.softwareVersion()
+	}
 	s.t.Cleanup(b.Close)
 	reg := b.Registration("ready")
 	addr := s.addLink(b.Addr())
@@ -656,7 +666,12 @@
 }
 
 func runSoak(t *testing.T, seed uint64, duration time.Duration, step func(*soak)) {
-	s := newSoak(t, seed)
+	runSoakOn(newSoak(t, seed), seed, duration, step, (*soak).call)
+}
+
+// runSoakOn runs callers, each of which makes one call after the other, while step injects faults.
+func runSoakOn(s *soak, seed uint64, duration time.Duration, step func(*soak), call func(*soak, *rand.Rand, map[string]*soakConn)) {
+	t := s.t
 	s.endFaults()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -671,7 +686,7 @@
 				case <-stop:
 					return
 				default:
-					s.call(rng, conns)
+					call(s, rng, conns)
 					time.Sleep(time.Duration(rng.IntN(20)) * time.Millisecond)
 				}
 			}
@@ -697,6 +712,10 @@
 func TestSoak(t *testing.T) { runSeeds(t, soakSeeds, (*soak).injectFault) }
 
 func runSeeds(t *testing.T, seeds []uint64, step func(*soak)) {
+	forSeeds(t, seeds, func(t *testing.T, seed uint64, duration time.Duration) { runSoak(t, seed, duration, step) })
+}
+
+func forSeeds(t *testing.T, seeds []uint64, run func(t *testing.T, seed uint64, duration time.Duration)) {
 	duration := soakDuration
 	if v := os.Getenv("FIREFLYSHIFT_SOAK_SEEDS"); v != "" {
 		var from, to uint64
@@ -708,7 +727,7 @@
 		}
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSoak(t, seed, duration, step) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { run(t, seed, duration) })
 	}
 }
 
