Readers of what is not ours are bounded

What callers saw: 502 after 0.6 to 3.3 s, as the stand-in gave up; a host read until then and kept it: 32 answers with a header without an end at once took 648 MB of heap at 16 MB each, many headers 1,706 MB.

Cause: http.ReadResponse on a connection sets no bound on a head, nor on what it skips.

Change: a connection allows 64 KB for the heads of one exchange, interim and foreign answers included, and 1 MB for the bodies of foreign answers; then the call is broken: the connection closed, the server at fault, the request sent elsewhere if it may be.

Chunk lines and trailers are bounded by net/http (by reading).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,8 +8,9 @@
 	"github.com/gravitational/trace"
 )
 
-// maxEvent bounds one event of a stream, in bytes; engines send a few dozen.
-const maxEvent = 1 << 20
+// maxEvent bounds one event of a stream, in bytes; engines send a few dozen. A server that sends one without an end must not
+// take more of the host's memory.
+const maxEvent = 256 << 10
 
 // eventReader splits an event stream into complete events. Only complete events are passed on: a stream that breaks off
 // within an event can then be resumed at another engine without a partial event in the middle.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -33,6 +33,9 @@
 	// pullTimeout limits a pull, including dialling.
 	pullTimeout = time.Second
 	updatesPath = "/news"
+	// maxUpdateBytes limits an update, uncompressed: the registrations of 12,000 backend servers and a configuration take a few MB.
+	maxUpdateBytes = 32 << 20
+	maxUpdateHead  = 16 << 10
 )
 
 // Socket sends and receives datagrams between hosts. All hosts use the same port. One goroutine may send,
@@ -242,7 +245,7 @@
 
 // NewPuller returns a Puller that contacts all hosts at the given port.
 func NewPuller(port int) *Puller {
-	t := &http.Transport{DialContext: upstream.Dialer(pullTimeout).DialContext, DisableKeepAlives: true}
+	t := &http.Transport{DialContext: upstream.Dialer(pullTimeout).DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxUpdateHead}
 	return &Puller{http: &http.Client{Transport: t, Timeout: pullTimeout}, port: port}
 }
 
@@ -264,5 +267,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return n, trace.ConnectionProblem(nil, "host %s answered a pull with %s", host, resp.Status)
 	}
-	return n, trace.Wrap(json.NewDecoder(resp.Body).Decode(&n))
+	return n, trace.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxUpdateBytes)).Decode(&n))
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -25,6 +26,8 @@
 	openTimeout = 300 * time.Millisecond
 	// replyBuffer holds the head of a relay's answer.
 	replyBuffer = 1 << 10
+	// maxReplyHead limits it.
+	maxReplyHead = 16 << 10
 )
 
 // Client opens tunnels through other hosts.
@@ -71,7 +74,7 @@
 	if err := req.Write(conn); err != nil {
 		return 0, "", trace.Wrap(err)
 	}
-	r := bufio.NewReaderSize(conn, replyBuffer)
+	r := bufio.NewReaderSize(io.LimitReader(conn, maxReplyHead), replyBuffer)
 	resp, err := http.ReadResponse(r, req)
 	if err != nil {
 		return 0, "", trace.Wrap(err)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -59,6 +59,14 @@
 // maxForeignAnswers bounds how many answers to other requests are skipped on one connection.
 const maxForeignAnswers = 2
 
+const (
+	// maxHeadBytes limits the status lines and headers of one exchange, those of interim answers and of answers to other requests
+	// included. Heads are kept in memory; servers send some hundred bytes.
+	maxHeadBytes = 64 << 10
+	// maxForeignBytes limits the bodies of answers to other requests that are skipped.
+	maxForeignBytes = 1 << 20
+)
+
 // maxInlineBody is the size up to which a body is written together with the head, in one system call, before the answer
 // is read.
 const maxInlineBody = 32 << 10
@@ -105,6 +113,7 @@
 	p.begin(x)
 	x.stopCancel = context.AfterFunc(ctx, c.abort)
 	_ = c.SetDeadline(req.Deadline)
+	c.limited = false
 	c.deadline, c.stallTimeout, c.onStall, c.heardAt = req.Deadline, req.StallTimeout, req.OnStall, time.Now()
 	c.answering.Store(false)
 	if err := x.write(req); err != nil {
@@ -177,8 +186,11 @@
 // ID.
 func (x *call) read(req *Request) (*Response, error) {
 	hr := &http.Request{Method: req.Method}
+	headBytes, foreignBytes := maxHeadBytes, maxForeignBytes
 	for skipped := 0; ; {
+		x.conn.limitReads(headBytes)
 		resp, err := http.ReadResponse(x.conn.r, hr)
+		headBytes = x.conn.unlimitReads()
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
@@ -194,7 +206,10 @@
 			if skipped > maxForeignAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 				return nil, trace.BadParameter("the answer belongs to another request")
 			}
-			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			x.conn.limitReads(foreignBytes)
+			_, err := io.Copy(io.Discard, resp.Body)
+			foreignBytes = x.conn.unlimitReads()
+			if err != nil {
 				return nil, trace.Wrap(err)
 			}
 			continue
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -57,6 +57,9 @@
 	deadline     time.Time
 	stallTimeout time.Duration
 	onStall      func() bool
+	// limited is set while at most allowance more bytes may be read.
+	limited   bool
+	allowance int
 	// heardAt is when the last bytes were read, or when the current exchange began.
 	heardAt time.Time
 	// answering is set once bytes were read in the current exchange.
@@ -66,9 +69,28 @@
 // ErrStalled is returned if a call is abandoned because the server sent nothing for the stall timeout.
 var ErrStalled = errors.New("the server sent nothing within the stall timeout")
 
+// ErrTooLong is returned if a server sends more bytes before the body of its answer than any answer has.
+var ErrTooLong = errors.New("the server sent too many bytes before the body of its answer; restart it")
+
+// limitReads allows n more bytes to be read from the connection.
+func (c *conn) limitReads(n int) { c.limited, c.allowance = true, n }
+
+// unlimitReads ends the limit and returns what is left of it.
+func (c *conn) unlimitReads() int {
+	c.limited = false
+	return c.allowance
+}
+
 // Read implements io.Reader.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.limited && c.allowance <= 0 {
+		return 0, ErrTooLong
+	}
+	if c.limited {
+		p = p[:min(len(p), c.allowance)]
+	}
 	n, err := c.readUnlessStalled(p)
+	c.allowance -= n
 	if n > 0 {
 		c.heardAt = time.Now()
 		c.answering.Store(true)
@@ -171,5 +193,5 @@
 // Transport returns a client transport whose connections detect unreachable peers, for calls that may be retried, such
 // as reads of the store.
 func Transport() *http.Transport {
-	return &http.Transport{DialContext: Dialer(dialTimeout).DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true}
+	return &http.Transport{DialContext: Dialer(dialTimeout).DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -24,6 +24,8 @@
 	// writeBuffer holds the head of a request and a body of usual size (a prompt of some thousand tokens), so that they
 	// are written at once. A larger buffer costs memory on each connection.
 	writeBuffer = 16 << 10
+	// maxHeadBytes limits the head of an answer, which is kept in memory.
+	maxHeadBytes = 64 << 10
 )
 
 // NewTransport returns a transport whose connections count the bytes written to them.
@@ -41,6 +43,8 @@
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 		WriteBufferSize:     writeBuffer,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
