Events are searched once; queries for unknown streams are limited

A caller that names streams which nobody knows makes its host send up to eight datagrams each; at most 256 such queries are open at once, further ones are refused.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -19,6 +19,8 @@
 	buf    []byte
 	end    int // bytes of buf that hold data
 	unread int // start of the data that has not been returned
+	// searched is the end of the data in which no event ends, but for its last bytes.
+	searched int
 }
 
 func newEventReader(src io.Reader) *eventReader {
@@ -29,11 +31,13 @@
 // io.ErrUnexpectedEOF if the stream ends within an event.
 func (e *eventReader) next() ([]byte, error) {
 	for {
-		if n := lastBoundary(e.buf[e.unread:e.end]); n > 0 {
-			out := e.buf[e.unread : e.unread+n]
-			e.unread += n
+		from := max(e.unread, e.searched-(maxBoundary-1))
+		if n := lastBoundary(e.buf[from:e.end]); n > 0 {
+			out := e.buf[e.unread : from+n]
+			e.unread = from + n
 			return out, nil
 		}
+		e.searched = e.end
 		if err := e.fill(); err != nil {
 			if err == io.EOF && e.unread < e.end {
 				return nil, io.ErrUnexpectedEOF
@@ -47,6 +51,7 @@
 	if e.unread > 0 {
 		copy(e.buf, e.buf[e.unread:e.end])
 		e.end -= e.unread
+		e.searched -= e.unread
 		e.unread = 0
 	}
 	if e.end == len(e.buf) {
@@ -63,6 +68,9 @@
 	return err
 }
 
+// maxBoundary is the length of the longest boundary between events.
+const maxBoundary = len("\r\n\r\n")
+
 // lastBoundary returns the end of the last complete event in b, or zero.
 func lastBoundary(b []byte) int {
 	end := 0
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -21,6 +21,8 @@
 	originQueryTimeout = 50 * time.Millisecond
 	// maxOriginRounds is the number of rounds before a host decides without the hosts that have not replied.
 	maxOriginRounds = 2
+	// maxOriginQueries limits the open queries, since each costs several datagrams and a caller may name any stream.
+	maxOriginQueries = 256
 	// In a large fleet, a stream is reported to zoneHolders hosts of its zone and one host in each of remoteHolders other
 	// zones. More hosts are asked than hold it, as hosts disagree for a moment on who is alive.
 	zoneHolders        = 2
@@ -183,6 +185,10 @@
 		r.originKnown(q, record, source)
 		return
 	}
+	if len(r.origins.queries) >= maxOriginQueries {
+		r.refuseUnknownOrigin(q)
+		return
+	}
 	query := &originQuery{requestID: q.ID, stream: q.Resumes, service: soleService(q.Route)}
 	r.origins.lastNumber++
 	r.origins.queries[r.origins.lastNumber] = query
--- a/internal/router/origins_test.go
+++ b/internal/router/origins_test.go
@@ -322,3 +322,22 @@
 	require.Greater(t, limit(continues), limit(begins))
 	require.Equal(t, limit(&request{service: "m", Submit: Submit{Route: resumable}}), limit(continues), "as the most urgent")
 }
+
+// Guards against callers that name streams which nobody knows and so make a host send datagrams without a limit.
+func TestQueriesForUnknownStreamsAreLimited(t *testing.T) {
+	f := newOriginFleet(t, 3, 3, "v1", "v2")
+	queries := 0
+	f.drops = func(_, _ string, p *gossippb.Packet) bool {
+		if p.OriginQuery != nil {
+			queries++
+		}
+		return false
+	}
+	for i := range 4 * maxOriginQueries {
+		f.submit(f.hosts[0], streams.ID(1e9+i), true)
+	}
+	require.LessOrEqual(t, queries, maxOriginQueries*len(f.hosts))
+	f.zone.run(4*originQueryTimeout, 0)
+	require.Len(t, f.refused, 4*maxOriginQueries)
+	require.Empty(t, f.hosts[0].r.origins.queries)
+}
