Stream origins in three files by concern; how many are recorded in the status

No change of behaviour but the two counts: origins (binding and reports), originqueries (queries and replies), versions (which versions are or were lately in use).

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -33,6 +33,10 @@
 	// requests under observation, including these.
 	Quarantined []QuarantineStatus `json:"quarantined,omitempty"`
 	Suspects    int                `json:"suspects,omitempty"`
+	// Streams is the number of streams of which the host knows what began them, StreamsDropped how many it did not record because
+	// there were too many. On the users' platform only.
+	Streams        int `json:"streams,omitempty"`
+	StreamsDropped int `json:"streams_dropped,omitempty"`
 }
 
 // QuarantineStatus is a request that is kept from backend servers because it has crashed several of them.
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -37,6 +37,7 @@
 			AgeMS: q.Age.Milliseconds(), NextTrialMS: q.TrialIn.Milliseconds()})
 	}
 	s.Suspects = v.Suspects
+	s.Streams, s.StreamsDropped = v.Streams, v.StreamsDropped
 	for _, b := range v.Backends {
 		status := core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, Version: b.Version, State: b.State, Owner: b.Owner,
 			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -10,7 +10,7 @@
 // backend server to another one), select
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
-// relays (calls through other hosts), origins (which software version began a stream), eligibility (whether a backend server may
+// relays (calls through other hosts), origins, originqueries and versions (which software version began a stream), eligibility (whether a backend server may
 // get a request at all), quotas (quota owners), statements (limits that backend servers state), senders (which hosts
 // share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
@@ -178,7 +178,7 @@
 	case QuotaReplyReceived:
 		r.handleQuotaReply(e.From, e.Charged)
 	case OriginReceived:
-		r.handleOrigin(e.From, e.Origin)
+		r.handleStreamOrigin(e.From, e.Origin)
 	case OriginQueryReceived:
 		r.handleOriginQuery(e.From, e.Query)
 	case OriginReplyReceived:
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -20,6 +20,8 @@
 	// Quarantined are the requests withheld from backend servers. Suspects is the number of requests that are remembered.
 	Quarantined []QuarantineView
 	Suspects    int
+	// Streams is the number of streams whose origin is recorded, StreamsDropped how many were not because there were too many.
+	Streams, StreamsDropped int
 }
 
 // QuarantineView is a request withheld from backend servers.
@@ -76,6 +78,7 @@
 		v.Quarantined = append(v.Quarantined, QuarantineView{c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
 	}
 	v.Suspects = len(r.suspects.ledger.Cases())
+	v.Streams, v.StreamsDropped = r.origins.ledger.Len(), r.origins.ledger.Dropped()
 	return v
 }
 
