A refused write is reported as such on the own path

Cause: net/http closes the connection after the refused write and reports the error of its reader or of its writer, whichever it sees first. Change: the connection remembers that a write was refused, and Do reports that.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -75,6 +75,8 @@
 	// permission is checked before each write of the current request; reported is set after its first one.
 	permission atomic.Pointer[Permission]
 	reported   bool
+	// refused is set once the permission of the current request had ended before a write.
+	refused atomic.Bool
 }
 
 // Write counts, then writes: an unchanged count proves that nothing was sent.
@@ -104,6 +106,7 @@
 	}
 	waitErr := raw.Write(func(fd uintptr) bool {
 		if !check() {
+			c.refused.Store(true)
 			err = ErrNotPermitted
 			return true
 		}
@@ -148,6 +151,7 @@
 			}
 			before.Store(c.written.Load())
 			c.reported = false
+			c.refused.Store(false)
 			c.permission.Store(permissionOf(req))
 			used.Store(c)
 		},
@@ -163,6 +167,10 @@
 	}
 	c := used.Load()
 	sent = untracked.Load() || (c != nil && c.written.Load() != before.Load())
+	if c != nil && c.refused.Load() {
+		// net/http may report instead that it has closed the connection because of this error.
+		err = trace.Wrap(ErrNotPermitted)
+	}
 	return nil, sent, err
 }
 
