--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -369,7 +369,7 @@
 	{"era-copy-ready", "4", "internal/router/registrations.go", "if b.Draining && !ch.Draining {", "if false {", eraTests},
 	{"version-filter", "versions", "internal/router/eligibility.go", "	case !q.versionFits(b):\n		return otherVersion\n", "", versionTests},
 	{"version-answer", "versions", "internal/router/origins.go", "		q.bind(origin, BoundByAnswer, \"\", r.now)\n", "", versionTests},
-	{"version-told", "versions", "internal/router/origins.go", "if to := r.reportTargets(q.Stream); len(to) > 0 {", "if to := r.originHolders(q.Stream); len(to) > 1000 {", versionTests},
+	{"version-told", "versions", "internal/router/origins.go", "if to := r.reportTargets(q.Stream); len(to) > 0 {", "if to := r.reportTargets(q.Stream); len(to) > 1000 {", versionTests},
 	{"version-forward", "versions", "internal/router/originqueries.go", "if reply.Origin == nil && e.Forward && ", "if reply.Origin == nil && !e.Forward && ", versionTests},
 	{"version-sole", "versions", "internal/router/versions.go", "	certain := query.stream == 0 || query.complete || r.knowsAllVersions()\n", "	certain := true\n", versionTests},
 	{"version-ended", "versions", "internal/router/registrations.go", "		r.noteEndedVersion(b)\n	}\n", "	}\n", versionTests},
