Logs name the shared parts of a prompt at the end of a backend server

The hypotheses of the incident differ in what requests at the ends have in common, and the logs had nothing of it: no part of a prompt, not how many requests were in flight, not how long an end took to be proved. No decision uses them yet.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/upstream"
@@ -170,7 +171,7 @@
 	cause := upstream.CauseOf(err)
 	a.g.metrics.Count("backend.exchanges_broken."+string(cause), 1)
 	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(cause)).
-		Int64("silent_ms", upstream.SilenceOf(err).Milliseconds()).Stringer("digest", a.digest()).Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
+		Int64("silent_ms", upstream.SilenceOf(err).Milliseconds()).Stringer("digest", a.digest()).Strs("parts", quarantine.Strings(a.parts)).Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
 }
 
 const (
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -23,7 +23,9 @@
 	HasTokens    bool
 	PromptTokens int
 	OutputTokens int // at most
-	LengthHint   int // the caller's estimate of the output tokens; zero where unknown
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order; not its last part.
+	PromptParts []string
+	LengthHint  int // the caller's estimate of the output tokens; zero where unknown
 }
 
 // DispatchInfo holds what one dispatch adds to a request's headers.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,8 @@
 	canceler   callCanceler
 	// cachedDigest is the request's digest; zero until it is computed.
 	cachedDigest quarantine.Digest
+	// parts are the digests of the parts of the prompt that other requests may share.
+	parts []quarantine.Digest
 }
 
 // digest computes the digest on first use: most requests never need it.
@@ -158,6 +160,7 @@
 // run submits the request to the reducer and carries out its effects until it is finished.
 func (a *activeRequest) run() {
 	a.id = a.g.lastID.Add(1)
+	a.parts = quarantine.PartDigests(a.call.PromptParts)
 	a.effects = make(chan router.Effect, effectBuffer)
 	a.g.control.Submit(a.submission(), Caller{a.effects, a.canceler.abort})
 	for e := range a.effects {
@@ -220,7 +223,7 @@
 func (a *activeRequest) submission() router.Submit {
 	s := router.Submit{
 		ID: a.id, Route: a.route, Workspace: a.workspace, Rank: a.rank,
-		PromptTok: a.call.PromptTokens, OutputTok: a.call.OutputTokens, Deadline: a.startedOnControl + a.allowed,
+		PromptTok: a.call.PromptTokens, OutputTok: a.call.OutputTokens, Deadline: a.startedOnControl + a.allowed, Parts: a.parts,
 	}
 	if a.g.control.NeedsDigests() {
 		s.Digest = a.digest()
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 )
 
 // Digest identifies a request by what stays the same when its caller sends it again: workspace, method, host, target
@@ -39,6 +40,30 @@
 	return d
 }
 
+// PartDigests returns the digests of the parts of a prompt with the given IDs, each once. Empty IDs are left out.
+func PartDigests(ids []string) []Digest {
+	var out []Digest
+	for _, id := range ids {
+		if id == "" {
+			continue
+		}
+		sum := sha256.Sum256([]byte("part of a prompt\x00" + id))
+		if d := Digest(sum[:len(Digest{})]); !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// Strings returns the short forms of digests for logs.
+func Strings(digests []Digest) []string {
+	out := make([]string, len(digests))
+	for i, d := range digests {
+		out[i] = d.String()
+	}
+	return out
+}
+
 // Zero reports whether the digest is unset.
 func (d Digest) Zero() bool { return d == Digest{} }
 
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -28,6 +28,8 @@
 	Deadline  time.Duration      // on the reducer's clock
 	// Digest identifies the request across attempts; zero if it is not needed, as no request is suspected.
 	Digest quarantine.Digest
+	// Parts are the digests of the parts of its prompt that other requests may share.
+	Parts []quarantine.Digest
 	// Stream is the ID under which a caller may later take up the stream that this request begins; zero if it may not.
 	Stream streams.ID
 	// Continues is set if the caller takes up a stream that an earlier attempt has begun. Resumes is that stream; zero if the
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"fireflyshift/internal/quarantine"
@@ -38,6 +39,16 @@
 	digest    quarantine.Digest
 	workspace string
 	at        time.Duration
+	// parts are the digests of the shared parts of its prompt, and events the number of events that this dispatch has had.
+	parts  []quarantine.Digest
+	events int
+	// inFlight is the number of requests believed in flight at the backend server, this one included.
+	inFlight int
+}
+
+// String describes the request for logs.
+func (b brokenRequest) String() string {
+	return fmt.Sprintf("%s %s parts=%s events=%d in_flight=%d", b.digest, b.workspace, strings.Join(quarantine.Strings(b.parts), ","), b.events, b.inFlight)
 }
 
 // HasSuspects reports whether any request is suspected, so that the digests of all requests are needed.
@@ -66,7 +77,7 @@
 // a server that was leaving are not suspected, as it ends by itself.
 func (r *Router) holdSuspect(b *backend, q *request, e DispatchEnded) {
 	q.onTrial = false
-	run := brokenRequest{q.Digest, workspaceName(q), r.now}
+	run := brokenRequest{digest: q.Digest, workspace: workspaceName(q), at: r.now, parts: q.Parts, events: e.Events, inFlight: b.inFlight() + 1}
 	if b.exited {
 		r.recordEndWithRequest(b, run)
 		return
@@ -129,7 +140,7 @@
 	if !r.suspects.ledger.Observe(r.now, run.digest, run.workspace, quarantine.End{Backend: b.hash, At: run.at}) {
 		return
 	}
-	r.emit(Note{What: "backend server ended with a request in flight", Subject: b.ID, Detail: run.digest.String() + " " + run.workspace})
+	r.emit(Note{What: "backend server ended with a request in flight", Subject: b.ID, Detail: run.String(), Age: r.now - run.at})
 	r.logQuarantineChanges()
 	r.heartbeatPending = true // sends the next heartbeat early
 }
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -151,7 +151,7 @@
 	z := newZones(t, 3, 8, 8)
 	for i, engine := range []string{"e001", "e009", "e017"} {
 		h := z.hosts[8*i]
-		h.r.recordEndWithRequest(h.r.backends[engine], brokenRequest{popular, "school", z.now - h.startedAt})
+		h.r.recordEndWithRequest(h.r.backends[engine], brokenRequest{digest: popular, workspace: "school", at: z.now - h.startedAt})
 	}
 	z.run(maxSpreadTime, 0)
 	h := z.hosts[4]
@@ -283,7 +283,7 @@
 		r.Reduce(at, ProbeResult{ID: d.Backend.ID, Refused: true})
 		d = dispatchOf(t, out)
 	}
-	r.recordEndWithRequest(r.backends[d.Backend.ID], brokenRequest{crashing, "", at}) // one more end, reported by another host
+	r.recordEndWithRequest(r.backends[d.Backend.ID], brokenRequest{digest: crashing, at: at}) // one more end, reported by another host
 	out := r.Reduce(at, DispatchEnded{ID: 1, Outcome: Broken, Fault: true, Digest: crashing})
 	gaveUp, ok := findEffect[GiveUp](out)
 	require.True(t, ok)
@@ -302,7 +302,7 @@
 	z := newZones(t, 3, 3, 4)
 	for i, engine := range []string{"e001", "e005", "e009"} {
 		h := z.hosts[3*i]
-		h.r.recordEndWithRequest(h.r.backends[engine], brokenRequest{crashing, "school", z.now})
+		h.r.recordEndWithRequest(h.r.backends[engine], brokenRequest{digest: crashing, workspace: "school", at: z.now})
 	}
 	z.run(maxSpreadTime, 0)
 	z.now += time.Minute
