A part of prompts that ends backend servers is kept from them

Callers saw: requests that share one part of their prompts, no two alike, ended engine after engine, and others of the route were not served meanwhile.

Cause: the evidence was booked on one request. Each arrival was a new one, so that each had one end. Class: evidence that belongs to what requests share, kept by what tells them apart.

Change: parts of prompts are suspects beside requests, in the same ledger and by the same cover, at one service each. Hosts tell each other what they know of that with the ends, so that one which has just started judges by the others' runs. Completed runs refute earlier ends, also when the reporter of an end had not heard of them. Changes are told in turn, at most 16 a message.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -41,6 +41,8 @@
 
 // QuarantineStatus is a request that is kept from backend servers because it has crashed several of them.
 type QuarantineStatus struct {
+	// Kind is what is in quarantine: a request, or a part of prompts. For a part, Workspace is the first one seen with it.
+	Kind        string `json:"kind"`
 	Digest      string `json:"digest"`
 	Workspace   string `json:"workspace"`
 	Ends        int    `json:"ends"`
@@ -128,7 +130,7 @@
 		s.Refused = append(s.Refused, Refused{r.Key.String(), r.Revision, c.conf.RevisionOf(r.Key), r.Reason})
 	}
 	for _, q := range c.suspects.ledger.Quarantined() {
-		s.Quarantined = append(s.Quarantined, QuarantineStatus{Digest: q.Digest.String(), Workspace: q.Workspace, Ends: len(q.Ends),
+		s.Quarantined = append(s.Quarantined, QuarantineStatus{Kind: q.Kind.String(), Digest: q.Digest.String(), Workspace: q.Workspace, Ends: len(q.Ends),
 			AgeMS: (c.now - q.Ends[len(q.Ends)-1].At).Milliseconds(), NextTrialMS: max(0, q.TrialAt()-c.now).Milliseconds()})
 	}
 	return s
--- a/internal/core/suspects.go
+++ b/internal/core/suspects.go
@@ -40,10 +40,10 @@
 func (c *Core) recordOutcome(r *request, e DispatchEnded) {
 	switch {
 	case e.Outcome == Done:
-		c.suspects.ledger.ObserveSuccess(c.now, r.Digest)
+		c.suspects.ledger.ObserveSuccess(c.now, r.Digest, c.now)
 	case e.BackendEnded:
 		end := quarantine.End{Backend: uint32(xxhash.Sum64String(r.backend)), At: c.now}
-		if c.suspects.ledger.Observe(c.now, r.Digest, r.Workspace, end) {
+		if c.suspects.ledger.Observe(c.now, quarantine.Subject{Digest: r.Digest, Workspace: r.Workspace}, end) {
 			c.trace(r, "backend server %s ended while it ran this request (digest %s)", r.backend, r.Digest)
 			c.sendHeartbeats() // peers learn of it at once
 		}
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -139,8 +139,8 @@
 				continue
 			}
 			shown[q.Digest] = true
-			fmt.Fprintf(t.Out, "quarantined request %s of workspace %s: %d backend servers crashed while running it, the latest %d s ago; one host will try it again in %d s\n",
-				q.Digest, cmp.Or(q.Workspace, "-"), q.Ends, q.AgeMS/1000, q.NextTrialMS/1000)
+			fmt.Fprintf(t.Out, "quarantined %s %s of workspace %s: %d backend servers crashed while running it, the latest %d s ago; one host will try it again in %d s\n",
+				q.Kind, q.Digest, cmp.Or(q.Workspace, "-"), q.Ends, q.AgeMS/1000, q.NextTrialMS/1000)
 		}
 	}
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -33,7 +33,7 @@
 		s.Peers = append(s.Peers, core.PeerStatus{Host: p.Host, Zone: p.Zone, Addr: p.Host, Alive: p.Reachable, AgeMS: p.Age.Milliseconds()})
 	}
 	for _, q := range v.Quarantined {
-		s.Quarantined = append(s.Quarantined, core.QuarantineStatus{Digest: q.Digest, Workspace: q.Workspace, Ends: q.Ends,
+		s.Quarantined = append(s.Quarantined, core.QuarantineStatus{Kind: q.Kind, Digest: q.Digest, Workspace: q.Workspace, Ends: q.Ends,
 			AgeMS: q.Age.Milliseconds(), NextTrialMS: q.TrialIn.Milliseconds()})
 	}
 	s.Suspects = v.Suspects
--- a/internal/quarantine/blame_test.go
+++ b/internal/quarantine/blame_test.go
@@ -60,7 +60,7 @@
 	for w := range maxCases / maxCasesPerWorkspace {
 		for i := range maxCasesPerWorkspace {
 			for e := range minEndsToBlame {
-				l.Observe(0, digestOf(fmt.Sprint(w, "/", i)), fmt.Sprint(w), End{uint32(e*1000 + i), time.Duration(e)})
+				l.Observe(0, Subject{Digest: digestOf(fmt.Sprint(w, "/", i)), Workspace: fmt.Sprint(w)}, End{Backend: uint32(e*1000 + i), At: time.Duration(e)})
 			}
 		}
 	}
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -55,6 +55,21 @@
 	return out
 }
 
+// At returns the digest of a part at one service: what ends the backend servers of one may be harmless to those of another.
+// The service is given by ServiceDigest.
+func (d Digest) At(service Digest) Digest {
+	for i := range d {
+		d[i] ^= service[i]
+	}
+	return d
+}
+
+// ServiceDigest returns the digest of a service's name.
+func ServiceDigest(name string) Digest {
+	sum := sha256.Sum256([]byte("service\x00" + name))
+	return Digest(sum[:len(Digest{})])
+}
+
 // Strings returns the short forms of digests for logs.
 func Strings(digests []Digest) []string {
 	out := make([]string, len(digests))
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -12,16 +12,21 @@
 	// minEndsToBlame is how many ends a request must be in flight at to count as their cause. With two, a caller that
 	// retries once after the loss of a rack would be quarantined.
 	minEndsToBlame = 3
+	// minPartEndsToBlame is the same for a part of prompts, in ends that count in full. Its loss refuses more than one caller's
+	// request, and of many parts that are seldom used some are at a few ends by chance.
+	minPartEndsToBlame = 5
 	// maxEnds bounds the ends kept for a request. It is well above minEndsToBlame, so that the cause stands out from
 	// requests that were in flight beside it.
 	maxEnds = 16
-	// maxCases and maxCasesPerWorkspace bound the memory, at about 300 bytes a case. One workspace's requests cannot
-	// displace what is known of the others'.
+	// maxCases and maxCasesPerWorkspace bound the memory for each kind of case, at about 400 bytes a case. One workspace's
+	// requests cannot displace what is known of the others'.
 	maxCases             = 1024
 	maxCasesPerWorkspace = 256
 	// suspectTTL is how long a case with too few ends is kept, and blameTTL one that counts as a cause.
 	suspectTTL = time.Hour
 	blameTTL   = 24 * time.Hour
+	// refutedPartTTL is how long a part whose ends are all refuted is kept, so that late reports of them are recognised.
+	refutedPartTTL = 10 * time.Second
 	// minTrialDelay is how long a request stays quarantined at least, and trialBackoff the factor on the time over
 	// which its ends have occurred: an innocent request gets a trial after a minute; one that keeps crashing backend
 	// servers does so after 11 minutes, two hours, and a day.
@@ -36,12 +41,40 @@
 type End struct {
 	Backend uint32
 	At      time.Duration
+	// InFlight is the number of requests believed in flight there; zero if unknown.
+	InFlight int
 }
 
-// Case is the record of one request that was in flight when backend servers ended.
-type Case struct {
-	Digest    Digest
+// Kind is what a case is about.
+type Kind int
+
+// The kinds: a request, whatever its attempt, or a part of prompts that requests share.
+const (
+	Request Kind = iota
+	Part
+)
+
+// String returns the kind's name for logs and operators.
+func (k Kind) String() string {
+	if k == Part {
+		return "part of prompts"
+	}
+	return "request"
+}
+
+// Subject is what was in flight when a backend server ended.
+type Subject struct {
+	Kind   Kind
+	Digest Digest
+	// Workspace is that of the request, for a part that of the first one seen.
 	Workspace string
+	// Sample tells of a part in how many of the service's runs it was.
+	Sample Sample
+}
+
+// Case is the record of one request, or of one part of prompts, that was in flight when backend servers ended.
+type Case struct {
+	Subject
 	// Ends are in order of time; if Cleared, all are later than the latest completed run, at ClearedAt.
 	Ends      []End
 	Cleared   bool
@@ -50,6 +83,8 @@
 	// itself, if observed is set.
 	changedAt, observedAt time.Duration
 	observed, blamed      bool
+	// toldAt is when OwnChanges last included the case; zero if it has not.
+	toldAt time.Duration
 	// trialUntil is when the current trial ends.
 	trialUntil time.Duration
 }
@@ -91,9 +126,9 @@
 	return &Ledger{cases: map[Digest]*Case{}, sameEndWithin: sameEndWithin}
 }
 
-// contains reports whether ends include e.
-func (l *Ledger) contains(ends []End, e End) bool {
-	return slices.ContainsFunc(ends, func(k End) bool { return k.Backend == e.Backend && (k.At-e.At).Abs() <= l.sameEndWithin })
+// find returns the index of e in ends, or -1.
+func (l *Ledger) find(ends []End, e End) int {
+	return slices.IndexFunc(ends, func(k End) bool { return k.Backend == e.Backend && (k.At-e.At).Abs() <= l.sameEndWithin })
 }
 
 // Empty reports whether there are no cases to look up.
@@ -108,26 +143,38 @@
 }
 
 // Observe records an end that this host has observed itself. It reports whether that changed anything.
-func (l *Ledger) Observe(now time.Duration, d Digest, workspace string, e End) bool {
-	if !l.RecordEnd(now, d, workspace, e) {
+func (l *Ledger) Observe(now time.Duration, s Subject, e End) bool {
+	if s.beyondBlame(e) || !l.RecordEnd(now, s, e) {
 		return false
 	}
-	l.cases[d].observed, l.cases[d].observedAt = true, now
+	l.cases[s.Digest].observe(now)
 	return true
 }
 
+// observe marks a case as one that this host tells others of.
+func (c *Case) observe(now time.Duration) { c.observed, c.observedAt = true, now }
+
 // RecordEnd records the end of a backend server with a request in flight, also one reported by another host. It reports
 // whether that changed anything.
-func (l *Ledger) RecordEnd(now time.Duration, d Digest, workspace string, e End) bool {
-	c := l.cases[d]
+func (l *Ledger) RecordEnd(now time.Duration, s Subject, e End) bool {
+	c := l.cases[s.Digest]
 	switch {
-	case d.Zero() || now-e.At > blameTTL:
+	case s.Digest.Zero() || now-e.At > blameTTL:
 		return false
 	case c == nil:
-		c = l.newCase(now, d, workspace)
-	case c.Cleared && e.At <= c.ClearedAt:
+		c = l.newCase(now, s)
+	}
+	refined := c.learnSample(s.Sample)
+	if c.Cleared && e.At <= c.ClearedAt {
+		c.observe(now) // whoever reports this end has not heard of the completed run
 		return false
-	case l.contains(c.Ends, e):
+	}
+	if known := l.find(c.Ends, e); known >= 0 {
+		refined = refined || e.InFlight > c.Ends[known].InFlight
+		c.Ends[known].InFlight = max(c.Ends[known].InFlight, e.InFlight)
+		if refined && len(c.Ends) >= minEndsToBlame {
+			l.assignBlame()
+		}
 		return false
 	}
 	at, _ := slices.BinarySearchFunc(c.Ends, e, byTime)
@@ -142,6 +189,35 @@
 	return true
 }
 
+// learnSample keeps the sample with the most runs, as a host that has just started knows few, and reports whether that is a
+// new one.
+func (c *Case) learnSample(s Sample) bool {
+	if s.Of > c.Sample.Of || (s.Of == c.Sample.Of && s.With > c.Sample.With) {
+		c.Sample = s
+		return true
+	}
+	return false
+}
+
+// LearnRuns adds what this host knows of a part's completed runs to its case, if there is one: the sample, and the latest run
+// if it knows any. Others are told if that refutes ends, or is much more than they knew. It reports whether a verdict may have
+// changed.
+func (l *Ledger) LearnRuns(now time.Duration, d Digest, s Sample, last time.Duration, any bool) bool {
+	c := l.cases[d]
+	if c == nil || c.Kind != Part {
+		return false
+	}
+	knew := c.Sample.Of
+	refined := c.learnSample(s)
+	if refined && s.Of >= 2*knew {
+		c.observe(now)
+	}
+	if refined = refined && len(c.Ends) >= minEndsToBlame; refined {
+		l.assignBlame()
+	}
+	return any && l.ObserveSuccess(now, d, last) || refined
+}
+
 func byTime(a, b End) int {
 	if byAt := cmp.Compare(a.At, b.At); byAt != 0 {
 		return byAt
@@ -149,13 +225,13 @@
 	return cmp.Compare(a.Backend, b.Backend)
 }
 
-// ObserveSuccess records that this host has seen the request complete. Only requests that have a case are recorded. It
-// reports whether that changed anything.
-func (l *Ledger) ObserveSuccess(now time.Duration, d Digest) bool {
-	if !l.RecordSuccess(now, d, now) {
+// ObserveSuccess records that this host has seen the request, or one with the part, complete at a time. Only those that have
+// a case are recorded. It reports whether that changed anything.
+func (l *Ledger) ObserveSuccess(now time.Duration, d Digest, at time.Duration) bool {
+	if !l.RecordSuccess(now, d, at) {
 		return false
 	}
-	l.cases[d].observed, l.cases[d].observedAt = true, now
+	l.cases[d].observe(now)
 	return true
 }
 
@@ -168,6 +244,10 @@
 		return false
 	}
 	before := len(c.Ends)
+	if before == 0 && c.Cleared {
+		c.ClearedAt = max(c.ClearedAt, at) // refutes nothing that is known
+		return false
+	}
 	c.Ends = slices.DeleteFunc(c.Ends, func(e End) bool { return e.At <= at })
 	if len(c.Ends) == before && c.Cleared && at < c.ClearedAt+clearSlack {
 		return false
@@ -190,25 +270,30 @@
 
 // newCase adds a case. If there are too many, it evicts the least relevant one, of the same workspace if that has
 // reached its share.
-func (l *Ledger) newCase(now time.Duration, d Digest, workspace string) *Case {
-	own := 0
+func (l *Ledger) newCase(now time.Duration, s Subject) *Case {
+	all, own := 0, 0
 	for _, c := range l.cases {
-		if c.Workspace == workspace {
+		if c.Kind != s.Kind {
+			continue
+		}
+		all++
+		if c.Workspace == s.Workspace {
 			own++
 		}
 	}
-	if own >= maxCasesPerWorkspace || len(l.cases) >= maxCases {
-		l.evict(own >= maxCasesPerWorkspace, workspace)
+	if own >= maxCasesPerWorkspace || all >= maxCases {
+		l.evict(own >= maxCasesPerWorkspace, s)
 	}
-	c := &Case{Digest: d, Workspace: workspace, changedAt: now}
-	l.cases[d] = c
+	c := &Case{Subject: s, changedAt: now}
+	l.cases[s.Digest] = c
 	return c
 }
 
-func (l *Ledger) evict(ofWorkspace bool, workspace string) {
+// evict removes the least relevant case of the subject's kind, or of that kind and its workspace.
+func (l *Ledger) evict(ofWorkspace bool, s Subject) {
 	var least *Case
 	for _, c := range l.cases {
-		if ofWorkspace && c.Workspace != workspace {
+		if c.Kind != s.Kind || ofWorkspace && c.Workspace != s.Workspace {
 			continue
 		}
 		if least == nil || byRelevance(least, c) < 0 {
@@ -224,14 +309,7 @@
 }
 
 // Cases returns all cases, the most relevant first.
-func (l *Ledger) Cases() []*Case {
-	out := make([]*Case, 0, len(l.cases))
-	for _, c := range l.cases {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, byRelevance)
-	return out
-}
+func (l *Ledger) Cases() []*Case { return l.selectCases(func(*Case) bool { return true }) }
 
 // Quarantined returns the cases that count as causes, in order of their digests.
 func (l *Ledger) Quarantined() []*Case {
@@ -252,8 +330,11 @@
 	gone := false
 	for d, c := range l.cases {
 		keep := suspectTTL
-		if c.blamed {
+		switch {
+		case c.blamed:
 			keep = blameTTL
+		case c.Kind == Part && len(c.Ends) == 0:
+			keep = refutedPartTTL
 		}
 		if now-c.lastEventAt() > keep {
 			delete(l.cases, d)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -16,7 +16,7 @@
 // ended records that a backend server ended with the given requests in flight.
 func ended(l *Ledger, at time.Duration, backend uint32, requests ...string) {
 	for _, name := range requests {
-		l.Observe(at, digestOf(name), "school", End{backend, at})
+		l.Observe(at, Subject{Digest: digestOf(name), Workspace: "school"}, End{Backend: backend, At: at})
 	}
 }
 
@@ -53,12 +53,12 @@
 		ended(l, time.Second, b, "popular")
 	}
 	require.True(t, blamed(l, "popular"))
-	require.True(t, l.ObserveSuccess(1100*time.Millisecond, digestOf("popular")))
+	require.True(t, l.ObserveSuccess(1100*time.Millisecond, digestOf("popular"), 1100*time.Millisecond))
 	require.False(t, blamed(l, "popular"))
 	ended(l, 2*time.Second, 7, "popular")
 	ended(l, 2*time.Second, 8, "popular")
 	require.False(t, blamed(l, "popular"), "only ends after the completed run count")
-	require.False(t, l.Observe(3*time.Second, digestOf("popular"), "school", End{9, time.Second}), "an end from before the completed run arrives late")
+	require.False(t, l.Observe(3*time.Second, Subject{Digest: digestOf("popular"), Workspace: "school"}, End{Backend: 9, At: time.Second}), "an end from before the completed run arrives late")
 }
 
 // A popular request is in flight beside the crashing one at every end, and so reaches three ends as early. While both
@@ -86,7 +86,7 @@
 		ended(l, time.Duration(b)*time.Second, b, []string{"x", "y"}[b%2], "beside")
 	}
 	require.True(t, blamed(l, "beside"))
-	l.ObserveSuccess(6*time.Second, digestOf("beside"))
+	l.ObserveSuccess(6*time.Second, digestOf("beside"), 6*time.Second)
 	require.True(t, blamed(l, "x"))
 	require.True(t, blamed(l, "y"))
 	require.False(t, blamed(l, "beside"))
@@ -118,12 +118,12 @@
 	ended(l, 0, 1, "deadly")
 	ended(l, 0, 2, "deadly", "lately")
 	for i := range 3 * maxCases {
-		l.Observe(time.Second, digestOf(fmt.Sprint("flood", i)), "flood", End{uint32(100 + i), time.Second})
+		l.Observe(time.Second, Subject{Digest: digestOf(fmt.Sprint("flood", i)), Workspace: "flood"}, End{Backend: uint32(100 + i), At: time.Second})
 	}
-	l.Observe(time.Second, digestOf("worse"), "flood", End{3, time.Second})
-	l.Observe(time.Second, digestOf("worse"), "flood", End{4, time.Second})
+	l.Observe(time.Second, Subject{Digest: digestOf("worse"), Workspace: "flood"}, End{Backend: 3, At: time.Second})
+	l.Observe(time.Second, Subject{Digest: digestOf("worse"), Workspace: "flood"}, End{Backend: 4, At: time.Second})
 	for i := range 3 * maxCases {
-		l.Observe(2*time.Second, digestOf(fmt.Sprint("more", i)), "flood", End{uint32(100 + i), time.Second})
+		l.Observe(2*time.Second, Subject{Digest: digestOf(fmt.Sprint("more", i)), Workspace: "flood"}, End{Backend: uint32(100 + i), At: time.Second})
 	}
 	require.Len(t, l.Cases(), maxCasesPerWorkspace+2)
 	require.NotNil(t, l.cases[digestOf("lately")], "a case of another workspace, though the least relevant")
@@ -132,7 +132,7 @@
 	require.Len(t, l.Cases()[1].Ends, 2)
 	for w := range 8 {
 		for i := range maxCasesPerWorkspace {
-			l.Observe(3*time.Second, digestOf(fmt.Sprint(w, "/", i)), fmt.Sprint(w), End{uint32(i), 3 * time.Second})
+			l.Observe(3*time.Second, Subject{Digest: digestOf(fmt.Sprint(w, "/", i)), Workspace: fmt.Sprint(w)}, End{Backend: uint32(i), At: 3 * time.Second})
 		}
 	}
 	require.LessOrEqual(t, len(l.Cases()), maxCases)
@@ -163,9 +163,9 @@
 				reports = append(reports, func(l *Ledger) { l.RecordSuccess(time.Minute, d, at) })
 				continue
 			}
-			e := End{uint32(rapid.IntRange(0, 8).Draw(t, "backend")), 0}
+			e := End{Backend: uint32(rapid.IntRange(0, 8).Draw(t, "backend"))}
 			e.At = time.Duration(e.Backend) * clearSlack // a backend server ends once
-			reports = append(reports, func(l *Ledger) { l.RecordEnd(time.Minute, d, "w", e) })
+			reports = append(reports, func(l *Ledger) { l.RecordEnd(time.Minute, Subject{Digest: d, Workspace: "w"}, e) })
 		}
 		a, b := NewLedger(), NewLedger()
 		other := slices.Concat(reports, reports)
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -13,7 +14,9 @@
 	// maxChanged bounds the requests in a message with recent changes, and maxFull those in one with the full state, at
 	// about 50 bytes each.
 	maxChanged = 16
-	maxFull    = 64
+	// minTellInterval is how soon a host repeats a change that it has observed, so that many changes at once all get their turn.
+	minTellInterval = 100 * time.Millisecond
+	maxFull         = 64
 	// maxWorkspaceName bounds the length of a workspace's name that is accepted from another host.
 	maxWorkspaceName = 128
 )
@@ -21,19 +24,30 @@
 // FullInterval is how often the full state is sent, for hosts that have started, slept or were unreachable.
 const FullInterval = time.Second
 
-// OwnChanges returns what this host has recently observed itself.
+// OwnChanges returns what this host has recently observed itself, for all hosts that it tells. Of more than one message
+// holds, it returns those first that it has not returned for longest.
 func (l *Ledger) OwnChanges(now time.Duration) []*quarantinepb.Suspect {
-	return l.messages(now, maxChanged, func(c *Case) bool { return c.observed && now-c.observedAt <= announceDuration })
+	recent := l.selectCases(func(c *Case) bool {
+		return c.observed && now-c.observedAt <= announceDuration && (c.toldAt == 0 || now-c.toldAt >= minTellInterval)
+	})
+	slices.SortStableFunc(recent, func(a, b *Case) int { return cmp.Compare(a.toldAt, b.toldAt) })
+	recent = recent[:min(len(recent), maxChanged)]
+	for _, c := range recent {
+		c.toldAt = now
+	}
+	return messages(now, recent)
 }
 
 // changes returns what this host has recently observed or learned from others.
 func (l *Ledger) changes(now time.Duration) []*quarantinepb.Suspect {
-	return l.messages(now, maxChanged, func(c *Case) bool { return now-c.changedAt <= announceDuration })
+	recent := l.selectCases(func(c *Case) bool { return now-c.changedAt <= announceDuration })
+	return messages(now, recent[:min(len(recent), maxChanged)])
 }
 
 // Full returns what this host knows, the most relevant cases first, up to maxFull.
 func (l *Ledger) Full(now time.Duration) []*quarantinepb.Suspect {
-	return l.messages(now, maxFull, func(*Case) bool { return true })
+	all := l.selectCases(func(*Case) bool { return true })
+	return messages(now, all[:min(len(all), maxFull)])
 }
 
 // ForZones returns what is sent to other zones: the full state every FullInterval, and in between all recent changes,
@@ -46,7 +60,8 @@
 	return l.Full(now)
 }
 
-func (l *Ledger) messages(now time.Duration, limit int, include func(*Case) bool) []*quarantinepb.Suspect {
+// selectCases returns the cases to include, the most relevant first.
+func (l *Ledger) selectCases(include func(*Case) bool) []*Case {
 	var selected []*Case
 	for _, c := range l.cases {
 		if include(c) {
@@ -54,20 +69,25 @@
 		}
 	}
 	slices.SortFunc(selected, byRelevance)
+	return selected
+}
+
+func messages(now time.Duration, cases []*Case) []*quarantinepb.Suspect {
 	var out []*quarantinepb.Suspect
-	for _, c := range selected[:min(len(selected), limit)] {
+	for _, c := range cases {
 		out = append(out, c.message(now))
 	}
 	return out
 }
 
 func (c *Case) message(now time.Duration) *quarantinepb.Suspect {
-	s := &quarantinepb.Suspect{Digest: slices.Clone(c.Digest[:]), Workspace: c.Workspace}
+	s := &quarantinepb.Suspect{Digest: slices.Clone(c.Digest[:]), Workspace: c.Workspace, Part: c.Kind == Part,
+		RunsWith: uint32(c.Sample.With), Runs: uint32(c.Sample.Of)}
 	if c.Cleared {
 		s.ClearedMs = age(now, c.ClearedAt) + 1
 	}
 	for _, e := range c.Ends {
-		s.Ends = append(s.Ends, &quarantinepb.BackendEnd{Backend: e.Backend, AgeMs: age(now, e.At)})
+		s.Ends = append(s.Ends, &quarantinepb.BackendEnd{Backend: e.Backend, AgeMs: age(now, e.At), InFlight: uint32(e.InFlight)})
 	}
 	return s
 }
@@ -92,9 +112,13 @@
 		return false
 	}
 	copy(d[:], s.Digest)
+	subject := Subject{Digest: d, Workspace: s.Workspace}
+	if s.Part {
+		subject.Kind, subject.Sample = Part, Sample{int(min(s.RunsWith, s.Runs)), int(s.Runs)}
+	}
 	changed := false
 	for _, e := range s.Ends {
-		changed = l.RecordEnd(now, d, s.Workspace, End{Backend: e.Backend, At: now - millis(e.AgeMs)}) || changed
+		changed = l.RecordEnd(now, subject, End{Backend: e.Backend, At: now - millis(e.AgeMs), InFlight: int(min(e.InFlight, maxInFlight))}) || changed
 	}
 	if s.ClearedMs > 0 {
 		changed = l.RecordSuccess(now, d, now-millis(s.ClearedMs-1)) || changed
--- a/internal/quarantine/messages_test.go
+++ b/internal/quarantine/messages_test.go
@@ -43,7 +43,7 @@
 	require.False(t, b.Merge(2*time.Second, a.OwnChanges(now+time.Second)))
 	require.Empty(t, b.changes(time.Second+announceDuration+1))
 	require.NotEmpty(t, b.Full(time.Hour))
-	require.True(t, b.ObserveSuccess(5*time.Second, digestOf("deadly")))
+	require.True(t, b.ObserveSuccess(5*time.Second, digestOf("deadly"), 5*time.Second))
 	require.True(t, a.Merge(now+4*time.Second, b.OwnChanges(5*time.Second)))
 	require.False(t, blamed(a, "deadly"))
 }
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -12,19 +12,41 @@
 // checkQuarantine reports whether a request is kept from backend servers, and for how long. One host of the fleet
 // lets it run from time to time, as an innocent request would otherwise be refused for a day.
 func (r *Router) checkQuarantine(q *request) (time.Duration, bool) {
-	if q.Digest.Zero() || q.onTrial {
+	if q.onTrial || r.suspects.ledger.Empty() {
 		return 0, false
 	}
-	c := r.suspects.ledger.Blamed(q.Digest)
-	if c == nil {
+	blamed := r.blamedFor(q)
+	if len(blamed) == 0 {
 		return 0, false
 	}
-	if q.attempt == 0 && r.runsTrial(c.Digest) && r.suspects.ledger.TakeTrial(r.now, c, trialTimeout) {
+	wait := time.Second
+	for _, c := range blamed {
+		wait = max(wait, c.TrialAt()-r.now)
+	}
+	if c := blamed[0]; len(blamed) == 1 && q.attempt == 0 && r.runsTrial(c.Digest) && r.suspects.ledger.TakeTrial(r.now, c, trialTimeout) {
 		q.onTrial = true
-		r.emit(Note{What: "request on trial", Subject: c.Digest.String(), Detail: c.Workspace})
+		r.emit(Note{What: c.Kind.String() + " on trial", Subject: c.Digest.String(), Detail: c.Workspace})
 		return 0, false
 	}
-	return max(time.Second, c.TrialAt()-r.now), true
+	return wait, true
+}
+
+// blamedFor returns the cases for which a request is kept from backend servers: its own, and those of parts of its prompt once
+// its service is chosen.
+func (r *Router) blamedFor(q *request) []*quarantine.Case {
+	var blamed []*quarantine.Case
+	if c := r.suspects.ledger.Blamed(q.Digest); c != nil {
+		blamed = append(blamed, c)
+	}
+	if q.service == "" {
+		return blamed
+	}
+	for _, d := range r.partsAt(q.service, q.Parts) {
+		if c := r.suspects.ledger.Blamed(d); c != nil {
+			blamed = append(blamed, c)
+		}
+	}
+	return blamed
 }
 
 // runsTrial reports whether this host runs the trials of a quarantined request: the first by rendezvous hashing in
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -113,6 +113,10 @@
 // admitRequest chooses the service of a request and charges the workspace's quota.
 func (r *Router) admitRequest(q *request) {
 	q.service = r.chooseService(q)
+	if retryAfter, yes := r.checkQuarantine(q); yes {
+		r.refuseQuarantined(q, retryAfter)
+		return
+	}
 	r.chargeQuota(q)
 }
 
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -27,11 +27,39 @@
 	nextFullListAt time.Duration
 	expireAt       time.Duration
 	// quarantined holds the requests in quarantine as last logged.
-	quarantined map[quarantine.Digest]bool
+	quarantined map[quarantine.Digest]quarantine.Kind
 }
 
 func newSuspectState() suspectState {
-	return suspectState{ledger: quarantine.NewLedger(), quarantined: map[quarantine.Digest]bool{}}
+	return suspectState{ledger: quarantine.NewLedger(), quarantined: map[quarantine.Digest]quarantine.Kind{}}
+}
+
+// servicePromptRuns is what the completed runs of one service show of the parts of prompts.
+type servicePromptRuns struct {
+	digest  quarantine.Digest // of the service
+	history quarantine.RunHistory
+}
+
+// promptRuns returns the record of a service's completed runs.
+func (r *Router) promptRuns(service string) *servicePromptRuns {
+	s := r.serviceState(service)
+	if s.promptRuns == nil {
+		s.promptRuns = &servicePromptRuns{digest: quarantine.ServiceDigest(service)}
+	}
+	return s.promptRuns
+}
+
+// partsAt returns the digests of parts of a prompt at a service.
+func (r *Router) partsAt(service string, parts []quarantine.Digest) []quarantine.Digest {
+	if len(parts) == 0 {
+		return nil
+	}
+	of := r.promptRuns(service).digest
+	out := make([]quarantine.Digest, len(parts))
+	for i, d := range parts {
+		out[i] = d.At(of)
+	}
+	return out
 }
 
 // brokenRequest is a request whose answer broke at a backend server that may have ended.
@@ -60,24 +88,36 @@
 	if !e.Digest.Zero() {
 		q.Digest = e.Digest
 	}
-	if q.Digest.Zero() {
-		return
-	}
 	switch e.Outcome {
 	case Answered:
-		if e.Success && r.suspects.ledger.ObserveSuccess(r.now, q.Digest) {
-			r.logQuarantineChanges()
+		if e.Success {
+			r.recordCompletedRun(b, q)
 		}
 	case Broken, TimedOut, Canceled:
 		r.holdSuspect(b, q, e)
 	}
 }
 
+// recordCompletedRun records that a backend server has completed a request.
+func (r *Router) recordCompletedRun(b *backend, q *request) {
+	parts := r.partsAt(b.Service, q.Parts)
+	if b.Model {
+		r.promptRuns(b.Service).history.Record(r.now, parts)
+	}
+	changed := r.suspects.ledger.ObserveSuccess(r.now, q.Digest, r.now)
+	for _, d := range parts {
+		changed = r.suspects.ledger.ObserveSuccess(r.now, d, r.now) || changed
+	}
+	if changed {
+		r.logQuarantineChanges()
+	}
+}
+
 // holdSuspect remembers a request until it is known whether its backend server has ended. The requests in flight at
 // a server that was leaving are not suspected, as it ends by itself.
 func (r *Router) holdSuspect(b *backend, q *request, e DispatchEnded) {
 	q.onTrial = false
-	run := brokenRequest{digest: q.Digest, workspace: workspaceName(q), at: r.now, parts: q.Parts, events: e.Events, inFlight: b.inFlight() + 1}
+	run := brokenRequest{digest: q.Digest, workspace: workspaceName(q), at: r.now, parts: r.suspectParts(b, q, e), events: e.Events, inFlight: b.inFlight() + 1}
 	if b.exited {
 		r.recordEndWithRequest(b, run)
 		return
@@ -93,6 +133,15 @@
 	}
 }
 
+// suspectParts returns the parts of a request's prompt that are suspected if its backend server has ended. A caller that leaves
+// ends the run, which then no longer is in flight.
+func (r *Router) suspectParts(b *backend, q *request, e DispatchEnded) []quarantine.Digest {
+	if e.Outcome == Canceled {
+		return nil
+	}
+	return r.partsAt(b.Service, q.Parts)
+}
+
 func workspaceName(q *request) string {
 	if q.Workspace == nil {
 		return ""
@@ -137,7 +186,12 @@
 
 // recordEndWithRequest adds the end of a backend server to the record of a request that was in flight there.
 func (r *Router) recordEndWithRequest(b *backend, run brokenRequest) {
-	if !r.suspects.ledger.Observe(r.now, run.digest, run.workspace, quarantine.End{Backend: b.hash, At: run.at}) {
+	end := quarantine.End{Backend: b.hash, At: run.at, InFlight: run.inFlight}
+	changed := r.suspects.ledger.Observe(r.now, quarantine.Subject{Digest: run.digest, Workspace: run.workspace}, end)
+	for _, d := range run.parts {
+		changed = r.observePartEnd(b.Service, d, run.workspace, end) || changed
+	}
+	if !changed {
 		return
 	}
 	r.emit(Note{What: "backend server ended with a request in flight", Subject: b.ID, Detail: run.String(), Age: r.now - run.at})
@@ -145,24 +199,37 @@
 	r.heartbeatPending = true // sends the next heartbeat early
 }
 
+// observePartEnd records the end of a backend server with a part of prompts in flight there.
+func (r *Router) observePartEnd(service string, d quarantine.Digest, workspace string, end quarantine.End) bool {
+	history := &r.promptRuns(service).history
+	sample := history.Sample(d)
+	if !r.suspects.ledger.Observe(r.now, quarantine.Subject{Kind: quarantine.Part, Digest: d, Workspace: workspace, Sample: sample}, end) {
+		return false
+	}
+	last, any := history.LastRun(d)
+	r.suspects.ledger.LearnRuns(r.now, d, sample, last, any)
+	return true
+}
+
 // logQuarantineChanges logs which requests have entered or left quarantine.
 func (r *Router) logQuarantineChanges() {
-	now := map[quarantine.Digest]bool{}
+	now := map[quarantine.Digest]quarantine.Kind{}
 	for _, c := range r.suspects.ledger.Quarantined() {
-		now[c.Digest] = true
-		if !r.suspects.quarantined[c.Digest] {
-			r.emit(Note{What: "request quarantined", Subject: c.Digest.String(), Detail: fmt.Sprintf("%s ends=%d", c.Workspace, len(c.Ends)), Age: r.now - c.Ends[0].At})
+		now[c.Digest] = c.Kind
+		if _, known := r.suspects.quarantined[c.Digest]; !known {
+			r.emit(Note{What: c.Kind.String() + " quarantined", Subject: c.Digest.String(), Detail: fmt.Sprintf("%s ends=%d runs_with=%d of=%d completed_before=%t",
+				c.Workspace, len(c.Ends), c.Sample.With, c.Sample.Of, c.Cleared), Age: r.now - c.Ends[0].At})
 		}
 	}
 	for _, d := range sortedDigests(r.suspects.quarantined) {
-		if !now[d] {
-			r.emit(Note{What: "request no longer quarantined", Subject: d.String()})
+		if _, still := now[d]; !still {
+			r.emit(Note{What: r.suspects.quarantined[d].String() + " no longer quarantined", Subject: d.String()})
 		}
 	}
 	r.suspects.quarantined = now
 }
 
-func sortedDigests(digests map[quarantine.Digest]bool) []quarantine.Digest {
+func sortedDigests(digests map[quarantine.Digest]quarantine.Kind) []quarantine.Digest {
 	var out []quarantine.Digest
 	for d := range digests {
 		out = append(out, d)
@@ -195,7 +262,30 @@
 
 // applySuspects applies another host's report on requests.
 func (r *Router) applySuspects(list []*quarantinepb.Suspect) {
-	if r.suspects.ledger.Merge(r.now, list) {
+	if len(list) == 0 {
+		return
+	}
+	changed := r.suspects.ledger.Merge(r.now, list)
+	for _, s := range list {
+		if len(s.Digest) == len(quarantine.Digest{}) && s.Part {
+			changed = r.learnPromptRuns(quarantine.Digest(s.Digest)) || changed
+		}
+	}
+	if changed {
 		r.logQuarantineChanges()
 	}
 }
+
+// learnPromptRuns adds what this host knows of the completed runs with a part to what others report of it, and reports
+// whether that may change a verdict.
+func (r *Router) learnPromptRuns(d quarantine.Digest) bool {
+	for _, s := range r.services {
+		if s.promptRuns == nil {
+			continue
+		}
+		if last, any := s.promptRuns.history.LastRun(d); any { // the digest is that of a part at one service
+			return r.suspects.ledger.LearnRuns(r.now, d, s.promptRuns.history.Sample(d), last, true)
+		}
+	}
+	return false
+}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -17,19 +17,19 @@
 	Now        time.Duration
 	Peers      []PeerView
 	Backends   []BackendView
-	// Quarantined are the requests withheld from backend servers. Suspects is the number of requests that are remembered.
+	// Quarantined are the requests and parts of prompts withheld from backend servers. Suspects is the number of those remembered.
 	Quarantined []QuarantineView
 	Suspects    int
 	// Streams is the number of streams whose origin is recorded, StreamsDropped how many were not because there were too many.
 	Streams, StreamsDropped int
 }
 
-// QuarantineView is a request withheld from backend servers.
+// QuarantineView is a request, or a part of prompts, withheld from backend servers.
 type QuarantineView struct {
-	Digest, Workspace string
-	Ends              int           // remembered crashes of backend servers attributed to it
-	Age               time.Duration // since the latest of them
-	TrialIn           time.Duration // until it may run once as a trial
+	Kind, Digest, Workspace string
+	Ends                    int           // remembered crashes of backend servers attributed to it
+	Age                     time.Duration // since the latest of them
+	TrialIn                 time.Duration // until it may run once as a trial
 }
 
 // PeerView is another host as known to this one.
@@ -75,7 +75,7 @@
 			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b)})
 	}
 	for _, c := range r.suspects.ledger.Quarantined() {
-		v.Quarantined = append(v.Quarantined, QuarantineView{c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
+		v.Quarantined = append(v.Quarantined, QuarantineView{c.Kind.String(), c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
 	}
 	v.Suspects = len(r.suspects.ledger.Cases())
 	v.Streams, v.StreamsDropped = r.origins.ledger.Len(), r.origins.ledger.Dropped()
