Sends that a verdict on a part did not stop

What could still reach an engine after a part was found out, each with its test: - requests that waited for an owner's slot, or for its time-out, when the verdict came: checked again before the send; - requests in flight without an event yet: their calls are aborted, which drops what an engine has not begun; the engine is not held to account for that; - at a host that has just started: in a small fleet it gets all that is known with the first heartbeat that it hears; - a trial whose caller left, or whose engine's end was not proved, was repeated after 15 s: now after ten times the age of the first end; - an answer without length or chunks ends with its connection, also where its engine has crashed: it counted as a completed run, which refutes all ends. It now counts as a suspect if the engine's end is proved within a second.

go test ./internal/router ./internal/quarantine ./internal/gateway ./internal/upstream ./internal/core: pass.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -288,7 +288,9 @@
 	}
 	defer resp.Close()
 	end := a.relay(d, resp, sentAt)
-	end.Success = end.Outcome == router.Answered && isSuccess(resp.Status)
+	if end.Outcome == router.Answered && isSuccess(resp.Status) {
+		end.Success, end.EndedWithConnection = !resp.EndsWithConnection, resp.EndsWithConnection
+	}
 	return end
 }
 
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -85,7 +85,7 @@
 	observed, blamed      bool
 	// toldAt is when OwnChanges last included the case; zero if it has not.
 	toldAt time.Duration
-	// trialUntil is when the current trial ends.
+	// trialUntil is when the current trial ends, or a later time before which there is no other.
 	trialUntil time.Duration
 }
 
@@ -95,7 +95,7 @@
 // TrialAt is the time from which a quarantined request may run once, to show that it does no harm.
 func (c *Case) TrialAt() time.Duration {
 	first, last := c.Ends[0].At, c.Ends[len(c.Ends)-1].At
-	return last + max(minTrialDelay, trialBackoff*(last-first))
+	return max(c.trialUntil, last+max(minTrialDelay, trialBackoff*(last-first)))
 }
 
 func (c *Case) lastEventAt() time.Duration {
@@ -261,13 +261,18 @@
 
 // TakeTrial reports whether a quarantined request may run once now, and if so starts a trial for the given duration.
 func (l *Ledger) TakeTrial(now time.Duration, c *Case, duration time.Duration) bool {
-	if now < c.TrialAt() || now < c.trialUntil {
+	if now < c.TrialAt() {
 		return false
 	}
 	c.trialUntil = now + duration
 	return true
 }
 
+// DelayTrial puts the next trial off because one has run and not completed, whether or not that ended a backend server.
+func (l *Ledger) DelayTrial(now time.Duration, c *Case) {
+	c.trialUntil = max(c.trialUntil, now+trialBackoff*(now-c.Ends[0].At))
+}
+
 // newCase adds a case. If there are too many, it evicts the least relevant one, of the same workspace if that has
 // reached its share.
 func (l *Ledger) newCase(now time.Duration, s Subject) *Case {
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -95,8 +95,9 @@
 	Fault bool
 	// RelayFault is set if the relay of the dispatch did not serve, which tells nothing of the backend server.
 	RelayFault bool
-	// Success is set if the answer was a complete success.
-	Success bool
+	// Success is set if the answer was a complete success, EndedWithConnection if it was one as far as can be seen: it had no
+	// other end than that of its connection, which a server that crashes ends too.
+	Success, EndedWithConnection bool
 	// Digest identifies the request if the way it ended counts for or against it in quarantine; zero otherwise.
 	Digest quarantine.Digest
 }
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -171,6 +171,7 @@
 		if r.exchangesHeartbeats(b.Zone) {
 			r.zones.peersAt = 0       // name the new host to the others in the next heartbeat
 			r.heartbeatPending = true // send the new host a heartbeat soon
+			r.suspects.hostJoined = true
 			r.emit(Note{What: "host joined", Subject: b.Host, Detail: b.Zone})
 		} else if r.now-m.startedAt <= newHostDuration {
 			// The new host may have no seed in its own zone. Without this reply, hosts of zones without seeds knew only a few
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -20,8 +20,10 @@
 	maxLateParts  = 3
 	// engineRestart is how long after its end an engine is back under another ID.
 	engineRestart = 900 * time.Millisecond
-	// crashDelay is how long after it was sent a request with a deadly part ends its engine.
+	// crashDelay is how long after it was sent a request with a deadly part ends its engine, unless the part has another delay.
 	crashDelay = 60 * time.Millisecond
+	// firstEventDelay is how long after it was sent a stream has its first event.
+	firstEventDelay = 100 * time.Millisecond
 )
 
 // partStorm sends requests whose prompts share parts to a fleet. Some parts end each engine that answers them.
@@ -45,6 +47,7 @@
 type deadlyPart struct {
 	perSecond float64
 	at        int // place in the prompt
+	delay     time.Duration
 	until     time.Duration
 	ends      int
 	fifthAt   time.Duration
@@ -157,7 +160,7 @@
 				d.late++
 			}
 			run.ends = z.now + time.Hour
-			s.crashes = append(s.crashes, engineCrash{z.now + crashDelay, run.engine, part})
+			s.crashes = append(s.crashes, engineCrash{z.now + max(crashDelay, d.delay), run.engine, part})
 			return
 		}
 	}
@@ -190,10 +193,13 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		h := z.runs[id].host
+		h, events := z.runs[id].host, 0
+		if z.now-z.runs[id].submittedAt > firstEventDelay {
+			events = 3
+		}
 		delete(z.runs, id)
 		z.streams[engine]--
-		z.post(h, DispatchEnded{ID: id, Outcome: Broken, Fault: true, Digest: s.digest(id)})
+		z.post(h, DispatchEnded{ID: id, Outcome: Broken, Fault: true, Events: events, Digest: s.digest(id)})
 		z.post(h, ProbeResult{ID: engine, Refused: true})
 	}
 }
@@ -269,6 +275,7 @@
 		{name: "often", zones: 3, hosts: 3, engines: 3, deadly: map[string]*deadlyPart{"d": {perSecond: 15, at: 1}}},
 		{name: "seldom", zones: 3, hosts: 3, engines: 3, deadly: map[string]*deadlyPart{"d": {perSecond: 0.7, at: 1}}},
 		{name: "few sound requests", zones: 3, hosts: 3, engines: 3, sound: 8, deadly: map[string]*deadlyPart{"d": {perSecond: 4.5, at: 1}}},
+		{name: "after its first event", zones: 3, hosts: 3, engines: 3, deadly: map[string]*deadlyPart{"d": {perSecond: 4.5, at: 1, delay: 200 * time.Millisecond}}},
 		{name: "two parts", zones: 3, hosts: 3, engines: 3, deadly: map[string]*deadlyPart{"d": {perSecond: 3, at: 1}, "e": {perSecond: 3, at: 2}}},
 		{name: "hosts start again", zones: 3, hosts: 3, engines: 3, deadly: map[string]*deadlyPart{"d": {perSecond: 4.5, at: 1}}, during: func(s *partStorm) {
 			for _, i := range []int{0, 2, 4, 5, 8} {
@@ -341,3 +348,88 @@
 		})
 	}
 }
+
+// blamePart makes a part quarantined at a lone host.
+func blamePart(r *Router, at time.Duration, part quarantine.Digest) {
+	for i := range uint32(maxEndsByPart) {
+		r.suspects.ledger.Observe(at, quarantine.Subject{Kind: quarantine.Part, Digest: part.At(r.promptRuns("m").digest), Sample: quarantine.Sample{Of: 1000}},
+			quarantine.End{Backend: i, At: at, InFlight: 1})
+	}
+	r.applyVerdicts()
+}
+
+// Guards against one more engine that ends although its request had not begun when the part was found out, and against blame
+// of the engine for a call that the host aborted.
+func TestRequestsThatHaveNotBegunAreWithdrawn(t *testing.T) {
+	r := newStandalone(t, "a")
+	parts := quarantine.PartDigests([]string{"d"})
+	at := 2 * time.Second
+	for id := range uint64(2) {
+		dispatchOf(t, r.Reduce(at, Submit{ID: id + 1, Route: fragile, Parts: parts, Deadline: at + time.Minute}))
+	}
+	r.Reduce(at, StreamStarted{ID: 1, First: time.Millisecond})
+	blamePart(r, at, parts[0])
+	abort, ok := findEffect[Abort](r.Reduce(at, Tick{}))
+	require.True(t, ok)
+	require.Equal(t, uint64(2), abort.ID, "the other has begun, and may as well end")
+	out := r.Reduce(at, DispatchEnded{ID: 2, Outcome: Broken, Fault: true})
+	gaveUp, ok := findEffect[GiveUp](out)
+	require.True(t, ok)
+	require.Equal(t, Quarantined, gaveUp.Cause)
+	_, probed := findEffect[Probe](out)
+	require.False(t, probed)
+	out = r.Reduce(at, Submit{ID: 3, Route: fragile, Parts: parts, Deadline: at + time.Minute})
+	refuse, ok := findEffect[Refuse](out)
+	require.True(t, ok)
+	require.Equal(t, Quarantined, refuse.Cause)
+	dispatchOf(t, r.Reduce(at, Submit{ID: 4, Route: fragile, Deadline: at + time.Minute}))
+}
+
+// Guards against a host that starts, serves at once, and ends one more engine before it is told what others know.
+func TestJoiningHostIsToldWithTheFirstHeartbeat(t *testing.T) {
+	s := newPartStorm(t, 3, 3, 3)
+	s.z.run(5*time.Second, 0)
+	part := quarantine.PartDigests([]string{"d"})[0]
+	for _, h := range s.z.hosts {
+		blamePart(h.r, s.z.now, part)
+	}
+	s.z.run(2*maxSpreadTime, 0) // no host reports it as new any more
+	h := s.z.hosts[4]
+	s.restart(h)
+	for limit := s.z.now + time.Second; len(h.r.members.order) == 0 && s.z.now < limit; {
+		s.z.run(zoneStep, 0)
+	}
+	require.NotNil(t, h.r.suspects.ledger.Blamed(part.At(h.r.promptRuns("m").digest)))
+}
+
+// Guards against trials that are repeated because their caller left, or the end of the server was not proved.
+func TestTrialWithoutAResultIsNotRepeatedSoon(t *testing.T) {
+	r := newStandalone(t, "a")
+	parts := quarantine.PartDigests([]string{"d"})
+	blamePart(r, 2*time.Second, parts[0])
+	at := 2*time.Second + time.Minute
+	dispatchOf(t, r.Reduce(at, Submit{ID: 1, Route: fragile, Parts: parts, Deadline: at + time.Minute}))
+	r.Reduce(at, DispatchEnded{ID: 1, Outcome: Canceled})
+	at += 5 * time.Minute
+	refuse, ok := findEffect[Refuse](r.Reduce(at, Submit{ID: 2, Route: fragile, Parts: parts, Deadline: at + time.Minute}))
+	require.True(t, ok)
+	require.Equal(t, Quarantined, refuse.Cause)
+}
+
+// Guards against a stream without length or chunks that an engine's crash ends: it looks complete, and would count as a
+// completed run of the part that caused the crash.
+func TestAnswerThatEndsWithItsConnectionProvesNoCompletedRun(t *testing.T) {
+	r := newStandalone(t, "a", "b", "c", "d", "e", "f", "g", "h")
+	parts := quarantine.PartDigests([]string{"d"})
+	for range 200 {
+		r.promptRuns("m").history.Record(0, nil)
+	}
+	for id := range uint64(maxEndsByPart) {
+		at := 2*time.Second + time.Duration(id)*time.Second
+		d := dispatchOf(t, r.Reduce(at, Submit{ID: id + 1, Route: fragile, Parts: parts, Deadline: at + time.Minute}))
+		r.Reduce(at, DispatchEnded{ID: id + 1, Outcome: Answered, EndedWithConnection: true, Digest: quarantine.Digest{byte(id + 1)}})
+		r.Reduce(at, ProbeResult{ID: d.Backend.ID, Refused: true})
+		register(r, at+completeEndWindow, changeOf(d.Backend.ID, 51+id, true))
+	}
+	require.Len(t, r.suspects.ledger.Quarantined(), 1)
+}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"slices"
 	"time"
 
 	"fireflyshift/internal/quarantine"
+	"fireflyshift/internal/routing"
 )
 
 // trialTimeout is how long the outcome of a trial is awaited before the same request may be tried again.
@@ -49,6 +51,31 @@
 	return blamed
 }
 
+// endTrial ends a trial without a completed run.
+func (r *Router) endTrial(q *request) {
+	q.onTrial = false
+	for _, c := range r.blamedFor(q) {
+		r.suspects.ledger.DelayTrial(r.now, c)
+	}
+}
+
+// withdrawQuarantined aborts the calls of requests that are now kept from backend servers and have had no event yet: a backend
+// server drops a request that it has not begun when its connection closes.
+func (r *Router) withdrawQuarantined() {
+	var ids []uint64
+	for id, q := range r.requests {
+		if q.backend != nil && !q.begun && !q.onTrial && q.Route.Kind == routing.Streaming && len(r.blamedFor(q)) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		q := r.requests[id]
+		q.withdrawn = true
+		r.emit(Abort{ID: id, Attempt: q.attempt})
+	}
+}
+
 // runsTrial reports whether this host runs the trials of a quarantined request: the first by rendezvous hashing in
 // the first reachable zone. While views differ there may be two such hosts.
 func (r *Router) runsTrial(d quarantine.Digest) bool {
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -79,6 +79,8 @@
 	originReported bool
 	// onTrial is set if the request is quarantined but runs once to test whether it is harmful.
 	onTrial bool
+	// withdrawn is set if this host has aborted its call because the request is quarantined.
+	withdrawn bool
 }
 
 // priority returns the index under which the request is counted among those in flight.
@@ -302,6 +304,14 @@
 		return
 	}
 	r.releaseSlot(q, e)
+	if q.withdrawn {
+		e.Fault = false // this host has aborted the call
+		if e.Outcome == Broken {
+			r.finish(q)
+			r.emit(GiveUp{ID: q.ID, Cause: Quarantined, DeliverFailure: true})
+			return
+		}
+	}
 	r.recordOutcome(b, q, e)
 	r.recordRequestOutcome(b, q, e)
 	switch e.Outcome {
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -38,6 +38,10 @@
 // milliseconds old, selects the owner to call, and the owner selects the backend server by exact counts.
 // If no owner replies, this host decides locally.
 func (r *Router) schedule(q *request) {
+	if retryAfter, yes := r.checkQuarantine(q); yes { // it may have waited for an owner since its dispatch was decided
+		r.refuseQuarantined(q, retryAfter)
+		return
+	}
 	if !r.usesOwners() {
 		r.sendOrBorrow(q)
 		return
@@ -246,6 +250,11 @@
 		return
 	}
 	q.slotCall = nil
+	if retryAfter, yes := r.checkQuarantine(q); yes {
+		r.returnSlot(a, offer)
+		r.refuseQuarantined(q, retryAfter)
+		return
+	}
 	b := r.byHash[offer.GetPlace().GetBackend()]
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -14,6 +14,8 @@
 	// endConfirmWindow is how long after a broken answer the end of its backend server is attributed to it. A
 	// registration expires some seconds after the process ends.
 	endConfirmWindow = 10 * time.Second
+	// completeEndWindow is the same for an answer that ended with its connection and may have been complete.
+	completeEndWindow = time.Second
 	// maxBrokenRequests limits the broken requests remembered per backend server until it is known whether it ended.
 	maxBrokenRequests = 64
 	// fullListSenders is the number of hosts in a zone that send the full list of suspects to it.
@@ -25,7 +27,9 @@
 	ledger *quarantine.Ledger
 	// nextFullListAt is when this host next sends the full list to its zone.
 	nextFullListAt time.Duration
-	expireAt       time.Duration
+	// hostJoined is set if a host has joined since this host last sent the full list.
+	hostJoined bool
+	expireAt   time.Duration
 	// quarantined holds the requests in quarantine as last logged.
 	quarantined map[quarantine.Digest]quarantine.Kind
 }
@@ -72,6 +76,8 @@
 	events int
 	// inFlight is the number of requests believed in flight at the backend server, this one included.
 	inFlight int
+	// window is how long after it the end of its backend server is attributed to it.
+	window time.Duration
 }
 
 // String describes the request for logs.
@@ -92,6 +98,8 @@
 	case Answered:
 		if e.Success {
 			r.recordCompletedRun(b, q)
+		} else if e.EndedWithConnection {
+			r.holdSuspect(b, q, e)
 		}
 	case Broken, TimedOut, Canceled:
 		r.holdSuspect(b, q, e)
@@ -109,15 +117,21 @@
 		changed = r.suspects.ledger.ObserveSuccess(r.now, d, r.now) || changed
 	}
 	if changed {
-		r.logQuarantineChanges()
+		r.applyVerdicts()
 	}
 }
 
 // holdSuspect remembers a request until it is known whether its backend server has ended. The requests in flight at
 // a server that was leaving are not suspected, as it ends by itself.
 func (r *Router) holdSuspect(b *backend, q *request, e DispatchEnded) {
-	q.onTrial = false
-	run := brokenRequest{digest: q.Digest, workspace: workspaceName(q), at: r.now, parts: r.suspectParts(b, q, e), events: e.Events, inFlight: b.inFlight() + 1}
+	if q.onTrial {
+		r.endTrial(q)
+	}
+	run := brokenRequest{digest: q.Digest, workspace: workspaceName(q), at: r.now, parts: r.suspectParts(b, q, e), events: e.Events, inFlight: b.inFlight() + 1,
+		window: endConfirmWindow}
+	if e.Outcome == Answered {
+		run.window = completeEndWindow
+	}
 	if b.exited {
 		r.recordEndWithRequest(b, run)
 		return
@@ -128,7 +142,7 @@
 	if len(b.brokenRuns) < maxBrokenRequests {
 		b.brokenRuns = append(b.brokenRuns, run)
 	}
-	if e.Outcome == Broken && !r.knownLost(b) {
+	if (e.Outcome == Broken || e.Outcome == Answered && r.HasSuspects()) && !r.knownLost(b) {
 		r.requestProbe(b)
 	}
 }
@@ -178,7 +192,7 @@
 	broken := b.brokenRuns
 	b.brokenRuns = nil
 	for _, run := range broken {
-		if r.now-run.at <= endConfirmWindow {
+		if r.now-run.at <= run.window {
 			r.recordEndWithRequest(b, run)
 		}
 	}
@@ -195,7 +209,7 @@
 		return
 	}
 	r.emit(Note{What: "backend server ended with a request in flight", Subject: b.ID, Detail: run.String(), Age: r.now - run.at})
-	r.logQuarantineChanges()
+	r.applyVerdicts()
 	r.heartbeatPending = true // sends the next heartbeat early
 }
 
@@ -211,12 +225,13 @@
 	return true
 }
 
-// logQuarantineChanges logs which requests have entered or left quarantine.
-func (r *Router) logQuarantineChanges() {
-	now := map[quarantine.Digest]quarantine.Kind{}
+// applyVerdicts logs what has entered or left quarantine, and withdraws requests that are now kept from backend servers.
+func (r *Router) applyVerdicts() {
+	now, added := map[quarantine.Digest]quarantine.Kind{}, false
 	for _, c := range r.suspects.ledger.Quarantined() {
 		now[c.Digest] = c.Kind
 		if _, known := r.suspects.quarantined[c.Digest]; !known {
+			added = true
 			r.emit(Note{What: c.Kind.String() + " quarantined", Subject: c.Digest.String(), Detail: fmt.Sprintf("%s ends=%d runs_with=%d of=%d completed_before=%t",
 				c.Workspace, len(c.Ends), c.Sample.With, c.Sample.Of, c.Cleared), Age: r.now - c.Ends[0].At})
 		}
@@ -227,6 +242,9 @@
 		}
 	}
 	r.suspects.quarantined = now
+	if added {
+		r.withdrawQuarantined()
+	}
 }
 
 func sortedDigests(digests map[quarantine.Digest]quarantine.Kind) []quarantine.Digest {
@@ -245,15 +263,19 @@
 	}
 	r.suspects.expireAt = r.now + endConfirmWindow
 	r.suspects.ledger.Expire(r.now)
-	r.logQuarantineChanges()
+	r.applyVerdicts()
 }
 
 // newSuspects returns what this host has newly observed itself, for its heartbeats.
 func (r *Router) newSuspects() []*quarantinepb.Suspect { return r.suspects.ledger.OwnChanges(r.now) }
 
-// fullSuspectList returns all known suspects if this host is due to send them to its zone, or nil.
+// fullSuspectList returns all known suspects if this host is due to send them to its zone, or nil. A host that joins a small
+// fleet gets them with the first heartbeat that it hears, as it serves requests soon after.
 func (r *Router) fullSuspectList() []*quarantinepb.Suspect {
-	if r.now < r.suspects.nextFullListAt || !r.HasSuspects() || !r.hasRole("tells suspects", fullListSenders) {
+	due := r.now >= r.suspects.nextFullListAt && r.hasRole("tells suspects", fullListSenders)
+	joined := r.suspects.hostJoined && !r.usesOwners()
+	r.suspects.hostJoined = false
+	if !r.HasSuspects() || !due && !joined {
 		return nil
 	}
 	r.suspects.nextFullListAt = r.now + quarantine.FullInterval
@@ -272,7 +294,7 @@
 		}
 	}
 	if changed {
-		r.logQuarantineChanges()
+		r.applyVerdicts()
 	}
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -50,10 +50,14 @@
 	Header http.Header
 	// Length is the body's length, or -1 if it ends with the last chunk or the connection.
 	Length int64
-	body   io.ReadCloser
-	call   *call
-	resp   *http.Response
-	err    error
+	// EndsWithConnection is set if only the end of the connection marks the end of the body, as that of a server that crashes
+	// does too.
+	EndsWithConnection bool
+
+	body io.ReadCloser
+	call *call
+	resp *http.Response
+	err  error
 }
 
 // maxForeignAnswers bounds how many answers to other requests are skipped on one connection.
@@ -203,7 +207,7 @@
 		if !req.IsOwn(resp.Header) {
 			skipped++
 			x.sawForeignAnswer = true
-			if skipped > maxForeignAnswers || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+			if skipped > maxForeignAnswers || endsWithConnection(resp) {
 				return nil, trace.BadParameter("the answer belongs to another request")
 			}
 			x.conn.limitReads(foreignBytes)
@@ -214,10 +218,15 @@
 			}
 			continue
 		}
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, body: resp.Body, call: x, resp: resp}, nil
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, EndsWithConnection: endsWithConnection(resp),
+			body: resp.Body, call: x, resp: resp}, nil
 	}
 }
 
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
 // Read implements io.Reader over the body. io.EOF means that the body is complete.
 func (r *Response) Read(p []byte) (int, error) {
 	n, err := r.body.Read(p)
