Tests: ends with long streams blame no part; engines that end refuse probes

Popular parts with long streams complete so seldom that five engines can end in between. The stand-in engines now answer the probes by which a host proves an end, as real ones do.

--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -39,6 +39,8 @@
 	// engines such an end takes at once.
 	soundPerSecond, ordinary float64
 	rack                     int
+	// streamLength is how long each stream lasts; zero for the lengths that the zone draws.
+	streamLength time.Duration
 	// asked and served are the sound requests since the last reset.
 	asked, served int
 	blamed        map[string]bool
@@ -64,6 +66,12 @@
 	s := &partStorm{z: newZones(t, zones, hosts, engines), engines: zones * engines, dead: map[string]bool{}, parts: map[uint64][]string{}, deadly: map[string]*deadlyPart{},
 		soundPerSecond: 40, rack: 1, blamed: map[string]bool{}}
 	s.z.onStep, s.z.onDispatch = s.step, s.dispatched
+	s.z.paths = func(_ *zoneHost, engine string) path {
+		if s.dead[engine] {
+			return refuses
+		}
+		return open
+	}
 	return s
 }
 
@@ -154,6 +162,9 @@
 		run.outcome, run.ends = NotSent, z.now+zoneStep
 		return
 	}
+	if s.streamLength > 0 {
+		run.ends = z.now + s.streamLength
+	}
 	for _, part := range s.parts[e.ID] {
 		if d := s.deadly[part]; d != nil {
 			if d.ends >= maxEndsByPart && z.now > d.fifthAt+maxSpreadTime && !s.outOfTouch(run.host) {
@@ -335,14 +346,18 @@
 		zones, hosts, engines int
 		perSecond             float64
 		rack                  int
+		sound                 float64
+		streamLength          time.Duration
 	}{
-		{"alone", 3, 3, 3, 0.7, 1},
-		{"racks", 3, 3, 3, 0.3, 3},
-		{"large fleet", 4, 5, 5, 0.5, 3},
+		{"alone", 3, 3, 3, 0.7, 1, 40, 0},
+		{"racks", 3, 3, 3, 0.3, 3, 40, 0},
+		{"large fleet", 4, 5, 5, 0.5, 3, 40, 0},
+		{"eight of twenty engines at once", 4, 5, 5, 0.15, 8, 40, 0},
+		{"long streams, eight of twenty engines at once", 4, 4, 5, 0.15, 8, 6, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			s := newPartStorm(t, c.zones, c.hosts, c.engines)
-			s.ordinary, s.rack = c.perSecond, c.rack
+			s.ordinary, s.rack, s.soundPerSecond, s.streamLength = c.perSecond, c.rack, c.sound, c.streamLength
 			s.z.run(2*time.Minute, 0)
 			require.Empty(t, s.blamed)
 		})
