A host without a share of a backend server's rate borrows one

Callers at the host that got most new connections were refused although the rates were not used up.

Cause: rates that hosts share are divided into fixed parts for four senders, sized for even traffic. A host with all the traffic had a fourth of some servers' rates and nothing of the others'.

Change: a host without a token asks up to three senders for a slot, with the messages by which slots at brittle servers are lent already; the sender takes its own token, so that the bound stays as it is. The same for cold servers. In large fleets also over zones.

--- a/internal/router/brittle.go
+++ b/internal/router/brittle.go
@@ -150,30 +150,6 @@
 	return r.isBrittle(b)
 }
 
-// chooseLender returns a host that may send to a brittle backend server at which a request would fit by the known load, or ""
-// if there is none to ask.
-func (r *Router) chooseLender(q *request) string {
-	if q.decideLocally || len(q.fullOwners) >= maxSlotRequests {
-		return ""
-	}
-	s := r.newSelector(q, scopeAll)
-	var lenders []string
-	for _, b := range r.backendsOf(q.service) {
-		if !r.isBrittle(b) || !r.usableFor(q, b) || b.suspect(r.now) || b.inFlight() >= s.requestLimit(b) {
-			continue
-		}
-		for _, h := range r.brittleSenders(b) {
-			if r.canAsk(h) && !slices.Contains(q.fullOwners, h) && !slices.Contains(lenders, h) {
-				lenders = append(lenders, h)
-			}
-		}
-	}
-	if len(lenders) == 0 {
-		return ""
-	}
-	return lenders[r.rng.IntN(len(lenders))]
-}
-
 // brittleSenders returns the other hosts that may send to a brittle backend server in a small fleet.
 func (r *Router) brittleSenders(b *backend) []string {
 	hosts := []string{r.opt.Host}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -153,15 +153,21 @@
 	r.schedule(q)
 }
 
-// sendOrBorrow selects a backend server in a small fleet. If this host may send to none, it requests a slot at a brittle one.
+// sendOrBorrow selects a backend server in a small fleet. If this host may send to none, it requests a slot out of another
+// host's shares.
 func (r *Router) sendOrBorrow(q *request) {
 	b, g := r.selectBackend(q)
 	if b != nil {
 		r.send(q, b, g)
 		return
 	}
+	r.borrowOrRefuse(q, g)
+}
+
+// borrowOrRefuse asks another host for a slot out of its shares, if there may be one, or ends the request.
+func (r *Router) borrowOrRefuse(q *request, g DecisionBasis) {
 	if lender := r.chooseLender(q); lender != "" {
-		r.requestSlot(q, lender, classHealthy)
+		r.requestSlot(q, lender, classHealthy, true)
 		return
 	}
 	r.returnOrRefuse(q, g)
@@ -182,8 +188,12 @@
 
 // occupy counts a request at a backend server and takes the tokens that it needs there.
 func (r *Router) occupy(q *request, b *backend) {
-	r.takeColdToken(b)
-	r.takeRateToken(b)
+	r.takeShares(b)
+	r.addOwnLoad(q, b)
+}
+
+// addOwnLoad counts a request at a backend server.
+func (r *Router) addOwnLoad(q *request, b *backend) {
 	b.ownLoad.counts[q.priority()]++
 	b.ownLoad.prefillBacklog += q.PromptTok
 	r.markLoadChanged()
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -144,6 +144,8 @@
 	scope scope
 	// rateTokens is whether there are rate tokens for the request, once rateTokensKnown is set.
 	rateTokens, rateTokensKnown bool
+	// lends is set if the request is another host's and may use this host's shares of backend servers' rates.
+	lends bool
 }
 
 // scope limits the backend servers that a selector considers.
@@ -180,7 +182,10 @@
 // selectInScope filters and scores the backend servers in scope and picks one. If none has room, the basis
 // describes the least loaded one. The caller sets the age of the load data.
 func (r *Router) selectInScope(q *request, where scope) selection {
-	s := r.newSelector(q, where)
+	return r.selectBy(r.newSelector(q, where))
+}
+
+func (r *Router) selectBy(s selector) selection {
 	g := r.basis()
 	g.InFlight = -1
 	byClass := &r.candidates
@@ -221,11 +226,15 @@
 // reported no free slot for this request are skipped.
 func (s *selector) eligible(b *backend) bool {
 	if s.scope == scopeOwned {
-		return s.r.maySlotsBeRequested(b)
+		return s.r.maySlotsBeRequested(b) || s.lends && b.ratesShared(s.r.now)
 	}
 	return len(s.q.fullOwners) == 0 || !slices.Contains(s.q.fullOwners, s.r.ownerOf(b))
 }
 
+// sharesBarred reports whether this host's shares of backend servers' rates are not for the request: one of another host that has
+// not asked for them.
+func (s *selector) sharesBarred() bool { return s.scope == scopeOwned && !s.lends }
+
 // addCandidate adds a backend server to the candidates of its class if it is usable and has room.
 func (s *selector) addCandidate(b *backend, g *DecisionBasis, byClass *[numClasses][]candidate) {
 	switch reason := s.r.exclusionFor(s.q, b); {
@@ -250,11 +259,11 @@
 	if g.InFlight < 0 || held < g.InFlight {
 		g.InFlight, g.Limit = held, limit
 	}
-	cold := b.cold(s.r.now) && (s.scope == scopeOwned || !s.r.coldTokenAvailable(b))
+	cold := b.cold(s.r.now) && (s.sharesBarred() || !s.r.coldTokenAvailable(b))
 	if cold {
 		g.Cold++
 	}
-	rateLimited := b.rateLimited() && (s.scope == scopeOwned || !s.mayTakeRateToken(b))
+	rateLimited := b.rateLimited() && (s.sharesBarred() || !s.mayTakeRateToken(b))
 	if rateLimited {
 		g.RateLimited++
 	}
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -18,13 +18,16 @@
 		return // no heartbeat yet; it decides locally
 	}
 	q := r.requestFromAsk(a)
-	c := r.selectInScope(q, scopeOwned)
+	s := r.newSelector(q, scopeOwned)
+	s.lends = a.Borrows
+	c := r.selectBy(s)
 	if c.backend == nil || c.class > class(a.WorstClass) {
 		r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: &gossippb.Offer{Number: a.Number, Full: r.ownedLoads(a.Service)}}})
 		return
 	}
 	o := &gossippb.Offer{Number: a.Number, Place: c.backend.totalLoad().toProto(c.backend.hash), Limit: uint32(max(0, c.basis.Limit)),
-		WaitUs: uint32(max(0, c.basis.Wait).Microseconds())}
+		WaitUs: uint32(max(0, c.basis.Wait).Microseconds()), Lent: c.backend.ratesShared(r.now)}
+	r.takeShares(c.backend)
 	r.adjustLoad(m, c.backend.hash, q.priority(), 1, q.PromptTok)
 	r.countRisk(c.backend)
 	r.emit(Send{To: []string{from}, Packet: &gossippb.Packet{Offer: o}})
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -55,12 +55,12 @@
 		return
 	}
 	if owner := r.fallbackOwner(q); owner != "" {
-		r.requestSlot(q, owner, classSlow)
+		r.requestSlot(q, owner, classSlow, false)
 		return
 	}
 	if c.backend == nil {
 		c.basis.ViewAge = r.oldestHeartbeatAge()
-		r.returnOrRefuse(q, c.basis)
+		r.borrowOrRefuse(q, c.basis)
 		return
 	}
 	r.requestSlotOrSend(q, c)
@@ -76,7 +76,7 @@
 		r.send(q, c.backend, c.basis)
 		return
 	}
-	r.requestSlot(q, owner, c.class)
+	r.requestSlot(q, owner, c.class, false)
 }
 
 // mayAsk reports whether the owner of a backend server is asked for a slot for a request.
@@ -120,7 +120,8 @@
 	return r.mayGet(q, b) && !b.cold(r.now) && !b.rateLimited()
 }
 
-func (r *Router) requestSlot(q *request, owner string, worst class) {
+// requestSlot asks a host for a slot at one of the backend servers that it owns or, if borrows is set, that it has a share of.
+func (r *Router) requestSlot(q *request, owner string, worst class, borrows bool) {
 	a := &slotRequest{ownerCall{number: r.slotRequests.next(), requestID: q.ID, owner: owner, sentAt: r.now}, q.priority(), q.PromptTok}
 	q.slotCall = a
 	r.slotRequests.add(a)
@@ -129,7 +130,7 @@
 		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
 		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
 		LeftMs: uint32(max(0, q.Deadline-r.now).Milliseconds()), TargetMs: uint32(q.Route.Target.Milliseconds()),
-		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, owner), Continued: q.continued,
+		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, owner), Continued: q.continued, Borrows: borrows,
 	}}})
 }
 
@@ -256,7 +257,7 @@
 		return
 	}
 	b := r.byHash[offer.GetPlace().GetBackend()]
-	if offer.Place == nil || b == nil || !r.usableFor(q, b) {
+	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
 		r.returnSlot(a, offer)
 		q.fullOwners = append(q.fullOwners, from)
@@ -269,7 +270,8 @@
 	g := r.basis()
 	g.InFlight, g.Limit, g.Wait = reported.total(), int(offer.Limit), time.Duration(offer.WaitUs)*time.Microsecond
 	g.Owner, g.ViewAge = from, r.now-a.sentAt
-	r.send(q, b, g)
+	r.addOwnLoad(q, b) // the other host has taken what the request needs of its shares
+	r.sendCounted(q, b, g)
 }
 
 func (r *Router) usableFor(q *request, b *backend) bool {
