--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -84,21 +84,23 @@
 	}
 }
 
-// query runs f on the control thread and reports whether it ran within the timeout.
-func (c *control) query(timeout time.Duration, f func(*core.Core)) bool {
-	ran := make(chan struct{})
+// query runs f on the control thread and returns its result, or false if there is none within the timeout. f may still run after
+// that, so it hands its result over instead of writing to what the caller reads.
+func query[T any](c *control, timeout time.Duration, f func(*core.Core) T) (T, bool) {
+	result := make(chan T, 1)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	var none T
 	select {
-	case c.queue <- queueEntry{query: func(k *core.Core) { f(k); close(ran) }}:
+	case c.queue <- queueEntry{query: func(k *core.Core) { result <- f(k) }}:
 	case <-timer.C:
-		return false
+		return none, false
 	}
 	select {
-	case <-ran:
-		return true
+	case out := <-result:
+		return out, true
 	case <-timer.C:
-		return false
+		return none, false
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -229,8 +230,7 @@
 func (d *Daemon) awaitRequests(forced context.Context) bool {
 	until := time.Now().Add(d.set.Drain.Limit)
 	for time.Now().Before(until) {
-		requests := 0
-		known := d.control.query(queryTimeout, func(c *core.Core) { requests = c.Requests() })
+		requests, known := query(d.control, queryTimeout, (*core.Core).Requests)
 		if known && requests == 0 && d.connections.TryStop() {
 			return true
 		}
@@ -269,19 +269,19 @@
 func (d *Daemon) Ready() bool { return d.control.ready.Load() && !d.control.shuttingDown.Load() }
 
 // Healthy implements admin.Source. It reports whether the control thread responds.
-func (d *Daemon) Healthy() bool { return d.control.query(queryTimeout, func(*core.Core) {}) }
+func (d *Daemon) Healthy() bool {
+	_, ok := query(d.control, queryTimeout, func(*core.Core) struct{} { return struct{}{} })
+	return ok
+}
 
 // Status implements admin.Source.
 func (d *Daemon) Status() (core.Status, bool) {
-	var s core.Status
-	ok := d.control.query(queryTimeout, func(c *core.Core) { s = c.Status() })
+	s, ok := query(d.control, queryTimeout, (*core.Core).Status)
 	s.Ready = s.Ready && !d.control.shuttingDown.Load()
 	return s, ok
 }
 
 // Explain implements admin.Source.
 func (d *Daemon) Explain(id string) ([]core.TraceEvent, bool) {
-	var events []core.TraceEvent
-	ok := d.control.query(queryTimeout, func(c *core.Core) { events = append(events, c.RequestTrace(id)...) })
-	return events, ok
+	return query(d.control, queryTimeout, func(c *core.Core) []core.TraceEvent { return slices.Clone(c.RequestTrace(id)) })
 }
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -15,15 +15,18 @@
 func (o adminSource) Ready() bool { return o.node.ready() }
 
 // Healthy implements admin.Source. It reports whether the control thread responds.
-func (o adminSource) Healthy() bool { return o.node.control.query(func(*router.Router) {}) }
+func (o adminSource) Healthy() bool {
+	_, ok := query(o.node.control, func(*router.Router) struct{} { return struct{}{} })
+	return ok
+}
 
 // Explain implements admin.Source.
 func (o adminSource) Explain(id string) ([]core.TraceEvent, bool) { return o.trail(id), true }
 
 // Status implements admin.Source.
 func (o adminSource) Status() (core.Status, bool) {
-	var v router.View
-	if !o.node.control.query(func(r *router.Router) { v = r.View() }) {
+	v, ok := query(o.node.control, (*router.Router).View)
+	if !ok {
 		return core.Status{}, false
 	}
 	s := core.Status{Host: o.node.set.Name, Zone: o.node.set.Zone, Ready: v.Ready, Draining: v.Draining, UptimeMS: v.Now.Milliseconds(),
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -61,10 +61,7 @@
 }
 
 // query is a function to be run on the control thread.
-type query struct {
-	run  func(*router.Router)
-	done chan struct{}
-}
+type queryEntry struct{ run func(*router.Router) }
 
 func newControl(r *router.Router, log zerolog.Logger, m telemetry.Metrics) *control {
 	return &control{router: r, clock: timing.NewBootClock(), log: log, metrics: m,
@@ -94,9 +91,8 @@
 	case submission:
 		c.callers[e.ID] = e.caller
 		c.reduce(e.Submit)
-	case query:
+	case queryEntry:
 		e.run(c.router)
-		close(e.done)
 	case router.Event:
 		c.reduce(e)
 		if end, ok := e.(router.DispatchEnded); ok && (end.Outcome == router.Answered || end.Outcome == router.Canceled) {
@@ -202,35 +198,35 @@
 // NeedsDigests implements gateway.Control.
 func (c *control) NeedsDigests() bool { return c.suspects.Load() }
 
-// query runs f on the control thread and reports whether it ran within queryTimeout.
-func (c *control) query(f func(*router.Router)) bool {
-	q := query{f, make(chan struct{})}
+// query runs f on the control thread and returns its result, or false if there is none within queryTimeout. f may still run after
+// that, so it hands its result over instead of writing to what the caller reads.
+func query[T any](c *control, f func(*router.Router) T) (T, bool) {
+	result := make(chan T, 1)
 	timer := time.NewTimer(queryTimeout)
 	defer timer.Stop()
+	var none T
 	select {
-	case c.queue <- q:
+	case c.queue <- queryEntry{func(r *router.Router) { result <- f(r) }}:
 	case <-timer.C:
-		return false
+		return none, false
 	}
 	select {
-	case <-q.done:
-		return true
+	case out := <-result:
+		return out, true
 	case <-timer.C:
-		return false
+		return none, false
 	}
 }
 
 // Snapshot implements gossip.Source.
 func (c *control) Snapshot(since router.Since) (router.Update, bool) {
-	var n router.Update
-	ok := c.query(func(r *router.Router) { n = r.Snapshot(since) })
-	return n, ok
+	return query(c, func(r *router.Router) router.Update { return r.Snapshot(since) })
 }
 
 // RelayPermission reports whether another host may use this one as a relay to a backend server's address.
 func (c *control) RelayPermission(host, addr string) router.RelayPermission {
-	var permission router.RelayPermission
-	if !c.query(func(r *router.Router) { permission = r.RelayPermission(host, addr) }) {
+	permission, ok := query(c, func(r *router.Router) router.RelayPermission { return r.RelayPermission(host, addr) })
+	if !ok {
 		return router.RelayUnavailable
 	}
 	return permission
