Soak: a deadly part of prompts, and most callers at one host

Six engines without a proxy (which would accept connections for one that has crashed), one part that crashes them in one of some twelve prompts, nine of ten prompts at one host, another one now and then; hosts killed, stopped and paused one at a time, beside store and link faults. Checked: the part runs at most three times later than 3 s after the fifth crash; sound prompts are served at all hosts in the end.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -177,6 +177,7 @@
 	routes := []platformtest.Route{
 		{Host: soakDomain, Prefix: "/stream/", Kind: "streaming", Service: "models", TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true, ColdS: soakColdStart.Seconds(), ColdRate: soakColdStartRate},
 		{Host: soakDomain, Prefix: "/versioned/", Kind: "streaming", Service: versionedService, TimeoutMS: 6000, TargetMS: 500, Attempts: 2, Resumable: true},
+		{Host: soakDomain, Prefix: "/prompts/", Kind: "streaming", Service: promptService, TimeoutMS: 6000, TargetMS: 500, Attempts: 1},
 		{Host: soakDomain, Prefix: "/once/", Kind: "non_idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 1, Priority: 1, ColdS: soakColdStart.Seconds(), ColdRate: soakColdStartRate},
 		{Host: soakDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2, Priority: 2},
 		{Host: soakDomain, Prefix: fmt.Sprintf("/v%d/", s.version), Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2},
