Ends of a whole service are proved once it is reached again

Where engines of a service ended within half a second of each other, a refused connection proved nothing, as a lost path of the host looks the same, and was forgotten. Only their registrations were left as proof, which a store fault delays or hides.

Once the host reaches the service again (a new connection, and most of its servers do not fail) the server is asked once more, and has ended if it still refuses; a path that is lost in part reaches some servers too, but not most.

--- a/internal/router/refusals.go
+++ b/internal/router/refusals.go
@@ -13,13 +13,17 @@
 type refusal struct {
 	backend *backend
 	at      time.Duration
+	// doubted is set if a lost path could be the cause. askedAgainAt is when the backend server was probed again after this host
+	// had reached another of its service; zero until then.
+	doubted      bool
+	askedAgainAt time.Duration
 }
 
 // refusedAfterBreak records a refusal until it is known what it proves.
 func (r *Router) refusedAfterBreak(b *backend) {
 	s := r.reachOf(b.Service)
 	if !slices.ContainsFunc(s.refusals, func(f refusal) bool { return f.backend == b }) {
-		s.refusals = append(s.refusals, refusal{b, r.now})
+		s.refusals = append(s.refusals, refusal{backend: b, at: r.now})
 	}
 	r.evaluateReach(b.Service, s)
 }
@@ -43,7 +47,8 @@
 		surveyed := !s.surveying && f.at <= s.surveyAt
 		switch {
 		case r.backends[f.backend.ID] != f.backend || !f.backend.reach.connectFails():
-		case !alone && r.mayBeLostPath(service, f.backend.reach.failingSince):
+		case f.doubted || !alone && r.mayBeLostPath(service, f.backend.reach.failingSince):
+			s.refusals = r.askDoubtedAgain(service, s.refusals, f)
 		case alone || surveyed || r.now-f.at >= surveyTimeout:
 			r.recordBackendEnd(f.backend)
 		default:
@@ -52,6 +57,39 @@
 	}
 }
 
+// askDoubtedAgain decides on a refusal that a lost path could explain, and returns it appended to the pending ones unless it is
+// settled. Once this host reaches the service again, the one that refused is probed again, and has ended if it still refuses.
+func (r *Router) askDoubtedAgain(service string, pending []refusal, f refusal) []refusal {
+	f.doubted = true
+	if r.now-f.at > endConfirmWindow {
+		return pending
+	}
+	reach := &f.backend.reach
+	switch {
+	case f.askedAgainAt > 0 && reach.failedAt > f.askedAgainAt && !reach.probing:
+		r.recordBackendEnd(f.backend)
+		return pending
+	case f.askedAgainAt == 0 && r.reachedAgain(service, f.at+sameMoment):
+		f.askedAgainAt = r.now
+		r.requestProbe(f.backend)
+	}
+	return append(pending, f)
+}
+
+// reachedAgain reports whether a new connection to a backend server of a service has been made since a time, and connections to
+// most of them do not fail: a path that is lost in part reaches some servers too.
+func (r *Router) reachedAgain(service string, since time.Duration) bool {
+	failing, reached, sample := 0, false, r.reachSample(service)
+	for _, b := range sample {
+		if b.reach.connectFails() {
+			failing++
+			continue
+		}
+		reached = reached || b.reach.connectedAt >= since
+	}
+	return reached && 2*failing < len(sample)
+}
+
 // mayBeLostPath reports whether connections to at least half of a service's backend servers, two or more, began to fail at about
 // the given time, or to most of another service's.
 func (r *Router) mayBeLostPath(service string, at time.Duration) bool {
--- a/test/soak_parts_test.go
+++ b/test/soak_parts_test.go
@@ -155,10 +155,13 @@
 	}
 }
 
+// partsSeeds are run in CI. Seed 507 found ends that were never proved, as all engines of the service had crashed within half a second.
+var partsSeeds = []uint64{1, 2, 3, 507}
+
 // TestSoakParts guards against a part of prompts that goes on crashing engines while hosts come and go and one host has most
 // callers, and against sound prompts that are refused for it.
 func TestSoakParts(t *testing.T) {
-	forSeeds(t, []uint64{1, 2, 3}, func(t *testing.T, seed uint64, duration time.Duration) {
+	forSeeds(t, partsSeeds, func(t *testing.T, seed uint64, duration time.Duration) {
 		s := &partsSoak{soak: newSoak(t, seed)}
 		for range promptEngines {
 			s.startEngine()
