Deadly beginnings of prompts on the product's own path; one record of completed runs for both

Its prompts are texts; their beginnings, at the lengths by which engines cache them, are the parts now. TestDeadlyBeginningOfPromptsIsKeptFromEngines fails without the digests in the edge and passes with them, once each. A deadly text behind different beginnings is not found.

The record of completed runs moves into package quarantine, for both paths. An end counts in full against a part that is in flight by chance at no more than a tenth of ends, where it was a twentieth: a host that knows 40 runs needed seven ends in place of five.

--- a/internal/core/digest.go
+++ b/internal/core/digest.go
@@ -102,7 +102,7 @@
 		return
 	}
 	c.gossip.zones[d.Zone] = &zoneState{d, c.now}
-	c.suspects.ledger.Merge(c.now, d.Suspects)
+	c.suspects.runs.Merge(c.suspects.ledger, c.now, d.Suspects)
 	if d.Relayed {
 		return
 	}
--- a/internal/core/entry.go
+++ b/internal/core/entry.go
@@ -107,7 +107,7 @@
 
 func (c *Core) submit(e Submit) {
 	r := &request{Submit: e, deadline: c.now + e.Deadline, weight: c.weightOf(e.Workspace)}
-	r.onTrial = c.allowTrial(e.Digest)
+	r.onTrial = c.allowTrial(r)
 	if f := c.quarantined(r); f != nil {
 		c.emit(Finish{e.ID, f})
 		return
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -34,6 +34,8 @@
 	Traceparent   string
 	// Digest identifies the request content, independent of the attempt.
 	Digest quarantine.Digest
+	// Parts are the digests of the beginnings of its prompt.
+	Parts []quarantine.Digest
 }
 
 // CallerGone reports that the caller has closed its connection.
--- a/internal/core/roles.go
+++ b/internal/core/roles.go
@@ -315,7 +315,7 @@
 		s.Scheduler = from
 		c.roles.summaries[GroupKey{s.Service, s.Shard}] = groupSummary{s, c.now}
 	}
-	c.suspects.ledger.Merge(c.now, h.Suspects)
+	c.suspects.runs.Merge(c.suspects.ledger, c.now, h.Suspects)
 	if h.ReadsPlatform {
 		c.gossip.peerReadAt = c.now
 	}
--- a/internal/core/suspects.go
+++ b/internal/core/suspects.go
@@ -26,45 +26,72 @@
 
 // suspectState is what this host knows of requests that end backend servers.
 type suspectState struct {
-	ledger                 *quarantine.Ledger
+	ledger *quarantine.Ledger
+	// runs is what completed runs show of the beginnings of prompts.
+	runs                   *quarantine.PromptRuns
 	fullReportAt, expireAt time.Duration
 }
 
 func newSuspectState() suspectState {
-	return suspectState{ledger: quarantine.NewLedgerForReusedNames(sameEndWindow)}
+	return suspectState{ledger: quarantine.NewLedgerForReusedNames(sameEndWindow), runs: quarantine.NewPromptRuns()}
 }
 
 // recordOutcome records what the end of a dispatch shows about the request itself. If backend servers crash
 // one after the other while they run the same request, the request is most likely the cause, and its
 // callers repeat it at any host.
 func (c *Core) recordOutcome(r *request, e DispatchEnded) {
+	s := &c.suspects
+	parts := s.runs.PartsAt(r.Service, r.Parts)
 	switch {
 	case e.Outcome == Done:
-		c.suspects.ledger.ObserveSuccess(c.now, r.Digest, c.now)
+		s.ledger.ObserveSuccess(c.now, r.Digest, c.now)
+		s.runs.Record(s.ledger, c.now, r.Service, parts)
 	case e.BackendEnded:
-		end := quarantine.End{Backend: uint32(xxhash.Sum64String(r.backend)), At: c.now}
-		if c.suspects.ledger.Observe(c.now, quarantine.Subject{Digest: r.Digest, Workspace: r.Workspace}, end) {
+		end := quarantine.End{Backend: uint32(xxhash.Sum64String(r.backend)), At: c.now, InFlight: c.slotsOf(r.backend)}
+		observed := s.ledger.Observe(c.now, quarantine.Subject{Digest: r.Digest, Workspace: r.Workspace}, end)
+		if s.runs.ObserveEnd(s.ledger, c.now, r.Service, r.Workspace, parts, end) || observed {
 			c.trace(r, "backend server %s ended while it ran this request (digest %s)", r.backend, r.Digest)
 			c.sendHeartbeats() // peers learn of it at once
 		}
 	}
 }
 
+// slotsOf returns how many requests a backend server runs at most, zero if that is unknown.
+func (c *Core) slotsOf(backend string) int {
+	spec, _ := c.usable(backend)
+	return int(spec.Slots)
+}
+
 // quarantined returns the refusal of a request in quarantine, nil if the request may run.
 func (c *Core) quarantined(r *request) *fault.Error {
-	found := c.suspects.ledger.Blamed(r.Digest)
-	if found == nil || r.onTrial {
+	blamed := c.blamedFor(r)
+	if len(blamed) == 0 || r.onTrial {
 		return nil
 	}
-	return fault.New(fault.Quarantined, "request %s has ended %d backend servers", r.Digest, len(found.Ends)).WithRetryAfter(max(time.Second, found.TrialAt()-c.now))
+	wait := time.Second
+	for _, found := range blamed {
+		wait = max(wait, found.TrialAt()-c.now)
+	}
+	return fault.New(fault.Quarantined, "%s %s has ended %d backend servers", blamed[0].Kind, blamed[0].Digest, len(blamed[0].Ends)).WithRetryAfter(wait)
+}
+
+// blamedFor returns the cases for which a request is kept from backend servers: its own, and those of beginnings of its prompt.
+func (c *Core) blamedFor(r *request) []*quarantine.Case {
+	var blamed []*quarantine.Case
+	for _, d := range append([]quarantine.Digest{r.Digest}, c.suspects.runs.PartsAt(r.Service, r.Parts)...) {
+		if found := c.suspects.ledger.Blamed(d); found != nil {
+			blamed = append(blamed, found)
+		}
+	}
+	return blamed
 }
 
 // allowTrial reports whether a new request in quarantine may run to find out whether it still crashes backend
 // servers. One host of the fleet lets it run now and then; otherwise a harmless request would be refused
 // for a day.
-func (c *Core) allowTrial(d quarantine.Digest) bool {
-	found := c.suspects.ledger.Blamed(d)
-	return found != nil && c.isTrialHost(d) && c.suspects.ledger.TakeTrial(c.now, found, trialTimeout)
+func (c *Core) allowTrial(r *request) bool {
+	blamed := c.blamedFor(r)
+	return len(blamed) == 1 && c.isTrialHost(blamed[0].Digest) && c.suspects.ledger.TakeTrial(c.now, blamed[0], trialTimeout)
 }
 
 // isTrialHost reports whether this host is the one of the fleet that runs trials of a request.
--- a/internal/edge/chat.go
+++ b/internal/edge/chat.go
@@ -9,6 +9,7 @@
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
+	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/record"
 	"fireflyshift/internal/timing"
 	"fireflyshift/internal/upstream"
@@ -49,6 +50,7 @@
 	sub.Digest = digest(c, data)
 	prompt := b.prompt()
 	sub.PromptTokens, sub.OutputTokens, sub.Prefix = tokens(prompt), b.MaxTokens, engine.ShortHashes(engine.PrefixHashes(prompt))
+	sub.Parts = quarantine.PrefixDigests(prompt, engine.PrefixLengths())
 	s.run(c, sub, &modelAttempt{server: s, call: c, body: body, sink: newSink(w, c, b.Stream, s.opt.MaxAnswerBytes),
 		exported: make(chan *engine.KV, 1)})
 	return nil
--- a/internal/engine/prefix.go
+++ b/internal/engine/prefix.go
@@ -10,12 +10,20 @@
 	BytesPerToken = 4
 )
 
+// PrefixLengths returns the lengths of the prefixes that are hashed, in bytes.
+func PrefixLengths() []int {
+	out := make([]int, prefixLengths)
+	for i := range out {
+		out[i] = firstPrefix << i
+	}
+	return out
+}
+
 // PrefixHashes returns the hash of each prefix of a prompt, shortest first. Engines identify their cache entries by the
 // same hashes.
 func PrefixHashes(prompt string) []uint64 {
 	var out []uint64
-	for i := 0; i < prefixLengths; i++ {
-		n := firstPrefix << i
+	for _, n := range PrefixLengths() {
 		if n > len(prompt) {
 			break
 		}
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -10,7 +10,7 @@
 	// endWeight is the weight of an end that counts in full.
 	endWeight = 1000
 	// fullWeightChance is the probability, of a part being in flight at an end by chance, below which the end counts in full.
-	fullWeightChance = 0.05
+	fullWeightChance = 0.1
 	// refutedEndWeight is the most that an end counts against a part that has completed before, as far as is known.
 	refutedEndWeight = 750
 	// maxInFlight limits how many requests are taken to be in flight at an end.
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -55,6 +55,24 @@
 	return out
 }
 
+// PrefixDigests returns the digests of the beginnings of a prompt with the given lengths in bytes, which ascend. It leaves out
+// those that are not shorter than the prompt.
+func PrefixDigests(prompt string, lengths []int) []Digest {
+	var out []Digest
+	h := sha256.New()
+	h.Write([]byte("beginning of a prompt\x00"))
+	from := 0
+	for _, n := range lengths {
+		if n >= len(prompt) {
+			break
+		}
+		h.Write([]byte(prompt[from:n]))
+		from = n
+		out = append(out, Digest(h.Sum(nil)[:len(Digest{})]))
+	}
+	return out
+}
+
 // At returns the digest of a part at one service: what ends the backend servers of one may be harmless to those of another.
 // The service is given by ServiceDigest.
 func (d Digest) At(service Digest) Digest {
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -367,7 +367,7 @@
 // blamePart makes a part quarantined at a lone host.
 func blamePart(r *Router, at time.Duration, part quarantine.Digest) {
 	for i := range uint32(maxEndsByPart) {
-		r.suspects.ledger.Observe(at, quarantine.Subject{Kind: quarantine.Part, Digest: part.At(r.promptRuns("m").digest), Sample: quarantine.Sample{Of: 1000}},
+		r.suspects.ledger.Observe(at, quarantine.Subject{Kind: quarantine.Part, Digest: part.At(quarantine.ServiceDigest("m")), Sample: quarantine.Sample{Of: 1000}},
 			quarantine.End{Backend: i, At: at, InFlight: 1})
 	}
 	r.applyVerdicts()
@@ -414,7 +414,7 @@
 	for limit := s.z.now + time.Second; len(h.r.members.order) == 0 && s.z.now < limit; {
 		s.z.run(zoneStep, 0)
 	}
-	require.NotNil(t, h.r.suspects.ledger.Blamed(part.At(h.r.promptRuns("m").digest)))
+	require.NotNil(t, h.r.suspects.ledger.Blamed(part.At(quarantine.ServiceDigest("m"))))
 }
 
 // Guards against trials that are repeated because their caller left, or the end of the server was not proved.
@@ -437,7 +437,7 @@
 	r := newStandalone(t, "a", "b", "c", "d", "e", "f", "g", "h")
 	parts := quarantine.PartDigests([]string{"d"})
 	for range 200 {
-		r.promptRuns("m").history.Record(0, nil)
+		r.suspects.runs.Record(r.suspects.ledger, 0, "m", nil)
 	}
 	for id := range uint64(maxEndsByPart) {
 		at := 2*time.Second + time.Duration(id)*time.Second
@@ -448,3 +448,54 @@
 	}
 	require.Len(t, r.suspects.ledger.Quarantined(), 1)
 }
+
+// Guards against ends that are never proved because all backend servers of a service ended at about the same moment, which looks
+// like a lost path of this host: once it reaches another server of the service, it asks the refusing ones again.
+func TestEndsOfAWholeServiceAreProvedOnceAnotherServerIsReached(t *testing.T) {
+	for _, lostPath := range []bool{false, true} {
+		r := newStandalone(t, "a", "b", "c")
+		at := 2 * time.Second
+		r.Reduce(at, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
+		var engines []string
+		for id := range uint64(3) {
+			engines = append(engines, dispatchOf(t, r.Reduce(at, Submit{ID: id + 1, Route: fragile, Digest: quarantine.Digest{byte(id + 1)}, Deadline: at + time.Minute})).Backend.ID)
+		}
+		for id := range uint64(3) {
+			r.Reduce(at, DispatchEnded{ID: id + 1, Outcome: Broken, Fault: true})
+		}
+		for _, engine := range engines {
+			r.Reduce(at, ProbeResult{ID: engine, Refused: true})
+		}
+		at += 2 * time.Second
+		r.Reduce(at, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 2}})
+		r.Reduce(at, Tick{})
+		require.False(t, r.HasSuspects(), "the path may be lost")
+		for i, engine := range []string{"d", "e", "f", "g"} {
+			require.False(t, r.HasSuspects(), "a path that is lost in part reaches some servers too")
+			register(r, at, changeOf(engine, uint64(51+i), false))
+			out := r.Reduce(at, ProbeResult{ID: engine, Reached: true})
+			for range 10 {
+				at += 50 * time.Millisecond
+				out = append(out, r.Reduce(at, Tick{})...)
+				probed := probesOf(out, engines)
+				out = nil
+				for _, asked := range probed {
+					healed := lostPath && engine == "g"
+					out = append(out, r.Reduce(at, ProbeResult{ID: asked, Reached: healed, Refused: !healed})...)
+				}
+			}
+		}
+		require.Equal(t, !lostPath, r.HasSuspects())
+	}
+}
+
+// probesOf returns those of the engines that effects probe.
+func probesOf(out []Effect, engines []string) []string {
+	var probed []string
+	for _, e := range out {
+		if p, ok := e.(Probe); ok && slices.Contains(engines, p.Backend.ID) {
+			probed = append(probed, p.Backend.ID)
+		}
+	}
+	return probed
+}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -43,7 +43,7 @@
 	if q.service == "" {
 		return blamed
 	}
-	for _, d := range r.partsAt(q.service, q.Parts) {
+	for _, d := range r.suspects.runs.PartsAt(q.service, q.Parts) {
 		if c := r.suspects.ledger.Blamed(d); c != nil {
 			blamed = append(blamed, c)
 		}
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -30,8 +30,6 @@
 	brittleLimit *float64
 	// endedVersions are the software versions of starts that were replaced under the same ID, with the time of that.
 	endedVersions map[string]time.Duration
-	// promptRuns is what its completed runs show of the parts of prompts; nil until it is needed.
-	promptRuns *servicePromptRuns
 }
 
 // serviceState returns the state of a service and creates it if necessary.
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -25,6 +25,8 @@
 // suspectState records the requests suspected of crashing backend servers.
 type suspectState struct {
 	ledger *quarantine.Ledger
+	// runs is what completed runs show of the parts of prompts.
+	runs *quarantine.PromptRuns
 	// nextFullListAt is when this host next sends the full list to its zone.
 	nextFullListAt time.Duration
 	// hostJoined is set if a host has joined since this host last sent the full list.
@@ -35,35 +37,7 @@
 }
 
 func newSuspectState() suspectState {
-	return suspectState{ledger: quarantine.NewLedger(), quarantined: map[quarantine.Digest]quarantine.Kind{}}
-}
-
-// servicePromptRuns is what the completed runs of one service show of the parts of prompts.
-type servicePromptRuns struct {
-	digest  quarantine.Digest // of the service
-	history quarantine.RunHistory
-}
-
-// promptRuns returns the record of a service's completed runs.
-func (r *Router) promptRuns(service string) *servicePromptRuns {
-	s := r.serviceState(service)
-	if s.promptRuns == nil {
-		s.promptRuns = &servicePromptRuns{digest: quarantine.ServiceDigest(service)}
-	}
-	return s.promptRuns
-}
-
-// partsAt returns the digests of parts of a prompt at a service.
-func (r *Router) partsAt(service string, parts []quarantine.Digest) []quarantine.Digest {
-	if len(parts) == 0 {
-		return nil
-	}
-	of := r.promptRuns(service).digest
-	out := make([]quarantine.Digest, len(parts))
-	for i, d := range parts {
-		out[i] = d.At(of)
-	}
-	return out
+	return suspectState{ledger: quarantine.NewLedger(), runs: quarantine.NewPromptRuns(), quarantined: map[quarantine.Digest]quarantine.Kind{}}
 }
 
 // brokenRequest is a request whose answer broke at a backend server that may have ended.
@@ -108,13 +82,9 @@
 
 // recordCompletedRun records that a backend server has completed a request.
 func (r *Router) recordCompletedRun(b *backend, q *request) {
-	parts := r.partsAt(b.Service, q.Parts)
-	if b.Model {
-		r.promptRuns(b.Service).history.Record(r.now, parts)
-	}
 	changed := r.suspects.ledger.ObserveSuccess(r.now, q.Digest, r.now)
-	for _, d := range parts {
-		changed = r.suspects.ledger.ObserveSuccess(r.now, d, r.now) || changed
+	if b.Model {
+		changed = r.suspects.runs.Record(r.suspects.ledger, r.now, b.Service, r.suspects.runs.PartsAt(b.Service, q.Parts)) || changed
 	}
 	if changed {
 		r.applyVerdicts()
@@ -153,7 +123,7 @@
 	if e.Outcome == Canceled {
 		return nil
 	}
-	return r.partsAt(b.Service, q.Parts)
+	return r.suspects.runs.PartsAt(b.Service, q.Parts)
 }
 
 func workspaceName(q *request) string {
@@ -202,9 +172,7 @@
 func (r *Router) recordEndWithRequest(b *backend, run brokenRequest) {
 	end := quarantine.End{Backend: b.hash, At: run.at, InFlight: run.inFlight}
 	changed := r.suspects.ledger.Observe(r.now, quarantine.Subject{Digest: run.digest, Workspace: run.workspace}, end)
-	for _, d := range run.parts {
-		changed = r.observePartEnd(b.Service, d, run.workspace, end) || changed
-	}
+	changed = r.suspects.runs.ObserveEnd(r.suspects.ledger, r.now, b.Service, run.workspace, run.parts, end) || changed
 	if !changed {
 		return
 	}
@@ -213,18 +181,6 @@
 	r.heartbeatPending = true // sends the next heartbeat early
 }
 
-// observePartEnd records the end of a backend server with a part of prompts in flight there.
-func (r *Router) observePartEnd(service string, d quarantine.Digest, workspace string, end quarantine.End) bool {
-	history := &r.promptRuns(service).history
-	sample := history.Sample(d)
-	if !r.suspects.ledger.Observe(r.now, quarantine.Subject{Kind: quarantine.Part, Digest: d, Workspace: workspace, Sample: sample}, end) {
-		return false
-	}
-	last, any := history.LastRun(d)
-	r.suspects.ledger.LearnRuns(r.now, d, sample, last, any)
-	return true
-}
-
 // applyVerdicts logs what has entered or left quarantine, and withdraws requests that are now kept from backend servers.
 func (r *Router) applyVerdicts() {
 	now, added := map[quarantine.Digest]quarantine.Kind{}, false
@@ -287,27 +243,7 @@
 	if len(list) == 0 {
 		return
 	}
-	changed := r.suspects.ledger.Merge(r.now, list)
-	for _, s := range list {
-		if len(s.Digest) == len(quarantine.Digest{}) && s.Part {
-			changed = r.learnPromptRuns(quarantine.Digest(s.Digest)) || changed
-		}
-	}
-	if changed {
+	if r.suspects.runs.Merge(r.suspects.ledger, r.now, list) {
 		r.applyVerdicts()
 	}
 }
-
-// learnPromptRuns adds what this host knows of the completed runs with a part to what others report of it, and reports
-// whether that may change a verdict.
-func (r *Router) learnPromptRuns(d quarantine.Digest) bool {
-	for _, s := range r.services {
-		if s.promptRuns == nil {
-			continue
-		}
-		if last, any := s.promptRuns.history.LastRun(d); any { // the digest is that of a part at one service
-			return r.suspects.ledger.LearnRuns(r.now, d, s.promptRuns.history.Sample(d), last, true)
-		}
-	}
-	return false
-}
--- a/test/deadly_test.go
+++ b/test/deadly_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -55,3 +57,48 @@
 		require.True(t, a.OK(), "%+v", a)
 	}
 }
+
+// Guards against a beginning that prompts share and that crashes one engine after the other, though no two prompts are alike: after
+// five crashes all hosts must hold back prompts that begin so, and still serve others.
+func TestDeadlyBeginningOfPromptsIsKeptFromEngines(t *testing.T) {
+	const (
+		crashesAllowed = 5
+		warmUp         = 400
+		// restartGap is longer than the time within which crashes of one engine, which keeps its name, count as one.
+		restartGap = 2100 * time.Millisecond
+	)
+	b := newTestbed(t, "a1", "a2", "b1", "b2")
+	engines := map[string]string{"e1": "zone-a", "e2": "zone-a", "e3": "zone-b", "e4": "zone-b", "e5": "zone-a", "e6": "zone-b"}
+	for name, zone := range engines {
+		b.addEngine(name, zone, fastEngine()).SetMode(engine.Mode{CrashText: "deadly"})
+	}
+	b.start()
+	call := func(i int, beginning string) fleet.Response {
+		prompt := beginning + strings.Repeat(".", 300) + fmt.Sprint(" and text of its own ", i)
+		return b.newCaller().Chat(testCtx(t), b.addr(b.hostIDs[i%len(b.hostIDs)]), "notes", prompt, 30, true)
+	}
+	var sound sync.WaitGroup
+	for i := range warmUp {
+		sound.Go(func() { call(i, fmt.Sprint("sound beginning ", i%3)) })
+		time.Sleep(5 * time.Millisecond)
+	}
+	sound.Wait()
+	n := 0
+	for b.crashes() < crashesAllowed {
+		require.Less(t, n, 40)
+		n++
+		call(n, "a deadly beginning")
+		time.Sleep(restartGap)
+	}
+	time.Sleep(propagationTime)
+	before := b.crashes()
+	for range 16 {
+		n++
+		call(n, "a deadly beginning")
+	}
+	require.LessOrEqual(t, b.crashes()-before, furtherCrashesAllowed, "engine crashes by 16 requests that came after all hosts had to know the beginning")
+	for i := range 8 {
+		a := call(i, "another sound beginning")
+		require.True(t, a.OK(), "%+v", a)
+	}
+}
