--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -499,3 +499,31 @@
 	}
 	return probed
 }
+
+// Guards against a request that waits for another host's slot, or for the time-out of that, and is sent although its part has
+// been found out meanwhile. The slot is returned.
+func TestRequestQuarantinedWhileItWaitsForASlot(t *testing.T) {
+	for _, replied := range []bool{true, false} {
+		z := newZones(t, 1, 20, 23)
+		parts := quarantine.PartDigests([]string{"d"})
+		h, sent := z.hosts[0], Send{}
+		for sent.Packet.GetAsk() == nil { // some engines are the host's own
+			z.next++
+			sent, _ = findEffect[Send](h.r.Reduce(z.now, Submit{ID: z.next, Route: fragile, PromptTok: 1000, Parts: parts, Deadline: z.now + time.Minute}))
+		}
+		var out []Effect
+		blamePart(h.r, z.now, parts[0])
+		if !replied {
+			out = h.r.Reduce(z.now+ownerCallTimeout, Tick{})
+		} else {
+			owner := z.byIP[sent.To[0]]
+			offer := offersOf(owner.r.Reduce(z.now, SlotRequestReceived{h.ip, sent.Packet.Ask}))[0]
+			require.NotNil(t, offer.Place)
+			out = h.r.Reduce(z.now, SlotOfferReceived{owner.ip, offer})
+			require.True(t, releasesSlot(out, offer.Place.Backend))
+		}
+		refuse, ok := findEffect[Refuse](out)
+		require.True(t, ok)
+		require.Equal(t, Quarantined, refuse.Cause)
+	}
+}
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -38,10 +38,6 @@
 // milliseconds old, selects the owner to call, and the owner selects the backend server by exact counts.
 // If no owner replies, this host decides locally.
 func (r *Router) schedule(q *request) {
-	if retryAfter, yes := r.checkQuarantine(q); yes { // it may have waited for an owner since its dispatch was decided
-		r.refuseQuarantined(q, retryAfter)
-		return
-	}
 	if !r.usesOwners() {
 		r.sendOrBorrow(q)
 		return
@@ -215,6 +211,10 @@
 		return
 	}
 	q.slotCall = nil
+	if retryAfter, yes := r.checkQuarantine(q); yes { // the verdict may have come while it waited
+		r.refuseQuarantined(q, retryAfter)
+		return
+	}
 	if r.usesOwners() && r.isLocalOwner(a.owner) {
 		q.decideLocally = true
 	} else {
