A call that this host aborts is no fault of its server for the owner either

Found by reading the change: the fault was taken off after the report to the owner had been written. TestWithdrawnRequestIsNoFaultForTheOwner fails without it.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -11,8 +11,8 @@
 	endWeight = 1000
 	// fullWeightChance is the probability, of a part being in flight at an end by chance, below which the end counts in full.
 	fullWeightChance = 0.1
-	// refutedEndWeight is the most that an end counts against a part that has completed before, as far as is known.
-	refutedEndWeight = 750
+	// completedPartWeight is the most that an end counts against a part that has completed before, as far as is known.
+	completedPartWeight = 750
 	// maxInFlight limits how many requests are taken to be in flight at an end.
 	maxInFlight = 64
 )
@@ -30,7 +30,7 @@
 func (c *Case) weight(e End) int {
 	w := c.Subject.weight(e)
 	if c.Kind == Part && c.Cleared {
-		w = min(w, refutedEndWeight)
+		w = min(w, completedPartWeight)
 	}
 	return w
 }
--- a/internal/quarantine/messages.go
+++ b/internal/quarantine/messages.go
@@ -14,9 +14,9 @@
 	// maxChanged bounds the requests in a message with recent changes, and maxFull those in one with the full state, at
 	// about 50 bytes each.
 	maxChanged = 16
+	maxFull    = 64
 	// minTellInterval is how soon a host repeats a change that it has observed, so that many changes at once all get their turn.
 	minTellInterval = 100 * time.Millisecond
-	maxFull         = 64
 	// maxWorkspaceName bounds the length of a workspace's name that is accepted from another host.
 	maxWorkspaceName = 128
 )
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -527,3 +527,26 @@
 		require.Equal(t, Quarantined, refuse.Cause)
 	}
 }
+
+// Guards against an owner that is told of a fault of its backend server where the asking host has aborted the call itself.
+func TestWithdrawnRequestIsNoFaultForTheOwner(t *testing.T) {
+	z := newZones(t, 1, 20, 23)
+	h, parts := z.hosts[0], quarantine.PartDigests([]string{"d"})
+	for range 10 {
+		z.next++
+		z.runs[z.next] = &zoneRun{host: h, submittedAt: z.now}
+		z.post(h, Submit{ID: z.next, Route: fragile, PromptTok: 1000, Parts: parts, Deadline: z.now + time.Minute})
+	}
+	z.run(20*time.Millisecond, 0)
+	blamePart(h.r, z.now, parts[0])
+	aborts := effectsOf[Abort](h.r.Reduce(z.now, Tick{}))
+	require.NotEmpty(t, aborts)
+	ended := 0
+	for _, a := range aborts {
+		for _, rep := range reportsOf(h.r.Reduce(z.now, DispatchEnded{ID: a.ID, Outcome: Broken, Fault: true})) {
+			require.Equal(t, gossippb.Outcome_OUTCOME_NONE, rep.Outcome)
+			ended++
+		}
+	}
+	require.NotZero(t, ended)
+}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -313,14 +313,12 @@
 	if b == nil {
 		return
 	}
+	e.Fault = e.Fault && !q.withdrawn // this host has aborted the call
 	r.releaseSlot(q, e)
-	if q.withdrawn {
-		e.Fault = false // this host has aborted the call
-		if e.Outcome == Broken {
-			r.finish(q)
-			r.emit(GiveUp{ID: q.ID, Cause: Quarantined, DeliverFailure: true})
-			return
-		}
+	if q.withdrawn && e.Outcome == Broken {
+		r.finish(q)
+		r.emit(GiveUp{ID: q.ID, Cause: Quarantined, DeliverFailure: true})
+		return
 	}
 	r.recordOutcome(b, q, e)
 	r.recordRequestOutcome(b, q, e)
