Test and mutant: lenders keep to their shares

The mutant that lets lenders grant without taking a token survived: no test asked one host for more than the rates allow.

--- a/internal/router/hothost_test.go
+++ b/internal/router/hothost_test.go
@@ -72,6 +72,25 @@
 	}
 }
 
+// Guards against lenders that grant more than their shares: one host gets three times what the engines take.
+func TestLentSlotsKeepTheRates(t *testing.T) {
+	for _, hosts := range []int{2, 6} {
+		f := newLimitFleet(t, 3, hosts, 2)
+		const perEngine = 5
+		f.state(perEngine, f.engineNames()...)
+		arrive, sent := f.onDispatch, 0
+		f.onDispatch = func(h *zoneHost, e Dispatch) {
+			arrive(h, e)
+			sent++
+			f.runs[e.ID].ends = f.now + 100*time.Millisecond
+		}
+		o := &hotHost{z: f.zone, hot: f.hosts[1]}
+		o.run(15*time.Second, 3*perEngine*6)
+		require.Empty(t, f.overLimit(true), "%d hosts a zone", hosts)
+		require.Greater(t, sent, 15*perEngine*6/2, "the rates are used")
+	}
+}
+
 // Guards against the same for cold backend servers: all have just started, and one host gets most requests.
 func TestHotHostUsesColdServersOfOthers(t *testing.T) {
 	f := newColdFleet(t, 3, 3, 2)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -21,7 +21,7 @@
 	quarantineTests     = []string{"./internal/quarantine", "-rapid.shrinktime=1s"}
 	suspectTests        = []string{"./internal/router", "-run", "Deadly|Suspects|Quarantin|OnlyEnds|LeavingEngine|LapsedEngine|CutAddUp|Rack"}
 	partTests           = []string{"./internal/router", "-run", "PartThat|Withdrawn|Joining|TrialWithout|ProvesNo|WholeService"}
-	hotHostTests        = []string{"./internal/router", "-run", "HotHost"}
+	hotHostTests        = []string{"./internal/router", "-run", "HotHost|LentSlots"}
 	announcementTests   = []string{"./internal/router", "-run", "Leaving|HoldOff|DifferentTimes"}
 	lapseTests          = []string{"./internal/router", "-run", "Removal|Lapsed|GracePeriod"}
 	coreSuspectTests    = []string{"./internal/core", "-run", "Deadly|QuarantinedWhile"}
@@ -359,7 +359,7 @@
 	{"parts-history", "ends", "internal/quarantine/runs.go", " || len(h.newer.parts) >= maxGenerationParts", "", quarantineTests},
 	{"parts-refused", "ends", "internal/router/quarantine.go", "	for _, d := range r.suspects.runs.PartsAt(q.service, q.Parts) {\n", "	for _, d := range r.suspects.runs.PartsAt(q.service, nil) {\n", partTests},
 	{"parts-completed-runs", "ends", "internal/router/suspects.go", "	if b.Model {\n", "	if false {\n", partTests},
-	{"parts-withdrawn", "ends", "internal/router/suspects.go", "	if added {\n", "	if false {\n", partTests},
+	{"parts-withdrawn", "ends", "internal/router/suspects.go", "	if added {\n", "	if added && false {\n", partTests},
 	{"parts-joined", "ends", "internal/router/members.go", "			r.suspects.hostJoined = true\n", "", partTests},
 	{"parts-one-trial", "ends", "internal/router/suspects.go", "		r.endTrial(q)\n", "		q.onTrial = false\n", partTests},
 	{"parts-unframed", "ends", "internal/router/suspects.go", "} else if e.EndedWithConnection {", "} else if false {", partTests},
