Specification and interfaces of admission queues

Fair shares of workspaces, bounded waits and return times under overload, decided by the owner of backend servers. The messages and types are there, nothing uses them yet.

--- a/internal/gossip/kind.go
+++ b/internal/gossip/kind.go
@@ -15,11 +15,12 @@
 	kindOrigin    = "origin"
 	kindQuery     = "origin_query"
 	kindReply     = "origin_reply"
+	kindWithdraw  = "withdraw"
 	kindEmpty     = "empty"
 )
 
 // Kinds lists all values that Kind returns.
-var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindCharge, kindCharged, kindOrigin, kindQuery, kindReply, kindEmpty}
+var Kinds = []string{kindBeat, kindAsk, kindOffer, kindReport, kindOccupancy, kindRelay, kindCharge, kindCharged, kindOrigin, kindQuery, kindReply, kindWithdraw, kindEmpty}
 
 // Kind returns the kind of a datagram for the names of counters.
 func Kind(p *gossippb.Packet) string {
@@ -46,6 +47,8 @@
 		return kindQuery
 	case p.OriginReply != nil:
 		return kindReply
+	case p.Withdraw != nil:
+		return kindWithdraw
 	default:
 		return kindEmpty
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -218,8 +218,9 @@
 
 // SettingsChanged carries the settings that may change while the host runs.
 type SettingsChanged struct {
-	Seeds  []string
-	Bounds Bounds
+	Seeds     []string
+	Bounds    Bounds
+	Admission AdmissionSettings
 }
 
 func (OriginReceived) event()       {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -48,6 +48,14 @@
 	Seeds       []string
 	Bounds      Bounds
 	Seed        uint64
+	Admission   AdmissionSettings
+}
+
+// AdmissionSettings are the settings of the admission queues at owners. They are the same on all hosts of a fleet.
+type AdmissionSettings struct {
+	Enabled bool
+	// MaxRequests is the number of requests that may wait at one owner for one service.
+	MaxRequests int
 }
 
 // Router is the state of one host. It is not safe for concurrent use.
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -81,6 +81,8 @@
 	// Priority replaces the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Weight is the workspace's part of a service's room under overload, relative to the others of its priority; 0 counts as 1.
+	Weight float64
 	// InTokens is set if Rate and Burst count tokens instead of requests.
 	InTokens bool
 	// PlainTokens is the cost of a request that states no tokens.
