A status that promises 'not run' is passed on only if the backend server states it

Symptom: a backend server that runs a non-idempotent request and answers 408, 429 or 503 without stating that it has not run was passed on unchanged. Callers take these statuses as a promise that the request has not run and send it again, so that it runs twice. Cause: only 5xx answers were held back for a retry, and the held answer was delivered with its status. Change: such an answer to a request that may not be repeated ends as 502 of the host, which promises nothing; it is logged and counted as requests.unproven_rejections.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -166,6 +166,13 @@
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Backend server rejected the request without running it.")
 }
 
+// logUnprovenRejection logs an answer whose status means that the request has not run, although the backend server does not state so.
+func (a *activeRequest) logUnprovenRejection(status int) {
+	a.g.metrics.Count("requests.unproven_rejections", 1)
+	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Int("status", status).
+		Msg("Answer withheld: its status means that the request has not run, which the backend server does not state.")
+}
+
 // logBroken logs and counts a call that broke off after the request was sent.
 func (a *activeRequest) logBroken(err error) {
 	cause := upstream.CauseOf(err)
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -43,6 +43,8 @@
 	Signed bool
 	// NotRun is set if the backend server states that it has not run the request.
 	NotRun bool
+	// MeansNotRun is set if callers take the status as a promise that the request has not run and never will.
+	MeansNotRun bool
 	// Leaving is set if the backend server announces that it is about to shut down.
 	Leaving bool
 	// HoldOff is how long a backend server that rejected the request wants no further requests from this host; zero if
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -27,6 +27,10 @@
 	case info.NotRun && !success:
 		a.logRejected(resp.Status, sentAt)
 		return router.DispatchEnded{Outcome: router.Rejected, Delivered: a.headWritten}
+	case info.MeansNotRun && !a.route.Repeatable():
+		// The request may have run, and its caller would send it again. Without a held answer the caller gets a 502.
+		a.logUnprovenRejection(resp.Status)
+		return router.DispatchEnded{Outcome: router.Failed, First: time.Since(sentAt)}
 	case success && (!info.Signed || resp.Header.Get("Content-Encoding") != ""):
 		return router.DispatchEnded{Outcome: router.Broken, Fault: true, Delivered: a.headWritten}
 	case success && a.route.Kind == routing.Streaming:
