sched: use fairqueue for the order of workspaces

The weighted fair queue was implemented in sched and would have been implemented again for admission queues. tierQueue now wraps fairqueue with the order cost, arrival, key, and keeps only the waiting cost by size, the forecast and the lowest weight of a record. Decisions are the same, with one exception: more than 4096 idle workspaces ahead of the floor in one tier were kept without bound and scanned on every arrival of a new one; now those with the least virtual time are forgotten.

Tests: fairqueue against a model over random operations, and each of its rules; sched's order, lowest weight and forecast. 40 mutants, one or more for each guard.

Measured: fairqueue, sched, core and tools/mutants pass with the race detector, the existing tests unchanged; vet and staticcheck report nothing.

--- a/internal/sched/queue.go
+++ b/internal/sched/queue.go
@@ -6,6 +6,7 @@
 	"math/bits"
 	"time"
 
+	"fireflyshift/internal/fairqueue"
 	"fireflyshift/internal/indexheap"
 )
 
@@ -14,45 +15,25 @@
 	Request
 	arrived time.Duration
 	// latestStart is the latest time at which a start could still meet the deadline.
-	latestStart      time.Duration
-	cost             float64 // estimated slot-milliseconds
-	workspaceElement *list.Element
-	arrivalElement   *list.Element
-	parent           *workspaceQueue
-	expiryIndex      int // index in the expiry heap
-	costIndex        int // index in the workspace's cost heap
+	latestStart    time.Duration
+	cost           float64 // estimated slot-milliseconds
+	fair           *fairItem
+	arrivalElement *list.Element
+	expiryIndex    int // index in the expiry heap
 }
 
-// workspaceQueue holds the waiting requests of one workspace in one tier. The shortest is served first: if
-// not all can be answered in time, this answers the most, and a short request does not wait behind a long
-// one. The newest is shed first.
-type workspaceQueue struct {
-	name        string
-	weight      float64
-	byArrival   *list.List
-	byCost      costHeap
-	totalCost   float64 // of all waiting requests
-	virtualTime float64 // work served divided by the weight; the lowest is served next
-	heapIndex   [2]int  // indexes in the heaps byVirtualTime and byBacklog
-}
-
-// backlog is the weighted queue length, which decides whose requests are shed first.
-func (w *workspaceQueue) backlog() float64 { return float64(w.byArrival.Len()) / w.weight }
-
-// costHeap orders the requests of one workspace by estimated cost, then by arrival.
-type costHeap = *indexheap.Heap[*queuedRequest]
+type fairItem = fairqueue.Item[*queuedRequest]
 
-func newCostHeap() costHeap {
-	less := func(a, b *queuedRequest) bool {
-		if a.cost != b.cost {
-			return a.cost < b.cost
-		}
-		if a.arrived != b.arrived {
-			return a.arrived < b.arrived
-		}
-		return a.Key.Less(b.Key)
+// servedBefore is the order within a workspace. The shortest request is served first: if not all can be answered in time, this
+// answers the most, and a short request does not wait behind a long one.
+func servedBefore(a, b *queuedRequest) bool {
+	if a.cost != b.cost {
+		return a.cost < b.cost
+	}
+	if a.arrived != b.arrived {
+		return a.arrived < b.arrived
 	}
-	return indexheap.New(less, func(w *queuedRequest, i int) { w.costIndex = i })
+	return a.Key.Less(b.Key)
 }
 
 // expiryHeap orders waiting requests by their latest start.
@@ -68,33 +49,9 @@
 	return indexheap.New(less, func(w *queuedRequest, i int) { w.expiryIndex = i })
 }
 
-// workspaceHeap orders the workspaces of a tier by virtual time or by backlog.
-type workspaceHeap = *indexheap.Heap[*workspaceQueue]
-
-const (
-	byVirtualTime = iota
-	byBacklog
-)
-
-func newWorkspaceHeap(heapID int, measure func(*workspaceQueue) float64) workspaceHeap {
-	less := func(a, b *workspaceQueue) bool {
-		x, y := measure(a), measure(b)
-		if x != y {
-			return x < y
-		}
-		return a.name < b.name
-	}
-	return indexheap.New(less, func(q *workspaceQueue, i int) { q.heapIndex[heapID] = i })
-}
-
 // tierQueue serves the workspaces of one tier by weighted fair queuing.
 type tierQueue struct {
-	workspaces   map[string]*workspaceQueue
-	next         workspaceHeap // by virtual time
-	longest      workspaceHeap // by backlog
-	virtualFloor float64       // virtual time of the latest service
-	count        int
-	activeWeight float64              // total weight of the workspaces with waiting requests
+	fair         *fairqueue.Queue[*queuedRequest]
 	costByBucket [costBuckets]float64 // waiting cost by size of the request
 }
 
@@ -118,104 +75,35 @@
 	return sum
 }
 
-// maxIdleWorkspaces limits the workspaces that are tracked without waiting requests.
-const maxIdleWorkspaces = 4096
-
-func newTierQueue() *tierQueue {
-	return &tierQueue{
-		workspaces: map[string]*workspaceQueue{},
-		next:       newWorkspaceHeap(byVirtualTime, func(q *workspaceQueue) float64 { return q.virtualTime }),
-		longest:    newWorkspaceHeap(byBacklog, func(q *workspaceQueue) float64 { return -q.backlog() }),
-	}
-}
+func newTierQueue() *tierQueue { return &tierQueue{fair: fairqueue.New(servedBefore)} }
 
 func (t *tierQueue) push(w *queuedRequest) {
-	q, ok := t.workspaces[w.Workspace]
-	if !ok {
-		t.evictIdle()
-		q = &workspaceQueue{name: w.Workspace, byArrival: list.New(), byCost: newCostHeap()}
-		t.workspaces[w.Workspace] = q
-	}
-	if q.byArrival.Len() == 0 {
-		q.weight = max(w.Weight, minWeight)
-		t.activeWeight += q.weight
-		q.virtualTime = max(q.virtualTime, t.virtualFloor)
-		t.next.Push(q)
-		t.longest.Push(q)
-	}
-	w.workspaceElement = q.byArrival.PushBack(w)
-	q.byCost.Push(w)
-	w.parent = q
-	t.count++
+	w.fair = t.fair.Push(w.Workspace, max(w.Weight, minWeight), w.cost, w)
 	t.costByBucket[bucketOf(w.cost)] += w.cost
-	q.totalCost += w.cost
-	t.fixHeaps(q)
 }
 
-func (t *tierQueue) fixHeaps(q *workspaceQueue) {
-	t.next.Fix(q.heapIndex[byVirtualTime])
-	t.longest.Fix(q.heapIndex[byBacklog])
+func (t *tierQueue) remove(w *queuedRequest) {
+	t.fair.Remove(w.fair)
+	t.costByBucket[bucketOf(w.cost)] -= w.cost
 }
 
-func (t *tierQueue) remove(w *queuedRequest) {
-	q := w.parent
-	q.byArrival.Remove(w.workspaceElement)
-	q.byCost.Remove(w.costIndex)
-	t.count--
+// serve removes a request and charges its cost to its workspace.
+func (t *tierQueue) serve(w *queuedRequest) {
+	t.fair.Serve(w.fair)
 	t.costByBucket[bucketOf(w.cost)] -= w.cost
-	q.totalCost -= w.cost
-	if q.byArrival.Len() == 0 {
-		t.activeWeight -= q.weight
-		t.next.Remove(q.heapIndex[byVirtualTime])
-		t.longest.Remove(q.heapIndex[byBacklog])
-		return
-	}
-	t.fixHeaps(q)
 }
 
 // head returns the request to serve next, nil if none waits.
-func (t *tierQueue) head() *queuedRequest {
-	if t.count == 0 {
-		return nil
-	}
-	return t.next.Min().byCost.Min()
-}
+func (t *tierQueue) head() *queuedRequest { return requestOf(t.fair.Head()) }
 
-// heads returns the next requests of up to n workspaces, the one to serve next first.
-func (t *tierQueue) heads(n int) []*queuedRequest {
-	var out []*queuedRequest
-	for _, q := range t.next.Top(n) {
-		out = append(out, q.byCost.Min())
-	}
-	return out
-}
+// shedCandidate returns the request to shed first, nil if none waits.
+func (t *tierQueue) shedCandidate() *queuedRequest { return requestOf(t.fair.ShedCandidate()) }
 
-// shedCandidate returns the request to shed first: the newest of the workspace with the largest weighted
-// backlog.
-func (t *tierQueue) shedCandidate() *queuedRequest {
-	if t.count == 0 {
+func requestOf(it *fairItem) *queuedRequest {
+	if it == nil {
 		return nil
 	}
-	return t.longest.Min().byArrival.Back().Value.(*queuedRequest)
-}
-
-// serve removes a request and charges its cost to its workspace.
-func (t *tierQueue) serve(w *queuedRequest) {
-	q := w.parent
-	t.virtualFloor = max(t.virtualFloor, q.virtualTime)
-	q.virtualTime += w.cost / q.weight
-	t.remove(w)
-}
-
-func (t *tierQueue) evictIdle() {
-	if len(t.workspaces) < maxIdleWorkspaces {
-		return
-	}
-	for name, q := range t.workspaces {
-		if q.byArrival.Len() == 0 && q.virtualTime <= t.virtualFloor {
-			delete(t.workspaces, name)
-		}
-	}
+	return it.Value
 }
 
 // queue holds the waiting requests of a group. Every operation takes at most logarithmic time. Suspended
@@ -272,7 +160,7 @@
 
 // countAt returns the number of requests that wait at a priority.
 func (q *queue) countAt(priority uint32) int {
-	return q.newRequests[priority].count + q.suspended[priority].count
+	return q.newRequests[priority].fair.Len() + q.suspended[priority].fair.Len()
 }
 
 // shedCandidate returns the request to shed first: of the lowest tier, new requests before suspended ones.
@@ -310,10 +198,8 @@
 // costBefore estimates the cost of a tier that is served before a request: at most the requests that are
 // not larger, and at most those of its own workspace divided by that workspace's share of the slots.
 func (t *tierQueue) costBefore(w *queuedRequest) float64 {
-	weight, own := t.activeWeight, 0.0
-	if q, ok := t.workspaces[w.Workspace]; ok && q.byArrival.Len() > 0 {
-		own = q.totalCost
-	} else {
+	weight, own := t.fair.ActiveWeight(), t.fair.WaitingCost(w.Workspace)
+	if t.fair.Waiting(w.Workspace) == 0 {
 		weight += w.Weight
 	}
 	stretched := (own + w.cost) * weight / max(w.Weight, minWeight)
--- a/internal/sched/schedule.go
+++ b/internal/sched/schedule.go
@@ -70,8 +70,8 @@
 // server.
 func (g *Group) grantFromTier(now time.Duration, t *tierQueue) placement {
 	out := noneWaiting
-	for _, w := range t.heads(maxHeadsTried) {
-		switch g.tryGrant(now, w) {
+	for _, it := range t.fair.Heads(maxHeadsTried) {
+		switch g.tryGrant(now, it.Value) {
 		case granted:
 			return granted
 		case noFreeSlot:
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -36,6 +36,7 @@
 	relayTests          = []string{"./internal/router", "-run", "Relay|CallThroughOthers"}
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
 	versionTests        = []string{"./internal/router", "-run", "Version|StreamsGoOn|Ambiguous|UnknownStreams|PromisesSmall", "-rapid.shrinktime=1s"}
+	fairQueueTests      = []string{"./internal/fairqueue", "-rapid.shrinktime=1s"}
 	limitTests          = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -422,4 +423,44 @@
 	{"relay-caller-left", "1", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n	t.reset()\n", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n", []string{"./internal/relay"}},
 	{"relay-bounded", "relay", "internal/relay/server.go", "s.closed || len(s.open)+s.opening >= maxTunnels", "s.closed", []string{"./internal/relay"}},
 	{"relay-drain", "4", "internal/node/node.go", "n.connections.InUse() > 0 || n.relay.InUse() > 0", "n.connections.InUse() > 0", platformTests("RelayThatStops")},
+	{"fair-no-idle-credit", "fair", "internal/fairqueue/fairqueue.go", "	w.virtualTime = max(w.virtualTime, q.virtualFloor)\n", "	_ = w\n", fairQueueTests},
+	{"fair-floor-serve", "fair", "internal/fairqueue/fairqueue.go", "	q.virtualFloor = max(q.virtualFloor, w.virtualTime)\n", "", fairQueueTests},
+	{"fair-by-work", "fair", "internal/fairqueue/fairqueue.go", "w.virtualTime += it.Cost / w.weight", "w.virtualTime += 1 / w.weight", fairQueueTests},
+	{"fair-by-weight", "fair", "internal/fairqueue/fairqueue.go", "w.virtualTime += it.Cost / w.weight", "w.virtualTime += it.Cost", fairQueueTests},
+	{"fair-lowest-first", "fair", "internal/fairqueue/fairqueue.go", "	virtualTime := func(w *workspace[T]) float64 { return w.virtualTime }", "	virtualTime := func(w *workspace[T]) float64 { return -w.virtualTime }", fairQueueTests},
+	{"fair-charge-start", "fair", "internal/fairqueue/fairqueue.go", "start := max(w.virtualTime, q.virtualFloor)", "start := w.virtualTime", fairQueueTests},
+	{"fair-charge-debt", "fair", "internal/fairqueue/fairqueue.go", "	start := max(w.virtualTime, q.virtualFloor)\n", "	start := q.virtualFloor\n", fairQueueTests},
+	{"fair-charge-floor", "fair", "internal/fairqueue/fairqueue.go", "	q.virtualFloor = start\n", "", fairQueueTests},
+	{"fair-charge-weight", "fair", "internal/fairqueue/fairqueue.go", "start + validCost(cost)/validWeight(weight)", "start + validCost(cost)", fairQueueTests},
+	{"fair-charge-order", "fair", "internal/fairqueue/fairqueue.go", "		q.next.Fix(w.heapIndex[byVirtualTime])\n		return\n", "		return\n", fairQueueTests},
+	{"fair-charge-idle-order", "fair", "internal/fairqueue/fairqueue.go", "	q.idle.Fix(w.heapIndex[byIdleTime])\n", "", fairQueueTests},
+	{"fair-serve-order", "fair", "internal/fairqueue/fairqueue.go", "		q.next.Fix(w.heapIndex[byVirtualTime])\n		q.longest", "		q.longest", fairQueueTests},
+	{"fair-shed-newest", "fair", "internal/fairqueue/fairqueue.go", "q.longest.Min().byArrival.Back()", "q.longest.Min().byArrival.Front()", fairQueueTests},
+	{"fair-shed-largest", "fair", "internal/fairqueue/fairqueue.go", "{ return -w.backlog() }", "{ return w.backlog() }", fairQueueTests},
+	{"fair-shed-weighted", "fair", "internal/fairqueue/fairqueue.go", "return float64(w.byArrival.Len()) / w.weight }", "return float64(w.byArrival.Len()) }", fairQueueTests},
+	{"fair-shed-order-push", "fair", "internal/fairqueue/fairqueue.go", "	q.longest.Fix(w.heapIndex[byBacklog])\n	return it\n", "	return it\n", fairQueueTests},
+	{"fair-shed-order-remove", "fair", "internal/fairqueue/fairqueue.go", "		q.longest.Fix(w.heapIndex[byBacklog])\n		return\n", "		return\n", fairQueueTests},
+	{"fair-remove-twice", "fair", "internal/fairqueue/fairqueue.go", "	if w == nil {\n		return\n	}\n	it.parent = nil\n", "	it.parent = nil\n", fairQueueTests},
+	{"fair-left-marked", "fair", "internal/fairqueue/fairqueue.go", "	it.parent = nil\n", "", fairQueueTests},
+	{"fair-serve-twice", "fair", "internal/fairqueue/fairqueue.go", "	if w == nil {\n		return\n	}\n	q.virtualFloor", "	q.virtualFloor", fairQueueTests},
+	{"fair-idle-bound", "8", "internal/fairqueue/fairqueue.go", "for q.idle.Len() > maxIdleWorkspaces {", "for false {", fairQueueTests},
+	{"fair-idle-bound-leave", "8", "internal/fairqueue/fairqueue.go", "	q.idle.Push(w)\n	q.evictIdle()\n", "	q.idle.Push(w)\n", fairQueueTests},
+	{"fair-idle-bound-charge", "8", "internal/fairqueue/fairqueue.go", "	q.idle.Fix(w.heapIndex[byIdleTime])\n	q.evictIdle()\n", "	q.idle.Fix(w.heapIndex[byIdleTime])\n", fairQueueTests},
+	{"fair-idle-not-waiting", "8", "internal/fairqueue/fairqueue.go", "		q.idle.Remove(w.heapIndex[byIdleTime])\n		w.weight", "		w.weight", fairQueueTests},
+	{"fair-weight-sum", "fair", "internal/fairqueue/fairqueue.go", "	q.activeWeight -= w.weight\n", "", fairQueueTests},
+	{"fair-weight-invalid", "fair", "internal/fairqueue/fairqueue.go", "if !(weight > 0) || math.IsInf(weight, 1) {", "if math.IsInf(weight, 1) {", fairQueueTests},
+	{"fair-weight-nan", "fair", "internal/fairqueue/fairqueue.go", "if !(weight > 0) || math", "if weight <= 0 || math", fairQueueTests},
+	{"fair-weight-infinite", "fair", "internal/fairqueue/fairqueue.go", "math.IsInf(weight, 1)", "math.IsInf(weight, -1)", fairQueueTests},
+	{"fair-weight-min", "fair", "internal/fairqueue/fairqueue.go", "min(max(weight, MinWeight), MaxWeight)", "min(weight, MaxWeight)", fairQueueTests},
+	{"fair-weight-max", "fair", "internal/fairqueue/fairqueue.go", "min(max(weight, MinWeight), MaxWeight)", "max(weight, MinWeight)", fairQueueTests},
+	{"fair-cost-invalid", "fair", "internal/fairqueue/fairqueue.go", "if !(cost > 0) {", "if math.IsNaN(cost) {", fairQueueTests},
+	{"fair-cost-nan", "fair", "internal/fairqueue/fairqueue.go", "if !(cost > 0) {", "if cost < 0 {", fairQueueTests},
+	{"fair-cost-max", "fair", "internal/fairqueue/fairqueue.go", "return min(cost, MaxCost)", "return cost", fairQueueTests},
+	{"fair-iteration-order", "fair", "internal/fairqueue/fairqueue.go", "less(items[a], items[b])", "a < b", fairQueueTests},
+	{"sched-weight-min", "fair", "internal/sched/queue.go", "max(w.Weight, minWeight), w.cost, w)", "w.Weight, w.cost, w)", schedTests},
+	{"sched-shortest-first", "fair", "internal/sched/queue.go", "return a.cost < b.cost", "return a.cost > b.cost", schedTests},
+	{"sched-share-forecast", "fair", "internal/sched/queue.go", "return min(t.costUpTo(w.cost), stretched)", "return max(t.costUpTo(w.cost), stretched)", schedTests},
+	{"sched-share-newcomer", "fair", "internal/sched/queue.go", "		weight += w.Weight\n", "		_ = weight\n", schedTests},
+	{"sched-cost-left", "fair", "internal/sched/queue.go", "	t.fair.Remove(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Remove(w.fair)\n", schedTests},
+	{"sched-cost-served", "fair", "internal/sched/queue.go", "	t.fair.Serve(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Serve(w.fair)\n", schedTests},
 }
