Router: fields for operators' view of admission queues

Logs, metrics and pages are written in parallel with the reducer's part and need the names first: View.Queues, View.QueueCounts, DecisionBasis.Queue, the effect Queued and Submit.BodyBytes. Nothing sets them yet; go build ./... passes.

--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflyshift/internal/admission"
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/routing"
@@ -26,6 +27,7 @@
 	OutputTok int                // the caller's estimate of the output in tokens
 	Cost      float64            // counted against the workspace's quota, in the quota's unit
 	Deadline  time.Duration      // on the reducer's clock
+	BodyBytes int                // length of the request's body, which counts while the request waits at an owner
 	// Digest identifies the request across attempts; zero if it is not needed, as no request is suspected.
 	Digest quarantine.Digest
 	// Parts are the digests of the parts of its prompt that other requests may share.
@@ -263,6 +265,7 @@
 	Revision uint64
 	StoreAge time.Duration
 	Quota    QuotaBasis
+	Queue    QueueBasis
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
 	// Owner is the host that granted the slot or decided on the quota; empty if this host decided locally.
@@ -286,6 +289,15 @@
 	Share     float64 // of this host
 }
 
+// QueueBasis records what an admission queue decided on a request. It is empty if the request has not met a queue.
+type QueueBasis struct {
+	// Cause is why the last owner refused the request; empty if it was granted a slot or an owner gave no cause.
+	Cause admission.Cause
+	// Waited is the time that the request has waited at owners, Predicted the wait that the last owner predicted when it queued
+	// the request, Patience the time within which a grant was of use then.
+	Waited, Predicted, Patience time.Duration
+}
+
 // QuotaBasis records the inputs of a refusal over a quota, in the quota's unit.
 type QuotaBasis struct {
 	Cost      float64 // of the request
@@ -364,6 +376,14 @@
 	Attempt int
 }
 
+// Queued reports that a request waits at an owner. A Dispatch, Refuse or GiveUp follows, or nothing if its caller disconnects.
+type Queued struct {
+	ID    uint64
+	Owner string
+	// Wait is the predicted wait, Patience the time within which a grant is of use.
+	Wait, Patience time.Duration
+}
+
 // StallDecision answers Stalled: abandon the dispatch and reassign the request to another backend server, or keep waiting.
 type StallDecision struct {
 	ID       uint64
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"fireflyshift/internal/admission"
+)
 
 // View is a host's state as shown to operators.
 type View struct {
@@ -22,6 +26,24 @@
 	Suspects    int
 	// Streams is the number of streams whose origin is recorded, StreamsDropped how many were not because there were too many.
 	Streams, StreamsDropped int
+	// Queues are the admission queues of this host as an owner, QueueCounts what has happened at them since the start.
+	Queues      []QueueView
+	QueueCounts QueueCounts
+}
+
+// QueueView is the admission queue of one service at this host.
+type QueueView struct {
+	Service  string
+	Requests int // waiting
+	admission.View
+}
+
+// QueueCounts counts what has happened at a host's admission queues since it started.
+type QueueCounts struct {
+	Added     int // requests queued
+	Granted   int // queued requests that were granted a slot
+	Withdrawn int // queued requests that were withdrawn by the hosts that took them
+	Refused   map[admission.Cause]int
 }
 
 // QuarantineView is a request, or a part of prompts, withheld from backend servers.
