--- /dev/null
+++ b/internal/admission/add.go
@@ -0,0 +1,104 @@
+package admission
+
+import "time"
+
+// Add queues a request and returns its predicted wait, or refuses it; displaced requests are returned as refusals too. A request
+// with the key of a waiting one replaces it.
+func (q *Queue) Add(now time.Duration, r Request) (wait time.Duration, queued bool, refusals []Refusal) {
+	q.advance(now)
+	r = bounded(q.now, r)
+	replaced := q.Remove(r.Key)
+	l := q.lane(&r)
+	if !replaced {
+		q.countOffer(&r, l)
+	}
+	wait, as, ok := q.predict(&r)
+	if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {
+		return wait, false, []Refusal{q.refuse(&r, l.tally, WaitTooLong)}
+	}
+	if q.Len() >= q.max {
+		victim := q.victimFor(&r, l)
+		if victim == nil {
+			return wait, false, []Refusal{q.refuse(&r, l.tally, QueueFull)}
+		}
+		refusals = append(refusals, q.dropAndRefuse(victim, Displaced))
+	}
+	q.push(&r, l)
+	q.countArrival(&r, l, as)
+	return wait, true, refusals
+}
+
+// victimFor returns the waiting request that a new one displaces from a full queue, nil if there is none. Among requests of one
+// priority, one is displaced only for a workspace whose weighted backlog stays shorter: otherwise a workspace that sends more than
+// its share could keep all others out of a full queue.
+func (q *Queue) victimFor(r *Request, l *lane) *entry {
+	for p := Priorities - 1; p >= r.Priority; p-- {
+		item := q.levels[p].fair.ShedCandidate()
+		if item == nil {
+			continue
+		}
+		if p > r.Priority || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0) {
+			return item.Value
+		}
+		return nil
+	}
+	return nil
+}
+
+func weightedBacklog(l *lane, more int) float64 {
+	return float64(len(l.entries)+more) / l.tally.weight
+}
+
+// Admit records a request that was granted a slot without waiting.
+func (q *Queue) Admit(now time.Duration, r Request) {
+	q.advance(now)
+	r = bounded(q.now, r)
+	l := q.lane(&r)
+	q.countOffer(&r, l)
+	q.countArrival(&r, l, rankOf(&r, q.now))
+	q.levels[r.Priority].fair.Charge(r.Workspace, r.Weight, r.Cost)
+	q.countGrant(&r, l.tally)
+}
+
+// PredictedWait returns the wait that Add would predict; ok is false if the request would get no slot before its patience ends.
+func (q *Queue) PredictedWait(now time.Duration, r Request) (wait time.Duration, ok bool) {
+	q.advance(now)
+	r = bounded(q.now, r)
+	wait, _, ok = q.predict(&r)
+	return wait, ok && q.now+wait <= r.PatienceEnds
+}
+
+// lane returns the lane of a request.
+func (q *Queue) lane(r *Request) *lane {
+	t, forgotten := q.ledger.of(r.Workspace, r.Weight)
+	if forgotten != nil {
+		for p := range forgotten.lanes {
+			q.levels[p].forget(&forgotten.lanes[p])
+		}
+	}
+	return &t.lanes[r.Priority]
+}
+
+// countOffer counts a request that asks. One of a returning caller was counted when it was refused, but adds to the demand.
+func (q *Queue) countOffer(r *Request, l *lane) {
+	q.levels[r.Priority].offered.add(q.now, q.capacity.smoothing(), r.Cost)
+	if !r.Returning {
+		l.tally.window.at(q.now).offered++
+	}
+}
+
+// countArrival counts a request that was queued or granted at once.
+func (q *Queue) countArrival(r *Request, l *lane, as rank) {
+	v, smoothing := &q.levels[r.Priority], q.capacity.smoothing()
+	v.arrivals.add(q.now, smoothing, r.Cost)
+	l.arrivals[as].add(q.now, smoothing, r.Cost)
+	v.use(l, q.now)
+}
+
+// countGrant counts a granted request. Only grants while requests wait show the capacity.
+func (q *Queue) countGrant(r *Request, t *tally) {
+	if q.waitingSince < q.now {
+		q.capacity.grant(r.Cost)
+	}
+	q.ledger.granted(q.now, t, r)
+}
