Router: admission queues at owners, end to end

A request for which its host sees no free slot waits at an owner instead of being refused: asked with queues, queued, granted as slots become free, withdrawn and expired. In small fleets owners are computed over all hosts that are heard and all backend servers.

Owners in small fleets are a matter of slots only: quotas, heartbeats, brittle servers' shares and reports of failing servers depend on the size of the fleet as before. A heartbeat that was sent before a granted slot arrived no longer takes it off the owner's count.

Failures of owners are implemented and not yet tested.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -223,7 +223,8 @@
 func (a *activeRequest) submission() router.Submit {
 	s := router.Submit{
 		ID: a.id, Route: a.route, Workspace: a.workspace, Rank: a.rank,
-		PromptTok: a.call.PromptTokens, OutputTok: a.call.OutputTokens, Deadline: a.startedOnControl + a.allowed, Parts: a.parts,
+		PromptTok: a.call.PromptTokens, OutputTok: a.call.OutputTokens, Deadline: a.startedOnControl + a.allowed, Allowed: a.allowed,
+		BodyBytes: len(a.body), Parts: a.parts,
 	}
 	if a.g.control.NeedsDigests() {
 		s.Digest = a.digest()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -286,6 +286,8 @@
 		n.control.Post(router.SlotRequestReceived{From: from, Ask: p.Ask})
 	case p.Offer != nil:
 		n.control.Post(router.SlotOfferReceived{From: from, Offer: p.Offer})
+	case p.Withdraw != nil:
+		n.control.Post(router.WithdrawReceived{From: from, Withdraw: p.Withdraw})
 	case p.Report != nil:
 		n.control.Post(router.ReportReceived{From: from, Report: p.Report})
 	case p.Occupancy != nil:
--- a/internal/router/brittle.go
+++ b/internal/router/brittle.go
@@ -90,7 +90,7 @@
 // fleet those of its owner. If it is zero and sole is set, one host alone decides, by exact counts.
 func (r *Router) rejectionShare(b *backend) (share int, sole bool) {
 	limit := b.brittle.rejects()
-	if r.usesOwners() {
+	if r.largeFleet() {
 		return int(ownerRejectionShare * float64(limit)), true
 	}
 	if !r.maySendToLimited(b) {
@@ -125,7 +125,7 @@
 	if !r.isBrittle(b) {
 		return true
 	}
-	if r.usesOwners() && !r.owns(b) {
+	if r.largeFleet() && !r.owns(b) {
 		return s.scope != scopeOwned && r.mayAsk(s.q, r.ownerOf(b))
 	}
 	return r.mayRisk(b)
@@ -144,10 +144,10 @@
 // maySlotsBeRequested reports whether this host grants slots of a backend server to others: as its owner, or in a small fleet as
 // one of the few hosts that send there.
 func (r *Router) maySlotsBeRequested(b *backend) bool {
-	if r.usesOwners() {
-		return r.owns(b)
+	if !r.largeFleet() && r.isBrittle(b) {
+		return true
 	}
-	return r.isBrittle(b)
+	return r.owns(b)
 }
 
 // brittleSenders returns the other hosts that may send to a brittle backend server in a small fleet.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -27,6 +27,7 @@
 	OutputTok int                // the caller's estimate of the output in tokens
 	Cost      float64            // counted against the workspace's quota, in the quota's unit
 	Deadline  time.Duration      // on the reducer's clock
+	Allowed   time.Duration      // from the request's first byte to the deadline; zero if only the deadline is known
 	BodyBytes int                // length of the request's body, which counts while the request waits at an owner
 	// Digest identifies the request across attempts; zero if it is not needed, as no request is suspected.
 	Digest quarantine.Digest
@@ -162,6 +163,12 @@
 	Offer *gossippb.Offer
 }
 
+// WithdrawReceived is another host's message that its request no longer waits for a slot.
+type WithdrawReceived struct {
+	From     string
+	Withdraw *gossippb.Withdraw
+}
+
 // ReportReceived is another host's report on one request at a backend server that this host owns.
 type ReportReceived struct {
 	From   string
@@ -236,6 +243,7 @@
 func (SlotRequestReceived) event()  {}
 func (SlotOfferReceived) event()    {}
 func (ReportReceived) event()       {}
+func (WithdrawReceived) event()     {}
 func (OccupancyReceived) event()    {}
 func (RelayReceived) event()        {}
 func (Tick) event()                 {}
@@ -461,6 +469,7 @@
 }
 
 func (Dispatch) effect()        {}
+func (Queued) effect()          {}
 func (Abort) effect()           {}
 func (StallDecision) effect()   {}
 func (Refuse) effect()          {}
--- a/internal/router/failing.go
+++ b/internal/router/failing.go
@@ -126,7 +126,7 @@
 	if was || !b.isFailing() || r.backends[b.ID] != b {
 		return
 	}
-	r.heartbeatPending = r.heartbeatPending || !r.usesOwners()
+	r.heartbeatPending = r.heartbeatPending || !r.largeFleet()
 	r.owners.nextOccupancyAt = min(r.owners.nextOccupancyAt, r.now)
 	r.emit(Note{What: "backend server fails", Subject: b.ID, Detail: b.Service})
 }
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -50,7 +50,7 @@
 // sendHeartbeats sends a heartbeat to all hosts that this one exchanges heartbeats with.
 func (r *Router) sendHeartbeats() {
 	peers, period, perHost := time.Duration(len(r.zonePeers())), r.heartbeatInterval(), changeGapPerHost
-	if r.usesOwners() {
+	if r.largeFleet() {
 		perHost = joinGapPerHost
 	}
 	r.heartbeatAt, r.quotaLowHeartbeatAt = r.now+period, r.now+period/2
@@ -65,7 +65,7 @@
 		if all := r.fullSuspectList(); all != nil {
 			b.Suspects = all
 		}
-		if !r.usesOwners() {
+		if !r.largeFleet() {
 			b.Speeds = r.changedSpeeds()
 		}
 		if r.now >= r.zones.peersAt {
@@ -73,7 +73,7 @@
 			r.zones.peersAt = r.now + max(peerExchangeInterval, peerExchangeIntervalPerHost*peers)
 		}
 	})
-	if r.usesOwners() {
+	if r.largeFleet() {
 		r.sendCrossZoneHeartbeat(r.remoteOwnersWithLoad())
 	}
 }
@@ -81,7 +81,7 @@
 // heartbeatInterval is the time between two heartbeats if nothing causes an early one.
 func (r *Router) heartbeatInterval() time.Duration {
 	peers := time.Duration(len(r.zonePeers()))
-	if r.usesOwners() {
+	if r.largeFleet() {
 		return min(maxOwnersInterval, max(minHeartbeatInterval, ownersIntervalPerHost*peers))
 	}
 	return min(maxHeartbeatInterval, max(minHeartbeatInterval, heartbeatIntervalPerHost*peers))
@@ -89,7 +89,7 @@
 
 // markLoadChanged causes an early heartbeat in a small fleet because this host's load has changed. In a large fleet the owners
 // of backend servers receive a report of each request instead.
-func (r *Router) markLoadChanged() { r.heartbeatPending = r.heartbeatPending || !r.usesOwners() }
+func (r *Router) markLoadChanged() { r.heartbeatPending = r.heartbeatPending || !r.largeFleet() }
 
 // sendEarlyHeartbeat sends a pending heartbeat ahead of its regular time.
 func (r *Router) sendEarlyHeartbeat() {
@@ -113,7 +113,7 @@
 		Leaves: r.ownLeaving(), Evacuations: r.evacuationsToSend(), RateLimits: r.ownRateLimits(), BrittleLimits: r.ownBrittleLimits(),
 		CutOff: r.lostServices(), Reaches: r.reachedServices(),
 	}
-	if !r.usesOwners() {
+	if !r.largeFleet() {
 		b.Failing = r.hashesOf(r.reportsFailing)
 	}
 	addParts(b)
@@ -184,7 +184,7 @@
 func (r *Router) ownSpent() []*gossippb.Spent {
 	var out []*gossippb.Spent
 	r.spentReports++
-	full := !r.usesOwners() || r.spentReports%fullSpentHeartbeats == 0
+	full := !r.largeFleet() || r.spentReports%fullSpentHeartbeats == 0
 	for _, name := range r.quotaNames() {
 		q := r.quotas[name]
 		if s := uint64(q.Spent()); s > 0 && (full || s != r.reportedSpent[name]) {
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -119,6 +119,9 @@
 	spent           map[string]uint64
 	data            peerData
 	unreachable     bool
+	// grants are the slots that this host has granted it lately, and backlogs what it last reported of its admission queues.
+	grants   []recentGrant
+	backlogs backlogReport
 	// startedAt is when it started, on this host's clock.
 	startedAt time.Duration
 }
@@ -229,7 +232,9 @@
 
 func (r *Router) applyLoads(m *member, list []*gossippb.Load) {
 	r.addOthersLoads(m.loads, -1)
-	m.loads = loadsFromProto(list)
+	reported := loadsFromProto(list)
+	r.addRecentGrants(m, reported)
+	m.loads = reported
 	r.addOthersLoads(m.loads, 1)
 }
 
--- a/internal/router/owners.go
+++ b/internal/router/owners.go
@@ -78,6 +78,8 @@
 	// nextOccupancyAt is when this host next sends its occupancy message, and occupancySent counts them.
 	nextOccupancyAt time.Duration
 	occupancySent   int
+	// zoneOnly is set if they were computed for this zone only, as in a large fleet.
+	zoneOnly bool
 	// expireAt is when expired owners' reports are next removed.
 	expireAt time.Duration
 	status   map[string]*ownerStatus
@@ -89,9 +91,9 @@
 	return ownerState{status: map[string]*ownerStatus{}, announcedUntil: map[string]time.Duration{}}
 }
 
-// usesOwners reports whether backend servers have owners that grant slots. In a small fleet each host sends
-// every change to all others instead, at a cost that grows with the square of the number of hosts.
-func (r *Router) usesOwners() bool { return r.largeFleet() }
+// usesOwners reports whether backend servers have owners that grant slots. In a small fleet without admission queues each host
+// sends every change to all others instead, at a cost that grows with the square of the number of hosts.
+func (r *Router) usesOwners() bool { return r.largeFleet() || r.queueing() }
 
 // ownerOf returns the host that owns a backend server, or "" if unknown. Other zones list their owners in
 // zone summaries.
@@ -99,7 +101,7 @@
 	if !r.usesOwners() {
 		return ""
 	}
-	if b.Zone != r.opt.Zone {
+	if r.largeFleet() && b.Zone != r.opt.Zone {
 		z, ok := r.zones.summaries[b.Zone]
 		if !ok || z.stale || len(z.owners) == 0 {
 			return ""
@@ -109,18 +111,18 @@
 	return r.localShardOwners()[b.hash%uint32(len(r.owners.byShard))]
 }
 
-// localShardOwners returns the owners of this zone's backend servers by shard.
+// localShardOwners returns the owners by shard, of this zone's backend servers or in a small fleet of all.
 func (r *Router) localShardOwners() []string {
-	if !r.owners.valid || r.now >= r.owners.recomputeAt {
+	if !r.owners.valid || r.now >= r.owners.recomputeAt || r.owners.zoneOnly != r.ownersByZone() {
 		r.computeOwners()
 	}
 	return r.owners.byShard
 }
 
 // remoteOwnerUnresponsive reports whether a backend server's owner is in another zone and does not reply.
-// That zone is most likely disconnected.
+// That zone is most likely disconnected. In a small fleet the owner may be in any zone.
 func (r *Router) remoteOwnerUnresponsive(b *backend) bool {
-	if b.Zone == r.opt.Zone {
+	if b.Zone == r.opt.Zone || !r.largeFleet() {
 		return false
 	}
 	owner := r.ownerOf(b)
@@ -128,17 +130,39 @@
 }
 
 func (r *Router) owns(b *backend) bool {
-	if !r.usesOwners() || b.Zone != r.opt.Zone {
+	if !r.usesOwners() || (r.largeFleet() && b.Zone != r.opt.Zone) {
 		return false
 	}
 	r.localShardOwners()
 	return b.owned
 }
 
-// computeOwners divides the zone's backend servers into a power of two of shards, so that the number rarely
+// ownersByZone reports whether the owners of each zone's backend servers are hosts of that zone. In a small fleet all hosts hear
+// each other, so that all of them compute the owners of all backend servers.
+func (r *Router) ownersByZone() bool { return r.largeFleet() || !r.queueing() }
+
+// ownerScope returns the backend servers whose owners the hosts that this one hears compute among themselves: those of its zone,
+// or in a small fleet all.
+func (r *Router) ownerScope() []*backend {
+	if r.ownersByZone() {
+		return r.backendsIn(r.opt.Zone)
+	}
+	return r.allBackends()
+}
+
+// ownerPeers returns the reachable other hosts among which these owners are computed. The list must not be modified.
+func (r *Router) ownerPeers() []string {
+	if r.ownersByZone() {
+		return r.zonePeers()
+	}
+	return r.reachableHosts()
+}
+
+// computeOwners divides the backend servers of ownerScope into a power of two of shards, so that the number rarely
 // changes, and assigns each shard an owner by rendezvous hashing over the hosts that are up and not leaving.
 func (r *Router) computeOwners() {
-	zone := r.backendsIn(r.opt.Zone)
+	zone := r.ownerScope()
+	r.owners.zoneOnly = r.ownersByZone()
 	n := 0
 	for _, b := range zone {
 		if !b.removed {
@@ -181,7 +205,7 @@
 // never is a time that is not reached.
 const never = time.Duration(math.MaxInt64)
 
-// eligibleOwners returns the hosts of this zone that may own backend servers: those that have run for
+// eligibleOwners returns the hosts of this zone, in a small fleet of all zones, that may own backend servers: those that have run for
 // minOwnerAge, or if there are none, for minOwnerAgeAtStart. It sets recomputeAt.
 func (r *Router) eligibleOwners() []string {
 	var mature, recent []string
@@ -201,7 +225,7 @@
 	if r.drain == nil {
 		add(r.opt.Host, 0)
 	}
-	for _, h := range r.zonePeers() {
+	for _, h := range r.ownerPeers() {
 		if m := r.members.byHost[h]; !m.leaving {
 			add(h, m.startedAt)
 		}
@@ -241,7 +265,11 @@
 		return
 	}
 	r.owners.nextOccupancyAt = r.now + r.occupancyInterval()
-	o := &gossippb.Occupancy{All: true}
+	if !r.largeFleet() {
+		r.sendBacklogs() // heartbeats carry the rest
+		return
+	}
+	o := &gossippb.Occupancy{All: true, Backlogs: r.backlogsToSend()}
 	allSpeeds := r.owners.occupancySent%messagesPerFullSpeeds == 0
 	r.localShardOwners()
 	for _, b := range r.owners.ownedBackends {
@@ -277,6 +305,10 @@
 
 // handleOccupancy applies an owner's report on its backend servers.
 func (r *Router) handleOccupancy(from string, o *gossippb.Occupancy) {
+	r.applyBacklogs(from, o.Backlogs)
+	if r.queueing() && !r.largeFleet() {
+		return // heartbeats carry the rest
+	}
 	if o.All {
 		r.applyFullOccupancy(from, loadsFromProto(o.Loads))
 	} else {
@@ -314,8 +346,8 @@
 // applyOwnerLoad replaces the known load of other hosts at a backend server by its owner's report, less this
 // host's own requests, which the report includes.
 func (r *Router) applyOwnerLoad(b *backend, all load) {
-	if r.owns(b) || !r.usesOwners() {
-		return
+	if r.owns(b) || !r.largeFleet() {
+		return // in a small fleet heartbeats carry newer loads
 	}
 	for p := range all.counts {
 		all.counts[p] = max(0, all.counts[p]-b.ownLoad.counts[p])
@@ -326,7 +358,7 @@
 
 // occupancyInterval returns the time between two occupancy messages unless one is sent early.
 func (r *Router) occupancyInterval() time.Duration {
-	return max(minOccupancyInterval, occupancyIntervalPerHost*time.Duration(len(r.zonePeers())))
+	return max(minOccupancyInterval, occupancyIntervalPerHost*time.Duration(len(r.ownerPeers())))
 }
 
 // expireOwnerLoads returns to the loads from the other hosts' heartbeats if an owner no longer reports.
@@ -337,7 +369,7 @@
 	r.owners.expireAt = r.now + minOccupancyInterval
 	stale := occupancyStaleIntervals * r.occupancyInterval()
 	for _, b := range r.allBackends() {
-		inSummaries := b.Zone != r.opt.Zone && !r.zoneUnreachable(b.Zone) // reported in its zone's summaries, though not in each
+		inSummaries := r.largeFleet() && b.Zone != r.opt.Zone && !r.zoneUnreachable(b.Zone) // reported in its zone's summaries, though not in each
 		if b.useOwnerReport && !inSummaries && r.now-b.ownerReportedAt > stale {
 			b.useOwnerReport = false
 		}
--- a/internal/router/quotas.go
+++ b/internal/router/quotas.go
@@ -81,7 +81,7 @@
 // called while the first does not reply. It is empty in a small fleet, whose hosts decide locally, and if there
 // is no such host.
 func (r *Router) quotaOwners(workspace string) []string {
-	if !r.usesOwners() {
+	if !r.largeFleet() {
 		return nil
 	}
 	r.localShardOwners() // resets the owners of quotas if the hosts have changed
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -65,6 +65,7 @@
 	fullOwners    []string
 	decideLocally bool
 	owner         string
+	waitState
 	// via is the relay of the latest dispatch; empty if it went directly.
 	via string
 	// begun is set once the first event of the stream has arrived.
@@ -88,6 +89,7 @@
 
 func (r *Router) submit(e Submit) {
 	q := &request{Submit: e}
+	q.receivedAt = r.now
 	if refused := r.drainRefuses(e); refused {
 		r.emit(Refuse{ID: e.ID, Cause: ShutDown, RetryAfter: DrainRetryAfter})
 		return
@@ -105,6 +107,7 @@
 		return
 	}
 	r.requests[e.ID] = q
+	r.noteAllowed(q)
 	if e.Continues {
 		r.resolveOrigin(q)
 		return
@@ -143,6 +146,7 @@
 // dispatch chooses a backend server for a request and sends it there, or refuses it.
 func (r *Router) dispatch(q *request) {
 	q.fullOwners, q.decideLocally, q.owner = nil, false, ""
+	q.resetWait()
 	if retryAfter, yes := r.checkQuarantine(q); yes {
 		r.refuseQuarantined(q, retryAfter)
 		return
@@ -270,12 +274,16 @@
 	if g.RateLimited > 0 {
 		g.Rate = r.rateBasis(q.service)
 	}
+	q.addQueueBasis(&g)
 	r.finish(q)
 	if q.ran {
 		r.emit(GiveUp{ID: q.ID, Cause: cause, DeliverFailure: true})
 		return
 	}
 	after := r.retryAfter(q)
+	if back := r.queueRetryAfter(q); back > 0 {
+		after = back
+	}
 	if at := r.holdOffEnd(q.service); cause == NoBackend && at > 0 {
 		after = max(after, at-r.now)
 	}
@@ -423,7 +431,7 @@
 
 // hasRoomFor reports whether a backend server has room for a request, which may be one that it left.
 func (r *Router) hasRoomFor(q *request) bool {
-	if q.reserved != nil {
+	if q.reserved != nil || r.couldWait(q) {
 		return true
 	}
 	b, _ := r.selectBackend(q)
@@ -448,6 +456,7 @@
 }
 
 func (r *Router) finish(q *request) {
+	r.withdraw(q)
 	r.releaseReservation(q)
 	r.refund(q)
 	delete(r.requests, q.ID)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,7 +11,8 @@
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
 // relays (calls through other hosts), origins, originqueries and versions (which software version began a stream), eligibility (whether a backend server may
-// get a request at all), quotas (quota owners), statements (limits that backend servers state), senders (which hosts
+// get a request at all), quotas (quota owners), admission (requests that wait for this host's backend servers), queuedcalls (requests of this host that
+// wait at owners), patience (how long a request may wait), statements (limits that backend servers state), senders (which hosts
 // share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
 // reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
@@ -88,6 +89,11 @@
 	owners        ownerState
 	// slotRequests are the requests to owners that await an answer.
 	slotRequests ownerCalls[*slotRequest]
+	// queued are the requests of this host that wait at owners, queues those that wait at this host as an owner.
+	queued queuedCalls
+	queues admissionQueues
+	// allowed is the time that callers have lately allowed, by route.
+	allowed map[string]*allowedTimes
 	// maintenanceAt is when runMaintenance is next due in a large fleet.
 	maintenanceAt time.Duration
 	zones         zoneState
@@ -140,6 +146,8 @@
 		quotas:        map[string]*limit.Quota{},
 		reportedSpent: map[string]uint64{},
 		owners:        newOwnerState(),
+		queues:        newAdmissionQueues(),
+		allowed:       map[string]*allowedTimes{},
 		quotaState:    newQuotaState(),
 		suspects:      newSuspectState(),
 		origins:       newOriginState(),
@@ -177,6 +185,8 @@
 		r.handleSlotRequest(e.From, e.Ask)
 	case SlotOfferReceived:
 		r.handleSlotOffer(e.From, e.Offer)
+	case WithdrawReceived:
+		r.handleWithdraw(e.From, e.Withdraw)
 	case ReportReceived:
 		r.handleReport(e.From, e.Report)
 	case OccupancyReceived:
@@ -208,6 +218,7 @@
 		r.membersChanged()
 		r.sendHeartbeats()
 	}
+	r.serveQueues()
 	r.sendEarlyHeartbeat()
 	out := r.effects
 	r.effects = nil
@@ -217,6 +228,7 @@
 // applySettings applies changed settings. Quotas keep what has been spent; retry budgets start anew.
 func (r *Router) applySettings(e SettingsChanged) {
 	r.opt.Seeds = e.Seeds
+	r.applyAdmissionSettings(e.Admission)
 	if e.Bounds == r.opt.Bounds {
 		return
 	}
@@ -242,6 +254,8 @@
 
 func (r *Router) tick() {
 	r.expireSlotRequests()
+	r.expireQueuedCalls()
+	r.expireQueues()
 	r.expireQuotaRequests()
 	r.expireOriginQueries()
 	if r.now >= r.maintenanceAt {
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -79,6 +79,9 @@
 	if s.r.isBrittle(b) {
 		return s.brittleRequestLimit(b)
 	}
+	if s.r.queueing() {
+		return queueLimit(b)
+	}
 	slots := max(1, b.Slots)
 	if s.q.Route.Kind != routing.Streaming {
 		return slots * plainRequestsPerSlot
@@ -146,6 +149,8 @@
 	rateTokens, rateTokensKnown bool
 	// lends is set if the request is another host's and may use this host's shares of backend servers' rates.
 	lends bool
+	// among are the backend servers to consider, nil for all of its scope.
+	among []*backend
 }
 
 // scope limits the backend servers that a selector considers.
@@ -216,7 +221,10 @@
 }
 
 func (s *selector) backends() []*backend {
-	if s.scope == scopeAll || !s.r.usesOwners() {
+	if s.among != nil {
+		return s.among
+	}
+	if s.scope == scopeAll || !s.r.largeFleet() {
 		return s.r.backendsOf(s.q.service)
 	}
 	return s.r.zoneBackendsOf(s.q.service)
@@ -303,6 +311,9 @@
 	if b.Zone == r.opt.Zone || !r.largeFleet() {
 		return 0
 	}
+	if r.queueing() {
+		return 1 // the limit is one request beyond the slots
+	}
 	return crossZoneMinFree
 }
 
--- a/internal/router/senders.go
+++ b/internal/router/senders.go
@@ -129,7 +129,7 @@
 	if b.ratesShared(r.now) && r.now >= minSenderAge {
 		return r.otherSenders(b)
 	}
-	if r.usesOwners() || !r.isBrittle(b) {
+	if r.largeFleet() || !r.isBrittle(b) {
 		return nil
 	}
 	return r.brittleSenders(b)
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -17,6 +17,10 @@
 	if !ok {
 		return // no heartbeat yet; it decides locally
 	}
+	if r.queueing() && !a.Borrows {
+		r.admitOrQueue(m, a)
+		return
+	}
 	q := r.requestFromAsk(a)
 	s := r.newSelector(q, scopeOwned)
 	s.lends = a.Borrows
@@ -63,7 +67,7 @@
 
 func (r *Router) ownedLoads(service string) []*gossippb.Load {
 	var out []*gossippb.Load
-	for _, b := range r.zoneBackendsOf(service) {
+	for _, b := range r.backendsOf(service) {
 		if r.owns(b) {
 			out = append(out, b.totalLoad().toProto(b.hash))
 		}
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -32,6 +32,9 @@
 	ownerCall
 	priority int
 	prompt   int
+	borrows  bool
+	// queued is set if the request may wait at the owner.
+	queued *queuedCall
 }
 
 // schedule obtains a slot from the owner of a backend server if backend servers have owners. This host's load data, some hundred
@@ -42,6 +45,10 @@
 		r.sendOrBorrow(q)
 		return
 	}
+	if r.queueing() {
+		r.scheduleWithQueues(q)
+		return
+	}
 	c := r.selectInScope(q, scopeZone)
 	if c.backend == nil || c.class != classHealthy || c.basis.InFlight >= c.backend.Slots {
 		c = r.selectInScope(q, scopeAll) // the zone's own backend servers are busy
@@ -67,7 +74,7 @@
 func (r *Router) requestSlotOrSend(q *request, c selection) {
 	owner := r.ownerOf(c.backend)
 	// Owners grant no slots at cold or rate-limited backend servers. Few hosts send to those, without asking.
-	if c.backend.cold(r.now) || c.backend.rateLimited() || !r.mayAsk(q, owner) {
+	if !r.ownerGrants(c.backend) || !r.mayAsk(q, owner) {
 		c.basis.ViewAge = r.oldestHeartbeatAge()
 		r.send(q, c.backend, c.basis)
 		return
@@ -77,7 +84,7 @@
 
 // mayAsk reports whether the owner of a backend server is asked for a slot for a request.
 func (r *Router) mayAsk(q *request, owner string) bool {
-	return !q.decideLocally && len(q.fullOwners) < maxSlotRequests && r.canAsk(owner)
+	return !q.decideLocally && len(q.fullOwners)+len(q.lostOwners) < maxSlotRequests && !slices.Contains(q.lostOwners, owner) && r.canAsk(owner)
 }
 
 // canAsk reports whether an owner is another host that is expected to reply.
@@ -118,16 +125,21 @@
 
 // requestSlot asks a host for a slot at one of the backend servers that it owns or, if borrows is set, that it has a share of.
 func (r *Router) requestSlot(q *request, owner string, worst class, borrows bool) {
-	a := &slotRequest{ownerCall{number: r.slotRequests.next(), requestID: q.ID, owner: owner, sentAt: r.now}, q.priority(), q.PromptTok}
+	a := &slotRequest{ownerCall: ownerCall{number: r.slotRequests.next(), requestID: q.ID, owner: owner, sentAt: r.now}, priority: q.priority(), prompt: q.PromptTok, borrows: borrows}
 	q.slotCall = a
 	r.slotRequests.add(a)
 	r.announceToOwner(owner)
-	r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Ask: &gossippb.Ask{
+	r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Ask: r.newAsk(q, a, worst)}})
+}
+
+// newAsk returns the message of a slot request.
+func (r *Router) newAsk(q *request, a *slotRequest, worst class) *gossippb.Ask {
+	return &gossippb.Ask{
 		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
 		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
 		LeftMs: uint32(max(0, q.Deadline-r.now).Milliseconds()), TargetMs: uint32(q.Route.Target.Milliseconds()),
-		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, owner), Continued: q.continued, Borrows: borrows,
-	}}})
+		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, a.owner), Continued: q.continued, Borrows: a.borrows,
+	}
 }
 
 // announceToOwner sends a heartbeat to an owner in another zone, which knows this host only while it has
@@ -167,7 +179,7 @@
 func (r *Router) excludedBackends(q *request, owner string) []uint32 {
 	var out []uint32
 	candidates := r.backendsOf(q.service)
-	if r.usesOwners() {
+	if r.largeFleet() {
 		candidates = r.backendsIn(r.ownerZone(owner))
 	}
 	for _, b := range candidates {
@@ -210,14 +222,21 @@
 	if !ok || q.slotCall != a {
 		return
 	}
+	if a.queued != nil {
+		r.firstReplyMissed(q, a)
+		return
+	}
 	q.slotCall = nil
 	if retryAfter, yes := r.checkQuarantine(q); yes { // the verdict may have come while it waited
 		r.refuseQuarantined(q, retryAfter)
 		return
 	}
-	if r.usesOwners() && r.isLocalOwner(a.owner) {
+	switch {
+	case r.queueing() && !a.borrows:
+		q.lostOwners = append(q.lostOwners, a.owner)
+	case r.usesOwners() && r.isLocalOwner(a.owner):
 		q.decideLocally = true
-	} else {
+	default:
 		// The other zone may be disconnected, and its backend servers with it.
 		q.fullOwners = append(q.fullOwners, a.owner)
 	}
@@ -237,10 +256,17 @@
 // handleSlotOffer processes an owner's reply to a slot request.
 func (r *Router) handleSlotOffer(from string, offer *gossippb.Offer) {
 	a, ok := r.slotRequests.take(from, offer.Number)
+	if !ok {
+		a, ok = r.queued.call(from, offer.Number)
+	}
 	if !ok {
 		return
 	}
 	r.replyReceived(from)
+	if offer.Queued {
+		r.requestQueued(a, offer)
+		return
+	}
 	if offer.Place == nil {
 		r.statusOf(from).fullAt[a.priority] = r.now
 	}
@@ -250,6 +276,7 @@
 		r.returnSlot(a, offer)
 		return
 	}
+	r.leaveQueue(q)
 	q.slotCall = nil
 	if retryAfter, yes := r.checkQuarantine(q); yes {
 		r.returnSlot(a, offer)
@@ -260,6 +287,14 @@
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
 		r.returnSlot(a, offer)
+		if r.queueing() && !a.borrows && offer.Place == nil {
+			r.refusedByOwner(q, a, offer)
+			return
+		}
+		if a.queued != nil {
+			r.unusableOffer(q, a)
+			return
+		}
 		q.fullOwners = append(q.fullOwners, from)
 		r.schedule(q)
 		return
@@ -269,7 +304,7 @@
 	q.owner = from
 	g := r.basis()
 	g.InFlight, g.Limit, g.Wait = reported.total(), int(offer.Limit), time.Duration(offer.WaitUs)*time.Microsecond
-	g.Owner, g.ViewAge = from, r.now-a.sentAt
+	g.Owner, g.ViewAge, g.Queue = from, r.now-a.sentAt, q.queueBasis
 	r.addOwnLoad(q, b) // the other host has taken what the request needs of its shares
 	r.sendCounted(q, b, g)
 }
--- a/internal/router/suspects.go
+++ b/internal/router/suspects.go
@@ -229,7 +229,7 @@
 // fleet gets them with the first heartbeat that it hears, as it serves requests soon after.
 func (r *Router) fullSuspectList() []*quarantinepb.Suspect {
 	due := r.now >= r.suspects.nextFullListAt && r.hasRole("tells suspects", fullListSenders)
-	joined := r.suspects.hostJoined && !r.usesOwners()
+	joined := r.suspects.hostJoined && !r.largeFleet()
 	r.suspects.hostJoined = false
 	if !r.HasSuspects() || !due && !joined {
 		return nil
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -101,6 +101,7 @@
 	}
 	v.Suspects = len(r.suspects.ledger.Cases())
 	v.Streams, v.StreamsDropped = r.origins.ledger.Len(), r.origins.ledger.Dropped()
+	r.viewQueues(&v)
 	return v
 }
 
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -278,6 +278,8 @@
 		return SlotRequestReceived{from, p.Ask}
 	case p.Offer != nil:
 		return SlotOfferReceived{from, p.Offer}
+	case p.Withdraw != nil:
+		return WithdrawReceived{from, p.Withdraw}
 	case p.Report != nil:
 		return ReportReceived{from, p.Report}
 	case p.Occupancy != nil:
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -117,6 +117,11 @@
 
 // newZones starts several zones, with the seeds in the first.
 func newZones(t testing.TB, zones, hosts, engines int) *zone {
+	return newZonesWith(t, zones, hosts, engines, AdmissionSettings{})
+}
+
+// newZonesWith starts several zones whose hosts have the given settings of admission queues.
+func newZonesWith(t testing.TB, zones, hosts, engines int, queues AdmissionSettings) *zone {
 	z := &zone{t: t, rng: rand.New(rand.NewPCG(1, 2)), byIP: map[string]*zoneHost{}, streams: map[string]int{}, runs: map[uint64]*zoneRun{}}
 	n := Update{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 8}}}}}
@@ -128,7 +133,7 @@
 	for i := range zones * hosts {
 		h := &zoneHost{ip: fmt.Sprintf("10.0.%d.%d", i/hosts, i%hosts+1), zone: fmt.Sprintf("z%d", i/hosts)}
 		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: uint64(i + 1), Seed: uint64(i), Seeds: []string{"10.0.0.1", "10.0.0.2"},
-			Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}})
+			Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}, Admission: queues})
 		z.hosts = append(z.hosts, h)
 		z.byIP[h.ip] = h
 	}
