--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -7,11 +7,11 @@
 	"github.com/stretchr/testify/require"
 )
 
-var queuesOn = AdmissionSettings{Enabled: true, MaxRequests: 512}
+var withQueues = AdmissionSettings{Enabled: true, MaxRequests: 512}
 
 func TestQueuesSmoke(t *testing.T) {
 	for _, size := range []struct{ zones, hosts, engines int }{{1, 6, 6}, {3, 3, 7}, {1, 20, 23}, {2, 12, 12}} {
-		z := newZonesWith(t, size.zones, size.hosts, size.engines, queuesOn)
+		z := newZonesWith(t, size.zones, size.hosts, size.engines, 4, withQueues)
 		refusals := map[string]int{}
 		z.onRefuse = func(e Refuse) { refusals[string(e.Cause)+" "+string(e.Basis.Queue.Cause)]++ }
 		z.run(4*time.Second, 12*size.zones*size.engines)
