--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -82,16 +82,30 @@
 // countOffer counts a request that asks. One of a returning caller was counted when it was refused, but adds to the demand.
 func (q *Queue) countOffer(r *Request, l *lane) {
 	q.levels[r.Priority].offered.add(q.now, q.capacity.smoothing(), r.Cost)
+	l.arrivals[rankOf(r, q.now)].addUpTo(q.shareOf(r), q.now, q.capacity.smoothing(), r.Cost)
 	if !r.Returning {
 		l.tally.window.at(q.now).offered++
 	}
 }
 
+// shareExcess is by how much the rate of arrivals of a workspace may exceed its share of the slots in forecasts. More than the share
+// is not served, so it only would delay the notice that a wave is over.
+const shareExcess = 1.25
+
+// shareOf returns the work per second above which the arrivals of a workspace do not count.
+func (q *Queue) shareOf(r *Request) float64 {
+	_, higher := q.higher(r.Priority)
+	active := max(r.Weight, q.levels[r.Priority].fair.ActiveWeight())
+	return shareExcess * max(0, q.capacity.perSecond()-higher) * r.Weight / active
+}
+
 // countArrival counts a request that was queued or granted at once.
 func (q *Queue) countArrival(r *Request, l *lane, as rank) {
 	v, smoothing := &q.levels[r.Priority], q.capacity.smoothing()
-	v.arrivals.add(q.now, smoothing, r.Cost)
-	l.arrivals[as].add(q.now, smoothing, r.Cost)
+	if !r.Returning {
+		v.arrivals.add(q.now, smoothing, r.Cost)
+	}
+	l.cost = r.Cost
 	v.use(l, q.now)
 }
 
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -10,6 +10,11 @@
 // grown too long is refused at most 100 ms later, so it must be below this with the interval of the passes.
 const reviewInterval = 50 * time.Millisecond
 
+// reviewTolerance is the factor by which a prediction must exceed the patience that is left before a waiting request is refused. Rates
+// are smoothed over about a second and vary by a tenth or two; without a tolerance, requests that are served in time would be refused.
+// One that is not served is still refused when a fifth of the predicted wait is left.
+const reviewTolerance = 1.5
+
 // Expire refuses the requests whose patience has ended and those whose predicted wait has grown beyond it.
 func (q *Queue) Expire(now time.Duration) []Refusal {
 	q.advance(now)
@@ -46,8 +51,8 @@
 		e := next.entry
 		a := q.aheadOf(&e.Request, &s)
 		a.lane = e.lane
-		wait, _, ok := q.predictEntry(e, a, 1)
-		if ok && q.now+wait <= e.PatienceEnds {
+		wait, _, ok := q.predictEntry(e, a, reviewTolerance)
+		if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {
 			continue
 		}
 		s.refused(e)
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -1,6 +1,9 @@
 package admission
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// forecastHorizon is the longest predicted wait. A request that would wait longer gets no slot: no caller is that patient.
@@ -8,25 +11,47 @@
 	// onTimePart is the part of the time to the target latency within which a new request must be predicted to get its slot to
 	// count as on time. The rest covers the error of the prediction: a request that turns late goes behind all new ones and would
 	// mostly be refused after having waited.
-	onTimePart = 0.75
+	onTimePart = 0.85
 	// maxRivals limits the workspaces that a forecast distinguishes; it adds up the others. Its cost then does not grow with the
 	// number of workspaces.
-	maxRivals = 64
+	maxRivals = 128
 )
 
-// rival is another workspace of the same priority: what waits of it, how fast more arrives, and the weight that limits how much of
-// both goes ahead.
+// rival is another workspace of the same priority: what waits of it, how fast more arrives, and what limits how much of both goes
+// ahead.
 type rival struct {
-	lane     *lane
+	lane     *lane   // nil for the sum of several
 	work     float64 // milliseconds
 	arrivals float64 // milliseconds per second
 	weight   float64
+	lead     float64 // what it received beyond the others, in work divided by weight
+	cost     float64 // of one of its requests; zero if unknown
+}
+
+// due returns the work that the workspace is served before another one at a turn. Service is by whole requests, and of two workspaces
+// with the same virtual time that with the lower name is served first: with equal costs and weights this decides a whole round.
+func (r *rival) due(turn float64, name string) float64 {
+	behind := turn - r.lead
+	if behind < 0 {
+		return 0
+	}
+	if r.lane == nil || r.cost <= 0 {
+		return behind * r.weight
+	}
+	const rounding = 1e-6 // of one request, from sums of costs
+	requests := behind * r.weight / r.cost
+	whole := math.Floor(requests + rounding)
+	if requests-whole > rounding || r.lane.tally.name < name {
+		whole++
+	}
+	return whole * r.cost
 }
 
 // rivals are the workspaces of one priority with waiting requests or recent arrivals.
 type rivals struct {
 	each []rival // at most maxRivals
 	rest rival   // the sum of the others
+	dues []float64
 }
 
 func (s *rivals) add(r rival) {
@@ -60,7 +85,12 @@
 			v.forget(l)
 			continue
 		}
-		s.add(rival{lane: l, work: l.work, arrivals: l.allArrivals(q.now, smoothing), weight: l.tally.weight})
+		r := rival{lane: l, work: l.work, arrivals: l.allArrivals(q.now, smoothing), weight: l.tally.weight}
+		if len(s.each) < maxRivals {
+			r.lead = v.fair.Lead(l.tally.name)
+			r.cost = l.requestCost()
+		}
+		s.add(r)
 		i++
 	}
 	return s
@@ -74,33 +104,44 @@
 	// The work of its own workspace.
 	own, ownArrivals float64
 	lane             *lane
+	workspace        string
 	// lead is what its workspace received beyond the others, in work divided by weight.
 	lead, weight float64
 	rivals       *rivals
 }
 
+// turn is the virtual time at which the request is served, measured from that of the latest service.
+func (a *ahead) turn() float64 { return a.own/a.weight + a.lead }
+
+// prepare calculates what each other workspace is due before the request's turn.
+func (a *ahead) prepare() {
+	a.rivals.dues = a.rivals.dues[:0]
+	for i := range a.rivals.each {
+		a.rivals.dues = append(a.rivals.dues, a.rivals.each[i].due(a.turn(), a.workspace))
+	}
+}
+
 // within returns the work that is served before the request if it waits for some seconds, and how fast this grows. Of each other
 // workspace this is what waits and arrives, but not more than weighted fair queuing serves before the request's own workspace has
 // its turn.
 func (a *ahead) within(seconds float64) (work, growth float64) {
-	own := a.own + a.ownArrivals*seconds
-	turn, turnGrowth := own/a.weight+a.lead, a.ownArrivals/a.weight
-	work, growth = a.first+a.firstArrivals*seconds+own, a.firstArrivals+a.ownArrivals
-	count := func(r *rival) {
-		demand, fair := r.work+r.arrivals*seconds, turn*r.weight
+	work, growth = a.first+a.firstArrivals*seconds+a.own+a.ownArrivals*seconds, a.firstArrivals+a.ownArrivals
+	delay, delayGrowth := a.ownArrivals*seconds/a.weight, a.ownArrivals/a.weight
+	count := func(r *rival, due float64) {
+		demand, fair := r.work+r.arrivals*seconds, due+delay*r.weight
 		if demand < fair {
 			work, growth = work+demand, growth+r.arrivals
 		} else {
-			work, growth = work+fair, growth+turnGrowth*r.weight
+			work, growth = work+fair, growth+delayGrowth*r.weight
 		}
 	}
 	for i := range a.rivals.each {
 		if r := &a.rivals.each[i]; r.lane != a.lane {
-			count(r)
+			count(r, a.rivals.dues[i])
 		}
 	}
 	if a.rivals.rest.weight > 0 {
-		count(&a.rivals.rest)
+		count(&a.rivals.rest, a.rivals.rest.due(a.turn(), a.workspace))
 	}
 	return work, growth
 }
@@ -112,6 +153,7 @@
 // wait returns the time after which the work ahead is done; ok is false if it is not done within the horizon. The work ahead is a
 // concave function of the wait, so Newton's method from the horizon approaches the wait from above.
 func (a *ahead) wait() (wait time.Duration, ok bool) {
+	a.prepare()
 	seconds := forecastHorizon.Seconds()
 	for range maxSteps {
 		work, growth := a.within(seconds)
@@ -143,7 +185,7 @@
 
 // aheadOf returns what goes ahead of a request, without its own workspace.
 func (q *Queue) aheadOf(r *Request, s *rivals) ahead {
-	a := ahead{capacity: q.capacity.perSecond(), weight: r.Weight, rivals: s}
+	a := ahead{capacity: q.capacity.perSecond(), workspace: r.Workspace, weight: r.Weight, rivals: s}
 	a.first, a.firstArrivals = q.higher(r.Priority)
 	a.lead = q.levels[r.Priority].fair.Lead(r.Workspace)
 	return a
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -63,6 +63,8 @@
 	work     float64 // of the entries
 	// arrivals are the rates of work that was queued or granted at once.
 	arrivals [ranks]rate
+	// cost is that of the latest request.
+	cost     float64
 	lastUsed time.Duration
 	recent   int // index among the recently used lanes of the level, -1 if not there
 }
@@ -115,6 +117,14 @@
 	return l.arrivalsBefore(ranks, now, smoothing)
 }
 
+// requestCost returns the cost of one request: the mean of those that wait, or the latest.
+func (l *lane) requestCost() float64 {
+	if len(l.entries) == 0 {
+		return max(l.cost, minCost)
+	}
+	return l.work / float64(len(l.entries))
+}
+
 // level holds the requests of one priority.
 type level struct {
 	fair *fairqueue.Queue[*entry]
--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -48,6 +48,13 @@
 	r.at = now
 }
 
+// addUpTo adds work as long as the rate stays below a limit.
+func (r *rate) addUpTo(limit float64, now, smoothing time.Duration, work float64) {
+	before := r.perSecond(now, smoothing)
+	r.add(now, smoothing, work)
+	r.value = max(before, min(r.value, limit))
+}
+
 func (r *rate) perSecond(now, smoothing time.Duration) float64 {
 	if r.value == 0 {
 		return 0
