Router: ends of requests are reported to the present owner too

After a change of the owner, ends went to the host that had granted the slot, and the present owner learned of free slots by heartbeats only.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -362,6 +362,17 @@
 	r.countRisk(b)
 }
 
+// reportFreeSlot reports the end of a request to the present owner of its backend server if another host has granted its slot. Its
+// heartbeats would tell the owner only later, while requests wait there.
+func (r *Router) reportFreeSlot(q *request, reportedTo string) {
+	if !r.queueing() {
+		return
+	}
+	if owner := r.ownerOf(q.backend); owner != "" && owner != r.opt.Host && owner != reportedTo {
+		r.sendReport(owner, q.newReport(q.backend, -1, -q.prefillTokens))
+	}
+}
+
 // recentGrant is a slot that was granted to another host.
 type recentGrant struct {
 	at       time.Duration
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -193,6 +193,7 @@
 		rep.IntervalUs, rep.Events = uint32(r.observedInterval(q, e).Microseconds()), uint32(e.Events)
 	}
 	r.sendReport(to, rep)
+	r.reportFreeSlot(q, to)
 }
 
 // reportOutcome maps the end of a dispatch to what it shows of the backend server.
