--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -46,6 +46,8 @@
 	calls map[uint64]*call
 	// streams are those that callers may take up.
 	streams []*worldStream
+	// queues are the settings of hosts as they start. With admission queues, engines have one slot and requests come in bursts.
+	queues AdmissionSettings
 }
 
 // worldStream is a stream as its caller sees it over all attempts.
@@ -142,8 +144,8 @@
 	update *Update
 }
 
-func newWorld(t *rapid.T, zones, perZone int) *world {
-	w := &world{t: t, publishedVersion: 2, evacuations: map[string]routing.Evacuation{}, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
+func newWorld(t *rapid.T, zones, perZone int, queues AdmissionSettings) *world {
+	w := &world{t: t, queues: queues, publishedVersion: 2, evacuations: map[string]routing.Evacuation{}, backends: map[string]routing.BackendChange{}, calls: map[uint64]*call{}, revision: 100}
 	w.publish()
 	for i := 0; i < 6; i++ {
 		w.register(fmt.Sprintf("b%d", i), false)
@@ -164,7 +166,7 @@
 	h.inc++
 	h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: h.inc*1000 + uint64(len(h.ip)), Seed: uint64(len(w.calls)),
 		Seeds:  []string{w.hosts[0].ip, w.hosts[len(w.hosts)-1].ip},
-		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 56, QuotaWindow: 8 * time.Second, QuotaOverage: 0.25}})
+		Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 56, QuotaWindow: 8 * time.Second, QuotaOverage: 0.25}, Admission: w.queues})
 	h.seen, h.listed, h.reading, h.version, h.frozen = 0, false, false, 0, 0
 	h.announcedLeaving = map[string]bool{}
 	for _, c := range w.calls {
@@ -191,10 +193,14 @@
 }
 
 func (w *world) register(id string, draining bool) {
+	slots := 5
+	if w.queues.Enabled {
+		slots = 1
+	}
 	w.write(func() {
 		w.revision++
 		w.backends[id] = routing.BackendChange{Revision: w.rev(),
-			Backend: routing.Backend{ID: id, Addr: id, Zone: fmt.Sprintf("z%d", id[1]%2), Service: "s", Version: fmt.Sprintf("v%d", id[1]/2%2), Slots: 5, Draining: draining}}
+			Backend: routing.Backend{ID: id, Addr: id, Zone: fmt.Sprintf("z%d", id[1]%2), Service: "s", Version: fmt.Sprintf("v%d", id[1]/2%2), Slots: slots, Draining: draining}}
 	})
 }
 
@@ -450,6 +456,9 @@
 	for _, h := range w.hosts {
 		w.readStore(h)
 		w.post(h, Tick{})
+		for _, a := range h.r.queued.calls {
+			require.True(w.t, w.now < h.frozen || w.now < h.r.requests[a.requestID].patienceEnds, "a request waits beyond its patience")
+		}
 	}
 }
 
@@ -569,8 +578,10 @@
 	}
 }
 
-func runWorld(t *rapid.T, zones, perZone int) {
-	w := newWorld(t, zones, perZone)
+func runWorld(t *rapid.T, zones, perZone int) { runWorldWith(t, zones, perZone, AdmissionSettings{}) }
+
+func runWorldWith(t *rapid.T, zones, perZone int, queues AdmissionSettings) {
+	w := newWorld(t, zones, perZone, queues)
 	for i := 0; i < 30; i++ {
 		w.step()
 	}
@@ -581,6 +592,9 @@
 			w.change()
 		case 1, 2:
 			w.submit()
+			if queues.Enabled {
+				w.burst()
+			}
 		case 3:
 			w.end()
 		default:
@@ -588,6 +602,34 @@
 		}
 	}
 	w.heal()
+	for _, h := range w.hosts {
+		require.Empty(t, h.r.queued.calls, "requests of %s wait for ever", h.ip)
+		require.Zero(t, h.r.queued.bytes, "%s", h.ip)
+		require.Zero(t, h.r.waiting(), "requests wait at %s for ever", h.ip)
+	}
+}
+
+// burst submits requests that have to wait, and now and then switches a host's queues off or on.
+func (w *world) burst() {
+	for range rapid.IntRange(0, 6).Draw(w.t, "burst") {
+		w.submit()
+	}
+	if rapid.IntRange(0, 19).Draw(w.t, "switches queues") == 0 {
+		h := w.anyHost()
+		s := h.r.opt.Admission
+		s.Enabled = !s.Enabled
+		w.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: s})
+	}
+}
+
+// The same as TestPromisesSmallFleet with admission queues. In addition no request waits for ever, within its host or at an owner.
+func TestPromisesSmallFleetWithQueues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runWorldWith(t, 3, 2, AdmissionSettings{Enabled: true, MaxRequests: 8}) })
+}
+
+// The same as TestPromisesLargeFleet with admission queues.
+func TestPromisesLargeFleetWithQueues(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { runWorldWith(t, 2, 9, AdmissionSettings{Enabled: true, MaxRequests: 8}) })
 }
 
 // Checks a small fleet under crashes, freezes, partitions, a store that is unavailable or refuses some hosts, backend servers
