Router: grants without a wait count for their workspace

Asks without queues did not name the workspace, so that their grants were counted for the public one, and a host's own requests at its servers were not counted. The reported wait of a queue is computed ten times a second at most.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -42,6 +42,8 @@
 type serviceQueue struct {
 	queue   *admission.Queue
 	waiting map[admission.Key]*waitingRequest
+	// wait is the predicted wait that is reported to other hosts, as of waitAt.
+	wait, waitAt time.Duration
 }
 
 // waitingRequest is a request that waits at this host.
@@ -151,11 +153,7 @@
 		r.queueRefusal(q, a, "", 0, s == nil)
 		return
 	}
-	entry := r.entryOf(q, admission.Key{Host: r.opt.Host, Number: a.number}, q.patienceEnds-answerMargin, r.now+r.timeToTarget(q))
-	if q.Workspace != nil {
-		entry.Workspace, entry.Weight = q.Workspace.Name, q.Workspace.Weight
-	}
-	entry.Returning = q.returning
+	entry := r.ownEntry(q, a.number)
 	if c := r.selectInScope(q, scopeOwned); c.backend != nil && c.class <= w.worst {
 		s.queue.Admit(r.now, entry)
 		r.grant(w, c)
@@ -167,6 +165,24 @@
 	r.answerEnded()
 }
 
+// ownEntry returns a request of this host as the queue needs it.
+func (r *Router) ownEntry(q *request, number uint64) admission.Request {
+	e := r.entryOf(q, admission.Key{Host: r.opt.Host, Number: number}, q.patienceEnds-answerMargin, r.now+r.timeToTarget(q))
+	workspace, weight := q.competitor()
+	e.Workspace, e.Weight, e.Returning = workspace, float64(weight), q.returning
+	return e
+}
+
+// countOwnGrant counts a request that this host sends without a wait to one of its own backend servers.
+func (r *Router) countOwnGrant(q *request, b *backend) {
+	if !r.owns(b) || !r.ownerGrants(b) {
+		return
+	}
+	if s := r.queueOf(q.service); s != nil {
+		s.queue.Admit(r.now, r.ownEntry(q, 0))
+	}
+}
+
 // entryFromAsk returns another host's request as the queue needs it.
 func (r *Router) entryFromAsk(m *member, a *gossippb.Ask, q *request) admission.Request {
 	e := r.entryOf(q, admission.Key{Host: m.host, Number: a.Number}, r.now+time.Duration(a.PatienceMs)*time.Millisecond, r.now+time.Duration(a.TargetMs)*time.Millisecond)
@@ -347,7 +363,7 @@
 	if w.call != nil {
 		q := w.q
 		r.leaveQueue(q)
-		q.slotCall, q.owner = nil, ""
+		q.slotCall, q.owner, q.queueBasis.Cause = nil, "", ""
 		g := c.basis
 		g.Queue, g.Owner = q.queueBasis, r.opt.Host
 		r.send(q, b, g)
@@ -471,16 +487,22 @@
 // ownWait returns the wait at this host's queue.
 func (r *Router) ownWait(service string) time.Duration {
 	if s := r.queues.byService[service]; s != nil && s.queue.Len() > 0 {
-		return backlogWait(s.queue.View(r.now))
+		return s.backlogWait(r.now)
 	}
 	return 0
 }
 
-func backlogWait(v admission.View) time.Duration {
-	if wait := v.Wait[reportedPriority]; wait >= 0 {
-		return min(wait, maxBacklogWait)
+// backlogWait returns the predicted wait of a request behind all others. It is kept for maintenanceInterval, as it takes a pass over
+// all workspaces.
+func (s *serviceQueue) backlogWait(now time.Duration) time.Duration {
+	if s.waitAt > 0 && now-s.waitAt < maintenanceInterval {
+		return s.wait
+	}
+	s.wait, s.waitAt = maxBacklogWait, now
+	if wait := s.queue.View(now).Wait[reportedPriority]; wait >= 0 {
+		s.wait = min(wait, maxBacklogWait)
 	}
-	return maxBacklogWait
+	return s.wait
 }
 
 // backlogsToSend returns the queues that hold requests, for other hosts.
@@ -489,7 +511,7 @@
 	for _, service := range r.queues.services() {
 		s := r.queues.byService[service]
 		if n := s.queue.Len(); n > 0 {
-			out = append(out, &gossippb.Backlog{Service: hashOfService(service), Requests: uint32(n), WaitMs: uint32(backlogWait(s.queue.View(r.now)).Milliseconds())})
+			out = append(out, &gossippb.Backlog{Service: hashOfService(service), Requests: uint32(n), WaitMs: uint32(s.backlogWait(r.now).Milliseconds())})
 		}
 	}
 	return out
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -614,3 +614,24 @@
 	require.True(t, returning(19*time.Second, 5*time.Second), "the longest of up to 20 s ago counts")
 	require.False(t, returning(31*time.Second, 5*time.Second))
 }
+
+// Guards against a workspace whose grants count for another one, or not at all, because its requests did not wait.
+func TestGrantsWithoutAWaitCountForTheirWorkspace(t *testing.T) {
+	f := newQueueFleet(t, 1, 6, 6)
+	owner := f.byIP[f.owners()[0]]
+	w := &routing.Workspace{Name: "w", Weight: 2}
+	for _, h := range []*zoneHost{owner, f.hostOtherThan(owner)} {
+		for range 3 {
+			f.submitTo(h, func(s *Submit) { s.Workspace = w })
+			f.run(5*time.Millisecond, 0)
+		}
+	}
+	require.Len(t, f.sent, 6)
+	queues := owner.r.View().Queues
+	require.Len(t, queues, 1)
+	require.Len(t, queues[0].Workspaces, 1)
+	got := queues[0].Workspaces[0]
+	require.Equal(t, "w", got.Workspace)
+	require.Equal(t, 6, got.Granted)
+	require.InDelta(t, 2, got.Weight, 0)
+}
--- a/internal/router/queuedcalls.go
+++ b/internal/router/queuedcalls.go
@@ -99,6 +99,7 @@
 	r.serveQueue(q.service) // a free slot goes to those that wait first
 	c := r.selectWithOwners(q)
 	if c.backend != nil && r.takesAtOnce(q, c) {
+		r.countOwnGrant(q, c.backend)
 		r.requestSlotOrSend(q, c)
 		return
 	}
@@ -278,15 +279,20 @@
 // sendQueueAsk sends the message of a slot request that may wait. A second one with the same number asks whether it still does.
 func (r *Router) sendQueueAsk(q *request, a *slotRequest) {
 	ask := r.newAsk(q, a, a.queued.worst)
-	ask.Queues, ask.Returning = true, q.returning
+	ask.Queues = true
 	ask.TargetMs = uint32(max(0, r.timeToTarget(q)).Milliseconds())
 	ask.PatienceMs = uint32(max(0, q.patienceEnds-r.now-answerMargin).Milliseconds())
-	if w := q.Workspace; w != nil {
-		ask.Workspace, ask.Weight = w.Name, float32(w.Weight)
-	}
 	r.emit(Send{To: []string{a.owner}, Packet: &gossippb.Packet{Ask: ask}})
 }
 
+// competitor returns the workspace that competes for a slot, empty on public routes, and its weight.
+func (q *request) competitor() (workspace string, weight float32) {
+	if q.Workspace == nil {
+		return "", 0
+	}
+	return q.Workspace.Name, float32(q.Workspace.Weight)
+}
+
 // requestQueued processes an owner's reply that a request waits in its queue.
 func (r *Router) requestQueued(a *slotRequest, offer *gossippb.Offer) {
 	q, known := r.requests[a.requestID]
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,7 +1,7 @@
 // Package router is the state machine of one host, a reducer: events go in, effects come out as data. It does no I/O,
-// reads no clock, starts no goroutine and makes no unseeded choice. In a small fleet each host decides locally where its
+// reads no clock, starts no goroutine and makes no unseeded choice. In a small fleet without admission queues each host decides locally where its
 // requests go, from the loads that hosts report in heartbeats, and exchanges no message per request, except to borrow a slot
-// at a brittle backend server. In a large fleet a host requests a slot from the host that owns the backend server, and
+// at a brittle backend server. In a large fleet, and in any fleet with admission queues, a host requests a slot from the host that owns the backend server, and
 // decides locally if the owner does not reply.
 //
 // Each file covers one concern: members (other hosts), updates (configuration and backend servers, from the store or
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -134,12 +134,18 @@
 
 // newAsk returns the message of a slot request.
 func (r *Router) newAsk(q *request, a *slotRequest, worst class) *gossippb.Ask {
-	return &gossippb.Ask{
+	ask := &gossippb.Ask{
 		Number: a.number, Service: q.service, Streaming: q.Route.Kind == routing.Streaming, Rank: float32(q.Rank),
 		Prompt: uint32(max(0, q.PromptTok)), Output: uint32(max(0, q.OutputTok)),
 		LeftMs: uint32(max(0, q.Deadline-r.now).Milliseconds()), TargetMs: uint32(q.Route.Target.Milliseconds()),
 		WorstClass: uint32(worst), Avoid: r.excludedBackends(q, a.owner), Continued: q.continued, Borrows: a.borrows,
 	}
+	if r.queueing() {
+		// The owner counts what each workspace is granted, also without a wait.
+		ask.Workspace, ask.Weight = q.competitor()
+		ask.Returning = q.returning
+	}
+	return ask
 }
 
 // announceToOwner sends a heartbeat to an owner in another zone, which knows this host only while it has
@@ -301,7 +307,7 @@
 	}
 	reported := loadFromProto(offer.Place)
 	r.applyOwnerLoad(b, reported)
-	q.owner = from
+	q.owner, q.queueBasis.Cause = from, ""
 	g := r.basis()
 	g.InFlight, g.Limit, g.Wait = reported.total(), int(offer.Limit), time.Duration(offer.WaitUs)*time.Microsecond
 	g.Owner, g.ViewAge, g.Queue = from, r.now-a.sentAt, q.queueBasis
