Router: free slots that suit no waiting request, brittle servers in small fleets

In small fleets requests at brittle servers count against the shares of the hosts that send them, so their ends are not reported to owners.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -20,6 +20,9 @@
 	recentGrantTTL = ownerCallTimeout
 	// maxBacklogWait is the longest wait in reports, and stands for a wait without end.
 	maxBacklogWait = time.Minute
+	// misfitInterval is how long free slots that suit no waiting request are not compared with all of them again, as this takes
+	// up to a millisecond and follows each event. A server's class may change meanwhile.
+	misfitInterval = 25 * time.Millisecond
 	// reportedPriority is the priority whose wait is reported to other hosts.
 	reportedPriority = 1
 )
@@ -44,6 +47,9 @@
 	waiting map[admission.Key]*waitingRequest
 	// wait is the predicted wait that is reported to other hosts, as of waitAt.
 	wait, waitAt time.Duration
+	// misfits are free backend servers that suit no waiting request, as of misfitsAt. New requests have been compared with them.
+	misfits   []*backend
+	misfitsAt time.Duration
 }
 
 // waitingRequest is a request that waits at this host.
@@ -313,7 +319,7 @@
 	}
 	for {
 		free := r.freeBackends(service)
-		if len(free) == 0 {
+		if len(free) == 0 || slices.Equal(free, s.misfits) && r.now-s.misfitsAt < misfitInterval {
 			return
 		}
 		selections := map[admission.Key]selection{}
@@ -327,6 +333,7 @@
 			return c.backend != nil && c.class <= w.worst
 		})
 		if !ok {
+			s.misfits, s.misfitsAt = free, r.now
 			return
 		}
 		w := s.waiting[a.Key]
@@ -341,8 +348,9 @@
 // freeBackends returns this host's backend servers of a service that have a slot for a queued request.
 func (r *Router) freeBackends(service string) []*backend {
 	var out []*backend
+	s := r.newSelector(&request{service: service}, scopeOwned)
 	for _, b := range r.owned() {
-		if b.Service == service && r.grantable(b) && b.inFlight() < queueLimit(b) && b.excluded(r.now) == notExcluded {
+		if b.Service == service && r.grantable(b) && b.inFlight() < queueLimit(b) && b.excluded(r.now) == notExcluded && s.classOf(b, b.removed) <= classDoubtful {
 			out = append(out, b)
 		}
 	}
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -635,3 +635,26 @@
 	require.Equal(t, 6, got.Granted)
 	require.InDelta(t, 2, got.Weight, 0)
 }
+
+// Guards against a slot that stays taken as it is granted to a request that has ended meanwhile.
+func TestLateGrantIsReturned(t *testing.T) {
+	f := newQueueFleet(t, 1, 6, 6)
+	ids, owner := f.wait(1)
+	h := f.runs[ids[0]].host
+	f.loses = func(from, _ string, p *gossippb.Packet) bool { return from == owner.ip || p.Withdraw != nil }
+	f.run(time.Second, 0)
+	require.True(t, has(f.settled, ids[0]))
+	f.packets = nil
+	f.post(owner, Tick{})
+	f.finishAny(10)
+	f.run(3*time.Millisecond, 0)
+	for _, p := range f.packets {
+		if o := p.p.Offer; p.to == h.ip && o != nil && o.Place != nil {
+			require.True(t, slices.ContainsFunc(reportsOf(h.r.Reduce(f.now, SlotOfferReceived{owner.ip, o})), func(rep *gossippb.Report) bool {
+				return rep.Backend == o.Place.Backend && rep.Requests == -1
+			}))
+			return
+		}
+	}
+	require.Fail(t, "the owner grants no slot")
+}
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -159,6 +159,9 @@
 // reportTarget returns the host that counts this host's requests at a backend server, or "".
 func (r *Router) reportTarget(q *request) string {
 	to := q.owner
+	if to == "" && !r.largeFleet() && r.isBrittle(q.backend) {
+		return "" // the request counts against this host's own share of what the server may reject
+	}
 	if to == "" {
 		to = r.ownerOf(q.backend)
 	}
