--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -17,6 +17,10 @@
 	if !ok {
 		return // no heartbeat yet; it decides locally
 	}
+	if r.queueing() && !a.Borrows {
+		r.admitOrQueue(m, a)
+		return
+	}
 	q := r.requestFromAsk(a)
 	s := r.newSelector(q, scopeOwned)
 	s.lends = a.Borrows
@@ -63,7 +67,7 @@
 
 func (r *Router) ownedLoads(service string) []*gossippb.Load {
 	var out []*gossippb.Load
-	for _, b := range r.zoneBackendsOf(service) {
+	for _, b := range r.backendsOf(service) {
 		if r.owns(b) {
 			out = append(out, b.totalLoad().toProto(b.hash))
 		}
@@ -155,6 +159,9 @@
 // reportTarget returns the host that counts this host's requests at a backend server, or "".
 func (r *Router) reportTarget(q *request) string {
 	to := q.owner
+	if to == "" && !r.largeFleet() && r.isBrittle(q.backend) {
+		return "" // the request counts against this host's own share of what the server may reject
+	}
 	if to == "" {
 		to = r.ownerOf(q.backend)
 	}
@@ -189,6 +196,7 @@
 		rep.IntervalUs, rep.Events = uint32(r.observedInterval(q, e).Microseconds()), uint32(e.Events)
 	}
 	r.sendReport(to, rep)
+	r.reportFreeSlot(q, to)
 }
 
 // reportOutcome maps the end of a dispatch to what it shows of the backend server.
