--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -90,7 +90,7 @@
 
 // shareExcess is by how much the rate of arrivals of a workspace may exceed its share of the slots in forecasts. More than the share
 // is not served, so it only would delay the notice that a wave is over.
-const shareExcess = 1.25
+const shareExcess = 1.4
 
 // shareOf returns the work per second above which the arrivals of a workspace do not count.
 func (q *Queue) shareOf(r *Request) float64 {
--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -348,7 +348,11 @@
 			all := l.count(func(*caller) bool { return true })
 			t.Logf("vary %v, %d workspaces: %v, longest queue %d", vary, workspaces, all, l.longest)
 			assert.GreaterOrEqual(t, float64(all.onTime), 0.9*180*end.Seconds())
-			assert.LessOrEqual(t, float64(all.heldInVain), 0.05*float64(all.queued))
+			limit := 0.02
+			if workspaces == 100 {
+				limit = 0.04 // fewer than two grants a second each: rates of single workspaces are known less well
+			}
+			assert.LessOrEqual(t, float64(all.heldInVain), limit*float64(all.queued))
 		}
 	}
 }
