--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -464,6 +464,24 @@
 	assert.Equal(t, "good", r.Workspace)
 }
 
+// Every value must be within its bounds before it is added to a sum: one NaN would make all forecasts NaN.
+func TestValuesAreBounded(t *testing.T) {
+	for given, want := range map[float64]float64{-1: 1, 0: 1, math.Inf(1): 1, math.Inf(-1): 1, 2.5: 2.5, 1e-9: minWeight, 1e9: maxWeight} {
+		assert.Equal(t, want, boundedWeight(given), given)
+	}
+	assert.Equal(t, 1.0, boundedWeight(math.NaN()))
+	for given, want := range map[float64]float64{-1: 1, 0: 1, math.Inf(1): maxCost, math.Inf(-1): 1, 2.5: 2.5, 1e9: maxCost} {
+		assert.Equal(t, want, boundedCost(given), given)
+	}
+	assert.Equal(t, 1.0, boundedCost(math.NaN()))
+	for given, want := range map[time.Duration]time.Duration{math.MaxInt64: 2 * time.Hour, math.MinInt64: 0, time.Minute: time.Minute} {
+		assert.Equal(t, want, boundedTime(time.Hour, given), given)
+	}
+	for given, want := range map[int]int{-1: DefaultMaxRequests, 0: DefaultMaxRequests, 7: 7, 1 << 40: maxRequests} {
+		assert.Equal(t, want, boundedMaxRequests(given))
+	}
+}
+
 // Memory must be bounded, whatever the number of workspaces.
 func TestWorkspacesAreBounded(t *testing.T) {
 	q := testQueue(64)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -37,7 +37,10 @@
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
 	versionTests        = []string{"./internal/router", "-run", "Version|StreamsGoOn|Ambiguous|UnknownStreams|PromisesSmall", "-rapid.shrinktime=1s"}
 	fairQueueTests      = []string{"./internal/fairqueue", "-rapid.shrinktime=1s"}
-	limitTests          = []string{"./internal/limit", "-rapid.shrinktime=1s"}
+	// admissionTests are those that need no long simulation; admissionLoadTests simulate load.
+	admissionTests     = []string{"./internal/admission", "-run", "Order|Admitted|Next|Refus|Displace|Expire|Remove|Replace|Forecast|Capacity|Returns|View|Hostile|Bounded|RandomCalls", "-rapid.checks=3000", "-rapid.shrinktime=1s"}
+	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large"}
+	limitTests         = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
 func platformTests(run string) []string { return []string{"./platform", "-run", run} }
@@ -463,4 +466,28 @@
 	{"sched-share-newcomer", "fair", "internal/sched/queue.go", "		weight += w.Weight\n", "		_ = weight\n", schedTests},
 	{"sched-cost-left", "fair", "internal/sched/queue.go", "	t.fair.Remove(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Remove(w.fair)\n", schedTests},
 	{"sched-cost-served", "fair", "internal/sched/queue.go", "	t.fair.Serve(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Serve(w.fair)\n", schedTests},
+	{"admission-patience", "admission", "internal/admission/add.go", "if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {", "if !ok || r.PatienceEnds <= q.now {", admissionTests},
+	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
+	{"admission-displaced-share", "admission", "internal/admission/add.go", " || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0)", "", admissionTests},
+	{"admission-replace", "admission", "internal/admission/add.go", "replaced := q.Remove(r.Key)", "replaced := false", admissionTests},
+	{"admission-charge", "admission", "internal/admission/add.go", "\tq.levels[r.Priority].fair.Charge(r.Workspace, r.Weight, r.Cost)\n", "", admissionTests},
+	{"admission-expired-grant", "admission", "internal/admission/next.go", "e.PatienceEnds <= s.now || ", "", admissionTests},
+	{"admission-tries", "admission", "internal/admission/next.go", "\tfor _, e := range skipped {\n\t\tif s.fit(e) {\n\t\t\treturn e\n\t\t}\n\t}\n", "\t_ = skipped\n", admissionTests},
+	{"admission-workspace-tries", "admission", "internal/admission/next.go", "tried > triesPerWorkspace", "tried > maxTries", admissionTests},
+	{"admission-expiry", "admission", "internal/admission/expire.go", "q.expiry.Len() > 0 && q.expiry.Min().PatienceEnds <= q.now", "false", admissionTests},
+	{"admission-review", "admission", "internal/admission/expire.go", "if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {", "if ok || wait >= 0 {", admissionTests},
+	{"admission-review-all", "admission", "internal/admission/expire.go", "\t\ts.refused(e)\n\t\trefusals = append(refusals, q.dropAndRefuse(e, WaitTooLong))\n", "\t\trefusals = append(refusals, q.refuse(&e.Request, e.lane.tally, WaitTooLong))\n", admissionTests},
+	{"admission-late", "admission", "internal/admission/queue.go", "q.onTime.Len() > 0 && q.onTime.Min().OnTimeBy < now", "false", admissionTests},
+	{"admission-late-order", "admission", "internal/admission/queue.go", "\tq.levels[e.Priority].fair.Fix(e.item)\n", "", admissionTests},
+	{"admission-returning", "admission", "internal/admission/order.go", "case r.Returning:", "case false:", admissionTests},
+	{"admission-on-time", "admission", "internal/admission/order.go", "case now > r.OnTimeBy:", "case false:", admissionLoadTests},
+	{"admission-arrivals-ahead", "admission", "internal/admission/forecast.go", "\t\tarrivals += q.levels[p].arrivals.perSecond(q.now, q.capacity.smoothing())\n", "", admissionTests},
+	{"admission-new-ahead", "admission", "internal/admission/forecast.go", "\t\ta.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())\n", "", admissionLoadTests},
+	{"admission-due", "admission", "internal/admission/forecast.go", "if demand < fair {", "if true {", admissionTests},
+	{"admission-relaxation", "admission", "internal/admission/rate.go", "\t\tc.granted += (assumedRate*c.waited - c.granted) * (1 - decay(elapsed, relaxation))\n", "", admissionTests},
+	{"admission-honoured", "admission", "internal/admission/returns.go", "return min(max(q.book(r, place), minReturn), limit)", "return max(q.book(r, place), minReturn)", admissionTests},
+	{"admission-spread", "admission", "internal/admission/returns.go", "\tq.returns.booked[place%places][r.Priority] += r.Cost\n", "", admissionTests},
+	{"admission-weight", "admission", "internal/admission/limits.go", "if !(w > 0) || math.IsInf(w, 1) {", "if w == 0 {", admissionTests},
+	{"admission-time", "admission", "internal/admission/limits.go", "return min(max(t, now-maxTimeLeft), now+maxTimeLeft)", "return t", admissionTests},
+	{"admission-memory", "admission", "internal/admission/ledger.go", "if len(g.workspaces) < maxWorkspaces || g.idle.Len() == 0 {", "if true {", admissionTests},
 }
