--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -12,7 +12,7 @@
 	if !replaced {
 		q.countOffer(&r, l)
 	}
-	wait, as, ok := q.predict(&r)
+	wait, ok := q.predict(&r)
 	if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {
 		return wait, false, []Refusal{q.refuse(&r, l.tally, WaitTooLong)}
 	}
@@ -24,7 +24,7 @@
 		refusals = append(refusals, q.dropAndRefuse(victim, Displaced))
 	}
 	q.push(&r, l)
-	q.countArrival(&r, l, as)
+	q.countArrival(&r, l)
 	return wait, true, refusals
 }
 
@@ -55,7 +55,7 @@
 	r = bounded(q.now, r)
 	l := q.lane(&r)
 	q.countOffer(&r, l)
-	q.countArrival(&r, l, rankOf(&r, q.now))
+	q.countArrival(&r, l)
 	q.levels[r.Priority].fair.Charge(r.Workspace, r.Weight, r.Cost)
 	q.countGrant(&r, l.tally)
 }
@@ -64,7 +64,7 @@
 func (q *Queue) PredictedWait(now time.Duration, r Request) (wait time.Duration, ok bool) {
 	q.advance(now)
 	r = bounded(q.now, r)
-	wait, _, ok = q.predict(&r)
+	wait, ok = q.predict(&r)
 	return wait, ok && q.now+wait <= r.PatienceEnds
 }
 
@@ -99,8 +99,9 @@
 	return shareExcess * max(0, q.capacity.perSecond()-higher) * r.Weight / active
 }
 
-// countArrival counts a request that was queued or granted at once.
-func (q *Queue) countArrival(r *Request, l *lane, as rank) {
+// countArrival counts a request that was queued or granted at once. Returning callers come once and then no more, so they do not count
+// as arrivals that forecasts of lower priorities expect to go on.
+func (q *Queue) countArrival(r *Request, l *lane) {
 	v, smoothing := &q.levels[r.Priority], q.capacity.smoothing()
 	if !r.Returning {
 		v.arrivals.add(q.now, smoothing, r.Cost)
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -11,8 +11,8 @@
 const reviewInterval = 50 * time.Millisecond
 
 // reviewTolerance is the factor by which a prediction must exceed the patience that is left before a waiting request is refused. Rates
-// are smoothed over about a second and vary by a tenth or two; without a tolerance, requests that are served in time would be refused.
-// One that is not served is still refused when a fifth of the predicted wait is left.
+// are smoothed over about a second and vary by a fifth and more; without a tolerance, requests that are served in time would be refused.
+// One that is not served is refused when its patience is down to two thirds of the predicted wait.
 const reviewTolerance = 1.5
 
 // Expire refuses the requests whose patience has ended and those whose predicted wait has grown beyond it.
@@ -51,7 +51,7 @@
 		e := next.entry
 		a := q.aheadOf(&e.Request, &s)
 		a.lane = e.lane
-		wait, _, ok := q.predictEntry(e, a, reviewTolerance)
+		wait, ok := q.predictEntry(e, a, reviewTolerance)
 		if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {
 			continue
 		}
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -191,8 +191,8 @@
 	return a
 }
 
-// predict returns the wait of a request that is not in the queue, and the rank with which it would be served.
-func (q *Queue) predict(r *Request) (wait time.Duration, as rank, ok bool) {
+// predict returns the wait of a request that is not in the queue.
+func (q *Queue) predict(r *Request) (wait time.Duration, ok bool) {
 	s := q.rivals(r.Priority)
 	a := q.aheadOf(r, &s)
 	if t := q.ledger.workspaces[r.Workspace]; t != nil {
@@ -204,15 +204,14 @@
 
 // predictEntry predicts the wait of an entry by the rank that it will have: one that turns late before it is served goes behind
 // those that are on time.
-func (q *Queue) predictEntry(e *entry, a ahead, part float64) (wait time.Duration, as rank, ok bool) {
+func (q *Queue) predictEntry(e *entry, a ahead, part float64) (wait time.Duration, ok bool) {
 	if e.rank < late {
 		wait, ok = q.predictAs(e, &a, e.rank)
 		if ok && float64(wait) <= part*float64(e.OnTimeBy-q.now) {
-			return wait, e.rank, true
+			return wait, true
 		}
 	}
-	wait, ok = q.predictAs(e, &a, late)
-	return wait, late, ok
+	return q.predictAs(e, &a, late)
 }
 
 func (q *Queue) predictAs(e *entry, a *ahead, as rank) (time.Duration, bool) {
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -61,7 +61,7 @@
 	priority int
 	entries  []*entry
 	work     float64 // of the entries
-	// arrivals are the rates of work that was queued or granted at once.
+	// arrivals are the rates of work that was asked for, up to the limit of shareOf.
 	arrivals [ranks]rate
 	// cost is that of the latest request.
 	cost     float64
