--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -43,6 +43,8 @@
 	Settings string `short:"c" long:"settings" description:"INI file with this host's settings"`
 	Platform bool   `long:"platform" description:"serve the users' platform, with the settings file that the environment names"`
 	Check    bool   `long:"check-settings" description:"check the settings file, print any errors, and exit"`
+	// AdmissionQueue applies to the platform only: the project's own interface has queues of its own.
+	AdmissionQueue bool `long:"admission-queue" description:"with --platform: enable admission queues with the defaults, unless the settings file has the object admission-queue"`
 }
 
 func main() {
@@ -56,6 +58,9 @@
 	// A write to a log whose collector has ended must fail, not end the process.
 	signal.Ignore(syscall.SIGPIPE)
 	switch {
+	case opt.AdmissionQueue && !opt.Platform:
+		fmt.Fprintln(os.Stderr, "--admission-queue applies to --platform only; give both, or remove it")
+		os.Exit(exitUsage)
 	case opt.Platform:
 		runPlatform(opt)
 	case opt.Settings != "":
@@ -85,7 +90,8 @@
 	ctx, _ := shutdownContexts()
 	reload := notifyHangup()
 	path := os.Getenv(platform.SettingsEnv)
-	set, err := platform.LoadSettings(path)
+	load := settingsLoader(opt, path)
+	set, err := load()
 	exitOnSettingsError(err)
 	if opt.Check {
 		fmt.Printf("%s: settings are good\n", path)
@@ -98,11 +104,25 @@
 	left := graceLeft(ctx, set.Grace)
 	store := platform.NewStore(set.Store, upstream.Transport(), telemetry.ComponentLogger(log.Logger, "store"))
 	err = node.Run(ctx, set, node.Dependencies{Store: store, HeaderCodec: platform.HeaderCodec{}, Reload: reload,
-		Load: func() (*node.Settings, error) { return platform.LoadSettings(path) }}, log.Logger, metrics)
+		Load: load}, log.Logger, metrics)
 	flush := func() error { return log.Close(min(telemetry.FlushTimeout, left()-exitMargin)) }
 	exitAfterRun(log.Logger, flush, os.Stderr, err)
 }
 
+// settingsLoader returns a function that reads the platform's settings file, at the start and for each reload, and applies the flags.
+func settingsLoader(opt options, path string) func() (*node.Settings, error) {
+	return func() (*node.Settings, error) {
+		set, err := platform.LoadSettings(path)
+		if err != nil {
+			return nil, err
+		}
+		if opt.AdmissionQueue {
+			platform.EnableAdmissionQueue(set)
+		}
+		return set, nil
+	}
+}
+
 // captureLibraryMessages writes what libraries print to the log: otherwise it goes to standard error, and blocks its goroutine
 // while nobody reads there.
 func captureLibraryMessages(log zerolog.Logger) {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -31,4 +31,6 @@
 	// it is not ready.
 	BalancerDelay time.Duration
 	Bounds        router.Bounds
+	// Admission are the settings of admission queues; zero if nothing configures them.
+	Admission router.AdmissionSettings
 }
