Operators see admission queues: status, explain, log lines, metrics

A request that waits at an owner, or is refused there, left no trace by which its cause could be found.

fireflyctl status and /status list the queues of each owner by service and workspace. The gateway logs "Request queued." and "Request left the queue." (granted, refused, moved or ended, with the cause and the time waited), and the history that explain shows has the same steps, and for a refusal the cause, the owner, the predicted wait and the time to return; the line "Ended." has them as fields. Requests that have met no queue have the same lines and metrics as before.

The effect Queued implements Effect, which the control thread needs to pass it on.

--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -37,6 +37,32 @@
 	// there were too many. On the users' platform only.
 	Streams        int `json:"streams,omitempty"`
 	StreamsDropped int `json:"streams_dropped,omitempty"`
+	// Queues are the admission queues of the host as an owner of backend servers, on the users' platform only.
+	Queues []QueueStatus `json:"queues,omitempty"`
+}
+
+// QueueStatus is the admission queue of one service at its owner.
+type QueueStatus struct {
+	Service  string `json:"service"`
+	Requests int    `json:"requests"` // waiting
+	// Room is the room rate, in milliseconds of engine time granted per second while requests wait, RoomPerSlot its part of one slot.
+	Room        float64 `json:"room_ms_per_s"`
+	RoomPerSlot float64 `json:"slot_room_ms_per_s"`
+	// WaitMS is the predicted wait by priority, the most urgent first; -1 if such a request would not be served.
+	WaitMS     []int64                `json:"wait_ms"`
+	Workspaces []QueueWorkspaceStatus `json:"workspaces,omitempty"`
+}
+
+// QueueWorkspaceStatus is one workspace at an admission queue. All but Weight and Waiting are of the last ten seconds.
+type QueueWorkspaceStatus struct {
+	Workspace string  `json:"workspace"` // empty for public routes
+	Weight    float64 `json:"weight"`
+	Waiting   int     `json:"waiting"`
+	Offered   int     `json:"offered"` // requests that asked for a slot, each counted once
+	Granted   int     `json:"granted"`
+	Refused   int     `json:"refused"`
+	WorkMS    float64 `json:"work_ms"` // engine time of the granted requests
+	Share     float64 `json:"share"`   // of all workspaces' work, from 0 to 1
 }
 
 // QuarantineStatus is a request that is kept from backend servers because it has crashed several of them.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -41,6 +42,7 @@
 	w.Flush()
 	t.printBackends(reports)
 	t.printBackendViews(reports)
+	t.printQueues(reports)
 	t.printQuarantined(reports)
 	t.printRefused(reports)
 }
@@ -127,6 +129,57 @@
 	return fmt.Sprintf("%g/s since %d ms, share %g/s, %d sent", l.PerSecond, l.SinceMS, l.Share, l.Sent)
 }
 
+// printQueues prints the admission queues at their owners, and the workspaces at each.
+func (t *Tool) printQueues(reports []hostReport) {
+	w := tabwriter.NewWriter(t.Out, 0, 4, 2, ' ', 0)
+	hasHeader := false
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, q := range r.Status.Queues {
+			if !hasHeader {
+				hasHeader = true
+				fmt.Fprintln(w, "\nADMISSION QUEUE\tOWNER\tWAITING\tROOM RATE\tPER SLOT\tPREDICTED WAIT BY PRIORITY")
+			}
+			fmt.Fprintf(w, "%s\t%s\t%d\t%.0f ms/s\t%.0f ms/s\t%s\n", q.Service, r.Status.Host, q.Requests, q.Room, q.RoomPerSlot, formatWaits(q.WaitMS))
+		}
+	}
+	w.Flush()
+	if hasHeader {
+		t.printQueueWorkspaces(reports)
+	}
+}
+
+func (t *Tool) printQueueWorkspaces(reports []hostReport) {
+	w := tabwriter.NewWriter(t.Out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "\nADMISSION QUEUE\tOWNER\tWORKSPACE\tWEIGHT\tWAITING\tOFFERED (10 s)\tGRANTED\tREFUSED\tWORK\tSHARE")
+	for _, r := range reports {
+		if r.Status == nil {
+			continue
+		}
+		for _, q := range r.Status.Queues {
+			for _, s := range q.Workspaces {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%d\t%d\t%d\t%d\t%.0f ms\t%.1f %%\n", q.Service, r.Status.Host, cmp.Or(s.Workspace, "-"), s.Weight, s.Waiting,
+					s.Offered, s.Granted, s.Refused, s.WorkMS, 100*s.Share)
+			}
+		}
+	}
+	w.Flush()
+}
+
+// formatWaits formats predicted waits by priority, the most urgent first.
+func formatWaits(waits []int64) string {
+	out := make([]string, len(waits))
+	for i, ms := range waits {
+		out[i] = "not served"
+		if ms >= 0 {
+			out[i] = fmt.Sprintf("%d ms", ms)
+		}
+	}
+	return strings.Join(out, ", ")
+}
+
 // printQuarantined prints the quarantined requests. A request that several hosts report is printed once.
 func (t *Tool) printQuarantined(reports []hostReport) {
 	shown := map[string]bool{}
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -202,6 +202,7 @@
 // logEnd logs and counts the end of a request.
 func (a *activeRequest) logEnd(outcome string, status int) {
 	a.g.metrics.Count("requests."+outcome, 1)
+	a.leaveQueue(queueEnded, "")
 	took := time.Since(a.startedAt)
 	a.g.histories.add(a.call.AttemptID, a.startedOnControl+took, "ended: %s", outcome)
 	a.g.metrics.Timer("requests.time").Update(took)
@@ -248,5 +249,5 @@
 		g := a.basis.Quota
 		e = e.Str("owner", a.basis.Owner).Float64("cost", g.Cost).Float64("quota_left", math.Round(g.Remaining)).Float64("own_part_left", math.Round(g.OwnShare))
 	}
-	e.Msg("Ended.")
+	a.addQueueFields(e).Msg("Ended.")
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,10 @@
 	cachedDigest quarantine.Digest
 	// parts are the digests of the parts of the prompt that other requests may share.
 	parts []quarantine.Digest
+	// queue is the admission queue in which the request waits or has waited.
+	queue queueWait
+	// retryAfter is the time after which the caller was told to return, if an admission queue refused the request.
+	retryAfter time.Duration
 }
 
 // digest computes the digest on first use: most requests never need it.
@@ -165,7 +169,10 @@
 	a.g.control.Submit(a.submission(), Caller{a.effects, a.canceler.abort})
 	for e := range a.effects {
 		switch e := e.(type) {
+		case router.Queued:
+			a.enterQueue(e)
 		case router.Dispatch:
+			a.dispatchedFromQueue(e.Basis)
 			a.backend, a.attempts = e.Backend.ID, e.Attempt
 			if e.Attempt == 1 {
 				a.basis = e.Basis
@@ -184,6 +191,7 @@
 			}
 		case router.Refuse:
 			a.basis = e.Basis
+			a.refusedByQueue(e)
 			a.refuseByCause(e)
 			return
 		case router.GiveUp:
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -1,6 +1,9 @@
 package node
 
 import (
+	"cmp"
+	"math"
+
 	"fireflyshift/internal/core"
 	"fireflyshift/internal/router"
 )
@@ -40,6 +43,7 @@
 			AgeMS: q.Age.Milliseconds(), NextTrialMS: q.TrialIn.Milliseconds()})
 	}
 	s.Suspects = v.Suspects
+	s.Queues = queueStatus(v.Queues)
 	s.Streams, s.StreamsDropped = v.Streams, v.StreamsDropped
 	for _, b := range v.Backends {
 		status := core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, Version: b.Version, State: b.State, Owner: b.Owner,
@@ -51,3 +55,32 @@
 	}
 	return s, true
 }
+
+// queueStatus converts the admission queues for operators.
+func queueStatus(queues []router.QueueView) []core.QueueStatus {
+	var out []core.QueueStatus
+	for _, q := range queues {
+		s := core.QueueStatus{Service: q.Service, Requests: q.Requests, Room: finite(q.Room), RoomPerSlot: finite(q.PerSlot)}
+		for _, wait := range q.Wait {
+			ms := int64(-1)
+			if wait >= 0 {
+				ms = wait.Milliseconds()
+			}
+			s.WaitMS = append(s.WaitMS, ms)
+		}
+		for _, w := range q.Workspaces {
+			s.Workspaces = append(s.Workspaces, core.QueueWorkspaceStatus{Workspace: w.Workspace, Weight: cmp.Or(finite(w.Weight), 1), Waiting: w.Waiting,
+				Offered: w.Offered, Granted: w.Granted, Refused: w.Refused, WorkMS: finite(w.Work), Share: finite(w.Share)})
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// finite returns 0 for values that JSON cannot represent: one of them would make the whole status unreadable.
+func finite(f float64) float64 {
+	if math.IsNaN(f) || math.IsInf(f, 0) {
+		return 0
+	}
+	return f
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -121,6 +121,8 @@
 		if caller, ok := c.callers[e.ID]; ok {
 			caller.Abort(e.Attempt)
 		}
+	case router.Queued:
+		c.notifyCaller(e.ID, e)
 	case router.StallDecision:
 		c.notifyCaller(e.ID, e)
 	case router.Refuse:
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -464,6 +464,7 @@
 func (Abort) effect()           {}
 func (StallDecision) effect()   {}
 func (Refuse) effect()          {}
+func (Queued) effect()          {}
 func (GiveUp) effect()          {}
 func (SendHeartbeat) effect()   {}
 func (Send) effect()            {}
