--- a/internal/gateway/queued.go
+++ b/internal/gateway/queued.go
@@ -76,7 +76,7 @@
 		return
 	}
 	a.retryAfter = e.RetryAfter
-	what := fmt.Sprintf("refused by the admission queue at owner %s: %s", orUnknown(a.queueOwner()), orUnknown(string(q.Cause)))
+	what := fmt.Sprintf("refused, admission queue at owner %s: %s", orUnknown(a.queueOwner()), orUnknown(string(q.Cause)))
 	if q.Predicted > 0 {
 		what += fmt.Sprintf(", predicted wait %s", q.Predicted)
 	}
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -66,14 +66,14 @@
 		w, lines, history, _ := runScript(t, router.Refuse{Cause: router.Overloaded, RetryAfter: 3 * time.Second, Basis: basis})
 		require.Equal(t, http.StatusServiceUnavailable, w.Code)
 		require.Equal(t, "3s", w.Header().Get("Retry-After"))
-		require.Contains(t, history, "refused by the admission queue at owner 10.0.0.7: "+string(cause)+", predicted wait 900ms, patience 700ms, waited 50ms; told to return after 3s\n")
+		require.Contains(t, history, "refused, admission queue at owner 10.0.0.7: "+string(cause)+", predicted wait 900ms, patience 700ms, waited 50ms; told to return after 3s\n")
 		require.Len(t, lines, 1, "it did not wait")
 		for _, field := range []string{`"owner":"10.0.0.7"`, `"queue_cause":"` + string(cause) + `"`, `"predicted_ms":900`, `"patience_ms":700`, `"waited_ms":50`, `"retry_after_ms":3000`, `"message":"Ended."`} {
 			require.Contains(t, lines[0], field)
 		}
 	}
 	_, _, history, _ := runScript(t, router.Refuse{Cause: router.Overloaded, Basis: router.DecisionBasis{Queue: router.QueueBasis{Patience: time.Second}}})
-	require.Contains(t, history, "refused by the admission queue at owner unknown: unknown, patience 1s, waited 0s\n", "the owner gave neither a cause nor a time")
+	require.Contains(t, history, "refused, admission queue at owner unknown: unknown, patience 1s, waited 0s\n", "the owner gave neither a cause nor a time")
 }
 
 // Guards against a request that waits without a trace, and against a lost waiting time.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -461,10 +461,10 @@
 }
 
 func (Dispatch) effect()        {}
+func (Queued) effect()          {}
 func (Abort) effect()           {}
 func (StallDecision) effect()   {}
 func (Refuse) effect()          {}
-func (Queued) effect()          {}
 func (GiveUp) effect()          {}
 func (SendHeartbeat) effect()   {}
 func (Send) effect()            {}
