Gateway: a repeated request's wait in a queue counts once

A request that was granted a slot, broke off and waited again added its first wait to queue.wait a second time, and a repeat that a queue refused had no cause in its last line. The time starts anew after each grant, and the fields depend on the refusal, not on attempts.

go test -race ./internal/gateway: passes, with a test of both.

--- a/internal/gateway/queued.go
+++ b/internal/gateway/queued.go
@@ -25,7 +25,8 @@
 	waiting bool
 	owner   string
 	since   time.Duration // on the control thread's clock
-	total   time.Duration // at this owner and at those before it
+	total   time.Duration // at this owner and at those before it, since the latest grant
+	refused bool          // a queue has refused the request
 }
 
 // enterQueue logs that the request waits at an owner.
@@ -48,6 +49,7 @@
 	a.queue.waiting, a.queue.total = false, a.queue.total+waited
 	if outcome == queueGranted {
 		a.g.metrics.Timer("queue.wait").Update(a.queue.total)
+		a.queue.total = 0
 	}
 	because := ""
 	if cause != "" {
@@ -75,7 +77,7 @@
 	if q == (router.QueueBasis{}) {
 		return
 	}
-	a.retryAfter = e.RetryAfter
+	a.queue.refused, a.retryAfter = true, e.RetryAfter
 	what := fmt.Sprintf("refused, admission queue at owner %s: %s", orUnknown(a.queueOwner()), orUnknown(string(q.Cause)))
 	if q.Predicted > 0 {
 		what += fmt.Sprintf(", predicted wait %s", q.Predicted)
@@ -95,10 +97,10 @@
 	return a.queue.owner
 }
 
-// addQueueFields adds what an admission queue decided to the line on the end of a request that was not dispatched.
+// addQueueFields adds what an admission queue decided to the line on the end of a request that it refused.
 func (a *activeRequest) addQueueFields(e *zerolog.Event) *zerolog.Event {
 	q := a.basis.Queue
-	if a.attempts > 0 || q == (router.QueueBasis{}) {
+	if !a.queue.refused {
 		return e
 	}
 	return e.Str("owner", a.queueOwner()).Str("queue_cause", string(q.Cause)).Int64("predicted_ms", q.Predicted.Milliseconds()).
--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -132,3 +132,22 @@
 		require.Nil(t, m.Get("queue.wait"))
 	}
 }
+
+// Guards against a wait that is counted again as the request is repeated, and against a repeat that a queue refuses without a trace.
+func TestRepeatedRequestWaitsAnew(t *testing.T) {
+	var logs bytes.Buffer
+	g := New(&scriptedControl{pausingControl: pausingControl{gap: 10 * time.Millisecond}}, noopCodec{}, nil, zerolog.New(&logs), telemetry.NewMetrics())
+	a := &activeRequest{g: g, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodGet, "/x", nil), startedAt: time.Now(), route: &routing.Route{Name: "plain"}}
+	for range 2 {
+		a.enterQueue(router.Queued{Owner: "10.0.0.7"})
+		a.dispatchedFromQueue(router.DecisionBasis{Owner: "10.0.0.7"})
+	}
+	require.Equal(t, int64(2), g.metrics.Timer("queue.wait").Count())
+	require.Equal(t, int64(10*time.Millisecond), g.metrics.Timer("queue.wait").Max())
+	a.attempts = 1
+	a.basis = router.DecisionBasis{Owner: "10.0.0.7", Queue: router.QueueBasis{Cause: admission.QueueFull}}
+	refusal := router.Refuse{Cause: router.Overloaded, Basis: a.basis}
+	a.refusedByQueue(refusal)
+	a.refuseByCause(refusal)
+	require.Contains(t, logs.String(), `"queue_cause":"queue_full"`)
+}
