--- a/internal/gateway/queued.go
+++ b/internal/gateway/queued.go
@@ -34,7 +34,7 @@
 	a.leaveQueue(queueMoved, "")
 	now := a.g.control.Now()
 	a.queue.waiting, a.queue.owner, a.queue.since = true, e.Owner, now
-	a.g.histories.add(a.call.AttemptID, now, "queued at owner %s: predicted wait %s, patience %s", e.Owner, e.Wait, e.Patience)
+	a.g.histories.add(a.call.AttemptID, now, "queued at owner %s: predicted wait %s, patience %s", e.Owner, e.Wait.Round(time.Millisecond), e.Patience.Round(time.Millisecond))
 	a.withWorkspace(a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("owner", e.Owner).
 		Int64("predicted_ms", e.Wait.Milliseconds()).Int64("patience_ms", e.Patience.Milliseconds())).Msg("Request queued.")
 }
@@ -55,7 +55,7 @@
 	if cause != "" {
 		because = fmt.Sprintf(" (%s)", cause)
 	}
-	a.g.histories.add(a.call.AttemptID, now, "left the queue at owner %s after %s: %s%s", a.queue.owner, waited, outcome, because)
+	a.g.histories.add(a.call.AttemptID, now, "left the queue at owner %s after %s: %s%s", a.queue.owner, waited.Round(time.Millisecond), outcome, because)
 	a.withWorkspace(a.g.log.Info().Str("id", a.call.AttemptID).Str("owner", a.queue.owner).Str("result", string(outcome)).Str("cause", string(cause)).
 		Int64("waited_ms", waited.Milliseconds())).Msg("Request left the queue.")
 }
@@ -80,11 +80,11 @@
 	a.queue.refused, a.retryAfter = true, e.RetryAfter
 	what := fmt.Sprintf("refused, admission queue at owner %s: %s", orUnknown(a.queueOwner()), orUnknown(string(q.Cause)))
 	if q.Predicted > 0 {
-		what += fmt.Sprintf(", predicted wait %s", q.Predicted)
+		what += fmt.Sprintf(", predicted wait %s", q.Predicted.Round(time.Millisecond))
 	}
-	what += fmt.Sprintf(", patience %s, waited %s", q.Patience, q.Waited)
+	what += fmt.Sprintf(", patience %s, waited %s", q.Patience.Round(time.Millisecond), q.Waited.Round(time.Millisecond))
 	if e.RetryAfter > 0 {
-		what += fmt.Sprintf("; told to return after %s", e.RetryAfter)
+		what += fmt.Sprintf("; told to return after %s", e.RetryAfter.Round(time.Millisecond))
 	}
 	a.g.histories.add(a.call.AttemptID, a.g.control.Now(), "%s", what)
 }
