Admission queue: on-time requests before late ones of all workspaces of their priority; 16 priorities

Cause: four priorities did not tell the nine ranks apart, and within a priority late requests of one workspace competed by weighted fair queuing with requests of others that could still meet their target latency. Change: 16 priorities, and two levels in each, on-time requests first. The tests of the package pass, its load cases among them.

--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -32,12 +32,12 @@
 // priority, one is displaced only for a workspace whose weighted backlog stays shorter: otherwise a workspace that sends more than
 // its share could keep all others out of a full queue.
 func (q *Queue) victimFor(r *Request, l *lane) *entry {
-	for p := Priorities - 1; p >= r.Priority; p-- {
-		item := q.levels[p].fair.ShedCandidate()
+	for level := levelCount - 1; level >= l.level; level-- {
+		item := q.levels[level].fair.ShedCandidate()
 		if item == nil {
 			continue
 		}
-		if p > r.Priority || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0) {
+		if level > l.level || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0) {
 			return item.Value
 		}
 		return nil
@@ -56,7 +56,7 @@
 	l := q.lane(&r)
 	q.countOffer(&r, l)
 	q.countArrival(&r, l)
-	q.levels[r.Priority].fair.Charge(r.Workspace, r.Weight, r.Cost)
+	q.levels[l.level].fair.Charge(r.Workspace, r.Weight, r.Cost)
 	q.countGrant(&r, l.tally)
 }
 
@@ -68,21 +68,21 @@
 	return wait, ok && q.now+wait <= r.PatienceEnds
 }
 
-// lane returns the lane of a request.
+// lane returns the lane of a request that has just arrived.
 func (q *Queue) lane(r *Request) *lane {
 	t, forgotten := q.ledger.of(r.Workspace, r.Weight)
 	if forgotten != nil {
-		for p := range forgotten.lanes {
-			q.levels[p].forget(&forgotten.lanes[p])
+		for i := range forgotten.lanes {
+			q.levels[i].forget(&forgotten.lanes[i])
 		}
 	}
-	return &t.lanes[r.Priority]
+	return &t.lanes[levelOf(r.Priority, rankOf(r, q.now))]
 }
 
 // countOffer counts a request that asks. One of a returning caller was counted when it was refused, but adds to the demand.
 func (q *Queue) countOffer(r *Request, l *lane) {
-	q.levels[r.Priority].offered.add(q.now, q.capacity.smoothing(), r.Cost)
-	l.arrivals[rankOf(r, q.now)].addUpTo(q.shareOf(r), q.now, q.capacity.smoothing(), r.Cost)
+	q.levels[l.level].offered.add(q.now, q.capacity.smoothing(), r.Cost)
+	l.arrivals[rankOf(r, q.now)].addUpTo(q.shareOf(r, l), q.now, q.capacity.smoothing(), r.Cost)
 	if !r.Returning {
 		l.tally.window.at(q.now).offered++
 	}
@@ -93,16 +93,16 @@
 const shareExcess = 1.4
 
 // shareOf returns the work per second above which the arrivals of a workspace do not count.
-func (q *Queue) shareOf(r *Request) float64 {
-	_, higher := q.higher(r.Priority)
-	active := max(r.Weight, q.levels[r.Priority].fair.ActiveWeight())
+func (q *Queue) shareOf(r *Request, l *lane) float64 {
+	_, higher := q.higher(l.level)
+	active := max(r.Weight, q.levels[l.level].fair.ActiveWeight())
 	return shareExcess * max(0, q.capacity.perSecond()-higher) * r.Weight / active
 }
 
 // countArrival counts a request that was queued or granted at once. Returning callers come once and then no more, so they do not count
 // as arrivals that forecasts of lower priorities expect to go on.
 func (q *Queue) countArrival(r *Request, l *lane) {
-	v, smoothing := &q.levels[r.Priority], q.capacity.smoothing()
+	v, smoothing := &q.levels[l.level], q.capacity.smoothing()
 	if !r.Returning {
 		v.arrivals.add(q.now, smoothing, r.Cost)
 	}
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -26,8 +26,8 @@
 		return refusals
 	}
 	q.reviewed = q.now
-	for p := range q.levels {
-		refusals = append(refusals, q.review(p)...)
+	for level := range q.levels {
+		refusals = append(refusals, q.review(level)...)
 	}
 	return refusals
 }
@@ -38,33 +38,37 @@
 	turn  float64 // work of its workspace up to it divided by the weight
 }
 
-// review refuses the requests of a priority that would not be served within their patience. It begins with those served last: their
+// review refuses the requests of a level that would not be served within their patience. It begins with those served last: their
 // refusal shortens no other wait, and those before them then need not be refused for work that is no longer there.
-func (q *Queue) review(priority int) []Refusal {
-	order := q.inReverse(priority)
+func (q *Queue) review(level int) []Refusal {
+	order := q.inReverse(level)
 	if len(order) == 0 {
 		return nil
 	}
-	s := q.rivals(priority)
+	byLevel := map[int]*rivals{}
+	cached := func(level int) *rivals {
+		if byLevel[level] == nil {
+			byLevel[level] = q.rivals(level)
+		}
+		return byLevel[level]
+	}
 	var refusals []Refusal
 	for _, next := range order {
 		e := next.entry
-		a := q.aheadOf(&e.Request, &s)
-		a.lane = e.lane
-		wait, ok := q.predictEntry(e, a, reviewTolerance)
+		wait, ok := q.predictEntry(e, reviewTolerance, cached)
 		if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {
 			continue
 		}
-		s.refused(e)
+		cached(level).refused(e)
 		refusals = append(refusals, q.dropAndRefuse(e, WaitTooLong))
 	}
 	return refusals
 }
 
-// inReverse returns the requests of a priority, the one served last first.
-func (q *Queue) inReverse(priority int) []reviewed {
+// inReverse returns the requests of a level, the one served last first.
+func (q *Queue) inReverse(level int) []reviewed {
 	var order []reviewed
-	v := &q.levels[priority]
+	v := &q.levels[level]
 	for _, l := range v.lanes {
 		turn := 0.0
 		for _, e := range l.entries {
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -17,7 +17,7 @@
 	maxRivals = 128
 )
 
-// rival is another workspace of the same priority: what waits of it, how fast more arrives, and what limits how much of both goes
+// rival is another workspace of the same level: what waits of it, how fast more arrives, and what limits how much of both goes
 // ahead.
 type rival struct {
 	lane     *lane   // nil for the sum of several
@@ -47,7 +47,7 @@
 	return whole * r.cost
 }
 
-// rivals are the workspaces of one priority with waiting requests or recent arrivals.
+// rivals are the workspaces of one level with waiting requests or recent arrivals.
 type rivals struct {
 	each []rival // at most maxRivals
 	rest rival   // the sum of the others
@@ -75,9 +75,9 @@
 	s.rest.work = max(0, s.rest.work-e.Cost)
 }
 
-// rivals returns the workspaces that compete at a priority, and forgets those that were idle for long.
-func (q *Queue) rivals(priority int) rivals {
-	v, smoothing := &q.levels[priority], q.capacity.smoothing()
+// rivals returns the workspaces that compete at a level, and forgets those that were idle for long.
+func (q *Queue) rivals(level int) *rivals {
+	v, smoothing := &q.levels[level], q.capacity.smoothing()
 	var s rivals
 	for i := 0; i < len(v.lanes); {
 		l := v.lanes[i]
@@ -93,13 +93,13 @@
 		s.add(r)
 		i++
 	}
-	return s
+	return &s
 }
 
 // ahead is what is served before a request. Work is in milliseconds, rates are in milliseconds per second.
 type ahead struct {
 	capacity float64
-	// The work that always goes first: that of higher priorities, and that until the next slot becomes free.
+	// The work that always goes first: that of lower levels, and that until the next slot becomes free.
 	first, firstArrivals float64
 	// The work of its own workspace.
 	own, ownArrivals float64
@@ -173,49 +173,42 @@
 	return time.Duration(max(0, seconds) * float64(time.Second)), true
 }
 
-// higher returns the work of higher priorities and that until the next slot becomes free, with the rate of arrivals.
-func (q *Queue) higher(priority int) (work, arrivals float64) {
+// higher returns the work of the levels before one and that until the next slot becomes free, with the rate of arrivals.
+func (q *Queue) higher(level int) (work, arrivals float64) {
 	work = q.capacity.grantWork()
-	for p := range priority {
-		work += q.levels[p].work
-		arrivals += q.levels[p].arrivals.perSecond(q.now, q.capacity.smoothing())
+	for i := range level {
+		work += q.levels[i].work
+		arrivals += q.levels[i].arrivals.perSecond(q.now, q.capacity.smoothing())
 	}
 	return work, arrivals
 }
 
-// aheadOf returns what goes ahead of a request, without its own workspace.
-func (q *Queue) aheadOf(r *Request, s *rivals) ahead {
-	a := ahead{capacity: q.capacity.perSecond(), workspace: r.Workspace, weight: r.Weight, rivals: s}
-	a.first, a.firstArrivals = q.higher(r.Priority)
-	a.lead = q.levels[r.Priority].fair.Lead(r.Workspace)
-	return a
-}
-
 // predict returns the wait of a request that is not in the queue.
 func (q *Queue) predict(r *Request) (wait time.Duration, ok bool) {
-	s := q.rivals(r.Priority)
-	a := q.aheadOf(r, &s)
-	if t := q.ledger.workspaces[r.Workspace]; t != nil {
-		a.lane = &t.lanes[r.Priority]
-	}
 	e := entry{Request: *r, rank: rankOf(r, q.now), number: q.arrivals + 1}
-	return q.predictEntry(&e, a, onTimePart)
+	return q.predictEntry(&e, onTimePart, q.rivals)
 }
 
 // predictEntry predicts the wait of an entry by the rank that it will have: one that turns late before it is served goes behind
-// those that are on time.
-func (q *Queue) predictEntry(e *entry, a ahead, part float64) (wait time.Duration, ok bool) {
+// those that are on time. rivalsAt returns the workspaces that compete at a level.
+func (q *Queue) predictEntry(e *entry, part float64, rivalsAt func(level int) *rivals) (wait time.Duration, ok bool) {
 	if e.rank < late {
-		wait, ok = q.predictAs(e, &a, e.rank)
+		wait, ok = q.predictAs(e, e.rank, rivalsAt(levelOf(e.Priority, e.rank)))
 		if ok && float64(wait) <= part*float64(e.OnTimeBy-q.now) {
 			return wait, true
 		}
 	}
-	return q.predictAs(e, &a, late)
+	return q.predictAs(e, late, rivalsAt(levelOf(e.Priority, late)))
 }
 
-func (q *Queue) predictAs(e *entry, a *ahead, as rank) (time.Duration, bool) {
-	if a.lane != nil {
+// predictAs predicts the wait of an entry of some rank.
+func (q *Queue) predictAs(e *entry, as rank, s *rivals) (time.Duration, bool) {
+	level := levelOf(e.Priority, as)
+	a := ahead{capacity: q.capacity.perSecond(), workspace: e.Workspace, weight: e.Weight, rivals: s}
+	a.first, a.firstArrivals = q.higher(level)
+	a.lead = q.levels[level].fair.Lead(e.Workspace)
+	if t := q.ledger.workspaces[e.Workspace]; t != nil {
+		a.lane = &t.lanes[level]
 		ranked := entry{Request: e.Request, rank: as, number: e.number}
 		a.own = a.lane.workBefore(&ranked)
 		a.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())
@@ -225,7 +218,7 @@
 
 // backlog returns the time until all waiting work of a priority and those above it is done.
 func (q *Queue) backlog(priority int) (time.Duration, bool) {
-	a := ahead{capacity: q.capacity.perSecond(), weight: 1, rivals: &rivals{}, own: q.levels[priority].work}
-	a.first, a.firstArrivals = q.higher(priority)
+	a := ahead{capacity: q.capacity.perSecond(), weight: 1, rivals: &rivals{}, own: q.levels[lastLevel(priority)].work}
+	a.first, a.firstArrivals = q.higher(lastLevel(priority))
 	return a.wait()
 }
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -14,7 +14,7 @@
 	name    string
 	weight  float64 // the last that was stated
 	waiting int
-	lanes   [Priorities]lane
+	lanes   [levelCount]lane
 	window  window
 	idle    *list.Element // position among the idle workspaces; nil while requests wait
 }
@@ -33,8 +33,8 @@
 	if !ok {
 		forgotten = g.evict()
 		t = &tally{name: workspace}
-		for p := range t.lanes {
-			t.lanes[p] = lane{tally: t, priority: p, recent: -1}
+		for i := range t.lanes {
+			t.lanes[i] = lane{tally: t, level: i, recent: -1}
 		}
 		t.idle = g.idle.PushBack(t)
 		g.workspaces[workspace] = t
@@ -69,5 +69,5 @@
 func (g *ledger) granted(now time.Duration, t *tally, r *Request) {
 	b := t.window.at(now)
 	b.granted++
-	b.work[r.Priority] += r.Cost
+	b.work += r.Cost
 }
--- a/internal/admission/next.go
+++ b/internal/admission/next.go
@@ -26,7 +26,7 @@
 
 func (q *Queue) grant(e *entry) bool {
 	q.countGrant(&e.Request, e.lane.tally)
-	q.levels[e.Priority].fair.Serve(e.item)
+	q.levels[e.lane.level].fair.Serve(e.item)
 	q.unlink(e)
 	return true
 }
@@ -46,7 +46,7 @@
 	return s.fits(&e.Request)
 }
 
-// level returns the first request of a priority that fits.
+// level returns the first request of a level that fits.
 func (s *search) level(v *level) *entry {
 	if v.fair.Len() == 0 {
 		return nil
--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -32,6 +32,21 @@
 	}
 }
 
+// levelCount is the number of levels. Each priority has two: requests that can meet the target latency are served before those that
+// cannot, of whichever workspace, as an answer in time is worth more to a caller than one that is late anyway.
+const levelCount = 2 * Priorities
+
+// levelOf returns the level of a request of some rank. Lower levels are served first.
+func levelOf(priority int, as rank) int {
+	if as == late {
+		return 2*priority + 1
+	}
+	return 2 * priority
+}
+
+// lastLevel returns the last level of a priority.
+func lastLevel(priority int) int { return levelOf(priority, late) }
+
 // entry is a waiting request.
 type entry struct {
 	Request
@@ -44,7 +59,7 @@
 	expiryIndex, onTimeIndex int
 }
 
-// before is the order within a workspace and priority.
+// before is the order within a workspace and level.
 func before(a, b *entry) bool {
 	if a.rank != b.rank {
 		return a.rank < b.rank
@@ -55,12 +70,12 @@
 	return a.number < b.number
 }
 
-// lane holds the waiting requests of one workspace and priority in their order.
+// lane holds the waiting requests of one workspace and level in their order.
 type lane struct {
-	tally    *tally
-	priority int
-	entries  []*entry
-	work     float64 // of the entries
+	tally   *tally
+	level   int
+	entries []*entry
+	work    float64 // of the entries
 	// arrivals are the rates of work that was asked for, up to the limit of shareOf.
 	arrivals [ranks]rate
 	// cost is that of the latest request.
@@ -125,7 +140,7 @@
 	return l.work / float64(len(l.entries))
 }
 
-// level holds the requests of one priority.
+// level holds the waiting requests of one priority that can meet the target latency, or those that cannot.
 type level struct {
 	fair *fairqueue.Queue[*entry]
 	work float64 // of the waiting requests
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -166,7 +166,7 @@
 	q := m.queue
 	require.Equal(t, len(m.open), q.Len())
 	require.LessOrEqual(t, q.Len(), q.max)
-	count, work := 0, [Priorities]float64{}
+	count, work := 0, [levelCount]float64{}
 	for _, tally := range q.ledger.workspaces {
 		for p := range tally.lanes {
 			l := &tally.lanes[p]
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -13,7 +13,7 @@
 type Queue struct {
 	max      int
 	now      time.Duration // the latest time that was passed; it does not go back
-	levels   [Priorities]level
+	levels   [levelCount]level
 	byKey    map[Key]*entry
 	expiry   *indexheap.Heap[*entry] // by the end of patience
 	onTime   *indexheap.Heap[*entry] // those not late, by the time at which they turn late
@@ -79,21 +79,38 @@
 
 func (q *Queue) turnLate(e *entry) {
 	q.onTime.Remove(e.onTimeIndex)
-	e.lane.remove(e)
+	t := e.lane.tally
+	q.levels[e.lane.level].fair.Remove(e.item)
+	q.leaveLevel(e)
 	e.rank = late
-	e.lane.insert(e)
-	q.levels[e.Priority].fair.Fix(e.item)
+	q.enterLevel(e, &t.lanes[levelOf(e.Priority, late)])
+}
+
+// enterLevel adds a request to the level of a lane.
+func (q *Queue) enterLevel(e *entry, l *lane) {
+	v := &q.levels[l.level]
+	e.lane = l
+	e.item = v.fair.Push(e.Workspace, e.Weight, e.Cost, e)
+	v.work += e.Cost
+	v.use(l, q.now)
+	l.insert(e)
+}
+
+// leaveLevel removes a request from its level but for the fair queue.
+func (q *Queue) leaveLevel(e *entry) {
+	v := &q.levels[e.lane.level]
+	v.work -= e.Cost
+	e.lane.remove(e)
+	if v.fair.Len() == 0 {
+		v.work = 0 // removes the rounding errors of the sum
+	}
 }
 
 // push adds a request that is within its bounds.
 func (q *Queue) push(r *Request, l *lane) {
 	q.arrivals++
-	e := &entry{Request: *r, rank: rankOf(r, q.now), arrived: q.now, number: q.arrivals, lane: l}
-	v := &q.levels[r.Priority]
-	e.item = v.fair.Push(r.Workspace, r.Weight, r.Cost, e)
-	v.work += r.Cost
-	v.use(l, q.now)
-	l.insert(e)
+	e := &entry{Request: *r, rank: rankOf(r, q.now), arrived: q.now, number: q.arrivals}
+	q.enterLevel(e, l)
 	q.byKey[r.Key] = e
 	q.expiry.Push(e)
 	if e.rank < late {
@@ -104,22 +121,17 @@
 
 // unlink removes a request from everything but its fair queue.
 func (q *Queue) unlink(e *entry) {
-	v := &q.levels[e.Priority]
-	v.work -= e.Cost
-	e.lane.remove(e)
+	q.leaveLevel(e)
 	delete(q.byKey, e.Key)
 	q.expiry.Remove(e.expiryIndex)
 	if e.rank < late {
 		q.onTime.Remove(e.onTimeIndex)
 	}
 	q.ledger.wait(e.lane.tally, -1)
-	if v.fair.Len() == 0 {
-		v.work = 0 // removes the rounding errors of the sum
-	}
 }
 
 func (q *Queue) drop(e *entry) {
-	q.levels[e.Priority].fair.Remove(e.item)
+	q.levels[e.lane.level].fair.Remove(e.item)
 	q.unlink(e)
 }
 
--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -104,8 +104,8 @@
 // overloaded reports whether more is asked for at a priority and those above it than the slots can do.
 func (q *Queue) overloaded(priority int) bool {
 	sum := 0.0
-	for p := 0; p <= priority; p++ {
-		sum += q.levels[p].offered.perSecond(q.now, q.capacity.smoothing())
+	for level := 0; level <= lastLevel(priority); level++ {
+		sum += q.levels[level].offered.perSecond(q.now, q.capacity.smoothing())
 	}
 	return sum >= q.capacity.perSecond()
 }
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// Priorities is the number of priorities; 0 is the most urgent.
-const Priorities = 4
+// Priorities is the number of priorities; 0 is the most urgent. It tells apart the routes and workspaces of the configurations in use.
+const Priorities = 16
 
 // Key identifies a request by the host that took it and the number of its slot request there.
 type Key struct {
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -8,7 +8,7 @@
 // bucket counts what happened to the requests of one workspace in one second.
 type bucket struct {
 	second                    int64
-	work                      [Priorities]float64 // cost of the granted requests
+	work                      float64 // cost of the granted requests
 	offered, granted, refused int
 }
 
@@ -33,20 +33,10 @@
 		if b.second <= second-windowSeconds {
 			continue
 		}
-		for p, work := range b.work {
-			s.work[p] += work
-		}
+		s.work += b.work
 		s.offered += b.offered
 		s.granted += b.granted
 		s.refused += b.refused
 	}
 	return s
 }
-
-func (b *bucket) totalWork() float64 {
-	sum := 0.0
-	for _, work := range b.work {
-		sum += work
-	}
-	return sum
-}
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -8,8 +8,14 @@
 
 	"fireflyshift/internal/admission"
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
 )
 
+// queuePriority returns the priority at admission queues, which tell more ranks apart than the counts of requests in flight.
+func queuePriority(rank float64) int {
+	return int(rank/routing.LeastUrgent*(admission.Priorities-1) + 0.5)
+}
+
 const (
 	// beyondSlots is the number of requests beyond its slots that an engine may hold where requests wait at owners. It covers the
 	// time of the datagrams between the end of a request and the start of the next one; more would be served in order of arrival
@@ -24,7 +30,7 @@
 	// up to a millisecond and follows each event. A server's class may change meanwhile.
 	misfitInterval = 25 * time.Millisecond
 	// reportedPriority is the priority whose wait is reported to other hosts.
-	reportedPriority = 1
+	reportedPriority = admission.Priorities / 2
 )
 
 // queueLimit is requestLimit where requests wait at owners.
@@ -198,7 +204,7 @@
 
 // entryOf returns a request as the queue needs it. target is when its first event is due.
 func (r *Router) entryOf(q *request, k admission.Key, patienceEnds, target time.Duration) admission.Request {
-	return admission.Request{Key: k, Priority: q.priority(), Cost: r.occupation(q).Seconds() * 1000,
+	return admission.Request{Key: k, Priority: queuePriority(q.Rank), Cost: r.occupation(q).Seconds() * 1000,
 		OnTimeBy: target - r.expectedPrefill(q), PatienceEnds: patienceEnds, Deadline: q.Deadline}
 }
 
