Tests: effects of the reducer recorded before admission queues

Admission queues must change nothing where they are not enabled, and no test would notice a changed decision that keeps all promises.

--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -65,6 +65,8 @@
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
+	// onEffect, if set, is called for each effect before it is carried out.
+	onEffect func(h *zoneHost, e Effect)
 	// onAnswered, if set, is called for each request that is answered.
 	onAnswered func(id uint64)
 	// onRefuse, if set, is called for each request that is refused.
@@ -163,6 +165,9 @@
 }
 
 func (z *zone) effect(h *zoneHost, e Effect) {
+	if z.onEffect != nil {
+		z.onEffect(h, e)
+	}
 	switch e := e.(type) {
 	case SendHeartbeat:
 		z.send(h, e.To, &gossippb.Packet{Beat: e.Heartbeat})
