--- a/internal/router/recorded_test.go
+++ b/internal/router/recorded_test.go
@@ -54,7 +54,7 @@
 			r.logs[h.ip] = f
 		}
 	}
-	r.onEffect = func(h *zoneHost, e Effect) {
+	r.onEffect = func(h *zoneHost, e Effect) bool {
 		r.kinds[fmt.Sprintf("%T", e)]++
 		if f, ok := e.(Refuse); ok {
 			r.kinds[string(f.Cause)]++
@@ -63,6 +63,7 @@
 		fmt.Fprintf(w, "%d %T", r.now, e)
 		writeCanonical(w, reflect.ValueOf(e))
 		fmt.Fprintln(w)
+		return false
 	}
 	r.onDispatch = r.drawEnd
 	r.onPull = func(from string, p Pull) {
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -65,8 +65,8 @@
 	// onStep is called at the end of each step, and onDispatch for each dispatch to an engine. Both may be nil.
 	onStep     func()
 	onDispatch func(h *zoneHost, e Dispatch)
-	// onEffect, if set, is called for each effect before it is carried out.
-	onEffect func(h *zoneHost, e Effect)
+	// onEffect, if set, is called for each effect and reports whether it has carried it out.
+	onEffect func(h *zoneHost, e Effect) bool
 	// onAnswered, if set, is called for each request that is answered.
 	onAnswered func(id uint64)
 	// onRefuse, if set, is called for each request that is refused.
@@ -119,18 +119,23 @@
 
 // newZones starts several zones, with the seeds in the first.
 func newZones(t testing.TB, zones, hosts, engines int) *zone {
+	return newZonesWith(t, zones, hosts, engines, 4, AdmissionSettings{})
+}
+
+// newZonesWith starts several zones with engines of so many slots.
+func newZonesWith(t testing.TB, zones, hosts, engines, slots int, admission AdmissionSettings) *zone {
 	z := &zone{t: t, rng: rand.New(rand.NewPCG(1, 2)), byIP: map[string]*zoneHost{}, streams: map[string]int{}, runs: map[uint64]*zoneRun{}}
 	n := Update{FromStore: true, Full: true, AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 1,
 		Services: []routing.Service{{Name: "m", Model: true, TokensPerEvent: 8}}}}}
 	for i := range zones * engines {
 		ch := changeOf(fmt.Sprintf("e%03d", i), 10, false)
-		ch.Slots, ch.Zone = 4, fmt.Sprintf("z%d", i/engines)
+		ch.Slots, ch.Zone = slots, fmt.Sprintf("z%d", i/engines)
 		n.Backends = append(n.Backends, ch)
 	}
 	for i := range zones * hosts {
 		h := &zoneHost{ip: fmt.Sprintf("10.0.%d.%d", i/hosts, i%hosts+1), zone: fmt.Sprintf("z%d", i/hosts)}
 		h.r = New(Options{Host: h.ip, Zone: h.zone, Incarnation: uint64(i + 1), Seed: uint64(i), Seeds: []string{"10.0.0.1", "10.0.0.2"},
-			Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}})
+			Bounds: Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 1000}, Admission: admission})
 		z.hosts = append(z.hosts, h)
 		z.byIP[h.ip] = h
 	}
@@ -165,8 +170,8 @@
 }
 
 func (z *zone) effect(h *zoneHost, e Effect) {
-	if z.onEffect != nil {
-		z.onEffect(h, e)
+	if z.onEffect != nil && z.onEffect(h, e) {
+		return
 	}
 	switch e := e.(type) {
 	case SendHeartbeat:
