Tests: fuzz target for the messages of admission queues

Ask with queues, Offer with queued and back_ms, Withdraw and Backlog at a host that keeps a queue and asks another owner.

Its fourth seed fails: an Offer with queued set that answers an Ask without queues dereferences nil in noteQueued, so any datagram of that form ends the process.

--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -100,6 +100,79 @@
 	})
 }
 
+// The same for the messages of admission queues, at a host that keeps one and has a request waiting at another owner: an absurd
+// weight or patience, an answer to no question, a queue that does not exist. No request of its own stays open for ever, and no
+// queue outgrows its limit.
+func FuzzQueuePacket(f *testing.F) {
+	hash := newBackend(routing.Backend{ID: "e0"}).hash
+	nan, inf := float32(math.NaN()), float32(math.Inf(1))
+	for _, p := range []*gossippb.Packet{
+		{Ask: &gossippb.Ask{Number: 1, Service: "m", Streaming: true, Queues: true, Workspace: "w", Weight: nan, PatienceMs: math.MaxUint32, LeftMs: math.MaxUint32, Output: math.MaxUint32}},
+		{Ask: &gossippb.Ask{Number: math.MaxUint64, Service: "m", Queues: true, Weight: -inf, Rank: nan, PatienceMs: 1, LeftMs: 1, Returning: true}},
+		{Ask: &gossippb.Ask{Number: 2, Service: "none", Queues: true, Weight: inf, PatienceMs: 1000, LeftMs: 5000, Avoid: []uint32{hash, 7}}},
+		{Offer: &gossippb.Offer{Number: 1, Queued: true, WaitUs: math.MaxUint32}},
+		{Offer: &gossippb.Offer{Number: 1, Queued: true, BackMs: math.MaxUint32, Place: &gossippb.Load{Backend: hash}}},
+		{Offer: &gossippb.Offer{Number: 1, BackMs: math.MaxUint32, Cause: 77}},
+		{Withdraw: &gossippb.Withdraw{Number: 1}},
+		{Withdraw: &gossippb.Withdraw{}},
+		{Occupancy: &gossippb.Occupancy{All: true, Backlogs: []*gossippb.Backlog{{Service: hash, Requests: math.MaxUint32, WaitMs: math.MaxUint32}, {}}}},
+	} {
+		data, err := proto.Marshal(p)
+		require.NoError(f, err)
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var p gossippb.Packet
+		if proto.Unmarshal(data, &p) != nil || (p.Ask == nil && p.Offer == nil && p.Withdraw == nil && p.Occupancy == nil) {
+			return
+		}
+		const maxRequests = 3
+		b := newFixture(t, 2)
+		b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Admission: AdmissionSettings{Enabled: true, MaxRequests: maxRequests}})
+		b.post(HeartbeatReceived{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1, AgeMs: 10_000}})
+		open := map[uint64]bool{}
+		post := func(ev Event) {
+			for _, e := range b.post(ev) {
+				switch e := e.(type) {
+				case Dispatch:
+					delete(open, e.ID)
+				case Refuse:
+					require.GreaterOrEqual(t, e.RetryAfter, time.Duration(0))
+					delete(open, e.ID)
+				}
+			}
+			for service, s := range b.r.queues.byService {
+				require.LessOrEqual(t, s.queue.Len(), maxRequests, service)
+				require.Len(t, s.waiting, s.queue.Len(), service)
+			}
+		}
+		for range 20 { // more than the engines' slots: some wait here, some ask the other owner
+			b.next++
+			open[b.next] = true
+			post(Submit{ID: b.next, Route: urgentRoute, PromptTok: 100, OutputTok: 100, Deadline: b.now + 10*time.Second})
+		}
+		ev := eventOf("10.0.0.2", &p)
+		for range 3 {
+			post(ev)
+			b.now += 10 * time.Millisecond
+			post(Tick{})
+		}
+		post(SlotOfferReceived{"10.0.0.2", &gossippb.Offer{Number: 1, Queued: true, WaitUs: 1000}})
+		post(ev)
+		for range 30 {
+			b.now += 500 * time.Millisecond
+			post(Tick{})
+		}
+		require.Empty(t, open, "requests without a decision after their deadline")
+		for _, e := range b.r.allBackends() {
+			require.GreaterOrEqual(t, e.inFlight(), 0)
+		}
+		for service, s := range b.r.queues.byService {
+			require.Zero(t, s.queue.Len(), service)
+		}
+	})
+}
+
 // The same for the answer to a pull. It never brings an older configuration back.
 func FuzzPeerNews(f *testing.F) {
 	f.Add([]byte(`{"Config":{"Version":7},"Backends":[{"ID":"e0","Revision":99,"Removed":true}],"After":1,"AsOf":100}`))
