Mutants: guards of admission queues in the router

Eight mutants were tried: six are caught by the recorded effects and by the shares of six hosts. Two, without expireQueuedCalls and with equal priorities, survived and are not listed.

--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -36,6 +36,8 @@
 	relayTests          = []string{"./internal/router", "-run", "Relay|CallThroughOthers"}
 	quotaTests          = []string{"./internal/router", "-run", "Quota|Owner|NewSpending"}
 	versionTests        = []string{"./internal/router", "-run", "Version|StreamsGoOn|Ambiguous|UnknownStreams|PromisesSmall", "-rapid.shrinktime=1s"}
+	effectsTests        = []string{"./internal/router", "-run", "EffectsWithout"}
+	sharesTests         = []string{"./internal/router", "-run", "SharesOfSix"}
 	limitTests          = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -422,4 +424,10 @@
 	{"relay-caller-left", "1", "internal/relay/tunnel.go", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n	t.reset()\n", "		_, _, _ = pump(io.Discard, t.hostReader)\n	}\n", []string{"./internal/relay"}},
 	{"relay-bounded", "relay", "internal/relay/server.go", "s.closed || len(s.open)+s.opening >= maxTunnels", "s.closed", []string{"./internal/relay"}},
 	{"relay-drain", "4", "internal/node/node.go", "n.connections.InUse() > 0 || n.relay.InUse() > 0", "n.connections.InUse() > 0", platformTests("RelayThatStops")},
+	{"queue-off-decides", "queues", "internal/router/slotrequests.go", "	if r.queueing() {\n\t\tr.scheduleWithQueues(q)", "	if true {\n\t\tr.scheduleWithQueues(q)", effectsTests},
+	{"queue-off-owners", "queues", "internal/router/owners.go", "return r.largeFleet() || r.queueing() }", "return true }", effectsTests},
+	{"queue-off-grants", "queues", "internal/router/slotgrants.go", "	if r.queueing() && !a.Borrows {\n", "	if !a.Borrows {\n", effectsTests},
+	{"queue-served", "queues", "internal/router/router.go", "	r.serveQueues()\n", "", sharesTests},
+	{"queue-weight", "queues", "internal/router/queuedcalls.go", "float32(q.Workspace.Weight)", "1", sharesTests},
+	{"queue-work", "queues", "internal/router/patience.go", "s.TokensPerEvent > 0 && q.OutputTok > 0 {", "false {", sharesTests},
 }
