--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -48,10 +48,12 @@
 	r       *bufio.Reader
 	process *soakProcess
 	opened  time.Time
+	// large is set if its requests are of the large workspace.
+	large bool
 }
 
 func newSoakConn(conn net.Conn, process *soakProcess) *soakConn {
-	return &soakConn{conn, bufio.NewReader(conn), process, time.Now()}
+	return &soakConn{Conn: conn, r: bufio.NewReader(conn), process: process, opened: time.Now()}
 }
 
 // dial connects to a host's current process, and returns nil if that fails.
@@ -101,7 +103,7 @@
 func (c *soakConn) send(kind, id string, p requestPause) soakReply {
 	const body = "body"
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: %s\r\nX-Fireflyshift-Credential: %s\r\n", kind, soakDomain, id, soakKey)
+	fmt.Fprintf(&b, "POST /%s/x HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: %s\r\nX-Fireflyshift-Credential: %s\r\n", kind, soakDomain, id, c.key())
 	fmt.Fprintf(&b, "X-Fireflyshift-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	text := b.Bytes()
 	first := len(text)
@@ -158,8 +160,7 @@
 
 // attempt makes one request and checks its outcome. It reports whether the connection can be reused.
 func (s *soak) attempt(c *soakConn, kind string, p requestPause) bool {
-	id := fmt.Sprintf("%s-%d", kind, s.attempts.Add(1))
-	s.recordCall(id, soakCall{kind: kind})
+	id := s.newCall(c, kind)
 	r := c.send(kind, id, p)
 	if r.resp != nil {
 		s.checkAnswer(id, kind, r.resp, r.body, r.err)
@@ -176,6 +177,16 @@
 	return false
 }
 
+// newCall records a new call and returns its ID.
+func (s *soak) newCall(c *soakConn, kind string) string {
+	id := fmt.Sprintf("%s-%d", kind, s.attempts.Add(1))
+	if c.large {
+		id = largePrefix + id
+	}
+	s.recordCall(id, soakCall{kind: kind})
+	return id
+}
+
 func (s *soak) recordCall(id string, c soakCall) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -86,6 +86,8 @@
 	// release is the number of the newest software version of versionedService; servers of the one before serve beside it.
 	release  int
 	versions versionCounts
+	// queues is set if the hosts have admission queues.
+	queues bool
 }
 
 type soakHost struct {
@@ -133,8 +135,10 @@
 	return 0
 }
 
-func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, 7)), subnet: claimSubnet(t), dir: t.TempDir(),
+func newSoak(t *testing.T, seed uint64) *soak { return newSoakWith(t, seed, false) }
+
+func newSoakWith(t *testing.T, seed uint64, queues bool) *soak {
+	s := &soak{t: t, queues: queues, rng: rand.New(rand.NewPCG(seed, 7)), subnet: claimSubnet(t), dir: t.TempDir(),
 		store: platformtest.NewStore(), version: 3, calls: map[string]soakCall{}, allowedFailures: map[string]int{}, proxyAddr: map[string]string{}, removed: map[string]bool{}, evacuated: map[string]bool{},
 		proxyServer: toxiproxy.NewServer(toxiproxy.NewMetricsContainer(nil), zerolog.Nop())}
 	s.publishConfig()
@@ -182,7 +186,7 @@
 		{Host: soakDomain, Prefix: "/check/", Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2, Priority: 2},
 		{Host: soakDomain, Prefix: fmt.Sprintf("/v%d/", s.version), Kind: "idempotent", Service: "web", TimeoutMS: 4000, TargetMS: 500, Attempts: 2},
 	}
-	s.store.Put("op/config", platformtest.Config(s.version, routes, []platformtest.Workspace{{Name: "soak", Keys: []string{soakKey}, Rate: 1e7, Burst: 1e7}}))
+	s.store.Put("op/config", platformtest.Config(s.version, routes, []platformtest.Workspace{{Name: "soak", Keys: []string{soakKey}, Rate: 1e7, Burst: 1e7}, {Name: largeWorkspace, Keys: []string{largeKey}, Rate: 1e7, Burst: 1e7}}))
 }
 
 // addBackend starts a backend server behind a proxy and registers it.
@@ -220,6 +224,9 @@
 		seeds = append(seeds, s.ip(k+1))
 	}
 	settings := platformtest.Settings("host-"+strconv.Itoa(i), h.ip, "zone-a", store, seeds)
+	if s.queues {
+		settings["admission-queue"] = map[string]any{"enabled": true, "max-requests": 64}
+	}
 	data, err := json.Marshal(settings)
 	require.NoError(s.t, err)
 	require.NoError(s.t, os.WriteFile(filepath.Join(h.dir, "settings.json"), data, 0o600))
@@ -631,7 +638,7 @@
 	for _, b := range s.backends {
 		for _, r := range b.Runs() {
 			runs[r.Attempt]++
-			if r.Header.Get("X-Fireflyshift-Credential") != "" || r.Header.Get("X-Fireflyshift-Tenant") != "soak" {
+			if r.Header.Get("X-Fireflyshift-Credential") != "" || r.Header.Get("X-Fireflyshift-Tenant") != workspaceOf(r.Attempt) {
 				s.failures = append(s.failures, r.Attempt+" reached a backend server with its API key, or for another workspace")
 			}
 		}
