--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -87,8 +87,6 @@
 	sentAt time.Duration
 	engine string // where it has arrived
 	gone   bool   // its caller has left, or it has ended
-	// decidedAt is when it was sent to an engine or refused.
-	decidedAt time.Duration
 }
 
 func newLoadFleet(t testing.TB, zones, hosts, engines int, admission AdmissionSettings) *loadFleet {
