--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -40,6 +40,8 @@
 	// admissionTests are those that need no long simulation; admissionLoadTests simulate load.
 	admissionTests     = []string{"./internal/admission", "-run", "Order|Admitted|Next|Refus|Displace|Expire|Remove|Replace|Forecast|Capacity|Returns|View|Hostile|Bounded|RandomCalls", "-rapid.checks=3000", "-rapid.shrinktime=1s"}
 	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large"}
+	effectsTests       = []string{"./internal/router", "-run", "EffectsWithout"}
+	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
 	limitTests         = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -232,7 +234,7 @@
 	{"brittle-share", "limits", "internal/router/brittle.go", "	return limit / senders, senders == 1\n", "	return limit, senders == 1\n", brittleTests},
 	{"brittle-senders", "limits", "internal/router/brittle.go", "	if rank >= senders {", "	if rank < 0 {", brittleTests},
 	{"brittle-rejected", "limits", "internal/router/brittle.go", "		b.brittle.risk.wasRejected(r.now)\n", "", brittleTests},
-	{"brittle-owner", "limits", "internal/router/brittle.go", "	if r.usesOwners() && !r.owns(b) {\n", "	if false {\n", brittleTests},
+	{"brittle-owner", "limits", "internal/router/brittle.go", "	if r.largeFleet() && !r.owns(b) {\n", "	if false {\n", brittleTests},
 	{"brittle-granted", "limits", "internal/router/slotgrants.go", "	r.countRisk(c.backend)\n", "", brittleTests},
 	{"brittle-new", "limits", "internal/router/brittle.go", "assumed: true}", "assumed: false}", brittleTests},
 	{"brittle-told", "limits", "internal/router/members.go", "	r.applyBrittleLimits(m.host, b.BrittleLimits)\n", "", brittleTests},
@@ -352,7 +354,7 @@
 	{"suspects-leaving", "ends", "internal/router/suspects.go", "if b.Draining || b.leaving || b.removed {", "if b.removed {", suspectTests},
 	{"suspects-reached", "ends", "internal/router/suspects.go", "	if e.Reached {\n", "	if false {\n", suspectTests},
 	{"suspects-back", "ends", "internal/router/registrations.go", "		b.exited = false // the registration had merely lapsed\n", "", suspectTests},
-	{"suspects-repeat", "ends", "internal/router/requests.go", "	q.fullOwners, q.decideLocally, q.owner = nil, false, \"\"\n	if retryAfter, yes := r.checkQuarantine(q); yes {\n", "	q.fullOwners, q.decideLocally, q.owner = nil, false, \"\"\n	if retryAfter, yes := r.checkQuarantine(q); yes && false {\n", suspectTests},
+	{"suspects-repeat", "ends", "internal/router/requests.go", "	q.fullOwners, q.decideLocally, q.owner = nil, false, \"\"\n	q.resetWait()\n	if retryAfter, yes := r.checkQuarantine(q); yes {\n", "	q.fullOwners, q.decideLocally, q.owner = nil, false, \"\"\n	if retryAfter, yes := r.checkQuarantine(q); yes && false {\n", suspectTests},
 	{"suspects-all", "ends", "internal/router/heartbeats.go", "if all := r.fullSuspectList(); all != nil {", "if all := r.fullSuspectList(); false {", suspectTests},
 	{"suspects-zones", "ends", "internal/router/zones.go", "		r.applySuspects(s.Suspects)\n", "", suspectTests},
 	{"suspects-trial", "ends", "internal/router/quarantine.go", "r.runsTrial(c.Digest) && ", "", suspectTests},
@@ -470,18 +472,18 @@
 	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
 	{"admission-displaced-share", "admission", "internal/admission/add.go", " || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0)", "", admissionTests},
 	{"admission-replace", "admission", "internal/admission/add.go", "replaced := q.Remove(r.Key)", "replaced := false", admissionTests},
-	{"admission-charge", "admission", "internal/admission/add.go", "\tq.levels[r.Priority].fair.Charge(r.Workspace, r.Weight, r.Cost)\n", "", admissionTests},
+	{"admission-charge", "admission", "internal/admission/add.go", "\tq.levels[l.level].fair.Charge(r.Workspace, r.Weight, r.Cost)\n", "", admissionTests},
 	{"admission-expired-grant", "admission", "internal/admission/next.go", "e.PatienceEnds <= s.now || ", "", admissionTests},
 	{"admission-tries", "admission", "internal/admission/next.go", "\tfor _, e := range skipped {\n\t\tif s.fit(e) {\n\t\t\treturn e\n\t\t}\n\t}\n", "\t_ = skipped\n", admissionTests},
 	{"admission-workspace-tries", "admission", "internal/admission/next.go", "tried > triesPerWorkspace", "tried > maxTries", admissionTests},
 	{"admission-expiry", "admission", "internal/admission/expire.go", "q.expiry.Len() > 0 && q.expiry.Min().PatienceEnds <= q.now", "false", admissionTests},
 	{"admission-review", "admission", "internal/admission/expire.go", "if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {", "if ok || wait >= 0 {", admissionTests},
-	{"admission-review-all", "admission", "internal/admission/expire.go", "\t\ts.refused(e)\n\t\trefusals = append(refusals, q.dropAndRefuse(e, WaitTooLong))\n", "\t\trefusals = append(refusals, q.refuse(&e.Request, e.lane.tally, WaitTooLong))\n", admissionTests},
+	{"admission-review-all", "admission", "internal/admission/expire.go", "\t\tcached(level).refused(e)\n\t\trefusals = append(refusals, q.dropAndRefuse(e, WaitTooLong))\n", "\t\trefusals = append(refusals, q.refuse(&e.Request, e.lane.tally, WaitTooLong))\n", admissionTests},
 	{"admission-late", "admission", "internal/admission/queue.go", "q.onTime.Len() > 0 && q.onTime.Min().OnTimeBy < now", "false", admissionTests},
-	{"admission-late-order", "admission", "internal/admission/queue.go", "\tq.levels[e.Priority].fair.Fix(e.item)\n", "", admissionTests},
+	{"admission-late-order", "admission", "internal/admission/queue.go", "\tq.enterLevel(e, &t.lanes[levelOf(e.Priority, late)])\n", "\tq.enterLevel(e, &t.lanes[levelOf(e.Priority, onTime)])\n", admissionTests},
 	{"admission-returning", "admission", "internal/admission/order.go", "case r.Returning:", "case false:", admissionTests},
 	{"admission-on-time", "admission", "internal/admission/order.go", "case now > r.OnTimeBy:", "case false:", admissionLoadTests},
-	{"admission-arrivals-ahead", "admission", "internal/admission/forecast.go", "\t\tarrivals += q.levels[p].arrivals.perSecond(q.now, q.capacity.smoothing())\n", "", admissionTests},
+	{"admission-arrivals-ahead", "admission", "internal/admission/forecast.go", "\t\tarrivals += q.levels[i].arrivals.perSecond(q.now, q.capacity.smoothing())\n", "", admissionTests},
 	{"admission-new-ahead", "admission", "internal/admission/forecast.go", "\t\ta.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())\n", "", admissionLoadTests},
 	{"admission-due", "admission", "internal/admission/forecast.go", "if demand < fair {", "if true {", admissionTests},
 	{"admission-relaxation", "admission", "internal/admission/rate.go", "\t\tc.granted += (assumedRate*c.waited - c.granted) * (1 - decay(elapsed, relaxation))\n", "", admissionTests},
@@ -490,4 +492,10 @@
 	{"admission-weight", "admission", "internal/admission/limits.go", "if !(w > 0) || math.IsInf(w, 1) {", "if w == 0 {", admissionTests},
 	{"admission-time", "admission", "internal/admission/limits.go", "return min(max(t, now-maxTimeLeft), now+maxTimeLeft)", "return t", admissionTests},
 	{"admission-memory", "admission", "internal/admission/ledger.go", "if len(g.workspaces) < maxWorkspaces || g.idle.Len() == 0 {", "if true {", admissionTests},
+	{"queue-off-decides", "queues", "internal/router/slotrequests.go", "	if r.queueing() {\n\t\tr.scheduleWithQueues(q)", "	if true {\n\t\tr.scheduleWithQueues(q)", effectsTests},
+	{"queue-off-owners", "queues", "internal/router/owners.go", "return r.largeFleet() || r.queueing() }", "return true }", effectsTests},
+	{"queue-off-grants", "queues", "internal/router/slotgrants.go", "	if r.queueing() && !a.Borrows {\n", "	if !a.Borrows {\n", effectsTests},
+	{"queue-served", "queues", "internal/router/router.go", "	r.serveQueues()\n", "", sharesTests},
+	{"queue-weight", "queues", "internal/router/queuedcalls.go", "float32(q.Workspace.Weight)", "1", sharesTests},
+	{"queue-work", "queues", "internal/router/patience.go", "s.TokensPerEvent > 0 && q.OutputTok > 0 {", "false {", sharesTests},
 }
