--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -345,6 +345,15 @@
 	}
 }
 
+// grantsTo reports whether slots of a backend server may be granted by this host: out of its shares if they are lent, and otherwise as
+// its owner. Lending does not grant what others wait for.
+func (r *Router) grantsTo(b *backend, lends bool) bool {
+	if lends {
+		return b.ratesShared(r.now) || r.isBrittle(b) && r.maySlotsBeRequested(b)
+	}
+	return r.owns(b) && r.ownerGrants(b)
+}
+
 // freeBackends returns this host's backend servers of a service that have a slot for a queued request.
 func (r *Router) freeBackends(service string) []*backend {
 	var out []*backend
--- a/internal/router/queuedcalls.go
+++ b/internal/router/queuedcalls.go
@@ -107,16 +107,39 @@
 		r.askToQueue(q, owner, worst)
 		return
 	}
+	if c.backend == nil && r.sendDespiteOwners(q) {
+		return
+	}
 	if c.backend == nil || q.queueRefused {
 		r.borrowOrRefuse(q, r.refusalBasis(q))
 		return
 	}
-	if !r.mayAskInTime(q, r.ownerOf(c.backend)) {
+	// The last resort of a small fleet, a server that this host itself suspects, is one that owners are asked to avoid.
+	lastResort := !r.largeFleet() && c.class > classDoubtful
+	if lastResort || !r.mayAskInTime(q, r.ownerOf(c.backend)) {
 		q.decideLocally = true
 	}
 	r.requestSlotOrSend(q, c)
 }
 
+// sendDespiteOwners sends a request by this host's own view if owners have no server that they would grant it, but none is full: all
+// are suspected by some host. In a small fleet one owner may have them all, and its refusal would leave the others idle.
+func (r *Router) sendDespiteOwners(q *request) bool {
+	if r.largeFleet() || q.queueRefused || q.queueBasis.Cause != "" {
+		return false
+	}
+	full := q.fullOwners
+	q.fullOwners = nil
+	c := r.selectInScope(q, scopeAll)
+	q.fullOwners = full
+	if c.backend == nil || c.basis.Full > 0 {
+		return false
+	}
+	c.basis.ViewAge = r.oldestHeartbeatAge()
+	r.send(q, c.backend, c.basis)
+	return true
+}
+
 // selectWithOwners chooses a backend server by this host's view, in a large fleet first in its own zone.
 func (r *Router) selectWithOwners(q *request) selection {
 	if r.largeFleet() {
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -233,6 +233,9 @@
 // eligible reports whether the selector considers a backend server. Servers of owners that have just
 // reported no free slot for this request are skipped.
 func (s *selector) eligible(b *backend) bool {
+	if s.scope == scopeOwned && s.r.queueing() {
+		return s.r.grantsTo(b, s.lends)
+	}
 	if s.scope == scopeOwned {
 		return s.r.maySlotsBeRequested(b) || s.lends && b.ratesShared(s.r.now)
 	}
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -115,6 +115,9 @@
 		return // heartbeats carry the rest
 	}
 	r.learnFromReport(b, rep)
+	if !r.largeFleet() && rep.Outcome != gossippb.Outcome_OUTCOME_SOUND {
+		return // heartbeats carry failures, once their sender knows that it is not cut off itself
+	}
 	if known && !m.reportsCount(b) && isFailureReport(rep.Outcome) {
 		return
 	}
