--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -167,9 +167,19 @@
 	a.parts = quarantine.PartDigests(a.call.PromptParts)
 	a.effects = make(chan router.Effect, effectBuffer)
 	a.g.control.Submit(a.submission(), Caller{a.effects, a.canceler.abort})
-	for e := range a.effects {
-		switch e := e.(type) {
+	var left <-chan struct{} // set while the request waits in an admission queue
+	for {
+		var next router.Effect
+		select {
+		case next = <-a.effects:
+		case <-left:
+			a.g.control.Post(router.CallerLeft{ID: a.id})
+			a.canceled()
+			return
+		}
+		switch e := next.(type) {
 		case router.Queued:
+			left = a.r.Context().Done()
 			a.enterQueue(e)
 		case router.Dispatch:
 			a.dispatchedFromQueue(e.Basis)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -95,7 +95,12 @@
 		e.run(c.router)
 	case router.Event:
 		c.reduce(e)
-		if end, ok := e.(router.DispatchEnded); ok && (end.Outcome == router.Answered || end.Outcome == router.Canceled) {
+		switch end := e.(type) {
+		case router.DispatchEnded:
+			if end.Outcome == router.Answered || end.Outcome == router.Canceled {
+				delete(c.callers, end.ID)
+			}
+		case router.CallerLeft:
 			delete(c.callers, end.ID)
 		}
 	}
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -133,6 +133,9 @@
 		return
 	}
 	entry := r.entryFromAsk(m, a, w.q)
+	if old := s.waiting[entry.Key]; old != nil && old.incarnation != m.incarnation {
+		r.removeWaiting(entry.Key) // of an earlier process of the host
+	}
 	if old := s.waiting[entry.Key]; old != nil && a.Queues {
 		// The sender asks whether the request still waits. It keeps its place.
 		old.q, old.worst = w.q, w.worst
@@ -387,6 +390,10 @@
 		q := w.q
 		r.leaveQueue(q)
 		q.slotCall, q.owner, q.queueBasis.Cause = nil, "", ""
+		if retryAfter, yes := r.checkQuarantine(q); yes { // the verdict may have come while it waited
+			r.refuseQuarantined(q, retryAfter)
+			return
+		}
 		g := c.basis
 		g.Queue, g.Owner = q.queueBasis, r.opt.Host
 		r.send(q, b, g)
--- a/internal/router/ownercalls.go
+++ b/internal/router/ownercalls.go
@@ -44,9 +44,6 @@
 
 // overdue returns the calls that have timed out since the last time, and drops those older than lateReplyTTL.
 func (l *ownerCalls[Q]) overdue(now time.Duration) []Q {
-	for len(l.pending) > 0 && now-l.pending[0].call().sentAt > lateReplyTTL {
-		l.pending = l.pending[1:]
-	}
 	var out []Q
 	for _, q := range l.pending {
 		if a := q.call(); !a.timedOut && now-a.sentAt >= ownerCallTimeout {
@@ -54,5 +51,9 @@
 			out = append(out, q)
 		}
 	}
+	// Only after that, as a host that wakes up from a pause would otherwise forget calls that have not timed out yet.
+	for len(l.pending) > 0 && now-l.pending[0].call().sentAt > lateReplyTTL {
+		l.pending = l.pending[1:]
+	}
 	return out
 }
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -64,7 +64,8 @@
 func (r *Router) withdrawQuarantined() {
 	var ids []uint64
 	for id, q := range r.requests {
-		if q.backend != nil && !q.begun && !q.onTrial && q.Route.Kind == routing.Streaming && len(r.blamedFor(q)) > 0 {
+		waits := q.slotCall != nil && q.slotCall.queued != nil // at no backend server
+		if q.backend != nil && !waits && !q.begun && !q.onTrial && q.Route.Kind == routing.Streaming && len(r.blamedFor(q)) > 0 {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/router/queuedcalls.go
+++ b/internal/router/queuedcalls.go
@@ -342,6 +342,14 @@
 	}
 }
 
+// withdrawUnknown removes a request that this host does not know any more from an owner's queue. A message that crossed the grant of
+// the request may have queued it again.
+func (r *Router) withdrawUnknown(owner string, offer *gossippb.Offer) {
+	if r.queueing() && offer.Queued {
+		r.emit(Send{To: []string{owner}, Packet: &gossippb.Packet{Withdraw: &gossippb.Withdraw{Number: offer.Number}}})
+	}
+}
+
 // leaveQueue ends the wait of a request as far as this host counts it.
 func (r *Router) leaveQueue(q *request) {
 	a := q.slotCall
@@ -406,6 +414,7 @@
 			r.ownerLost(q, a)
 		case call.since > 0 && call.confirmBy == 0 && r.now >= call.confirmAt:
 			call.confirmBy = r.now + ownerCallTimeout
+			r.announceToOwner(a.owner)
 			r.sendQueueAsk(q, a)
 		}
 	}
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -166,7 +166,7 @@
 	r.emitHeartbeat(to, func(*gossippb.Beat) {})
 }
 
-// remoteOwnersWithLoad returns the owners in other zones at whose backend servers this host has requests.
+// remoteOwnersWithLoad returns the owners in other zones at whose backend servers or in whose queues this host has requests.
 func (r *Router) remoteOwnersWithLoad() []string {
 	var out []string
 	for _, b := range r.allBackends() {
@@ -177,6 +177,12 @@
 			out = append(out, owner)
 		}
 	}
+	for _, a := range r.queued.calls {
+		// The owner drops the waiting requests of hosts that it does not hear.
+		if a.owner != r.opt.Host && r.ownerZone(a.owner) != r.opt.Zone && !slices.Contains(out, a.owner) {
+			out = append(out, a.owner)
+		}
+	}
 	return out
 }
 
@@ -262,10 +268,15 @@
 // handleSlotOffer processes an owner's reply to a slot request.
 func (r *Router) handleSlotOffer(from string, offer *gossippb.Offer) {
 	a, ok := r.slotRequests.take(from, offer.Number)
+	if ok && offer.Queued && a.queued == nil {
+		r.slotRequests.add(a) // only a request that asked for it can be queued, so this is a reply to an earlier process
+		return
+	}
 	if !ok {
 		a, ok = r.queued.call(from, offer.Number)
 	}
 	if !ok {
+		r.withdrawUnknown(from, offer)
 		return
 	}
 	r.replyReceived(from)
