Admission queue: a silence shorter than one answer says nothing about the capacity

Symptom: 60 streams of a second each came at once to an owner of five slots; 23 were queued and none was granted: all were refused 60 to 830 ms later, before the first slot could become free. Cause: time without a grant lowered the measured capacity at once, although slots that are taken together become free only after one answer's time, so that predicted waits grew beyond every patience. Change: waiting time counts with the next grant, or after one answer's time. The new test fails before and passes now; the load cases of the package pass.

--- a/internal/admission/rate.go
+++ b/internal/admission/rate.go
@@ -80,6 +80,9 @@
 	service time.Duration
 	// granted is the work per slot granted while requests waited in milliseconds, and waited that time in seconds, both smoothed.
 	granted, waited float64
+	// pending is the time in which requests waited that is not yet counted: slots that were taken together become free only after
+	// one answer's time, so until then a silence tells nothing.
+	pending time.Duration
 }
 
 func newCapacity() capacity {
@@ -105,13 +108,24 @@
 		return
 	}
 	if !waiting {
+		c.pending = 0
 		c.granted += (assumedRate*c.waited - c.granted) * (1 - decay(elapsed, relaxation))
 		return
 	}
-	f := decay(elapsed, c.smoothing())
+	if c.pending += elapsed; c.pending > c.service {
+		c.countPending()
+	}
+}
+
+func (c *capacity) countPending() {
+	f := decay(c.pending, c.smoothing())
 	c.granted *= f
 	c.waited = c.waited*f + c.smoothing().Seconds()*(1-f)
+	c.pending = 0
 }
 
 // grant records a grant while requests waited.
-func (c *capacity) grant(cost float64) { c.granted += cost / float64(max(c.slots, 1)) }
+func (c *capacity) grant(cost float64) {
+	c.countPending()
+	c.granted += cost / float64(max(c.slots, 1))
+}
