--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -143,7 +143,8 @@
 	f.run(watched, 0)
 	f.sources, f.cutZone = nil, ""
 	until := f.now
-	f.run(loadPatience+2*time.Second, 0)
+	// A caller refused in the last moment returns up to a third of its time later and may wait again.
+	f.run(loadPatience+10*time.Second, 0)
 	f.onStepEnd = nil
 
 	if w.fault != "cut" || w.zones == 1 {
