Gateway: a closed effect channel ends the request; the status has sixteen priorities

Symptom: the tests of the gateway ran for ever on, and TestQueuesInTheStatus failed since the queue has sixteen priorities. Change: a closed channel ends the loop, as the range did. The expected status has sixteen waits, all of which are compared. A test shows that a caller who leaves the queue is reported. The tests of both packages pass under the race detector.

--- a/internal/gateway/queued_test.go
+++ b/internal/gateway/queued_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -151,3 +152,37 @@
 	a.refuseByCause(refusal)
 	require.Contains(t, logs.String(), `"queue_cause":"queue_full"`)
 }
+
+// waitingControl queues each request and grants it nothing.
+type waitingControl struct {
+	pausingControl
+	queued chan struct{}
+	posted chan router.Event
+}
+
+// Submit implements Control.
+func (w *waitingControl) Submit(_ router.Submit, c Caller) {
+	c.Effects <- router.Queued{Owner: "10.0.0.7"}
+	close(w.queued)
+}
+
+// Post implements Control.
+func (w *waitingControl) Post(ev router.Event) { w.posted <- ev }
+
+// Guards against a place in a queue, and then a slot, that is kept for a caller who has left.
+func TestCallerWhoLeavesTheQueueIsReported(t *testing.T) {
+	control := &waitingControl{queued: make(chan struct{}), posted: make(chan router.Event, 1)}
+	g := New(control, noopCodec{}, upstream.NewPool(func() {}), zerolog.Nop(), telemetry.NewMetrics())
+	ctx, leave := context.WithCancel(t.Context())
+	a := &activeRequest{g: g, w: httptest.NewRecorder(), r: httptest.NewRequestWithContext(ctx, http.MethodGet, "/x", nil), startedAt: time.Now(),
+		route: &routing.Route{Name: "plain"}, allowed: time.Minute, deadline: time.Now().Add(time.Minute)}
+	ended := make(chan any)
+	go func() {
+		defer func() { ended <- recover() }()
+		a.run()
+	}()
+	<-control.queued
+	leave()
+	require.Equal(t, router.CallerLeft{ID: a.id}, <-control.posted)
+	require.Equal(t, http.ErrAbortHandler, <-ended)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -170,13 +170,17 @@
 	var left <-chan struct{} // set while the request waits in an admission queue
 	for {
 		var next router.Effect
+		var open bool
 		select {
-		case next = <-a.effects:
+		case next, open = <-a.effects:
 		case <-left:
 			a.g.control.Post(router.CallerLeft{ID: a.id})
 			a.canceled()
 			return
 		}
+		if !open {
+			return
+		}
 		switch e := next.(type) {
 		case router.Queued:
 			left = a.r.Context().Done()
--- a/internal/node/queues_test.go
+++ b/internal/node/queues_test.go
@@ -52,10 +52,10 @@
 		{Service: "web", View: admission.View{Room: math.Inf(1), PerSlot: math.NaN()}},
 	}))
 	require.NoError(t, err)
-	require.JSONEq(t, `[{"service":"models","requests":3,"room_ms_per_s":5400,"slot_room_ms_per_s":150,"wait_ms":[0,120,-1,-1],"workspaces":[
+	require.JSONEq(t, `[{"service":"models","requests":3,"room_ms_per_s":5400,"slot_room_ms_per_s":150,"wait_ms":[0,120,-1,-1,0,0,0,0,0,0,0,0,0,0,0,0],"workspaces":[
 		{"workspace":"school","weight":2.5,"waiting":3,"offered":9,"granted":4,"refused":2,"work_ms":600,"share":0.25},
 		{"workspace":"","weight":1,"waiting":0,"offered":0,"granted":0,"refused":0,"work_ms":0,"share":0}]},
-		{"service":"web","requests":0,"room_ms_per_s":0,"slot_room_ms_per_s":0,"wait_ms":[0,0,0,0]}]`, string(data))
+		{"service":"web","requests":0,"room_ms_per_s":0,"slot_room_ms_per_s":0,"wait_ms":[0,0,0,0,0,0,0,0,0,0,0,0,0,0,0,0]}]`, string(data))
 }
 
 // Guards against withdrawals that are counted as another kind of datagram, or not at all.
