Admission queues: bounded memory of a workspace, one rule for callers' patience, files by job

Each workspace held 32 lanes at a queue since each priority has two levels: 4.3 KB, up to 18 MB a service. Lanes are created on first use. The record of what callers of a route allow is bounded. The time after which callers leave a stream stood in the gateway and in the router; it is a method of the route. Bounds of weights and of max-requests stood twice.

--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -72,11 +72,13 @@
 func (q *Queue) lane(r *Request) *lane {
 	t, forgotten := q.ledger.of(r.Workspace, r.Weight)
 	if forgotten != nil {
-		for i := range forgotten.lanes {
-			q.levels[i].forget(&forgotten.lanes[i])
+		for i, l := range forgotten.lanes {
+			if l != nil {
+				q.levels[i].forget(l)
+			}
 		}
 	}
-	return &t.lanes[levelOf(r.Priority, rankOf(r, q.now))]
+	return t.lane(levelOf(r.Priority, rankOf(r, q.now)))
 }
 
 // countOffer counts a request that asks. One of a returning caller was counted when it was refused, but adds to the demand.
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -22,20 +22,20 @@
 	for q.expiry.Len() > 0 && q.expiry.Min().PatienceEnds <= q.now {
 		refusals = append(refusals, q.dropAndRefuse(q.expiry.Min(), Expired))
 	}
-	if q.now-q.reviewed < reviewInterval {
+	if q.now-q.reviewedAt < reviewInterval {
 		return refusals
 	}
-	q.reviewed = q.now
+	q.reviewedAt = q.now
 	for level := range q.levels {
 		refusals = append(refusals, q.review(level)...)
 	}
 	return refusals
 }
 
-// reviewed is a waiting request with its place in the order.
-type reviewed struct {
-	entry *entry
-	turn  float64 // work of its workspace up to it divided by the weight
+// reviewEntry is a waiting request with its place in the order.
+type reviewEntry struct {
+	entry        *entry
+	virtualStart float64 // work of its workspace up to it divided by the weight
 }
 
 // review refuses the requests of a level that would not be served within their patience. It begins with those served last: their
@@ -45,10 +45,10 @@
 	if len(order) == 0 {
 		return nil
 	}
-	byLevel := map[int]*rivals{}
-	cached := func(level int) *rivals {
+	byLevel := map[int]*competitors{}
+	cached := func(level int) *competitors {
 		if byLevel[level] == nil {
-			byLevel[level] = q.rivals(level)
+			byLevel[level] = q.competitors(level)
 		}
 		return byLevel[level]
 	}
@@ -66,18 +66,18 @@
 }
 
 // inReverse returns the requests of a level, the one served last first.
-func (q *Queue) inReverse(level int) []reviewed {
-	var order []reviewed
+func (q *Queue) inReverse(level int) []reviewEntry {
+	var order []reviewEntry
 	v := &q.levels[level]
 	for _, l := range v.lanes {
-		turn := 0.0
+		virtualStart := 0.0
 		for _, e := range l.entries {
-			turn += e.Cost / l.tally.weight
-			order = append(order, reviewed{e, turn})
+			virtualStart += e.Cost / l.tally.weight
+			order = append(order, reviewEntry{e, virtualStart})
 		}
 	}
-	slices.SortFunc(order, func(a, b reviewed) int {
-		return cmp.Or(cmp.Compare(b.turn, a.turn), cmp.Compare(b.entry.number, a.entry.number))
+	slices.SortFunc(order, func(a, b reviewEntry) int {
+		return cmp.Or(cmp.Compare(b.virtualStart, a.virtualStart), cmp.Compare(b.entry.number, a.entry.number))
 	})
 	return order
 }
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -12,14 +12,14 @@
 	// count as on time. The rest covers the error of the prediction: a request that turns late goes behind all new ones and would
 	// mostly be refused after having waited.
 	onTimePart = 0.85
-	// maxRivals limits the workspaces that a forecast distinguishes; it adds up the others. Its cost then does not grow with the
-	// number of workspaces.
-	maxRivals = 128
+	// maxCompetitors limits the workspaces that a forecast distinguishes in each of its steps; it adds up the others. Collecting them
+	// still visits each workspace with recent requests once.
+	maxCompetitors = 128
 )
 
-// rival is another workspace of the same level: what waits of it, how fast more arrives, and what limits how much of both goes
+// competitor is another workspace of the same level: what waits of it, how fast more arrives, and what limits how much of both goes
 // ahead.
-type rival struct {
+type competitor struct {
 	lane     *lane   // nil for the sum of several
 	work     float64 // milliseconds
 	arrivals float64 // milliseconds per second
@@ -28,10 +28,10 @@
 	cost     float64 // of one of its requests; zero if unknown
 }
 
-// due returns the work that the workspace is served before another one at a turn. Service is by whole requests, and of two workspaces
+// allotment returns the work that the workspace is served before another one at a virtual start time. Service is by whole requests, and of two workspaces
 // with the same virtual time that with the lower name is served first: with equal costs and weights this decides a whole round.
-func (r *rival) due(turn float64, name string) float64 {
-	behind := turn - r.lead
+func (r *competitor) allotment(virtualStart float64, name string) float64 {
+	behind := virtualStart - r.lead
 	if behind < 0 {
 		return 0
 	}
@@ -47,15 +47,15 @@
 	return whole * r.cost
 }
 
-// rivals are the workspaces of one level with waiting requests or recent arrivals.
-type rivals struct {
-	each []rival // at most maxRivals
-	rest rival   // the sum of the others
-	dues []float64
+// competitors are the workspaces of one level with waiting requests or recent arrivals.
+type competitors struct {
+	each       []competitor // at most maxCompetitors
+	rest       competitor   // the sum of the others
+	allotments []float64
 }
 
-func (s *rivals) add(r rival) {
-	if len(s.each) < maxRivals {
+func (s *competitors) add(r competitor) {
+	if len(s.each) < maxCompetitors {
 		s.each = append(s.each, r)
 		return
 	}
@@ -65,7 +65,7 @@
 }
 
 // refused subtracts a refused request, so that the forecasts of the others need not count it.
-func (s *rivals) refused(e *entry) {
+func (s *competitors) refused(e *entry) {
 	for i := range s.each {
 		if s.each[i].lane == e.lane {
 			s.each[i].work = max(0, s.each[i].work-e.Cost)
@@ -75,18 +75,18 @@
 	s.rest.work = max(0, s.rest.work-e.Cost)
 }
 
-// rivals returns the workspaces that compete at a level, and forgets those that were idle for long.
-func (q *Queue) rivals(level int) *rivals {
+// competitors returns the workspaces that compete at a level, and forgets those that were idle for long.
+func (q *Queue) competitors(level int) *competitors {
 	v, smoothing := &q.levels[level], q.capacity.smoothing()
-	var s rivals
+	var s competitors
 	for i := 0; i < len(v.lanes); {
 		l := v.lanes[i]
 		if len(l.entries) == 0 && q.now-l.lastUsed > forgetAfter*smoothing {
 			v.forget(l)
 			continue
 		}
-		r := rival{lane: l, work: l.work, arrivals: l.allArrivals(q.now, smoothing), weight: l.tally.weight}
-		if len(s.each) < maxRivals {
+		r := competitor{lane: l, work: l.work, arrivals: l.allArrivals(q.now, smoothing), weight: l.tally.weight}
+		if len(s.each) < maxCompetitors {
 			r.lead = v.fair.Lead(l.tally.name)
 			r.cost = l.requestCost()
 		}
@@ -107,41 +107,41 @@
 	workspace        string
 	// lead is what its workspace received beyond the others, in work divided by weight.
 	lead, weight float64
-	rivals       *rivals
+	competitors  *competitors
 }
 
-// turn is the virtual time at which the request is served, measured from that of the latest service.
-func (a *ahead) turn() float64 { return a.own/a.weight + a.lead }
+// virtualStart returns the virtual time of the request's service, relative to that of the latest service.
+func (a *ahead) virtualStart() float64 { return a.own/a.weight + a.lead }
 
-// prepare calculates what each other workspace is due before the request's turn.
+// prepare calculates what each other workspace is served before the request.
 func (a *ahead) prepare() {
-	a.rivals.dues = a.rivals.dues[:0]
-	for i := range a.rivals.each {
-		a.rivals.dues = append(a.rivals.dues, a.rivals.each[i].due(a.turn(), a.workspace))
+	a.competitors.allotments = a.competitors.allotments[:0]
+	for i := range a.competitors.each {
+		a.competitors.allotments = append(a.competitors.allotments, a.competitors.each[i].allotment(a.virtualStart(), a.workspace))
 	}
 }
 
 // within returns the work that is served before the request if it waits for some seconds, and how fast this grows. Of each other
 // workspace this is what waits and arrives, but not more than weighted fair queuing serves before the request's own workspace has
-// its turn.
+// its next service.
 func (a *ahead) within(seconds float64) (work, growth float64) {
 	work, growth = a.first+a.firstArrivals*seconds+a.own+a.ownArrivals*seconds, a.firstArrivals+a.ownArrivals
 	delay, delayGrowth := a.ownArrivals*seconds/a.weight, a.ownArrivals/a.weight
-	count := func(r *rival, due float64) {
-		demand, fair := r.work+r.arrivals*seconds, due+delay*r.weight
+	count := func(r *competitor, allotment float64) {
+		demand, fair := r.work+r.arrivals*seconds, allotment+delay*r.weight
 		if demand < fair {
 			work, growth = work+demand, growth+r.arrivals
 		} else {
 			work, growth = work+fair, growth+delayGrowth*r.weight
 		}
 	}
-	for i := range a.rivals.each {
-		if r := &a.rivals.each[i]; r.lane != a.lane {
-			count(r, a.rivals.dues[i])
+	for i := range a.competitors.each {
+		if r := &a.competitors.each[i]; r.lane != a.lane {
+			count(r, a.competitors.allotments[i])
 		}
 	}
-	if a.rivals.rest.weight > 0 {
-		count(&a.rivals.rest, a.rivals.rest.due(a.turn(), a.workspace))
+	if a.competitors.rest.weight > 0 {
+		count(&a.competitors.rest, a.competitors.rest.allotment(a.virtualStart(), a.workspace))
 	}
 	return work, growth
 }
@@ -186,29 +186,29 @@
 // predict returns the wait of a request that is not in the queue.
 func (q *Queue) predict(r *Request) (wait time.Duration, ok bool) {
 	e := entry{Request: *r, rank: rankOf(r, q.now), number: q.arrivals + 1}
-	return q.predictEntry(&e, onTimePart, q.rivals)
+	return q.predictEntry(&e, onTimePart, q.competitors)
 }
 
 // predictEntry predicts the wait of an entry by the rank that it will have: one that turns late before it is served goes behind
-// those that are on time. rivalsAt returns the workspaces that compete at a level.
-func (q *Queue) predictEntry(e *entry, part float64, rivalsAt func(level int) *rivals) (wait time.Duration, ok bool) {
+// those that are on time. competitorsAt returns the workspaces that compete at a level.
+func (q *Queue) predictEntry(e *entry, part float64, competitorsAt func(level int) *competitors) (wait time.Duration, ok bool) {
 	if e.rank < late {
-		wait, ok = q.predictAs(e, e.rank, rivalsAt(levelOf(e.Priority, e.rank)))
+		wait, ok = q.predictAs(e, e.rank, competitorsAt(levelOf(e.Priority, e.rank)))
 		if ok && float64(wait) <= part*float64(e.OnTimeBy-q.now) {
 			return wait, true
 		}
 	}
-	return q.predictAs(e, late, rivalsAt(levelOf(e.Priority, late)))
+	return q.predictAs(e, late, competitorsAt(levelOf(e.Priority, late)))
 }
 
 // predictAs predicts the wait of an entry of some rank.
-func (q *Queue) predictAs(e *entry, as rank, s *rivals) (time.Duration, bool) {
+func (q *Queue) predictAs(e *entry, as rank, s *competitors) (time.Duration, bool) {
 	level := levelOf(e.Priority, as)
-	a := ahead{capacity: q.capacity.perSecond(), workspace: e.Workspace, weight: e.Weight, rivals: s}
+	a := ahead{capacity: q.capacity.perSecond(), workspace: e.Workspace, weight: e.Weight, competitors: s}
 	a.first, a.firstArrivals = q.higher(level)
 	a.lead = q.levels[level].fair.Lead(e.Workspace)
-	if t := q.ledger.workspaces[e.Workspace]; t != nil {
-		a.lane = &t.lanes[level]
+	if t := q.ledger.workspaces[e.Workspace]; t != nil && t.lanes[level] != nil {
+		a.lane = t.lanes[level]
 		ranked := entry{Request: e.Request, rank: as, number: e.number}
 		a.own = a.lane.workBefore(&ranked)
 		a.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())
@@ -218,7 +218,7 @@
 
 // backlog returns the time until all waiting work of a priority and those above it is done.
 func (q *Queue) backlog(priority int) (time.Duration, bool) {
-	a := ahead{capacity: q.capacity.perSecond(), weight: 1, rivals: &rivals{}, own: q.levels[lastLevel(priority)].work}
+	a := ahead{capacity: q.capacity.perSecond(), weight: 1, competitors: &competitors{}, own: q.levels[lastLevel(priority)].work}
 	a.first, a.firstArrivals = q.higher(lastLevel(priority))
 	return a.wait()
 }
--- a/internal/admission/ledger.go
+++ b/internal/admission/ledger.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxWorkspaces limits the workspaces of which a queue keeps counts, about 1 KB each. Beyond it, the one without waiting requests
-// that was used least recently is forgotten.
+// maxWorkspaces limits the workspaces of which a queue keeps counts, about 1 KB each with requests at a few levels. Beyond it, the one
+// without waiting requests that was used least recently is forgotten.
 const maxWorkspaces = 4096
 
 // tally is what a queue knows about one workspace.
@@ -14,7 +14,7 @@
 	name    string
 	weight  float64 // the last that was stated
 	waiting int
-	lanes   [levelCount]lane
+	lanes   [levelCount]*lane // nil where the workspace has had no request
 	window  window
 	idle    *list.Element // position among the idle workspaces; nil while requests wait
 }
@@ -33,9 +33,6 @@
 	if !ok {
 		forgotten = g.evict()
 		t = &tally{name: workspace}
-		for i := range t.lanes {
-			t.lanes[i] = lane{tally: t, level: i, recent: -1}
-		}
 		t.idle = g.idle.PushBack(t)
 		g.workspaces[workspace] = t
 	} else if t.idle != nil {
@@ -45,6 +42,14 @@
 	return t, forgotten
 }
 
+// lane returns the lane of a level and creates it if necessary: most workspaces use a few levels only.
+func (t *tally) lane(level int) *lane {
+	if t.lanes[level] == nil {
+		t.lanes[level] = &lane{tally: t, level: level, recent: -1}
+	}
+	return t.lanes[level]
+}
+
 func (g *ledger) evict() *tally {
 	if len(g.workspaces) < maxWorkspaces || g.idle.Len() == 0 {
 		return nil
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -3,19 +3,19 @@
 import (
 	"math"
 	"time"
+
+	"fireflyshift/internal/fairqueue"
 )
 
-// DefaultMaxRequests is the limit of waiting requests if the configuration sets none, and maxRequests the highest that can be set.
+// DefaultMaxRequests is the limit of waiting requests if the settings name none, and MaxRequests the highest that can be set.
 const (
 	DefaultMaxRequests = 512
-	maxRequests        = 4096
+	MaxRequests        = 4096
 )
 
 // Values from other hosts are brought into these bounds, so that no sum overflows and no virtual time becomes infinite.
 const (
-	minWeight   = 0.001
-	maxWeight   = 1000
-	minCost     = 1       // milliseconds; the specification's least cost
+	minCost     = 1       // milliseconds; a grant without a cost would never count against its workspace
 	maxCost     = 3600000 // milliseconds; no answer takes more than an hour
 	maxTimeLeft = time.Hour
 )
@@ -24,7 +24,7 @@
 	if !(w > 0) || math.IsInf(w, 1) { // also NaN
 		return 1
 	}
-	return min(max(w, minWeight), maxWeight)
+	return min(max(w, fairqueue.MinWeight), fairqueue.MaxWeight)
 }
 
 func boundedCost(c float64) float64 {
@@ -57,5 +57,5 @@
 	if n <= 0 {
 		return DefaultMaxRequests
 	}
-	return min(n, maxRequests)
+	return min(n, MaxRequests)
 }
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -168,8 +168,10 @@
 	require.LessOrEqual(t, q.Len(), q.max)
 	count, work := 0, [levelCount]float64{}
 	for _, tally := range q.ledger.workspaces {
-		for p := range tally.lanes {
-			l := &tally.lanes[p]
+		for p, l := range tally.lanes {
+			if l == nil {
+				continue
+			}
 			require.True(t, slices.IsSortedFunc(l.entries, func(a, b *entry) int {
 				if before(a, b) {
 					return -1
@@ -261,7 +263,7 @@
 				mustAdd(b, q, 0, testRequest(n, fmt.Sprint(n%uint64(workspaces)), 0, 0))
 			}
 			for b.Loop() {
-				q.reviewed = -time.Hour
+				q.reviewedAt = -time.Hour
 				q.Expire(0)
 			}
 		})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,7 +23,7 @@
 	arrivals uint64
 	// waitingSince is when the queue was last empty.
 	waitingSince time.Duration
-	reviewed     time.Duration
+	reviewedAt   time.Duration
 }
 
 // New returns an empty queue.
@@ -83,7 +83,7 @@
 	q.levels[e.lane.level].fair.Remove(e.item)
 	q.leaveLevel(e)
 	e.rank = late
-	q.enterLevel(e, &t.lanes[levelOf(e.Priority, late)])
+	q.enterLevel(e, t.lane(levelOf(e.Priority, late)))
 }
 
 // enterLevel adds a request to the level of a lane.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/fairqueue"
 )
 
 // testRequest is a request of a workspace that asks at a time, with the patience of a stream with a target of 0.8 s.
@@ -466,7 +468,7 @@
 
 // Every value must be within its bounds before it is added to a sum: one NaN would make all forecasts NaN.
 func TestValuesAreBounded(t *testing.T) {
-	for given, want := range map[float64]float64{-1: 1, 0: 1, math.Inf(1): 1, math.Inf(-1): 1, 2.5: 2.5, 1e-9: minWeight, 1e9: maxWeight} {
+	for given, want := range map[float64]float64{-1: 1, 0: 1, math.Inf(1): 1, math.Inf(-1): 1, 2.5: 2.5, 1e-9: fairqueue.MinWeight, 1e9: fairqueue.MaxWeight} {
 		assert.Equal(t, want, boundedWeight(given), given)
 	}
 	assert.Equal(t, 1.0, boundedWeight(math.NaN()))
@@ -477,7 +479,7 @@
 	for given, want := range map[time.Duration]time.Duration{math.MaxInt64: 2 * time.Hour, math.MinInt64: 0, time.Minute: time.Minute} {
 		assert.Equal(t, want, boundedTime(time.Hour, given), given)
 	}
-	for given, want := range map[int]int{-1: DefaultMaxRequests, 0: DefaultMaxRequests, 7: 7, 1 << 40: maxRequests} {
+	for given, want := range map[int]int{-1: DefaultMaxRequests, 0: DefaultMaxRequests, 7: 7, 1 << 40: MaxRequests} {
 		assert.Equal(t, want, boundedMaxRequests(given))
 	}
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -324,15 +324,10 @@
 }
 
 const (
-	// Callers abandon a stream that sends nothing for the longest of minCallerTimeout, callerTimeoutTargets times its
-	// objective and callerTimeoutGaps times its maximum gap. A move to another backend server has to happen well before
-	// that: after stallFirstFraction of it before the first event, which may have to queue, and stallNextFraction
-	// between events.
-	minCallerTimeout     = 2 * time.Second
-	callerTimeoutTargets = 4
-	callerTimeoutGaps    = 8
-	stallFirstFraction   = 0.45
-	stallNextFraction    = 0.3
+	// A move to another backend server has to happen well before the caller abandons a silent stream: after stallFirstFraction of
+	// that time before the first event, which may have to queue, and stallNextFraction between events.
+	stallFirstFraction = 0.45
+	stallNextFraction  = 0.3
 	// stallPlainTargets is how many times its objective a plain answer may take; without an objective,
 	// stallPlainFraction is the part of the allowed time. A plain server sends nothing until it is done. With half of the
 	// time, there is one move at most and no attempt is cut shorter than the one after it.
@@ -353,22 +348,17 @@
 		}
 		return d, d
 	}
-	callerTimeout := float64(a.callerTimeout())
+	callerTimeout := float64(a.route.CallerTimeout())
 	return time.Duration(stallFirstFraction * callerTimeout), time.Duration(stallNextFraction * callerTimeout)
 }
 
-// callerTimeout returns how long a stream may send nothing until its caller abandons it.
-func (a *activeRequest) callerTimeout() time.Duration {
-	return max(minCallerTimeout, callerTimeoutTargets*a.route.Target, callerTimeoutGaps*a.route.MaxGap)
-}
-
 // maxSilence returns for how long a backend server's host may acknowledge nothing; zero stands for the time left. After a
 // silence, the next retransmission may take as long again as the silence lasted.
 func (a *activeRequest) maxSilence() time.Duration {
 	if a.route.Kind != routing.Streaming {
 		return 0
 	}
-	return 2 * a.callerTimeout()
+	return 2 * a.route.CallerTimeout()
 }
 
 // shouldMove asks the reducer whether to abandon a backend server that sends nothing.
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -171,8 +171,8 @@
 	}
 	for _, h := range f.hosts {
 		if !h.dead {
-			require.Empty(f.t, h.r.queued.calls, h.ip)
-			require.Zero(f.t, h.r.queued.bytes, h.ip)
+			require.Empty(f.t, h.r.queuedCalls.calls, h.ip)
+			require.Zero(f.t, h.r.queuedCalls.bytes, h.ip)
 			require.Zero(f.t, h.r.waiting(), h.ip)
 		}
 	}
@@ -484,9 +484,9 @@
 	const body = 1 << 20
 	for range 20 {
 		f.submitTo(h, func(s *Submit) { s.BodyBytes = body })
-		require.LessOrEqual(t, h.r.queued.bytes, maxWaitingBytes)
+		require.LessOrEqual(t, h.r.queuedCalls.bytes, maxWaitingBytes)
 	}
-	require.Equal(t, maxWaitingBytes, h.r.queued.bytes)
+	require.Equal(t, maxWaitingBytes, h.r.queuedCalls.bytes)
 	f.run(3*time.Millisecond, 0)
 	refused := 0
 	for _, e := range f.refuses {
--- a/internal/router/patience.go
+++ b/internal/router/patience.go
@@ -7,12 +7,7 @@
 )
 
 const (
-	// A stream's caller leaves after the longest of minStreamPatience, streamPatienceTargets target latencies and
-	// streamPatienceGaps times the longest gap without an event.
-	minStreamPatience     = 2 * time.Second
-	streamPatienceTargets = 4
-	streamPatienceGaps    = 8
-	// streamWaitShare is the part of that time after which a grant is no longer of use. The rest covers the way of the request and
+	// streamWaitShare is the part of the time until a stream's caller leaves after which a grant is no longer of use. The rest covers the way of the request and
 	// the variation of the time to its first event.
 	streamWaitShare = 0.7
 	// plainPatienceTargets limits the wait of a call that is not a stream, in target latencies.
@@ -24,6 +19,9 @@
 	// allowedPeriod was probably refused before and has returned.
 	returningMargin = 100 * time.Millisecond
 	allowedPeriod   = 10 * time.Second
+	// maxAllowedRoutes bounds the routes for which that is recorded, as the names of routes that are gone stay. Beyond it the record
+	// starts anew, and for ten seconds returning callers count as new.
+	maxAllowedRoutes = 8192
 )
 
 // patienceEnd returns the time after which a slot is of no use to a request's caller. For a request that has run it counts from now,
@@ -37,8 +35,7 @@
 	target := q.Route.Target
 	switch {
 	case q.Route.Kind == routing.Streaming:
-		leaves := max(minStreamPatience, streamPatienceTargets*target, streamPatienceGaps*q.Route.MaxGap)
-		patience = min(patience, time.Duration(streamWaitShare*float64(leaves))-r.expectedPrefill(q))
+		patience = min(patience, time.Duration(streamWaitShare*float64(q.Route.CallerTimeout()))-r.expectedPrefill(q))
 	case target > 0:
 		patience = min(patience, plainPatienceTargets*target)
 	}
@@ -116,6 +113,9 @@
 	}
 	t, ok := r.allowed[q.Route.Name]
 	if !ok {
+		if len(r.allowed) >= maxAllowedRoutes {
+			clear(r.allowed)
+		}
 		t = &allowedTimes{since: r.now}
 		r.allowed[q.Route.Name] = t
 	}
--- a/internal/router/quarantine.go
+++ b/internal/router/quarantine.go
@@ -64,7 +64,7 @@
 func (r *Router) withdrawQuarantined() {
 	var ids []uint64
 	for id, q := range r.requests {
-		waits := q.slotCall != nil && q.slotCall.queued != nil // at no backend server
+		waits := q.slotCall != nil && q.slotCall.queuedCall != nil // at no backend server
 		if q.backend != nil && !waits && !q.begun && !q.onTrial && q.Route.Kind == routing.Streaming && len(r.blamedFor(q)) > 0 {
 			ids = append(ids, id)
 		}
--- a/internal/router/queuedcalls.go
+++ b/internal/router/queuedcalls.go
@@ -90,192 +90,6 @@
 // queueing reports whether owners keep requests in admission queues.
 func (r *Router) queueing() bool { return r.opt.Admission.Enabled }
 
-// scheduleWithQueues is schedule where owners have admission queues. As long as this host's view shows a healthy server with a free
-// slot, the owner of that server is asked for it; otherwise an owner is asked to queue the request.
-func (r *Router) scheduleWithQueues(q *request) {
-	if q.patienceEnds == 0 {
-		q.patienceEnds = r.patienceEnd(q)
-	}
-	r.serveQueue(q.service) // a free slot goes to those that wait first
-	c := r.selectWithOwners(q)
-	if c.backend != nil && r.takesAtOnce(q, c) {
-		r.countOwnGrant(q, c.backend)
-		r.requestSlotOrSend(q, c)
-		return
-	}
-	if owner, worst := r.queueOwner(q); owner != "" {
-		r.askToQueue(q, owner, worst)
-		return
-	}
-	if c.backend == nil && r.sendDespiteOwners(q) {
-		return
-	}
-	if c.backend == nil || q.queueRefused {
-		r.borrowOrRefuse(q, r.refusalBasis(q))
-		return
-	}
-	// The last resort of a small fleet, a server that this host itself suspects, is one that owners are asked to avoid.
-	lastResort := !r.largeFleet() && c.class > classDoubtful
-	if lastResort || !r.mayAskInTime(q, r.ownerOf(c.backend)) {
-		q.decideLocally = true
-	}
-	r.requestSlotOrSend(q, c)
-}
-
-// sendDespiteOwners sends a request by this host's own view if owners have no server that they would grant it, but none is full: all
-// are suspected by some host. In a small fleet one owner may have them all, and its refusal would leave the others idle.
-func (r *Router) sendDespiteOwners(q *request) bool {
-	if r.largeFleet() || q.queueRefused || q.queueBasis.Cause != "" {
-		return false
-	}
-	full := q.fullOwners
-	q.fullOwners = nil
-	c := r.selectInScope(q, scopeAll)
-	q.fullOwners = full
-	if c.backend == nil || c.basis.Full > 0 {
-		return false
-	}
-	c.basis.ViewAge = r.oldestHeartbeatAge()
-	r.send(q, c.backend, c.basis)
-	return true
-}
-
-// selectWithOwners chooses a backend server by this host's view, in a large fleet first in its own zone.
-func (r *Router) selectWithOwners(q *request) selection {
-	if r.largeFleet() {
-		c := r.selectInScope(q, scopeZone)
-		if c.backend != nil && c.class == classHealthy && c.basis.InFlight < c.backend.Slots {
-			return c
-		}
-	}
-	return r.selectInScope(q, scopeAll)
-}
-
-// takesAtOnce reports whether a request goes to the selected backend server without waiting: there is a free slot in this host's
-// view, and its owner is asked for it or cannot be asked. Servers of which hosts have shares are not granted by owners.
-func (r *Router) takesAtOnce(q *request, c selection) bool {
-	if !r.ownerGrants(c.backend) {
-		return true
-	}
-	if c.class != classHealthy || c.basis.InFlight >= max(1, c.backend.Slots) {
-		return false
-	}
-	owner := r.ownerOf(c.backend)
-	alone := owner == "" || owner == r.opt.Host || slices.Contains(q.lostOwners, owner) || !r.canAsk(owner)
-	return alone || r.mayAskInTime(q, owner)
-}
-
-// mayAskInTime is mayAsk for a request that may have waited: the reply must come within its patience.
-func (r *Router) mayAskInTime(q *request, owner string) bool {
-	return r.mayAsk(q, owner) && (q.queueBasis.Waited == 0 || r.now+ownerCallTimeout+patienceLead < q.patienceEnds)
-}
-
-// ownerGrants reports whether slots of a backend server are granted by its owner. At the others few hosts have shares.
-func (r *Router) ownerGrants(b *backend) bool {
-	if b.cold(r.now) || b.rateLimited() {
-		return false
-	}
-	return !r.queueing() || r.largeFleet() || !r.isBrittle(b)
-}
-
-// mayWait reports whether a request may wait at an owner's queue: the time that its caller allows, the bodies that wait already and
-// the number of owners that were asked permit it.
-func (r *Router) mayWait(q *request) bool {
-	if q.queueAsks >= maxQueueAsks || r.now+minQueuePatience > q.patienceEnds {
-		return false
-	}
-	if r.queued.bytes+q.BodyBytes > maxWaitingBytes {
-		q.queueBasis.Cause = admission.QueueFull
-		return false
-	}
-	return true
-}
-
-// couldWait reports whether a request that is about to be dispatched again could wait at an owner.
-func (r *Router) couldWait(q *request) bool {
-	if !r.queueing() {
-		return false
-	}
-	next := *q
-	next.resetWait()
-	next.patienceEnds = r.patienceEnd(q)
-	owner, _ := r.queueOwner(&next)
-	return owner != ""
-}
-
-// queueOwner returns the owner to ask to queue a request, or "", and the least trusted class of backend servers that it may grant.
-// The first is of this zone if there is one, the last of another if possible; among these it is the one with the shortest wait.
-func (r *Router) queueOwner(q *request) (string, class) {
-	if !r.mayWait(q) {
-		return "", classHealthy
-	}
-	s := r.newSelector(q, scopeAll)
-	worst, best := classDoubtful, queueChoice{}
-	var seen []string
-	for _, b := range r.backendsOf(q.service) {
-		c := s.classOf(b, b.removed)
-		if c > classDoubtful || !r.mayQueueFor(q, b) {
-			continue
-		}
-		owner := r.ownerOf(b)
-		if !r.mayQueueAt(q, owner) {
-			continue
-		}
-		if c <= classSlow {
-			worst = classSlow
-		}
-		if slices.Contains(seen, owner) {
-			continue
-		}
-		seen = append(seen, owner)
-		n := queueChoice{owner: owner, wait: r.reportedWait(owner, q.service)}
-		if remote := owner != r.opt.Host && r.ownerZone(owner) != r.opt.Zone; remote != (q.queueAsks == maxQueueAsks-1) {
-			n.order = 1
-		}
-		best = r.betterChoice(best, n)
-	}
-	return best.owner, worst
-}
-
-// queueChoice is an owner that may queue a request. Those of lower order are asked first, then those with the shortest wait, and
-// ties are broken at random: count is the number of ties so far.
-type queueChoice struct {
-	owner string
-	order int
-	wait  time.Duration
-	count int
-}
-
-func (r *Router) betterChoice(a, b queueChoice) queueChoice {
-	b.count = 1
-	switch {
-	case a.owner == "" || b.order < a.order || b.order == a.order && b.wait < a.wait:
-		return b
-	case b.order > a.order || b.wait > a.wait:
-		return a
-	}
-	a.count++
-	if r.rng.IntN(a.count) == 0 {
-		b.count = a.count
-		return b
-	}
-	return a
-}
-
-// mayQueueFor reports whether a request may wait for a slot at a backend server. Cold, rate-limited and brittle servers have shares
-// of their own.
-func (r *Router) mayQueueFor(q *request, b *backend) bool {
-	return r.assignable(q, b) && !r.isBrittle(b) && !slices.Contains(q.tried, b.ID)
-}
-
-// mayQueueAt reports whether an owner may be asked to queue a request.
-func (r *Router) mayQueueAt(q *request, owner string) bool {
-	if slices.Contains(q.queueOwners, owner) || slices.Contains(q.lostOwners, owner) {
-		return false
-	}
-	return owner == r.opt.Host || r.canAsk(owner)
-}
-
 // askToQueue asks an owner, which may be this host itself, for a slot or a place in its queue.
 func (r *Router) askToQueue(q *request, owner string, worst class) {
 	q.queueOwners = append(q.queueOwners, owner)
@@ -283,13 +97,13 @@
 	q.lastQueue = owner
 	q.queueBasis.Predicted, q.queueBasis.Patience, q.queueBasis.Cause = 0, q.patienceEnds-r.now, ""
 	a := &slotRequest{ownerCall: ownerCall{number: r.slotRequests.next(), requestID: q.ID, owner: owner, sentAt: r.now}, priority: q.priority(), prompt: q.PromptTok,
-		queued: &queuedCall{service: q.service, bytes: q.BodyBytes, worst: worst}}
+		queuedCall: &queuedCall{service: q.service, bytes: q.BodyBytes, worst: worst}}
 	if m, ok := r.members.byHost[owner]; ok {
-		a.queued.known, a.queued.incarnation = true, m.incarnation
+		a.queuedCall.known, a.queuedCall.incarnation = true, m.incarnation
 	}
 	q.slotCall = a
-	r.queued.calls = append(r.queued.calls, a)
-	r.queued.bytes += a.queued.bytes
+	r.queuedCalls.calls = append(r.queuedCalls.calls, a)
+	r.queuedCalls.bytes += a.queuedCall.bytes
 	if owner == r.opt.Host {
 		r.admitOrQueueOwn(q, a)
 		return
@@ -301,7 +115,7 @@
 
 // sendQueueAsk sends the message of a slot request that may wait. A second one with the same number asks whether it still does.
 func (r *Router) sendQueueAsk(q *request, a *slotRequest) {
-	ask := r.newAsk(q, a, a.queued.worst)
+	ask := r.newAsk(q, a, a.queuedCall.worst)
 	ask.Queues = true
 	ask.TargetMs = uint32(max(0, r.timeToTarget(q)).Milliseconds())
 	ask.PatienceMs = uint32(max(0, q.patienceEnds-r.now-answerMargin).Milliseconds())
@@ -329,7 +143,7 @@
 
 // noteQueued records that a request waits at an owner and for how long it probably will.
 func (r *Router) noteQueued(q *request, a *slotRequest, wait time.Duration) {
-	call := a.queued
+	call := a.queuedCall
 	first := call.since == 0
 	if first {
 		call.since = max(1, r.now)
@@ -353,25 +167,25 @@
 // leaveQueue ends the wait of a request as far as this host counts it.
 func (r *Router) leaveQueue(q *request) {
 	a := q.slotCall
-	if a == nil || a.queued == nil {
+	if a == nil || a.queuedCall == nil {
 		return
 	}
-	i := slices.Index(r.queued.calls, a)
+	i := slices.Index(r.queuedCalls.calls, a)
 	if i < 0 {
 		return
 	}
-	r.queued.calls = slices.Delete(r.queued.calls, i, i+1)
-	r.queued.bytes -= a.queued.bytes
-	r.invariants.Check(r.queued.bytes >= 0, "the bodies of waiting requests have %d bytes", r.queued.bytes)
-	if a.queued.since > 0 {
-		q.queueBasis.Waited += r.now - a.queued.since
+	r.queuedCalls.calls = slices.Delete(r.queuedCalls.calls, i, i+1)
+	r.queuedCalls.bytes -= a.queuedCall.bytes
+	r.invariants.Check(r.queuedCalls.bytes >= 0, "the bodies of waiting requests have %d bytes", r.queuedCalls.bytes)
+	if a.queuedCall.since > 0 {
+		q.queueBasis.Waited += r.now - a.queuedCall.since
 	}
 }
 
 // withdraw ends the wait of a request, if it waits, and tells its owner.
 func (r *Router) withdraw(q *request) {
 	a := q.slotCall
-	if a == nil || a.queued == nil {
+	if a == nil || a.queuedCall == nil {
 		return
 	}
 	r.leaveQueue(q)
@@ -397,12 +211,12 @@
 
 // expireQueuedCalls ends waits whose time is over or whose owner is gone, and asks owners whether overdue requests still wait.
 func (r *Router) expireQueuedCalls() {
-	for _, a := range slices.Clone(r.queued.calls) {
+	for _, a := range slices.Clone(r.queuedCalls.calls) {
 		q, ok := r.requests[a.requestID]
 		if !ok || q.slotCall != a {
 			continue // it has ended meanwhile
 		}
-		call := a.queued
+		call := a.queuedCall
 		switch {
 		case r.now+patienceLead >= q.patienceEnds:
 			r.patienceEnded(q)
@@ -424,9 +238,9 @@
 func (r *Router) ownerGone(a *slotRequest) bool {
 	m, ok := r.members.byHost[a.owner]
 	if !ok {
-		return a.queued.known || r.zoneUnreachable(r.ownerZone(a.owner))
+		return a.queuedCall.known || r.zoneUnreachable(r.ownerZone(a.owner))
 	}
-	return m.unreachable || (a.queued.known && m.incarnation != a.queued.incarnation)
+	return m.unreachable || (a.queuedCall.known && m.incarnation != a.queuedCall.incarnation)
 }
 
 // patienceEnded refuses a request whose wait has lasted too long.
@@ -475,7 +289,7 @@
 // refusedByOwner continues with a request to which an owner granted no slot. The caller has ended its wait.
 func (r *Router) refusedByOwner(q *request, a *slotRequest, offer *gossippb.Offer) {
 	ownsNone := len(offer.Full) == 0 && !r.largeFleet()
-	if a.queued == nil {
+	if a.queuedCall == nil {
 		if ownsNone {
 			q.lostOwners = append(q.lostOwners, a.owner)
 		} else {
@@ -545,48 +359,3 @@
 	}
 	return gossippb.QueueCause_QUEUE_CAUSE_NONE
 }
-
-// backlogReport is what an owner has last reported of its admission queues: the predicted waits by hash of the service.
-type backlogReport struct {
-	at    time.Duration
-	waits map[uint32]time.Duration
-}
-
-func (r *Router) applyBacklogs(from string, list []*gossippb.Backlog) {
-	m, ok := r.members.byHost[from]
-	if !ok || !r.queueing() {
-		return
-	}
-	m.backlogs = backlogReport{at: r.now}
-	for _, l := range list {
-		if m.backlogs.waits == nil {
-			m.backlogs.waits = map[uint32]time.Duration{}
-		}
-		m.backlogs.waits[l.Service] = time.Duration(l.WaitMs) * time.Millisecond
-	}
-}
-
-// noteWait records the wait that an owner has predicted for one request until its next report.
-func (r *Router) noteWait(owner, service string, wait time.Duration) {
-	m, ok := r.members.byHost[owner]
-	if !ok {
-		return
-	}
-	if m.backlogs.waits == nil {
-		m.backlogs.waits = map[uint32]time.Duration{}
-	}
-	m.backlogs.at = r.now
-	m.backlogs.waits[hashOfService(service)] = wait
-}
-
-// reportedWait returns the wait at an owner as far as this host knows.
-func (r *Router) reportedWait(owner, service string) time.Duration {
-	if owner == r.opt.Host {
-		return r.ownWait(service)
-	}
-	m, ok := r.members.byHost[owner]
-	if !ok || r.now-m.backlogs.at > occupancyStaleIntervals*r.occupancyInterval() {
-		return 0
-	}
-	return m.backlogs.waits[hashOfService(service)]
-}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,8 +11,8 @@
 // (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
 // backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
 // relays (calls through other hosts), origins, originqueries and versions (which software version began a stream), eligibility (whether a backend server may
-// get a request at all), quotas (quota owners), admission (requests that wait for this host's backend servers), queuedcalls (requests of this host that
-// wait at owners), patience (how long a request may wait), statements (limits that backend servers state), senders (which hosts
+// get a request at all), quotas (quota owners), admission and queuegrants (requests that wait for this host's backend servers, and who is granted a slot), queuedcalls and
+// queuechoice (requests of this host that wait at owners, and at which), backlogs (reports of queues), patience (how long a request may wait), statements (limits that backend servers state), senders (which hosts
 // share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
 // reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
@@ -89,9 +89,9 @@
 	owners        ownerState
 	// slotRequests are the requests to owners that await an answer.
 	slotRequests ownerCalls[*slotRequest]
-	// queued are the requests of this host that wait at owners, queues those that wait at this host as an owner.
-	queued queuedCalls
-	queues admissionQueues
+	// queuedCalls are the requests of this host that wait at owners, queues those that wait at this host as an owner.
+	queuedCalls queuedCalls
+	queues      admissionQueues
 	// allowed is the time that callers have lately allowed, by route.
 	allowed map[string]*allowedTimes
 	// maintenanceAt is when runMaintenance is next due in a large fleet.
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -33,8 +33,8 @@
 	priority int
 	prompt   int
 	borrows  bool
-	// queued is set if the request may wait at the owner.
-	queued *queuedCall
+	// queuedCall is set if the request may wait at the owner.
+	queuedCall *queuedCall
 }
 
 // schedule obtains a slot from the owner of a backend server if backend servers have owners. This host's load data, some hundred
@@ -177,7 +177,7 @@
 			out = append(out, owner)
 		}
 	}
-	for _, a := range r.queued.calls {
+	for _, a := range r.queuedCalls.calls {
 		// The owner drops the waiting requests of hosts that it does not hear.
 		if a.owner != r.opt.Host && r.ownerZone(a.owner) != r.opt.Zone && !slices.Contains(out, a.owner) {
 			out = append(out, a.owner)
@@ -234,7 +234,7 @@
 	if !ok || q.slotCall != a {
 		return
 	}
-	if a.queued != nil {
+	if a.queuedCall != nil {
 		r.firstReplyMissed(q, a)
 		return
 	}
@@ -268,12 +268,12 @@
 // handleSlotOffer processes an owner's reply to a slot request.
 func (r *Router) handleSlotOffer(from string, offer *gossippb.Offer) {
 	a, ok := r.slotRequests.take(from, offer.Number)
-	if ok && offer.Queued && a.queued == nil {
+	if ok && offer.Queued && a.queuedCall == nil {
 		r.slotRequests.add(a) // only a request that asked for it can be queued, so this is a reply to an earlier process
 		return
 	}
 	if !ok {
-		a, ok = r.queued.call(from, offer.Number)
+		a, ok = r.queuedCalls.call(from, offer.Number)
 	}
 	if !ok {
 		r.withdrawUnknown(from, offer)
@@ -308,7 +308,7 @@
 			r.refusedByOwner(q, a, offer)
 			return
 		}
-		if a.queued != nil {
+		if a.queuedCall != nil {
 			r.unusableOffer(q, a)
 			return
 		}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -456,7 +456,7 @@
 	for _, h := range w.hosts {
 		w.readStore(h)
 		w.post(h, Tick{})
-		for _, a := range h.r.queued.calls {
+		for _, a := range h.r.queuedCalls.calls {
 			require.True(w.t, w.now < h.frozen || w.now < h.r.requests[a.requestID].patienceEnds, "a request waits beyond its patience")
 		}
 	}
@@ -603,8 +603,8 @@
 	}
 	w.heal()
 	for _, h := range w.hosts {
-		require.Empty(t, h.r.queued.calls, "requests of %s wait for ever", h.ip)
-		require.Zero(t, h.r.queued.bytes, "%s", h.ip)
+		require.Empty(t, h.r.queuedCalls.calls, "requests of %s wait for ever", h.ip)
+		require.Zero(t, h.r.queuedCalls.bytes, "%s", h.ip)
 		require.Zero(t, h.r.waiting(), "requests wait at %s for ever", h.ip)
 	}
 }
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -59,6 +59,19 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+const (
+	// minCallerTimeout, callerTimeoutTargets and callerTimeoutGaps determine after which silence callers abandon a stream.
+	minCallerTimeout     = 2 * time.Second
+	callerTimeoutTargets = 4
+	callerTimeoutGaps    = 8
+)
+
+// CallerTimeout returns how long a stream of the route may send nothing, also before its first event, until its caller abandons it:
+// the longest of two seconds, four times the latency objective and eight times the longest gap.
+func (r *Route) CallerTimeout() time.Duration {
+	return max(minCallerTimeout, callerTimeoutTargets*r.Target, callerTimeoutGaps*r.MaxGap)
+}
+
 // Service is a pool of interchangeable backend servers.
 type Service struct {
 	Name string
