--- a/cmd/fireflyshiftd/main.go
+++ b/cmd/fireflyshiftd/main.go
@@ -45,6 +45,8 @@
 	Check    bool   `long:"check-settings" description:"check the settings file, print any errors, and exit"`
 	// AdmissionQueue applies to the platform only: the project's own interface has queues of its own.
 	AdmissionQueue bool `long:"admission-queue" description:"with --platform: enable admission queues with the defaults, unless the settings file has the object admission-queue"`
+	// LoadBalancing applies to the platform only, too.
+	LoadBalancing bool `long:"load-balancing" description:"with --platform: enable learned limits and early spill, unless the settings file has the object load-balancing"`
 }
 
 func main() {
@@ -61,6 +63,9 @@
 	case opt.AdmissionQueue && !opt.Platform:
 		fmt.Fprintln(os.Stderr, "--admission-queue applies to --platform only; give both, or remove it")
 		os.Exit(exitUsage)
+	case opt.LoadBalancing && !opt.Platform:
+		fmt.Fprintln(os.Stderr, "--load-balancing applies to --platform only; give both, or remove it")
+		os.Exit(exitUsage)
 	case opt.Platform:
 		runPlatform(opt)
 	case opt.Settings != "":
@@ -119,6 +124,9 @@
 		if opt.AdmissionQueue {
 			platform.EnableAdmissionQueue(set)
 		}
+		if opt.LoadBalancing {
+			platform.EnableLoadBalancing(set)
+		}
 		return set, nil
 	}
 }
--- a/cmd/fireflyshiftd/main_test.go
+++ b/cmd/fireflyshiftd/main_test.go
@@ -37,3 +37,26 @@
 	require.Nil(t, set)
 	require.ErrorContains(t, err, "give a whole number from 1 to 4096")
 }
+
+// Guards against a flag of load balancing that overrides the file, and against a mistake in the file that passes.
+func TestLoadBalancingFlagYieldsToTheFile(t *testing.T) {
+	var opt options
+	_, err := flags.ParseArgs(&opt, []string{"--platform", "--load-balancing"})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "settings.json")
+	load := settingsLoader(opt, path)
+	write := func(data string) { require.NoError(t, os.WriteFile(path, []byte(data), 0o600)) }
+	write("{" + settingsRest)
+	set, err := load()
+	require.NoError(t, err)
+	require.Equal(t, &router.BalancingSettings{LearnedLimits: true, EarlySpill: true}, set.Balancing)
+	write(`{"load-balancing":{"learned-limits":true},` + settingsRest)
+	set, err = load()
+	require.NoError(t, err)
+	require.Equal(t, &router.BalancingSettings{LearnedLimits: true}, set.Balancing)
+	for _, bad := range []string{`{"learned-limits":"yes"}`, `{"early-spill":null}`, `{"spill":true}`, `[]`} {
+		write(`{"load-balancing":` + bad + "," + settingsRest)
+		_, err = load()
+		require.ErrorContains(t, err, "load-balancing", bad)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,6 +124,7 @@
 	r := router.New(router.Options{
 		Host: set.IP, Zone: set.Zone, Regions: set.Regions, Incarnation: binary.BigEndian.Uint64(seed[:8]) | 1, Seeds: set.Seeds,
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]), Admission: set.Admission,
+		Balancing: set.balancing(),
 	})
 	n := &Node{set: set, root: log, log: telemetry.ComponentLogger(log, "node"), metrics: m, socket: socket, connections: ingress.New()}
 	n.pacer = gossip.NewPacer(socket, set.LinkMbps)
--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -43,16 +43,17 @@
 		}
 		n.log.Info().Bool("signal", signaled).Bool("restart_needed", needsRestart(&current, next)).Msg("Settings changed.")
 		current = *next
-		n.control.Post(router.SettingsChanged{Seeds: next.Seeds, Bounds: next.Bounds, Admission: next.Admission})
+		n.control.Post(router.SettingsChanged{Seeds: next.Seeds, Bounds: next.Bounds, Admission: next.Admission, Balancing: next.balancing()})
 	}
 }
 
-// needsRestart reports whether a change takes effect only after a restart. Only seeds, bounds and the settings of admission queues can
-// change at run time.
+// needsRestart reports whether a change takes effect only after a restart. Only seeds, bounds and the settings of admission queues and
+// load balancing can change at run time.
 func needsRestart(a, b *Settings) bool {
 	x, y := *a, *b
 	x.Seeds, y.Seeds = nil, nil
 	x.Bounds, y.Bounds = router.Bounds{}, router.Bounds{}
 	x.Admission, y.Admission = router.AdmissionSettings{}, router.AdmissionSettings{}
+	x.Balancing, y.Balancing = nil, nil
 	return !reflect.DeepEqual(x, y)
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -33,4 +33,13 @@
 	Bounds        router.Bounds
 	// Admission are the settings of admission queues; zero if nothing configures them.
 	Admission router.AdmissionSettings
+	// Balancing are the settings of load balancing; nil if nothing configures them.
+	Balancing *router.BalancingSettings
+}
+
+func (s *Settings) balancing() router.BalancingSettings {
+	if s.Balancing == nil {
+		return router.BalancingSettings{}
+	}
+	return *s.Balancing
 }
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -230,6 +230,7 @@
 	Seeds     []string
 	Bounds    Bounds
 	Admission AdmissionSettings
+	Balancing BalancingSettings
 }
 
 func (OriginReceived) event()       {}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -50,6 +50,15 @@
 	Bounds      Bounds
 	Seed        uint64
 	Admission   AdmissionSettings
+	Balancing   BalancingSettings
+}
+
+// BalancingSettings enable decisions for uneven backend servers and availability zones. They are the same on all hosts of a fleet.
+type BalancingSettings struct {
+	// LearnedLimits limits the requests at each engine by its learned pace.
+	LearnedLimits bool
+	// EarlySpill sends a part of the requests to other zones before this host's own zone is full.
+	EarlySpill bool
 }
 
 // AdmissionSettings are the settings of the admission queues at owners. They are the same on all hosts of a fleet.
@@ -229,6 +238,7 @@
 func (r *Router) applySettings(e SettingsChanged) {
 	r.opt.Seeds = e.Seeds
 	r.applyAdmissionSettings(e.Admission)
+	r.opt.Balancing = e.Balancing
 	if e.Bounds == r.opt.Bounds {
 		return
 	}
