--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -60,6 +60,7 @@
 // It runs on the control thread, and callers can fill the ledger. Except for choosing the next cause, its work is
 // proportional to the number of ends.
 func (l *Ledger) assignBlame() {
+	defer l.listQuarantined()
 	var suspects []*Case
 	for _, c := range l.cases {
 		c.blamed = false
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -109,6 +109,8 @@
 // Ledger records the requests that were in flight when backend servers ended. All times are on the local host's clock.
 type Ledger struct {
 	cases map[Digest]*Case
+	// quarantined are the cases that count as causes, in order of their digests.
+	quarantined []*Case
 	// sameEndWithin is the greatest difference in time at which two reports of an end of one backend server mean the
 	// same end.
 	sameEndWithin time.Duration
@@ -306,6 +308,20 @@
 		}
 	}
 	delete(l.cases, least.Digest)
+	if least.blamed {
+		l.listQuarantined()
+	}
+}
+
+// listQuarantined rebuilds the list of the cases that count as causes.
+func (l *Ledger) listQuarantined() {
+	l.quarantined = nil
+	for _, c := range l.cases {
+		if c.blamed {
+			l.quarantined = append(l.quarantined, c)
+		}
+	}
+	slices.SortFunc(l.quarantined, byDigest)
 }
 
 // byRelevance orders cases with more ends first, then those that changed last.
@@ -316,17 +332,8 @@
 // Cases returns all cases, the most relevant first.
 func (l *Ledger) Cases() []*Case { return l.selectCases(func(*Case) bool { return true }) }
 
-// Quarantined returns the cases that count as causes, in order of their digests.
-func (l *Ledger) Quarantined() []*Case {
-	var out []*Case
-	for _, c := range l.cases {
-		if c.blamed {
-			out = append(out, c)
-		}
-	}
-	slices.SortFunc(out, byDigest)
-	return out
-}
+// Quarantined returns the cases that count as causes, in order of their digests. The list must not be modified.
+func (l *Ledger) Quarantined() []*Case { return l.quarantined }
 
 func byDigest(a, b *Case) int { return bytes.Compare(a.Digest[:], b.Digest[:]) }
 
--- a/internal/router/admission_test.go
+++ b/internal/router/admission_test.go
@@ -205,6 +205,7 @@
 // Guards against requests that are refused, or wait for long, though the owner is gone: its askers notice that it does not
 // confirm their places, or that it is unreachable.
 func TestWaitingRequestsOutliveTheirOwner(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	f.end(owner)
@@ -222,6 +223,7 @@
 
 // Guards against an owner that grants slots after a pause, to requests that wait elsewhere or have ended, and counts them for ever.
 func TestPausedOwnerGrantsNothingTwice(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	until := f.now + 1500*time.Millisecond
@@ -234,6 +236,7 @@
 
 // Guards against requests that wait for the messages of an owner that is cut off.
 func TestRequestsLeaveAnOwnerThatIsCutOff(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	f.loses = func(from, to string, _ *gossippb.Packet) bool { return from == owner.ip || to == owner.ip }
@@ -250,6 +253,7 @@
 
 // Guards against requests that wait at an owner that drains until their patience ends.
 func TestDrainingOwnerPassesItsQueueOn(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	f.post(owner, Drain{Until: f.now + 5*time.Second, Grace: 5 * time.Second})
@@ -270,6 +274,7 @@
 
 // Guards against requests that wait at a host that does not own the backend servers any more, as a host has joined.
 func TestFormerOwnerPassesItsQueueOn(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	next := f.byIP[f.owners()[0]]
 	f.end(next)
@@ -306,6 +311,7 @@
 // Guards against requests that run twice, or do not end, while two hosts own the same backend servers as their zones are cut off
 // from each other.
 func TestTwoOwnersGrantEachRequestOnce(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 2, 3, 3)
 	f.loses = func(from, to string, _ *gossippb.Packet) bool { return f.byIP[from].zone != f.byIP[to].zone }
 	f.run(2*time.Second, 0)
@@ -344,6 +350,7 @@
 
 // Guards against a request that nobody decides on, as its first message is lost.
 func TestLostAskDelaysARequestByOneTimeout(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	_, owner := f.wait(1)
 	lost := f.loseFirst(func(p *gossippb.Packet) bool { return p.Ask != nil && p.Ask.Queues })
@@ -356,6 +363,7 @@
 
 // Guards against a request that waits for a grant that is lost until its patience ends, and against its slot staying idle.
 func TestLostOfferIsNoticed(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, _ := f.wait(1)
 	lost := f.loseFirst(func(p *gossippb.Packet) bool { return p.Offer != nil && p.Offer.Place != nil })
@@ -374,6 +382,7 @@
 
 // Guards against a slot that is granted to a caller that has left, and stays taken.
 func TestLostWithdrawalReturnsTheSlot(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(1)
 	f.loses = func(_, _ string, p *gossippb.Packet) bool { return p.Withdraw != nil }
@@ -391,6 +400,7 @@
 
 // Guards against requests of callers that have left keeping their places.
 func TestCallerThatLeavesGivesUpItsPlace(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(3)
 	waits := owner.r.waiting()
@@ -406,6 +416,7 @@
 
 // Guards against slots granted to a host that is gone, one after the other, while requests of others wait.
 func TestRequestsOfADeadHostLeaveTheQueue(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	dead := f.runs[ids[0]].host
@@ -420,6 +431,7 @@
 
 // Guards against requests of a process that was replaced keeping their places.
 func TestRequestsOfAReplacedProcessLeaveTheQueue(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(5)
 	h := f.runs[ids[0]].host
@@ -435,6 +447,7 @@
 
 // Guards against requests that wait on after the queues were switched off.
 func TestSwitchingQueuesOffAnswersAllThatWait(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, _ := f.wait(5)
 	for _, h := range f.hosts {
@@ -453,6 +466,7 @@
 
 // Guards against hosts that refuse requests while the setting reaches one host after the other.
 func TestQueuesAreSwitchedOnHostByHost(t *testing.T) {
+	t.Parallel()
 	for _, on := range []bool{true, false} {
 		f := newQueueFleet(t, 1, 6, 6)
 		for _, h := range f.hosts {
@@ -478,6 +492,7 @@
 
 // Guards against a host that runs out of memory by the bodies of waiting requests.
 func TestBodiesOfWaitingRequestsAreLimited(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	_, owner := f.wait(1)
 	h := f.hostOtherThan(owner)
@@ -500,8 +515,10 @@
 
 // Guards against hosts of a small fleet that disagree on owners, and against a slot that stays idle while a request waits for it.
 func TestSmallFleetServesTheQueueAtOnce(t *testing.T) {
+	t.Parallel()
 	for _, size := range [][3]int{{1, 1, 2}, {1, 6, 6}, {3, 3, 7}, {3, 5, 10}} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
 			f := newQueueFleet(t, size[0], size[1], size[2])
 			for _, h := range f.hosts {
 				require.Equal(t, f.owners(), h.r.localShardOwners(), h.ip)
@@ -534,6 +551,7 @@
 
 // Guards against a less urgent request that gets a slot before a more urgent one.
 func TestFreeSlotGoesToTheMostUrgent(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	_, owner := f.wait(1)
 	f.finishAny(owner.r.waiting())
@@ -555,6 +573,7 @@
 
 // Guards against a late heartbeat of a host that takes a slot that it was just granted off the owner's count.
 func TestHeartbeatSentBeforeAnOfferDoesNotFreeItsSlot(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	owner := f.byIP[f.owners()[0]]
 	h := f.hostOtherThan(owner)
@@ -579,6 +598,7 @@
 
 // Guards against a wait that ends after the caller has left, and against one that is longer than half of the time left.
 func TestPatienceIsWithinWhatTheCallerAllows(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.1", Admission: withQueues})
 	stream := &routing.Route{Kind: routing.Streaming, Target: 800 * time.Millisecond}
 	for _, c := range []struct {
@@ -600,6 +620,7 @@
 
 // Guards against callers that count as returning for ever, or never, as the time that others of their route allow changes.
 func TestReturningCallersAllowLessThanOthers(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.1", Admission: withQueues})
 	returning := func(at, allowed time.Duration) bool {
 		r.now = at
@@ -617,6 +638,7 @@
 
 // Guards against a workspace whose grants count for another one, or not at all, because its requests did not wait.
 func TestGrantsWithoutAWaitCountForTheirWorkspace(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	owner := f.byIP[f.owners()[0]]
 	w := &routing.Workspace{Name: "w", Weight: 2}
@@ -638,6 +660,7 @@
 
 // Guards against a slot that stays taken as it is granted to a request that has ended meanwhile.
 func TestLateGrantIsReturned(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(1)
 	h := f.runs[ids[0]].host
--- a/internal/router/announcements_test.go
+++ b/internal/router/announcements_test.go
@@ -24,6 +24,7 @@
 // A backend server announces in an answer that it is leaving, and a registration read afterwards says that it is ready, as the
 // store took that write earlier. The announcement holds for that start of the server; the next start is used.
 func TestLeavingHoldsForThatStart(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	ready := func(revision, start uint64) routing.BackendChange {
 		ch := changeOf("a", revision, false)
@@ -46,6 +47,7 @@
 // A registration that lapsed around an outage of the store has a grace period, as its server is mostly alive. Not so if
 // the server has announced that it is leaving.
 func TestLeavingIsNotInDoubt(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(2*time.Second, BackendAnnouncement{ID: "a", Leaving: true})
 	r.Reduce(3*time.Second, StoreStatus{})
@@ -59,8 +61,10 @@
 // with the engine. All learn of it within a second and a half, in fleets with a full mesh of heartbeats and in those with
 // owners, with every tenth datagram lost.
 func TestOtherHostsLearnOfLeaving(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ zones, hosts int }{{3, 3}, {6, 20}} {
 		t.Run(fmt.Sprintf("%d zones of %d", c.zones, c.hosts), func(t *testing.T) {
+			t.Parallel()
 			z := newZones(t, c.zones, c.hosts, 4)
 			z.drops = func(_, _ string, _ *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
 			z.post(z.hosts[len(z.hosts)-1], BackendAnnouncement{ID: "e001", Leaving: true})
@@ -80,8 +84,10 @@
 // The owner of an engine offers a slot there when the engine has just announced to the asking host that it is leaving or wants
 // no requests for a time. The slot is released, and nothing is sent.
 func TestOfferOfALeavingEngineIsGivenBack(t *testing.T) {
+	t.Parallel()
 	for name, announcement := range map[string]BackendAnnouncement{"leaving": {Leaving: true}, "away": {HoldOff: time.Minute}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			z := newZone(t, 20, 23)
 			asker := z.hosts[0]
 			request, owner := z.requestSlot(asker)
@@ -103,6 +109,7 @@
 // server, its callers are told to retry after the hold-off. Then the server gets one request at a time until it has
 // answered one, as all hosts that it turned away come back.
 func TestServerGetsNothingDuringItsHoldOff(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	at := 2 * time.Second
 	dispatchOf(t, submitted(r, 1, at))
@@ -124,6 +131,7 @@
 
 // Hosts that were turned away at the same moment come back at different times.
 func TestHostsReturnAtDifferentTimes(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 3, 1)
 	moments := map[time.Duration]bool{}
 	for _, h := range z.hosts {
--- a/internal/router/brittle_test.go
+++ b/internal/router/brittle_test.go
@@ -247,6 +247,7 @@
 // All engines state that they are brittle while callers ask for twice their room, and their queues shrink. Guards against hosts
 // that send to full engines by old counts, each a few, until the engines fail.
 func TestBrittleEnginesAreNotOverrun(t *testing.T) {
+	t.Parallel()
 	for _, size := range brittleFleets {
 		for _, perSecond := range []float64{0, 1, 3, 8, 20} {
 			for _, shortQueue := range []int{0, 2} {
@@ -277,6 +278,7 @@
 // Engines are brittle while hosts restart and freeze and datagrams are lost. Guards against hosts that disagree on who may send
 // or forget what was rejected.
 func TestBrittleEnginesHoldWhileHostsComeAndGo(t *testing.T) {
+	t.Parallel()
 	for _, size := range brittleFleets {
 		for _, perSecond := range []float64{1, 3, 8, 20} {
 			t.Run(fmt.Sprintf("%d zones of %d, %g rejects", size.zones, size.hosts, perSecond), func(t *testing.T) {
@@ -305,6 +307,7 @@
 
 // Engines stop stating that they are brittle. Guards against hosts that go on sparing them.
 func TestBrittleEnginesRecover(t *testing.T) {
+	t.Parallel()
 	for _, size := range brittleFleets {
 		f := newBrittleFleet(t, size.zones, size.hosts, size.engines, 3, 0)
 		load := int(f.room(size.zones, size.engines))
@@ -322,6 +325,7 @@
 
 // A service's servers are brittle and another one starts. Guards against hosts that all fill the new one before its first answer.
 func TestNewServerIsAssumedBrittle(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b")
 	require.False(t, r.isBrittle(r.backends["a"]))
 	r.Reduce(3*time.Second, BackendAnnouncement{ID: "a", BrittleLimit: &RateObservation{PerSecond: 2, SentAt: 2 * time.Second}})
@@ -336,6 +340,7 @@
 
 // Requests that a brittle server rejects use up this host's share for a second. Guards against a host that tries again at once.
 func TestRejectionsUseUpTheShare(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(3*time.Second, BackendAnnouncement{ID: "a", BrittleLimit: &RateObservation{PerSecond: 2, SentAt: 2 * time.Second}})
 	sent := func(id uint64, at time.Duration) bool {
@@ -355,6 +360,7 @@
 // Two engines of a small fleet are brittle and half idle, and few hosts may send to them. Guards against the other hosts refusing
 // all their callers.
 func TestAllHostsReachBrittleEngines(t *testing.T) {
+	t.Parallel()
 	for _, perSecond := range []float64{0, 1, 3} {
 		t.Run(fmt.Sprintf("%g rejects", perSecond), func(t *testing.T) {
 			t.Parallel()
@@ -379,6 +385,7 @@
 // The hosts that may send to a brittle server are gone for good. Guards against a server that is never used again, and whose limit
 // is never seen to end.
 func TestBrittleServerIsTriedWhenItsSendersAreGone(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	for i := range 12 {
 		r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i+2), Zone: "z0", Incarnation: 1, Seq: 1}})
@@ -400,6 +407,7 @@
 
 // Many hosts ask an owner for slots at once. Guards against grants whose requests do not count until one is rejected.
 func TestOwnerGrantsWithinItsShare(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 1, 20, 23)
 	asker := z.hosts[0]
 	ask, owner := z.requestSlot(asker)
@@ -422,6 +430,7 @@
 
 // Owners do not answer. Guards against hosts of a large fleet that send to brittle servers by their own decision.
 func TestOnlyOwnersSendToBrittleServersAlone(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 1, 20, 23)
 	for _, h := range z.hosts {
 		for _, b := range h.r.allBackends() {
--- a/internal/router/cold_test.go
+++ b/internal/router/cold_test.go
@@ -106,6 +106,7 @@
 // 15 of 60 backend servers return at once, idle, while the fleet is under load. Each was the best choice of all hosts
 // and got more than twice the rate it can handle. Now only a few hosts send there, each at a share of the rate.
 func TestServersThatAreBackAtOnceAreNotOverloaded(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 4, 17, 15)
 	f.run(2*time.Second, 280)
 	at := f.now
@@ -122,6 +123,7 @@
 // All hosts crash when a zone's backend servers have just returned. Each restarted host knows no other and would take
 // the whole rate for itself.
 func TestRestartOfAllHostsOverloadsNoColdServer(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 4, 17, 15)
 	f.run(2*time.Second, 280)
 	at := f.now
@@ -137,6 +139,7 @@
 // All hosts are disconnected from each other when a zone's backend servers return cold. None may take the rate that
 // belongs to the others.
 func TestHostsThatAreCutOffOverloadNoColdServer(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 4, 17, 15)
 	f.run(2*time.Second, 280)
 	f.drops = func(from, to string, _ *gossippb.Packet) bool { return true }
@@ -151,6 +154,7 @@
 // A cold backend server gets no more than the operators allow in any second, for any size of fleet, number of
 // restarting hosts and share of lost datagrams.
 func TestColdServersInAnyFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		zones := rapid.IntRange(1, 2).Draw(rt, "zones")
 		hosts := rapid.SampledFrom([]int{1, 2, 4, 9, 17}).Draw(rt, "hosts a zone")
@@ -178,6 +182,7 @@
 
 // All backend servers of a small fleet are cold, as after a restart of all of them. They are used at their limited rate.
 func TestColdServersAreUsedWhereThereAreNoOthers(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 1, 3, 2)
 	at := f.now
 	f.enginesReturn(0, f.hosts...)
@@ -190,6 +195,7 @@
 
 // A host that has just started knows neither the other senders nor what its previous process sent.
 func TestRecentlyStartedHostSendsNothingToColdServers(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1, Seeds: []string{"10.0.0.2"}, Bounds: coldBounds})
 	cold := changeOf("cold", 20, false)
 	cold.Cold = 10 * time.Second
@@ -205,6 +211,7 @@
 
 // Owners grant no slots at cold backend servers: any host may request one, though only a few may send there.
 func TestOwnersOfferNoColdServer(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 1, 20, 23)
 	requester := f.hosts[0]
 	slotRequest, owner := f.requestSlot(requester)
@@ -215,6 +222,7 @@
 
 // An owner grants a slot before it learns that the backend server has restarted. The slot is returned.
 func TestOffersOfColdServersAreNotUsed(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 1, 20, 23)
 	requester := f.hosts[0]
 	slotRequest, owner := f.requestSlot(requester)
@@ -230,6 +238,7 @@
 
 // A registration states how long a backend server stays cold. A later one can state that it is warm.
 func TestRegistrationsStateWhichServersAreCold(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(0, Update{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 2,
 		Services: []routing.Service{{Name: "m", Model: true, ColdFor: testColdFor, ColdRate: testColdRate}}}}})
@@ -251,6 +260,7 @@
 
 // Bounds that allow one to less than two requests per second, or none beyond the rate, hold too.
 func TestColdServersWithTightBounds(t *testing.T) {
+	t.Parallel()
 	for _, b := range []struct{ rate, over, slack float64 }{{1, 1.5, 0}, {0.5, 1, 1}, {20, 1, 0}, {3, 0, 0}, {0.2, 1, 0}} {
 		r := newStandalone(t, "a")
 		r.opt.Bounds.ColdOverage, r.opt.Bounds.ColdSlack = b.over, b.slack
@@ -281,6 +291,7 @@
 
 // Servers of a plain service may register a cold period, but without a rate limit they are not treated as cold.
 func TestServersWithoutABoundAreNotCold(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	ch := changeOf("a", 60, false)
 	ch.Cold = time.Minute
--- a/internal/router/draining_test.go
+++ b/internal/router/draining_test.go
@@ -19,6 +19,7 @@
 // A backend server's older write, which still says that it is ready, is accepted by the store after the one that says that it
 // drains. Guards against hosts that then send to it again, until it exits.
 func TestDrainingIsFinalForAStart(t *testing.T) {
+	t.Parallel()
 	ready := func(revision uint64) routing.BackendChange { return changeOf("a", revision, false) }
 	fromPeer := func(r *Router, at time.Duration, ch routing.BackendChange) {
 		r.Reduce(at, Update{After: rev(50), AsOf: rev(50), Revision: ch.Revision, From: "10.0.0.9", Changes: routing.Changes{Backends: []routing.BackendChange{ch}}})
@@ -40,6 +41,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r := newStandalone(t, "a", "b")
 			register(r, 2*time.Second, drainingAt("a", 60))
 			require.False(t, usable(r, "a"))
@@ -52,6 +54,7 @@
 
 // The next start of a backend server is used, though the one before it drained.
 func TestNextStartOfADrainedServerIsUsed(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t)
 	first := drainingAt("a", 60)
 	first.Start = 5
@@ -65,6 +68,7 @@
 // One host has read only the later of two writes, by a listing, and its digest is that of the others. Guards against a host that
 // never learns that a backend server drains, as nothing differs that it would pull.
 func TestHostsThatMissedTheDrainingLearnOfIt(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 4, 2, 3)
 	changes := routing.Changes{Backends: []routing.BackendChange{drainingAt("e001", 60), changeOf("e001", 61, false)}}
 	for _, h := range z.hosts[1:] {
@@ -85,6 +89,7 @@
 // The owner of an engine has not read yet that it drains, and the host that asks for a slot has, or the reverse. Guards against
 // requests sent there by the word of the one that doesn't know.
 func TestSlotAtADrainingEngineIsNotUsed(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	request, owner := z.requestSlot(asker)
--- a/internal/router/drainsizes_test.go
+++ b/internal/router/drainsizes_test.go
@@ -23,6 +23,7 @@
 		"295 hosts": {5, 59, 4 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(4) {
 				s := newSpread(t, size.zones, size.hosts, seed)
 				s.run(time.Duration(53*seed)*time.Millisecond, 0)
--- a/internal/router/drainspread_test.go
+++ b/internal/router/drainspread_test.go
@@ -98,6 +98,7 @@
 // Guards against requests that reach a backend server long after it drains, from a host whose own watch of the store hangs and
 // whose pulls go to a peer that does not answer them. A tenth of the datagrams are lost.
 func TestDrainingSpreadsPastAWatchAndAPeerThatHang(t *testing.T) {
+	t.Parallel()
 	var worst time.Duration
 	for mute := range 7 {
 		for seed := range uint64(8) {
@@ -114,6 +115,7 @@
 // The same with lost pushes and without other losses, so that heartbeats come at even intervals. Guards against a host that asks the same peer
 // again and again, as the interval of its pulls is a multiple of that of the heartbeats.
 func TestPullsTakeTurns(t *testing.T) {
+	t.Parallel()
 	var worst time.Duration
 	for mute := range 7 {
 		for phase := range 10 {
@@ -129,6 +131,7 @@
 
 // Guards against a fleet in which the news stays where it was read: one host's watch delivers it, those of all others hang.
 func TestDrainingSpreadsFromOneHost(t *testing.T) {
+	t.Parallel()
 	for only := range 8 {
 		s := newSpread(t, 4, 2, 1)
 		for i, h := range s.hosts {
@@ -143,6 +146,7 @@
 
 // Guards against ways of learning of a draining that depend on each other: with any two of them failing, the others suffice.
 func TestDrainingSpreadsWhileAnyTwoWaysFail(t *testing.T) {
+	t.Parallel()
 	const blindHost = 7
 	for name, fail := range map[string]func(s *spread, other *zoneHost){
 		"watch and all pulls": func(s *spread, _ *zoneHost) {
@@ -165,6 +169,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for other := range blindHost {
 				for phase := range 4 {
 					s := newSpread(t, 4, 2, 1)
@@ -180,6 +185,7 @@
 
 // Many servers drain at once, and one host's watch and pulls hang. Guards against pushes that always carry the same few of them.
 func TestManyDrainingServersSpreadByPushes(t *testing.T) {
+	t.Parallel()
 	for _, draining := range []int{12, 30, 100} {
 		s := newSpreadOf(t, 4, 2, 30, 1)
 		s.onPull = func(string, Pull) {}
@@ -202,6 +208,7 @@
 
 // The same with one host that knows. Guards against a part of them that is never pushed.
 func TestOneHostPushesAllDrainingServers(t *testing.T) {
+	t.Parallel()
 	s := newSpreadOf(t, 4, 2, 30, 1)
 	s.onPull = func(string, Pull) {}
 	var changes routing.Changes
@@ -222,6 +229,7 @@
 // Guards against pushes that use up small hosts' links: in fleets of 8 and 16 hosts, twelve servers drain within a second, and one
 // host neither reads that nor gets a datagram. What a host sends in that second stays below the operators' 18 KB.
 func TestPushesOfDrainingServersAreSmall(t *testing.T) {
+	t.Parallel()
 	for _, perZone := range []int{2, 4} {
 		s := newSpread(t, 4, perZone, 1)
 		deaf := s.hosts[len(s.hosts)-1]
--- a/internal/router/era_test.go
+++ b/internal/router/era_test.go
@@ -42,6 +42,7 @@
 // The store is restored thirty revisions back. Its changes must be applied from then on, though their numbers are lower than
 // known ones. A peer that does not know of this must not restore what was lost.
 func TestLaterEraGoesFirst(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b") // registered at revision 10, complete as of 50
 	r.Reduce(12*time.Second, listing(inEra(2, 20), servers(inEra(2, 10), "a", "b")))
 	c := servers(inEra(2, 21), "new")
@@ -60,6 +61,7 @@
 // A host knows that a server is leaving, while the older copy lists it as ready, as does a later registration of the same
 // start. A server that the host knows to have left is listed in the copy too.
 func TestOlderCopyIsNoEvidence(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "leaves", "left", "stays")
 	drain := changeOf("leaves", 60, false)
 	drain.Draining = true
@@ -77,6 +79,7 @@
 // A server has joined in the seconds that the store has lost. It stays in use, as it is alive and registers again; one that does
 // not within lostBackendTTL is removed.
 func TestLostServersHaveTimeToWriteAgain(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "old")
 	register(r, time.Second, changeOf("lives", 51, false))
 	register(r, time.Second, changeOf("ended", 52, false))
@@ -107,6 +110,7 @@
 // A host that the store refuses learns of the era from its peers' heartbeats and pulls, even if the copy lists no server. The
 // update lacks the servers that the copy lacks, and they are kept for lostBackendTTL there too.
 func TestPeersLearnOfAnEra(t *testing.T) {
+	t.Parallel()
 	reader, refused := newStandalone(t, "a"), newStandalone(t, "a")
 	reader.Reduce(2*time.Second, listing(inEra(1, 20), routing.Changes{}))
 	beat := func(seq uint64) *gossippb.Beat {
@@ -134,6 +138,7 @@
 // A configuration from before the restore stays in force until a later one arrives: keys, routes and quotas that the older copy
 // still has were removed on purpose.
 func TestOlderCopyDoesNotRevertTheConfiguration(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(time.Second, Update{FromStore: true, After: rev(50), AsOf: rev(70), Changes: routing.Changes{Config: &routing.Config{Version: 9}}})
 	r.Reduce(2*time.Second, listing(inEra(1, 20), routing.Changes{Config: &routing.Config{Version: 1}}))
@@ -145,6 +150,7 @@
 // One host of each zone learns of the era from the store, which refuses the others. They learn of it from heartbeats within a
 // second and a half, before they would pull because of a different digest.
 func TestHeartbeatsReportTheEra(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 2, 12, 4)
 	for _, h := range []*zoneHost{z.hosts[0], z.hosts[12]} {
 		z.post(h, listing(inEra(1, 20), servers(inEra(1, 10), "e001")))
@@ -157,6 +163,7 @@
 
 // The era adds few bytes to each heartbeat, and none in the first era.
 func TestEraAddsFewBytesToHeartbeats(t *testing.T) {
+	t.Parallel()
 	b := &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: 1, ConfigVersion: 1, Revision: 4711, Digest: 7}
 	first := proto.Size(b)
 	b.Era = 100
--- a/internal/router/evacuations_test.go
+++ b/internal/router/evacuations_test.go
@@ -23,6 +23,7 @@
 
 // Operators evacuate a zone while a request runs there. Neither its retry nor a new request may go there.
 func TestEvacuatedZoneGetsNoSecondTry(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b", "c")
 	for i, id := range []string{"a", "b", "c"} {
 		ch := changeOf(id, uint64(60+i), false)
@@ -55,6 +56,7 @@
 
 // An owner offers a slot before it has learned that its zone is evacuated.
 func TestOffersOfAnEvacuatedZoneAreNotUsed(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	request, owner := z.requestSlot(asker)
@@ -70,6 +72,7 @@
 // The store delivers an evacuation to two hosts of one zone only; it refuses the others, and one starts after that. All hosts of
 // a large fleet apply it within a second and a half with every tenth datagram lost, and its end too.
 func TestEvacuationsReachAllHosts(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 17, 5)
 	z.drops = func(string, string, *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
 	z.run(time.Second, 50)
@@ -94,6 +97,7 @@
 
 // Zone peers learn of an evacuation from each other alone.
 func TestZonePeersReportEvacuations(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 5)
 	z.post(z.hosts[3], evacuationStarted("z0", rev(70)))
 	z.run(1500*time.Millisecond, 0)
@@ -105,6 +109,7 @@
 // Changes arrive in any order. A complete listing ends the evacuations that it lacks, and a host that missed this learns it from
 // a peer.
 func TestEvacuationsFollowTheStoresOrder(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(time.Second, evacuationEnded("z0", rev(71)))
 	r.Reduce(time.Second, evacuationStarted("z0", rev(70)))
@@ -130,6 +135,7 @@
 // The store is restored from a copy made before the evacuation. Until operators write it again, a host that knew of it keeps
 // it, though only for a limited time.
 func TestEvacuationHoldsAgainstAnOlderCopy(t *testing.T) {
+	t.Parallel()
 	copyOf := func(r *Router, at time.Duration) {
 		r.Reduce(at, Update{FromStore: true, Full: true, AsOf: routing.Revision{Era: 1, Number: 40}, Changes: routing.Changes{
 			Backends: []routing.BackendChange{changeOf("a", 10, false)}}})
@@ -150,6 +156,7 @@
 
 // When an evacuation ends, the zone's backend servers may have turned cold, and being idle they would get all requests.
 func TestServersOfAReopenedZoneCountAsCold(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 4, 17, 15)
 	for _, h := range f.hosts {
 		f.post(h, evacuationStarted("z2", rev(90)))
@@ -169,6 +176,7 @@
 
 // The number of zones remembered from other hosts' reports is limited.
 func TestEvacuationsOfOthersAreBounded(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	for i := range 3 * maxEvacuations {
 		r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.9", Zone: "z0", Incarnation: 1, Seq: uint64(i + 1),
--- a/internal/router/exhaustive_test.go
+++ b/internal/router/exhaustive_test.go
@@ -92,6 +92,7 @@
 // Every sequence of up to four events for a request of each kind, with three engines: no second answer, no run beyond
 // the limit, and "not run" only if proved. The reducer decides alike for longer sequences through the same states.
 func TestEveryShortHistoryOfARequest(t *testing.T) {
+	t.Parallel()
 	const depth = 4
 	all := steps()
 	routes := []*routing.Route{
@@ -159,6 +160,7 @@
 // Six updates reach a host in every order, from the store and from peers, each twice. The state in force never goes
 // back and ends the same.
 func TestEveryOrderOfUpdates(t *testing.T) {
+	t.Parallel()
 	config := func(v uint64) routing.Changes { return routing.Changes{Config: &routing.Config{Version: v}} }
 	backend := func(rev uint64, removed bool) routing.Changes {
 		return routing.Changes{Backends: []routing.BackendChange{changeOf("x", rev, removed)}}
--- a/internal/router/failing_test.go
+++ b/internal/router/failing_test.go
@@ -25,6 +25,7 @@
 // One engine of 60 breaks each new request for five seconds while older streams still complete there. It looks idle,
 // and with each host learning for itself 521 requests were lost. The first hosts to lose some must warn all zones.
 func TestOneFailingServerTakesFewRequests(t *testing.T) {
+	t.Parallel()
 	z := newFailingFleet(t, 1, "e022")
 	z.run(5*time.Second, 300)
 	require.LessOrEqual(t, z.broken["e022"], 15)
@@ -33,6 +34,7 @@
 // The same under overload. All other engines are full, and the failing one always has room: four such engines lost
 // 1,400 requests in five seconds.
 func TestFailingServerGetsFewRequestsUnderOverload(t *testing.T) {
+	t.Parallel()
 	z := newFailingFleet(t, 1, "e022")
 	z.run(5*time.Second, 1000)
 	require.Positive(t, z.refused)
@@ -42,6 +44,7 @@
 // Owners do not reply to slot requests, so all hosts decide locally. They still learn from the owners' reports which
 // engine fails, in its zone and in others.
 func TestFailingServerIsReportedWithoutSlotReplies(t *testing.T) {
+	t.Parallel()
 	z := newFailingFleet(t, 1, "e022")
 	z.drops = func(_, _ string, p *gossippb.Packet) bool { return p.Ask != nil }
 	z.run(5*time.Second, 300)
@@ -54,6 +57,7 @@
 
 // All engines break a share of their requests. The fleet keeps using them.
 func TestFleetOfSuspectsServes(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 2, 4, 4)
 	z.breaks, z.broken = map[string]float64{}, map[string]int{}
 	for i := range 8 {
@@ -67,6 +71,7 @@
 
 // An engine that breaks nearly every other request serves some requests on probation. One success must not restore it.
 func TestHalfFailingServerTakesFewRequests(t *testing.T) {
+	t.Parallel()
 	z := newFailingFleet(t, 0.45, "e022")
 	z.run(5*time.Second, 300)
 	require.LessOrEqual(t, z.broken["e022"], 15)
@@ -78,6 +83,7 @@
 
 // All engines of a zone lose 2% of their answers. Hardly any may be avoided for that.
 func TestServersThatLoseFewAnswersAreNotShutOut(t *testing.T) {
+	t.Parallel()
 	z := newFailingFleet(t, 0.02, "e015", "e016", "e017", "e018", "e019", "e020", "e021", "e022", "e023", "e024", "e025", "e026", "e027", "e028", "e029")
 	avoided, seen := 0, 0
 	for range 50 {
@@ -96,6 +102,7 @@
 
 // The success of a stream that began before a failure does not clear the failure.
 func TestOlderRunsClearNoFailure(t *testing.T) {
+	t.Parallel()
 	b := newBackend(changeOf("a", 10, false).Backend)
 	b.failed(2 * time.Second)
 	b.succeeded(time.Second)
@@ -110,6 +117,7 @@
 
 // In a small fleet hosts report which engines fail their requests. A single report may stem from a fault of its sender.
 func TestReportsOfTwoHostsMakeASuspect(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b")
 	report := func(host string, seq uint64, failing ...uint32) {
 		r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: host, Zone: "z0", Incarnation: 1, Seq: seq, Failing: failing}})
@@ -126,6 +134,7 @@
 // Another zone's summary lists a failing engine. A host that finds nothing better decides locally after some refusals,
 // and must still avoid that engine.
 func TestZoneSummariesReportWhatFails(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 10, 3)
 	z.run(2*time.Second, 50)
 	h := z.hosts[0].r
--- a/internal/router/heartbeats_test.go
+++ b/internal/router/heartbeats_test.go
@@ -15,6 +15,7 @@
 // reported only every 100 to 150 ms, all chose the same engines, and a quarter of the streams began
 // late. So a change of the load causes a heartbeat at once, and a burst of changes one per gap.
 func TestChangeIsReportedAtOnceAndBurstsAreBounded(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 4)
 	b.post(HeartbeatReceived{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
 	b.post(Tick{})
--- a/internal/router/hothost_test.go
+++ b/internal/router/hothost_test.go
@@ -45,9 +45,11 @@
 // Guards against a limit that all hosts share in fixed parts: a host that gets most connections used up its own part, and
 // refused the rest while the parts of others were unused.
 func TestHotHostUsesTheRatesOfOthers(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ zones, hosts, engines int }{{3, 2, 2}, {3, 3, 2}, {3, 6, 2}} {
 		for _, used := range []float64{0.3, 0.6} {
 			t.Run(fmt.Sprintf("%d zones of %d, %g used", c.zones, c.hosts, used), func(t *testing.T) {
+				t.Parallel()
 				const perEngine = 10
 				f := newLimitFleet(t, c.zones, c.hosts, c.engines)
 				f.state(perEngine, f.engineNames()...)
@@ -74,6 +76,7 @@
 
 // Guards against lenders that grant more than their shares: one host gets three times what the engines take.
 func TestLentSlotsKeepTheRates(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{2, 6} {
 		f := newLimitFleet(t, 3, hosts, 2)
 		const perEngine = 5
@@ -93,6 +96,7 @@
 
 // Guards against the same for cold backend servers: all have just started, and one host gets most requests.
 func TestHotHostUsesColdServersOfOthers(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, 3, 3, 2)
 	o := &hotHost{z: f.zone}
 	dispatched := f.onDispatch
--- a/internal/router/lapse_test.go
+++ b/internal/router/lapse_test.go
@@ -50,6 +50,7 @@
 // A backend server leaves without saying that it drains, and one host learns of it from the others, as the store answers it no
 // more, or has only just begun to. Guards against requests that it sends there later than the others may.
 func TestRemovalBindsAHostThatTheStoreAloneFails(t *testing.T) {
+	t.Parallel()
 	for _, backFor := range []time.Duration{-1, 0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2500 * time.Millisecond} {
 		s := newSpread(t, 4, 2, 1)
 		late := s.hosts[7]
@@ -67,6 +68,7 @@
 
 // The same after an outage for all hosts. Guards against a grace period that begins anew with each host that learns of the removal.
 func TestRemovalBindsAfterAnOutage(t *testing.T) {
+	t.Parallel()
 	for _, backFor := range []time.Duration{0, 250 * time.Millisecond, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second, 2500 * time.Millisecond} {
 		for _, lateBack := range []bool{false, true} {
 			s := newSpread(t, 4, 2, 1)
@@ -87,6 +89,7 @@
 
 // Guards against refusals after an outage for all hosts, while the backend servers whose registrations lapsed register anew.
 func TestLapsedRegistrationIsUsedInTheWholeFleet(t *testing.T) {
+	t.Parallel()
 	s := newSpread(t, 4, 2, 1)
 	s.setStore(false)
 	s.answerFor(3 * time.Second)
@@ -100,6 +103,7 @@
 
 // A removal says that the backend server drained before, which this host has not read. Guards against a grace period for it.
 func TestRemovalOfADrainingServerHasNoGracePeriod(t *testing.T) {
+	t.Parallel()
 	drained := drainingAt("a", 60)
 	drained.Removed = true
 	listed := listing(rev(60), routing.Changes{})
@@ -108,6 +112,7 @@
 		"listed, and pulled": {listed, {Revision: rev(60), AsOf: rev(60), From: "10.0.0.9", Changes: routing.Changes{Backends: []routing.BackendChange{drained}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r := newStandalone(t, "a")
 			r.Reduce(2*time.Second, StoreStatus{OK: false})
 			for _, n := range updates {
@@ -122,6 +127,7 @@
 
 // A peer has known of a removal for a while. Guards against a grace period that ignores that.
 func TestGracePeriodCountsFromTheRemoval(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(2*time.Second, StoreStatus{OK: false})
 	ch := changeOf("a", 60, true)
@@ -134,6 +140,7 @@
 // The store is back for a peer, and a second later for this host, which lists it and can't tell when the removal was. Guards against a
 // grace period that begins with the listing.
 func TestGracePeriodEndsWithTheFleets(t *testing.T) {
+	t.Parallel()
 	const storeBack = 3 * time.Second
 	r := newStandalone(t, "a")
 	r.Reduce(2*time.Second, StoreStatus{OK: false})
@@ -147,6 +154,7 @@
 // The store answers a peer throughout, and this host again half a second after a removal, which it only finds missing then. Guards
 // against hosts that take their own loss of the store for an outage.
 func TestRemovalWhileTheStoreAnswersAPeerHasNoGracePeriod(t *testing.T) {
+	t.Parallel()
 	const removedAt = 3 * time.Second
 	r := newStandalone(t, "a")
 	seq := uint64(0)
@@ -168,6 +176,7 @@
 // Guards against answers that wait for a backend server to their deadline, after another program has overwritten its registration
 // while it might have lapsed.
 func TestForeignOverwriteEndsTheGracePeriod(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(2*time.Second, StoreStatus{OK: false})
 	r.Reduce(3*time.Second, listing(rev(60), routing.Changes{}))
--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -386,11 +386,10 @@
 // Guards against a workspace that takes the room of others by sending more: the small ones send a fifth of the capacity, and the
 // large one, at the same priority, three times the capacity.
 func TestLargeWorkspaceLeavesSmallOnesTheirRoom(t *testing.T) {
+	t.Parallel()
 	for _, c := range largeCases {
 		t.Run(c.name, func(t *testing.T) {
-			if c.hosts > 9 {
-				t.Parallel()
-			}
+			t.Parallel()
 			f, small, large, from, until := c.play(t, loadQueues)
 			served, all := f.served(from, small...)
 			before, allBefore := f.served(0, small...)
@@ -463,8 +462,10 @@
 // Guards against callers that are refused although the engines are idle soon after and they could wait: refused at once, they
 // return into the same wave and are refused for good.
 func TestWaveIsServedByWaiting(t *testing.T) {
+	t.Parallel()
 	for _, c := range waveCases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := c.play(t, loadQueues)
 			urgent, allUrgent, median, longest := f.waitOf(0)
 			others, allOthers, medianOthers, longestOthers := f.waitOf(2)
--- a/internal/router/moves_test.go
+++ b/internal/router/moves_test.go
@@ -43,6 +43,7 @@
 
 // Guards against ending a stream whose server is sound because another request took the place found for its move.
 func TestMovedRequestKeepsItsPlace(t *testing.T) {
+	t.Parallel()
 	b := newFixtureWithBudget(t, 2)
 	first, _ := b.submit(urgentRoute, 0, 10)
 	id := b.next
@@ -55,6 +56,7 @@
 
 // Guards against a place that stays reserved once its request no longer needs it: the server would seem busy for ever.
 func TestUnusedPlaceIsReleased(t *testing.T) {
+	t.Parallel()
 	for name, end := range map[string]Event{
 		"answered after all": DispatchEnded{ID: 21, Outcome: Answered},
 		"timed out":          DispatchEnded{ID: 21, Outcome: TimedOut},
@@ -87,6 +89,7 @@
 
 // Guards against sending a moved request to a server that has begun to shut down since its place was reserved.
 func TestReservedPlaceAtALeavingServerIsNotUsed(t *testing.T) {
+	t.Parallel()
 	b := newFixtureWithBudget(t, 3)
 	first, _ := b.submit(urgentRoute, 0, 10)
 	id := b.next
@@ -106,6 +109,7 @@
 
 // Guards against sending a moved request to the earlier start of a server, past the limits of the present one.
 func TestReservedPlaceAtAnEarlierStartIsNotUsed(t *testing.T) {
+	t.Parallel()
 	b := newFixtureWithBudget(t, 2)
 	first, _ := b.submit(urgentRoute, 0, 10)
 	id := b.next
@@ -126,6 +130,7 @@
 
 // Guards against ending a stream whose first server is sound because the server that it moved to doesn't take it.
 func TestMovedRequestReturnsIfItIsNotTaken(t *testing.T) {
+	t.Parallel()
 	for name, o := range map[string]Outcome{"not sent": NotSent, "rejected": Rejected, "broken": Broken} {
 		for _, othersFull := range []bool{false, true} {
 			b := newFixtureWithBudget(t, 3)
@@ -149,6 +154,7 @@
 
 // Guards the same in a large fleet, where owners count the load, and against a load that stays at an owner.
 func TestMovedRequestKeepsItsPlaceInALargeFleet(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 6)
 	h := z.hosts[0]
 	for range 20 {
--- a/internal/router/origins_test.go
+++ b/internal/router/origins_test.go
@@ -112,6 +112,7 @@
 // Guards against streams that go on at another software version, or do not go on, when callers take them up at any host of a small
 // or a large fleet, with hosts that are killed, restart or are cut off, and lost datagrams.
 func TestStreamsGoOnAtTheirVersion(t *testing.T) {
+	t.Parallel()
 	const begun = 30
 	other := func(f *originFleet, origin *zoneHost, match func(h *zoneHost) bool) *zoneHost {
 		for {
@@ -182,6 +183,7 @@
 	for _, size := range []struct{ zones, hosts int }{{3, 3}, {3, 12}} {
 		for _, c := range cases {
 			t.Run(fmt.Sprintf("%d hosts, %s", size.zones*size.hosts, c.name), func(t *testing.T) {
+				t.Parallel()
 				f := newOriginFleet(t, size.zones, size.hosts, "v1", "v2")
 				if c.lossRate > 0 {
 					f.drops = func(string, string, *gossippb.Packet) bool { return f.rng.Float64() < c.lossRate }
@@ -238,6 +240,7 @@
 // Guards against a host that takes the only version that it knows for the one that began a stream, although it has just started
 // and another version may be gone since.
 func TestSoleVersionIsNotAssumedByHostsThatHaveJustStarted(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{3, 12} {
 		f := newOriginFleet(t, 3, hosts, "v2")
 		named := streams.NewID("w", "an attempt that nobody knows")
@@ -260,6 +263,7 @@
 
 // Guards against a stream that goes on at the remaining version shortly after a release has ended.
 func TestVersionThatIsGoneStillCountsForAsLongAsAStream(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1", "v2")
 	f.register(80, func(i int) string { return []string{"", "v2"}[i%2] })
 	f.zone.run(streams.Lifetime/2, 0)
@@ -278,6 +282,7 @@
 
 // Guards against a server whose next start, under the same ID, hides the version of the one before.
 func TestVersionOfAnEarlierStartStillCounts(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1")
 	f.register(80, func(int) string { return "v2" })
 	_, cause := f.attempt(f.hosts[0], 0)
@@ -286,6 +291,7 @@
 
 // Guards against a stream that goes on at another version, or that waits, when all servers of its version drain.
 func TestStreamIsRefusedAtOnceWhenItsVersionDrains(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1", "v2")
 	stream := f.begin(f.hosts[0])
 	bound := f.sent[stream].Backend.Version
@@ -301,6 +307,7 @@
 
 // Guards against a stream that goes on although its caller has given two streams the same name.
 func TestAmbiguousStreamIsRefused(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1", "v2")
 	for _, version := range []string{"v1", "v2"} {
 		f.post(f.hosts[0], OriginReceived{From: f.hosts[1].ip, Origin: &gossippb.StreamOrigin{Stream: 7, Service: "m", Version: version}})
@@ -313,6 +320,7 @@
 
 // Guards against a stream that new requests keep out of the few servers that it can go on at.
 func TestContinuedStreamIsAheadOfNewOnes(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1")
 	r := f.hosts[0].r
 	b := r.backends["e000"]
@@ -325,6 +333,7 @@
 
 // Guards against callers that name streams which nobody knows and so make a host send datagrams without a limit.
 func TestQueriesForUnknownStreamsAreLimited(t *testing.T) {
+	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1", "v2")
 	queries := 0
 	f.drops = func(_, _ string, p *gossippb.Packet) bool {
--- a/internal/router/parts_test.go
+++ b/internal/router/parts_test.go
@@ -273,6 +273,7 @@
 // Guards against a part of prompts that ends engine after engine, in requests of which no two are alike: all hosts must keep
 // it from engines soon after the fifth end, and sound requests, which share its callers and other parts, must go on.
 func TestPartThatEndsEnginesIsKeptFromThem(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                  string
 		zones, hosts, engines int
@@ -305,6 +306,7 @@
 		{name: "large fleet", zones: 6, hosts: 5, engines: 5, sound: 100, deadly: map[string]*deadlyPart{"d": {perSecond: 8, at: 1}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			s := newPartStorm(t, c.zones, c.hosts, c.engines)
 			if c.sound > 0 {
 				s.soundPerSecond = c.sound
@@ -341,6 +343,7 @@
 // Guards against parts that are blamed because they are popular: engines end all the time, alone and with their rack, and
 // no request is the cause.
 func TestOrdinaryEndsBlameNoPart(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                  string
 		zones, hosts, engines int
@@ -356,6 +359,7 @@
 		{"long streams, eight of twenty engines at once", 4, 4, 5, 0.15, 8, 6, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			s := newPartStorm(t, c.zones, c.hosts, c.engines)
 			s.ordinary, s.rack, s.soundPerSecond, s.streamLength = c.perSecond, c.rack, c.sound, c.streamLength
 			s.z.run(2*time.Minute, 0)
@@ -376,6 +380,7 @@
 // Guards against one more engine that ends although its request had not begun when the part was found out, and against blame
 // of the engine for a call that the host aborted.
 func TestRequestsThatHaveNotBegunAreWithdrawn(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	parts := quarantine.PartDigests([]string{"d"})
 	at := 2 * time.Second
@@ -402,6 +407,7 @@
 
 // Guards against a host that starts, serves at once, and ends one more engine before it is told what others know.
 func TestJoiningHostIsToldWithTheFirstHeartbeat(t *testing.T) {
+	t.Parallel()
 	s := newPartStorm(t, 3, 3, 3)
 	s.z.run(5*time.Second, 0)
 	part := quarantine.PartDigests([]string{"d"})[0]
@@ -419,6 +425,7 @@
 
 // Guards against trials that are repeated because their caller left, or the end of the server was not proved.
 func TestTrialWithoutAResultIsNotRepeatedSoon(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	parts := quarantine.PartDigests([]string{"d"})
 	blamePart(r, 2*time.Second, parts[0])
@@ -434,6 +441,7 @@
 // Guards against a stream without length or chunks that an engine's crash ends: it looks complete, and would count as a
 // completed run of the part that caused the crash.
 func TestAnswerThatEndsWithItsConnectionProvesNoCompletedRun(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b", "c", "d", "e", "f", "g", "h")
 	parts := quarantine.PartDigests([]string{"d"})
 	for range 200 {
@@ -452,6 +460,7 @@
 // Guards against ends that are never proved because all backend servers of a service ended at about the same moment, which looks
 // like a lost path of this host: once it reaches another server of the service, it asks the refusing ones again.
 func TestEndsOfAWholeServiceAreProvedOnceAnotherServerIsReached(t *testing.T) {
+	t.Parallel()
 	for _, lostPath := range []bool{false, true} {
 		r := newStandalone(t, "a", "b", "c")
 		at := 2 * time.Second
@@ -503,6 +512,7 @@
 // Guards against a request that waits for another host's slot, or for the time-out of that, and is sent although its part has
 // been found out meanwhile. The slot is returned.
 func TestRequestQuarantinedWhileItWaitsForASlot(t *testing.T) {
+	t.Parallel()
 	for _, replied := range []bool{true, false} {
 		z := newZones(t, 1, 20, 23)
 		parts := quarantine.PartDigests([]string{"d"})
@@ -530,6 +540,7 @@
 
 // Guards against an owner that is told of a fault of its backend server where the asking host has aborted the call itself.
 func TestWithdrawnRequestIsNoFaultForTheOwner(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 1, 20, 23)
 	h, parts := z.hosts[0], quarantine.PartDigests([]string{"d"})
 	for range 10 {
--- a/internal/router/queuefaults_test.go
+++ b/internal/router/queuefaults_test.go
@@ -44,6 +44,7 @@
 // Guards against a request that ends backend servers and is sent to one because it was quarantined only while it waited, in its own
 // host's queue or at another owner.
 func TestRequestQuarantinedInTheQueueIsNotSent(t *testing.T) {
+	t.Parallel()
 	for _, own := range []bool{true, false} {
 		f := newQueueFleet(t, 1, 6, 6)
 		f.fill()
@@ -65,6 +66,7 @@
 
 // Guards against a process that ends when a reply to an earlier one says that a request waits which did not ask to.
 func TestQueuedOfferForAPlainRequestIsIgnored(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	owner := f.byIP[f.owners()[0]]
 	h := f.hostOtherThan(owner)
@@ -88,6 +90,7 @@
 // Guards against a request that runs and waits at once: a message that crossed its grant queues it again, and the next slot is for
 // nobody.
 func TestMessageThatCrossedTheGrantIsWithdrawn(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(1)
 	h := f.runs[ids[0]].host
@@ -109,6 +112,7 @@
 // Guards against a request without an answer: its host is paused for longer than it remembers calls, and forgets one that has not
 // timed out.
 func TestPausedHostAnswersItsRequests(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	owner := f.byIP[f.owners()[0]]
 	h := f.hostOtherThan(owner)
@@ -125,6 +129,7 @@
 // Guards against requests that wait at an owner of another zone and are dropped there without an answer, as the owner no longer
 // hears their host.
 func TestRequestWaitsInAnotherZone(t *testing.T) {
+	t.Parallel()
 	for i := range 8 {
 		f := newQueueFleet(t, 3, 8, 4)
 		h := f.hosts[i]
@@ -174,6 +179,7 @@
 // Guards against a new process that takes over the entry of the one before it under the same number and is then dropped without an
 // answer.
 func TestNewProcessUnderTheNumberOfAnOldOne(t *testing.T) {
+	t.Parallel()
 	f := newQueueFleet(t, 1, 6, 6)
 	ids, owner := f.wait(1)
 	h := f.runs[ids[0]].host
--- a/internal/router/quota_test.go
+++ b/internal/router/quota_test.go
@@ -117,6 +117,7 @@
 // most of a request at the same moment and exceeded the bound. With requests of a twentieth of the size and twelve
 // times the quota, such a fleet stays at 0.86 of the bound.
 func TestQuotaHoldsInAFleetOfHundreds(t *testing.T) {
+	t.Parallel()
 	f := newBusyWorkspace(t, 49)
 	f.demand = 20
 	f.submitRequests(func(time.Duration) {})
@@ -308,6 +309,7 @@
 // Guards against zone summaries that list all of hundreds of workspaces each time. Relayed to a hundred hosts at once
 // they overflow a small host's link, and hosts that miss them consider the zone disconnected.
 func TestSummariesListOnlyNewSpending(t *testing.T) {
+	t.Parallel()
 	const workspaces = 200
 	b := newFixture(t, 1)
 	cfg := &routing.Config{Version: 9}
@@ -341,6 +343,7 @@
 
 // Guards against hosts deciding by their own small share of a quota until a crashed owner is detected.
 func TestSecondOwnerDecidesWhileTheFirstIsSilent(t *testing.T) {
+	t.Parallel()
 	f := newWorkspace(t, 16, smallRate)
 	owners := f.hosts[0].r.quotaOwners("w")
 	f.byIP[owners[0]].dead = true
--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -254,6 +254,7 @@
 // Engines state a rate limit in their answers while the fleet is under a load far above it. Guards against hosts that do not
 // read the statement, that each use the whole rate, or that save up more than the bound allows.
 func TestFleetKeepsToStatedRateLimits(t *testing.T) {
+	t.Parallel()
 	for _, size := range limitedFleets {
 		for _, rate := range []float64{0, 0.01, 0.4, 1.3, 2.2, 20} {
 			for _, all := range []bool{false, true} {
@@ -277,6 +278,7 @@
 
 // All engines of a service state a rate limit. Guards against a fleet that leaves most of what they accept unused.
 func TestStatedRateLimitsAreUsedUp(t *testing.T) {
+	t.Parallel()
 	for _, size := range limitedFleets {
 		for _, rate := range []float64{1.3, 2.2, 20} {
 			t.Run(fmt.Sprintf("%d zones of %d, %g a second", size.zones, size.hosts, rate), func(t *testing.T) {
@@ -298,6 +300,7 @@
 // All engines state a rate limit, and urgent requests ask for half of it beside many background requests. Guards against
 // background requests that take the places of urgent ones.
 func TestUrgentRequestsGetTheirPartOfAStatedRate(t *testing.T) {
+	t.Parallel()
 	f := newLimitFleet(t, 3, 3, 3)
 	const rate = 2.2
 	f.state(rate, f.engineNames()...)
@@ -324,6 +327,7 @@
 // An engine lowers its rate limit, raises it and states none in the end, while some answers overtake others. Guards against
 // an older statement that replaces a later one, and against hosts that keep a limit which has ended.
 func TestRateLimitsThatChange(t *testing.T) {
+	t.Parallel()
 	for _, size := range limitedFleets {
 		t.Run(fmt.Sprintf("%d zones of %d", size.zones, size.hosts), func(t *testing.T) {
 			t.Parallel()
@@ -350,6 +354,7 @@
 // Hosts start, stop, crash, freeze and are cut off from each other while engines state rate limits that change and end.
 // Guards against hosts that disagree on who may send, forget the limit, or save up what others have used.
 func TestRateLimitsHoldWhileHostsComeAndGo(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.SampledFrom([]struct{ zones, hosts int }{{1, 3}, {2, 4}, {3, 3}, {3, 8}}).Draw(rt, "fleet")
 		f := newLimitFleet(t, size.zones, size.hosts, 2)
@@ -401,6 +406,7 @@
 // Statements are ordered by when they can have been made. Guards against an answer that was overtaken, or a report that was
 // on its way for long, lifting a limit that still holds.
 func TestRateLimitStatementsInAnyOrder(t *testing.T) {
+	t.Parallel()
 	at := func(rate float64, sent, heard int) statement {
 		return statement{rate, time.Duration(sent) * time.Second, time.Duration(heard) * time.Second}
 	}
@@ -433,6 +439,7 @@
 
 // The only server accepts nothing or next to nothing. Guards against a limit that is never seen to end because nobody sends.
 func TestRateTrialFindsTheEndOfALimit(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	observe(r, 3*time.Second, "a", 0)
 	id := uint64(0)
@@ -457,6 +464,7 @@
 
 // All hosts of a fleet have heard nothing of a server for long. Guards against trials that all of them send at once.
 func TestRateTrialsAreSpread(t *testing.T) {
+	t.Parallel()
 	f := newLimitFleet(t, 1, 15, 1)
 	f.drops = func(string, string, *gossippb.Packet) bool { return true }
 	f.state(0, "e000")
@@ -470,6 +478,7 @@
 // The only server of a service has stated a limit. Guards against a refusal that names another cause, or that tells all callers
 // to return at once: at two requests a second the tenth caller finds no place within four seconds.
 func TestRefusalsAtARateLimitFitTheRate(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	observe(r, 3*time.Second, "a", 2)
 	var returns []time.Duration
@@ -489,6 +498,7 @@
 
 // A server states a limit, and its next start registers under the same ID. Guards against a limit that outlives its server.
 func TestRateLimitEndsWithTheStart(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	ready := changeOf("a", 60, false)
 	ready.Start = 5
@@ -508,6 +518,7 @@
 // Any host may ask an owner for a slot, and only a few may send to a rate-limited server. Guards against offers of such a server,
 // and against the use of one that was made before the limit was known.
 func TestOwnersOfferNoRateLimitedServer(t *testing.T) {
+	t.Parallel()
 	for _, known := range []string{"owner", "asker"} {
 		z := newZones(t, 1, 20, 23)
 		asker := z.hosts[0]
@@ -532,6 +543,7 @@
 // A host that was told of a limit tells the others, in fleets with a full mesh of heartbeats and in those with owners, with every
 // tenth datagram lost. Guards against hosts that send as before until they are told themselves.
 func TestOtherHostsLearnOfRateLimits(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ zones, hosts int }{{3, 3}, {6, 20}} {
 		z := newZones(t, c.zones, c.hosts, 4)
 		z.drops = func(_, _ string, _ *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
@@ -545,6 +557,7 @@
 
 // A draining host stops sending to rate-limited servers, as others take over its shares. Guards against both sending.
 func TestDrainingHostLeavesItsRateShares(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	observe(r, 3*time.Second, "a", 10)
 	r.Reduce(4*time.Second, Tick{})
@@ -556,6 +569,7 @@
 
 // Hosts with better ranks join and drain again. Guards against a sender that keeps its saved tokens while others use the rate.
 func TestRateShareBeginsEmptyAgain(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	observe(r, 3*time.Second, "a", 10)
 	others := func(at time.Duration, seq uint64, leaving bool) {
@@ -575,6 +589,7 @@
 // The senders' shares, saved tokens, a trial and two hosts that wrongly believe to be senders stay within the platform's bound for
 // any rate. Guards against constants that no longer do.
 func TestRateBoundArithmetic(t *testing.T) {
+	t.Parallel()
 	seconds := limitWindow.Seconds()
 	require.GreaterOrEqual(t, rateTrialStagger, limitWindow, "one trial in a window")
 	for i := range 20_000 {
--- a/internal/router/reach_test.go
+++ b/internal/router/reach_test.go
@@ -22,8 +22,10 @@
 // Hosts that are cut off from all backend servers kept on trying each of them. They must find out soon, name only hosts that
 // reach the servers, and return soon after the end; the other hosts must not take themselves for cut off.
 func TestCutHostsFindOut(t *testing.T) {
+	t.Parallel()
 	for _, to := range []path{refuses, hangs, silent, refusesNew} {
 		t.Run(pathNames[to], func(t *testing.T) {
+			t.Parallel()
 			z := newCutWorld(t)
 			cut, others := z.hosts[:6], z.hosts[6:]
 			z.cut(6, to, anyEngine)
@@ -54,6 +56,7 @@
 
 // A host that has lost only some of the backend servers reaches others itself.
 func TestHostThatLostSomeServersIsNotCutOff(t *testing.T) {
+	t.Parallel()
 	for _, to := range []path{refuses, hangs} {
 		z := newCutWorld(t)
 		z.cut(6, to, func(e string) bool { return engineNumber(e) < 6 })
@@ -64,6 +67,7 @@
 
 // The backend servers themselves are down. No host reaches them, and none may hand over its requests.
 func TestNoHostIsCutOffFromServersThatAreDown(t *testing.T) {
+	t.Parallel()
 	for _, to := range []path{refuses, hangs} {
 		z := newCutWorld(t)
 		z.cut(9, to, anyEngine)
@@ -74,6 +78,7 @@
 
 // Most backend servers of a service end, one after the other. The fault is not this host's, as the others fail to reach them too.
 func TestServersThatEndInTurnCutOffNoHost(t *testing.T) {
+	t.Parallel()
 	z := newCutWorld(t)
 	down := 0
 	z.cut(9, refuses, func(e string) bool { return engineNumber(e) < down })
@@ -86,6 +91,7 @@
 // Two or six hosts lose their path to most or all backend servers and report them. For the other
 // hosts these must remain usable, at the latest once they have reached them.
 func TestReportsOfCutHostsShutOutNoServer(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		cut, lost int
 		to        path
@@ -98,6 +104,7 @@
 		"two hosts, a third is refused": {2, 4, refuses},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			z := newCutWorld(t)
 			others := z.hosts[c.cut:]
 			z.cut(c.cut, c.to, func(e string) bool { return engineNumber(e) < c.lost })
@@ -117,8 +124,10 @@
 
 // The same in a large fleet, where owners count the failures that hosts report. The other hosts must keep serving.
 func TestReportsOfCutHostsShutOutNoServerInALargeFleet(t *testing.T) {
+	t.Parallel()
 	for _, to := range []path{refuses, hangs} {
 		t.Run(pathNames[to], func(t *testing.T) {
+			t.Parallel()
 			z := newLargeCutWorld(t)
 			z.cut(12, to, anyEngine)
 			others := z.hosts[12:20]
@@ -142,9 +151,11 @@
 
 // A backend server that stops answering must still cost each host no more than one request: reports of two hosts suffice.
 func TestDeadServerIsLearnedFromReports(t *testing.T) {
+	t.Parallel()
 	for _, large := range []bool{false, true} {
 		for _, to := range []path{refuses, hangs} {
 			t.Run(fmt.Sprintf("large=%t %s", large, pathNames[to]), func(t *testing.T) {
+				t.Parallel()
 				z, rate := newCutWorld(t), cutWorldRate
 				if large {
 					z, rate = newLargeCutWorld(t), largeCutWorldRate
@@ -162,9 +173,11 @@
 // Hosts that are cut off see answers break and connections refused, as if the backend servers had ended. The requests that were in
 // flight must not be quarantined for it, at any host.
 func TestCutHostsBlameNoRequest(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct{ engines, rate, cut, lost int }{"from all servers": {4, cutWorldRate, 6, 12},
 		"from most servers": {4, cutWorldRate, 2, 10}, "all hosts": {4, cutWorldRate, 9, 12}, "two of three servers": {1, 12, 6, 2}} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			z := newZones(t, 3, 3, c.engines)
 			z.heal()
 			z.run(3*time.Second, c.rate)
@@ -184,8 +197,10 @@
 
 // A request that crashes one engine after another must still be known to all hosts in time.
 func TestDeadlyRequestIsFoundWhileConnectionsAreProbed(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ zones, hosts, engines, rate int }{{3, 3, 4, 72}, {3, 20, 15, 300}} {
 		t.Run(fmt.Sprintf("%d zones of %d with %d engines", c.zones, c.hosts, c.engines), func(t *testing.T) {
+			t.Parallel()
 			z := newZones(t, c.zones, c.hosts, c.engines)
 			newCrashes(z, c.rate, 100*time.Millisecond)
 			z.run(maxSpreadTime, c.rate)
@@ -197,6 +212,7 @@
 // The same where three engines are all there are. That the last one has ended shows when its registration is removed, as connections to
 // most engines are refused then.
 func TestDeadlyRequestThatEndsAllServersIsFound(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 3, 1)
 	o := newCrashes(z, 6, time.Second)
 	z.run(time.Second, 6)
@@ -236,8 +252,10 @@
 
 // A whole zone of a large fleet is cut off from all backend servers. Its hosts must find out, and find hosts of other zones.
 func TestZoneThatIsCutOffFindsHostsOfOtherZones(t *testing.T) {
+	t.Parallel()
 	for _, to := range []path{refuses, hangs} {
 		t.Run(pathNames[to], func(t *testing.T) {
+			t.Parallel()
 			z := newLargeCutWorld(t)
 			cut := z.hosts[:20]
 			z.cut(20, to, anyEngine)
@@ -260,6 +278,7 @@
 
 // One service is cut off, the other is not.
 func TestCutOfOneServiceLeavesTheOther(t *testing.T) {
+	t.Parallel()
 	h := newTwoServices(t)
 	h.run(time.Second, map[string]bool{"x": true, "y": true, "z": true})
 	require.True(t, h.r.cutOff("m"))
@@ -274,6 +293,7 @@
 
 // A host that has lost two of three backend servers may reach the third only. Beside the loss of another service that is the same fault.
 func TestLossOfTwoInThreeCountsBesideACut(t *testing.T) {
+	t.Parallel()
 	h := newTwoServices(t)
 	h.run(time.Second, map[string]bool{"a": true, "b": true, "c": true, "z": true})
 	require.False(t, h.r.cutOff("other"))
@@ -287,6 +307,7 @@
 
 // A host that is cut off from one service must not wait for requests to fail to learn that it has lost another one too.
 func TestCutOfOneServiceProbesTheOther(t *testing.T) {
+	t.Parallel()
 	h := newTwoServices(t)
 	h.r.Reduce(h.now, ProbeResult{ID: "x", Reached: true})
 	h.engines = []string{"a", "b", "c"}
@@ -336,6 +357,7 @@
 
 // The path to a backend server was lost while it answered. The time that this took says nothing of its speed.
 func TestAnswersAcrossALostPathTeachNoSpeed(t *testing.T) {
+	t.Parallel()
 	plain := &routing.Route{Name: "plain", Kind: routing.Idempotent, MaxAttempts: 1, Shares: fragile.Shares}
 	for _, route := range []*routing.Route{plain, fragile} {
 		r := newStandalone(t, "a")
@@ -350,6 +372,7 @@
 
 // Open exchanges with a backend server that can no longer be reached break one by one. That is no fault in answers to tell others.
 func TestUnreachableServerIsNotReportedAsFailing(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.Reduce(time.Second, HeartbeatReceived{Heartbeat: &gossippb.Beat{Host: "10.0.0.8", Zone: "z0", Incarnation: 1, Seq: 1}})
 	for id := range uint64(3) {
@@ -367,6 +390,7 @@
 
 // A backend server that refused a connection while others were probed, and accepts one now, has not ended.
 func TestServerThatIsReachedAfterARefusalHasNotEnded(t *testing.T) {
+	t.Parallel()
 	h := newTwoServices(t)
 	h.engines = []string{"b", "c"}
 	reached := map[string]bool{"b": true, "c": true}
--- a/internal/router/recorded_test.go
+++ b/internal/router/recorded_test.go
@@ -304,6 +304,7 @@
 // Guards against decisions that change where admission queues are not enabled: the same events must have the same effects as
 // before there were any. To find the first difference, set FIREFLYSHIFT_EFFECTS_DIR on both versions and compare the files.
 func TestEffectsWithoutAdmissionQueuesAreAsBefore(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                  string
 		zones, hosts, engines int
@@ -311,6 +312,7 @@
 		demand                int
 	}{{"2 zones of 4", 2, 4, 5, 2 * time.Second, 50}, {"3 zones of 8", 3, 8, 7, time.Second, 100}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			r := newRecorder(t, c.zones, c.hosts, c.engines)
 			r.play(c.phase, c.demand)
 			kinds := []string{}
--- a/internal/router/regions_test.go
+++ b/internal/router/regions_test.go
@@ -12,6 +12,7 @@
 // Route and workspace may each list the only regions that may serve a request. It goes to no backend server elsewhere, and if
 // the lists have no region in common it is refused as not run, with a time to retry after.
 func TestRequestsStayInTheirRegions(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b", "c")
 	r.opt.Regions = map[string]string{"z0": "north", "z1": "north", "z2": "south"}
 	for i, id := range []string{"a", "b", "c"} {
@@ -53,6 +54,7 @@
 
 // A configuration names a region that no zone belongs to: this is logged once each time the configuration changes.
 func TestUnknownRegionsAreNoted(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	r.opt.Regions = map[string]string{"z0": "north"}
 	out := r.Reduce(time.Second, Update{FromStore: true, After: rev(50), AsOf: rev(50), Changes: routing.Changes{Config: &routing.Config{Version: 2,
--- a/internal/router/relays_test.go
+++ b/internal/router/relays_test.go
@@ -20,6 +20,7 @@
 // Hosts that were cut off refused their callers. Each of their calls must go through a host that reaches the servers and
 // agrees to relay it, not all through one, and again directly soon after the end. The others call directly throughout.
 func TestCutHostsCallThroughOthers(t *testing.T) {
+	t.Parallel()
 	z := newCutWorld(t)
 	others := cutHosts(t, z)
 	calls := map[string]int{}
@@ -47,6 +48,7 @@
 // A relay that does not serve must cost no request its answer and no backend server its good name, and must not be tried
 // by each request.
 func TestRelayThatFailsIsReplaced(t *testing.T) {
+	t.Parallel()
 	z := newCutWorld(t)
 	others := cutHosts(t, z)
 	z.failedRelays = map[string]bool{others[0].ip: true}
@@ -70,6 +72,7 @@
 // A host that has lost its servers dials on the word of nobody but hosts of the fleet, for registered addresses only,
 // and takes no new tunnels while it shuts down.
 func TestRelayPermission(t *testing.T) {
+	t.Parallel()
 	z := newCutWorld(t)
 	r, peer := z.hosts[0].r, z.hosts[1].ip
 	const addr = "10.1.0.1:80"
@@ -91,6 +94,7 @@
 // All hosts of a zone of a large fleet are cut off. They have to call through hosts of other zones, which hear of them
 // only now and must accept them.
 func TestZoneThatIsCutOffCallsThroughOtherZones(t *testing.T) {
+	t.Parallel()
 	z := newLargeCutWorld(t)
 	cut := z.hosts[:20]
 	z.cut(20, refuses, anyEngine)
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -40,6 +40,7 @@
 // marked as replaced, and its callers wait for answers that never come. None of this applies to the new start: it
 // gets requests at once, and those sent to the earlier one end as broken without counting against the new one.
 func TestNextStartOfAnEngineIsUnknown(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 0)
 	b.receive(startOf(1000, 60))
 	b.submit(lowPriorityRoute, 2, 10)
@@ -70,6 +71,7 @@
 // A write of the earlier start reaches the store after the first one of the new start, or a peer that was
 // cut off reports it. It must not hide the new start, nor restore an engine that has left.
 func TestEarlierStartNeverComesBack(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 0)
 	b.receive(startOf(2000, 60))
 	late := startOf(1000, 65)
@@ -96,6 +98,7 @@
 // Another program overwrites an engine's registration. The address may be anything, so the engine gets
 // no more requests until it registers again; there is no grace period as for a lapsed registration.
 func TestForeignRegistrationNamesNoServer(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(StoreStatus{OK: false}) // so that a lapse would get the grace period
 	b.receive(foreignWrite(60))
@@ -112,6 +115,7 @@
 
 // A backend server registered without a model in a service of model engines gets no requests.
 func TestServerOfAnotherKindGetsNoWork(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 0)
 	plain := changeOf("e0", 60, false)
 	plain.Model = false
@@ -128,6 +132,7 @@
 // every order, each twice. All hosts must end in the same state with equal digests, or they would pull from
 // each other forever.
 func TestEveryOrderOfStarts(t *testing.T) {
+	t.Parallel()
 	cases := map[string]struct {
 		changes []routing.BackendChange
 		serves  bool
--- a/internal/router/select_test.go
+++ b/internal/router/select_test.go
@@ -77,6 +77,7 @@
 // Engines admit in order of arrival, so a burst of low-priority requests could fill the queues and delay urgent
 // ones. The limits leave room for urgent requests at every engine.
 func TestUrgentWorkFindsRoomInABurst(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	lowPriority := 0
 	for {
@@ -101,6 +102,7 @@
 // Engines of one service differ fourfold in speed. A fast engine gets four requests before a slow one gets its
 // first.
 func TestFastEnginesAreFilledFirst(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	b.observeInterval("e0", 11*time.Millisecond)
 	b.observeInterval("e1", 47*time.Millisecond)
@@ -115,6 +117,7 @@
 // A stream of 1,800 tokens, three per event, takes 28 s at an engine with an event interval of 47 ms. Its caller leaves
 // after 10 s, so the engine's work would be lost. It goes to a fast engine, however busy.
 func TestLongStreamsAvoidSlowEngines(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	b.observeInterval("e0", 11*time.Millisecond)
 	b.observeInterval("e1", 47*time.Millisecond)
@@ -129,6 +132,7 @@
 // A crashed engine looks idle until its registration lapses, and every host would try it for each request. The
 // reports of two hosts are accepted; one host alone may be disconnected itself.
 func TestDeadEnginesOfOthersAreAvoided(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	crashed := b.r.backends["e0"].hash
 	report := func(host string) {
@@ -147,6 +151,7 @@
 // A zone whose known hosts all stop sending heartbeats is disconnected. Requests to its engines would wait for a
 // connection until their target has passed.
 func TestEnginesOfASilentZoneAreAvoided(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	b.r.backends["e0"].Zone = "z1"
 	b.r.backends["e1"].ownLoad.counts[0] = 3
@@ -161,6 +166,7 @@
 // A repeatable request breaks at one engine after another. It runs at no more engines than its route allows,
 // whatever the retry budget holds.
 func TestAttemptsAreBounded(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 8)
 	for i := 0; i < 60; i++ { // earns retry budget
 		b.submit(urgentRoute, 0, 10)
@@ -187,6 +193,7 @@
 // A stalled request moves only if another engine has room. Otherwise it would lose its position in the queue
 // and be later still.
 func TestStalledRequestStaysWithoutRoom(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	for i := 0; i < 20; i++ {
 		b.submit(urgentRoute, 0, 10)
@@ -208,6 +215,7 @@
 // All store readers of a zone lose contact with the store at once. The other hosts notice by the age of the last
 // contact and read the store themselves; otherwise a removed key would stay valid in the zone.
 func TestOthersReadWhenTheReadersLoseTheStore(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.99", Zone: "z0", Incarnation: 1, Seed: 1})
 	now := time.Second
 	heartbeats := func(seq uint64, contact bool) {
@@ -232,6 +240,7 @@
 // A registration lapses while the store is unavailable. Its server is probably still up and stays in use, but only
 // for two seconds after the store's return: by then its address may belong to another server.
 func TestLapsedRegistrationIsUsedBrieflyOnly(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(StoreStatus{OK: false})
 	b.post(Update{FromStore: true, Full: true, AsOf: rev(60)})
@@ -246,6 +255,7 @@
 // Guards against ending answers of a server whose registration has merely lapsed with the store, and against waiting to
 // the deadline for one that is gone.
 func TestLapsedRegistrationIsGoneAfterItsGracePeriod(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	gone := func(effects []Effect) (out []bool) {
 		for _, eff := range effects {
@@ -264,6 +274,7 @@
 
 // A draining server is removed when the store returns. It announced that it leaves, so it is not kept as doubtful.
 func TestDrainedServerIsNeverUsedAgain(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	ch := routing.BackendChange{Revision: rev(55), Backend: b.r.backends["e0"].Backend}
 	ch.Draining = true
@@ -277,6 +288,7 @@
 // Two engines of three crash under heavy load and the third is full. The crashed ones look idle until their
 // registrations lapse, so hundreds of requests tried them, for up to 200 ms each, before being refused.
 func TestDeadEnginesAreNotTriedWhileOthersAreFull(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	b.r.backends["e0"].connectFailed(b.now)
 	for i := 0; i < 20; i++ {
@@ -291,6 +303,7 @@
 // A crashed engine restarts at its address under a new ID and rejects requests for the old one. The old one is never
 // used again, however long its registration lives.
 func TestReplacedEngineIsLeftForGood(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	engine, _ := b.submit(urgentRoute, 0, 10)
 	require.Equal(t, "e0", engine)
@@ -304,6 +317,7 @@
 // A zone is reconnected after a network cut. Its engines get requests at once, one each until one is answered. They
 // used to be avoided for two more seconds while the other engines refused a hundred requests.
 func TestReconnectedZoneGetsWork(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	e0 := b.r.backends["e0"]
 	e0.Zone = "z1"
@@ -327,6 +341,7 @@
 // would not finish it in time. The retry delay must be short, as the next connection leads to another host; with
 // the usual delay nearly all such callers were late.
 func TestDrainingHostSendsCallersOnAtOnce(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(Drain{Until: b.now + 8*time.Second, Grace: 8 * time.Second})
 	b.now += drainAcceptDuration
@@ -340,6 +355,7 @@
 // queue of four at each, nearly all streams at one-slot engines were late. The queue now follows the slot release
 // interval, and more urgent requests still go first.
 func TestQueueFollowsTheSlotReleaseInterval(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	e0 := b.r.backends["e0"]
 	e0.learnEventInterval(20 * time.Millisecond)
--- a/internal/router/shares_test.go
+++ b/internal/router/shares_test.go
@@ -174,11 +174,13 @@
 // requests that run twice, are refused as not run when they have run, wait beyond their patience, wait while slots are free, or
 // stay queued for ever.
 func TestSharesFollowTheWeights(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) { drawSharesWorld(rt).play(t, rt) })
 }
 
 // The same for a fixed fleet of six hosts, of which an owner is killed in one case.
 func TestSharesOfSixHosts(t *testing.T) {
+	t.Parallel()
 	for _, fault := range []string{"", "kill"} {
 		sharesWorld{seed: 1, zones: 3, hosts: 2, engines: 2, weights: []float64{0.5, 2, 1}, loads: []float64{2, 2, 0.1},
 			costs: []time.Duration{loadService / 2, 2 * loadService, loadService}, urgent: 0.2, fault: fault}.play(t, t)
@@ -195,6 +197,7 @@
 // Guards against hosts of a fleet just above maxFullMesh that take it for a small one for ever, because they have forgotten the other
 // zone's hosts: neither zone then knows the owners of the other, and its hosts send there without asking.
 func TestTwoZonesOfAnySizeFindEachOther(t *testing.T) {
+	t.Parallel()
 	for hosts := maxFullMesh/2 + 1; hosts <= maxFullMesh; hosts++ {
 		z := newZones(t, 2, hosts, 3)
 		z.run(10*time.Second, 0)
--- a/internal/router/speed_test.go
+++ b/internal/router/speed_test.go
@@ -33,6 +33,7 @@
 // a third of them were late, against 1% elsewhere. By predicted time to first event, long prompts wait for the fast
 // engine and short ones use the slow one.
 func TestLongPromptsGoWhereTheyAreReadSoon(t *testing.T) {
+	t.Parallel()
 	b := newMixedSpeeds(t)
 	for i := 0; i < 4; i++ {
 		require.Equal(t, "e0", b.prompt(6000))
@@ -48,6 +49,7 @@
 // All slots of the fast engine are in use. The next stream goes to the slow one if it would start there before one of
 // the fast engine's streams ends.
 func TestWaitForASlotCountsInTheChoice(t *testing.T) {
+	t.Parallel()
 	b := newMixedSpeeds(t)
 	for i := 0; i < 5; i++ {
 		require.Equal(t, "e0", b.prompt(700))
@@ -61,6 +63,7 @@
 // After a restart of all hosts no engine's speed is known. It must be learned from the first events of the first
 // streams: when it was learned at their end seconds later, a tenth of a host's requests went to the slowest engines.
 func TestSpeedIsLearnedFromFirstEvents(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	require.Equal(t, "e0", b.prompt(1000))
 	b.post(StreamStarted{ID: 1, First: 60 * time.Millisecond})
@@ -81,6 +84,7 @@
 // A speed learned by one host is reported to the others once, and used only by hosts that have not observed the engine
 // themselves.
 func TestLearnedSpeedsAreReportedToOtherHosts(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 2)
 	b.prompt(1000)
 	b.post(StreamStarted{ID: 1, First: 60 * time.Millisecond})
@@ -112,6 +116,7 @@
 
 // Another host's long prompts at an engine count until the engine has had the time to prefill them.
 func TestOthersUnreadPromptsCount(t *testing.T) {
+	t.Parallel()
 	b := newMixedSpeeds(t)
 	b.post(HeartbeatReceived{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1,
 		Loads: []*gossippb.Load{{Backend: b.r.backends["e0"].hash, InFlight: counts{1}.pack(), Unread: 20_000}}}})
--- a/internal/router/start_test.go
+++ b/internal/router/start_test.go
@@ -40,6 +40,7 @@
 // peers with a configuration, the fleet refused some 150 requests
 // meanwhile. The seeds, which all hosts contact, read at once; if they are down, a few others do.
 func TestSomeHostReadsTheStoreAtOnce(t *testing.T) {
+	t.Parallel()
 	at := firstReads(9, []string{"10.0.0.2", "10.0.0.5"})
 	require.Zero(t, at[1])
 	require.Zero(t, at[4])
@@ -68,6 +69,7 @@
 // is something newer. The peer must send that at once: at its regular interval, callers
 // would be refused up to a tenth of a second longer.
 func TestStartingHostGetsAHeartbeatAtOnce(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(HeartbeatReceived{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
 	b.now += minChangeGap + time.Millisecond
@@ -79,6 +81,7 @@
 // The first of the starting hosts has read the configuration. The others wait for it and must learn so at
 // once.
 func TestFirstConfigurationIsReportedAtOnce(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1, Seeds: []string{"10.0.0.1"}})
 	r.Reduce(0, HeartbeatReceived{&gossippb.Beat{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1}})
 	r.Reduce(0, Tick{})
@@ -91,6 +94,7 @@
 // accepted requests before they knew how many others there are admitted too large a share each, and the fleet more
 // than the operators' bound. So a host waits until it knows the others.
 func TestStartInALargeFleetWaitsForTheOthers(t *testing.T) {
+	t.Parallel()
 	inForce := func(list []Effect) bool { return len(effectsOf[ConfigActivated](list)) > 0 }
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
 	for i := 0; i <= maxFullMesh; i++ {
@@ -110,6 +114,7 @@
 // Zones without a summary yet count as large as the host's own while it starts, as quotas are divided by the
 // number of hosts. Later, a zone without a summary does not count.
 func TestZonesWithoutASummaryCountWhileStarting(t *testing.T) {
+	t.Parallel()
 	r := New(Options{Host: "10.0.0.1", Zone: "z0", Incarnation: 1, Seed: 1})
 	for i := 2; i <= 10; i++ {
 		r.Reduce(time.Millisecond, HeartbeatReceived{&gossippb.Beat{Host: fmt.Sprintf("10.0.0.%d", i), Zone: "z0", Incarnation: 1, Seq: 1}})
--- a/internal/router/suspects_test.go
+++ b/internal/router/suspects_test.go
@@ -84,8 +84,10 @@
 // observed in one zone only. Within maxSpreadTime of the third end no host may send it any more, even if 10% of
 // datagrams are lost.
 func TestAllHostsLearnOfADeadlyRequest(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ zones, hosts int }{{3, 3}, {6, 20}} {
 		t.Run(fmt.Sprintf("%d zones of %d", c.zones, c.hosts), func(t *testing.T) {
+			t.Parallel()
 			z := newZones(t, c.zones, c.hosts, 12)
 			z.drops = func(_, _ string, _ *gossippb.Packet) bool { return z.rng.IntN(10) == 0 }
 			o := newCrashSender(z)
@@ -106,6 +108,7 @@
 // During a network cut a crashing request crashes one engine inside a zone and two outside, so neither side knows of three
 // ends. Soon after the cut both must.
 func TestEndsOfBothSidesOfACutAddUp(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 8, 8)
 	o := newCrashSender(z)
 	cut := true
@@ -130,6 +133,7 @@
 // A host restarts long after a request was quarantined, without any record of it. The next such request would crash one
 // more engine.
 func TestStartedHostLearnsOfQuarantines(t *testing.T) {
+	t.Parallel()
 	for _, perZone := range []int{3, 8} {
 		z := newZones(t, 3, perZone, 8)
 		o := newCrashSender(z)
@@ -148,6 +152,7 @@
 // Three engines are lost with a rack while each runs the same popular request, which succeeds elsewhere. It must not be
 // refused at any host.
 func TestPopularRequestIsNotBlamedForARackFailure(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 8, 8)
 	for i, engine := range []string{"e001", "e009", "e017"} {
 		h := z.hosts[8*i]
@@ -206,6 +211,7 @@
 // seconds later. The engine has ended if it refuses connections, if another instance has its address, or if its
 // registration is removed.
 func TestOnlyEndsCount(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		then func(r *Router, engine string)
 		want bool
@@ -236,6 +242,7 @@
 		}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			r := newStandalone(t, "a")
 			engine, out := sendAndBreak(t, r, 1, 2*time.Second, fragile)
 			check, ok := findEffect[Probe](out)
@@ -249,6 +256,7 @@
 
 // An engine's registration lapses and returns: it has not ended. Requests that break there later are not suspected.
 func TestLapsedEngineThatIsBackHasNotEnded(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	register(r, 12*time.Second, changeOf("a", 60, true))
 	register(r, 13*time.Second, changeOf("a", 61, false))
@@ -258,6 +266,7 @@
 
 // An engine that leaves ends by itself, with streams in flight that took too long. They are not suspected.
 func TestLeavingEngineBlamesNoRequest(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a")
 	d := dispatchOf(t, r.Reduce(2*time.Second, Submit{ID: 1, Route: fragile, Deadline: time.Minute}))
 	ch := changeOf("a", 60, false)
@@ -274,6 +283,7 @@
 // request is quarantined, report that it may have run, and charge nothing for it to the service's retry budget. The
 // caller's next attempt has not run and is refused as such.
 func TestQuarantineEndsOwnRepeats(t *testing.T) {
+	t.Parallel()
 	r := newStandalone(t, "a", "b", "c", "d", "e", "f")
 	resumable := &routing.Route{Name: "resumable", Kind: routing.Streaming, Resumable: true, MaxAttempts: 6, Shares: fragile.Shares}
 	at := 2 * time.Second
@@ -299,6 +309,7 @@
 // An innocent request was quarantined and no run is left that could clear it. After a while a single host lets it run
 // once. A success clears it; a further end must not let other hosts try as well.
 func TestOneHostTriesAQuarantinedRequest(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 3, 4)
 	for i, engine := range []string{"e001", "e005", "e009"} {
 		h := z.hosts[3*i]
--- a/internal/router/updates_test.go
+++ b/internal/router/updates_test.go
@@ -21,6 +21,7 @@
 // backend servers each full answer was a quarter of a megabyte; the links of small hosts were saturated for seconds,
 // and requests followed the old configuration long after the new one should have been in force everywhere.
 func TestPullAsksOnlyForWhatIsMissing(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1000) // complete as of revision 50
 	peer := newFixture(t, 1000)
 	peer.post(Update{FromStore: true, After: rev(50), AsOf: rev(90), Revision: rev(80), Changes: routing.Changes{
@@ -45,6 +46,7 @@
 // A host gets a pushed change but missed the one before it. It must not consider itself complete up to
 // the later one, or it would never pull what it missed.
 func TestMissedChangeIsAskedFor(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(Update{After: rev(60), AsOf: rev(70), Revision: rev(70), Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("later", 70, false)}}})
 	require.Equal(t, rev(50), b.r.updates.completeTo)
@@ -53,6 +55,7 @@
 // A backend server was removed while this host was down, and a peer that does not know this still reports
 // it. The host must not send requests to an address that is unused, or that another service has now.
 func TestOldRegistrationFromAPeerIsNotApplied(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1)
 	b.post(Update{Revision: rev(40), Changes: routing.Changes{Backends: []routing.BackendChange{changeOf("ghost", 40, false)}}})
 	require.Nil(t, b.r.backends["ghost"])
@@ -63,6 +66,7 @@
 // from other zones: without that they looked idle to the others, which all sent there.
 // The receiver subtracts its own requests, or it would count them twice.
 func TestEachZoneReportsOnlyItsOwnServers(t *testing.T) {
+	t.Parallel()
 	withServers := func() *fixture {
 		b := newFixture(t, 0)
 		var list []routing.BackendChange
@@ -103,6 +107,7 @@
 // open long watches. Their zone peers, which rely on them, considered them cut off from the store every few seconds, and
 // all read the store at once.
 func TestReaderWatchesShorterOnceOthersRelyOnIt(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 0)
 	reads := func() []ReadStore { return effectsOf[ReadStore](b.post(Tick{})) }
 	require.Equal(t, []ReadStore{{On: true}}, reads())
@@ -118,6 +123,7 @@
 // up to date by its revision and pulled the rest only three seconds later: meanwhile requests went to engines
 // that were known to be draining.
 func TestManyChangesAtOnceReachTheZone(t *testing.T) {
+	t.Parallel()
 	reader := newFixture(t, 0)
 	for i := 0; i <= maxFullMesh; i++ {
 		reader.r.learnHost(fmt.Sprintf("10.0.3.%d", i), "z3")
@@ -146,6 +152,7 @@
 // The same with lost datagrams: a host gets a later change but not those before it, and a heartbeat of a peer that
 // has them. It pulls all that it may have missed within a quarter of a second.
 func TestGapBeforeAReceivedChangeIsRequested(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 1) // complete as of revision 50
 	late, err := json.Marshal([]routing.BackendChange{changeOf("later", 90, false)})
 	require.NoError(t, err)
@@ -165,6 +172,7 @@
 
 // Guards against changes of backend servers that are lost because a later heartbeat overtakes the one that carries them.
 func TestChangesInAnOvertakenHeartbeatAreApplied(t *testing.T) {
+	t.Parallel()
 	b := newFixture(t, 0)
 	data, err := json.Marshal([]routing.BackendChange{changeOf("late", 60, false)})
 	require.NoError(t, err)
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -624,11 +624,13 @@
 
 // The same as TestPromisesSmallFleet with admission queues. In addition no request waits for ever, within its host or at an owner.
 func TestPromisesSmallFleetWithQueues(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runWorldWith(t, 3, 2, AdmissionSettings{Enabled: true, MaxRequests: 8}) })
 }
 
 // The same as TestPromisesLargeFleet with admission queues.
 func TestPromisesLargeFleetWithQueues(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runWorldWith(t, 2, 9, AdmissionSettings{Enabled: true, MaxRequests: 8}) })
 }
 
@@ -637,11 +639,13 @@
 // not be repeated runs at most once, a stream has events of one software version over all attempts, a refusal as not run is true, no request is answered twice, a configuration never goes
 // back, and after the faults all hosts agree with the store.
 func TestPromisesSmallFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runWorld(t, 3, 2) })
 }
 
 // The same for a fleet in which heartbeats stay within a zone and few hosts read the store, so that the others get updates only
 // from their zone peers.
 func TestPromisesLargeFleet(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) { runWorld(t, 3, 7) })
 }
--- a/internal/router/zone_test.go
+++ b/internal/router/zone_test.go
@@ -353,6 +353,7 @@
 // there while other engines were idle. Owners count exactly: no engine gets more than it may hold, nearly no request is refused
 // while there are slots, and the traffic per host does not grow with the number of hosts.
 func TestOwnersPlaceByExactCounts(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 50, 53)
 	z.run(3*time.Second, 250)
 	z.datagrams, z.bytes, z.overloads, z.dispatched, z.refused = 0, 0, 0, 0, 0
@@ -372,6 +373,7 @@
 // their zone peers, as quotas are divided by their number and engines by their identity. When they knew only a few, a
 // third of the streams in these zones were late, and a workspace exceeded its quota.
 func TestZonesWithoutSeedsFindEachOther(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 6, 20, 20)
 	for _, h := range z.hosts {
 		require.Len(t, h.r.zonePeers(), 19, "%s", h.ip)
@@ -383,6 +385,7 @@
 // A zone's engines are nearly full while another's are idle. Its hosts request slots from the owners there, which count the
 // requests of all zones: no engine gets more than it may hold, and nearly no request is refused.
 func TestBusyZoneOverflowsToOthers(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 3, 10, 10)
 	z.originZone = "z1"
 	z.run(6*time.Second, 90) // twice what the zone's engines serve
@@ -400,6 +403,7 @@
 // An owner loses power. Without a timeout its zone peers would wait for its answers until it counts as unreachable, which takes
 // seconds. They decide locally after a moment and stop asking it.
 func TestDeadOwnerDelaysNoRequest(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	owner := z.byIP[z.owners()[0]]
 	require.NotEqual(t, z.hosts[0], owner, "choose another seed")
@@ -425,6 +429,7 @@
 // A busy owner's offer arrives after the asking host has decided locally. The slot counts as taken at the
 // owner and would until the next heartbeat, so that its engines would look full under heavy load. It is released at once.
 func TestLateOfferIsGivenBack(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	request, owner := z.requestSlot(asker)
@@ -439,6 +444,7 @@
 // The owners' reports are a quarter of a second old and show all engines as full, but several requests have ended
 // since. A request must not be refused without asking an owner.
 func TestOwnersAreAskedBeforeARefusal(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	for _, b := range asker.r.allBackends() {
@@ -450,6 +456,7 @@
 // A host restarts and does not know its zone peers' load yet. As an owner it would take busy engines
 // for idle and offer them to all hosts.
 func TestRecentlyStartedHostOwnsNoServer(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	owner := z.owners()[0]
 	h := z.byIP[owner]
@@ -498,6 +505,7 @@
 // for as long as that host lives, the zone's engines would finally look full and all requests be refused. Late ones are
 // released at once, lost ones with the host's next heartbeat.
 func TestSlotsThatAreNotUsedAreReleased(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	z.drops = func(_, _ string, p *gossippb.Packet) bool { return p.Beat == nil && z.rng.IntN(4) == 0 }
 	z.run(5*time.Second, 120)
@@ -516,6 +524,7 @@
 // A stream begins and ends. Its owner must learn this at once: with the next heartbeat only, up to a second later, its
 // engines would look full under heavy load, and requests would be refused.
 func TestOwnerLearnsAtOnceOfEachEnd(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	request, owner := z.requestSlot(asker)
@@ -562,6 +571,7 @@
 // An engine crashes and looks idle, so its owner would offer it to every host of the zone until each has found out
 // for itself. Two hosts that cannot connect are enough evidence; a single one may be cut off itself.
 func TestOwnerDropsAServerThatTwoHostsCannotReach(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	owner := z.byIP[z.owners()[0]]
 	ask := func(from string) string {
@@ -585,6 +595,7 @@
 // After its slot request a host learns that the offered engine is draining, which the owner does not know
 // yet. Nothing may be sent there: the slot is released and another engine is chosen.
 func TestOfferOfADrainingEngineIsNotTaken(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 23)
 	asker := z.hosts[0]
 	request, owner := z.requestSlot(asker)
@@ -639,6 +650,7 @@
 // Guards against hosts that disagree on the owner of a backend server because its shard was computed from the hash of an
 // earlier start.
 func TestOwnerFollowsTheNameOfAServer(t *testing.T) {
+	t.Parallel()
 	z := newZone(t, 20, 60)
 	h := z.hosts[0].r
 	for i, b := range h.allBackends() {
@@ -660,6 +672,7 @@
 // A backend server rejects a request, and its caller leaves while an owner is asked for the next slot. Guards against a host that
 // takes the request off the first server twice.
 func TestCallerLeavesWhileTheNextSlotIsRequested(t *testing.T) {
+	t.Parallel()
 	z := newZones(t, 1, 20, 23)
 	h := z.hosts[0]
 	ask, owner := z.requestSlot(h)
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -103,6 +103,9 @@
 		if !r.members.byHost[h].leaving && roleScore(h, role) < mine {
 			before++
 		}
+		if before >= n {
+			return false
+		}
 	}
 	return before < n
 }
