Router: hosts with few known others learn that the fleet is large

Hosts of two zones of 10 or 11 that start together counted 10 to 15 of 20 or 22 for ever. A host takes its fleet for a large one once it knows more than maxFullMesh others. The seeds get there first, send no more heartbeats to the other zone, and so introduce no more of their zone's hosts there. The other zone's hosts then know 13 or 14, stay in the mode of a small fleet, send no summaries, and so the first zone's hosts never learn of theirs.

A zone summary shows that its sender takes the fleet for a large one. A host that has one now does so too, from zoneDiscoveryDuration after its start, and as it then relays summaries its zone does. Hosts keep all names that they have learned.

Effects change only for hosts that have run for 2 s, know at most 16 others and have a summary of another zone: they change to the heartbeats, owners and summaries of a large fleet.

--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -76,7 +76,16 @@
 }
 
 // largeFleet reports whether there are too many hosts for all of them to exchange heartbeats.
-func (r *Router) largeFleet() bool { return len(r.members.zoneOf)+1 > maxFullMesh }
+func (r *Router) largeFleet() bool {
+	return len(r.members.zoneOf)+1 > maxFullMesh || r.hasZoneSummaries()
+}
+
+// hasZoneSummaries reports whether another zone has sent summaries, which only hosts of a large fleet do. Such hosts send no
+// heartbeats to other zones, so a host that has learned of few of them can only find out in this way that the fleet is large.
+// Until zoneDiscoveryDuration after its start a host decides by the introductions alone.
+func (r *Router) hasZoneSummaries() bool {
+	return r.now >= zoneDiscoveryDuration && len(r.zones.summaries) > 0
+}
 
 // exchangesHeartbeats reports whether this host sends its heartbeats to the hosts of a zone.
 func (r *Router) exchangesHeartbeats(zone string) bool { return zone == r.opt.Zone || !r.largeFleet() }
@@ -158,8 +167,9 @@
 	return known, reachable
 }
 
-// zoneDiscoveryDuration is how long after its start a host of a large fleet assumes that zones without a summary yet
-// are as large as its own, as quotas are divided by the number of hosts. Summaries come four times a second.
+// zoneDiscoveryDuration is how long after its start a host learns of the others mainly by introductions. In a large fleet it
+// assumes until then that zones without a summary yet are as large as its own, as quotas are divided by the number of hosts.
+// Summaries come four times a second.
 const zoneDiscoveryDuration = 2 * time.Second
 
 // otherZones returns the zones of all known hosts other than this host's own, sorted.
