Tests: the test of an ended permission does not depend on the dial timeout

TestEndedPermissionWritesNothing failed with a dial timeout in 4 of 24,000 runs while six processes of it ran beside each other. The limit of 1 s is measured by the clock and also ends while the process waits to run; the call is then rightly reported as not sent, so the product is not at fault. The test is about what is written, so its transport now dials without a limit; all its checks remain. A new test checks that a dial that times out is reported as such and as not sent.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -29,8 +29,10 @@
 )
 
 // NewTransport returns a transport whose connections count the bytes written to them.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewTransport() *http.Transport { return newTransport(&net.Dialer{Timeout: dialTimeout}) }
+
+// newTransport returns a transport that opens its connections with a dialer.
+func newTransport(dialer *net.Dialer) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dialer.DialContext(ctx, network, addr)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,7 +21,7 @@
 	var calls atomic.Int64
 	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { calls.Add(1) }))
 	defer srv.Close()
-	client := &http.Client{Transport: NewTransport()}
+	client := &http.Client{Transport: newTransport(&net.Dialer{})} // without dialTimeout, which ends on a busy machine while the process waits to run
 	call := func(permitted func() bool) (sent bool, err error) {
 		ctx := WithPermission(t.Context(), Permission{Check: permitted})
 		req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("x"))
@@ -48,6 +49,20 @@
 	require.EqualValues(t, 2, calls.Load())
 }
 
+// Guards against a connection that is not opened in time and counts as one on which the request may have been sent.
+func TestNothingIsSentIfTheDialTimesOut(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer srv.Close()
+	ctx := WithPermission(t.Context(), Permission{Check: func() bool { return true }})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("x"))
+	require.NoError(t, err)
+	_, sent, err := Do(&http.Client{Transport: newTransport(&net.Dialer{Deadline: time.Unix(1, 0)})}, req)
+	var timeout net.Error
+	require.ErrorAs(t, err, &timeout)
+	require.True(t, timeout.Timeout())
+	require.False(t, sent)
+}
+
 // A host writes a request to an engine and is paused. The engine ran it when the host woke up four seconds later,
 // although the lease had been checked in time: net/http writes the head of a request separately from a body of unknown
 // type, and the pause fell between the two writes. The log showed "Dispatch." with write_us=6115 written=true before
