Admission queues: a reload of max-requests keeps the requests that fit

A reload that changed only max-requests answered every waiting request as if the owner were draining, as applyAdmissionSettings did not tell a changed limit from a switch. The queue's limit is now changed in place (admission.Queue.SetMaxRequests): free slots are granted first, then the requests beyond the limit are refused as queue_full, the last in order first.

--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -162,6 +162,20 @@
 	}
 }
 
+func (m *machine) resize(t *rapid.T) {
+	n := rapid.IntRange(1, 40).Draw(t, "new max")
+	refusals := m.queue.SetMaxRequests(m.now, n)
+	m.refused(t, refusals)
+	if len(refusals) > 0 {
+		require.Equal(t, n, m.queue.Len(), "refuses a request that fits")
+	}
+	for _, f := range refusals {
+		for _, r := range m.open {
+			require.LessOrEqual(t, r.Priority, f.Request.Priority)
+		}
+	}
+}
+
 func (m *machine) check(t *rapid.T) {
 	q := m.queue
 	require.Equal(t, len(m.open), q.Len())
@@ -198,6 +212,7 @@
 			"add2":   m.add,
 			"add3":   m.add,
 			"next":   m.next,
+			"resize": m.resize,
 			"expire": m.expire,
 			"leave":  m.leave,
 			"admit":  func(t *rapid.T) { m.queue.Admit(m.now, m.request(t)) },
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -61,12 +61,18 @@
 	return admissionQueues{byService: map[string]*serviceQueue{}, counts: QueueCounts{Refused: map[admission.Cause]int{}}}
 }
 
-// applyAdmissionSettings applies changed settings. Requests that wait are answered as if this host were draining.
+// applyAdmissionSettings applies changed settings. If they turn the queues on or off, requests that wait are answered as if this host
+// were draining.
 func (r *Router) applyAdmissionSettings(s AdmissionSettings) {
 	if s == r.opt.Admission {
 		return
 	}
+	was := r.opt.Admission
 	r.opt.Admission = s
+	if s.Enabled == was.Enabled {
+		r.resizeQueues()
+		return
+	}
 	r.owners.valid = false
 	for _, service := range r.queues.services() {
 		r.flush(service)
@@ -75,6 +81,17 @@
 	r.answerEnded()
 }
 
+// resizeQueues applies a changed limit of waiting requests. Free slots are granted first, so that none that could run is refused.
+func (r *Router) resizeQueues() {
+	for _, service := range r.queues.services() {
+		r.serveQueue(service)
+		s := r.queues.byService[service]
+		r.endWaits(s, s.queue.SetMaxRequests(r.now, r.opt.Admission.MaxRequests))
+		r.checkQueue(s)
+	}
+	r.answerEnded()
+}
+
 func (a *admissionQueues) services() []string { return slices.Sorted(maps.Keys(a.byService)) }
 
 // queueOf returns the queue of a service and creates it if necessary, or nil if this host owns no backend server of it.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -470,6 +470,8 @@
 	{"sched-cost-served", "fair", "internal/sched/queue.go", "	t.fair.Serve(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Serve(w.fair)\n", schedTests},
 	{"admission-patience", "admission", "internal/admission/add.go", "if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {", "if !ok || r.PatienceEnds <= q.now {", admissionTests},
 	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
+	{"admission-resize", "admission", "internal/admission/resize.go", "order[:min(n, len(order))]", "order", admissionTests},
+	{"router-reload-keeps", "admission", "internal/router/admission.go", "if s.Enabled == was.Enabled {", "if s == was {", routerTests},
 	{"admission-displaced-share", "admission", "internal/admission/add.go", " || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0)", "", admissionTests},
 	{"admission-replace", "admission", "internal/admission/add.go", "replaced := q.Remove(r.Key)", "replaced := false", admissionTests},
 	{"admission-charge", "admission", "internal/admission/add.go", "\tq.levels[l.level].fair.Charge(r.Workspace, r.Weight, r.Cost)\n", "", admissionTests},
