Admission queues: a moved stream takes no slot ahead of those that wait

prepareMove reserved a free slot by its host's own view and only reported it to the owner, so a slot that the owner was about to grant to a waiting request went to the moved stream. With queues a place is now reserved only where this host is the owner, after its queue was served and with the grant charged to the workspace. Elsewhere the stream asks the owner once its dispatch has ended; it does not move to servers at whose owners requests wait.

Without queues the decision is unchanged.

--- a/internal/router/moves.go
+++ b/internal/router/moves.go
@@ -27,20 +27,23 @@
 }
 
 // prepareMove pays for a move of a request to another backend server and reserves a place there, if one has room and the
-// retry budget allows it. At a brittle one no place is reserved: the request takes its chance there like a new one.
+// retry budget allows it. Where no place may be reserved, the request takes its chance like a new one.
 func (r *Router) prepareMove(q *request) {
 	triedBefore := q.tried
 	q.tried = append(q.tried[:len(q.tried):len(q.tried)], q.backend.ID)
-	b, _ := r.selectBackend(q)
+	b, reserves := r.moveTarget(q)
 	q.tried = triedBefore
 	if b == nil || !r.retryBudget(q.service).Spend(r.now, r.hostCount()) {
 		return
 	}
 	q.retryPaid = true
 	q.left = append(q.left, q.backend)
-	if r.isBrittle(b) {
+	if !reserves {
 		return
 	}
+	if r.queueing() {
+		r.countOwnGrant(q, b)
+	}
 	q.reserved = &reservation{backend: b}
 	r.occupy(q, b)
 	if owner := r.ownerOf(b); owner != r.opt.Host {
@@ -49,6 +52,37 @@
 	r.reportReservation(q, 1)
 }
 
+// moveTarget chooses a backend server for a move, nil if none has room, and reports whether a place may be reserved there. At a
+// brittle one none is reserved, nor one that requests may wait for at another host: that owner is asked once the dispatch has ended.
+func (r *Router) moveTarget(q *request) (b *backend, reserves bool) {
+	if !r.queueing() {
+		b, _ = r.selectBackend(q)
+		return b, b != nil && !r.isBrittle(b)
+	}
+	r.serveQueue(q.service) // a free slot goes to those that wait first
+	full := q.fullOwners
+	q.fullOwners = r.ownersWithBacklog(q.service)
+	b, _ = r.selectBackend(q)
+	q.fullOwners = full
+	if b == nil || r.isBrittle(b) {
+		return b, false
+	}
+	owner := r.ownerOf(b)
+	return b, owner == "" || owner == r.opt.Host || !r.ownerGrants(b)
+}
+
+// ownersWithBacklog returns the other hosts at which requests wait for slots of a service.
+func (r *Router) ownersWithBacklog(service string) []string {
+	var out []string
+	for _, b := range r.backendsOf(service) {
+		owner := r.ownerOf(b)
+		if owner != "" && owner != r.opt.Host && !slices.Contains(out, owner) && r.reportedWait(owner, service) > 0 {
+			out = append(out, owner)
+		}
+	}
+	return out
+}
+
 // reportReservation tells the owner of a reserved place that it is taken, or released if places is negative.
 func (r *Router) reportReservation(q *request, places int) {
 	if p := q.reserved; p.owner != "" {
