Soak: engines that slow down when nearly full, and more callers that leave while they wait

Callers that repeat a refused request at once were drawn already. Added are engines that take two to six times as long from four or five requests on. The test requires that each of the three was drawn.

--- a/test/soak_callers_test.go
+++ b/test/soak_callers_test.go
@@ -48,8 +48,8 @@
 	r       *bufio.Reader
 	process *soakProcess
 	opened  time.Time
-	// large is set if its requests are of the large workspace.
-	large bool
+	// large is set if its requests are of the large workspace, refused if the latest was refused.
+	large, refused bool
 }
 
 func newSoakConn(conn net.Conn, process *soakProcess) *soakConn {
@@ -162,6 +162,7 @@
 func (s *soak) attempt(c *soakConn, kind string, p requestPause) bool {
 	id := s.newCall(c, kind)
 	r := c.send(kind, id, p)
+	c.refused = r.resp != nil && r.resp.StatusCode == http.StatusServiceUnavailable
 	if r.resp != nil {
 		s.checkAnswer(id, kind, r.resp, r.body, r.err)
 	}
--- a/test/soak_queues_test.go
+++ b/test/soak_queues_test.go
@@ -1,9 +1,13 @@
 package test
 
 import (
+	"bytes"
+	"os"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 // In this profile the hosts have admission queues, and waves of a large workspace are beside the other faults. Some of its callers
@@ -39,15 +43,41 @@
 // wait at owners that are killed, paused and stopped, and against hosts that end with a violated invariant.
 func TestSoakQueues(t *testing.T) {
 	forSeeds(t, []uint64{1}, func(t *testing.T, seed uint64, duration time.Duration) {
-		runSoakOn(newSoakWith(t, seed, true), seed, duration, (*soak).injectWave, (*soak).call)
+		s := newSoakWith(t, seed, true)
+		runSoakOn(s, seed, duration, (*soak).injectWave, (*soak).call)
+		left := s.logLines(`"result":"ended"`)
+		t.Logf("%d left while they waited, %d repeated a refused request at once, %d engines slowed down", left, s.repeated.Load(), s.slowed)
+		require.Positive(t, left)
+		require.Positive(t, s.repeated.Load())
+		require.Positive(t, s.slowed)
 	})
 }
 
-// injectWave injects a wave or another fault.
+// logLines returns the number of lines in the logs of all hosts that contain a text.
+func (s *soak) logLines(text string) int {
+	n := 0
+	for _, h := range s.hosts {
+		log, err := os.ReadFile(h.log.Name())
+		require.NoError(s.t, err)
+		n += bytes.Count(log, []byte(text))
+	}
+	return n
+}
+
+// slowWhenFull makes a backend server slow down when it has no or one free slot of its five.
+func (s *soak) slowWhenFull() {
+	s.slowed++
+	s.randomBackend().SlowDownFrom(4+s.rng.IntN(2), float64(2+s.rng.IntN(5)))
+}
+
+// injectWave injects a wave, at times at a backend server that slows down, or another fault.
 func (s *soak) injectWave() {
-	if s.rng.IntN(2) == 0 {
+	switch s.rng.IntN(5) {
+	case 0, 1:
 		s.injectFault()
 		return
+	case 2:
+		s.slowWhenFull()
 	}
 	oneHost, last := s.rng.IntN(3) == 0, s.rng.IntN(len(s.hosts))
 	for range minWave + s.rng.IntN(waveSpread) {
@@ -56,8 +86,8 @@
 		}
 		h, kind, repeats := s.hosts[last], requestKinds[s.rng.IntN(len(requestKinds))], s.rng.IntN(3)
 		start, leaves := time.Duration(s.rng.IntN(200))*time.Millisecond, time.Duration(0)
-		if s.rng.IntN(4) == 0 {
-			leaves = time.Duration(1+s.rng.IntN(300)) * time.Millisecond
+		if s.rng.IntN(3) == 0 {
+			leaves = time.Duration(1+s.rng.IntN(100)) * time.Millisecond
 		}
 		s.stops.Add(1)
 		go func() {
@@ -89,5 +119,8 @@
 	}
 	for s.attempt(c, kind, requestPause{}) && repeats > 0 {
 		repeats--
+		if c.refused {
+			s.repeated.Add(1)
+		}
 	}
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -86,8 +86,11 @@
 	// release is the number of the newest software version of versionedService; servers of the one before serve beside it.
 	release  int
 	versions versionCounts
-	// queues is set if the hosts have admission queues.
-	queues bool
+	// queues is set if the hosts have admission queues. repeated and slowed count what their profile has drawn: refused requests that
+	// were repeated at once, and changes by which a backend server slows down when it is nearly full.
+	queues   bool
+	repeated atomic.Int64
+	slowed   int
 }
 
 type soakHost struct {
@@ -598,6 +601,7 @@
 	for _, b := range s.backends {
 		b.Behave(nil)
 		b.StateRateLimit("")
+		b.SlowDownFrom(0, 1)
 	}
 	s.mu.Unlock()
 	s.addBackend("models")
