--- a/internal/router/queuemoves_test.go
+++ b/internal/router/queuemoves_test.go
@@ -110,3 +110,25 @@
 	require.NotEqual(t, first, f.sent[id].Backend.ID)
 	f.countsAgree()
 }
+
+// freeUnseen frees a slot at an engine of a host without an event, as when an exclusion ends by time.
+func (f *queueFleet) freeUnseen(owner *zoneHost, engine string) {
+	b := owner.r.backends[engine]
+	require.Positive(f.t, b.othersLoad.counts[0])
+	b.othersLoad.counts[0]--
+}
+
+// Guards against an owner's own stream that moves to a slot which has become free with time, ahead of those that wait.
+func TestOwnersStreamMovesAfterTheQueueIsServed(t *testing.T) {
+	f := newQueueFleet(t, 1, 6, 5)
+	_, owner := f.wait(4)
+	stream := f.streamsAt(owner)[0]
+	other := "e000"
+	if f.sent[stream].Backend.ID == other {
+		other = "e001"
+	}
+	waiting := owner.r.waiting()
+	f.freeUnseen(owner, other)
+	require.False(t, f.stall(stream))
+	require.Equal(t, waiting-1, owner.r.waiting())
+}
--- a/internal/router/queuereload_test.go
+++ b/internal/router/queuereload_test.go
@@ -32,3 +32,14 @@
 	f.run(4*zoneStep, 0)
 	require.Equal(t, granted+3, owner.r.queues.counts.Granted, "those that waited on")
 }
+
+// Guards against a reload that refuses a request while a slot for it is free.
+func TestReloadOfTheLimitGrantsFreeSlotsFirst(t *testing.T) {
+	f := newQueueFleet(t, 1, 6, 6)
+	_, owner := f.wait(5)
+	waiting := owner.r.waiting()
+	f.freeUnseen(owner, "e000")
+	f.reload(owner, AdmissionSettings{Enabled: true, MaxRequests: waiting - 1})
+	require.Zero(t, owner.r.queues.counts.Refused[admission.QueueFull])
+	require.Equal(t, waiting-1, owner.r.waiting())
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -472,6 +472,8 @@
 	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
 	{"admission-resize", "admission", "internal/admission/resize.go", "order[:min(n, len(order))]", "order", admissionTests},
 	{"router-reload-keeps", "admission", "internal/router/admission.go", "if s.Enabled == was.Enabled {", "if s == was {", routerTests},
+	{"router-reload-serves", "admission", "internal/router/admission.go", "\t\tr.serveQueue(service)\n\t\ts := r.queues", "\t\ts := r.queues", routerTests},
+	{"router-move-serves", "admission", "internal/router/moves.go", "\tr.serveQueue(q.service) // a free slot goes to those that wait first\n", "", routerTests},
 	{"router-move-asks", "admission", "internal/router/moves.go", "return b, owner == \"\" || owner == r.opt.Host || !r.ownerGrants(b)", "_ = owner\n\treturn b, true", routerTests},
 	{"router-move-backlog", "admission", "internal/router/moves.go", "q.fullOwners = r.ownersWithBacklog(q.service)", "_ = r.ownersWithBacklog", routerTests},
 	{"router-move-charge", "admission", "internal/router/moves.go", "\t\tr.countOwnGrant(q, b)\n", "", routerTests},
