Admission: table of loads with and without the queue at the same arrivals

Counts callers served in time, late and not at all, by priority. The simulation has slots of different speed and answers of different length. No bounds yet.

--- /dev/null
+++ b/internal/admission/intime_test.go
@@ -0,0 +1,139 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// demand is a load of the specification as a multiple of the capacity.
+type demand struct {
+	name string
+	at   func(seconds float64) float64
+	peak float64 // upper bound of at
+	end  float64 // seconds
+}
+
+func demands() []demand {
+	sustained := func(times float64) demand {
+		return demand{fmt.Sprintf("%v times for 8 s", times), func(float64) float64 { return times }, times, 8}
+	}
+	wave := func(t float64) float64 { return 0.9 * (1 - 0.55*math.Cos(2*math.Pi*t/15)) }
+	peak := func(t float64) float64 {
+		if t >= 2 && t < 5 {
+			return 2
+		}
+		return 0.2
+	}
+	return []demand{sustained(1.3), sustained(1.6), {"wave", wave, 1.4, 45}, {"peak of twice for 3 s", peak, 2, 12}}
+}
+
+// servers are slots and answers: their capacity is that of slots of mean speed.
+type servers struct {
+	name    string
+	slots   int
+	spread  float64 // speed of the fastest slot by that of the slowest
+	service func(r *rand.Rand) time.Duration
+	mean    time.Duration // of service
+}
+
+func serverKinds() []servers {
+	const shortest, longest = 0.2, 3.0
+	even := func(*rand.Rand) time.Duration { return testService }
+	long := func(r *rand.Rand) time.Duration {
+		return time.Duration((shortest + (longest-shortest)*r.Float64()) * float64(time.Second))
+	}
+	mean := time.Duration((shortest + longest) / 2 * float64(time.Second))
+	return []servers{
+		{"even slots", testSlots, 1, even, testService},
+		{"uneven slots", testSlots, 4, even, testService},
+		{"answers of 0.2 to 3 s", testSlots, 1, long, mean},
+		{"uneven slots, answers of 0.2 to 3 s", testSlots, 4, long, mean},
+		{"six slots, answers of 0.2 to 3 s", 6, 4, long, mean},
+	}
+}
+
+// speeds returns the speeds of the slots in increasing order, 1 in the mean.
+func (s servers) speeds() []float64 {
+	speeds, sum := make([]float64, s.slots), 0.0
+	for i := range speeds {
+		speeds[i] = math.Pow(s.spread, float64(i)/float64(s.slots-1))
+		sum += speeds[i]
+	}
+	for i := range speeds {
+		speeds[i] *= float64(s.slots) / sum
+	}
+	return speeds
+}
+
+const testPriorities = 3
+
+// arrivals returns callers of three priorities and eight workspaces.
+func (s servers) arrivals(d demand, seed uint64) []caller {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var sources [testPriorities * 8]source
+	for i := range sources {
+		sources[i] = source{workspace: fmt.Sprint(i % 8), priority: i % testPriorities, asTold: true}
+	}
+	perSecond := float64(s.slots) / s.mean.Seconds()
+	var callers []caller
+	for t := 0.0; ; {
+		t += r.ExpFloat64() / (perSecond * d.peak)
+		if t >= d.end {
+			return callers
+		}
+		if r.Float64()*d.peak >= d.at(t) {
+			continue
+		}
+		callers = append(callers, caller{source: &sources[r.IntN(len(sources))], begun: time.Duration(t * float64(time.Second)),
+			service: s.service(r), retryAfter: 150*time.Millisecond + time.Duration(r.Int64N(int64(850*time.Millisecond)))})
+	}
+}
+
+// simulate returns what became of the callers of each priority, and of all.
+func (s servers) simulate(d demand, seed uint64, queue bool) [testPriorities + 1]result {
+	l := newLoad(seed)
+	l.free = s.speeds()
+	l.queue.SetRoom(s.slots, s.mean)
+	if !queue {
+		l.queue = nil
+	}
+	for _, c := range s.arrivals(d, seed) {
+		l.at(c.begun, func(at time.Duration) {
+			l.callers = append(l.callers, &c)
+			l.try(&c, at)
+		})
+	}
+	l.run(time.Duration((d.end + 20) * float64(time.Second)))
+	var all [testPriorities + 1]result
+	for p := range testPriorities {
+		all[p] = l.count(func(c *caller) bool { return c.source.priority == p })
+	}
+	all[testPriorities] = l.count(func(*caller) bool { return true })
+	return all
+}
+
+func TestServiceInTime(t *testing.T) {
+	const seeds = 4
+	for _, s := range serverKinds() {
+		for _, d := range demands() {
+			for _, queue := range []bool{false, true} {
+				var sum [testPriorities + 1]result
+				for seed := range uint64(seeds) {
+					for i, r := range s.simulate(d, seed, queue) {
+						sum[i].callers += r.callers
+						sum[i].served += r.served
+						sum[i].onTime += r.onTime
+					}
+				}
+				out := ""
+				for _, r := range sum {
+					out += fmt.Sprintf(" | %5d %5d %5d", r.onTime, r.served-r.onTime, r.callers-r.served)
+				}
+				t.Logf("%-36s %-22s %-5v%s", s.name, d.name, queue, out)
+			}
+		}
+	}
+}
