Admission: requests wait provisionally while more urgent arrivals take the capacity

A request for which the forecast has no slot was refused at once, although it could still be served in time. Such a request now waits as long as it would be served in time if more urgent demand ceased at once; it is refused when it turns late, unless the forecast has a slot for it then. Operators see how many waited provisionally in the status.

--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -12,8 +12,8 @@
 	if !replaced {
 		q.countOffer(&r, l)
 	}
-	wait, ok := q.predict(&r)
-	if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {
+	wait, provisional, ok := q.mayWait(&r)
+	if !ok {
 		return wait, false, []Refusal{q.refuse(&r, l.tally, WaitTooLong)}
 	}
 	if q.Len() >= q.max {
@@ -24,10 +24,31 @@
 		refusals = append(refusals, q.dropAndRefuse(victim, Displaced))
 	}
 	q.push(&r, l)
-	q.countArrival(&r, l)
+	if provisional {
+		l.tally.window.at(q.now).provisional++
+		q.use(&r, l)
+	} else {
+		q.countArrival(&r, l)
+	}
 	return wait, true, refusals
 }
 
+// mayWait returns whether a request may wait, its predicted wait, and whether it waits provisionally.
+func (q *Queue) mayWait(r *Request) (wait time.Duration, provisional, ok bool) {
+	e := &entry{Request: *r, rank: rankOf(r, q.now), number: q.arrivals + 1}
+	wait, ok = q.predictEntry(e, onTimePart, q.competitors)
+	if r.PatienceEnds <= q.now {
+		return wait, false, false
+	}
+	if ok && q.now+wait <= r.PatienceEnds {
+		return wait, false, true
+	}
+	if q.waitsProvisionally(e, onTimePart, q.competitors(levelOf(r.Priority, e.rank))) {
+		return q.provisionalWait(r), true, true
+	}
+	return wait, false, false
+}
+
 // victimFor returns the waiting request that a new one displaces from a full queue, nil if there is none. Among requests of one
 // priority, one is displaced only for a workspace whose weighted backlog stays shorter: otherwise a workspace that sends more than
 // its share could keep all others out of a full queue.
@@ -60,12 +81,13 @@
 	q.countGrant(&r, l.tally)
 }
 
-// PredictedWait returns the wait that Add would predict; ok is false if the request would get no slot before its patience ends.
+// PredictedWait returns the wait that Add would predict; ok is false if the forecast has no slot before the request's patience ends,
+// also if it would wait provisionally.
 func (q *Queue) PredictedWait(now time.Duration, r Request) (wait time.Duration, ok bool) {
 	q.advance(now)
 	r = bounded(q.now, r)
-	wait, ok = q.predict(&r)
-	return wait, ok && q.now+wait <= r.PatienceEnds
+	wait, provisional, ok := q.mayWait(&r)
+	return wait, ok && !provisional
 }
 
 // lane returns the lane of a request that has just arrived.
@@ -104,12 +126,16 @@
 // countArrival counts a request that was queued or granted at once. Returning callers come once and then no more, so they do not count
 // as arrivals that forecasts of lower priorities expect to go on.
 func (q *Queue) countArrival(r *Request, l *lane) {
-	v, smoothing := &q.levels[l.level], q.capacity.smoothing()
 	if !r.Returning {
-		v.arrivals.add(q.now, smoothing, r.Cost)
+		q.levels[l.level].arrivals.add(q.now, q.capacity.smoothing(), r.Cost)
 	}
+	q.use(r, l)
+}
+
+// use marks the lane of a request that was queued or granted as recently used.
+func (q *Queue) use(r *Request, l *lane) {
 	l.cost = r.Cost
-	v.use(l, q.now)
+	q.levels[l.level].use(l, q.now)
 }
 
 // countGrant counts a granted request. Only grants while requests wait show the capacity.
--- a/internal/admission/expire.go
+++ b/internal/admission/expire.go
@@ -59,6 +59,9 @@
 		if ok && float64(wait) <= reviewTolerance*float64(e.PatienceEnds-q.now) {
 			continue
 		}
+		if q.waitsProvisionally(e, 1, cached(level)) {
+			continue
+		}
 		cached(level).refused(e)
 		refusals = append(refusals, q.dropAndRefuse(e, WaitTooLong))
 	}
--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -183,12 +183,6 @@
 	return work, arrivals
 }
 
-// predict returns the wait of a request that is not in the queue.
-func (q *Queue) predict(r *Request) (wait time.Duration, ok bool) {
-	e := entry{Request: *r, rank: rankOf(r, q.now), number: q.arrivals + 1}
-	return q.predictEntry(&e, onTimePart, q.competitors)
-}
-
 // predictEntry predicts the wait of an entry by the rank that it will have: one that turns late before it is served goes behind
 // those that are on time. competitorsAt returns the workspaces that compete at a level.
 func (q *Queue) predictEntry(e *entry, part float64, competitorsAt func(level int) *competitors) (wait time.Duration, ok bool) {
@@ -203,6 +197,12 @@
 
 // predictAs predicts the wait of an entry of some rank.
 func (q *Queue) predictAs(e *entry, as rank, s *competitors) (time.Duration, bool) {
+	a := q.aheadOf(e, as, s)
+	return a.wait()
+}
+
+// aheadOf returns what is served before an entry of some rank.
+func (q *Queue) aheadOf(e *entry, as rank, s *competitors) ahead {
 	level := levelOf(e.Priority, as)
 	a := ahead{capacity: q.capacity.perSecond(), workspace: e.Workspace, weight: e.Weight, competitors: s}
 	a.first, a.firstArrivals = q.higher(level)
@@ -213,7 +213,7 @@
 		a.own = a.lane.workBefore(&ranked)
 		a.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())
 	}
-	return a.wait()
+	return a
 }
 
 // backlog returns the time until all waiting work of a priority and those above it is done.
--- a/internal/admission/intime_test.go
+++ b/internal/admission/intime_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/stretchr/testify/assert"
 )
 
 // demand is a load of the specification as a multiple of the capacity.
@@ -37,6 +39,7 @@
 	spread  float64 // speed of the fastest slot by that of the slowest
 	service func(r *rand.Rand) time.Duration
 	mean    time.Duration // of service
+	delay   time.Duration // longest delay of a first event beyond the predicted time
 }
 
 func serverKinds() []servers {
@@ -47,11 +50,12 @@
 	}
 	mean := time.Duration((shortest + longest) / 2 * float64(time.Second))
 	return []servers{
-		{"even slots", testSlots, 1, even, testService},
-		{"uneven slots", testSlots, 4, even, testService},
-		{"answers of 0.2 to 3 s", testSlots, 1, long, mean},
-		{"uneven slots, answers of 0.2 to 3 s", testSlots, 4, long, mean},
-		{"six slots, answers of 0.2 to 3 s", 6, 4, long, mean},
+		{"even slots", testSlots, 1, even, testService, 0},
+		{"uneven slots", testSlots, 4, even, testService, 0},
+		{"answers of 0.2 to 3 s", testSlots, 1, long, mean, 0},
+		{"uneven slots, answers of 0.2 to 3 s", testSlots, 4, long, mean, 0},
+		{"six slots, answers of 0.2 to 3 s", 6, 4, long, mean, 0},
+		{"first events up to 0.4 s late", testSlots, 4, long, mean, 400 * time.Millisecond},
 	}
 }
 
@@ -87,7 +91,12 @@
 		if r.Float64()*d.peak >= d.at(t) {
 			continue
 		}
-		callers = append(callers, caller{source: &sources[r.IntN(len(sources))], begun: time.Duration(t * float64(time.Second)),
+		delay := time.Duration(0)
+		if s.delay > 0 {
+			delay = time.Duration(r.Int64N(int64(s.delay)))
+		}
+		callers = append(callers, caller{delay: delay,
+			source: &sources[r.IntN(len(sources))], begun: time.Duration(t * float64(time.Second)),
 			service: s.service(r), retryAfter: 150*time.Millisecond + time.Duration(r.Int64N(int64(850*time.Millisecond)))})
 	}
 }
@@ -115,25 +124,46 @@
 	return all
 }
 
+// compare returns the sums over some seeds of simulate, without and with the queue.
+func (s servers) compare(d demand) (without, with [testPriorities + 1]result) {
+	for seed := range uint64(1 + 144/s.slots) {
+		w, q := s.simulate(d, seed, false), s.simulate(d, seed, true)
+		for i := range w {
+			without[i].add(w[i])
+			with[i].add(q[i])
+		}
+	}
+	return without, with
+}
+
+func (r *result) add(other result) {
+	r.callers += other.callers
+	r.served += other.served
+	r.onTime += other.onTime
+}
+
+// Guards against a queue whose late callers take slots that others would have used in time, or that leaves slots idle after a peak
+// because everybody was told to return later.
 func TestServiceInTime(t *testing.T) {
-	const seeds = 4
+	t.Parallel()
 	for _, s := range serverKinds() {
-		for _, d := range demands() {
-			for _, queue := range []bool{false, true} {
-				var sum [testPriorities + 1]result
-				for seed := range uint64(seeds) {
-					for i, r := range s.simulate(d, seed, queue) {
-						sum[i].callers += r.callers
-						sum[i].served += r.served
-						sum[i].onTime += r.onTime
-					}
+		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
+			for _, d := range demands() {
+				without, with := s.compare(d)
+				for i, r := range with {
+					t.Logf("%s, priority %d (%d is all): in time, late, refused %d, %d, %d; without the queue %d, %d, %d", d.name, i, testPriorities,
+						r.onTime, r.served-r.onTime, r.callers-r.served, without[i].onTime, without[i].served-without[i].onTime, without[i].callers-without[i].served)
 				}
-				out := ""
-				for _, r := range sum {
-					out += fmt.Sprintf(" | %5d %5d %5d", r.onTime, r.served-r.onTime, r.callers-r.served)
+				assert.GreaterOrEqual(t, with[testPriorities].onTime, without[testPriorities].onTime, "%s: in time", d.name)
+				assert.GreaterOrEqual(t, with[testPriorities].served, without[testPriorities].served, "%s: in all", d.name)
+				for p := range testPriorities - 1 {
+					assert.GreaterOrEqual(t, with[p].onTimeShare(), with[p+1].onTimeShare(), "%s: priority %d in time", d.name, p)
+					assert.GreaterOrEqual(t, with[p].share(), with[p+1].share(), "%s: priority %d in all", d.name, p)
 				}
-				t.Logf("%-36s %-22s %-5v%s", s.name, d.name, queue, out)
 			}
-		}
+		})
 	}
 }
+
+func (r result) onTimeShare() float64 { return float64(r.onTime) / float64(max(r.callers, 1)) }
--- a/internal/admission/simulation_test.go
+++ b/internal/admission/simulation_test.go
@@ -48,9 +48,11 @@
 	queued   int
 	// service is the time that the answer takes on a slot of mean speed, and retryAfter when the caller returns if it is not told.
 	service, retryAfter time.Duration
+	// delay is how much later than predicted the first event follows the grant.
+	delay time.Duration
 }
 
-func (c *caller) onTime() bool { return c.served && c.granted <= c.begun+testTarget }
+func (c *caller) onTime() bool { return c.served && c.granted+c.delay <= c.begun+testTarget }
 
 type event struct {
 	at     time.Duration
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -71,6 +71,8 @@
 	Weight                    float64
 	Waiting                   int
 	Offered, Granted, Refused int
+	// Provisional are the requests that were queued although the forecast had no slot for them, at most Offered.
+	Provisional int
 	// Work is the cost of the granted requests, Share its part of all workspaces' work.
 	Work, Share float64
 }
--- a/internal/admission/view.go
+++ b/internal/admission/view.go
@@ -31,7 +31,7 @@
 	for _, t := range q.ledger.workspaces {
 		s := t.window.sum(q.now)
 		w := WorkspaceView{Workspace: t.name, Weight: t.weight, Waiting: t.waiting,
-			Offered: s.offered, Granted: s.granted, Refused: s.refused, Work: s.work}
+			Offered: s.offered, Granted: s.granted, Refused: s.refused, Provisional: s.provisional, Work: s.work}
 		if w.Waiting+w.Offered+w.Granted+w.Refused > 0 {
 			views = append(views, w)
 		}
--- a/internal/admission/window.go
+++ b/internal/admission/window.go
@@ -10,6 +10,7 @@
 	second                    int64
 	work                      float64 // cost of the granted requests
 	offered, granted, refused int
+	provisional               int // queued without a predicted slot
 }
 
 // window holds the last ten seconds of one workspace.
@@ -37,6 +38,7 @@
 		s.offered += b.offered
 		s.granted += b.granted
 		s.refused += b.refused
+		s.provisional += b.provisional
 	}
 	return s
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -61,8 +61,10 @@
 	Offered   int     `json:"offered"` // requests that asked for a slot, each counted once
 	Granted   int     `json:"granted"`
 	Refused   int     `json:"refused"`
-	WorkMS    float64 `json:"work_ms"` // engine time of the granted requests
-	Share     float64 `json:"share"`   // of all workspaces' work, from 0 to 1
+	// Provisional are the requests that were queued although the forecast had no slot for them.
+	Provisional int     `json:"provisional,omitempty"`
+	WorkMS      float64 `json:"work_ms"` // engine time of the granted requests
+	Share       float64 `json:"share"`   // of all workspaces' work, from 0 to 1
 }
 
 // QuarantineStatus is a request that is kept from backend servers because it has crashed several of them.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -151,17 +152,25 @@
 	}
 }
 
+// formatCount formats a count that is zero in most rows.
+func formatCount(n int) string {
+	if n == 0 {
+		return ""
+	}
+	return strconv.Itoa(n)
+}
+
 func (t *Tool) printQueueWorkspaces(reports []hostReport) {
 	w := tabwriter.NewWriter(t.Out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "\nADMISSION QUEUE\tOWNER\tWORKSPACE\tWEIGHT\tWAITING\tOFFERED (10 s)\tGRANTED\tREFUSED\tWORK\tSHARE")
+	fmt.Fprintln(w, "\nADMISSION QUEUE\tOWNER\tWORKSPACE\tWEIGHT\tWAITING\tOFFERED (10 s)\tGRANTED\tREFUSED\tWORK\tSHARE\tPROVISIONAL")
 	for _, r := range reports {
 		if r.Status == nil {
 			continue
 		}
 		for _, q := range r.Status.Queues {
 			for _, s := range q.Workspaces {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%d\t%d\t%d\t%d\t%.0f ms\t%.1f %%\n", q.Service, r.Status.Host, cmp.Or(s.Workspace, "-"), s.Weight, s.Waiting,
-					s.Offered, s.Granted, s.Refused, s.WorkMS, 100*s.Share)
+				fmt.Fprintf(w, "%s\t%s\t%s\t%g\t%d\t%d\t%d\t%d\t%.0f ms\t%.1f %%\t%s\n", q.Service, r.Status.Host, cmp.Or(s.Workspace, "-"), s.Weight, s.Waiting,
+					s.Offered, s.Granted, s.Refused, s.WorkMS, 100*s.Share, formatCount(s.Provisional))
 			}
 		}
 	}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -70,7 +70,7 @@
 		}
 		for _, w := range q.Workspaces {
 			s.Workspaces = append(s.Workspaces, core.QueueWorkspaceStatus{Workspace: w.Workspace, Weight: cmp.Or(finite(w.Weight), 1), Waiting: w.Waiting,
-				Offered: w.Offered, Granted: w.Granted, Refused: w.Refused, WorkMS: finite(w.Work), Share: finite(w.Share)})
+				Offered: w.Offered, Granted: w.Granted, Refused: w.Refused, Provisional: w.Provisional, WorkMS: finite(w.Work), Share: finite(w.Share)})
 		}
 		out = append(out, s)
 	}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -39,7 +39,7 @@
 	fairQueueTests      = []string{"./internal/fairqueue", "-rapid.shrinktime=1s"}
 	// admissionTests are those that need no long simulation; admissionLoadTests simulate load.
 	admissionTests     = []string{"./internal/admission", "-run", "Order|Admitted|Next|Refus|Displace|Expire|Remove|Replace|Forecast|Capacity|Returns|View|Hostile|Bounded|RandomCalls", "-rapid.checks=3000", "-rapid.shrinktime=1s"}
-	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large"}
+	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large|InTime"}
 	effectsTests       = []string{"./internal/router", "-run", "EffectsWithout"}
 	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
 	limitTests         = []string{"./internal/limit", "-rapid.shrinktime=1s"}
@@ -468,7 +468,14 @@
 	{"sched-share-newcomer", "fair", "internal/sched/queue.go", "		weight += w.Weight\n", "		_ = weight\n", schedTests},
 	{"sched-cost-left", "fair", "internal/sched/queue.go", "	t.fair.Remove(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Remove(w.fair)\n", schedTests},
 	{"sched-cost-served", "fair", "internal/sched/queue.go", "	t.fair.Serve(w.fair)\n	t.costByBucket[bucketOf(w.cost)] -= w.cost\n", "	t.fair.Serve(w.fair)\n", schedTests},
-	{"admission-patience", "admission", "internal/admission/add.go", "if !ok || q.now+wait > r.PatienceEnds || r.PatienceEnds <= q.now {", "if !ok || r.PatienceEnds <= q.now {", admissionTests},
+	{"admission-patience", "admission", "internal/admission/add.go", "if ok && q.now+wait <= r.PatienceEnds {", "if ok {", admissionTests},
+	{"admission-provisional", "admission", "internal/admission/add.go", "if q.waitsProvisionally(e, onTimePart, q.competitors(levelOf(r.Priority, e.rank))) {", "if false {", admissionTests},
+	{"admission-provisional-load", "admission", "internal/admission/add.go", "if q.waitsProvisionally(e, onTimePart, q.competitors(levelOf(r.Priority, e.rank))) {", "if false {", admissionLoadTests},
+	{"admission-provisional-arrivals", "admission", "internal/admission/add.go", "\t\tq.use(&r, l)\n\t} else {", "\t\tq.countArrival(&r, l)\n\t} else {", admissionTests},
+	{"admission-provisional-count", "admission", "internal/admission/add.go", "\t\tl.tally.window.at(q.now).provisional++\n", "", admissionTests},
+	{"admission-provisional-review", "admission", "internal/admission/expire.go", "if q.waitsProvisionally(e, 1, cached(level)) {", "if false {", admissionTests},
+	{"admission-provisional-bound", "admission", "internal/admission/provisional.go", "float64(wait) <= part*float64(e.OnTimeBy-q.now)", "wait >= 0", admissionTests},
+	{"admission-provisional-patience", "admission", "internal/admission/provisional.go", " && q.now+wait <= e.PatienceEnds", "", admissionTests},
 	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
 	{"admission-displaced-share", "admission", "internal/admission/add.go", " || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0)", "", admissionTests},
 	{"admission-replace", "admission", "internal/admission/add.go", "replaced := q.Remove(r.Key)", "replaced := false", admissionTests},
