--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -78,7 +78,7 @@
 // competitors returns the workspaces that compete at a level, and forgets those that were idle for long.
 func (q *Queue) competitors(level int) *competitors {
 	v, smoothing := &q.levels[level], q.capacity.smoothing()
-	var s competitors
+	s := competitors{each: make([]competitor, 0, min(len(v.lanes), maxCompetitors))}
 	for i := 0; i < len(v.lanes); {
 		l := v.lanes[i]
 		if len(l.entries) == 0 && q.now-l.lastUsed > forgetAfter*smoothing {
@@ -96,6 +96,17 @@
 	return &s
 }
 
+// cachedCompetitors returns competitors as of the first call for each level.
+func (q *Queue) cachedCompetitors() func(level int) *competitors {
+	var byLevel [levelCount]*competitors
+	return func(level int) *competitors {
+		if byLevel[level] == nil {
+			byLevel[level] = q.competitors(level)
+		}
+		return byLevel[level]
+	}
+}
+
 // ahead is what is served before a request. Work is in milliseconds, rates are in milliseconds per second.
 type ahead struct {
 	capacity float64
@@ -183,12 +194,6 @@
 	return work, arrivals
 }
 
-// predict returns the wait of a request that is not in the queue.
-func (q *Queue) predict(r *Request) (wait time.Duration, ok bool) {
-	e := entry{Request: *r, rank: rankOf(r, q.now), number: q.arrivals + 1}
-	return q.predictEntry(&e, onTimePart, q.competitors)
-}
-
 // predictEntry predicts the wait of an entry by the rank that it will have: one that turns late before it is served goes behind
 // those that are on time. competitorsAt returns the workspaces that compete at a level.
 func (q *Queue) predictEntry(e *entry, part float64, competitorsAt func(level int) *competitors) (wait time.Duration, ok bool) {
@@ -203,17 +208,26 @@
 
 // predictAs predicts the wait of an entry of some rank.
 func (q *Queue) predictAs(e *entry, as rank, s *competitors) (time.Duration, bool) {
+	a := q.aheadOf(e, as, s)
+	return a.wait()
+}
+
+// aheadOf returns what is served before an entry of some rank.
+func (q *Queue) aheadOf(e *entry, as rank, s *competitors) ahead {
 	level := levelOf(e.Priority, as)
 	a := ahead{capacity: q.capacity.perSecond(), workspace: e.Workspace, weight: e.Weight, competitors: s}
 	a.first, a.firstArrivals = q.higher(level)
 	a.lead = q.levels[level].fair.Lead(e.Workspace)
 	if t := q.ledger.workspaces[e.Workspace]; t != nil && t.lanes[level] != nil {
 		a.lane = t.lanes[level]
-		ranked := entry{Request: e.Request, rank: as, number: e.number}
-		a.own = a.lane.workBefore(&ranked)
+		ranked := e
+		if e.rank != as {
+			ranked = &entry{Request: e.Request, rank: as, number: e.number}
+		}
+		a.own = a.lane.workBefore(ranked)
 		a.ownArrivals = a.lane.arrivalsBefore(as, q.now, q.capacity.smoothing())
 	}
-	return a.wait()
+	return a
 }
 
 // backlog returns the time until all waiting work of a priority and those above it is done.
