--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -275,6 +275,7 @@
 	StoreAge time.Duration
 	Quota    QuotaBasis
 	Queue    QueueBasis
+	Spill    SpillBasis
 	// Wait is the predicted time to a stream's first event at the chosen backend server.
 	Wait time.Duration
 	// Owner is the host that granted the slot or decided on the quota; empty if this host decided locally.
--- a/internal/router/heartbeats.go
+++ b/internal/router/heartbeats.go
@@ -62,6 +62,7 @@
 	}
 	r.emitHeartbeat(to, func(b *gossippb.Beat) {
 		b.Spent = r.ownSpent()
+		b.ServiceDemands = r.demandsToSend()
 		if all := r.fullSuspectList(); all != nil {
 			b.Suspects = all
 		}
--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -59,6 +59,7 @@
 	perSecond float64
 	rank      func() float64 // nil for the most urgent
 	host      *zoneHost      // of all its connections; nil for any
+	zone      string         // of the hosts that it connects to; empty for any
 	// retries is how often a refused request is sent again: when told, or at once.
 	retries int
 	atOnce  bool
@@ -140,7 +141,7 @@
 
 func (f *loadFleet) attempt(c *loadCaller) {
 	h := c.source.host
-	for h == nil || h.dead || f.outOfBalancer[h] {
+	for h == nil || h.dead || f.outOfBalancer[h] || c.source.zone != "" && h.zone != c.source.zone {
 		h = f.hosts[f.rng.IntN(len(f.hosts))]
 	}
 	c.attempts++
--- a/internal/router/members.go
+++ b/internal/router/members.go
@@ -122,6 +122,8 @@
 	// grants are the slots that this host has granted it lately, and backlogs what it last reported of its admission queues.
 	grants   []recentGrant
 	backlogs backlogReport
+	// demand is what its callers ask for, by its latest report.
+	demand demandReport
 	// startedAt is when it started, on this host's clock.
 	startedAt time.Duration
 }
@@ -211,6 +213,7 @@
 	r.applyRateLimits(m.host, b.RateLimits)
 	r.applyBrittleLimits(m.host, b.BrittleLimits)
 	r.applyEvacuations(m.host, b.Evacuations)
+	r.applyDemands(m, b.ServiceDemands)
 	r.compareDigests(m, b)
 	for _, p := range b.Peers {
 		r.learnHost(p.Host, p.Zone)
--- a/internal/router/patience.go
+++ b/internal/router/patience.go
@@ -104,7 +104,7 @@
 
 // noteAllowed records the time that a request's caller allows, and whether the caller has probably returned after a refusal.
 func (r *Router) noteAllowed(q *request) {
-	if !r.queueing() {
+	if !r.queueing() && !r.opt.Balancing.EarlySpill {
 		return
 	}
 	allowed := q.Allowed
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -66,6 +66,10 @@
 	decideLocally bool
 	owner         string
 	waitState
+	// spillDecided is set once it was decided whether the request goes to another zone early. spill is why it does, from the
+	// decision until it is dispatched anew.
+	spillDecided bool
+	spill        SpillBasis
 	// via is the relay of the latest dispatch; empty if it went directly.
 	via string
 	// begun is set once the first event of the stream has arrived.
@@ -128,6 +132,7 @@
 // dispatchAdmitted dispatches a request that was admitted by its workspace's quota.
 func (r *Router) dispatchAdmitted(q *request) {
 	r.retryBudget(q.service).Earn(r.now, r.hostCount())
+	r.countDemand(q)
 	r.dispatch(q)
 }
 
@@ -147,6 +152,7 @@
 func (r *Router) dispatch(q *request) {
 	q.fullOwners, q.decideLocally, q.owner = nil, false, ""
 	q.resetWait()
+	q.spill = SpillBasis{}
 	if retryAfter, yes := r.checkQuarantine(q); yes {
 		r.refuseQuarantined(q, retryAfter)
 		return
@@ -221,6 +227,7 @@
 	q.ran = true
 	q.runs++
 	q.sentAt, q.begun, q.via = r.now, false, r.relayTo(b)
+	g.Spill = q.spill
 	if b.rateLimited() {
 		g.Rate = RateBasis{b.rateLimit.perSecond, b.rateLimit.bucket.Rate()}
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -101,6 +101,7 @@
 	// queuedCalls are the requests of this host that wait at owners, queues those that wait at this host as an owner.
 	queuedCalls queuedCalls
 	queues      admissionQueues
+	spill       spillState
 	// allowed is the time that callers have lately allowed, by route.
 	allowed map[string]*allowedTimes
 	// maintenanceAt is when runMaintenance is next due in a large fleet.
@@ -238,7 +239,7 @@
 func (r *Router) applySettings(e SettingsChanged) {
 	r.opt.Seeds = e.Seeds
 	r.applyAdmissionSettings(e.Admission)
-	r.opt.Balancing = e.Balancing
+	r.applyBalancingSettings(e.Balancing)
 	if e.Bounds == r.opt.Bounds {
 		return
 	}
@@ -281,6 +282,7 @@
 	r.pullMissing()
 	r.pushDepartures()
 	r.relaySummaries()
+	r.updateSpill()
 	r.sendOccupancy()
 	r.sendZoneSummaries()
 	if r.now >= r.heartbeatAt || (r.now < r.quotaLowUntil && r.now >= r.quotaLowHeartbeatAt) {
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -41,6 +41,9 @@
 // milliseconds old, selects the owner to call, and the owner selects the backend server by exact counts.
 // If no owner replies, this host decides locally.
 func (r *Router) schedule(q *request) {
+	if r.spillEarly(q) {
+		return
+	}
 	if !r.usesOwners() {
 		r.sendOrBorrow(q)
 		return
@@ -198,7 +201,7 @@
 		if b.Service != q.service || (r.usesOwners() && r.ownerOf(b) != owner) {
 			continue
 		}
-		if !r.mayGet(q, b) || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
+		if !r.mayGet(q, b) || q.spill.Zone != "" && b.Zone != q.spill.Zone || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
 			out = append(out, b.hash)
 		}
 	}
@@ -239,6 +242,7 @@
 		return
 	}
 	q.slotCall = nil
+	r.spillRefused(q)
 	if retryAfter, yes := r.checkQuarantine(q); yes { // the verdict may have come while it waited
 		r.refuseQuarantined(q, retryAfter)
 		return
@@ -301,6 +305,15 @@
 		return
 	}
 	b := r.byHash[offer.GetPlace().GetBackend()]
+	if q.spill.Zone != "" {
+		if offer.Place == nil || !r.acceptsSpillOffer(q, loadFromProto(offer.Place), b) {
+			r.returnSlot(a, offer)
+			r.spillRefused(q)
+			r.schedule(q)
+			return
+		}
+		r.spillOf(q.service).countsFor(q.spill.Zone).Sent++
+	}
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
 		r.returnSlot(a, offer)
--- /dev/null
+++ b/internal/router/spills_test.go
@@ -0,0 +1,146 @@
+package router
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// spillFleet is a load fleet with the callers of each zone as a source of its own, which records the requests that hosts send to
+// other zones early.
+type spillFleet struct {
+	*loadFleet
+	zones []*loadSource
+	// capacity is what the engines of one zone serve in a second.
+	capacity float64
+	// demand returns the demand of a zone as a multiple of its capacity.
+	demand func(zone int, at time.Duration) float64
+	began  time.Duration
+	// sentAt is when a zone last sent a request early to another one, spilled how many it has sent, crossed how many requests went to
+	// another zone for any reason.
+	sentAt          map[[2]string]time.Duration
+	spilled         map[string]int
+	crossed         int
+	mutual, longest time.Duration
+	lastSpill       map[string]time.Duration
+}
+
+func newSpillFleet(t testing.TB, hosts, engines int, admission AdmissionSettings, early bool) *spillFleet {
+	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, lastSpill: map[string]time.Duration{}}
+	f.capacity = float64(engines * loadCapacity)
+	for _, h := range f.hosts {
+		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: BalancingSettings{EarlySpill: early}})
+	}
+	for i := range 3 {
+		s := f.add(0, fmt.Sprintf("w%d", i))
+		s.zone, s.retries = fmt.Sprintf("z%d", i), 1
+		f.zones = append(f.zones, s)
+	}
+	f.demand = func(int, time.Duration) float64 { return 0 }
+	f.onStepEnd = f.observe
+	carryOut := f.onEffect
+	f.onEffect = func(h *zoneHost, e Effect) bool {
+		if d, ok := e.(Dispatch); ok && d.Backend.Zone != h.zone {
+			f.crossed++
+			if d.Basis.Spill.Zone != "" {
+				require.Equal(t, d.Backend.Zone, d.Basis.Spill.Zone)
+				require.Equal(t, 1, d.Attempt)
+				f.sentAt[[2]string{h.zone, d.Backend.Zone}] = f.now
+				f.lastSpill[h.zone] = f.now
+				f.spilled[h.zone]++
+			}
+		}
+		return carryOut(h, e)
+	}
+	f.began = f.now
+	return f
+}
+
+// recentSpill is how long a zone counts as sending requests to another one after the last.
+const recentSpill = 100 * time.Millisecond
+
+func (f *spillFleet) observe() {
+	for i, s := range f.zones {
+		s.perSecond = f.capacity * f.demand(i, f.now-f.began)
+	}
+	mutual := false
+	for pair, at := range f.sentAt {
+		back, ok := f.sentAt[[2]string{pair[1], pair[0]}]
+		mutual = mutual || ok && f.now-at < recentSpill && f.now-back < recentSpill
+	}
+	if !mutual {
+		f.mutual = 0
+		return
+	}
+	f.mutual += zoneStep
+	f.longest = max(f.longest, f.mutual)
+}
+
+// inTime returns the callers that had their first event within the target latency, and all of them.
+func (f *spillFleet) inTime() (inTime, all int) {
+	for _, c := range f.callers {
+		all++
+		if c.served && c.firstAt-c.began <= loadRoute.Target {
+			inTime++
+		}
+	}
+	return inTime, all
+}
+
+// wave is a demand between 0.45 and 1.55 of its mean whose peak moves from zone to zone.
+func wave(mean float64, period, lag time.Duration) func(int, time.Duration) float64 {
+	return func(zone int, at time.Duration) float64 {
+		return mean * (1 + 0.55*math.Sin(2*math.Pi*(at-time.Duration(zone)*lag).Seconds()/period.Seconds()))
+	}
+}
+
+func (f *spillFleet) finish() {
+	f.demand = func(int, time.Duration) float64 { return 0 }
+	f.run(loadDeadline, 0)
+}
+
+type spillCase struct {
+	name           string
+	hosts, engines int
+	mean           float64
+	period, lag    time.Duration
+	admission      AdmissionSettings
+}
+
+var spillCases = []spillCase{
+	{"9 hosts", 3, 3, 0.8, 15 * time.Second, 5 * time.Second, AdmissionSettings{}},
+	{"9 hosts with queues", 3, 3, 0.8, 15 * time.Second, 5 * time.Second, loadQueues},
+	{"30 hosts", 10, 8, 0.8, 15 * time.Second, 5 * time.Second, AdmissionSettings{}},
+	{"30 hosts with queues", 10, 8, 0.8, 15 * time.Second, 5 * time.Second, loadQueues},
+	{"30 hosts, peaks 1.2 s apart", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, AdmissionSettings{}},
+	{"30 hosts, peaks 1.2 s apart, with queues", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, loadQueues},
+}
+
+// Guards against callers that are late or refused at the peak of their zone while other zones have idle engines, and against zones
+// that send to each other.
+func TestPeaksThatFollowOneAnotherAreServed(t *testing.T) {
+	for _, c := range spillCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for _, early := range []bool{false, true} {
+				f := newSpillFleet(t, c.hosts, c.engines, c.admission, early)
+				f.run(2*time.Second, 0)
+				f.demand = wave(c.mean, c.period, c.lag)
+				f.began = f.now
+				f.run(15*time.Second, 0)
+				f.finish()
+				inTime, all := f.inTime()
+				t.Logf("early spill %v: %d of %d in time, %d sent to other zones, of these early %v, zones sent to each other for %v", early, inTime, all, f.crossed, f.spilled, f.longest)
+				if early {
+					require.GreaterOrEqual(t, inTime, all*95/100)
+					require.LessOrEqual(t, f.longest, 500*time.Millisecond)
+				} else {
+					require.Empty(t, f.spilled)
+				}
+			}
+		})
+	}
+}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -29,6 +29,8 @@
 	// Queues are the admission queues of this host as an owner, QueueCounts what has happened at them since the start.
 	Queues      []QueueView
 	QueueCounts QueueCounts
+	// Spill is the state of early spill by service; empty if it is off.
+	Spill []SpillView
 }
 
 // QueueView is the admission queue of one service at this host.
@@ -102,6 +104,7 @@
 	v.Suspects = len(r.suspects.ledger.Cases())
 	v.Streams, v.StreamsDropped = r.origins.ledger.Len(), r.origins.ledger.Dropped()
 	r.viewQueues(&v)
+	r.viewSpill(&v)
 	return v
 }
 
--- a/internal/router/zones.go
+++ b/internal/router/zones.go
@@ -209,6 +209,7 @@
 		s.Loads = r.zoneLoads()
 	}
 	s.Spent = r.spentToSend()
+	s.ServiceLoads = r.serviceLoadsToSend()
 	return s
 }
 
@@ -331,6 +332,7 @@
 	if !s.WithoutLoads {
 		r.applyZoneLoads(s.Zone, loadsFromProto(s.Loads))
 	}
+	r.applyServiceLoads(s.Zone, s.ServiceLoads)
 	r.applyOwnerFailing(s.Failing)
 	for _, sp := range s.Spent {
 		if q, ok := r.quotas[sp.Workspace]; ok {
