--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -11,17 +11,18 @@
 )
 
 const (
-	// demandBuckets of demandBucket each are the time over which a host's demand is measured. It ends up to a bucket ago, so that
-	// the measured demand is on average demandLag old.
+	// demandBuckets of demandBucket each are the time over which a host's demand is measured. It ends up to a bucket ago.
 	demandBucket  = 100 * time.Millisecond
 	demandBuckets = 5
-	demandLag     = (demandBuckets + 1) * demandBucket / 2
 	// A host sends its demand if it has changed by minDemandChange, at most once per demandInterval, and unchanged once per
 	// demandRefresh in case a datagram was lost. A report counts for demandTTL: two lost ones have no effect.
 	minDemandChange = 0.1
 	demandInterval  = 500 * time.Millisecond
 	demandRefresh   = time.Second
 	demandTTL       = 3500 * time.Millisecond
+	// demandLag is how old the demand of a zone is when its load is computed: half of the time over which it was measured, and half
+	// of the time between two reports.
+	demandLag = (demandBuckets+1)*demandBucket/2 + demandInterval/2
 	// demandWarmup is how long a host that has started sends no demand: what it has measured is too little.
 	demandWarmup = time.Second
 	// maxHostsWithoutDemand is the share of a zone's hosts whose demand may be unknown while the zone's load counts as known.
--- /dev/null
+++ b/internal/router/spillfaults_test.go
@@ -0,0 +1,274 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/routing"
+)
+
+// steady is a demand of the first zone above its capacity, and of the others below.
+func steady(first, others float64) func(int, time.Duration) float64 {
+	return func(zone int, _ time.Duration) float64 {
+		if zone == 0 {
+			return first
+		}
+		return others
+	}
+}
+
+// newBusyFleet returns a fleet whose first zone sends requests to the others early.
+func newBusyFleet(t testing.TB, hosts int, admission AdmissionSettings) *spillFleet {
+	f := newSpillFleet(t, hosts, 6, admission, true)
+	f.demand = steady(1.3, 0.4)
+	f.run(4*time.Second, 0)
+	require.Positive(t, f.spilled["z0"])
+	require.Zero(t, f.spilled["z1"]+f.spilled["z2"])
+	return f
+}
+
+// spilledIn returns how many requests zones send early to others within some time.
+func (f *spillFleet) spilledIn(d time.Duration) int {
+	clear(f.spilled)
+	f.run(d, 0)
+	return f.spilled["z0"] + f.spilled["z1"] + f.spilled["z2"]
+}
+
+// spillModes are fleets in which zones know each other by heartbeats and by summaries, with and without queues.
+func spillModes(t *testing.T, test func(t *testing.T, hosts int, admission AdmissionSettings)) {
+	for name, hosts := range map[string]int{"9 hosts": 3, "18 hosts": 6} {
+		t.Run(name, func(t *testing.T) { t.Parallel(); test(t, hosts, AdmissionSettings{}) })
+		t.Run(name+" with queues", func(t *testing.T) { t.Parallel(); test(t, hosts, loadQueues) })
+	}
+}
+
+// Guards against requests that still go to other zones when the wave is over.
+func TestWorkReturnsAfterAWave(t *testing.T) {
+	spillModes(t, func(t *testing.T, hosts int, admission AdmissionSettings) {
+		f := newBusyFleet(t, hosts, admission)
+		f.demand = steady(0.5, 0.4)
+		f.run(time.Second, 0)
+		require.Zero(t, f.spilledIn(3*time.Second))
+	})
+}
+
+// Guards against a zone that is cut off at its peak and goes on to offer its requests to zones that it cannot reach, or to be offered
+// theirs, and against one that does not resume.
+func TestZoneThatIsCutOffNeitherSendsNorGets(t *testing.T) {
+	spillModes(t, func(t *testing.T, hosts int, admission AdmissionSettings) {
+		f := newBusyFleet(t, hosts, admission)
+		f.cutZone = "z0"
+		f.run(time.Second, 0)
+		require.Zero(t, f.spilledIn(3*time.Second))
+		f.cutZone = "z1"
+		f.run(3*time.Second, 0)
+		require.Positive(t, f.spilledIn(2*time.Second))
+		for pair, at := range f.sentAt {
+			require.True(t, pair[1] != "z1" || f.now-at > 4*time.Second, "sent to a zone that is cut off")
+		}
+		f.cutZone = ""
+		f.run(3*time.Second, 0)
+		require.Positive(t, f.spilledIn(time.Second))
+	})
+}
+
+// Guards against decisions by summaries that no longer arrive, and against early spill that ends with the loss of every other one.
+func TestLostSummariesEndEarlySpill(t *testing.T) {
+	f := newBusyFleet(t, 6, AdmissionSettings{})
+	lost, seen := 2, 0
+	f.drops = func(from, to string, p *gossippb.Packet) bool {
+		if f.byIP[from].zone == f.byIP[to].zone || len(p.GetBeat().GetZones()) == 0 {
+			return false
+		}
+		seen++
+		return seen%lost == 0
+	}
+	require.Positive(t, f.spilledIn(2*time.Second))
+	lost = 1
+	f.run(zoneSummaryTTL+spillInterval, 0)
+	require.Zero(t, f.spilledIn(2*time.Second))
+}
+
+// Guards against decisions by the demand of a host that has just started, which is too low, and against a zone that is sent work
+// while the demand of its hosts is unknown.
+func TestHostsThatStartSendNoDemand(t *testing.T) {
+	f := newBusyFleet(t, 3, AdmissionSettings{})
+	reports := 0
+	f.drops = func(from, _ string, p *gossippb.Packet) bool {
+		if h := f.byIP[from]; len(p.GetBeat().GetServiceDemands()) > 0 {
+			require.GreaterOrEqual(t, f.now-h.startedAt, demandWarmup)
+			reports++
+		}
+		return false
+	}
+	started := f.hosts[3]
+	require.Equal(t, "z1", started.zone)
+	f.kill(started)
+	f.start(started)
+	known := func(h *zoneHost) bool {
+		_, known := h.r.zoneDemand("m", "z1")
+		return known
+	}
+	require.True(t, known(f.hosts[0]))
+	f.run(demandWarmup/2, 0)
+	require.False(t, known(f.hosts[0]) || known(started) || known(f.hosts[4]))
+	f.run(2*demandWarmup, 0)
+	require.True(t, known(f.hosts[0]) && known(started) && known(f.hosts[4]))
+	require.Positive(t, f.spilledIn(time.Second))
+	require.Positive(t, reports)
+}
+
+// Guards against callers who lose their place because a zone said to have free capacity is full, and against the callers of that zone
+// who lose theirs.
+func TestFullTargetRefusesAndTheRequestGoesOn(t *testing.T) {
+	for name, admission := range map[string]AdmissionSettings{"without queues": {}, "with queues": loadQueues} {
+		t.Run(name, func(t *testing.T) {
+			f := newSpillFleet(t, 6, 6, admission, true)
+			f.drops = func(_, _ string, p *gossippb.Packet) bool {
+				for _, s := range p.GetBeat().GetZones() {
+					for _, l := range s.ServiceLoads {
+						if s.Zone == "z1" {
+							l.Demand = 0
+						}
+					}
+				}
+				return false
+			}
+			onEffect := f.onEffect
+			f.onEffect = func(h *zoneHost, e Effect) bool {
+				if d, ok := e.(Dispatch); ok && d.Basis.Spill.Zone != "" {
+					require.Less(t, d.Basis.InFlight, d.Backend.Slots, "it has a free slot")
+				}
+				return onEffect(h, e)
+			}
+			f.demand = func(zone int, _ time.Duration) float64 { return []float64{1.05, 0.98, 0.3}[zone] }
+			f.run(6*time.Second, 0)
+			noSlot := 0
+			for _, h := range f.hosts[:6] {
+				for _, s := range h.r.View().Spill {
+					for _, z := range s.Zones {
+						noSlot += z.NoSlot
+					}
+				}
+			}
+			require.Positive(t, noSlot)
+			f.finish()
+			inTime, all := f.inTime()
+			t.Logf("%d of %d in time, %d without a slot in the target zone", inTime, all, noSlot)
+			require.GreaterOrEqual(t, inTime, all*95/100)
+		})
+	}
+}
+
+// Guards against requests that are sent early to a zone that operators have evacuated.
+func TestEvacuatedZoneGetsNothingEarly(t *testing.T) {
+	spillModes(t, func(t *testing.T, hosts int, admission AdmissionSettings) {
+		f := newBusyFleet(t, hosts, admission)
+		for _, h := range f.hosts {
+			f.post(h, Update{FromStore: true, AsOf: rev(60), Changes: routing.Changes{Evacuations: []routing.Evacuation{{Zone: "z1", Revision: rev(60)}}}})
+		}
+		at := f.now
+		require.Positive(t, f.spilledIn(3*time.Second))
+		require.LessOrEqual(t, f.sentAt[[2]string{"z0", "z1"}], at)
+		require.Greater(t, f.sentAt[[2]string{"z0", "z2"}], at)
+	})
+}
+
+// Guards against requests that are sent early to a zone of a region that may not serve them.
+func TestEarlySpillKeepsToRegions(t *testing.T) {
+	spillModes(t, func(t *testing.T, hosts int, admission AdmissionSettings) {
+		f := newSpillFleet(t, hosts, 6, admission, true)
+		for _, h := range f.hosts {
+			h.r.opt.Regions = map[string]string{"z0": "north", "z1": "north", "z2": "south"}
+		}
+		f.zones[0].workspace.Regions = []string{"north"}
+		f.demand = steady(1.2, 0.3)
+		f.run(4*time.Second, 0)
+		require.Positive(t, f.sentAt[[2]string{"z0", "z1"}])
+		require.Zero(t, f.sentAt[[2]string{"z0", "z2"}])
+	})
+}
+
+// Guards against early spill that goes on after a reload has turned it off, and against state that stays.
+func TestReloadTurnsEarlySpillOff(t *testing.T) {
+	f := newBusyFleet(t, 6, AdmissionSettings{})
+	require.NotEmpty(t, f.hosts[0].r.View().Spill)
+	for _, h := range f.hosts {
+		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds})
+	}
+	require.Zero(t, f.spilledIn(2*time.Second))
+	require.Empty(t, f.hosts[0].r.View().Spill)
+	f.drops = func(_, _ string, p *gossippb.Packet) bool {
+		require.Empty(t, p.GetBeat().GetServiceDemands())
+		for _, s := range p.GetBeat().GetZones() {
+			require.Empty(t, s.ServiceLoads)
+		}
+		return false
+	}
+	f.run(time.Second, 0)
+}
+
+// Guards against a fleet in which some hosts do not have the setting: they ignore the reports of the others, and nothing is sent to a
+// zone whose demand is not known.
+func TestHostsWithoutEarlySpillIgnoreIt(t *testing.T) {
+	f := newBusyFleet(t, 6, AdmissionSettings{})
+	for _, h := range f.hosts {
+		if h.zone == "z1" {
+			f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds})
+		}
+	}
+	f.run(zoneSummaryTTL+spillInterval, 0)
+	at := f.now
+	require.Positive(t, f.spilledIn(2*time.Second))
+	require.LessOrEqual(t, f.sentAt[[2]string{"z0", "z1"}], at)
+}
+
+// Guards against callers who return and are counted again, or sent away early again.
+func TestReturningCallersAreNoDemand(t *testing.T) {
+	b := newFixture(t, 2)
+	b.r.opt.Balancing.EarlySpill = true
+	submit := func(allowed time.Duration) {
+		b.next++
+		b.post(Submit{ID: b.next, Route: urgentRoute, PromptTok: 100, OutputTok: 100, Deadline: b.now + allowed, Allowed: allowed})
+	}
+	demand := func() float64 {
+		b.now += (demandBuckets - 1) * demandBucket
+		return b.r.spillOf("m").meter.perSecond(b.now)
+	}
+	submit(10 * time.Second)
+	first := demand()
+	require.Positive(t, first)
+	submit(9 * time.Second)
+	require.Zero(t, demand())
+	b.now += time.Second
+	require.Zero(t, demand(), "the demand is that of the last half second")
+}
+
+// Guards against control traffic that grows with early spill beyond what the hosts' links allow.
+func TestEarlySpillAddsLittleTraffic(t *testing.T) {
+	f := newBusyFleet(t, 10, AdmissionSettings{})
+	added, last := 0, map[string]time.Duration{}
+	f.drops = func(from, to string, p *gossippb.Packet) bool {
+		b := p.GetBeat()
+		if len(b.GetServiceDemands()) > 0 {
+			added += proto.Size(&gossippb.Beat{ServiceDemands: b.ServiceDemands})
+			if at, ok := last[from]; ok && at != f.now {
+				require.GreaterOrEqual(t, f.now-at, demandInterval)
+			}
+			last[from] = f.now
+		}
+		for _, s := range append(b.GetZones(), p.GetRelay().GetZones()...) {
+			added += proto.Size(&gossippb.ZoneSum{ServiceLoads: s.ServiceLoads})
+		}
+		return false
+	}
+	f.run(5*time.Second, 0)
+	perHost := float64(added) / 5 / float64(len(f.hosts))
+	t.Logf("%.0f bytes a second and host", perHost)
+	require.Positive(t, perHost)
+	require.Less(t, perHost, 500.0)
+}
--- a/internal/router/spills_test.go
+++ b/internal/router/spills_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/routing"
 )
 
 // spillFleet is a load fleet with the callers of each zone as a source of its own, which records the requests that hosts send to
@@ -17,8 +20,9 @@
 	// capacity is what the engines of one zone serve in a second.
 	capacity float64
 	// demand returns the demand of a zone as a multiple of its capacity.
-	demand func(zone int, at time.Duration) float64
-	began  time.Duration
+	demand   func(zone int, at time.Duration) float64
+	began    time.Duration
+	arrivals *rand.Rand // the same with and without early spill
 	// sentAt is when a zone last sent a request early to another one, spilled how many it has sent, crossed how many requests went to
 	// another zone for any reason.
 	sentAt          map[[2]string]time.Duration
@@ -29,7 +33,7 @@
 }
 
 func newSpillFleet(t testing.TB, hosts, engines int, admission AdmissionSettings, early bool) *spillFleet {
-	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, lastSpill: map[string]time.Duration{}}
+	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, arrivals: rand.New(rand.NewPCG(3, 4)), lastSpill: map[string]time.Duration{}}
 	f.capacity = float64(engines * loadCapacity)
 	for _, h := range f.hosts {
 		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: BalancingSettings{EarlySpill: early}})
@@ -64,7 +68,10 @@
 
 func (f *spillFleet) observe() {
 	for i, s := range f.zones {
-		s.perSecond = f.capacity * f.demand(i, f.now-f.began)
+		s.perSecond = 0
+		if f.arrivals.Float64() < zoneStep.Seconds()*f.capacity*f.demand(i, f.now-f.began) {
+			s.perSecond = 1 / zoneStep.Seconds()
+		}
 	}
 	mutual := false
 	for pair, at := range f.sentAt {
@@ -108,15 +115,41 @@
 	mean           float64
 	period, lag    time.Duration
 	admission      AdmissionSettings
+	// refusals is the greatest allowed part of the refusals without early spill; zero if there is no bound.
+	refusals float64
 }
 
 var spillCases = []spillCase{
-	{"9 hosts", 3, 3, 0.8, 15 * time.Second, 5 * time.Second, AdmissionSettings{}},
-	{"9 hosts with queues", 3, 3, 0.8, 15 * time.Second, 5 * time.Second, loadQueues},
-	{"30 hosts", 10, 8, 0.8, 15 * time.Second, 5 * time.Second, AdmissionSettings{}},
-	{"30 hosts with queues", 10, 8, 0.8, 15 * time.Second, 5 * time.Second, loadQueues},
-	{"30 hosts, peaks 1.2 s apart", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, AdmissionSettings{}},
-	{"30 hosts, peaks 1.2 s apart, with queues", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, loadQueues},
+	{"9 hosts", 3, 3, 0.85, 15 * time.Second, 5 * time.Second, AdmissionSettings{}, 0},
+	{"9 hosts with queues", 3, 3, 0.85, 15 * time.Second, 5 * time.Second, loadQueues, 0},
+	{"30 hosts", 10, 8, 0.85, 15 * time.Second, 5 * time.Second, AdmissionSettings{}, 0.6},
+	{"30 hosts with queues", 10, 8, 0.85, 15 * time.Second, 5 * time.Second, loadQueues, 0},
+	{"30 hosts, peaks 1.2 s apart", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, AdmissionSettings{}, 0},
+	{"30 hosts, peaks 1.2 s apart, with queues", 10, 8, 0.8, 3600 * time.Millisecond, 1200 * time.Millisecond, loadQueues, 0},
+}
+
+// play runs one case, whose callers are of the least urgent priority: engines hold none of them beyond their slots.
+func (c *spillCase) play(t testing.TB, early bool) *spillFleet {
+	f := newSpillFleet(t, c.hosts, c.engines, c.admission, early)
+	for _, s := range f.zones {
+		s.rank = func() float64 { return routing.LeastUrgent }
+	}
+	f.run(2*time.Second, 0)
+	f.demand, f.began = wave(c.mean, c.period, c.lag), f.now
+	f.run(15*time.Second, 0)
+	f.finish()
+	return f
+}
+
+// refusedAtFirst returns the callers that were refused at least once.
+func (f *spillFleet) refusedAtFirst() int {
+	n := 0
+	for _, c := range f.callers {
+		if len(c.refusals) > 0 {
+			n++
+		}
+	}
+	return n
 }
 
 // Guards against callers that are late or refused at the peak of their zone while other zones have idle engines, and against zones
@@ -125,21 +158,19 @@
 	for _, c := range spillCases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for _, early := range []bool{false, true} {
-				f := newSpillFleet(t, c.hosts, c.engines, c.admission, early)
-				f.run(2*time.Second, 0)
-				f.demand = wave(c.mean, c.period, c.lag)
-				f.began = f.now
-				f.run(15*time.Second, 0)
-				f.finish()
+			without, with := c.play(t, false), c.play(t, true)
+			for _, f := range []*spillFleet{without, with} {
 				inTime, all := f.inTime()
-				t.Logf("early spill %v: %d of %d in time, %d sent to other zones, of these early %v, zones sent to each other for %v", early, inTime, all, f.crossed, f.spilled, f.longest)
-				if early {
-					require.GreaterOrEqual(t, inTime, all*95/100)
-					require.LessOrEqual(t, f.longest, 500*time.Millisecond)
-				} else {
-					require.Empty(t, f.spilled)
-				}
+				t.Logf("%d of %d in time, %d refused at first, %d sent to other zones, of these early %v, zones sent to each other for %v",
+					inTime, all, f.refusedAtFirst(), f.crossed, f.spilled, f.longest)
+			}
+			require.Empty(t, without.spilled)
+			require.Len(t, with.spilled, 3)
+			inTime, all := with.inTime()
+			require.GreaterOrEqual(t, inTime, all*95/100)
+			require.LessOrEqual(t, with.longest, 500*time.Millisecond)
+			if c.refusals > 0 {
+				require.LessOrEqual(t, float64(with.refusedAtFirst()), c.refusals*float64(without.refusedAtFirst()))
 			}
 		})
 	}
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -19,9 +19,9 @@
 	maxShare = 0.5
 	// maxAge is how long an observation counts.
 	maxAge = time.Second
-	// trendWindow is the time over which the slope is computed. Demand measured over half a second varies by a fifth, and over two
-	// seconds the slope exceeds this variation.
-	trendWindow = 2 * time.Second
+	// trendWindow is the time over which the slope is computed. A shorter one follows the random variation of arrivals, and a longer
+	// one lags behind waves of a few seconds.
+	trendWindow = 1500 * time.Millisecond
 	// maxTrend limits the predicted change as a share of the demand, because a step in demand looks like an endless slope.
 	maxTrend = 0.25
 	// maxSamples and maxZones bound memory, as other hosts name zones and times.
