--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -39,6 +39,31 @@
 	StreamsDropped int `json:"streams_dropped,omitempty"`
 	// Queues are the admission queues of the host as an owner of backend servers, on the users' platform only.
 	Queues []QueueStatus `json:"queues,omitempty"`
+	// EarlySpill is what the host sends to other zones before its own is full, by service. On the users' platform only, and empty if
+	// it is off.
+	EarlySpill []SpillStatus `json:"early_spill,omitempty"`
+}
+
+// SpillStatus is the forecast of the load of one service, from which a host computes the shares of new requests for other zones.
+type SpillStatus struct {
+	Service string            `json:"service"`
+	Zones   []SpillZoneStatus `json:"zones"`
+}
+
+// SpillZoneStatus is one zone in such a forecast. Capacity, Demand and Expected are in milliseconds of engine time per second, at an
+// engine with the default speed.
+type SpillZoneStatus struct {
+	Zone     string  `json:"zone"`
+	Capacity float64 `json:"capacity_ms_per_s"`
+	Demand   float64 `json:"demand_ms_per_s"`   // of the zone's own callers, by the latest report
+	Expected float64 `json:"expected_ms_per_s"` // demand by the forecast
+	AgeMS    int64   `json:"age_ms"`            // of the latest report; -1 if there is none that counts
+	Share    float64 `json:"share"`             // of the host's new requests, from 0 to 1
+	// Offered, Sent and NoSlot count requests since the host started: those that the share was for, and of these those that got a
+	// slot there and those that did not.
+	Offered int `json:"offered"`
+	Sent    int `json:"sent"`
+	NoSlot  int `json:"no_slot"`
 }
 
 // QueueStatus is the admission queue of one service at its owner.
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -43,6 +43,7 @@
 	t.printBackends(reports)
 	t.printBackendViews(reports)
 	t.printQueues(reports)
+	t.printSpill(reports)
 	t.printQuarantined(reports)
 	t.printRefused(reports)
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -156,6 +156,7 @@
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
 		e = e.Float64("rate_limit", limit.PerSecond).Float64("rate_share", limit.Share)
 	}
+	e = a.addSpillFields(e, d)
 	e.Msg("Sent.")
 }
 
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -44,6 +44,7 @@
 	}
 	s.Suspects = v.Suspects
 	s.Queues = queueStatus(v.Queues)
+	s.EarlySpill = spillStatus(v.Spill)
 	s.Streams, s.StreamsDropped = v.Streams, v.StreamsDropped
 	for _, b := range v.Backends {
 		status := core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, Version: b.Version, State: b.State, Owner: b.Owner,
--- a/internal/node/queuemetrics.go
+++ b/internal/node/queuemetrics.go
@@ -19,12 +19,14 @@
 
 	mu    sync.Mutex
 	known router.QueueCounts // counts that the metrics contain
+	spill spillMetrics
 }
 
 // queueState is the state of the admission queues at one moment.
 type queueState struct {
 	counts   router.QueueCounts
 	requests int
+	spill    router.SpillCounts
 }
 
 // ServeHTTP implements http.Handler. If the control thread does not respond, the counts are those of the previous call.
@@ -38,7 +40,7 @@
 	defer m.mu.Unlock()
 	s, ok := query(m.control, func(r *router.Router) queueState {
 		v := r.View()
-		s := queueState{counts: v.QueueCounts}
+		s := queueState{counts: v.QueueCounts, spill: v.SpillCounts}
 		s.counts.Refused = maps.Clone(s.counts.Refused) // the reducer may go on counting in it
 		for _, q := range v.Queues {
 			s.requests += q.Requests
@@ -47,6 +49,7 @@
 	})
 	if ok {
 		m.publish(s)
+		m.spill.publish(m.metrics, s.spill)
 	}
 }
 
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -173,6 +173,67 @@
 	})
 }
 
+// The same for the demands and loads of early spill, at a host that knows another zone by heartbeats and a third one by summaries: an
+// absurd demand or capacity, many services or zones. Not more than half of the new requests leave the zone, nothing is sent to a zone
+// without engines, operators see numbers, and memory stays bounded.
+func FuzzServiceLoads(f *testing.F) {
+	m := hashOfService("m")
+	for _, b := range []*gossippb.Beat{
+		{Host: "10.0.0.2", Zone: "z1", Incarnation: 1, Seq: 1, AgeMs: 5000, ServiceDemands: []*gossippb.ServiceDemand{{Service: m, Demand: math.MaxUint32}, {Service: m}, {}}},
+		{Host: "10.0.0.2", Zone: "z0", Incarnation: 1, Seq: 1, AgeMs: 5000, ServiceDemands: []*gossippb.ServiceDemand{{Service: m, Demand: math.MaxUint32}, {Service: 7, Demand: 1}}},
+		{Host: "10.0.0.2", Zone: "z1", Incarnation: 1, Seq: 1, Zones: []*gossippb.ZoneSum{{Zone: "z1", Speaker: "10.0.0.2", Hosts: 9, Known: 9,
+			ServiceLoads: []*gossippb.ServiceLoad{{Service: m, Capacity: math.MaxUint32}, {Service: m, Capacity: 1, Demand: math.MaxUint32}, {}}}}},
+		{Host: "10.0.0.2", Zone: "z2", Incarnation: 1, Seq: 1, Zones: []*gossippb.ZoneSum{{Zone: "z0", ServiceLoads: []*gossippb.ServiceLoad{{Service: m}}}, {}}},
+	} {
+		data, err := proto.Marshal(b)
+		require.NoError(f, err)
+		f.Add(data, false)
+		f.Add(data, true)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, large bool) {
+		var beat gossippb.Beat
+		if proto.Unmarshal(data, &beat) != nil {
+			return
+		}
+		b := newFixture(t, 2)
+		b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Balancing: BalancingSettings{EarlySpill: true}})
+		if large {
+			for i := range maxFullMesh + 1 {
+				b.r.learnHost(fmt.Sprintf("10.0.3.%d", i), "z3")
+			}
+		}
+		for range 12 {
+			beat.Seq++
+			for _, s := range beat.Zones {
+				s.Seq++
+			}
+			b.post(HeartbeatReceived{&beat})
+			b.now += 125 * time.Millisecond
+			b.post(Tick{})
+			for range 10 {
+				b.next++
+				b.post(Submit{ID: b.next, Route: urgentRoute, PromptTok: 100, OutputTok: math.MaxInt32, Deadline: b.now + 10*time.Second})
+			}
+			s := b.r.spillOf("m")
+			sum := 0.0
+			for _, target := range s.targets {
+				sum += target.Share
+			}
+			require.LessOrEqual(t, sum, 0.5+1e-9)
+			require.LessOrEqual(t, len(s.forecaster.Forecasts(b.now)), 64)
+			require.LessOrEqual(t, len(b.r.spill.services), maxDemandServices+1)
+			for _, member := range b.r.members.byHost {
+				require.LessOrEqual(t, len(member.demand.services), maxDemandServices)
+			}
+			_, err := json.Marshal(b.r.View().Spill)
+			require.NoError(t, err)
+		}
+		for _, call := range b.r.requests {
+			require.True(t, call.backend != nil && call.backend.Zone == "z0" || call.slotCall != nil)
+		}
+	})
+}
+
 // The same for the answer to a pull. It never brings an older configuration back.
 func FuzzPeerNews(f *testing.F) {
 	f.Add([]byte(`{"Config":{"Version":7},"Backends":[{"ID":"e0","Revision":99,"Removed":true}],"After":1,"AsOf":100}`))
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -312,7 +312,7 @@
 			r.schedule(q)
 			return
 		}
-		r.spillOf(q.service).countsFor(q.spill.Zone).Sent++
+		r.countSpill(q.service, q.spill.Zone, SpillCounts{Sent: 1})
 	}
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
--- a/internal/router/spills.go
+++ b/internal/router/spills.go
@@ -31,6 +31,7 @@
 	services map[string]*serviceSpill
 	updateAt time.Duration
 	sent     demandReport
+	totals   SpillCounts
 }
 
 // serviceSpill is the state of one service.
@@ -64,6 +65,12 @@
 	NoSlot  int // without a free slot there, and handled as without early spill
 }
 
+func (c *SpillCounts) add(more SpillCounts) {
+	c.Offered += more.Offered
+	c.Sent += more.Sent
+	c.NoSlot += more.NoSlot
+}
+
 // SpillView is the state of early spill for one service.
 type SpillView struct {
 	Service string
@@ -93,7 +100,7 @@
 // applyBalancingSettings applies changed settings. Early spill starts anew.
 func (r *Router) applyBalancingSettings(s BalancingSettings) {
 	if s.EarlySpill != r.opt.Balancing.EarlySpill {
-		r.spill = spillState{}
+		r.spill = spillState{totals: r.spill.totals}
 		for _, m := range r.members.byHost {
 			m.demand = demandReport{}
 		}
@@ -205,13 +212,16 @@
 	return spill.Forecast{}
 }
 
-func (s *serviceSpill) countsFor(zone string) *SpillCounts {
+// countSpill adds to the counts of a service for another zone.
+func (r *Router) countSpill(service, zone string, more SpillCounts) {
+	s := r.spillOf(service)
 	c, ok := s.counts[zone]
 	if !ok {
 		c = &SpillCounts{}
 		s.counts[zone] = c
 	}
-	return c
+	c.add(more)
+	r.spill.totals.add(more)
 }
 
 // spillEarly sends a new request to another zone, or asks an owner there for a slot, if it is in the share for that zone. If it
@@ -226,7 +236,7 @@
 	if zone == "" {
 		return false
 	}
-	s.countsFor(zone).Offered++
+	r.countSpill(q.service, zone, SpillCounts{Offered: 1})
 	q.spill = r.spillBasis(s, zone)
 	r.serveQueue(q.service) // a free slot of this host goes to those that wait first
 	b, g := r.spillBackend(q, zone)
@@ -238,7 +248,7 @@
 		r.requestSlot(q, owner, classHealthy, false)
 		return true
 	}
-	s.countsFor(zone).Sent++
+	r.countSpill(q.service, zone, SpillCounts{Sent: 1})
 	r.countOwnGrant(q, b)
 	r.send(q, b, g)
 	return true
@@ -311,12 +321,13 @@
 	if q.spill.Zone == "" {
 		return
 	}
-	r.spillOf(q.service).countsFor(q.spill.Zone).NoSlot++
+	r.countSpill(q.service, q.spill.Zone, SpillCounts{NoSlot: 1})
 	q.spill = SpillBasis{}
 }
 
 // viewSpill adds early spill to what operators see.
 func (r *Router) viewSpill(v *View) {
+	v.SpillCounts = r.spill.totals
 	for _, service := range slices.Sorted(maps.Keys(r.spill.services)) {
 		s := r.spill.services[service]
 		view := SpillView{Service: service}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -31,6 +31,8 @@
 	QueueCounts QueueCounts
 	// Spill is the state of early spill by service; empty if it is off.
 	Spill []SpillView
+	// SpillCounts are those of all services and zones.
+	SpillCounts SpillCounts
 }
 
 // QueueView is the admission queue of one service at this host.
