--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -150,9 +150,9 @@
 
 // dispatch chooses a backend server for a request and sends it there, or refuses it.
 func (r *Router) dispatch(q *request) {
+	q.spill = SpillBasis{}
 	q.fullOwners, q.decideLocally, q.owner = nil, false, ""
 	q.resetWait()
-	q.spill = SpillBasis{}
 	if retryAfter, yes := r.checkQuarantine(q); yes {
 		r.refuseQuarantined(q, retryAfter)
 		return
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/routing"
+	"fireflyshift/internal/spill"
 )
 
 // steady is a demand of the first zone above its capacity, and of the others below.
@@ -215,16 +217,38 @@
 // Guards against a fleet in which some hosts do not have the setting: they ignore the reports of the others, and nothing is sent to a
 // zone whose demand is not known.
 func TestHostsWithoutEarlySpillIgnoreIt(t *testing.T) {
-	f := newBusyFleet(t, 6, AdmissionSettings{})
-	for _, h := range f.hosts {
-		if h.zone == "z1" {
-			f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds})
+	spillModes(t, func(t *testing.T, hosts int, admission AdmissionSettings) {
+		f := newBusyFleet(t, hosts, admission)
+		for _, h := range f.hosts {
+			if h.zone == "z1" {
+				f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission})
+			}
 		}
-	}
-	f.run(zoneSummaryTTL+spillInterval, 0)
-	at := f.now
-	require.Positive(t, f.spilledIn(2*time.Second))
-	require.LessOrEqual(t, f.sentAt[[2]string{"z0", "z1"}], at)
+		f.run(demandTTL+zoneSummaryTTL+spillInterval, 0)
+		at := f.now
+		require.Positive(t, f.spilledIn(2*time.Second))
+		require.LessOrEqual(t, f.sentAt[[2]string{"z0", "z1"}], at)
+	})
+}
+
+// Guards against a host that was paused and sends requests away by what it computed before.
+func TestOldSharesDoNotCount(t *testing.T) {
+	b := newFixture(t, 2)
+	s := b.r.spillOf("m")
+	s.targets, s.plannedAt = []spill.Target{{Zone: "z1", Share: 0.5}}, b.r.now
+	q := &request{Submit: Submit{Route: urgentRoute}, service: "m"}
+	require.Empty(t, b.r.takeSpillCredit(q, s))
+	require.Equal(t, "z1", b.r.takeSpillCredit(q, s), "every second request")
+	require.Empty(t, b.r.takeSpillCredit(q, s))
+	b.r.now += spillPlanTTL + 1
+	require.Empty(t, b.r.takeSpillCredit(q, s))
+}
+
+// Guards against a caller who makes its zone look overloaded by stating a long output.
+func TestStatedOutputIsLimitedInDemand(t *testing.T) {
+	b := newFixture(t, 2)
+	q := &request{Submit: Submit{Route: urgentRoute, OutputTok: math.MaxInt32, PromptTok: math.MaxInt32, Deadline: b.r.now + 3*time.Second}, service: "m"}
+	require.InDelta(t, 3000*b.r.nominalSpeed("m"), b.r.nominalWork(q), 1e-6)
 }
 
 // Guards against callers who return and are counted again, or sent away early again.
--- a/internal/router/spills_test.go
+++ b/internal/router/spills_test.go
@@ -29,11 +29,10 @@
 	spilled         map[string]int
 	crossed         int
 	mutual, longest time.Duration
-	lastSpill       map[string]time.Duration
 }
 
 func newSpillFleet(t testing.TB, hosts, engines int, admission AdmissionSettings, early bool) *spillFleet {
-	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, arrivals: rand.New(rand.NewPCG(3, 4)), lastSpill: map[string]time.Duration{}}
+	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, arrivals: rand.New(rand.NewPCG(3, 4))}
 	f.capacity = float64(engines * loadCapacity)
 	for _, h := range f.hosts {
 		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: BalancingSettings{EarlySpill: early}})
@@ -47,15 +46,16 @@
 	f.onStepEnd = f.observe
 	carryOut := f.onEffect
 	f.onEffect = func(h *zoneHost, e Effect) bool {
-		if d, ok := e.(Dispatch); ok && d.Backend.Zone != h.zone {
+		d, ok := e.(Dispatch)
+		if ok && d.Backend.Zone != h.zone {
 			f.crossed++
-			if d.Basis.Spill.Zone != "" {
-				require.Equal(t, d.Backend.Zone, d.Basis.Spill.Zone)
-				require.Equal(t, 1, d.Attempt)
-				f.sentAt[[2]string{h.zone, d.Backend.Zone}] = f.now
-				f.lastSpill[h.zone] = f.now
-				f.spilled[h.zone]++
-			}
+		}
+		if ok && d.Basis.Spill.Zone != "" {
+			require.Equal(t, d.Backend.Zone, d.Basis.Spill.Zone)
+			require.NotEqual(t, h.zone, d.Basis.Spill.Zone)
+			require.Equal(t, 1, f.calls[d.ID].attempts, "only first attempts go early")
+			f.sentAt[[2]string{h.zone, d.Backend.Zone}] = f.now
+			f.spilled[h.zone]++
 		}
 		return carryOut(h, e)
 	}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -42,7 +42,10 @@
 	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large"}
 	effectsTests       = []string{"./internal/router", "-run", "EffectsWithout"}
 	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
-	limitTests         = []string{"./internal/limit", "-rapid.shrinktime=1s"}
+	spillTests         = []string{"./internal/spill", "-rapid.shrinktime=1s"}
+	// spillFaultTests simulate a fleet for some seconds each.
+	spillFaultTests = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
+	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
 func platformTests(run string) []string { return []string{"./platform", "-run", run} }
@@ -498,4 +501,26 @@
 	{"queue-served", "queues", "internal/router/router.go", "	r.serveQueues()\n", "", sharesTests},
 	{"queue-weight", "queues", "internal/router/queuedcalls.go", "float32(q.Workspace.Weight)", "1", sharesTests},
 	{"queue-work", "queues", "internal/router/patience.go", "s.TokensPerEvent > 0 && q.OutputTok > 0 {", "false {", sharesTests},
+	{"spill-valid", "early spill", "internal/spill/spill.go", "return v >= 0 && !math.IsInf(v, 1)", "return true", spillTests},
+	{"spill-zones", "early spill", "internal/spill/spill.go", "if len(f.zones) >= maxZones {", "if false {", spillTests},
+	{"spill-age", "early spill", "internal/spill/spill.go", "if age > maxAge {", "if false {", spillTests},
+	{"spill-share", "early spill", "internal/spill/spill.go", "min(maxShare, own", "min(1, own", spillTests},
+	{"spill-divided", "early spill", "internal/spill/spill.go", "min(1, free/excess)", "min(1, free/min(excess, own.excess()))", spillTests},
+	{"spill-accept", "early spill", "internal/spill/spill.go", "max(0, acceptBelow*z.Capacity-z.Expected)", "max(0, z.Capacity-z.Expected)", spillTests},
+	{"spill-forget", "early spill", "internal/spill/spill.go", "{ delete(f.zones, zone) }", "{ _ = zone }", spillTests},
+	{"spill-trend", "early spill", "internal/spill/history.go", "min(max(slope*ahead.Seconds(), -maxTrend*level), maxTrend*level)", "slope * ahead.Seconds()", spillTests},
+	{"spill-horizon", "early spill", "internal/spill/spill.go", "h.demandAfter(age + f.SlotTime)", "h.demandAfter(0)", spillTests},
+	{"spill-overtaken", "early spill", "internal/spill/history.go", "if len(h.samples) > 0 && at <= h.latest().at {", "if false {", spillTests},
+	{"spill-samples", "early spill", "internal/spill/history.go", " || len(h.samples)-first >= maxSamples", "", spillTests},
+	{"spill-off-demand", "early spill", "internal/router/demand.go", "if !r.opt.Balancing.EarlySpill || r.now < demandWarmup ||", "if r.now < demandWarmup ||", effectsTests},
+	{"spill-warmup", "early spill", "internal/router/demand.go", " || r.now < demandWarmup || r.now-sent.at", " || r.now-sent.at", spillFaultTests},
+	{"spill-interval", "early spill", "internal/router/demand.go", " || r.now-sent.at < demandInterval {", " {", spillFaultTests},
+	{"spill-unknown", "early spill", "internal/router/demand.go", "silent <= maxHostsWithoutDemand*hosts", "true", spillFaultTests},
+	{"spill-demand-ttl", "early spill", "internal/router/demand.go", " || r.now-m.demand.at > demandTTL", "", spillFaultTests},
+	{"spill-demand-once", "early spill", "internal/router/demand.go", " && !q.returning && !q.Continues {", " {", spillFaultTests},
+	{"spill-stated-output", "early spill", "internal/router/demand.go", "min(r.occupation(q), max(0, q.Deadline-r.now))", "r.occupation(q)", spillFaultTests},
+	{"spill-first-attempts", "early spill", "internal/router/spills.go", " || q.returning || q.Continues {", " {", spillFaultTests},
+	{"spill-plan-ttl", "early spill", "internal/router/spills.go", "if r.now-s.plannedAt > spillPlanTTL {", "if false {", spillFaultTests},
+	{"spill-free-slot", "early spill", "internal/router/spills.go", " && hasFreeSlot(b, place.total())", "", spillFaultTests},
+	{"spill-refused", "early spill", "internal/router/spills.go", "SpillCounts{NoSlot: 1})\n\tq.spill = SpillBasis{}\n", "SpillCounts{NoSlot: 1})\n", spillFaultTests},
 }
