--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -1,12 +1,14 @@
 package router
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/routing"
@@ -296,3 +298,31 @@
 	require.Positive(t, perHost)
 	require.Less(t, perHost, 500.0)
 }
+
+// offerEarly makes a host send each second new request to another zone early, whatever the loads are.
+func offerEarly(h *worldHost) {
+	h.r.opt.Balancing.EarlySpill = true
+	s := h.r.spillOf("s")
+	s.targets, s.plannedAt = nil, h.r.now
+	for _, zone := range []string{"z0", "z1"} {
+		if zone != h.zone {
+			s.targets = append(s.targets, spill.Target{Zone: zone, Share: 0.5})
+		}
+	}
+}
+
+// The same as TestPromisesSmallFleet and TestPromisesLargeFleet with early spill, with and without queues.
+func TestPromisesWithEarlySpill(t *testing.T) {
+	for _, size := range []int{1, 3} {
+		for _, queues := range []AdmissionSettings{{}, {Enabled: true, MaxRequests: 8}} {
+			t.Run(fmt.Sprintf("%d hosts, queues %v", 6*size, queues.Enabled), func(t *testing.T) {
+				t.Parallel()
+				rapid.Check(t, func(t *rapid.T) {
+					w := newWorld(t, 2, 3*size, queues)
+					w.onSubmit = offerEarly
+					w.play()
+				})
+			})
+		}
+	}
+}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -48,6 +48,8 @@
 	streams []*worldStream
 	// queues are the settings of hosts as they start. With admission queues, engines have one slot and requests come in bursts.
 	queues AdmissionSettings
+	// onSubmit, if set, is called before a host gets a request.
+	onSubmit func(h *worldHost)
 }
 
 // worldStream is a stream as its caller sees it over all attempts.
@@ -347,6 +349,9 @@
 	if h.r.Table() == nil || w.now < h.frozen {
 		return
 	}
+	if w.onSubmit != nil {
+		w.onSubmit(h)
+	}
 	w.nextID++
 	routes := h.r.Table().Config.Routes
 	route := &routes[rapid.IntRange(0, len(routes)-1).Draw(w.t, "route")]
@@ -581,7 +586,11 @@
 func runWorld(t *rapid.T, zones, perZone int) { runWorldWith(t, zones, perZone, AdmissionSettings{}) }
 
 func runWorldWith(t *rapid.T, zones, perZone int, queues AdmissionSettings) {
-	w := newWorld(t, zones, perZone, queues)
+	newWorld(t, zones, perZone, queues).play()
+}
+
+func (w *world) play() {
+	t, queues := w.t, w.queues
 	for i := 0; i < 30; i++ {
 		w.step()
 	}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -501,7 +501,7 @@
 	{"queue-served", "queues", "internal/router/router.go", "	r.serveQueues()\n", "", sharesTests},
 	{"queue-weight", "queues", "internal/router/queuedcalls.go", "float32(q.Workspace.Weight)", "1", sharesTests},
 	{"queue-work", "queues", "internal/router/patience.go", "s.TokensPerEvent > 0 && q.OutputTok > 0 {", "false {", sharesTests},
-	{"spill-valid", "early spill", "internal/spill/spill.go", "return v >= 0 && !math.IsInf(v, 1)", "return true", spillTests},
+	{"spill-valid", "early spill", "internal/spill/spill.go", "return v >= 0 && !math.IsInf(v, 1)", "return !math.IsInf(v, 1)", spillTests},
 	{"spill-zones", "early spill", "internal/spill/spill.go", "if len(f.zones) >= maxZones {", "if false {", spillTests},
 	{"spill-age", "early spill", "internal/spill/spill.go", "if age > maxAge {", "if false {", spillTests},
 	{"spill-share", "early spill", "internal/spill/spill.go", "min(maxShare, own", "min(1, own", spillTests},
