--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -93,8 +93,12 @@
 }
 
 // nominalCapacity returns the engine time per second of the usable backend servers of a service in a zone, in the unit of
-// nominalWork. It is unknown if some of them state limits of their own, which are not counted in engine time.
+// nominalWork. It is unknown if some of them state limits of their own, which are not counted in engine time, and if it may be this
+// host that does not reach them.
 func (r *Router) nominalCapacity(service, zone string) (capacity float64, known bool) {
+	if r.mayBeCutOff(service) {
+		return 0, false
+	}
 	mean := float64(r.serviceState(service).expectedEventInterval())
 	for _, b := range r.backendsIn(zone) {
 		if b.Service != service || b.removed || b.excluded(r.now) != notExcluded || !kindMatches(b, r.serviceConfig(b)) {
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -298,6 +298,48 @@
 	require.Less(t, perHost, 500.0)
 }
 
+// Guards against a capacity that counts engines which get no requests or ignores that engines of one service differ in speed, and
+// against one in engine time of servers whose limits are of another kind.
+func TestCapacityOfAZone(t *testing.T) {
+	b := newFixture(t, 5)
+	slots := 1000 * 5.0
+	capacity := func() float64 {
+		c, known := b.r.nominalCapacity("m", "z0")
+		require.True(t, known)
+		return c
+	}
+	require.InDelta(t, 5*slots, capacity(), 1e-6, "unknown speeds are the default")
+	engines := b.r.allBackends()
+	engines[0].interval = defaultEventInterval / 2
+	engines[1].interval = 4 * defaultEventInterval
+	require.InDelta(t, (2+0.25+3)*slots, capacity(), 1e-6)
+	b.r.serviceState("m").eventInterval = 2 * defaultEventInterval
+	require.InDelta(t, (2+0.25+3*0.5)*slots, capacity(), 1e-6, "unknown speeds are the service's mean")
+	engines[0].interval = 1
+	require.InDelta(t, (maxSpeedRatio/2+0.25+3*0.5)*slots, capacity(), 1e-6, "a hostile speed")
+	engines[0].Draining, engines[1].leaving, engines[2].holdOffUntil = true, true, b.r.now+1
+	require.InDelta(t, 2*0.5*slots, capacity(), 1e-6)
+	engines[3].warming.until, engines[4].avoidUntil = b.r.now+1, b.r.now+1
+	require.Zero(t, capacity())
+	require.Zero(t, func() float64 { c, _ := b.r.nominalCapacity("m", "z1"); return c }())
+	engines[3].rateLimit = &rateLimit{statedLimit: statedLimit{statement: statement{perSecond: 5}}}
+	require.True(t, engines[3].rateLimited())
+	_, known := b.r.nominalCapacity("m", "z0")
+	require.False(t, known)
+}
+
+// Guards against a forecast that looks further ahead than the callers of a service wait.
+func TestSlotTimeFollowsTheTargetLatency(t *testing.T) {
+	b := newFixture(t, 1)
+	require.Equal(t, defaultSlotTime, b.r.slotTime("m"), "no route has a target")
+	shares := []routing.Share{{Service: "m", Weight: 1}}
+	b.r.table = routing.NewTable(&routing.Config{Version: 2, Routes: []routing.Route{{Name: "a", Shares: shares, Target: 3 * time.Second}, {Name: "b", Shares: shares, Target: 500 * time.Millisecond},
+		{Name: "c", Shares: []routing.Share{{Service: "n", Weight: 1}}, Target: time.Millisecond}}})
+	require.Equal(t, 250*time.Millisecond, b.r.slotTime("m"))
+	b.r.table.Config.Routes[1].Target = time.Minute
+	require.Equal(t, maxSlotTime, b.r.slotTime("m"))
+}
+
 // offerEarly makes a host send each second new request to another zone early, whatever the loads are.
 func offerEarly(h *worldHost) {
 	h.r.opt.Balancing.EarlySpill = true
