--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -245,6 +245,29 @@
 	require.Empty(t, b.r.takeSpillCredit(q, s))
 }
 
+// Guards against requests that go early again, and against streams that are sent away from the zone of their origin.
+func TestOnlyFirstAttemptsGoEarly(t *testing.T) {
+	b := newFixture(t, 2)
+	b.r.opt.Balancing.EarlySpill = true
+	s := b.r.spillOf("m")
+	s.targets, s.plannedAt = []spill.Target{{Zone: "z1", Share: 0.5}}, b.r.now
+	submit := Submit{Route: urgentRoute, Deadline: b.r.now + time.Second}
+	continued := submit
+	continued.Continues = true
+	for range 3 {
+		for _, q := range []*request{{Submit: continued}, {Submit: submit, attempt: 1}, {Submit: submit, spillDecided: true}, {Submit: submit, waitState: waitState{returning: true}}} {
+			q.service = "m"
+			require.False(t, b.r.spillEarly(q))
+		}
+	}
+	require.Empty(t, s.credit)
+	require.Empty(t, s.counts)
+	for range 2 {
+		b.r.spillEarly(&request{Submit: submit, service: "m"})
+	}
+	require.Equal(t, &SpillCounts{Offered: 1, NoSlot: 1}, s.counts["z1"], "it has no backend servers")
+}
+
 // Guards against a caller who makes its zone look overloaded by stating a long output.
 func TestStatedOutputIsLimitedInDemand(t *testing.T) {
 	b := newFixture(t, 2)
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -44,7 +44,7 @@
 	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
 	spillTests         = []string{"./internal/spill", "-rapid.shrinktime=1s"}
 	// spillFaultTests simulate a fleet for some seconds each.
-	spillFaultTests = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
+	spillFaultTests = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|FirstAttempts|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
 	limitTests      = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
