--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -211,7 +211,7 @@
 	slots := 0
 	for _, b := range r.owned() {
 		if b.Service == service && r.grantable(b) && b.excluded(r.now) == notExcluded && !b.isUnreachable(r.now) && !b.suspect(r.now) {
-			slots += max(1, b.Slots)
+			slots += r.slotLimit(b)
 		}
 	}
 	s.queue.SetRoom(slots, r.usualOccupation(service))
--- a/internal/router/backends.go
+++ b/internal/router/backends.go
@@ -64,6 +64,8 @@
 	rateLimit *rateLimit
 	// brittle is the same for a limit on rejected requests.
 	brittle *brittleLimit
+	// pace is what was learned of its pace; nil if nothing was.
+	pace *learnedPace
 	// exited is set if its process has ended without announcing it. brokenRuns are requests that broke there before that was known.
 	exited     bool
 	brokenRuns []brokenRequest
--- a/internal/router/load_test.go
+++ b/internal/router/load_test.go
@@ -63,6 +63,8 @@
 	retries int
 	atOnce  bool
 	cost    time.Duration // that a request occupies a slot
+	route   *routing.Route
+	prompt  int // tokens
 	owing   float64
 }
 
@@ -112,7 +114,7 @@
 }
 
 func (f *loadFleet) add(perSecond float64, name string) *loadSource {
-	s := &loadSource{workspace: &routing.Workspace{Name: name}, perSecond: perSecond, cost: loadService, owing: f.rng.Float64()}
+	s := &loadSource{workspace: &routing.Workspace{Name: name}, perSecond: perSecond, cost: loadService, owing: f.rng.Float64(), route: loadRoute, prompt: 100}
 	f.sources = append(f.sources, s)
 	return s
 }
@@ -153,7 +155,7 @@
 			f.post(h, CallerLeft{ID: call.id})
 		}
 	})
-	f.post(h, Submit{ID: call.id, Route: loadRoute, Workspace: c.source.workspace, Rank: c.rank, PromptTok: 100, OutputTok: int(8 * c.source.cost / loadInterval), Deadline: c.deadline - h.startedAt, Allowed: c.deadline - f.now})
+	f.post(h, Submit{ID: call.id, Route: c.source.route, Workspace: c.source.workspace, Rank: c.rank, PromptTok: c.source.prompt, OutputTok: int(8 * c.source.cost / loadInterval), Deadline: c.deadline - h.startedAt, Allowed: c.deadline - f.now})
 }
 
 func (f *loadFleet) end(c *loadCall) {
--- a/internal/router/predict.go
+++ b/internal/router/predict.go
@@ -8,7 +8,7 @@
 
 // score returns the score of a backend server for a request. Lower is better.
 func (s *selector) score(b *backend, held int) float64 {
-	wait := float64(s.predictedWait(b, held))
+	wait := float64(s.predictedWait(b, held) + s.promptDelay(b, held))
 	switch {
 	case b.Zone == s.r.opt.Zone:
 		return wait
@@ -31,12 +31,8 @@
 	if s.q.Route.Kind != routing.Streaming || s.q.PromptTok == 0 {
 		return time.Duration(held+1) * interval
 	}
-	perToken := b.prefillPerToken
-	if perToken == 0 {
-		perToken = s.svc.expectedPrefillPerToken()
-	}
-	wait := interval + time.Duration(b.prefillBacklog(s.r.now)+s.q.PromptTok)*perToken
-	if over := held + 1 - b.Slots; over > 0 && b.Slots > 0 {
+	wait := interval + time.Duration(b.prefillBacklog(s.r.now)+s.q.PromptTok)*s.prefillPerToken(b)
+	if over := held + 1 - s.r.slotLimit(b); over > 0 && b.Slots > 0 {
 		wait += time.Duration(over) * s.slotReleaseInterval(b)
 	}
 	return wait
--- a/internal/router/queuegrants.go
+++ b/internal/router/queuegrants.go
@@ -21,7 +21,7 @@
 	misfitInterval = 25 * time.Millisecond
 )
 
-// queueLimit is requestLimit where requests wait at owners.
+// queueLimit is limitBySlots where requests wait at owners.
 func queueLimit(b *backend) int { return max(1, b.Slots) + beyondSlots }
 
 // countOwnGrant counts a request that this host sends without a wait to one of its own backend servers.
@@ -99,7 +99,7 @@
 	var out []*backend
 	s := r.newSelector(&request{service: service}, scopeOwned)
 	for _, b := range r.owned() {
-		if b.Service == service && r.grantable(b) && b.inFlight() < queueLimit(b) && b.excluded(r.now) == notExcluded && s.classOf(b, b.removed) <= classDoubtful {
+		if b.Service == service && r.grantable(b) && b.inFlight() < r.capBySlotLimit(b, queueLimit(b)) && b.excluded(r.now) == notExcluded && s.classOf(b, b.removed) <= classDoubtful {
 			out = append(out, b)
 		}
 	}
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -367,6 +367,9 @@
 		b.succeeded(q.sentAt)
 		interval := r.observedInterval(q, e)
 		b.learnEventInterval(interval)
+		if q.Route.Kind == routing.Streaming {
+			r.observePace(b, interval, e.Events)
+		}
 		svc := r.serviceState(b.Service)
 		svc.learnEventInterval(interval)
 		svc.learnStreamLength(e.Events)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -134,6 +134,9 @@
 	evacuations map[string]*evacuation
 	// relayBackoff is until when a host is not used as a relay.
 	relayBackoff map[string]time.Duration
+	// pauses are the pauses that streams accept, limitCounts what has happened to learned limits.
+	pauses      pauseBounds
+	limitCounts LimitCounts
 }
 
 // New returns a Router with no configuration and no peers.
@@ -263,6 +266,7 @@
 const maintenanceInterval = 100 * time.Millisecond
 
 func (r *Router) tick() {
+	r.sampleOccupancy()
 	r.expireSlotRequests()
 	r.expireQueuedCalls()
 	r.expireQueues()
--- a/internal/router/select.go
+++ b/internal/router/select.go
@@ -75,7 +75,10 @@
 
 // requestLimit returns the number of requests in flight at which a backend server accepts no further
 // request of this priority.
-func (s *selector) requestLimit(b *backend) int {
+func (s *selector) requestLimit(b *backend) int { return s.r.capBySlotLimit(b, s.limitBySlots(b)) }
+
+// limitBySlots is requestLimit as far as it follows from the number of slots.
+func (s *selector) limitBySlots(b *backend) int {
 	if s.r.isBrittle(b) {
 		return s.brittleRequestLimit(b)
 	}
--- a/internal/router/slotgrants.go
+++ b/internal/router/slotgrants.go
@@ -144,6 +144,7 @@
 	svc := r.serviceState(b.Service)
 	if interval := min(time.Duration(rep.IntervalUs)*time.Microsecond, maxEventInterval); interval > 0 {
 		b.learnEventInterval(interval)
+		r.observePace(b, interval, int(min(rep.Events, maxEvents)))
 		svc.learnEventInterval(interval)
 	}
 	if perToken := time.Duration(rep.ReadNs); perToken > 0 && perToken <= maxPrefillPerToken {
--- a/internal/router/speed.go
+++ b/internal/router/speed.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/pace"
 )
 
 const (
@@ -17,7 +18,9 @@
 	// maxPrefillPerToken limits the prefill time per token accepted from other hosts. Engines need tens of microseconds.
 	maxPrefillPerToken = 10 * time.Millisecond
 	// speedChangeThreshold is the relative change of a speed that is reported to other hosts.
-	speedChangeThreshold = 0.3
+	speedChangeThreshold = pace.SpeedChange
+	// progressEvents is the number of event intervals that are measured for StreamProgress.
+	progressEvents = 5
 )
 
 // speed is the observed speed of an engine: the interval between events and the prefill time per prompt token.
@@ -75,6 +78,9 @@
 		r.serviceState(q.service).learnEventInterval(e.Interval)
 	}
 	q.backend.learnEventInterval(e.Interval)
+	if !r.ownPathLost(q) {
+		r.observePace(q.backend, e.Interval, progressEvents)
+	}
 }
 
 func (b *backend) learnPrefill(perToken time.Duration) {
