--- a/internal/pace/curve.go
+++ b/internal/pace/curve.go
@@ -33,7 +33,8 @@
 	// estimates are by the number of requests held, less one.
 	estimates []estimate
 	deviation deviation
-	probe     probe
+	trial     trial
+	length    time.Duration // of the streams lately observed
 }
 
 // estimate is the event interval at one number of requests: a mean weighted by events, in which older observations count less.
@@ -74,7 +75,8 @@
 	for len(c.estimates) < held {
 		c.estimates = append(c.estimates, estimate{})
 	}
-	c.probe.observed(now, held)
+	c.trial.observed(now, held)
+	c.learnLength(time.Duration(min(events, maxEvents)) * interval)
 	if c.isOutlier(now, &c.estimates[held-1], interval) {
 		return
 	}
--- a/internal/pace/limit.go
+++ b/internal/pace/limit.go
@@ -5,30 +5,43 @@
 const (
 	// workTolerance is the relative decrease of the work per second that is not told apart from errors of the estimates.
 	workTolerance = 0.05
-	// minLimitDivisor determines the least limit, half of the slots: what wrong estimates may cost.
-	minLimitDivisor = 2
-
-	// probeInterval is the time until a limit below the slots is raised by one on trial, which doubles up to maxProbeInterval while
-	// trials confirm the limit. After a trial that has raised it, the next one follows after probeSuccessInterval.
-	probeInterval        = 5 * time.Second
-	maxProbeInterval     = 40 * time.Second
-	probeSuccessInterval = time.Second
-	// probeDuration is the longest time of a trial. It ends early when the engine has been observed sufficiently.
-	probeDuration = time.Second
 )
 
-// Limit returns the most requests that the engine should hold, which is the learned limit or, during a trial, one more.
-// longestPause is the longest interval that the streams' callers accept; zero if there is no bound.
+// MinLimit returns the least limit of an engine, half of its slots: wrong estimates may cost the other half.
+func MinLimit(slots int) int { return max(1, slots/2) }
+
+// Limit returns the most requests that the engine should hold: the learned limit or, during a trial, one more or fewer. A limit below
+// the slots is tried one higher, so that a wrong estimate is corrected. If the engine is always full, so that nothing shows whether
+// the last request adds to its work, one fewer is tried. longestPause is the longest interval that the streams' callers accept;
+// zero if there is no bound.
 func (c *Curve) Limit(now time.Duration, slots int, longestPause time.Duration) int {
 	slots = max(1, slots)
-	return c.probe.raise(now, c.Learned(now, slots, longestPause), slots)
+	learned := c.Learned(now, slots, longestPause)
+	switch {
+	case learned < slots:
+		return c.trial.hold(now, learned, learned+1, c.trialDuration())
+	case c.onlyFull(now, slots):
+		return c.trial.hold(now, slots, slots-1, c.trialDuration())
+	}
+	c.trial = trial{}
+	return slots
+}
+
+// onlyFull reports whether the engine was observed with all slots taken but not with one fewer.
+func (c *Curve) onlyFull(now time.Duration, slots int) bool {
+	if slots <= 1 {
+		return false
+	}
+	_, full := c.own(now, slots)
+	_, fewer := c.Interval(now, slots-1)
+	return full && !fewer
 }
 
 // Learned returns the greatest number of requests up to which the event interval is within longestPause and each further request
 // adds to the work per second: the slots while too little is known, and at least half of them.
 func (c *Curve) Learned(now time.Duration, slots int, longestPause time.Duration) int {
 	slots = max(1, slots)
-	for n := max(1, slots/minLimitDivisor); n < slots; n++ {
+	for n := MinLimit(slots); n < slots; n++ {
 		if c.tooMany(now, n+1, longestPause) {
 			return n
 		}
@@ -51,50 +64,3 @@
 
 // work returns the events per nanosecond of all streams together.
 func work(held int, interval time.Duration) float64 { return float64(held) / float64(interval) }
-
-// probe decides when a limit is raised by one on trial.
-type probe struct {
-	limit int           // the learned limit, zero if it is the slots
-	at    time.Duration // when the next trial begins
-	until time.Duration // when the present one ends; zero if there is none
-	wait  time.Duration // until the next trial after a failed one
-	seen  int           // observations above the limit during the trial
-}
-
-// raise returns the learned limit, or one more during a trial.
-func (p *probe) raise(now time.Duration, learned, slots int) int {
-	if learned >= slots {
-		*p = probe{}
-		return slots
-	}
-	switch {
-	case p.limit == 0 || learned < p.limit:
-		*p = probe{limit: learned, at: now + probeInterval, wait: probeInterval}
-	case learned > p.limit:
-		*p = probe{limit: learned, at: now + probeSuccessInterval, wait: probeInterval}
-	case p.until > 0 && (now >= p.until || p.seen >= minObservations):
-		p.end(now)
-	}
-	if now < p.at {
-		return learned
-	}
-	if p.until == 0 {
-		p.until = now + probeDuration
-	}
-	return learned + 1
-}
-
-// end ends a trial that has not raised the limit.
-func (p *probe) end(now time.Duration) {
-	if p.seen > 0 {
-		p.wait = min(2*p.wait, maxProbeInterval)
-	}
-	p.at, p.until, p.seen = now+p.wait, 0, 0
-}
-
-// observed counts an observation that belongs to the present trial.
-func (p *probe) observed(now time.Duration, held int) {
-	if p.until > 0 && now < p.until && held > p.limit {
-		p.seen++
-	}
-}
--- a/internal/router/enginelimits.go
+++ b/internal/router/enginelimits.go
@@ -12,6 +12,10 @@
 // change it several times a second.
 const minLimitNoteInterval = time.Second
 
+// staleCountMargin is the part of an engine's limit that stays free where hosts decide by each other's heartbeats: two of them take
+// its last slot at once more often than not under load.
+const staleCountMargin = 1
+
 // learnedPace is what this host has learned of the pace of one engine. It belongs to one start of the engine.
 type learnedPace struct {
 	curve pace.Curve
@@ -102,10 +106,14 @@
 // capBySlotLimit lowers a limit on the requests at an engine to its learned limit. Beyond that no request waits in the engine's own
 // queue: the engine would start it.
 func (r *Router) capBySlotLimit(b *backend, limit int) int {
-	if learned := r.slotLimit(b); learned < max(1, b.Slots) {
-		return min(limit, learned)
+	learned := r.slotLimit(b)
+	if learned >= max(1, b.Slots) {
+		return limit
+	}
+	if !r.usesOwners() && r.hostCount() > 1 {
+		learned = max(pace.MinLimit(b.Slots), learned-staleCountMargin)
 	}
-	return limit
+	return min(limit, learned)
 }
 
 // sampleOccupancy records how many requests the engines hold whose pace this host learns, and logs changes of their limits.
--- a/internal/router/predict.go
+++ b/internal/router/predict.go
@@ -32,7 +32,7 @@
 		return time.Duration(held+1) * interval
 	}
 	wait := interval + time.Duration(b.prefillBacklog(s.r.now)+s.q.PromptTok)*s.prefillPerToken(b)
-	if over := held + 1 - s.r.slotLimit(b); over > 0 && b.Slots > 0 {
+	if over := held + 1 - b.Slots; over > 0 && b.Slots > 0 {
 		wait += time.Duration(over) * s.slotReleaseInterval(b)
 	}
 	return wait
