--- a/internal/pace/limit.go
+++ b/internal/pace/limit.go
@@ -3,8 +3,9 @@
 import "time"
 
 const (
-	// workTolerance is the relative decrease of the work per second that is not told apart from errors of the estimates.
-	workTolerance = 0.05
+	// workTolerance is the relative decrease of the work per second that is not told apart from errors of the estimates. With a tenth,
+	// engines that are slower for parts of a second lose slots that they could use.
+	workTolerance = 0.15
 )
 
 // MinLimit returns the least limit of an engine, half of its slots: wrong estimates may cost the other half.
--- a/internal/router/enginelimits_load_test.go
+++ b/internal/router/enginelimits_load_test.go
@@ -230,7 +230,8 @@
 	perEngine             float64 // short requests per second and engine
 	long                  float64 // long ones, per second and engine
 	describe              func(i int) pacedEngine
-	wave                  bool // demand between 0.45 and 1.55 of the mean, and engines that are slower at times
+	smooth                float64 // least share of the streams with the setting that keep to the longest pause
+	wave                  bool    // demand between 0.45 and 1.55 of the mean, and engines that are slower at times
 }
 
 const (
@@ -238,10 +239,14 @@
 	shortPrompt  = 200
 	longPrompt   = 20000
 	pacedSettles = 6 * time.Second
-	pacedWatched = 20 * time.Second
+	pacedWatched = 15 * time.Second
+	// workMargin is the part of the work that demand which arrives at slightly other moments may shift, onTimeMargin the part of the
+	// callers whose long prompts wait for the sake of others' streams.
+	workMargin   = 0.01
+	onTimeMargin = 0.03
 )
 
-func (c *pacedCase) play(t testing.TB, balancing BalancingSettings) (pacedResult, *pacedFleet) {
+func (c *pacedCase) play(t testing.TB, balancing BalancingSettings) pacedResult {
 	f := newPacedFleet(t, c.zones, c.hosts, c.engines, c.admission, balancing, c.maxGap, c.describe)
 	n := float64(c.zones * c.engines)
 	f.addPaced(c.perEngine*n, "short", shortPrompt)
@@ -259,24 +264,20 @@
 		f.addPaced(c.long*n, "long", longPrompt)
 	}
 	f.run(pacedSettles, 0)
-	return f.watch(pacedWatched), f
+	return f.watch(pacedWatched)
 }
 
 var pacedCases = []pacedCase{
-	{"steep, owners with queues", 3, 2, 2, loadQueues, 50 * time.Millisecond, 20, 0, func(int) pacedEngine { return pacedEngine{interval: steep, perToken: 20 * time.Microsecond} }, false},
-	{"steep, small fleet without queues", 3, 2, 2, AdmissionSettings{}, 50 * time.Millisecond, 20, 0, func(int) pacedEngine { return pacedEngine{interval: steep, perToken: 20 * time.Microsecond} }, false},
-	{"steep, large fleet", 3, 8, 5, loadQueues, 50 * time.Millisecond, 20, 0, func(int) pacedEngine { return pacedEngine{interval: steep, perToken: 20 * time.Microsecond} }, false},
-	{"steep, no bound of pauses", 3, 2, 2, loadQueues, 0, 20, 0, func(int) pacedEngine { return pacedEngine{interval: steep, perToken: 20 * time.Microsecond} }, false},
-	{"fourfold", 3, 2, 2, loadQueues, 100 * time.Millisecond, 14, 0, fourfold, false},
-	{"fourfold, small fleet without queues", 3, 2, 2, AdmissionSettings{}, 100 * time.Millisecond, 14, 0, fourfold, false},
-	{name: "wave, steep, owners with queues", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 14, describe: steepEngine, wave: true},
-	{name: "wave, steep, small fleet without queues", zones: 3, hosts: 2, engines: 2, maxGap: 50 * time.Millisecond, perEngine: 14, describe: steepEngine, wave: true},
-	{name: "wave, flat, owners with queues", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 20, describe: flatEngine, wave: true},
-	{name: "wave, flat, small fleet without queues", zones: 3, hosts: 2, engines: 2, maxGap: 50 * time.Millisecond, perEngine: 20, describe: flatEngine, wave: true},
-	{name: "wave, fourfold", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 100 * time.Millisecond, perEngine: 10, describe: fourfold, wave: true},
-	{name: "steep below capacity, small fleet without queues", zones: 3, hosts: 2, engines: 2, maxGap: 50 * time.Millisecond, perEngine: 13, describe: steepEngine},
-	{"long prompts", 3, 2, 2, loadQueues, 100 * time.Millisecond, 12, 0.3, unlikePrefill, false},
-	{"long prompts, small fleet without queues", 3, 2, 2, AdmissionSettings{}, 100 * time.Millisecond, 12, 0.3, unlikePrefill, false},
+	{name: "steep", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 20, describe: steepEngine, smooth: 0.9},
+	{name: "steep, large fleet", zones: 3, hosts: 6, engines: 4, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 20, describe: steepEngine, smooth: 0.9},
+	{name: "steep, wave", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 14, describe: steepEngine, wave: true, smooth: 0.9},
+	// Hosts of a small fleet without owners take the last slot of an engine at the same moment.
+	{name: "steep, hosts decide alone", zones: 3, hosts: 2, engines: 2, maxGap: 50 * time.Millisecond, perEngine: 20, describe: steepEngine, smooth: 0.4},
+	{name: "steep, no longest pause", zones: 3, hosts: 2, engines: 2, admission: loadQueues, perEngine: 20, describe: steepEngine},
+	{name: "fourfold", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 100 * time.Millisecond, perEngine: 14, describe: fourfold, smooth: 0.9},
+	{name: "flat, wave", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 50 * time.Millisecond, perEngine: 20, describe: flatEngine, wave: true, smooth: 0.9},
+	{name: "long prompts", zones: 3, hosts: 2, engines: 2, admission: loadQueues, maxGap: 100 * time.Millisecond, perEngine: 12, long: 0.3, describe: unlikePrefill, smooth: 0.9},
+	{name: "long prompts, hosts decide alone", zones: 3, hosts: 2, engines: 2, maxGap: 100 * time.Millisecond, perEngine: 12, long: 0.3, describe: unlikePrefill, smooth: 0.9},
 }
 
 func steepEngine(int) pacedEngine {
@@ -299,22 +300,19 @@
 	return pacedEngine{interval: flat, perToken: 10 * time.Microsecond}
 }
 
-func TestPacedTrial(t *testing.T) {
+// Guards against engines that hold as many streams as they have slots although all of these then pause for too long, against lower
+// limits where engines keep their speed, and against long prompts that delay many streams.
+func TestLearnedLimitsAtUnlikeEngines(t *testing.T) {
 	for _, c := range pacedCases {
 		t.Run(c.name, func(t *testing.T) {
-			for _, s := range []BalancingSettings{{}, learnedLimits} {
-				p, f := c.play(t, s)
-				t.Log(c.name, s.LearnedLimits, p)
-				if s.LearnedLimits {
-					for _, h := range f.hosts {
-						for _, b := range h.r.allBackends() {
-							if b.pace != nil && b.pace.noted > 0 {
-								t.Log(h.ip, b.ID, b.pace.noted, h.r.limitCounts, b.pace.curve)
-							}
-						}
-					}
-				}
-			}
+			t.Parallel()
+			without, with := c.play(t, BalancingSettings{}), c.play(t, learnedLimits)
+			t.Logf("without: %s", without)
+			t.Logf("with: %s", with)
+			require.GreaterOrEqual(t, with.smoothShare(), c.smooth)
+			require.GreaterOrEqual(t, with.smoothShare(), without.smoothShare())
+			require.GreaterOrEqual(t, with.events, (1-workMargin)*without.events, "work per second")
+			require.GreaterOrEqual(t, float64(with.onTime), (1-onTimeMargin)*float64(without.onTime))
 		})
 	}
 }
