--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -89,6 +89,8 @@
 	Others     int     `json:"in_flight_others"`
 	Slots      int     `json:"slots"`
 	IntervalMS float64 `json:"interval_ms"`
+	// LearnedLimit is the number of slots that the host uses as the engine slows down beyond it; zero if it has learned none.
+	LearnedLimit int `json:"learned_limit,omitempty"`
 	// RateLimit is nil if the backend server has stated none.
 	RateLimit *RateLimitStatus `json:"rate_limit,omitempty"`
 }
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -111,16 +112,24 @@
 		}
 		if !hasHeader {
 			hasHeader = true
-			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tVERSION\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tINTERVAL\tRATE LIMIT")
+			fmt.Fprintln(w, "\nHOST\tSTORE AGE\tERA\tBACKEND SERVER\tSERVICE\tVERSION\tZONE\tADDRESS\tSTATE\tOWNER\tOWN\tOTHERS\tSLOTS\tLIMIT\tINTERVAL\tRATE LIMIT")
 		}
 		for _, b := range r.Status.Backends {
-			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.1f ms\t%s\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
-				cmp.Or(b.Version, "-"), b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, b.IntervalMS, formatRateLimit(b.RateLimit))
+			fmt.Fprintf(w, "%s\t%d ms\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\t%.1f ms\t%s\n", r.Status.Host, r.Status.StoreAgeMS, r.Status.StoreEra, b.Name, b.Service,
+				cmp.Or(b.Version, "-"), b.Zone, b.Addr, b.State, cmp.Or(b.Owner, "-"), b.Own, b.Others, b.Slots, formatLimit(b.LearnedLimit), b.IntervalMS, formatRateLimit(b.RateLimit))
 		}
 	}
 	w.Flush()
 }
 
+// formatLimit formats a learned limit of an engine.
+func formatLimit(n int) string {
+	if n == 0 {
+		return "-"
+	}
+	return strconv.Itoa(n)
+}
+
 // formatRateLimit formats the rate limit that a backend server states.
 func formatRateLimit(l *core.RateLimitStatus) string {
 	if l == nil {
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -47,7 +47,7 @@
 	s.Streams, s.StreamsDropped = v.Streams, v.StreamsDropped
 	for _, b := range v.Backends {
 		status := core.BackendStatus{Name: b.ID, Service: b.Service, Zone: b.Zone, Addr: b.Addr, Version: b.Version, State: b.State, Owner: b.Owner,
-			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000}
+			Own: b.Own, Others: b.Others, Slots: b.Slots, IntervalMS: float64(b.Interval.Microseconds()) / 1000, LearnedLimit: b.LearnedLimit}
 		if l := b.RateLimit; l != nil {
 			status.RateLimit = &core.RateLimitStatus{PerSecond: l.PerSecond, Share: l.Share, SinceMS: (v.Now - l.Since).Milliseconds(), Sent: l.Sent}
 		}
--- a/internal/router/view.go
+++ b/internal/router/view.go
@@ -29,6 +29,8 @@
 	// Queues are the admission queues of this host as an owner, QueueCounts what has happened at them since the start.
 	Queues      []QueueView
 	QueueCounts QueueCounts
+	// LimitCounts is how often the learned limits of engines have changed since the start.
+	LimitCounts LimitCounts
 }
 
 // QueueView is the admission queue of one service at this host.
@@ -71,6 +73,8 @@
 	Interval                time.Duration
 	// RateLimit is nil if the backend server has stated none.
 	RateLimit *RateLimitView
+	// LearnedLimit is the number of slots that are used as the engine slows down beyond it; zero if this host has learned none.
+	LearnedLimit int
 }
 
 // RateLimitView is the rate limit that a backend server states in its answers, in requests per second.
@@ -94,7 +98,7 @@
 	}
 	for _, b := range r.allBackends() {
 		v.Backends = append(v.Backends, BackendView{b.ID, b.Service, b.Zone, b.Addr, b.Version, r.backendState(b), r.ownerOf(b),
-			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b)})
+			b.ownLoad.total(), b.loadOfOthers().total(), b.Slots, b.interval, r.rateLimitView(b), r.learnedLimit(b)})
 	}
 	for _, c := range r.suspects.ledger.Quarantined() {
 		v.Quarantined = append(v.Quarantined, QuarantineView{c.Kind.String(), c.Digest.String(), c.Workspace, len(c.Ends), r.now - c.Ends[len(c.Ends)-1].At, max(0, c.TrialAt()-r.now)})
@@ -102,6 +106,7 @@
 	v.Suspects = len(r.suspects.ledger.Cases())
 	v.Streams, v.StreamsDropped = r.origins.ledger.Len(), r.origins.ledger.Dropped()
 	r.viewQueues(&v)
+	v.LimitCounts = r.limitCounts
 	return v
 }
 
