--- a/internal/node/queuemetrics.go
+++ b/internal/node/queuemetrics.go
@@ -10,7 +10,7 @@
 	"fireflyshift/internal/telemetry"
 )
 
-// queueMetrics serves the metrics and first adds the counts of this host's admission queues, which the reducer keeps. They are
+// queueMetrics serves the metrics and first adds the counts of this host's admission queues and learned limits, which the reducer keeps. They are
 // read only when somebody asks, since a view of a large fleet is not free on the control thread. Names appear once a request has
 // met a queue.
 type queueMetrics struct {
@@ -19,12 +19,15 @@
 
 	mu    sync.Mutex
 	known router.QueueCounts // counts that the metrics contain
+	// knownLimits are the same of learned limits.
+	knownLimits router.LimitCounts
 }
 
 // queueState is the state of the admission queues at one moment.
 type queueState struct {
 	counts   router.QueueCounts
 	requests int
+	limits   limitState
 }
 
 // ServeHTTP implements http.Handler. If the control thread does not respond, the counts are those of the previous call.
@@ -38,7 +41,7 @@
 	defer m.mu.Unlock()
 	s, ok := query(m.control, func(r *router.Router) queueState {
 		v := r.View()
-		s := queueState{counts: v.QueueCounts}
+		s := queueState{counts: v.QueueCounts, limits: limitStateOf(v)}
 		s.counts.Refused = maps.Clone(s.counts.Refused) // the reducer may go on counting in it
 		for _, q := range v.Queues {
 			s.requests += q.Requests
@@ -47,6 +50,7 @@
 	})
 	if ok {
 		m.publish(s)
+		m.publishLimits(s.limits)
 	}
 }
 
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -42,6 +42,9 @@
 	admissionLoadTests = []string{"./internal/admission", "-run", "Waves|Sustained|Large"}
 	effectsTests       = []string{"./internal/router", "-run", "EffectsWithout"}
 	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
+	paceTests          = []string{"./internal/pace", "-rapid.shrinktime=1s"}
+	engineLimitTests   = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids"}
+	engineLoadTests    = []string{"./internal/router", "-run", "LearnedLimitsAtUnlikeEngines"}
 	limitTests         = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
 
@@ -498,4 +501,41 @@
 	{"queue-served", "queues", "internal/router/router.go", "	r.serveQueues()\n", "", sharesTests},
 	{"queue-weight", "queues", "internal/router/queuedcalls.go", "float32(q.Workspace.Weight)", "1", sharesTests},
 	{"queue-work", "queues", "internal/router/patience.go", "s.TokensPerEvent > 0 && q.OutputTok > 0 {", "false {", sharesTests},
+	{"pace-evidence", "limits", "internal/pace/curve.go", "return e.count >= minObservations", "return e.count > 0", paceTests},
+	{"pace-expiry", "limits", "internal/pace/curve.go", "near.count > 0 && now-near.at <= estimateTTL", "near.count > 0", paceTests},
+	{"pace-expiry-near", "limits", "internal/pace/curve.go", "c.estimates[max(0, i-1):min(len(c.estimates), i+2)]", "c.estimates[i:i+1]", paceTests},
+	{"pace-expired-returns", "limits", "internal/pace/curve.go", "\tc.discard(now)\n", "", paceTests},
+	{"pace-outlier", "limits", "internal/pace/curve.go", "\tif c.isOutlier(now, &c.estimates[held-1], interval) {\n\t\treturn\n\t}\n", "", paceTests},
+	{"pace-outlier-run", "limits", "internal/pace/curve.go", "\tcase direction == 0:\n\t\t*d = deviation{}\n\t\treturn false\n", "\tcase direction == 0:\n\t\treturn false\n", paceTests},
+	{"pace-outlier-gap", "limits", "internal/pace/curve.go", " || now-d.last > changeDuration", "", paceTests},
+	{"pace-change", "limits", "internal/pace/curve.go", "case now-d.since < changeDuration:", "case true:", paceTests},
+	{"pace-change-all", "limits", "internal/pace/curve.go", "\tclear(c.estimates)\n", "", paceTests},
+	{"pace-invalid", "limits", "internal/pace/curve.go", "if held < 1 || interval <= 0 || events < 1 {", "if held < 1 {", paceTests},
+	{"pace-memory", "limits", "internal/pace/curve.go", "\theld = min(held, maxHeld)\n", "\theld = min(held, 4*maxHeld)\n", paceTests},
+	{"pace-events", "limits", "internal/pace/curve.go", "w := float64(min(events, maxEvents))", "w := float64(events)", paceTests},
+	{"pace-decay", "limits", "internal/pace/curve.go", "decay := math.Exp2(-float64(now-e.at) / float64(halfLife))", "decay := math.Exp2(0)", paceTests},
+	{"pace-floor", "limits", "internal/pace/limit.go", "for n := MinLimit(slots); n < slots; n++", "for n := 1; n < slots; n++", paceTests},
+	{"pace-pause", "limits", "internal/pace/limit.go", "if longestPause > 0 && interval > longestPause {", "if false {", paceTests},
+	{"pace-work", "limits", "internal/pace/limit.go", "return ok && work(held, interval)", "return false && ok && work(held, interval)", paceTests},
+	{"pace-trial", "limits", "internal/pace/limit.go", "return c.trial.hold(now, learned, learned+1, c.trialDuration())", "return learned", paceTests},
+	{"pace-trial-fewer", "limits", "internal/pace/limit.go", "\tcase c.onlyFull(now, slots):", "\tcase false:", paceTests},
+	{"pace-trial-wait", "limits", "internal/pace/trial.go", "t.wait = min(2*t.wait, maxTrialInterval)", "t.wait = trialInterval / 5", paceTests},
+	{"pace-trial-end", "limits", "internal/pace/trial.go", "case t.until > 0 && (now >= t.until || t.seen >= minObservations):", "case false:", paceTests},
+	{"pace-trial-success", "limits", "internal/pace/trial.go", "at: now + trialSuccessInterval", "at: now + maxTrialInterval", paceTests},
+	{"limits-setting", "limits", "internal/router/enginelimits.go", "if !r.opt.Balancing.LearnedLimits || b.cold(r.now)", "if b.cold(r.now)", engineLimitTests},
+	{"limits-cold", "limits", "internal/router/enginelimits.go", " || b.cold(r.now) || r.usesOwners()", " || r.usesOwners()", engineLimitTests},
+	{"limits-owner", "limits", "internal/router/enginelimits.go", " || r.usesOwners() && !r.owns(b) {", " {", engineLimitTests},
+	{"limits-beyond", "limits", "internal/router/enginelimits.go", "\treturn min(limit, learned)\n", "\treturn min(limit, learned+beyondSlots)\n", engineLoadTests},
+	{"limits-not-raised", "limits", "internal/router/enginelimits.go", "\tif learned >= max(1, b.Slots) {\n\t\treturn limit\n\t}\n", "", engineLimitTests},
+	{"limits-margin", "limits", "internal/router/enginelimits.go", "learned-staleCountMargin)", "learned)", engineLimitTests},
+	{"limits-margin-floor", "limits", "internal/router/enginelimits.go", "max(pace.MinLimit(b.Slots), learned-staleCountMargin)", "learned - staleCountMargin", engineLimitTests},
+	{"limits-note-interval", "limits", "internal/router/enginelimits.go", "r.now-p.notedAt < minLimitNoteInterval", "false", engineLimitTests},
+	{"limits-weight", "limits", "internal/router/enginelimits.go", "s.Weight > 0 && (!ok", "(!ok", engineLimitTests},
+	{"limits-streams", "limits", "internal/router/enginelimits.go", "if route.Kind != routing.Streaming || route.MaxGap <= 0 {", "if route.MaxGap <= 0 {", engineLimitTests},
+	{"limits-plain-report", "limits", "internal/router/enginelimits.go", "if p == nil || interval <= 0 || events < 1 {", "events = max(events, 1)\n\tif p == nil || interval <= 0 {", engineLimitTests},
+	{"limits-new-request", "limits", "internal/router/select.go", "return s.r.capBySlotLimit(b, s.limitBySlots(b))", "return s.limitBySlots(b)", engineLoadTests},
+	{"limits-queued", "limits", "internal/router/queuegrants.go", "b.inFlight() < r.capBySlotLimit(b, queueLimit(b))", "b.inFlight() < queueLimit(b)", engineLoadTests},
+	{"limits-prompt", "limits", "internal/router/predict.go", " + s.promptDelay(b, held))", ")", engineLimitTests},
+	{"limits-prompt-short", "limits", "internal/router/enginelimits.go", "longest == 0 || prefill <= longest {", "longest == 0 {", engineLimitTests},
+	{"limits-report", "limits", "internal/router/slotgrants.go", "\t\tr.observePace(b, interval, int(min(rep.Events, maxEvents)))\n", "", engineLoadTests},
 }
