--- a/internal/pace/curve.go
+++ b/internal/pace/curve.go
@@ -23,6 +23,8 @@
 	settledFor = 2 * time.Second
 	// changeDuration is how long all observations must deviate until the speed has changed. Engines are slower for parts of a second.
 	changeDuration = time.Second
+	// fadedWeight is the weight in events that is left of an estimate when it is tried whether it still holds.
+	fadedWeight = 1
 	// maxHeld and maxEvents limit what one observation may state, so that memory is bounded and no stream outweighs all others.
 	maxHeld   = 1024
 	maxEvents = 100
@@ -58,6 +60,14 @@
 	e.at = now
 }
 
+// fade lets the next observation decide almost alone.
+func (e *estimate) fade() {
+	if e.weight > fadedWeight {
+		e.sum *= fadedWeight / e.weight
+		e.weight = fadedWeight
+	}
+}
+
 // deviation is a run of observations that differ from their estimates in the same direction by more than SpeedChange.
 type deviation struct {
 	direction   int // 1 if the engine seems slower, -1 if it seems faster, 0 if there is no run
@@ -75,7 +85,9 @@
 	for len(c.estimates) < held {
 		c.estimates = append(c.estimates, estimate{})
 	}
-	c.trial.observed(now, held)
+	if c.trial.observed(now, held) {
+		c.estimates[held-1].fade()
+	}
 	c.learnLength(time.Duration(min(events, maxEvents)) * interval)
 	if c.isOutlier(now, &c.estimates[held-1], interval) {
 		return
--- a/internal/pace/curve_test.go
+++ b/internal/pace/curve_test.go
@@ -139,6 +139,23 @@
 	require.Equal(t, slots, e.curve.Learned(e.now, slots, pause))
 }
 
+// Guards against a wrong estimate that outweighs what trials show, and against trials that raise the limit by one in many seconds.
+func TestTrialsRaiseTheLimitInTurn(t *testing.T) {
+	e := engine{interval: func(int) time.Duration { return time.Second }}
+	for held := slots; held > slots/2; held-- {
+		e.observe(4, held)
+	}
+	e.interval = flat
+	e.observe(5, slots/2)
+	require.Equal(t, slots/2, e.limit())
+	e.full(trialInterval + apart)
+	began := e.now
+	for held := slots/2 + 1; held <= slots; held++ {
+		e.full(trialSuccessInterval + 5*apart)
+		require.GreaterOrEqual(t, e.curve.Learned(e.now, slots, pause), held, "after %s", e.now-began)
+	}
+}
+
 // Guards against estimates of a time that has passed: they expire, unless others near them are current.
 func TestEstimatesExpire(t *testing.T) {
 	e := engine{interval: steep}
--- a/internal/pace/trial.go
+++ b/internal/pace/trial.go
@@ -54,11 +54,13 @@
 	t.at, t.until, t.seen = now+t.wait, 0, 0
 }
 
-// observed counts an observation that belongs to the present trial.
-func (t *trial) observed(now time.Duration, held int) {
-	if t.until > 0 && now < t.until && held == t.other {
-		t.seen++
+// observed counts an observation that belongs to the present trial, and reports whether it is the first.
+func (t *trial) observed(now time.Duration, held int) bool {
+	if t.until == 0 || now >= t.until || held != t.other {
+		return false
 	}
+	t.seen++
+	return t.seen == 1
 }
 
 // trialDuration is the longest time of a trial.
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -522,6 +522,7 @@
 	{"pace-trial-wait", "limits", "internal/pace/trial.go", "t.wait = min(2*t.wait, maxTrialInterval)", "t.wait = trialInterval / 5", paceTests},
 	{"pace-trial-end", "limits", "internal/pace/trial.go", "case t.until > 0 && (now >= t.until || t.seen >= minObservations):", "case false:", paceTests},
 	{"pace-trial-success", "limits", "internal/pace/trial.go", "at: now + trialSuccessInterval", "at: now + maxTrialInterval", paceTests},
+	{"pace-trial-fades", "limits", "internal/pace/curve.go", "\t\tc.estimates[held-1].fade()\n", "", paceTests},
 	{"limits-setting", "limits", "internal/router/enginelimits.go", "if !r.opt.Balancing.LearnedLimits || b.cold(r.now)", "if b.cold(r.now)", engineLimitTests},
 	{"limits-cold", "limits", "internal/router/enginelimits.go", " || b.cold(r.now) || r.usesOwners()", " || r.usesOwners()", engineLimitTests},
 	{"limits-owner", "limits", "internal/router/enginelimits.go", " || r.usesOwners() && !r.owns(b) {", " {", engineLimitTests},
