--- a/internal/pace/curve_test.go
+++ b/internal/pace/curve_test.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -260,6 +261,7 @@
 	})
 	var c Curve
 	c.Observe(time.Second, 1<<30, time.Millisecond, 1<<30)
+	require.Equal(t, math.MaxInt, c.Limit(time.Second, math.MaxInt, pause), "a false registration")
 	require.Len(t, c.estimates, maxHeld)
 	require.LessOrEqual(t, c.estimates[maxHeld-1].weight, float64(maxEvents))
 }
--- a/internal/pace/limit.go
+++ b/internal/pace/limit.go
@@ -42,7 +42,8 @@
 // adds to the work per second: the slots while too little is known, and at least half of them.
 func (c *Curve) Learned(now time.Duration, slots int, longestPause time.Duration) int {
 	slots = max(1, slots)
-	for n := MinLimit(slots); n < slots; n++ {
+	observed := min(slots, len(c.estimates))
+	for n := MinLimit(slots); n < observed; n++ {
 		if c.tooMany(now, n+1, longestPause) {
 			return n
 		}
--- a/internal/router/cold.go
+++ b/internal/router/cold.go
@@ -58,7 +58,6 @@
 		return
 	}
 	b.warming.until = r.now + left
-	b.pace = nil
 	r.warming[b.ID] = b
 	if was {
 		return
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -13,7 +13,7 @@
 // relays (calls through other hosts), origins, originqueries and versions (which software version began a stream), eligibility (whether a backend server may
 // get a request at all), quotas (quota owners), admission and queuegrants (requests that wait for this host's backend servers, and who is granted a slot), queuedcalls and
 // queuechoice (requests of this host that wait at owners, and at which), backlogs (reports of queues), patience (how long a request may wait), statements (limits that backend servers state), senders (which hosts
-// share the rate of a backend server), suspects and quarantine (requests that crash backend servers), and cold, ratelimits, brittle,
+// share the rate of a backend server), suspects and quarantine (requests that crash backend servers), enginelimits (limits by the learned pace of engines), and cold, ratelimits, brittle,
 // failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
 // reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
 package router
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -514,7 +514,7 @@
 	{"pace-memory", "limits", "internal/pace/curve.go", "\theld = min(held, maxHeld)\n", "\theld = min(held, 4*maxHeld)\n", paceTests},
 	{"pace-events", "limits", "internal/pace/curve.go", "w := float64(min(events, maxEvents))", "w := float64(events)", paceTests},
 	{"pace-decay", "limits", "internal/pace/curve.go", "decay := math.Exp2(-float64(now-e.at) / float64(halfLife))", "decay := math.Exp2(0)", paceTests},
-	{"pace-floor", "limits", "internal/pace/limit.go", "for n := MinLimit(slots); n < slots; n++", "for n := 1; n < slots; n++", paceTests},
+	{"pace-floor", "limits", "internal/pace/limit.go", "for n := MinLimit(slots); n < observed; n++", "for n := 1; n < observed; n++", paceTests},
 	{"pace-pause", "limits", "internal/pace/limit.go", "if longestPause > 0 && interval > longestPause {", "if false {", paceTests},
 	{"pace-work", "limits", "internal/pace/limit.go", "return ok && work(held, interval)", "return false && ok && work(held, interval)", paceTests},
 	{"pace-trial", "limits", "internal/pace/limit.go", "return c.trial.hold(now, learned, learned+1, c.trialDuration())", "return learned", paceTests},
