--- a/internal/router/enginelimits_test.go
+++ b/internal/router/enginelimits_test.go
@@ -172,16 +172,18 @@
 	require.Zero(t, f.limited())
 }
 
-// Guards against hosts other than the owner that limit an engine by the few streams that they see.
+// Guards against a former owner that limits engines by what it knew, though it sees only its own streams now.
 func TestOnlyTheOwnerLimits(t *testing.T) {
 	f := newLearningFleet(t, steepEngine)
 	f.run(5*time.Second, 0)
-	for _, h := range f.hosts {
-		for _, b := range h.r.allBackends() {
-			if !h.r.owns(b) {
-				require.Equal(t, loadSlots, h.r.slotLimit(b))
-			}
-		}
+	owned := f.owned()
+	for _, h := range owned {
+		f.post(h, Drain{Until: f.now + time.Minute, Grace: time.Minute})
+	}
+	for b, h := range owned {
+		require.False(t, h.r.owns(b))
+		require.Equal(t, loadSlots, h.r.slotLimit(b))
+		require.Zero(t, h.r.learnedLimit(b))
 	}
 }
 
