Router: a long prompt waits up to 100 ms for an engine that can still serve it in time

With learned limits such a slot is kept from the stream for at most 100 ms while a faster engine can still serve it in time; others may take it.

--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -42,6 +42,8 @@
 type waitingRequest struct {
 	q     *request // another host's as far as its slot request tells
 	worst class
+	// since is when it arrived at this host.
+	since time.Duration
 	// call is the slot request of this host's own request, nil for another host's.
 	call *slotRequest
 	// host and number identify another host's slot request, incarnation its process.
@@ -123,7 +125,7 @@
 // admitOrQueue grants another host a slot, queues its request, or tells it that there is no slot.
 func (r *Router) admitOrQueue(m *member, a *gossippb.Ask) {
 	r.serveQueue(a.Service)
-	w := &waitingRequest{q: r.requestFromAsk(a), worst: class(a.WorstClass), host: m.host, number: a.Number, incarnation: m.incarnation}
+	w := &waitingRequest{q: r.requestFromAsk(a), worst: class(a.WorstClass), since: r.now, host: m.host, number: a.Number, incarnation: m.incarnation}
 	s := r.queueOf(a.Service)
 	if s == nil {
 		r.emit(Send{To: []string{m.host}, Packet: &gossippb.Packet{Offer: &gossippb.Offer{Number: a.Number, Full: r.ownedLoads(a.Service)}}})
@@ -140,7 +142,7 @@
 		r.offerPlaceInQueue(w, wait)
 		return
 	}
-	if c := r.selectInScope(w.q, scopeOwned); c.backend != nil && c.class <= w.worst {
+	if c := r.selectInScope(w.q, scopeOwned); c.backend != nil && c.class <= w.worst && !(a.Queues && r.awaitsFasterEngine(&entry, w, c)) {
 		s.queue.Admit(r.now, entry)
 		r.grant(w, c)
 		return
@@ -157,7 +159,7 @@
 
 // admitOrQueueOwn does the same for a request of this host.
 func (r *Router) admitOrQueueOwn(q *request, a *slotRequest) {
-	w := &waitingRequest{q: q, worst: a.queuedCall.worst, call: a}
+	w := &waitingRequest{q: q, worst: a.queuedCall.worst, since: r.now, call: a}
 	s := r.queueOf(q.service)
 	if s == nil || !r.mayWaitHere(w) {
 		r.leaveQueue(q)
@@ -166,7 +168,7 @@
 		return
 	}
 	entry := r.ownEntry(q, a.number)
-	if c := r.selectInScope(q, scopeOwned); c.backend != nil && c.class <= w.worst {
+	if c := r.selectInScope(q, scopeOwned); c.backend != nil && c.class <= w.worst && !r.awaitsFasterEngine(&entry, w, c) {
 		s.queue.Admit(r.now, entry)
 		r.grant(w, c)
 		return
--- /dev/null
+++ b/internal/router/fasterengines.go
@@ -0,0 +1,24 @@
+package router
+
+import (
+	"time"
+
+	"fireflyshift/internal/admission"
+	"fireflyshift/internal/routing"
+)
+
+// maxFasterEngineWait is how long a free slot may be kept from a request that would miss its target latency there. A longer wait
+// would leave slots idle while callers wait.
+const maxFasterEngineWait = 100 * time.Millisecond
+
+// awaitsFasterEngine reports whether a queued stream should wait for another slot than the selected one: the engine prefills so slowly
+// that the stream would miss its target latency there, and a faster one can still meet it. Other requests may take the slot.
+func (r *Router) awaitsFasterEngine(a *admission.Request, w *waitingRequest, c selection) bool {
+	if !r.opt.Balancing.LearnedLimits || w.q.Route.Kind != routing.Streaming {
+		return false
+	}
+	if r.now-w.since >= maxFasterEngineWait || r.now > a.OnTimeBy {
+		return false
+	}
+	return r.now+c.basis.Wait > a.OnTimeBy+r.expectedPrefill(w.q)
+}
--- /dev/null
+++ b/internal/router/fasterengines_test.go
@@ -0,0 +1,57 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a long prompt that gets the first free slot at an engine which prefills so slowly that its caller waits too long for
+// the first event, although a faster engine is about to have one; and against a slot that is kept from it for longer than 100 ms.
+func TestLongPromptWaitsForAFasterEngine(t *testing.T) {
+	t.Parallel()
+	const shortPrompt, prompt, longest = 100, 10_000, 40_000
+	for _, c := range []struct {
+		name      string
+		balancing BalancingSettings
+		prompt    int
+		frees     bool // a slot of the fast engine becomes free
+		want      string
+		waits     time.Duration
+	}{
+		{"served in time by the fast engine", learnedLimits, prompt, true, "e000", 30 * time.Millisecond},
+		{"no fast engine in time", learnedLimits, prompt, false, "e001", maxFasterEngineWait},
+		{"short prompt", learnedLimits, shortPrompt, true, "e001", 0},
+		{"late everywhere", learnedLimits, longest, true, "e001", 0},
+		{"without the setting", BalancingSettings{}, prompt, true, "e001", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newQueueFleet(t, 1, 1, 2)
+			h := f.hosts[0]
+			f.fill()
+			f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: withQueues, Balancing: c.balancing})
+			at := map[string]uint64{}
+			for id, d := range f.sent {
+				at[d.Backend.ID] = id
+			}
+			h.r.backends["e000"].prefillPerToken, h.r.backends["e001"].prefillPerToken = 30*time.Microsecond, 150*time.Microsecond
+			h.r.serviceState("m").prefillPerToken = 30 * time.Microsecond
+			for h.r.waiting() > 0 { // those that fill has queued
+				f.run(zoneStep, 0)
+			}
+			id := f.submitTo(h, func(s *Submit) { s.PromptTok = c.prompt })
+			begun := f.now
+			require.False(t, has(f.sent, id), "all engines are full")
+			f.finish(at["e001"])
+			if c.frees {
+				f.run(30*time.Millisecond, 0)
+				f.finish(at["e000"])
+			}
+			f.run(time.Second, 0)
+			require.Equal(t, c.want, f.sent[id].Backend.ID)
+			require.InDelta(t, float64(c.waits), float64(f.settled[id]-begun), float64(30*time.Millisecond))
+		})
+	}
+}
--- a/internal/router/queuegrants.go
+++ b/internal/router/queuegrants.go
@@ -70,7 +70,7 @@
 			}
 			c := r.selectAmong(w.q, free)
 			selections[a.Key] = c
-			return c.backend != nil && c.class <= w.worst
+			return c.backend != nil && c.class <= w.worst && !r.awaitsFasterEngine(a, w, c)
 		})
 		if !ok {
 			s.misfits, s.misfitsAt = free, r.now
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -46,7 +46,7 @@
 	// spillFaultTests simulate a fleet for some seconds each.
 	spillFaultTests  = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|FirstAttempts|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
 	paceTests        = []string{"./internal/pace", "-rapid.shrinktime=1s"}
-	engineLimitTests = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids"}
+	engineLimitTests = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids|LongPromptWaits"}
 	engineLoadTests  = []string{"./internal/router", "-run", "LearnedLimitsAtUnlikeEngines"}
 	limitTests       = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
@@ -577,5 +577,8 @@
 	{"limits-queued", "limits", "internal/router/queuegrants.go", "b.inFlight() < r.capBySlotLimit(b, queueLimit(b))", "b.inFlight() < queueLimit(b)", engineLoadTests},
 	{"limits-prompt", "limits", "internal/router/predict.go", " + s.promptDelay(b, held))", ")", engineLimitTests},
 	{"limits-prompt-short", "limits", "internal/router/enginelimits.go", "longest == 0 || prefill <= longest {", "longest == 0 {", engineLimitTests},
+	{"limits-faster", "limits", "internal/router/queuegrants.go", " && !r.awaitsFasterEngine(a, w, c)\n", "\n", engineLimitTests},
+	{"limits-faster-bound", "limits", "internal/router/fasterengines.go", "r.now-w.since >= maxFasterEngineWait || ", "", engineLimitTests},
+	{"limits-faster-none", "limits", "internal/router/fasterengines.go", " || r.now > a.OnTimeBy {", " {", engineLimitTests},
 	{"limits-report", "limits", "internal/router/slotgrants.go", "\t\tr.observePace(b, interval, int(min(rep.Events, maxEvents)))\n", "", engineLoadTests},
 }
