--- a/internal/admission/intime_test.go
+++ b/internal/admission/intime_test.go
@@ -76,7 +76,11 @@
 	return speeds
 }
 
-const testPriorities = 3
+const (
+	testPriorities = 3
+	// seedsPerService is the number of seeds times the requests served per second.
+	seedsPerService = 300
+)
 
 // arrivals returns callers of three priorities and eight workspaces.
 func (s servers) arrivals(d demand, seed uint64) []caller {
@@ -131,9 +135,9 @@
 	return all
 }
 
-// compare returns the sums over some seeds of simulate, without and with the queue.
+// compare returns the sums of simulate without and with the queue, over more seeds the fewer requests the slots serve.
 func (s servers) compare(d demand) (without, with [testPriorities + 1]result) {
-	for seed := range uint64(1 + 144/s.slots) {
+	for seed := range uint64(1 + seedsPerService*s.mean.Seconds()/float64(s.slots)) {
 		w, q := s.simulate(d, seed, false), s.simulate(d, seed, true)
 		for i := range w {
 			without[i].add(w[i])
