--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -179,6 +179,13 @@
 				}
 				return 1
 			}))
+			sum := 0.0
+			for i := range l.before {
+				require.Equal(t, sum, l.before[i], "outdated sum of the work before a request")
+				if i < len(l.entries) {
+					sum += l.entries[i].Cost
+				}
+			}
 			count += len(l.entries)
 			work[p] += l.work
 		}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -476,6 +476,8 @@
 	{"admission-provisional-review", "admission", "internal/admission/expire.go", "if q.waitsProvisionally(e, 1, cached(level)) {", "if false {", admissionTests},
 	{"admission-provisional-bound", "admission", "internal/admission/provisional.go", "float64(wait) <= part*float64(e.OnTimeBy-q.now)", "wait >= 0", admissionTests},
 	{"admission-provisional-patience", "admission", "internal/admission/provisional.go", " && q.now+wait <= e.PatienceEnds", "", admissionTests},
+	{"admission-sums-insert", "admission", "internal/admission/order.go", "\tl.work += e.Cost\n\tl.changed(i)\n", "\tl.work += e.Cost\n", admissionTests},
+	{"admission-sums-remove", "admission", "internal/admission/order.go", "\tl.work -= e.Cost\n\tl.changed(i)\n", "\tl.work -= e.Cost\n", admissionTests},
 	{"admission-bound", "admission", "internal/admission/add.go", "if q.Len() >= q.max {", "if false {", admissionTests},
 	{"admission-displaced-share", "admission", "internal/admission/add.go", " || weightedBacklog(l, 1) < weightedBacklog(item.Value.lane, 0)", "", admissionTests},
 	{"admission-replace", "admission", "internal/admission/add.go", "replaced := q.Remove(r.Key)", "replaced := false", admissionTests},
