Router: hosts that learn of a rate limit before they know each other spread their first requests

The senders of a rate-limited backend server begin with different parts of a token, by their rank among the hosts they know. A host that has just started and knows none began with nothing; if all did, a server with 0.4 requests a second got none from 2 s to 12 s after their start. A host now begins anew at minSenderAge, before which it has no share. TestHostsThatHaveJustStartedShareALowRate fails without the change (no request in 6 s); the other tests of rate limits, of cold servers' lenders and the recorded effects pass.

--- a/internal/router/ratelimits.go
+++ b/internal/router/ratelimits.go
@@ -30,6 +30,8 @@
 	bucket     limit.Bucket
 	sent       int
 	lastSentAt time.Duration
+	// spread is set once the bucket has begun with a part of a token by the host's rank among all senders.
+	spread bool
 }
 
 // rateLimited reports whether the backend server states a rate limit.
@@ -52,7 +54,7 @@
 	}
 	if was.limited() != s.limited() {
 		l.lastSentAt, l.sent = r.now, 0
-		l.bucket = limit.NewBucket(r.now, rateBurst, r.firstRateToken(b))
+		r.setFirstRateToken(b)
 	}
 	if was.perSecond == s.perSecond {
 		return
@@ -89,6 +91,9 @@
 		return
 	}
 	l := b.rateLimit
+	if !l.spread && r.now >= minSenderAge {
+		r.setFirstRateToken(b)
+	}
 	share := r.rateShare(b)
 	l.bucket.SetRate(r.now, share)
 	if share == 0 && r.now >= minSenderAge {
@@ -96,8 +101,16 @@
 	}
 }
 
-// firstRateToken returns the part of a token that a sender begins with when it learns of a limit: senders begin at equal
-// distances, so that they do not all use a low rate at the same moments.
+// setFirstRateToken begins this host's share of a backend server's rate when it learns of the limit. A host that is younger than
+// minSenderAge may not know the other senders yet; it has no share before that age and begins anew then.
+func (r *Router) setFirstRateToken(b *backend) {
+	l := b.rateLimit
+	l.bucket = limit.NewBucket(r.now, rateBurst, r.firstRateToken(b))
+	l.spread = r.now >= minSenderAge
+}
+
+// firstRateToken returns the part of a token that a sender begins with: senders begin at equal distances, so that they do not all
+// use a low rate at the same moments.
 func (r *Router) firstRateToken(b *backend) float64 {
 	rank, hosts := r.senderRank(b)
 	return min(1, float64(rank)/float64(min(maxSenders, hosts)))
--- a/internal/router/ratelimits_test.go
+++ b/internal/router/ratelimits_test.go
@@ -599,3 +599,25 @@
 		require.LessOrEqual(t, maxSenders*each+1+extra, limitOverage*rate*seconds+limitSlack+1e-9, "%g a second", rate)
 	}
 }
+
+// Hosts learn of a low rate before they know each other. Guards against senders that then all begin without a part of a token, so that
+// a backend server gets nothing until all of them have saved one.
+func TestHostsThatHaveJustStartedShareALowRate(t *testing.T) {
+	t.Parallel()
+	f := newLimitFleet(t, 2, 2, 2)
+	f.rank = func() float64 { return routing.LeastUrgent / 3 }
+	for _, h := range f.hosts {
+		f.restart(h)
+	}
+	f.drops = func(string, string, *gossippb.Packet) bool { return true }
+	f.state(0.4, f.engineNames()...)
+	f.run(500*time.Millisecond, 300)
+	f.drops = nil
+	f.run(limitSettling-500*time.Millisecond, 300)
+	settled := f.now
+	f.run(6*time.Second, 300)
+	for _, e := range f.engineNames() {
+		require.True(t, slices.ContainsFunc(f.arrivals[e], func(a limitArrival) bool { return a.at >= settled }), "%s is used", e)
+	}
+	require.Empty(t, f.overLimit(true))
+}
