--- a/internal/node/limitmetrics.go
+++ b/internal/node/limitmetrics.go
@@ -1,6 +1,14 @@
 package node
 
-import "fireflyshift/internal/router"
+import (
+	"fireflyshift/internal/router"
+	"fireflyshift/internal/telemetry"
+)
+
+// limitMetrics adds the counts of learned limits to the metrics. Names appear once a limit has been learned.
+type limitMetrics struct {
+	known router.LimitCounts // counts that the metrics contain
+}
 
 // limitState is the state of the learned limits at one moment.
 type limitState struct {
@@ -19,13 +27,13 @@
 	return s
 }
 
-// publishLimits adds what has happened since the previous call to the counters. Names appear once a limit has been learned.
-func (m *queueMetrics) publishLimits(s limitState) {
+// publish adds what has happened since the previous call to the counters.
+func (m *limitMetrics) publish(metrics telemetry.Metrics, s limitState) {
 	if s.counts == (router.LimitCounts{}) {
 		return
 	}
-	m.metrics.Set("limits.engines", int64(s.engines))
-	m.metrics.Count("limits.lowered", int64(s.counts.Lowered-m.knownLimits.Lowered))
-	m.metrics.Count("limits.raised", int64(s.counts.Raised-m.knownLimits.Raised))
-	m.knownLimits = s.counts
+	metrics.Set("limits.engines", int64(s.engines))
+	metrics.Count("limits.lowered", int64(s.counts.Lowered-m.known.Lowered))
+	metrics.Count("limits.raised", int64(s.counts.Raised-m.known.Raised))
+	m.known = s.counts
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,7 +163,7 @@
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
 		return err
 	}
-	ops := admin.Handler(adminSource{n, n.gateway.History}, &queueMetrics{control: n.control, metrics: n.metrics})
+	ops := admin.Handler(adminSource{n, n.gateway.History}, &reducerMetrics{control: n.control, metrics: n.metrics})
 	for _, addr := range []string{n.set.Admin, n.set.Metrics} {
 		if addr == "" {
 			continue
--- a/internal/node/queues_test.go
+++ b/internal/node/queues_test.go
@@ -19,15 +19,15 @@
 
 // Guards against counts that are added again with each reading, and against a gauge that stays when the queue is empty.
 func TestQueueMetricsFollowTheReducer(t *testing.T) {
-	m := &queueMetrics{metrics: telemetry.NewMetrics()}
-	counter := func(name string) int64 { return m.metrics.Counter(name).Count() }
-	gauge := func() any { return m.metrics.GetAll()["queue.requests"]["value"] }
+	m, metrics := &queueMetrics{}, telemetry.NewMetrics()
+	counter := func(name string) int64 { return metrics.Counter(name).Count() }
+	gauge := func() any { return metrics.GetAll()["queue.requests"]["value"] }
 	s := queueState{requests: 4, counts: router.QueueCounts{Added: 10, Granted: 4, Withdrawn: 1, Refused: map[admission.Cause]int{admission.Expired: 1}}}
-	m.publish(s)
-	m.publish(s)
+	m.publish(metrics, s)
+	m.publish(metrics, s)
 	require.Equal(t, []int64{10, 4, 1, 1, 0}, []int64{counter("queue.added"), counter("queue.granted"), counter("queue.withdrawn"), counter("queue.refused.expired"), counter("queue.refused.queue_full")})
 	require.Equal(t, int64(4), gauge())
-	m.publish(queueState{counts: router.QueueCounts{Added: 12, Granted: 9, Withdrawn: 1, Refused: map[admission.Cause]int{admission.Expired: 1, admission.QueueFull: 2}}})
+	m.publish(metrics, queueState{counts: router.QueueCounts{Added: 12, Granted: 9, Withdrawn: 1, Refused: map[admission.Cause]int{admission.Expired: 1, admission.QueueFull: 2}}})
 	require.Equal(t, []int64{12, 9, 1, 1, 2}, []int64{counter("queue.added"), counter("queue.granted"), counter("queue.withdrawn"), counter("queue.refused.expired"), counter("queue.refused.queue_full")})
 	require.Equal(t, int64(0), gauge())
 }
@@ -38,7 +38,7 @@
 	go c.run(t.Context())
 	c.metrics.Count("requests.answered", 1)
 	w := httptest.NewRecorder()
-	(&queueMetrics{control: c, metrics: c.metrics}).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	(&reducerMetrics{control: c, metrics: c.metrics}).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
 	require.Contains(t, w.Body.String(), "requests.answered")
 	require.NotContains(t, w.Body.String(), "queue.")
 }
