--- a/internal/spill/spill_test.go
+++ b/internal/spill/spill_test.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// Guards against zones that no longer exist and keep a new one from being observed.
+func TestSilentZonesMakeRoom(t *testing.T) {
+	f := &Forecaster{}
+	for i := range maxZones {
+		f.Observe(fmt.Sprint("z", i), step, Load{1000, 200})
+	}
+	f.Observe("new", step+maxAge, Load{1000, 200})
+	require.Len(t, f.Forecasts(step+maxAge), maxZones, "all others are recent")
+	f.Observe("new", step+maxAge+1, Load{1000, 200})
+	require.Len(t, f.Forecasts(step+maxAge+1), 1)
+	require.Len(t, f.zones, 1)
+}
+
 // Guards, for any reports, against shares that exceed maxShare or are no numbers, a zone that sends to itself, two zones that send
 // to each other by the same summaries, and a zone that is sent more than it has free.
 func TestAnyReports(t *testing.T) {
