Router: a reload that enables early spill waits for measured demand

A host that had run for longer than demandWarmup reported no demand right after the reload, so a busy zone looked idle to others. A reload that turns early spill off while a request waits for its slot in another zone no longer leaves state behind.

--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -23,7 +23,8 @@
 	// demandLag is how old the demand of a zone is when its load is computed: half of the time over which it was measured, and half
 	// of the time between two reports.
 	demandLag = (demandBuckets+1)*demandBucket/2 + demandInterval/2
-	// demandWarmup is how long a host that has started sends no demand: what it has measured is too little.
+	// demandWarmup is how long a host sends no demand after its start or a reload that enables early spill: what it has measured is
+	// too little.
 	demandWarmup = time.Second
 	// maxHostsWithoutDemand is the share of a zone's hosts whose demand may be unknown while the zone's load counts as known.
 	maxHostsWithoutDemand = 0.1
@@ -119,10 +120,13 @@
 	return capacity * r.nominalSpeed(service), true
 }
 
+// warmsUp reports whether this host has measured its demand for too short a time to report it.
+func (r *Router) warmsUp() bool { return r.now-r.spill.since < demandWarmup }
+
 // demandsToSend returns this host's demand for the next heartbeat, nil if it is not due.
 func (r *Router) demandsToSend() []*gossippb.ServiceDemand {
 	sent := &r.spill.sent
-	if !r.opt.Balancing.EarlySpill || r.now < demandWarmup || r.now-sent.at < demandInterval {
+	if !r.opt.Balancing.EarlySpill || r.warmsUp() || r.now-sent.at < demandInterval {
 		return nil
 	}
 	now := map[uint32]float64{}
@@ -165,7 +169,7 @@
 	hosts, silent := 0.0, 0.0
 	if zone == r.opt.Zone {
 		hosts, demand = 1, r.spillOf(service).meter.perSecond(r.now)
-		if r.now < demandWarmup {
+		if r.warmsUp() {
 			silent = 1
 		}
 	}
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -215,6 +215,39 @@
 	f.run(time.Second, 0)
 }
 
+// Guards against state that a request recreates which waited for a slot in another zone when a reload turned early spill off.
+func TestReloadWhileASpilledRequestWaitsForItsSlot(t *testing.T) {
+	b := newFixture(t, 2)
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Balancing: BalancingSettings{EarlySpill: true}})
+	q := &request{service: "m", spill: SpillBasis{Zone: "z1"}}
+	b.r.countSpill("m", "z1", SpillCounts{Offered: 1})
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds})
+	b.r.spillRefused(q)
+	require.Empty(t, q.spill)
+	require.Empty(t, b.r.spill.services)
+	require.Equal(t, SpillCounts{Offered: 1, NoSlot: 1}, b.r.View().SpillCounts)
+}
+
+// Guards against a reload that enables early spill on a busy host, which has measured nothing yet and would report no demand, so that
+// other zones send their requests to its zone.
+func TestReloadThatEnablesEarlySpillSendsNoDemandAtFirst(t *testing.T) {
+	b := newFixture(t, 2)
+	b.now += time.Minute
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Balancing: BalancingSettings{EarlySpill: true}})
+	known := func() bool {
+		_, known := b.r.zoneDemand("m", "z0")
+		return known
+	}
+	b.now += demandWarmup - 1
+	b.post(Tick{})
+	require.Empty(t, b.r.demandsToSend())
+	require.False(t, known())
+	b.now++
+	b.post(Tick{})
+	require.NotEmpty(t, b.r.demandsToSend())
+	require.True(t, known())
+}
+
 // Guards against a fleet in which some hosts do not have the setting: they ignore the reports of the others, and nothing is sent to a
 // zone whose demand is not known.
 func TestHostsWithoutEarlySpillIgnoreIt(t *testing.T) {
--- a/internal/router/spills.go
+++ b/internal/router/spills.go
@@ -28,6 +28,8 @@
 
 // spillState is what this host needs to send requests to other zones before its own is full. It is empty without early spill.
 type spillState struct {
+	// since is when this host began to measure its demand: its start, or the reload that enabled early spill.
+	since    time.Duration
 	services map[string]*serviceSpill
 	updateAt time.Duration
 	sent     demandReport
@@ -100,7 +102,7 @@
 // applyBalancingSettings applies changed settings. Early spill starts anew.
 func (r *Router) applyBalancingSettings(s BalancingSettings) {
 	if s.EarlySpill != r.opt.Balancing.EarlySpill {
-		r.spill = spillState{totals: r.spill.totals}
+		r.spill = spillState{since: r.now, totals: r.spill.totals}
 		for _, m := range r.members.byHost {
 			m.demand = demandReport{}
 		}
@@ -212,8 +214,13 @@
 	return spill.Forecast{}
 }
 
-// countSpill adds to the counts of a service for another zone.
+// countSpill adds to the counts of a service for another zone. If a reload has turned early spill off while a request waited for its
+// slot, only the totals count it.
 func (r *Router) countSpill(service, zone string, more SpillCounts) {
+	r.spill.totals.add(more)
+	if !r.opt.Balancing.EarlySpill {
+		return
+	}
 	s := r.spillOf(service)
 	c, ok := s.counts[zone]
 	if !ok {
@@ -221,7 +228,6 @@
 		s.counts[zone] = c
 	}
 	c.add(more)
-	r.spill.totals.add(more)
 }
 
 // spillEarly sends a new request to another zone, or asks an owner there for a slot, if it is in the share for that zone. If it
