--- a/internal/router/demand.go
+++ b/internal/router/demand.go
@@ -204,7 +204,8 @@
 	var out []*gossippb.ServiceLoad
 	for _, service := range r.spillServices() {
 		if l, known := r.zoneLoad(service, r.opt.Zone); known {
-			out = append(out, &gossippb.ServiceLoad{Service: hashOfService(service), Capacity: loadToProto(l.Capacity), Demand: loadToProto(l.Demand)})
+			out = append(out, &gossippb.ServiceLoad{Service: hashOfService(service),
+				Capacity: loadToProto(l.Capacity), Demand: loadToProto(l.Demand)})
 		}
 	}
 	return out
--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -201,7 +201,11 @@
 		if b.Service != q.service || (r.usesOwners() && r.ownerOf(b) != owner) {
 			continue
 		}
-		if !r.mayGet(q, b) || q.spill.Zone != "" && b.Zone != q.spill.Zone || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
+		if q.spill.Zone != "" && b.Zone != q.spill.Zone {
+			out = append(out, b.hash)
+			continue
+		}
+		if !r.mayGet(q, b) || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
 			out = append(out, b.hash)
 		}
 	}
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -301,6 +301,30 @@
 	require.Equal(t, &SpillCounts{Offered: 1, NoSlot: 1}, s.counts["z1"], "it has no backend servers")
 }
 
+// Guards against requests that are sent early to an engine whose slots are free only beyond its learned limit.
+func TestEarlySpillKeepsToLearnedLimits(t *testing.T) {
+	b := newFixture(t, 1)
+	b.r.opt.Balancing = BalancingSettings{LearnedLimits: true, EarlySpill: true}
+	engine := b.r.allBackends()[0]
+	engine.Slots = 8
+	config := *b.r.table.Config
+	config.Routes = []routing.Route{{Name: "a", Kind: routing.Streaming, MaxGap: steepGap, Shares: []routing.Share{{Service: "m", Weight: 1}}}}
+	b.r.table = routing.NewTable(&config)
+	b.r.sampleOccupancy()
+	for range 5 {
+		engine.pace.curve.Observe(b.r.now, 8, 2*steepGap, maxEvents)
+	}
+	require.Equal(t, 7, b.r.slotLimit(engine))
+	q := &request{Submit: Submit{Route: urgentRoute, Deadline: b.r.now + time.Second}, service: "m"}
+	engine.ownLoad.counts[0] = 6
+	chosen, basis := b.r.spillBackend(q, "z0")
+	require.Equal(t, engine, chosen)
+	require.Equal(t, 7, basis.Limit)
+	engine.ownLoad.counts[0] = 7
+	chosen, _ = b.r.spillBackend(q, "z0")
+	require.Nil(t, chosen)
+}
+
 // Guards against a caller who makes its zone look overloaded by stating a long output.
 func TestStatedOutputIsLimitedInDemand(t *testing.T) {
 	b := newFixture(t, 2)
--- a/internal/router/spills.go
+++ b/internal/router/spills.go
@@ -268,7 +268,10 @@
 	due := ""
 	for _, t := range s.targets {
 		s.credit[t.Zone] = min(maxSpillCredit, s.credit[t.Zone]+t.Share)
-		if s.credit[t.Zone] >= 1 && (due == "" || s.credit[t.Zone] > s.credit[due]) && !r.barredFromSpill(t.Zone) && r.mayServe(q.Route, q.Workspace, t.Zone) {
+		if s.credit[t.Zone] < 1 || r.barredFromSpill(t.Zone) || !r.mayServe(q.Route, q.Workspace, t.Zone) {
+			continue
+		}
+		if due == "" || s.credit[t.Zone] > s.credit[due] {
 			due = t.Zone
 		}
 	}
@@ -291,7 +294,10 @@
 	var best candidate
 	free := 0
 	for _, b := range r.backendsIn(zone) {
-		if b.Service != q.service || b.removed || !r.assignable(q, b) || r.isBrittle(b) || s.classOf(b, false) != classHealthy || !hasFreeSlot(b, b.inFlight()) {
+		if b.Service != q.service || b.removed || r.isBrittle(b) {
+			continue
+		}
+		if !r.assignable(q, b) || s.classOf(b, false) != classHealthy || !r.hasFreeSlot(b, b.inFlight()) {
 			continue
 		}
 		if owner := r.ownerOf(b); r.usesOwners() && owner != r.opt.Host && !r.canAsk(owner) {
@@ -307,19 +313,22 @@
 	}
 	g := r.basis()
 	if b := best.backend; b != nil {
-		g.InFlight, g.Limit, g.ViewAge = b.inFlight(), max(1, b.Slots), r.oldestHeartbeatAge()
+		g.InFlight, g.Limit, g.ViewAge = b.inFlight(), r.freeSlotLimit(b), r.oldestHeartbeatAge()
 		g.Wait = s.predictedWait(b, g.InFlight)
 	}
 	return best.backend, g
 }
 
+// freeSlotLimit is the number of requests up to which a backend server starts each at once: its slots, or its learned limit.
+func (r *Router) freeSlotLimit(b *backend) int { return r.capBySlotLimit(b, max(1, b.Slots)) }
+
 // hasFreeSlot reports whether a backend server that holds some requests has a free slot.
-func hasFreeSlot(b *backend, held int) bool { return held < max(1, b.Slots) }
+func (r *Router) hasFreeSlot(b *backend, held int) bool { return held < r.freeSlotLimit(b) }
 
 // acceptsSpillOffer reports whether an owner has granted a spilled request a free slot in the zone that it is for. Owners grant
 // slots beyond those that are free, which are of no use to it: its own zone has them as well.
 func (r *Router) acceptsSpillOffer(q *request, place load, b *backend) bool {
-	return b != nil && r.usableFor(q, b) && b.Zone == q.spill.Zone && hasFreeSlot(b, place.total())
+	return b != nil && r.usableFor(q, b) && b.Zone == q.spill.Zone && r.hasFreeSlot(b, place.total())
 }
 
 // spillRefused records that a request got no slot in another zone. It is scheduled as without early spill.
--- a/internal/spill/spill.go
+++ b/internal/spill/spill.go
@@ -76,7 +76,7 @@
 	}
 	h, ok := f.zones[zone]
 	if !ok {
-		if len(f.zones) >= maxZones {
+		if len(f.zones) == maxZones {
 			maps.DeleteFunc(f.zones, func(_ string, h *history) bool { return at-h.latest().at > maxAge })
 		}
 		if len(f.zones) >= maxZones {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -44,7 +44,7 @@
 	sharesTests        = []string{"./internal/router", "-run", "SharesOfSix"}
 	spillTests         = []string{"./internal/spill", "-rapid.shrinktime=1s"}
 	// spillFaultTests simulate a fleet for some seconds each.
-	spillFaultTests  = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|FirstAttempts|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
+	spillFaultTests  = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|FirstAttempts|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries|TestReload.*Spill|KeepsToLearned"}
 	paceTests        = []string{"./internal/pace", "-rapid.shrinktime=1s"}
 	engineLimitTests = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|ChangesOfALimit|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids|LongPromptWaits"}
 	engineLoadTests  = []string{"./internal/router", "-run", "LearnedLimitsAtUnlikeEngines"}
@@ -531,8 +531,12 @@
 	{"spill-horizon", "early spill", "internal/spill/spill.go", "h.demandAfter(age + f.SlotTime)", "h.demandAfter(0)", spillTests},
 	{"spill-overtaken", "early spill", "internal/spill/history.go", "if len(h.samples) > 0 && at <= h.latest().at {", "if false {", spillTests},
 	{"spill-samples", "early spill", "internal/spill/history.go", " || len(h.samples)-first >= maxSamples", "", spillTests},
-	{"spill-off-demand", "early spill", "internal/router/demand.go", "if !r.opt.Balancing.EarlySpill || r.now < demandWarmup ||", "if r.now < demandWarmup ||", effectsTests},
-	{"spill-warmup", "early spill", "internal/router/demand.go", " || r.now < demandWarmup || r.now-sent.at", " || r.now-sent.at", spillFaultTests},
+	{"spill-off-demand", "early spill", "internal/router/demand.go", "if !r.opt.Balancing.EarlySpill || r.warmsUp() ||", "if r.warmsUp() ||", effectsTests},
+	{"spill-warmup", "early spill", "internal/router/demand.go", " || r.warmsUp() || r.now-sent.at", " || r.now-sent.at", spillFaultTests},
+	{"spill-warmup-reload", "early spill", "internal/router/demand.go", "r.now-r.spill.since < demandWarmup", "r.now < demandWarmup", spillFaultTests},
+	{"spill-reload-state", "early spill", "internal/router/spills.go", "if !r.opt.Balancing.EarlySpill {\n\t\treturn\n\t}\n\ts := r.spillOf(service)\n\tc, ok", "s := r.spillOf(service)\n\tc, ok", spillFaultTests},
+	{"spill-learned-limit", "early spill", "internal/router/spills.go", "return r.capBySlotLimit(b, max(1, b.Slots))", "return max(1, b.Slots)", spillFaultTests},
+	{"spill-silent-zones", "early spill", "internal/spill/spill.go", "if len(f.zones) == maxZones {", "if false {", spillTests},
 	{"spill-interval", "early spill", "internal/router/demand.go", " || r.now-sent.at < demandInterval {", " {", spillFaultTests},
 	{"spill-unknown", "early spill", "internal/router/demand.go", "silent <= maxHostsWithoutDemand*hosts", "true", spillFaultTests},
 	{"spill-demand-ttl", "early spill", "internal/router/demand.go", " || r.now-m.demand.at > demandTTL", "", spillFaultTests},
@@ -540,7 +544,7 @@
 	{"spill-stated-output", "early spill", "internal/router/demand.go", "min(r.occupation(q), max(0, q.Deadline-r.now))", "r.occupation(q)", spillFaultTests},
 	{"spill-first-attempts", "early spill", "internal/router/spills.go", " || q.returning || q.Continues {", " {", spillFaultTests},
 	{"spill-plan-ttl", "early spill", "internal/router/spills.go", "if r.now-s.plannedAt > spillPlanTTL {", "if false {", spillFaultTests},
-	{"spill-free-slot", "early spill", "internal/router/spills.go", " && hasFreeSlot(b, place.total())", "", spillFaultTests},
+	{"spill-free-slot", "early spill", "internal/router/spills.go", " && r.hasFreeSlot(b, place.total())", "", spillFaultTests},
 	{"spill-refused", "early spill", "internal/router/spills.go", "SpillCounts{NoSlot: 1})\n\tq.spill = SpillBasis{}\n", "SpillCounts{NoSlot: 1})\n", spillFaultTests},
 	{"pace-evidence", "limits", "internal/pace/curve.go", "return e.count >= minObservations", "return e.count > 0", paceTests},
 	{"pace-expiry", "limits", "internal/pace/curve.go", "near.count > 0 && now-near.at <= estimateTTL", "near.count > 0", paceTests},
