--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -309,14 +309,9 @@
 		return
 	}
 	b := r.byHash[offer.GetPlace().GetBackend()]
-	if q.spill.Zone != "" {
-		if offer.Place == nil || !r.acceptsSpillOffer(q, loadFromProto(offer.Place), b) {
-			r.returnSlot(a, offer)
-			r.spillRefused(q)
-			r.schedule(q)
-			return
-		}
-		r.countSpill(q.service, q.spill.Zone, SpillCounts{Sent: 1})
+	if q.spill.Zone != "" && !r.takeSpillOffer(q, a, offer, b) {
+		r.schedule(q)
+		return
 	}
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -288,7 +288,8 @@
 	continued := submit
 	continued.Continues = true
 	for range 3 {
-		for _, q := range []*request{{Submit: continued}, {Submit: submit, attempt: 1}, {Submit: submit, spillDecided: true}, {Submit: submit, waitState: waitState{returning: true}}} {
+		for _, q := range []*request{{Submit: continued}, {Submit: submit, attempt: 1}, {Submit: submit, spillDecided: true},
+			{Submit: submit, waitState: waitState{returning: true}}} {
 			q.service = "m"
 			require.False(t, b.r.spillEarly(q))
 		}
@@ -328,7 +329,8 @@
 // Guards against a caller who makes its zone look overloaded by stating a long output.
 func TestStatedOutputIsLimitedInDemand(t *testing.T) {
 	b := newFixture(t, 2)
-	q := &request{Submit: Submit{Route: urgentRoute, OutputTok: math.MaxInt32, PromptTok: math.MaxInt32, Deadline: b.r.now + 3*time.Second}, service: "m"}
+	submit := Submit{Route: urgentRoute, OutputTok: math.MaxInt32, PromptTok: math.MaxInt32, Deadline: b.r.now + 3*time.Second}
+	q := &request{Submit: submit, service: "m"}
 	require.InDelta(t, 3000*b.r.nominalSpeed("m"), b.r.nominalWork(q), 1e-6)
 }
 
@@ -413,7 +415,8 @@
 	b := newFixture(t, 1)
 	require.Equal(t, defaultSlotTime, b.r.slotTime("m"), "no route has a target")
 	shares := []routing.Share{{Service: "m", Weight: 1}}
-	b.r.table = routing.NewTable(&routing.Config{Version: 2, Routes: []routing.Route{{Name: "a", Shares: shares, Target: 3 * time.Second}, {Name: "b", Shares: shares, Target: 500 * time.Millisecond},
+	b.r.table = routing.NewTable(&routing.Config{Version: 2, Routes: []routing.Route{
+		{Name: "a", Shares: shares, Target: 3 * time.Second}, {Name: "b", Shares: shares, Target: 500 * time.Millisecond},
 		{Name: "c", Shares: []routing.Share{{Service: "n", Weight: 1}}, Target: time.Millisecond}}})
 	require.Equal(t, 250*time.Millisecond, b.r.slotTime("m"))
 	b.r.table.Config.Routes[1].Target = time.Minute
@@ -432,13 +435,18 @@
 	}
 }
 
-// The same as TestPromisesSmallFleet and TestPromisesLargeFleet with early spill, with and without queues.
+// Guards against requests that run twice, are lost or wait for ever because they are sent early, in the random fleets of
+// TestPromisesSmallFleet and TestPromisesLargeFleet.
 func TestPromisesWithEarlySpill(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		perZone int
 		queues  AdmissionSettings
-	}{{"6 hosts", 3, AdmissionSettings{}}, {"6 hosts with queues", 3, AdmissionSettings{Enabled: true, MaxRequests: 8}}, {"18 hosts", 9, AdmissionSettings{}}} {
+	}{
+		{"6 hosts", 3, AdmissionSettings{}},
+		{"6 hosts with queues", 3, AdmissionSettings{Enabled: true, MaxRequests: 8}},
+		{"18 hosts", 9, AdmissionSettings{}},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
--- a/internal/router/spills.go
+++ b/internal/router/spills.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/spill"
 )
 
@@ -331,6 +332,17 @@
 	return b != nil && r.usableFor(q, b) && b.Zone == q.spill.Zone && r.hasFreeSlot(b, place.total())
 }
 
+// takeSpillOffer takes the slot that an owner has granted a spilled request, or returns it if it is of no use.
+func (r *Router) takeSpillOffer(q *request, a *slotRequest, offer *gossippb.Offer, b *backend) bool {
+	if offer.Place == nil || !r.acceptsSpillOffer(q, loadFromProto(offer.Place), b) {
+		r.returnSlot(a, offer)
+		r.spillRefused(q)
+		return false
+	}
+	r.countSpill(q.service, q.spill.Zone, SpillCounts{Sent: 1})
+	return true
+}
+
 // spillRefused records that a request got no slot in another zone. It is scheduled as without early spill.
 func (r *Router) spillRefused(q *request) {
 	if q.spill.Zone == "" {
--- a/internal/router/spills_test.go
+++ b/internal/router/spills_test.go
@@ -32,10 +32,12 @@
 }
 
 func newSpillFleet(t testing.TB, hosts, engines int, admission AdmissionSettings, early bool) *spillFleet {
-	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}, arrivals: rand.New(rand.NewPCG(3, 4))}
+	f := &spillFleet{loadFleet: newLoadFleet(t, 3, hosts, engines, admission), arrivals: rand.New(rand.NewPCG(3, 4)),
+		sentAt: map[[2]string]time.Duration{}, spilled: map[string]int{}}
 	f.capacity = float64(engines * loadCapacity)
 	for _, h := range f.hosts {
-		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: BalancingSettings{EarlySpill: early}})
+		f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission,
+			Balancing: BalancingSettings{EarlySpill: early}})
 	}
 	for i := range 3 {
 		s := f.add(0, fmt.Sprintf("w%d", i))
