--- a/internal/router/slotrequests.go
+++ b/internal/router/slotrequests.go
@@ -201,7 +201,11 @@
 		if b.Service != q.service || (r.usesOwners() && r.ownerOf(b) != owner) {
 			continue
 		}
-		if !r.mayGet(q, b) || q.spill.Zone != "" && b.Zone != q.spill.Zone || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
+		if q.spill.Zone != "" && b.Zone != q.spill.Zone {
+			out = append(out, b.hash)
+			continue
+		}
+		if !r.mayGet(q, b) || r.now < b.unreachableUntil || r.now < b.avoidUntil || slices.Contains(q.tried, b.ID) {
 			out = append(out, b.hash)
 		}
 	}
@@ -305,14 +309,9 @@
 		return
 	}
 	b := r.byHash[offer.GetPlace().GetBackend()]
-	if q.spill.Zone != "" {
-		if offer.Place == nil || !r.acceptsSpillOffer(q, loadFromProto(offer.Place), b) {
-			r.returnSlot(a, offer)
-			r.spillRefused(q)
-			r.schedule(q)
-			return
-		}
-		r.countSpill(q.service, q.spill.Zone, SpillCounts{Sent: 1})
+	if q.spill.Zone != "" && !r.takeSpillOffer(q, a, offer, b) {
+		r.schedule(q)
+		return
 	}
 	if offer.Place == nil || b == nil || !r.usableFor(q, b) && !(offer.Lent && r.mayBorrow(q, b)) {
 		// No slot, or one at a backend server that is draining or gone, which the owner does not know yet.
--- a/internal/router/spillfaults_test.go
+++ b/internal/router/spillfaults_test.go
@@ -215,6 +215,39 @@
 	f.run(time.Second, 0)
 }
 
+// Guards against state that a request recreates which waited for a slot in another zone when a reload turned early spill off.
+func TestReloadWhileASpilledRequestWaitsForItsSlot(t *testing.T) {
+	b := newFixture(t, 2)
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Balancing: BalancingSettings{EarlySpill: true}})
+	q := &request{service: "m", spill: SpillBasis{Zone: "z1"}}
+	b.r.countSpill("m", "z1", SpillCounts{Offered: 1})
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds})
+	b.r.spillRefused(q)
+	require.Empty(t, q.spill)
+	require.Empty(t, b.r.spill.services)
+	require.Equal(t, SpillCounts{Offered: 1, NoSlot: 1}, b.r.View().SpillCounts)
+}
+
+// Guards against a reload that enables early spill on a busy host, which has measured nothing yet and would report no demand, so that
+// other zones send their requests to its zone.
+func TestReloadThatEnablesEarlySpillSendsNoDemandAtFirst(t *testing.T) {
+	b := newFixture(t, 2)
+	b.now += time.Minute
+	b.post(SettingsChanged{Bounds: b.r.opt.Bounds, Balancing: BalancingSettings{EarlySpill: true}})
+	known := func() bool {
+		_, known := b.r.zoneDemand("m", "z0")
+		return known
+	}
+	b.now += demandWarmup - 1
+	b.post(Tick{})
+	require.Empty(t, b.r.demandsToSend())
+	require.False(t, known())
+	b.now++
+	b.post(Tick{})
+	require.NotEmpty(t, b.r.demandsToSend())
+	require.True(t, known())
+}
+
 // Guards against a fleet in which some hosts do not have the setting: they ignore the reports of the others, and nothing is sent to a
 // zone whose demand is not known.
 func TestHostsWithoutEarlySpillIgnoreIt(t *testing.T) {
@@ -255,7 +288,8 @@
 	continued := submit
 	continued.Continues = true
 	for range 3 {
-		for _, q := range []*request{{Submit: continued}, {Submit: submit, attempt: 1}, {Submit: submit, spillDecided: true}, {Submit: submit, waitState: waitState{returning: true}}} {
+		for _, q := range []*request{{Submit: continued}, {Submit: submit, attempt: 1}, {Submit: submit, spillDecided: true},
+			{Submit: submit, waitState: waitState{returning: true}}} {
 			q.service = "m"
 			require.False(t, b.r.spillEarly(q))
 		}
@@ -268,10 +302,35 @@
 	require.Equal(t, &SpillCounts{Offered: 1, NoSlot: 1}, s.counts["z1"], "it has no backend servers")
 }
 
+// Guards against requests that are sent early to an engine whose slots are free only beyond its learned limit.
+func TestEarlySpillKeepsToLearnedLimits(t *testing.T) {
+	b := newFixture(t, 1)
+	b.r.opt.Balancing = BalancingSettings{LearnedLimits: true, EarlySpill: true}
+	engine := b.r.allBackends()[0]
+	engine.Slots = 8
+	config := *b.r.table.Config
+	config.Routes = []routing.Route{{Name: "a", Kind: routing.Streaming, MaxGap: steepGap, Shares: []routing.Share{{Service: "m", Weight: 1}}}}
+	b.r.table = routing.NewTable(&config)
+	b.r.sampleOccupancy()
+	for range 5 {
+		engine.pace.curve.Observe(b.r.now, 8, 2*steepGap, maxEvents)
+	}
+	require.Equal(t, 7, b.r.slotLimit(engine))
+	q := &request{Submit: Submit{Route: urgentRoute, Deadline: b.r.now + time.Second}, service: "m"}
+	engine.ownLoad.counts[0] = 6
+	chosen, basis := b.r.spillBackend(q, "z0")
+	require.Equal(t, engine, chosen)
+	require.Equal(t, 7, basis.Limit)
+	engine.ownLoad.counts[0] = 7
+	chosen, _ = b.r.spillBackend(q, "z0")
+	require.Nil(t, chosen)
+}
+
 // Guards against a caller who makes its zone look overloaded by stating a long output.
 func TestStatedOutputIsLimitedInDemand(t *testing.T) {
 	b := newFixture(t, 2)
-	q := &request{Submit: Submit{Route: urgentRoute, OutputTok: math.MaxInt32, PromptTok: math.MaxInt32, Deadline: b.r.now + 3*time.Second}, service: "m"}
+	submit := Submit{Route: urgentRoute, OutputTok: math.MaxInt32, PromptTok: math.MaxInt32, Deadline: b.r.now + 3*time.Second}
+	q := &request{Submit: submit, service: "m"}
 	require.InDelta(t, 3000*b.r.nominalSpeed("m"), b.r.nominalWork(q), 1e-6)
 }
 
@@ -356,7 +415,8 @@
 	b := newFixture(t, 1)
 	require.Equal(t, defaultSlotTime, b.r.slotTime("m"), "no route has a target")
 	shares := []routing.Share{{Service: "m", Weight: 1}}
-	b.r.table = routing.NewTable(&routing.Config{Version: 2, Routes: []routing.Route{{Name: "a", Shares: shares, Target: 3 * time.Second}, {Name: "b", Shares: shares, Target: 500 * time.Millisecond},
+	b.r.table = routing.NewTable(&routing.Config{Version: 2, Routes: []routing.Route{
+		{Name: "a", Shares: shares, Target: 3 * time.Second}, {Name: "b", Shares: shares, Target: 500 * time.Millisecond},
 		{Name: "c", Shares: []routing.Share{{Service: "n", Weight: 1}}, Target: time.Millisecond}}})
 	require.Equal(t, 250*time.Millisecond, b.r.slotTime("m"))
 	b.r.table.Config.Routes[1].Target = time.Minute
@@ -375,13 +435,18 @@
 	}
 }
 
-// The same as TestPromisesSmallFleet and TestPromisesLargeFleet with early spill, with and without queues.
+// Guards against requests that run twice, are lost or wait for ever because they are sent early, in the random fleets of
+// TestPromisesSmallFleet and TestPromisesLargeFleet.
 func TestPromisesWithEarlySpill(t *testing.T) {
 	for _, c := range []struct {
 		name    string
 		perZone int
 		queues  AdmissionSettings
-	}{{"6 hosts", 3, AdmissionSettings{}}, {"6 hosts with queues", 3, AdmissionSettings{Enabled: true, MaxRequests: 8}}, {"18 hosts", 9, AdmissionSettings{}}} {
+	}{
+		{"6 hosts", 3, AdmissionSettings{}},
+		{"6 hosts with queues", 3, AdmissionSettings{Enabled: true, MaxRequests: 8}},
+		{"18 hosts", 9, AdmissionSettings{}},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			rapid.Check(t, func(t *rapid.T) {
--- a/internal/router/spills.go
+++ b/internal/router/spills.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"fireflyshift/internal/gossip/gossippb"
 	"fireflyshift/internal/spill"
 )
 
@@ -28,6 +29,8 @@
 
 // spillState is what this host needs to send requests to other zones before its own is full. It is empty without early spill.
 type spillState struct {
+	// since is when this host began to measure its demand: its start, or the reload that enabled early spill.
+	since    time.Duration
 	services map[string]*serviceSpill
 	updateAt time.Duration
 	sent     demandReport
@@ -100,7 +103,7 @@
 // applyBalancingSettings applies changed settings. Early spill starts anew.
 func (r *Router) applyBalancingSettings(s BalancingSettings) {
 	if s.EarlySpill != r.opt.Balancing.EarlySpill {
-		r.spill = spillState{totals: r.spill.totals}
+		r.spill = spillState{since: r.now, totals: r.spill.totals}
 		for _, m := range r.members.byHost {
 			m.demand = demandReport{}
 		}
@@ -212,8 +215,13 @@
 	return spill.Forecast{}
 }
 
-// countSpill adds to the counts of a service for another zone.
+// countSpill adds to the counts of a service for another zone. If a reload has turned early spill off while a request waited for its
+// slot, only the totals count it.
 func (r *Router) countSpill(service, zone string, more SpillCounts) {
+	r.spill.totals.add(more)
+	if !r.opt.Balancing.EarlySpill {
+		return
+	}
 	s := r.spillOf(service)
 	c, ok := s.counts[zone]
 	if !ok {
@@ -221,7 +229,6 @@
 		s.counts[zone] = c
 	}
 	c.add(more)
-	r.spill.totals.add(more)
 }
 
 // spillEarly sends a new request to another zone, or asks an owner there for a slot, if it is in the share for that zone. If it
@@ -262,7 +269,10 @@
 	due := ""
 	for _, t := range s.targets {
 		s.credit[t.Zone] = min(maxSpillCredit, s.credit[t.Zone]+t.Share)
-		if s.credit[t.Zone] >= 1 && (due == "" || s.credit[t.Zone] > s.credit[due]) && !r.barredFromSpill(t.Zone) && r.mayServe(q.Route, q.Workspace, t.Zone) {
+		if s.credit[t.Zone] < 1 || r.barredFromSpill(t.Zone) || !r.mayServe(q.Route, q.Workspace, t.Zone) {
+			continue
+		}
+		if due == "" || s.credit[t.Zone] > s.credit[due] {
 			due = t.Zone
 		}
 	}
@@ -285,7 +295,10 @@
 	var best candidate
 	free := 0
 	for _, b := range r.backendsIn(zone) {
-		if b.Service != q.service || b.removed || !r.assignable(q, b) || r.isBrittle(b) || s.classOf(b, false) != classHealthy || !hasFreeSlot(b, b.inFlight()) {
+		if b.Service != q.service || b.removed || r.isBrittle(b) {
+			continue
+		}
+		if !r.assignable(q, b) || s.classOf(b, false) != classHealthy || !r.hasFreeSlot(b, b.inFlight()) {
 			continue
 		}
 		if owner := r.ownerOf(b); r.usesOwners() && owner != r.opt.Host && !r.canAsk(owner) {
@@ -301,19 +314,33 @@
 	}
 	g := r.basis()
 	if b := best.backend; b != nil {
-		g.InFlight, g.Limit, g.ViewAge = b.inFlight(), max(1, b.Slots), r.oldestHeartbeatAge()
+		g.InFlight, g.Limit, g.ViewAge = b.inFlight(), r.freeSlotLimit(b), r.oldestHeartbeatAge()
 		g.Wait = s.predictedWait(b, g.InFlight)
 	}
 	return best.backend, g
 }
 
+// freeSlotLimit is the number of requests up to which a backend server starts each at once: its slots, or its learned limit.
+func (r *Router) freeSlotLimit(b *backend) int { return r.capBySlotLimit(b, max(1, b.Slots)) }
+
 // hasFreeSlot reports whether a backend server that holds some requests has a free slot.
-func hasFreeSlot(b *backend, held int) bool { return held < max(1, b.Slots) }
+func (r *Router) hasFreeSlot(b *backend, held int) bool { return held < r.freeSlotLimit(b) }
 
 // acceptsSpillOffer reports whether an owner has granted a spilled request a free slot in the zone that it is for. Owners grant
 // slots beyond those that are free, which are of no use to it: its own zone has them as well.
 func (r *Router) acceptsSpillOffer(q *request, place load, b *backend) bool {
-	return b != nil && r.usableFor(q, b) && b.Zone == q.spill.Zone && hasFreeSlot(b, place.total())
+	return b != nil && r.usableFor(q, b) && b.Zone == q.spill.Zone && r.hasFreeSlot(b, place.total())
+}
+
+// takeSpillOffer takes the slot that an owner has granted a spilled request, or returns it if it is of no use.
+func (r *Router) takeSpillOffer(q *request, a *slotRequest, offer *gossippb.Offer, b *backend) bool {
+	if offer.Place == nil || !r.acceptsSpillOffer(q, loadFromProto(offer.Place), b) {
+		r.returnSlot(a, offer)
+		r.spillRefused(q)
+		return false
+	}
+	r.countSpill(q.service, q.spill.Zone, SpillCounts{Sent: 1})
+	return true
 }
 
 // spillRefused records that a request got no slot in another zone. It is scheduled as without early spill.
