Router: trials of learned limits leave no margin where hosts decide alone

The margin took away the request that a trial adds, so no engine held the number that was tried, and a wrong limit of half of the slots stayed for good.

--- a/internal/router/enginelimits.go
+++ b/internal/router/enginelimits.go
@@ -64,7 +64,8 @@
 }
 
 // paceOf returns what this host has learned of an engine's pace, or nil if it does not learn it. If backend servers have owners, only
-// the owner learns: it counts the requests of all hosts and gets reports of them. A cold engine is limited by its rate, and what it shows does not hold afterwards.
+// the owner learns: it counts the requests of all hosts and gets reports of them. A cold engine is limited by its rate, and what it
+// shows does not hold afterwards.
 func (r *Router) paceOf(b *backend) *learnedPace {
 	if !r.opt.Balancing.LearnedLimits || b.cold(r.now) || r.usesOwners() && !r.owns(b) {
 		b.pace = nil
@@ -104,13 +105,13 @@
 }
 
 // capBySlotLimit lowers a limit on the requests at an engine to its learned limit. Beyond that no request waits in the engine's own
-// queue: the engine would start it.
+// queue: the engine would start it. Trials leave no margin: with it, no engine would hold the number of requests that is tried.
 func (r *Router) capBySlotLimit(b *backend, limit int) int {
 	learned := r.slotLimit(b)
 	if learned >= max(1, b.Slots) {
 		return limit
 	}
-	if !r.usesOwners() && r.hostCount() > 1 {
+	if !r.usesOwners() && r.hostCount() > 1 && learned == r.learnedLimit(b) {
 		learned = max(pace.MinLimit(b.Slots), learned-staleCountMargin)
 	}
 	return min(limit, learned)
--- a/internal/router/enginelimits_test.go
+++ b/internal/router/enginelimits_test.go
@@ -274,6 +274,26 @@
 	require.Equal(t, loadSlots/2, h.r.capBySlotLimit(b, 10), "half of the slots at least")
 }
 
+// Guards against a wrong limit that stays for good where hosts decide alone: if the margin applied to trials too, no engine would
+// hold the number of requests that is tried, and wrong estimates would never be corrected.
+func TestTrialsOfHostsThatDecideAloneLeaveNoSlot(t *testing.T) {
+	f := newPacedFleet(t, 3, 2, 2, AdmissionSettings{}, learnedLimits, steepGap, steepEngine)
+	h := f.hosts[0]
+	b := h.r.backends["e000"]
+	h.r.sampleOccupancy()
+	for n := loadSlots; n > loadSlots/2; n-- {
+		for range 5 {
+			b.pace.curve.Observe(h.r.now, n, 80*time.Millisecond, pacedEvents)
+		}
+	}
+	require.Equal(t, loadSlots/2, h.r.learnedLimit(b))
+	for range 300 {
+		h.r.now += 100 * time.Millisecond
+		b.pace.curve.Observe(h.r.now, h.r.capBySlotLimit(b, loadSlots), 10*time.Millisecond, pacedEvents)
+	}
+	require.Zero(t, h.r.learnedLimit(b))
+}
+
 // Guards against a long prompt that goes where it delays many streams, if it could go elsewhere.
 func TestLongPromptAvoidsEnginesWithManyStreams(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -571,6 +571,7 @@
 	{"limits-not-raised", "limits", "internal/router/enginelimits.go", "\tif learned >= max(1, b.Slots) {\n\t\treturn limit\n\t}\n", "", engineLimitTests},
 	{"limits-margin", "limits", "internal/router/enginelimits.go", "learned-staleCountMargin)", "learned)", engineLimitTests},
 	{"limits-margin-floor", "limits", "internal/router/enginelimits.go", "max(pace.MinLimit(b.Slots), learned-staleCountMargin)", "learned - staleCountMargin", engineLimitTests},
+	{"limits-margin-trial", "limits", "internal/router/enginelimits.go", " && learned == r.learnedLimit(b) {", " {", engineLimitTests},
 	{"limits-note-interval", "limits", "internal/router/enginelimits.go", "r.now-p.notedAt < minLimitNoteInterval", "false", engineLimitTests},
 	{"limits-weight", "limits", "internal/router/enginelimits.go", "s.Weight > 0 && (!ok", "(!ok", engineLimitTests},
 	{"limits-streams", "limits", "internal/router/enginelimits.go", "if route.Kind != routing.Streaming || route.MaxGap <= 0 {", "if route.MaxGap <= 0 {", engineLimitTests},
