--- a/internal/admission/forecast.go
+++ b/internal/admission/forecast.go
@@ -28,8 +28,9 @@
 	cost     float64 // of one of its requests; zero if unknown
 }
 
-// allotment returns the work that the workspace is served before another one at a virtual start time. Service is by whole requests, and of two workspaces
-// with the same virtual time that with the lower name is served first: with equal costs and weights this decides a whole round.
+// allotment returns the work that the workspace is served before another one at a virtual start time. Service is by whole requests,
+// and of two workspaces with the same virtual time that with the lower name is served first: with equal costs and weights this decides
+// a whole round.
 func (r *competitor) allotment(virtualStart float64, name string) float64 {
 	behind := virtualStart - r.lead
 	if behind < 0 {
