--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -25,7 +25,9 @@
 	}
 	q.push(&r, l)
 	if provisional {
-		l.tally.window.at(q.now).provisional++
+		if !replaced && !r.Returning { // as for offered
+			l.tally.window.at(q.now).provisional++
+		}
 		q.use(&r, l)
 	} else {
 		q.countArrival(&r, l)
--- a/internal/admission/provisional_test.go
+++ b/internal/admission/provisional_test.go
@@ -59,3 +59,19 @@
 	assert.Equal(t, count, refused)
 	assert.Zero(t, q.Len())
 }
+
+// Guards against a share of provisional waits above one, as operators compare them with what was offered: returning callers and
+// requests that ask again are not offered anew.
+func TestViewCountsProvisionalWaitsOnce(t *testing.T) {
+	q, now := provisional(t)
+	count := q.View(now).Workspaces[1].Provisional
+	last := testRequest(uint64(q.Len()-1), "b", 1, now)
+	_, queued, _ := q.Add(now, last)
+	assert.True(t, queued)
+	assert.True(t, q.Remove(last.Key))
+	returning := testRequest(1000, "b", 1, now)
+	returning.Returning = true
+	_, queued, _ = q.Add(now, returning)
+	assert.True(t, queued)
+	assert.Equal(t, count, q.View(now).Workspaces[1].Provisional)
+}
