--- a/internal/admission/add.go
+++ b/internal/admission/add.go
@@ -93,6 +93,14 @@
 	return wait, ok && !provisional
 }
 
+// HasPlace reports whether Add would queue a request and refuse none.
+func (q *Queue) HasPlace(now time.Duration, r Request) bool {
+	q.advance(now)
+	r = bounded(q.now, r)
+	_, _, ok := q.mayWait(&r)
+	return ok && q.Len() < q.max
+}
+
 // lane returns the lane of a request that has just arrived.
 func (q *Queue) lane(r *Request) *lane {
 	t, forgotten := q.ledger.of(r.Workspace, r.Weight)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -504,3 +504,16 @@
 		assert.LessOrEqual(t, len(q.levels[p].lanes), maxWorkspaces)
 	}
 }
+
+// Guards against an owner that keeps a free slot from a request, as it may wait, while the queue then refuses it or another one.
+func TestRefusalsFollowHasPlace(t *testing.T) {
+	for _, maxRequests := range []int{20, 0} {
+		q := testQueue(maxRequests)
+		for n := range uint64(600) {
+			r := testRequest(n, "a", int(n/200)%2, 0)
+			place := q.HasPlace(0, r)
+			_, queued, refusals := q.Add(0, r)
+			require.Equal(t, queued && len(refusals) == 0, place, "request %d", n)
+		}
+	}
+}
--- a/internal/router/admission.go
+++ b/internal/router/admission.go
@@ -142,7 +142,7 @@
 		r.offerPlaceInQueue(w, wait)
 		return
 	}
-	if c := r.selectInScope(w.q, scopeOwned); c.backend != nil && c.class <= w.worst && !(a.Queues && r.awaitsFasterEngine(&entry, w, c)) {
+	if c := r.selectInScope(w.q, scopeOwned); c.backend != nil && c.class <= w.worst && !(a.Queues && r.newAwaitsFasterEngine(s, &entry, w, c)) {
 		s.queue.Admit(r.now, entry)
 		r.grant(w, c)
 		return
@@ -168,7 +168,7 @@
 		return
 	}
 	entry := r.ownEntry(q, a.number)
-	if c := r.selectInScope(q, scopeOwned); c.backend != nil && c.class <= w.worst && !r.awaitsFasterEngine(&entry, w, c) {
+	if c := r.selectInScope(q, scopeOwned); c.backend != nil && c.class <= w.worst && !r.newAwaitsFasterEngine(s, &entry, w, c) {
 		s.queue.Admit(r.now, entry)
 		r.grant(w, c)
 		return
--- a/internal/router/fasterengines.go
+++ b/internal/router/fasterengines.go
@@ -12,13 +12,23 @@
 const maxFasterEngineWait = 100 * time.Millisecond
 
 // awaitsFasterEngine reports whether a queued stream should wait for another slot than the selected one: the engine prefills so slowly
-// that the stream would miss its target latency there, and a faster one can still meet it. Other requests may take the slot.
+// that the stream would miss its target latency there, and a faster one can still meet it. Other requests may take the slot. One whose
+// patience ends within maxFasterEngineWait does not wait: it would be refused while the slot is free.
 func (r *Router) awaitsFasterEngine(a *admission.Request, w *waitingRequest, c selection) bool {
 	if !r.opt.Balancing.LearnedLimits || w.q.Route.Kind != routing.Streaming {
 		return false
 	}
-	if r.now-w.since >= maxFasterEngineWait || r.now > a.OnTimeBy {
+	if r.now-w.since >= maxFasterEngineWait || a.PatienceEnds-w.since <= maxFasterEngineWait || r.now > a.OnTimeBy {
 		return false
 	}
 	return r.now+c.basis.Wait > a.OnTimeBy+r.expectedPrefill(w.q)
 }
+
+// newAwaitsFasterEngine is awaitsFasterEngine for a request that does not wait yet. One that the queue would refuse takes the slot.
+func (r *Router) newAwaitsFasterEngine(s *serviceQueue, a *admission.Request, w *waitingRequest, c selection) bool {
+	if !r.awaitsFasterEngine(a, w, c) || !r.mayWaitHere(w) {
+		return false
+	}
+	r.setRoom(s, w.q.service)
+	return s.queue.HasPlace(r.now, *a)
+}
--- a/internal/router/fasterengines_test.go
+++ b/internal/router/fasterengines_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +56,49 @@
 		})
 	}
 }
+
+// newUnevenFleet starts a fleet of a host, a fast engine e000 and a slow one e001, both full, and returns the requests at e001.
+func newUnevenFleet(t *testing.T, admission AdmissionSettings) (f *queueFleet, atSlow []uint64) {
+	f = newQueueFleet(t, 1, 1, 2)
+	h := f.hosts[0]
+	f.fill()
+	f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: learnedLimits})
+	h.r.backends["e000"].prefillPerToken, h.r.backends["e001"].prefillPerToken = 30*time.Microsecond, 150*time.Microsecond
+	h.r.serviceState("m").prefillPerToken = 30 * time.Microsecond
+	for h.r.waiting() > 0 { // those that fill has queued
+		f.run(zoneStep, 0)
+	}
+	for id, d := range f.sent {
+		if d.Backend.ID == "e001" {
+			atSlow = append(atSlow, id)
+		}
+	}
+	slices.Sort(atSlow)
+	return f, atSlow
+}
+
+// Guards against a request that is refused while a slot is free, as the slot is kept from it and the queue has no place for it.
+func TestNoRequestIsRefusedForAFasterEngine(t *testing.T) {
+	t.Parallel()
+	f, atSlow := newUnevenFleet(t, AdmissionSettings{Enabled: true, MaxRequests: 1})
+	f.finish(atSlow[0])
+	long := func(s *Submit) { s.PromptTok = 10_000 }
+	first, second := f.submitTo(f.hosts[0], long), f.submitTo(f.hosts[0], long)
+	require.False(t, has(f.sent, first), "waits for the fast engine")
+	require.False(t, has(f.refuses, second))
+	require.Equal(t, "e001", f.sent[second].Backend.ID)
+}
+
+// Guards against a request whose patience ends while a free slot is kept from it.
+func TestShortPatienceDoesNotWaitForAFasterEngine(t *testing.T) {
+	t.Parallel()
+	f, atSlow := newUnevenFleet(t, withQueues)
+	f.finish(atSlow[0])
+	id := f.submitTo(f.hosts[0], func(s *Submit) {
+		s.PromptTok, s.OutputTok = 10_000, 0
+		s.Deadline = f.now - f.hosts[0].startedAt + patienceDivisor*(maxFasterEngineWait-answerMargin)
+	})
+	f.run(2*maxFasterEngineWait, 0)
+	require.False(t, has(f.refuses, id))
+	require.Equal(t, "e001", f.sent[id].Backend.ID)
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -46,7 +46,7 @@
 	// spillFaultTests simulate a fleet for some seconds each.
 	spillFaultTests  = []string{"./internal/router", "-run", "HostsThatStartSend|HostsWithoutEarly|ReturningCallers|FullTarget|OldShares|FirstAttempts|StatedOutput|AddsLittleTraffic|AfterAWave|LostSummaries"}
 	paceTests        = []string{"./internal/pace", "-rapid.shrinktime=1s"}
-	engineLimitTests = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|ChangesOfALimit|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids|LongPromptWaits"}
+	engineLimitTests = []string{"./internal/router", "-run", "NoStreams|WrongEstimate|FalseReports|NewStartHasNoLimit|ColdEngineIsNot|NewOwnerLearns|LimitsEndWith|OnlyTheOwnerLimits|LearnedLimitIsShown|ChangesOfALimit|LongestPauseOf|HostsThatDecideAlone|LongPromptAvoids|LongPromptWaits|ForAFasterEngine"}
 	engineLoadTests  = []string{"./internal/router", "-run", "LearnedLimitsAtUnlikeEngines"}
 	limitTests       = []string{"./internal/limit", "-rapid.shrinktime=1s"}
 )
@@ -479,6 +479,7 @@
 	{"admission-provisional-load", "admission", "internal/admission/add.go", "if q.waitsProvisionally(e, onTimePart, competitors(levelOf(r.Priority, e.rank))) {", "if false {", admissionLoadTests},
 	{"admission-provisional-arrivals", "admission", "internal/admission/add.go", "\t\tq.use(&r, l)\n\t} else {", "\t\tq.countArrival(&r, l)\n\t} else {", admissionTests},
 	{"admission-provisional-count", "admission", "internal/admission/add.go", "\t\tl.tally.window.at(q.now).provisional++\n", "", admissionTests},
+	{"admission-provisional-count", "admission", "internal/admission/add.go", "\t\tif !replaced && !r.Returning { // as for offered", "\t\tif true {", admissionTests},
 	{"admission-provisional-review", "admission", "internal/admission/expire.go", "if q.waitsProvisionally(e, 1, cached(level)) {", "if false {", admissionTests},
 	{"admission-provisional-bound", "admission", "internal/admission/provisional.go", "float64(wait) <= part*float64(e.OnTimeBy-q.now)", "wait >= 0", admissionTests},
 	{"admission-provisional-patience", "admission", "internal/admission/provisional.go", " && q.now+wait <= e.PatienceEnds", "", admissionTests},
@@ -582,5 +583,7 @@
 	{"limits-faster", "limits", "internal/router/queuegrants.go", " && !r.awaitsFasterEngine(a, w, c)\n", "\n", engineLimitTests},
 	{"limits-faster-bound", "limits", "internal/router/fasterengines.go", "r.now-w.since >= maxFasterEngineWait || ", "", engineLimitTests},
 	{"limits-faster-none", "limits", "internal/router/fasterengines.go", " || r.now > a.OnTimeBy {", " {", engineLimitTests},
+	{"limits-faster-patience", "limits", "internal/router/fasterengines.go", " || a.PatienceEnds-w.since <= maxFasterEngineWait", "", engineLimitTests},
+	{"limits-faster-place", "limits", "internal/router/fasterengines.go", "return s.queue.HasPlace(r.now, *a)", "return true", engineLimitTests},
 	{"limits-report", "limits", "internal/router/slotgrants.go", "\t\tr.observePace(b, interval, int(min(rep.Events, maxEvents)))\n", "", engineLoadTests},
 }
