--- a/internal/router/fasterengines.go
+++ b/internal/router/fasterengines.go
@@ -18,7 +18,8 @@
 	if !r.opt.Balancing.LearnedLimits || w.q.Route.Kind != routing.Streaming {
 		return false
 	}
-	if r.now-w.since >= maxFasterEngineWait || a.PatienceEnds-w.since <= maxFasterEngineWait || r.now > a.OnTimeBy {
+	// A free slot is compared with the waiting requests again within misfitInterval.
+	if r.now-w.since >= maxFasterEngineWait-misfitInterval || a.PatienceEnds-w.since <= maxFasterEngineWait || r.now > a.OnTimeBy {
 		return false
 	}
 	return r.now+c.basis.Wait > a.OnTimeBy+r.expectedPrefill(w.q)
--- a/internal/router/fasterengines_test.go
+++ b/internal/router/fasterengines_test.go
@@ -102,3 +102,19 @@
 	require.False(t, has(f.refuses, id))
 	require.Equal(t, "e001", f.sent[id].Backend.ID)
 }
+
+// Guards against a slot that stays idle for longer than maxFasterEngineWait, as free slots that suit no waiting request are compared
+// with them only from time to time.
+func TestSlotIsKeptForAFasterEngineNoLonger(t *testing.T) {
+	t.Parallel()
+	for offset := time.Duration(0); offset < misfitInterval; offset += 2 * time.Millisecond {
+		f, atSlow := newUnevenFleet(t, withQueues)
+		f.finish(atSlow[0])
+		f.run(offset, 0)
+		id := f.submitTo(f.hosts[0], func(s *Submit) { s.PromptTok = 10_000 })
+		begun := f.now
+		f.run(2*maxFasterEngineWait, 0)
+		require.Equal(t, "e001", f.sent[id].Backend.ID)
+		require.LessOrEqual(t, f.settled[id]-begun, maxFasterEngineWait, "offset %s", offset)
+	}
+}
