--- a/internal/router/fasterengines_test.go
+++ b/internal/router/fasterengines_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -29,26 +30,14 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			f := newQueueFleet(t, 1, 1, 2)
-			h := f.hosts[0]
-			f.fill()
-			f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: withQueues, Balancing: c.balancing})
-			at := map[string]uint64{}
-			for id, d := range f.sent {
-				at[d.Backend.ID] = id
-			}
-			h.r.backends["e000"].prefillPerToken, h.r.backends["e001"].prefillPerToken = 30*time.Microsecond, 150*time.Microsecond
-			h.r.serviceState("m").prefillPerToken = 30 * time.Microsecond
-			for h.r.waiting() > 0 { // those that fill has queued
-				f.run(zoneStep, 0)
-			}
-			id := f.submitTo(h, func(s *Submit) { s.PromptTok = c.prompt })
+			f, at := newUnevenFleet(t, withQueues, c.balancing)
+			id := f.submitTo(f.hosts[0], func(s *Submit) { s.PromptTok = c.prompt })
 			begun := f.now
 			require.False(t, has(f.sent, id), "all engines are full")
-			f.finish(at["e001"])
+			f.finish(at["e001"][0])
 			if c.frees {
 				f.run(30*time.Millisecond, 0)
-				f.finish(at["e000"])
+				f.finish(at["e000"][0])
 			}
 			f.run(time.Second, 0)
 			require.Equal(t, c.want, f.sent[id].Backend.ID)
@@ -57,31 +46,28 @@
 	}
 }
 
-// newUnevenFleet starts a fleet of a host, a fast engine e000 and a slow one e001, both full, and returns the requests at e001.
-func newUnevenFleet(t *testing.T, admission AdmissionSettings) (f *queueFleet, atSlow []uint64) {
-	f = newQueueFleet(t, 1, 1, 2)
+// newUnevenFleet starts a fleet of a host, a fast engine e000 and a slow one e001, both full, and returns the requests at each.
+func newUnevenFleet(t *testing.T, admission AdmissionSettings, balancing BalancingSettings) (f *queueFleet, at map[string][]uint64) {
+	f, at = newQueueFleet(t, 1, 1, 2), map[string][]uint64{}
 	h := f.hosts[0]
 	f.fill()
-	f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: learnedLimits})
+	f.post(h, SettingsChanged{Seeds: h.r.opt.Seeds, Bounds: h.r.opt.Bounds, Admission: admission, Balancing: balancing})
 	h.r.backends["e000"].prefillPerToken, h.r.backends["e001"].prefillPerToken = 30*time.Microsecond, 150*time.Microsecond
 	h.r.serviceState("m").prefillPerToken = 30 * time.Microsecond
 	for h.r.waiting() > 0 { // those that fill has queued
 		f.run(zoneStep, 0)
 	}
-	for id, d := range f.sent {
-		if d.Backend.ID == "e001" {
-			atSlow = append(atSlow, id)
-		}
+	for _, id := range slices.Sorted(maps.Keys(f.sent)) {
+		at[f.sent[id].Backend.ID] = append(at[f.sent[id].Backend.ID], id)
 	}
-	slices.Sort(atSlow)
-	return f, atSlow
+	return f, at
 }
 
 // Guards against a request that is refused while a slot is free, as the slot is kept from it and the queue has no place for it.
 func TestNoRequestIsRefusedForAFasterEngine(t *testing.T) {
 	t.Parallel()
-	f, atSlow := newUnevenFleet(t, AdmissionSettings{Enabled: true, MaxRequests: 1})
-	f.finish(atSlow[0])
+	f, at := newUnevenFleet(t, AdmissionSettings{Enabled: true, MaxRequests: 1}, learnedLimits)
+	f.finish(at["e001"][0])
 	long := func(s *Submit) { s.PromptTok = 10_000 }
 	first, second := f.submitTo(f.hosts[0], long), f.submitTo(f.hosts[0], long)
 	require.False(t, has(f.sent, first), "waits for the fast engine")
@@ -92,8 +78,8 @@
 // Guards against a request whose patience ends while a free slot is kept from it.
 func TestShortPatienceDoesNotWaitForAFasterEngine(t *testing.T) {
 	t.Parallel()
-	f, atSlow := newUnevenFleet(t, withQueues)
-	f.finish(atSlow[0])
+	f, at := newUnevenFleet(t, withQueues, learnedLimits)
+	f.finish(at["e001"][0])
 	id := f.submitTo(f.hosts[0], func(s *Submit) {
 		s.PromptTok, s.OutputTok = 10_000, 0
 		s.Deadline = f.now - f.hosts[0].startedAt + patienceDivisor*(maxFasterEngineWait-answerMargin)
@@ -108,8 +94,8 @@
 func TestSlotIsKeptForAFasterEngineNoLonger(t *testing.T) {
 	t.Parallel()
 	for offset := time.Duration(0); offset < misfitInterval; offset += 2 * time.Millisecond {
-		f, atSlow := newUnevenFleet(t, withQueues)
-		f.finish(atSlow[0])
+		f, at := newUnevenFleet(t, withQueues, learnedLimits)
+		f.finish(at["e001"][0])
 		f.run(offset, 0)
 		id := f.submitTo(f.hosts[0], func(s *Submit) { s.PromptTok = 10_000 })
 		begun := f.now
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -479,7 +479,7 @@
 	{"admission-provisional-load", "admission", "internal/admission/add.go", "if q.waitsProvisionally(e, onTimePart, competitors(levelOf(r.Priority, e.rank))) {", "if false {", admissionLoadTests},
 	{"admission-provisional-arrivals", "admission", "internal/admission/add.go", "\t\tq.use(&r, l)\n\t} else {", "\t\tq.countArrival(&r, l)\n\t} else {", admissionTests},
 	{"admission-provisional-count", "admission", "internal/admission/add.go", "\t\tl.tally.window.at(q.now).provisional++\n", "", admissionTests},
-	{"admission-provisional-count", "admission", "internal/admission/add.go", "\t\tif !replaced && !r.Returning { // as for offered", "\t\tif true {", admissionTests},
+	{"admission-provisional-once", "admission", "internal/admission/add.go", "\t\tif !replaced && !r.Returning { // as for offered", "\t\tif true {", admissionTests},
 	{"admission-provisional-review", "admission", "internal/admission/expire.go", "if q.waitsProvisionally(e, 1, cached(level)) {", "if false {", admissionTests},
 	{"admission-provisional-bound", "admission", "internal/admission/provisional.go", "float64(wait) <= part*float64(e.OnTimeBy-q.now)", "wait >= 0", admissionTests},
 	{"admission-provisional-patience", "admission", "internal/admission/provisional.go", " && q.now+wait <= e.PatienceEnds", "", admissionTests},
