Router: only a slow prefill keeps a slot for a faster engine

The whole predicted wait was compared with the target latency; it has the event interval, which another host can report falsely, and the queue at the engine, so that slots stayed idle and the engines' occupancy moved to numbers that are rarely observed. Only the prefill of the prompts there counts now.

--- a/internal/router/fasterengines.go
+++ b/internal/router/fasterengines.go
@@ -22,7 +22,9 @@
 	if r.now-w.since >= maxFasterEngineWait-misfitInterval || a.PatienceEnds-w.since <= maxFasterEngineWait || r.now > a.OnTimeBy {
 		return false
 	}
-	return r.now+c.basis.Wait > a.OnTimeBy+r.expectedPrefill(w.q)
+	s := r.newSelector(w.q, scopeOwned)
+	prefill := time.Duration(c.backend.prefillBacklog(r.now)+w.q.PromptTok) * s.prefillPerToken(c.backend)
+	return r.now+prefill > a.OnTimeBy+r.expectedPrefill(w.q)
 }
 
 // newAwaitsFasterEngine is awaitsFasterEngine for a request that does not wait yet. One that the queue would refuse takes the slot.
