--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -60,7 +60,8 @@
 	reserved *reservation
 	left     []*backend
 	// slotCall is the open slot request and fullOwners are the owners not to ask again: they had no usable slot,
-	// or did not reply from another zone. decideLocally is set if an owner in this zone did not reply. owner granted the slot; it is empty if this host chose the backend server.
+	// or did not reply from another zone. decideLocally is set if an owner in this zone did not reply. owner granted the slot; it is
+	// empty if this host chose the backend server.
 	slotCall      *slotRequest
 	fullOwners    []string
 	decideLocally bool
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -1,21 +1,24 @@
-// Package router is the state machine of one host, a reducer: events go in, effects come out as data. It does no I/O,
-// reads no clock, starts no goroutine and makes no unseeded choice. In a small fleet without admission queues each host decides locally where its
-// requests go, from the loads that hosts report in heartbeats, and exchanges no message per request, except to borrow a slot
-// at a brittle backend server. In a large fleet, and in any fleet with admission queues, a host requests a slot from the host that owns the backend server, and
-// decides locally if the owner does not reply.
+// Package router is the state machine of one host, a reducer: events go in, effects come out as data. It does no I/O, reads no clock,
+// starts no goroutine and makes no unseeded choice. In a small fleet without admission queues each host decides locally where its
+// requests go, from the loads that hosts report in heartbeats, and exchanges no message per request, except to borrow a slot at a
+// brittle backend server. In a large fleet, and in any fleet with admission queues, a host requests a slot from the host that owns the
+// backend server, and decides locally if the owner does not reply.
 //
-// Each file covers one concern: members (other hosts), updates (configuration and backend servers, from the store or
-// a peer), registrations and backends (state of each backend server), zones (summaries between availability zones),
-// peers (peer exchange), reading (which hosts read the store), heartbeats, requests (life cycle of a request), moves (from a silent
-// backend server to another one), select
-// (choice of a backend server), predict and speed (expected wait, learned speeds), owners (which host owns which
-// backend server), ownercalls (calls to owners), slotrequests and slotgrants (slot requests and their answers),
-// relays (calls through other hosts), origins, originqueries and versions (which software version began a stream), eligibility (whether a backend server may
-// get a request at all), quotas (quota owners), admission and queuegrants (requests that wait for this host's backend servers, and who is granted a slot), queuedcalls and
-// queuechoice (requests of this host that wait at owners, and at which), backlogs (reports of queues), demand (what callers ask of each zone) and spills (requests that go to another zone before their own is full), patience (how long a request may wait), statements (limits that backend servers state), senders (which hosts
-// share the rate of a backend server), suspects and quarantine (requests that crash backend servers), enginelimits (limits by the learned pace of engines), and cold, ratelimits, brittle,
-// failing, evacuations, regions and announcements (reasons to send a backend server few requests or none). Files reach,
-// reachprobes and refusals find out whether this host is cut off from backend servers that others reach.
+// Each file covers one concern:
+//   - members, peers, heartbeats, zones: other hosts, and summaries between availability zones
+//   - updates, pulls, reading, registrations, backends, lapses: the configuration and the backend servers, from the store or a peer
+//   - requests, moves: the life cycle of a request, also at a second backend server
+//   - select, predict, speed, enginelimits: choice of a backend server by expected wait, learned speeds and limits
+//   - owners, ownercalls, slotrequests, slotgrants, backlogs: which host owns which backend server, and calls to it
+//   - admission, queuegrants, fasterengines: requests that wait for this host's backend servers, and who is granted a slot
+//   - queuedcalls, queuechoice, patience: requests of this host that wait at owners, at which, and for how long
+//   - demand, spills: what callers ask of each zone, and requests that go to another zone before their own is full
+//   - origins, originqueries, versions: which software version began a stream
+//   - quotas, senders, statements: rates and quotas that hosts share
+//   - eligibility, cold, ratelimits, brittle, failing, evacuations, regions, announcements: reasons to send a backend server few
+//     requests or none
+//   - suspects, quarantine: requests that crash backend servers
+//   - reach, reachprobes, refusals, relays: whether this host is cut off from backend servers that others reach, and calls through them
 package router
 
 import (
