--- a/internal/admission/rate_test.go
+++ b/internal/admission/rate_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against waiting requests that are all refused before the first slot can become free: while nothing is granted because every
-// answer takes a second, the measured capacity fell to a fraction and predicted waits grew beyond every patience.
+// answer takes a second, the measured capacity must not fall.
 func TestCapacityHoldsUntilTheFirstSlotIsFree(t *testing.T) {
 	const slots, service = 5, time.Second
 	q := New(Config{MaxRequests: 64})
--- a/internal/pace/limit.go
+++ b/internal/pace/limit.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// workTolerance is the relative decrease of the work per second that is not told apart from errors of the estimates. With a tenth,
-	// engines that are slower for parts of a second lose slots that they could use.
+	// workTolerance is the relative decrease of the work per second that is attributed to errors of the estimates. A smaller one
+	// limits engines that are only slower for parts of a second, and leaves slots unused.
 	workTolerance = 0.15
 )
 
