--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -29,8 +29,10 @@
 // execution is a request that an engine has run.
 type execution struct {
 	id, method, target string
-	bytes              int
-	sum                string
+	// path and host are what an HTTP server takes the target for.
+	path, host string
+	bytes      int
+	sum        string
 }
 
 const (
@@ -93,7 +95,7 @@
 		e.record.printf("server %s: %s shed, not run (503), %d bytes read", e.id, id, n)
 		return e.reply(c, "503 Service Unavailable", id, notExecuted, "")
 	}
-	run := execution{id: id, method: r.Method, target: r.RequestURI, bytes: int(n), sum: hex.EncodeToString(h.Sum(nil))}
+	run := execution{id: id, method: r.Method, target: r.RequestURI, path: r.URL.Path, host: r.Host, bytes: int(n), sum: hex.EncodeToString(h.Sum(nil))}
 	e.mu.Lock()
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
