--- a/review/bed/engine.go
+++ b/review/bed/engine.go
@@ -10,12 +10,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
-// engine is a stand-in of a server of a plain service. It runs a request once it has all of it, and answers 421 if it is not the
-// expected instance.
+// engine is a stand-in of a server of a plain service. It runs a request once it has all of it, stops at the request's deadline, and
+// answers 421 if it is not the expected instance.
 type engine struct {
 	id, service string
 	listener    net.Listener
@@ -100,8 +101,22 @@
 	e.runs = append(e.runs, run)
 	e.mu.Unlock()
 	e.record.printf("server %s: runs %s %s %s, body of %d bytes, sha256 %.16s", e.id, id, r.Method, r.RequestURI, run.bytes, run.sum)
+	stamp := "X-Fireflyshift-Server-Stamp: " + e.id + ".stamp\r\n"
+	if left := timeLeft(r); left < e.work {
+		time.Sleep(left)
+		return e.reply(c, "504 Gateway Timeout", id, stamp, "")
+	}
 	time.Sleep(e.work)
-	return e.reply(c, "200 OK", id, "X-Fireflyshift-Server-Stamp: "+e.id+".stamp\r\n", "answer to "+id)
+	return e.reply(c, "200 OK", id, stamp, "answer to "+id)
+}
+
+// timeLeft is how long the caller of a request waits.
+func timeLeft(r *http.Request) time.Duration {
+	ms, err := strconv.Atoi(r.Header.Get("X-Fireflyshift-Deadline-Ms"))
+	if err != nil {
+		return time.Hour
+	}
+	return time.Duration(ms) * time.Millisecond
 }
 
 func (e *engine) shedsNow() bool {
