--- a/review/bed/longbody.go
+++ b/review/bed/longbody.go
@@ -21,7 +21,7 @@
 	fileWork     = 15 * time.Millisecond
 	fileBody     = 1 << 20 // a quarter of max-body-bytes
 	fileDeadline = 4 * time.Second
-	fileClients  = 4
+	fileClients  = 8
 	// One of seven servers sheds two of five requests, for six and a half seconds.
 	shedShare = 0.4
 	shedFor   = 6500 * time.Millisecond
