--- a/review/bed/broken.go
+++ b/review/bed/broken.go
@@ -27,7 +27,7 @@
 	halfAnswer    = 1000
 	breakAfter    = 3 * time.Millisecond
 	breakShare    = 0.05
-	episodes      = 8
+	episodes      = 12
 	episode       = 5 * time.Second
 	episodePause  = 2 * time.Second
 	earlyDeadline = 4 * time.Second
