Upstream: the end of an answer's bytes counts only after an orderly close

What callers saw: a backend server began an answer without a length before it had read a long body and reset the connection; some callers got a 200 with half of the answer, ended in order.

Cause: the kernel reports a reset to one system call. If the writer of the body gets it, the reader sees a plain end, which is the end of a complete answer without a length.

The new TestResetWhileTheBodyIsWrittenEndsNoAnswer holds the writer back after its error; on the code before, direct and through a relay: reset_test.go:99: An error is expected but got nil.

Why it holds: the connection's state tells the two ends apart, whoever got the report. It is asked below all readers, so heads, plain bodies and streams have it alike.

After: the test passed 50 times in a row with the race detector.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -274,9 +275,9 @@
 const writerTimeout = 20 * time.Millisecond
 
 // broken ends an exchange that has failed and returns its error. The kernel reports an error of a connection only once:
-// if the writer of the body got it, the reader only sees the end of the connection.
+// if the writer of the body got it, the reader only sees the end of the connection, or that the writer has closed it.
 func (x *call) broken(err error) error {
-	if x.writeDone != nil && !x.written && CauseOf(err) == CauseClosed {
+	if x.writeDone != nil && !x.written && (CauseOf(err) == CauseClosed || errors.Is(err, net.ErrClosed)) {
 		select {
 		case writeErr := <-x.writeDone:
 			x.written = writeErr == nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"fireflyshift/internal/socket"
 )
 
 const (
@@ -81,7 +84,7 @@
 	return c.allowance
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. io.EOF means that the server has closed the connection in order.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.limited && c.allowance <= 0 {
 		return 0, ErrTooLong
@@ -90,6 +93,11 @@
 		p = p[:min(len(p), c.allowance)]
 	}
 	n, err := c.readUnlessStalled(p)
+	if err == io.EOF && !socket.PeerClosed(c.Conn) {
+		// The writer of the body got the report of a reset or a timeout. An answer may end with its connection, so this end must
+		// not look like an orderly one.
+		err = io.ErrUnexpectedEOF
+	}
 	c.allowance -= n
 	if n > 0 {
 		c.heardAt = time.Now()
