Own path: the end of an answer's bytes counts only after an orderly close

The calls of the own path had the same fault as those of the platform's path: a reset that the write of the body had reported looked like the end of a complete answer. net/http closes the connection after a failed write, but the reader may have returned before.

TestResetWhileTheBodyIsWrittenEndsNoAnswer in internal/wire failed 5 of 5 times before (reset_test.go:68: An error is expected but got nil) and passed 30 of 30 after.

--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,6 +15,8 @@
 
 	"github.com/gravitational/trace"
 	"golang.org/x/sys/unix"
+
+	"fireflyshift/internal/socket"
 )
 
 const (
@@ -81,6 +83,16 @@
 	refused atomic.Bool
 }
 
+// Read implements io.Reader. io.EOF means that the server has closed the connection in order: after a reset that a write has reported,
+// an answer without a length would otherwise look complete.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF && !socket.PeerClosed(c.Conn) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
 // Write counts, then writes: an unchanged count proves that nothing was sent.
 func (c *countingConn) Write(p []byte) (written int, err error) {
 	for permission := c.permission.Load(); permission != nil && err == nil && written < len(p); {
