Ingress: an aborted answer of HTTP/1.0 is reset

What callers saw: with HTTP/1.0 an answer without a length ends with its connection. An answer that a host aborted, because its backend server broke off or the host ended, closed in order and so looked complete. HTTP/1.1 callers miss the last chunk and notice.

While such a request is served its connection is set to be reset when it is closed, also by the kernel at the end of the process; a complete answer sets it back.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -34,6 +35,8 @@
 	acceptedAt time.Time
 	// idleSince is zero before the first request. It is guarded by the owner's lock.
 	idleSince time.Time
+	// resetOnClose is set while an answer is in progress that only the end of the connection would mark as complete.
+	resetOnClose atomic.Bool
 	// peerClosed is set once the caller has closed its side, or the connection is broken.
 	peerClosed atomic.Bool
 }
@@ -79,10 +82,34 @@
 	return nil
 }
 
+// setResetOnClose makes the connection end with a reset, also at the end of the process.
+func (k *conn) setResetOnClose(on bool) {
+	k.resetOnClose.Store(on)
+	linger := -1 // the default: the kernel closes in order
+	if on {
+		linger = 0
+	}
+	if tcp, ok := k.transport().(*net.TCPConn); ok {
+		_ = tcp.SetLinger(linger) // fails only if the connection is closed
+	}
+}
+
+// transport returns the connection below TLS, if there is any.
+func (k *conn) transport() net.Conn {
+	if secure, ok := k.Conn.(*tls.Conn); ok {
+		return secure.NetConn()
+	}
+	return k.Conn
+}
+
 // Close implements net.Conn. It discards what the caller still sends until the caller has seen the close (RFC 9112,
 // 9.6): closing a connection with unread bytes would reset it, and the last answer would be lost.
 func (k *conn) Close() error {
-	if linger, notice := k.owner.startClosing(k); linger {
+	linger, notice := k.owner.startClosing(k)
+	if k.resetOnClose.Load() {
+		return k.transport().Close()
+	}
+	if linger {
 		k.closeWriteSide(notice)
 		_, _ = io.Copy(io.Discard, k.Conn)
 	}
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -249,7 +249,14 @@
 			reject.ServeHTTP(w, r)
 			return
 		}
+		if k == nil || r.ProtoAtLeast(1, 1) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		// An answer of HTTP/1.0 may end with its connection: one that is aborted must not end in order.
+		k.setResetOnClose(true)
 		next.ServeHTTP(w, r)
+		k.setResetOnClose(false)
 	})
 }
 
