Upstream: a deadline that passes while a connection is made is an error

Cause: Do wrapped the cause of a context that had not ended. The cause is nil, and trace.Wrap of nil is nil: Do returned neither an answer nor an error.

TestTimeThatEndsWhileConnectingIsAnError failed before: call_test.go:76: Expected error with "context deadline exceeded" in chain but got nil.

No other error in the tree is made by wrapping a value that may be nil.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -101,10 +101,9 @@
 	if err != nil {
 		return nil, false, err
 	}
-	// The caller may have gone, or the time run out, while the connection was made.
-	if ctx.Err() != nil || !time.Now().Before(req.Deadline) {
+	if err := endedWhileConnecting(ctx, req.Deadline); err != nil {
 		_ = c.Close()
-		return nil, false, trace.Wrap(context.Cause(ctx), "the request ended before it was sent")
+		return nil, false, trace.Wrap(err, "the request ended before it was sent")
 	}
 	limit := req.silenceLimit(time.Now())
 	_ = c.limitSilence(limit) // the deadline ends the call all the same
@@ -131,6 +130,15 @@
 	return resp, true, nil
 }
 
+// endedWhileConnecting returns why a request is not to be sent any more: its caller has gone, or its time has run out. The deadline is
+// not that of ctx.
+func endedWhileConnecting(ctx context.Context, deadline time.Time) error {
+	if ctx.Err() == nil && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return context.Cause(ctx)
+}
+
 // write sends the request. A long body is written concurrently with reading: a server may answer before it has read all
 // of it, and both sides would otherwise wait for each other.
 func (x *call) write(req *Request) error {
--- a/internal/upstream/call_test.go
+++ b/internal/upstream/call_test.go
@@ -64,3 +64,14 @@
 	require.True(t, refused)
 	require.True(t, ProbeRefused(context.Background(), addr))
 }
+
+// Guards against a call that returns neither an answer nor an error: its time ends while the connection is made.
+func TestTimeThatEndsWhileConnectingIsAnError(t *testing.T) {
+	srv := httptest.NewServer(http.NotFoundHandler())
+	defer srv.Close()
+	resp, sent, err := NewPool(func() {}).Do(context.Background(), srv.Listener.Addr().String(), &Request{Method: http.MethodGet, Target: "/x", Host: "h",
+		Header: http.Header{}, Deadline: time.Now(), IsOwn: func(http.Header) bool { return true }})
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Nil(t, resp)
+	require.False(t, sent)
+}
