Gateway: a request that its handler leaves without an outcome ends at the reducer

Cause: a handler that panicked posted no end of its request. The reducer counted it at its backend server, and told the other hosts so, for as long as the process lived; twelve such requests a server were enough.

run now reports such a request as one whose caller has left, which gives back its place, its grants, its quota charge and its part of the backlog in every state of a request. The counter requests.unfinished and a log line with the id show it.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -46,6 +46,8 @@
 	basis       router.DecisionBasis
 	backend     string
 	attempts    int
+	// finished is set once the reducer has ended the request, or has been told its last outcome.
+	finished bool
 	// mayHaveRun is set once bytes of the request have left this host, also if a backend server states that it has not
 	// run the request: the cautious assumption.
 	mayHaveRun bool
@@ -167,6 +169,7 @@
 	a.parts = quarantine.PartDigests(a.call.PromptParts)
 	a.effects = make(chan router.Effect, effectBuffer)
 	a.g.control.Submit(a.submission(), Caller{a.effects, a.canceler.abort})
+	defer a.endUnfinished()
 	var left <-chan struct{} // set while the request waits in an admission queue
 	for {
 		var next router.Effect
@@ -174,11 +177,13 @@
 		select {
 		case next, open = <-a.effects:
 		case <-left:
+			a.finished = true
 			a.g.control.Post(router.CallerLeft{ID: a.id})
 			a.canceled()
 			return
 		}
 		if !open {
+			a.finished = true
 			return
 		}
 		switch e := next.(type) {
@@ -194,6 +199,7 @@
 			a.logDispatch(e)
 			end := a.dispatch(e)
 			end.ID, end.Digest = a.id, a.outcomeDigest(end)
+			a.finished = end.Outcome == router.Answered || end.Outcome == router.Canceled
 			a.g.control.Post(end)
 			if end.Outcome == router.Answered {
 				a.logEnd(answered, 0)
@@ -204,17 +210,30 @@
 				return
 			}
 		case router.Refuse:
+			a.finished = true
 			a.basis = e.Basis
 			a.refusedByQueue(e)
 			a.refuseByCause(e)
 			return
 		case router.GiveUp:
+			a.finished = true
 			a.abandon(e)
 			return
 		}
 	}
 }
 
+// endUnfinished ends a request at the reducer if its handler leaves it without an outcome, as a panic does. Otherwise it would be
+// counted at its backend server for as long as the process runs.
+func (a *activeRequest) endUnfinished() {
+	if a.finished {
+		return
+	}
+	a.g.metrics.Count("requests.unfinished", 1)
+	a.g.log.Error().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Handler left the request without an outcome. Report this with the log.")
+	a.g.control.Post(router.CallerLeft{ID: a.id})
+}
+
 // canceled ends a request whose caller has closed the connection, or whose host ends.
 func (a *activeRequest) canceled() {
 	switch {
