Upstream, own path: a status below 100 is no answer

A server that sends a status line such as HTTP/1.1 099 made net/http panic as the status was written. On the platform's path the caller got a closed connection and the request stayed counted; on the own path the answer is written outside the handler's goroutine, so the panic ended the process. Such an answer now breaks the call: the request may have run.

TestStatusBelowTheValidOnesIsNoAnswer failed before in internal/upstream and internal/wire (An error is expected but got nil).

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -61,6 +61,9 @@
 	err  error
 }
 
+// minStatus is the lowest status of an answer (RFC 9110, 15). net/http reads lower ones and panics when it writes them.
+const minStatus = 100
+
 // maxForeignAnswers bounds how many answers to other requests are skipped on one connection.
 const maxForeignAnswers = 2
 
@@ -207,7 +210,10 @@
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < minStatus {
+			return nil, trace.BadParameter("the server answered with the invalid status %03d", resp.StatusCode)
+		}
+		if resp.StatusCode < 200 {
 			if resp.StatusCode == http.StatusSwitchingProtocols {
 				return nil, trace.BadParameter("the server switched protocols unasked")
 			}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -28,6 +28,8 @@
 	writeBuffer = 16 << 10
 	// maxHeadBytes limits the head of an answer, which is kept in memory.
 	maxHeadBytes = 64 << 10
+	// minStatus is the lowest status of an answer (RFC 9110, 15). net/http reads lower ones and panics when it writes them.
+	minStatus = 100
 )
 
 // NewTransport returns a transport whose connections count the bytes written to them.
@@ -176,6 +178,10 @@
 		},
 	})
 	resp, err = client.Do(req.WithContext(ctx))
+	if err == nil && resp.StatusCode < minStatus {
+		_ = resp.Body.Close()
+		return nil, true, trace.BadParameter("the server answered with the invalid status %03d", resp.StatusCode)
+	}
 	if err == nil {
 		return resp, true, nil
 	}
