Soak: after callers have stopped, no host counts a request

At the end of each run the status of every host has to show no open request and none in flight at any server.

--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,7 +25,9 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"fireflyshift/internal/core"
 	"fireflyshift/internal/gossip/gossippb"
+	"fireflyshift/internal/standin/fleet"
 	"fireflyshift/platform/platformtest"
 )
 
@@ -677,6 +680,26 @@
 	}
 }
 
+// requireNothingCounted requires that hosts without callers hold no request, and count none at a backend server: one that stays
+// counted takes a place for as long as the host runs.
+func (s *soak) requireNothingCounted() {
+	for _, h := range s.hosts {
+		var last string
+		ended := assert.Eventually(s.t, func() bool {
+			_, text, err := fleet.Get("http://" + h.ip + platformtest.ControlPort + "/status")
+			last = text
+			var status core.Status
+			if err != nil || json.Unmarshal([]byte(text), &status) != nil || status.Requests > 0 {
+				return false
+			}
+			return !slices.ContainsFunc(status.Backends, func(b core.BackendStatus) bool { return b.Own > 0 || b.Others > 0 })
+		}, waitTimeout, 100*time.Millisecond, "host %s counts requests though no caller waits", h.ip)
+		if !ended {
+			s.t.Fatalf("status of %s: %s", h.ip, last)
+		}
+	}
+}
+
 func runSoak(t *testing.T, seed uint64, duration time.Duration, step func(*soak)) {
 	runSoakOn(newSoak(t, seed), seed, duration, step, (*soak).call)
 }
@@ -712,6 +735,7 @@
 	s.endFaults()
 	close(stop)
 	callers.Wait()
+	s.requireNothingCounted()
 	s.checkInvariants()
 	for _, f := range s.failures {
 		t.Errorf("seed %d: %s", seed, f)
