Router: a request whose body is spent is not sent again

With a length the caller got a 504 at once, which hides that nothing was run, and the second server was blamed for "ContentLength=1048576 with Body length 524288".

Cause: the part of a body that a host does not keep can be read once. Only a call that broke off was kept from being repeated; a rejection, another server at the address, a failure of a repeatable request and an unsigned answer were not.

The end of a dispatch now says that the body is spent, and the reducer decides by it: not run is a 503, body_not_kept, with a Retry-After; a failure is passed on. It holds for each outcome, as the reducer has no other way to a second dispatch: the test over all short histories of a request has these ends now.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -67,6 +67,7 @@
 	string(router.NoBackend):          "no backend server of this service can be reached; come back later",
 	string(router.OriginUnknown):      "no host knows which software version began this stream; begin it again without Last-Event-Id",
 	string(router.NoBackendOfVersion): "no backend server of the software version that began this stream takes requests; begin it again without Last-Event-Id",
+	string(router.BodyNotKept):        "the body is too long to be kept for another backend server; come back after the time in Retry-After",
 	string(router.ShutDown):           "this host is shutting down; send the request again on a new connection",
 	string(router.OutOfTime):          "allow more time",
 	string(router.Quarantined):        "backend servers have ended each time they ran this request; change it, or ask the operator",
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -38,7 +38,8 @@
 	allowed          time.Duration // from startedAt until the request is abandoned
 	deadline         time.Time
 	body             []byte
-	bodyRest         *trackedBody
+	// bodyRest is what follows body, and can be read once. nil if there is nothing.
+	bodyRest *trackedBody
 	// headWritten is set once the caller has a status; lastEvent is the last event that the caller has.
 	headWritten bool
 	lastEvent   int64
@@ -325,11 +326,15 @@
 	sentAt := time.Now()
 	resp, sent, err := a.g.pool.Do(ctx, d.Backend.Addr, a.request(d))
 	a.mayHaveRun = a.mayHaveRun || sent
+	bodySpent := a.bodyRest != nil && sent
 	if err != nil {
-		return a.classifyFailure(sent, err)
+		end := a.classifyFailure(sent, err)
+		end.BodySpent = bodySpent
+		return end
 	}
 	defer resp.Close()
 	end := a.relay(d, resp, sentAt)
+	end.BodySpent = bodySpent
 	if end.Outcome == router.Answered && isSuccess(resp.Status) {
 		end.Success, end.EndedWithConnection = !resp.EndsWithConnection, resp.EndsWithConnection
 	}
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -98,6 +98,8 @@
 	Fault bool
 	// RelayFault is set if the relay of the dispatch did not serve, which tells nothing of the backend server.
 	RelayFault bool
+	// BodySpent is set if a part of the body that the gateway does not keep may have been sent: the request cannot be sent again.
+	BodySpent bool
 	// Success is set if the answer was a complete success, EndedWithConnection if it was one as far as can be seen: it had no
 	// other end than that of its connection, which a server that crashes ends too.
 	Success, EndedWithConnection bool
@@ -375,6 +377,8 @@
 	OriginUnknown Cause = "stream_origin_unknown"
 	// NoBackendOfVersion: no backend server of the version that began the stream may be used.
 	NoBackendOfVersion Cause = "no_backend_of_version"
+	// BodyNotKept: the backend server has not run the request, whose body is too long to be sent to another one.
+	BodyNotKept Cause = "body_not_kept"
 	// BackendsRateLimited: what the service's backend servers accept according to their answers is used up.
 	BackendsRateLimited Cause = "backends_rate_limited"
 )
--- a/internal/router/exhaustive_test.go
+++ b/internal/router/exhaustive_test.go
@@ -19,6 +19,8 @@
 	answered bool
 	inFlight bool
 	sends    int
+	// bodySpent is set once a part of the body that is not kept may have been sent.
+	bodySpent bool
 }
 
 // verify checks the effects of one event.
@@ -28,6 +30,7 @@
 		case Dispatch:
 			require.False(l.b.t, l.answered || l.inFlight, "%s: dispatched though answered or under way", path)
 			require.False(l.b.t, l.mayRun > 0 && !l.route.Repeatable(), "%s: runs again", path)
+			require.False(l.b.t, l.bodySpent, "%s: sent again without its body", path)
 			l.inFlight = true
 			l.sends++
 			l.runs++
@@ -53,6 +56,9 @@
 		if o == Broken {
 			out = append(out, DispatchEnded{Outcome: o, Delivered: true}, DispatchEnded{Outcome: o, Delivered: true, Fault: true})
 		}
+		if o != NotSent {
+			out = append(out, DispatchEnded{Outcome: o, BodySpent: true})
+		}
 	}
 	return out
 }
@@ -66,11 +72,12 @@
 func steps() []step {
 	var out []step
 	for _, end := range allDispatchEnds() {
-		out = append(out, step{fmt.Sprintf("%d,%t,%t", end.Outcome, end.Delivered, end.Fault), func(l *lifecycle) []Effect {
+		out = append(out, step{fmt.Sprintf("%d,%t,%t,%t", end.Outcome, end.Delivered, end.Fault, end.BodySpent), func(l *lifecycle) []Effect {
 			if !l.inFlight {
 				return nil
 			}
 			l.inFlight = false
+			l.bodySpent = end.BodySpent
 			switch end.Outcome {
 			case NotSent, Rejected, WrongInstance:
 				l.mayRun--
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -347,6 +347,10 @@
 	case NotSent, Rejected, WrongInstance:
 		q.ran = q.runs > 1
 		q.runs--
+		if e.BodySpent {
+			r.endUnrepeatable(q)
+			return
+		}
 		r.redispatch(q, e)
 	default:
 		r.retry(q, e)
@@ -422,11 +426,22 @@
 	r.dispatch(q)
 }
 
+// endUnrepeatable ends a request that its backend server has not run and that cannot be sent to another one, as its body is gone. Its
+// caller has the body and may return.
+func (r *Router) endUnrepeatable(q *request) {
+	r.finish(q)
+	if q.ran {
+		r.emit(GiveUp{ID: q.ID, Cause: BodyNotKept, DeliverFailure: true})
+		return
+	}
+	r.emit(Refuse{ID: q.ID, Cause: BodyNotKept, RetryAfter: r.retryAfter(q), Basis: r.basis()})
+}
+
 // retry runs a request again if its kind, its route's limit and the retry budget allow it.
 func (r *Router) retry(q *request, e DispatchEnded) {
 	q.tried = append(q.tried, q.backend.ID)
 	allowed := q.Route.Repeatable() && q.runs < q.Route.MaxAttempts && r.now < q.Deadline
-	if e.Delivered && q.Route.Kind != routing.Streaming {
+	if e.BodySpent || (e.Delivered && q.Route.Kind != routing.Streaming) {
 		allowed = false
 	}
 	if allowed && (q.retryPaid || r.retryBudget(q.service).Spend(r.now, r.hostCount())) {
