Gateway: an early answer leaves the rest of a long body alone

What callers saw: an answer that a backend server gave before it had read a long body waited until the caller sent more, at worst until its deadline (6 s in the test).

Cause: before net/http writes an answer it reads up to 256 KiB of the request's body and discards them. The same bytes were missing in the body that the backend server went on to read.

The connection of a request whose body is passed through is full duplex now, so net/http leaves the body to the gateway.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -141,6 +141,8 @@
 	a.body = body
 	if len(body) == maxBufferedBody {
 		a.bodyRest = &trackedBody{src: a.r.Body}
+		// Otherwise net/http discards a part of the body before it writes an answer, which a backend server may begin early.
+		_ = rc.EnableFullDuplex() // HTTP/1 only; others need no permission
 		return true
 	}
 	// A read deadline left in place would also end net/http's detection that the caller has closed the connection.
