Upstream: a target that begins with two slashes is sent unchanged

Cause: the target is handed to net/http as an opaque URL. net/http writes it unchanged unless it begins with two slashes; then it writes the scheme in front, which makes it an absolute URL.

The request line is written without that scheme.

--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -160,7 +160,7 @@
 	}
 	if req.Rest == nil && len(req.Body) <= maxInlineBody {
 		var buf bytes.Buffer
-		if err := hr.Write(&buf); err != nil {
+		if err := hr.Write(targetWriter(&buf, req)); err != nil {
 			return trace.Wrap(err)
 		}
 		_, err := x.conn.Write(buf.Bytes())
@@ -170,7 +170,7 @@
 	x.writeDone = make(chan error, 1)
 	go func() {
 		w := &errorKeeper{Writer: x.conn}
-		err := hr.Write(w)
+		err := hr.Write(targetWriter(w, req))
 		if err != nil {
 			// A partial request is never run, so waiting for its answer is pointless.
 			_ = x.conn.Close()
