Callers' servers: no general answer to OPTIONS *

net/http answers "OPTIONS *" itself with an empty 200, before any handler: a success that no backend server gave. It is off on both paths; such a request has no route.

TestTargetsOfOtherFormsAreRefused failed before (OPTIONS *: "200" is not greater than or equal to "400") and passes.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -146,7 +146,7 @@
 		MaxAnswerBytes: d.set.Limits.MaxAnswerBytes,
 		BodyTimeout:    d.set.Limits.BodyTimeout,
 	}, d.control, d.tracing, d.metrics, telemetry.ComponentLogger(log, "edge"))
-	d.callers = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+	d.callers = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
 		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
 	d.connections.Guard(d.callers, http.HandlerFunc(d.edge.RejectShutdown))
 	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -155,7 +155,8 @@
 	}
 	n.gateway = gateway.New(n.control, deps.HeaderCodec, n.pool, telemetry.ComponentLogger(n.root, "gateway"), n.metrics)
 	n.callers = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
-		ErrorLog: stdlog.New(httpErrorLog{n.log}, "", 0)}
+		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" in place of a backend server
+		ErrorLog:                     stdlog.New(httpErrorLog{n.log}, "", 0)}
 	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.RejectShutdown))
 	if err := n.listen(g, n.callers, n.set.Callers, upstream.SetCallerSilence, n.connections.Listener); err != nil {
 		return err
