Own path: plain services get the target as the caller sent it

What callers saw: /services/git/a%2Fb was run as /a/b, and a path with two slashes or dots was answered with a redirect to another path.

Cause: the target for the service was built anew from the decoded path, and ServeMux cleans paths before it matches them.

The server splits the target at the service's name itself and passes the rest on unchanged. TestPlainServicesGetTheTargetUnchanged (16 targets, real process) failed before (expected "/a%2Fb", actual "/a/b") and passes.

--- a/internal/edge/plain.go
+++ b/internal/edge/plain.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -21,7 +22,7 @@
 
 // servePlain serves /services/NAME/... for plain services.
 func (s *Server) servePlain(w http.ResponseWriter, c *call) *fault.Error {
-	name := c.PathValue("service")
+	name := c.PathValue(pathService)
 	sub, f := s.submission(c, name)
 	if f != nil {
 		return f
@@ -72,14 +73,11 @@
 }
 
 func (p *plainAttempt) request(ctx context.Context, addr string) (*http.Request, error) {
-	u := *p.call.URL
-	u.Scheme, u.Host = "http", addr
-	u.Path = "/" + p.call.PathValue("path")
-	u.RawPath = ""
-	req, err := http.NewRequestWithContext(ctx, p.call.Method, u.String(), bytes.NewReader(p.body))
+	req, err := http.NewRequestWithContext(ctx, p.call.Method, "http://"+addr, bytes.NewReader(p.body))
 	if err != nil {
 		return nil, err
 	}
+	req.URL = targetURL(addr, p.call.PathValue(pathTarget))
 	if len(p.body) == 0 {
 		req.Body = nil
 	}
@@ -93,6 +91,48 @@
 	return req, nil
 }
 
+// The path values of a request to a plain service: its name, and the target that the service gets.
+const (
+	pathService = "service"
+	pathTarget  = "target"
+)
+
+// splitTarget returns the plain service that a request is for, and the request target that the service gets: what follows the service's
+// name, as the caller sent it.
+func splitTarget(r *http.Request) (service, target string, ok bool) {
+	raw := r.RequestURI
+	if !strings.HasPrefix(raw, "/") {
+		raw = r.URL.RequestURI() // the caller sent an absolute URL
+	}
+	path, query, hasQuery := strings.Cut(raw, "?")
+	parts := strings.SplitN(path, "/", 4)
+	if len(parts) < 4 || parts[1] != "services" {
+		return "", "", false
+	}
+	service, err := url.PathUnescape(parts[2])
+	if err != nil || service == "" {
+		return "", "", false
+	}
+	target = "/" + parts[3]
+	if hasQuery {
+		target += "?" + query
+	}
+	return service, target, true
+}
+
+// targetURL returns a URL for a request whose target net/http writes unchanged. An opaque one that begins with two slashes would get
+// the scheme in front.
+func targetURL(addr, target string) *url.URL {
+	u := &url.URL{Scheme: "http", Host: addr, Opaque: target}
+	if !strings.HasPrefix(target, "//") {
+		return u
+	}
+	path, query, hasQuery := strings.Cut(target, "?")
+	u.Opaque, u.RawPath, u.RawQuery, u.ForceQuery = "", path, query, hasQuery
+	u.Path, _ = url.PathUnescape(path) // net/http has parsed it before
+	return u
+}
+
 func (p *plainAttempt) classifyFailure(ctx context.Context, d core.Dispatch, sent bool, err error) core.DispatchEnded {
 	switch {
 	case !sent:
--- a/internal/edge/server.go
+++ b/internal/edge/server.go
@@ -74,12 +74,21 @@
 	mux := http.NewServeMux()
 	mux.Handle("POST /v1/chat/completions", s.handler(s.serveChat))
 	mux.Handle("POST /fireflyshift/v1/tickets", s.handler(s.issueTicket))
-	mux.Handle("/services/{service}/{path...}", s.handler(s.servePlain))
+	plain := s.handler(s.servePlain)
 	mux.Handle("/", s.handler(func(http.ResponseWriter, *call) *fault.Error {
 		return fault.New(fault.UnknownService, "no such path; use /v1/chat/completions or /services/NAME/...")
 	}))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		mux.ServeHTTP(closingWriter{w, &s.draining}, r)
+		w = closingWriter{w, &s.draining}
+		service, target, ok := splitTarget(r)
+		if !ok {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		// ServeMux would redirect callers to another path if theirs has two slashes or dots.
+		r.SetPathValue(pathService, service)
+		r.SetPathValue(pathTarget, target)
+		plain.ServeHTTP(w, r)
 	})
 }
 
