Gateway: a head with several ids or signatures belongs to no request

What callers saw: a 200 with the body of another request. A server stopped inside a header's value of its answer, and the bytes of another answer followed on the connection.

Cause: the two heads read as one. An answer counted as the request's own by the first id in its head, while length and body were the other's.

Such a head is now taken for another request's, so the call is broken.

TestResponsesCutInsideTheirHeads failed before ("another response behind after Server-Stamp: /browse/x: not yours"). Cuts with nothing behind them are broken already: shown for every byte of six kinds of answers on a new connection, a kept one, through a relay, while a long body is written, and on the own path.

--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -39,6 +39,8 @@
 // AnswerInfo holds what a backend server states in the headers of its answer.
 type AnswerInfo struct {
 	AttemptID string
+	// Mixed is set if the head names several requests or signatures, as one that broke off and is followed by another answer does.
+	Mixed bool
 	// Signed is set if the answer carries a backend server's signature.
 	Signed bool
 	// NotRun is set if the backend server states that it has not run the request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -412,8 +412,8 @@
 		Method: a.r.Method, Target: a.r.RequestURI, Host: a.r.Host, Header: h,
 		Body: a.body, Length: int64(len(a.body)), Deadline: a.deadline,
 		IsOwn: func(h http.Header) bool {
-			id := a.g.codec.Classify(0, h).AttemptID
-			return id == "" || id == a.call.AttemptID
+			info := a.g.codec.Classify(0, h)
+			return !info.Mixed && (info.AttemptID == "" || info.AttemptID == a.call.AttemptID)
 		},
 	}
 	if a.bodyRest != nil {
