Router: a sole version has to be certain, also for streams without a name

What callers saw: streams that they took up with Last-Event-Id and without the attempt's name were answered 200 and joined of two versions, when all hosts had ended at once and the servers of the old version had left meanwhile.

Causes: such a caller counted as one that knows of no versions, so the only version in view was taken; and a host counted as certain by the age of its process, although a listing after a pause or an outage does not show what came and went.

Certainty now begins with the first listing, or with one after a gap of more than 4 s, and is required of all callers. For those without a name it has to last as long as the time-outs of the service's routes.

TestSoleVersionIsNotAssumedAfterAGapInTheStoresAnswers failed before (expected "stream_origin_unknown"). Two existing tests changed: a caller without a name at a fleet that has just started is refused now, where it was served with the only version in view, which is the fault; and an answer of the store 15 s later is one of a watch, where it was a listing, which is a gap now. Both are as strict.

--- a/internal/router/originqueries.go
+++ b/internal/router/originqueries.go
@@ -87,7 +87,7 @@
 	case forwarded:
 		return // the forwarding host has replied
 	case e.Service != "":
-		reply.Versions, reply.Complete = r.recentVersions(e.Service), r.knowsAllVersions()
+		reply.Versions, reply.Complete = r.recentVersions(e.Service), r.knowsAllVersions(streams.ID(e.Stream), e.Service)
 	}
 	to := from
 	if forwarded {
--- a/internal/router/origins.go
+++ b/internal/router/origins.go
@@ -81,6 +81,9 @@
 	if !r.largeFleet() {
 		return r.reachableHosts()
 	}
+	if id == 0 {
+		return r.storeReaders() // no host holds the origin of a stream without a name
+	}
 	out := append(r.zoneHoldersOf(id, askedZoneHolders), r.remoteHoldersOf(id, askedRemoteHolders)...)
 	// Hosts of other zones report to an owner of this one.
 	if holder := holderAmong(r.localShardOwners(), id); holder != "" && holder != r.opt.Host && !slices.Contains(out, holder) {
@@ -99,6 +102,14 @@
 	return out
 }
 
+// storeReaders returns the other hosts of this zone that read the store, and so may know all versions.
+func (r *Router) storeReaders() []string {
+	return slices.DeleteFunc(slices.Clone(r.zonePeers()), func(h string) bool {
+		m := r.members.byHost[h]
+		return m.unreachable || !m.readsStore
+	})
+}
+
 // zoneHoldersOf returns the first n of this zone's other hosts for a stream, by rendezvous hashing.
 func (r *Router) zoneHoldersOf(id streams.ID, n int) []string {
 	peers := slices.DeleteFunc(slices.Clone(r.zonePeers()), func(h string) bool { return r.members.byHost[h].leaving })
--- a/internal/router/origins_test.go
+++ b/internal/router/origins_test.go
@@ -247,33 +247,85 @@
 		f.list()
 		_, cause := f.attempt(f.hosts[0], named)
 		require.Equal(t, OriginUnknown, cause, "%d hosts", 3*hosts)
-		sent, _ := f.attempt(f.hosts[0], 0)
-		require.Equal(t, "v2", sent.Backend.Version, "a caller that knows of no versions names no stream")
+		_, cause = f.attempt(f.hosts[0], 0)
+		require.Equal(t, OriginUnknown, cause, "%d hosts, a caller that names no stream", 3*hosts)
 
 		f.zone.run(streams.Lifetime, 0)
-		for _, h := range f.hosts {
-			f.post(h, Update{FromStore: true, After: f.listing.AsOf, AsOf: f.listing.AsOf})
-		}
+		f.follow()
 		f.restart(f.hosts[0])
 		f.zone.run(time.Second, 0)
-		sent, cause = f.attempt(f.hosts[0], named)
-		require.Equal(t, BoundBySoleVersion, sent.Binding.Source, "a peer knows all versions: %s", cause)
+		for _, resumes := range []streams.ID{named, 0} {
+			sent, cause := f.attempt(f.hosts[0], resumes)
+			require.Equal(t, BoundBySoleVersion, sent.Binding.Source, "a peer knows all versions: %s", cause)
+		}
+	}
+}
+
+// follow has all hosts get an answer of the store that tells of no change.
+func (f *originFleet) follow() {
+	for _, h := range f.hosts {
+		f.post(h, Update{FromStore: true, After: f.listing.AsOf, AsOf: f.listing.AsOf})
 	}
 }
 
+// Guards against callers that name no stream and are refused for longer than a stream of their route may last.
+func TestUnnamedStreamsGoOnOnceTheyCannotBeOlderThanTheHost(t *testing.T) {
+	t.Parallel()
+	f := newOriginFleet(t, 3, 3, "v2")
+	config := *f.listing.Config
+	config.Version++
+	config.Routes = []routing.Route{*resumable, *resumable, {Name: "plain", Kind: routing.Idempotent, Timeout: 20 * time.Second, Shares: resumable.Shares}}
+	config.Routes[0].Timeout, config.Routes[1].Timeout = 6*time.Second, 9*time.Second
+	f.listing.Config = &config
+	f.list()
+	for f.now < 10*time.Second {
+		for _, resumes := range []streams.ID{0, 77} {
+			sent, cause := f.attempt(f.hosts[1], resumes)
+			if resumes == 0 && f.hosts[1].r.now >= f.hosts[1].r.updates.followedSince+9*time.Second {
+				require.Equal(t, "v2", sent.Backend.Version, "%s", cause)
+				continue
+			}
+			require.Equal(t, OriginUnknown, cause, "after %s", f.now)
+		}
+		f.zone.run(time.Second, 0)
+		f.follow()
+	}
+}
+
+// Guards against a host that was paused or cut off from the store, and takes the only version of its next listing for the only one that
+// has been there meanwhile.
+func TestSoleVersionIsNotAssumedAfterAGapInTheStoresAnswers(t *testing.T) {
+	t.Parallel()
+	f := newOriginFleet(t, 3, 3, "v2")
+	f.zone.run(streams.Lifetime, 0)
+	f.follow()
+	sent, cause := f.attempt(f.hosts[0], 77)
+	require.Equal(t, "v2", sent.Backend.Version, "%s", cause)
+	f.zone.run(streams.Lifetime, 0)
+	f.list()
+	_, cause = f.attempt(f.hosts[0], 77)
+	require.Equal(t, OriginUnknown, cause)
+	for range int(streams.Lifetime / time.Second) {
+		f.zone.run(time.Second, 0)
+		f.list() // short gaps hide nothing
+	}
+	sent, cause = f.attempt(f.hosts[0], 77)
+	require.Equal(t, "v2", sent.Backend.Version, "%s", cause)
+}
+
 // Guards against a stream that goes on at the remaining version shortly after a release has ended.
 func TestVersionThatIsGoneStillCountsForAsLongAsAStream(t *testing.T) {
 	t.Parallel()
 	f := newOriginFleet(t, 3, 3, "v1", "v2")
 	f.register(80, func(i int) string { return []string{"", "v2"}[i%2] })
 	f.zone.run(streams.Lifetime/2, 0)
-	f.list()
+	f.follow()
 	for _, resumes := range []streams.ID{0, 77} {
 		_, cause := f.attempt(f.hosts[0], resumes)
 		require.Equal(t, OriginUnknown, cause)
 	}
 	f.zone.run(streams.Lifetime/2, 0)
-	f.list()
+	f.follow()
 	for _, resumes := range []streams.ID{0, 77} {
 		sent, _ := f.attempt(f.hosts[0], resumes)
 		require.Equal(t, "v2", sent.Backend.Version)
--- a/internal/router/updates.go
+++ b/internal/router/updates.go
@@ -44,6 +44,7 @@
 	listedAt        time.Duration
 	pulledAt        time.Duration // time of the latest pull from any peer
 	storeAnsweredAt time.Duration // time of the latest answer
+	followedSince   time.Duration // since when this host has seen each version that was registered
 	configWithheld  bool          // the configuration has not been activated yet; see activateConfig
 	// source is where the changes that are being merged come from, for logs.
 	source string
@@ -88,8 +89,7 @@
 	r.updates.source = r.sourceOf(n)
 	if n.FromStore {
 		r.handleStoreStatus(true)
-		r.updates.synced = true
-		r.updates.storeAnsweredAt = r.now
+		r.noteStoreRead(n.Full)
 	}
 	if n.Config != nil && n.Config.Version > r.version() {
 		r.applyConfig(n.Config)
