Tests: recorded effects have a second set of digests for arm64

TestEffectsWithoutAdmissionQueuesAreAsBefore failed in every run on arm64: the effects of one host of 8 and of one of 24 differed from the recorded ones.

Cause: math.Exp has other instructions on arm64 and another last bit; spent quota decays by it and appears in the effects with all digits.

--- a/internal/router/recorded_test.go
+++ b/internal/router/recorded_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"reflect"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -301,6 +302,21 @@
 	},
 }
 
+// recordedOnARM64 are the digests of the same commit that differ on arm64, by the host's index: math.Exp, by which spent quota decays,
+// has other instructions there and another last bit.
+var recordedOnARM64 = map[string]map[int]string{"2 zones of 4": {3: "fbfc91d920e22337"}, "3 zones of 8": {14: "fafdb8958b359678"}}
+
+// expectedEffects returns the recorded digests for this architecture.
+func expectedEffects(name string) []string {
+	out := slices.Clone(recordedEffects[name])
+	if runtime.GOARCH == "arm64" {
+		for i, digest := range recordedOnARM64[name] {
+			out[i] = digest
+		}
+	}
+	return out
+}
+
 // Guards against decisions that change where admission queues are not enabled: the same events must have the same effects as
 // before there were any. To find the first difference, set FIREFLYSHIFT_EFFECTS_DIR on both versions and compare the files.
 func TestEffectsWithoutAdmissionQueuesAreAsBefore(t *testing.T) {
@@ -321,7 +337,7 @@
 			}
 			slices.Sort(kinds)
 			t.Log(kinds, r.refused)
-			require.Equal(t, recordedEffects[c.name], r.digests())
+			require.Equal(t, expectedEffects(c.name), r.digests())
 		})
 	}
 }
