--- a/internal/router/versions.go
+++ b/internal/router/versions.go
@@ -9,8 +9,8 @@
 	"fireflyshift/internal/streams"
 )
 
-// maxUnseenGap is how long this host may have read nothing of the store before a listing and still know all versions: a server that has
-// begun streams stays registered for longer, while it drains or until its registration lapses.
+// maxUnseenGap is how long this host may have read nothing of the store before a listing and still know all versions: in a shorter time
+// hardly all servers of a version can register, begin streams, and leave again. A watch without changes is answered sooner.
 const maxUnseenGap = 4 * time.Second
 
 // soleVersion returns the only software version that may have begun a stream, by this host's view and those of the hosts that have
