--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: build demo demo-platform test lint generate
+.PHONY: build demo demo-platform test crowds lint generate
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -13,8 +13,15 @@
 demo-platform: build
 	./$(BIN)/demo $(BIN) --platform
 
+# The tests of crowds measure memory: they run after all others, one at a time and without the race detector.
 test:
-	$(GO) test -race -timeout 60m ./...
+	@status=0; \
+	$(GO) test -race -timeout 60m $$($(GO) list ./... | grep -v /test/crowds) || status=1; \
+	$(MAKE) crowds || status=1; \
+	exit $$status
+
+crowds:
+	$(GO) test -timeout 30m -count=1 ./test/crowds
 
 lint:
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
