Tests: crowds come back, and ordinary requests go on beside them

The tests of crowds asked for one ordinary request beside the crowd, which may come through between two returns of its members. They ask for ten now, over several returns. New: half bodies of requests that are refused by their heads, half heads and half bodies at the ports that are not for callers, and requests whose IDs are as long as a head. Crowds and bounds of the others are as before.

--- a/test/crowds/bed_test.go
+++ b/test/crowds/bed_test.go
@@ -240,12 +240,12 @@
 	memoryKB, unreadKB, descriptors int
 }
 
-func startWatch(pid int, ip string) *watch {
+func startWatch(pid int, addr string) *watch {
 	w := &watch{done: make(chan struct{}), end: make(chan struct{})}
 	go func() {
 		defer close(w.end)
 		for {
-			unread := unreadKB(ip)
+			unread := unreadKB(addr)
 			w.unreadKB = max(w.unreadKB, unread)
 			w.memoryKB = max(w.memoryKB, residentKB(pid, "VmRSS:")+unread, residentKB(pid, "VmHWM:"))
 			if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid)); err == nil {
@@ -291,14 +291,22 @@
 	stateListen                            = "0A"
 )
 
-// unreadKB returns the bytes in KB that the kernel has received on connections to an IP address and that are not read yet.
-func unreadKB(ip string) int {
+// unreadKB returns the bytes in KB that the kernel has received on connections to an IP address, with a port or for all ports, and that are
+// not read yet.
+func unreadKB(addr string) int {
 	data, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return 0
 	}
+	ip, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		ip = addr
+	}
 	a := net.ParseIP(ip).To4()
 	local := fmt.Sprintf("%02X%02X%02X%02X:", a[3], a[2], a[1], a[0])
+	if n, err := strconv.Atoi(port); err == nil {
+		local += fmt.Sprintf("%04X", n)
+	}
 	total := int64(0)
 	for line := range strings.SplitSeq(string(data), "\n") {
 		f := strings.Fields(line)
--- a/test/crowds/bodies_test.go
+++ b/test/crowds/bodies_test.go
@@ -1,9 +1,11 @@
 package crowds
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 )
@@ -73,3 +75,31 @@
 	b := newBed(t, l)
 	b.endure(60, false, b.bodyShortOfItsEnd(600_000, 64<<10))
 }
+
+// Guards against logs and histories that keep what callers send in their heads.
+func TestLongIDsAreNotKept(t *testing.T) {
+	l := defaultLimits()
+	l.memoryMB = 48
+	b := newBed(t, l)
+	const callers, requests = 4, 1000
+	c := b.gather(b.callers(), callers, false, func(i int, c net.Conn) error {
+		r := bufio.NewReader(c)
+		for k := range requests {
+			id := fmt.Sprintf("%d-%d-%s", i, k, strings.Repeat("x", 15_000))
+			text := "POST /check/x HTTP/1.1\r\nHost: " + domain + "\r\nX-Fireflyshift-Attempt-Id: " + id + "\r\nX-Fireflyshift-Credential: " + key + "\r\nContent-Length: 0\r\n\r\n"
+			if _, err := io.WriteString(c, text); err != nil {
+				return err
+			}
+			resp, err := http.ReadResponse(r, nil)
+			if err != nil {
+				return err
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+		}
+		return nil
+	})
+	c.awaitSent(waitTimeout)
+	c.leave()
+	b.requireServes("afterwards")
+	b.requireWithinLimits()
+}
--- a/test/crowds/connections_test.go
+++ b/test/crowds/connections_test.go
@@ -25,6 +25,11 @@
 		"idle":        func(*bed) sender { return sends(nothing) },
 		"half a head": func(b *bed) sender { return sends(func() string { return b.head("h: x") }) },
 		"half a body": func(b *bed) sender { return sends(func() string { return b.head("Content-Length: 100", "", "half") }) },
+		"half a body of a request that is refused": func(b *bed) sender {
+			return sends(func() string {
+				return strings.Replace(b.head("Content-Length: 100", "", "half"), "/browse/", "/nothing/", 1)
+			})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := defaultLimits()
@@ -34,7 +39,7 @@
 			c := b.gather(b.callers(), connectionCrowd, true, send(b))
 			c.awaitSent(settle)
 			b.eventually("the readiness probe is answered", func() bool { return probe(b.host()) })
-			b.requireServes("while the crowd stays")
+			b.requireServesBeside()
 			c.leave()
 			b.requireServes("after the crowd has gone")
 			b.requireWithinLimits()
@@ -64,7 +69,7 @@
 			c := b.gather(b.host()+port, 100, true, sends(func() string { return "GET /api/readyz HTTP/1.1\r\nHost: x\r\nh: " + strings.Repeat("x", 1000<<10) }))
 			c.awaitSent(settle)
 			b.eventually("the readiness probe is answered", func() bool { return probe(b.host()) })
-			b.requireServes("while the crowd stays")
+			b.requireServesBeside()
 			c.leave()
 			b.requireServes("after the crowd has gone")
 			b.requireWithinLimits()
@@ -74,19 +79,22 @@
 
 // Guards against connections at the ports that are not for callers, which take all descriptors.
 func TestCrowdOfConnectionsAtOtherPorts(t *testing.T) {
+	const head = "POST /api/readyz HTTP/1.1\r\nHost: x\r\n"
 	for name, port := range otherPorts {
-		t.Run(name, func(t *testing.T) {
-			l := defaultLimits()
-			l.descriptors = fewDescriptors
-			b := newBed(t, l)
-			c := b.gather(b.host()+port, connectionCrowd, true, sends(nothing))
-			c.awaitSent(settle)
-			b.eventually("the readiness probe is answered", func() bool { return probe(b.host()) })
-			b.requireServes("while the crowd stays")
-			c.leave()
-			b.requireServes("after the crowd has gone")
-			b.requireWithinLimits()
-		})
+		for sent, text := range map[string]string{"nothing": "", "half a head": head, "half a body": head + "Content-Length: 100\r\n\r\nhalf"} {
+			t.Run(name+", "+sent, func(t *testing.T) {
+				l := defaultLimits()
+				l.descriptors = fewDescriptors
+				b := newBed(t, l)
+				c := b.gather(b.host()+port, connectionCrowd, true, sends(func() string { return text }))
+				c.awaitSent(settle)
+				b.eventually("the readiness probe is answered", func() bool { return probe(b.host()) })
+				b.requireServesBeside()
+				c.leave()
+				b.requireServes("after the crowd has gone")
+				b.requireWithinLimits()
+			})
+		}
 	}
 }
 
--- a/test/crowds/crowd_test.go
+++ b/test/crowds/crowd_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"strings"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -33,6 +34,10 @@
 
 // gather starts a crowd. With comesBack, a member whose connection the host has closed opens another one.
 func (b *bed) gather(addr string, size int, comesBack bool, send sender) *crowd {
+	return gatherAt(b.t, addr, size, comesBack, send)
+}
+
+func gatherAt(t *testing.T, addr string, size int, comesBack bool, send sender) *crowd {
 	c := &crowd{left: make(chan struct{}), sent: make(chan struct{}, size), size: size}
 	for i := range size {
 		c.wg.Add(1)
@@ -45,7 +50,7 @@
 			}
 		}()
 	}
-	b.t.Cleanup(c.leave)
+	t.Cleanup(c.leave)
 	return c
 }
 
@@ -116,12 +121,24 @@
 	b.t.Helper()
 	c := b.gather(addr, size, comesBack, send)
 	c.awaitSent(settle)
-	b.requireServes("while the crowd stays")
+	b.requireServesBeside()
 	c.leave()
 	b.requireServes("after the crowd has gone")
 	b.requireWithinLimits()
 }
 
+// besideCrowd is the number of ordinary requests that are sent while a crowd stays, over several returns of its members.
+const besideCrowd = 10
+
+// requireServesBeside checks that ordinary callers are answered while a crowd stays.
+func (b *bed) requireServesBeside() {
+	b.t.Helper()
+	for range besideCrowd {
+		b.requireServes("while the crowd stays")
+		time.Sleep(comeBackPause / 2)
+	}
+}
+
 // head returns the head of a request without its last empty line.
 func (b *bed) head(lines ...string) string {
 	return "POST /browse/x HTTP/1.1\r\nHost: " + domain + "\r\nX-Fireflyshift-Attempt-Id: " + b.nextID() + "\r\nX-Fireflyshift-Credential: " + key + "\r\n" +
