Memory: one budget of bytes a host for what callers make it hold

Callers saw: a host that ran out of memory, with all answers in progress, as many others had sent bodies of legal size up to their last byte and stayed.

Cause: each connection could hold 512 KB of a body before its request was known to the reducer, times the descriptors. Nothing added them up, buffers doubled by copying, and the kernel kept up to a megabyte for each connection that was not read. The soft limit of the collector frees nothing that is held.

Change: a quarter of the host's memory is the budget (internal/membudget). Bytes are reserved before a buffer grows, not by a declared length. When the budget is used to 60 %, callers that have made no progress for half a second are turned away; ordinary requests have a reserve, and large bodies that have just begun may use less than those that go on. A caller without room gets a 503, no_memory, which is true as nothing was dispatched, and a Retry-After of a second, when there is room again. The kernel's buffers of callers' connections are fixed. A single request of any legal size is served as before: it has the whole budget.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -118,7 +118,7 @@
 		a.writeAnswer(a.heldFailure)
 		a.logEnd("failure_passed_on", a.heldFailure.status)
 	case a.bodyRest != nil && a.bodyRest.tooLarge.Load():
-		a.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
+		a.refuse(http.StatusRequestEntityTooLarge, causeBodyTooLarge, 0)
 	case e.Cause == router.OutOfTime:
 		a.refuse(http.StatusGatewayTimeout, string(e.Cause), 0)
 	default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/telemetry"
@@ -109,7 +110,8 @@
 }
 
 func (g *Gateway) newActiveRequest(w http.ResponseWriter, r *http.Request) *activeRequest {
-	return &activeRequest{g: g, w: w, r: r, call: g.codec.Read(r.Header), startedAt: time.Now(), startedOnControl: g.control.Now()}
+	return &activeRequest{g: g, w: w, r: r, account: ingress.Account(r.Context()), call: g.codec.Read(r.Header), startedAt: time.Now(),
+		startedOnControl: g.control.Now()}
 }
 
 // RejectShutdown refuses a request that arrives as the host ends, before any of it has run.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"strings"
-	"sync/atomic"
 	"time"
 
-	"fireflyshift/internal/ingress"
+	"fireflyshift/internal/membudget"
 	"fireflyshift/internal/quarantine"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
@@ -37,7 +34,9 @@
 	startedOnControl time.Duration // on the control thread's clock
 	allowed          time.Duration // from startedAt until the request is abandoned
 	deadline         time.Time
-	body             []byte
+	// account is the memory that the request holds; nil if it is not limited.
+	account *membudget.Account
+	body    []byte
 	// bodyRest is what follows body, and can be read once. nil if there is nothing.
 	bodyRest *trackedBody
 	// headWritten is set once the caller has a status; lastEvent is the last event that the caller has.
@@ -101,71 +100,6 @@
 	a.deadline = a.startedAt.Add(a.allowed)
 }
 
-// readBody reads up to maxBufferedBody of the body, within the request's deadline. It reports false if it has already
-// answered the request.
-func (a *activeRequest) readBody(limit int64) bool {
-	if a.r.ContentLength == 0 {
-		return true
-	}
-	if limit > 0 && a.r.ContentLength > limit {
-		a.w.Header().Set("Connection", "close") // instead of reading the rejected body
-		a.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return false
-	}
-	if limit > 0 {
-		a.r.Body = http.MaxBytesReader(a.w, a.r.Body, limit)
-	}
-	rc := http.NewResponseController(a.w)
-	_ = rc.SetReadDeadline(a.deadline)
-	stop := ingress.AbortReads(a.g.ending, rc)
-	body, err := io.ReadAll(io.LimitReader(a.r.Body, maxBufferedBody))
-	stop()
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		a.refuse(http.StatusRequestEntityTooLarge, "body_too_large", 0)
-		return false
-	case errors.Is(err, os.ErrDeadlineExceeded) && a.g.ended():
-		a.w.Header().Set("Connection", "close")
-		a.refuse(http.StatusRequestTimeout, string(router.ShutDown), router.DrainRetryAfter)
-		return false
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		a.w.Header().Set("Connection", "close")
-		a.refuse(http.StatusRequestTimeout, "slow_body", 0)
-		return false
-	case err != nil:
-		// The caller closed the connection in the middle of its request, so there is no one to answer.
-		a.logEnd("body_broken", 0)
-		panic(http.ErrAbortHandler)
-	}
-	a.body = body
-	if len(body) == maxBufferedBody {
-		a.bodyRest = &trackedBody{src: a.r.Body}
-		// Otherwise net/http discards a part of the body before it writes an answer, which a backend server may begin early.
-		_ = rc.EnableFullDuplex() // HTTP/1 only; others need no permission
-		return true
-	}
-	// A read deadline left in place would also end net/http's detection that the caller has closed the connection.
-	_ = rc.SetReadDeadline(time.Time{})
-	return true
-}
-
-// trackedBody records whether reading failed because the caller's body is too large.
-type trackedBody struct {
-	src      io.Reader
-	tooLarge atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *trackedBody) Read(p []byte) (int, error) {
-	n, err := b.src.Read(p)
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		b.tooLarge.Store(true)
-	}
-	return n, err
-}
-
 // run submits the request to the reducer and carries out its effects until it is finished.
 func (a *activeRequest) run() {
 	a.id = a.g.lastID.Add(1)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"fireflyshift/internal/membudget"
 )
 
 // connState is the state of a connection.
@@ -39,6 +41,7 @@
 	resetOnClose atomic.Bool
 	// peerClosed is set once the caller has closed its side, or the connection is broken.
 	peerClosed atomic.Bool
+	account    *membudget.Account
 }
 
 func (k *conn) load() connState { return connState(k.state.Load()) }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -41,6 +41,7 @@
 // checks, or is rejected.
 type Connections struct {
 	notice []byte
+	limits Limits
 	// linger is lingerTimeout, or longer in tests.
 	linger    time.Duration
 	mu        sync.Mutex
@@ -67,9 +68,12 @@
 	for _, line := range headerLines {
 		notice += line + "\r\n"
 	}
-	return &Connections{notice: []byte(notice + "\r\n"), linger: lingerTimeout, open: map[*conn]struct{}{}}
+	return &Connections{notice: []byte(notice + "\r\n"), limits: Limits{}.withDefaults(), linger: lingerTimeout, open: map[*conn]struct{}{}}
 }
 
+// Limit sets limits, before the first connection is accepted.
+func (c *Connections) Limit(l Limits) { c.limits = l.withDefaults() }
+
 // Guard configures a server to serve connections of Listener. Once TryStop has succeeded, requests go to reject.
 func (c *Connections) Guard(s *http.Server, reject http.Handler) {
 	s.Handler = c.admission(s.Handler, reject)
@@ -109,7 +113,7 @@
 func (c *Connections) add(nc net.Conn) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := &conn{Conn: nc, owner: c, acceptedAt: time.Now()}
+	k := &conn{Conn: nc, owner: c, acceptedAt: time.Now(), account: c.limits.Budget.Open()}
 	c.open[k] = struct{}{}
 	if c.closing {
 		c.notify(k)
@@ -129,12 +133,14 @@
 	case http.StateActive:
 		c.setState(k, stateServing)
 	case http.StateIdle:
+		k.account.Close()
 		c.setState(k, stateIdle)
 		k.idleSince = time.Now()
 		if c.closing {
 			c.notify(k)
 		}
 	case http.StateClosed, http.StateHijacked:
+		k.account.Close()
 		c.setState(k, stateClosing)
 		delete(c.open, k)
 	}
--- /dev/null
+++ b/internal/node/limits.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"syscall"
+	"time"
+
+	"fireflyshift/internal/ingress"
+	"fireflyshift/internal/membudget"
+	"fireflyshift/internal/upstream"
+)
+
+const (
+	// reportInterval is the least time between two log lines on callers that were turned away.
+	reportInterval = time.Second
+)
+
+// limits are a host's limits on what callers and others make it hold.
+type limits struct {
+	// budget is the memory for callers' requests.
+	budget     *membudget.Budget
+	reportedAt time.Time
+	reported   map[string]int64
+}
+
+func newLimits(set *Settings) limits {
+	l := limits{budget: membudget.ForHost(set.MemoryMB), reported: map[string]int64{}}
+	return l
+}
+
+// callerSocket sets options of the callers' listener, which its connections inherit.
+func callerSocket(network, addr string, c syscall.RawConn) error {
+	ingress.LimitBuffers(c)
+	return upstream.SetCallerSilence(network, addr, c)
+}
+
+// turnedAwayCounts are the counters of what limits have done to callers and others, by their names in the log.
+var turnedAwayCounts = map[string]string{
+	"callers.stalled":    "stalled",
+	"requests.no_memory": "no_memory",
+}
+
+// reportTurnedAway logs in one line how many callers limits have turned away since the last one, by cause.
+func (n *Node) reportTurnedAway(now time.Time) {
+	s := n.limits.budget.Stats()
+	n.metrics.Set("callers.memory", s.Used)
+	n.metrics.Count("callers.stalled", s.TurnedAway-n.metrics.Counter("callers.stalled").Count())
+	if now.Sub(n.limits.reportedAt) < reportInterval {
+		return
+	}
+	more := map[string]int64{}
+	for counter, field := range turnedAwayCounts {
+		count := n.metrics.Counter(counter).Count()
+		if count > n.limits.reported[counter] {
+			more[field] = count - n.limits.reported[counter]
+			n.limits.reported[counter] = count
+		}
+	}
+	if len(more) == 0 {
+		return
+	}
+	n.limits.reportedAt = now
+	line := n.log.Warn().Int64("memory", s.Used).Int64("memory_limit", s.Capacity)
+	for field, count := range more {
+		line = line.Int64(field, count)
+	}
+	line.Msg("Callers turned away by limits.")
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	// headerTimeout and headerBytes limit request headers until a configuration sets limits.
+	// headerTimeout and headerBytes limit request headers.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
 	// memoryLimitRatio is the Go runtime's soft memory limit as a share of the host's memory. The rest is for stacks and
@@ -79,6 +79,7 @@
 	connections    *ingress.Connections
 	gateway        *gateway.Gateway
 	auxServers     []*http.Server
+	limits         limits
 }
 
 // Tune adapts the Go runtime to a small host: a single processor, which avoids wake-ups between threads, and a
@@ -126,7 +127,7 @@
 		Bounds: set.Bounds, Seed: binary.BigEndian.Uint64(seed[8:]), Admission: set.Admission,
 		Balancing: set.balancing(),
 	})
-	n := &Node{set: set, root: log, log: telemetry.ComponentLogger(log, "node"), metrics: m, socket: socket, connections: ingress.New()}
+	n := &Node{set: set, root: log, log: telemetry.ComponentLogger(log, "node"), metrics: m, socket: socket, connections: ingress.New(), limits: newLimits(set)}
 	n.pacer = gossip.NewPacer(socket, set.LinkMbps)
 	n.sent, n.received = newTraffic(m, "sent"), newTraffic(m, "heard")
 	n.control = newControl(r, telemetry.ComponentLogger(log, "control"), m)
@@ -157,8 +158,9 @@
 	n.callers = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
 		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" in place of a backend server
 		ErrorLog:                     stdlog.New(httpErrorLog{n.log}, "", 0)}
+	n.connections.Limit(ingress.Limits{Budget: n.limits.budget})
 	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.RejectShutdown))
-	if err := n.listen(g, n.callers, n.set.Callers, upstream.SetCallerSilence, n.connections.Listener); err != nil {
+	if err := n.listen(g, n.callers, n.set.Callers, callerSocket, n.connections.Listener); err != nil {
 		return err
 	}
 	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
@@ -322,6 +324,7 @@
 	n.control.Post(update)
 }
 
+// closeIdleConns closes idle connections and reports what limits have done.
 func (n *Node) closeIdleConns(ctx context.Context) {
 	t := time.NewTicker(idleCheckInterval)
 	defer t.Stop()
@@ -331,6 +334,7 @@
 			return
 		case now := <-t.C:
 			n.pool.Expire(now)
+			n.reportTurnedAway(now)
 			if t := n.control.Table(); t != nil {
 				n.connections.Expire(now, t.Config.Limits.IdleTimeout)
 			}
