Heads: the limits of the configuration apply, empty lines included

Callers saw: a head inside the configuration's limits that was refused (over 64 KB) or cut off without a status (after 10 s), and a 400 for an empty line before a request. Hosts kept heads of 64 KB where 16 were allowed; a head of short lines with different names took 1 MB.

Cause: max-header-bytes and header-timeout-ms were read and never used. The server had 64 KB and 10 s built in, and counts neither empty lines nor what a line costs.

Change: ingress counts a head as it arrives, with the empty lines before it, which are dropped (RFC 9112, 2.2). Above the limit the answer is a 431, after the time a 408; both are true, as nothing was read to its end. A head reserves twice its bytes and 150 bytes a line. What is read of a rejected request is bounded by 1 MB beside the time that it was bounded by. A connection that never sends a byte ends with the idle limit, and a 408, in place of a silent end after 10 s.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bytes"
+	"cmp"
 	"crypto/tls"
 	"errors"
 	"io"
@@ -42,33 +44,119 @@
 	// peerClosed is set once the caller has closed its side, or the connection is broken.
 	peerClosed atomic.Bool
 	account    *membudget.Account
+	// headLimits apply to the head that is being read, and headBytes are the bytes of it so far. Only the goroutine that reads
+	// uses them.
+	headLimits HeadLimits
+	headBytes  int
+	// onlyEmptyLines is set while nothing else was read of the next request.
+	onlyEmptyLines bool
 }
 
+const (
+	// readAhead is what http.Server may read behind the end of a head at once.
+	readAhead = 4 << 10
+	// headCost is the memory in bytes that a byte of a head takes, and headLineCost what each line adds: a head is kept as read and in
+	// a map, and copied for a backend server.
+	headCost     = 2
+	headLineCost = 150
+	// maxDiscard is how many bytes are read of a request that was rejected, so that its caller sees the answer.
+	maxDiscard = 1 << 20
+)
+
 func (k *conn) load() connState { return connState(k.state.Load()) }
 
 // Read implements net.Conn. It counts the connection as in use before http.Server sees the first byte, because the
 // server reports StateActive only after the complete head. On a closing connection it discards what it reads.
 func (k *conn) Read(p []byte) (int, error) {
+	discarded := 0
 	for {
 		n, err := k.Conn.Read(p)
+		if errors.Is(err, os.ErrDeadlineExceeded) && k.load() == stateReading {
+			k.rejectHead(k.owner.notice, countHeadTimeout)
+			continue
+		}
 		if n == 0 {
 			k.peerClosed.Store(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 			return 0, err
 		}
-		if k.load().inUse() || k.owner.startReading(k) {
+		if k.load() == stateServing {
 			return n, err
 		}
-		if err != nil {
-			return 0, err
+		if k.load() == stateReading || k.owner.startReading(k) {
+			if n = k.countHead(p[:n]); n > 0 {
+				return n, err
+			}
+		}
+		if discarded += n; err != nil || discarded > maxDiscard {
+			return 0, cmp.Or(err, io.EOF)
 		}
 	}
 }
 
-// SetReadDeadline implements net.Conn. The server's deadlines don't apply to a closing connection.
+// beginHead starts the limits of a head. The caller holds the owner's lock.
+func (k *conn) beginHead(l HeadLimits) {
+	k.headLimits, k.headBytes, k.onlyEmptyLines = l, 0, true
+	k.account.Receive(func() { k.owner.turnAway(k) })
+	if l.Time > 0 {
+		_ = k.Conn.SetReadDeadline(time.Now().Add(l.Time))
+	}
+}
+
+// endHead ends them, as the head is complete.
+func (k *conn) endHead() {
+	k.account.Pause()
+	if k.headLimits.Time > 0 {
+		_ = k.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// countHead applies the limits to bytes of a head. It removes empty lines before the request line (RFC 9112, 2.2) and returns how many bytes
+// are left; zero if nothing is, also because the head was rejected.
+func (k *conn) countHead(p []byte) int {
+	rest := p
+	if k.onlyEmptyLines {
+		rest = bytes.TrimLeft(p, "\r\n")
+	}
+	k.headBytes += len(p)
+	if k.headLimits.Bytes > 0 && k.headBytes > k.headLimits.Bytes+readAhead {
+		k.rejectHead(k.owner.headTooLong, countHeadTooLong)
+		return 0
+	}
+	if len(rest) == 0 {
+		return 0
+	}
+	k.onlyEmptyLines = false
+	k.account.Progress(len(rest))
+	if k.account.Reserve(int64(headCost*len(rest)+headLineCost*bytes.Count(rest, []byte{'\n'}))) != nil {
+		k.rejectHead(k.owner.notice, countNoMemory)
+		return 0
+	}
+	return copy(p, rest)
+}
+
+// rejectHead closes the connection of a head that is not read to its end. What its caller still sends is discarded.
+func (k *conn) rejectHead(notice []byte, count string) {
+	if !k.owner.rejectHead(k) {
+		return
+	}
+	k.owner.limits.Count(count, 1)
+	k.closeWriteSide(notice)
+}
+
+// idleFrom is when the connection was used last; when it was accepted if it never was.
+func (k *conn) idleFrom() time.Time {
+	if k.idleSince.IsZero() {
+		return k.acceptedAt
+	}
+	return k.idleSince
+}
+
+// SetReadDeadline implements net.Conn. The server's deadlines don't apply to a closing connection, nor to a head that has a limit of its
+// own.
 func (k *conn) SetReadDeadline(t time.Time) error {
 	k.owner.mu.Lock()
 	defer k.owner.mu.Unlock()
-	if k.load() == stateClosing {
+	if k.load() == stateClosing || (k.load() == stateReading && k.headLimits.Time > 0) {
 		return nil
 	}
 	return k.Conn.SetReadDeadline(t)
@@ -108,25 +196,29 @@
 // Close implements net.Conn. It discards what the caller still sends until the caller has seen the close (RFC 9112,
 // 9.6): closing a connection with unread bytes would reset it, and the last answer would be lost.
 func (k *conn) Close() error {
-	linger, notice := k.owner.startClosing(k)
+	linger, sendNotice := k.owner.startClosing(k)
 	if k.resetOnClose.Load() {
 		return k.transport().Close()
 	}
 	if linger {
+		var notice []byte
+		if sendNotice {
+			notice = k.owner.notice
+		}
 		k.closeWriteSide(notice)
-		_, _ = io.Copy(io.Discard, k.Conn)
+		_, _ = io.CopyN(io.Discard, k.Conn, maxDiscard)
 	}
 	return k.Conn.Close()
 }
 
-// closeWriteSide closes the write side and bounds further reading to the linger timeout. Errors are ignored: they come
-// from connections that have already ended.
-func (k *conn) closeWriteSide(notice bool) {
+// closeWriteSide sends the notice, if there is one, closes the write side and bounds further reading to the linger timeout. Errors are
+// ignored: they come from connections that have already ended.
+func (k *conn) closeWriteSide(notice []byte) {
 	// The deadline covers writes too, because a TLS handshake still in progress has to read before the notice can be
 	// written.
 	_ = k.Conn.SetDeadline(time.Now().Add(k.owner.linger))
-	if notice {
-		_, _ = k.Write(k.owner.notice)
+	if len(notice) > 0 {
+		_, _ = k.Write(notice)
 	}
 	_ = k.CloseWrite()
 }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -29,10 +30,18 @@
 	acceptGrace = 50 * time.Millisecond
 )
 
+// Statuses of notices.
+const (
+	statusTimeout     = "408 Request Timeout"
+	statusHeadTooLong = "431 Request Header Fields Too Large"
+)
+
 // closingNotice informs the caller of a request that arrives on a closing connection that the request was not read and
 // never will be (RFC 9110, 15.5.9). A caller that has sent no request sees that the connection ends. The empty line
 // that ends the head is appended in New.
-const closingNotice = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n"
+//
+// With another status it says why the head of a request was not read to its end.
+const closingNotice = "HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: 0\r\n"
 
 // Connections are the callers' connections of one host. Idle ones are closed after a limit that may change while
 // http.Server runs; those in use keep a stopping host from ending.
@@ -40,8 +49,8 @@
 // Connection states and rejecting change under one lock, so that a request either has a byte counted before TryStop
 // checks, or is rejected.
 type Connections struct {
-	notice []byte
-	limits Limits
+	notice, headTooLong []byte
+	limits              Limits
 	// linger is lingerTimeout, or longer in tests.
 	linger    time.Duration
 	mu        sync.Mutex
@@ -64,11 +73,15 @@
 
 // New returns an empty set. headerLines, each "Name: value", are added to the closing notice.
 func New(headerLines ...string) *Connections {
-	notice := closingNotice
-	for _, line := range headerLines {
-		notice += line + "\r\n"
+	notice := func(status string) []byte {
+		text := fmt.Sprintf(closingNotice, status)
+		for _, line := range headerLines {
+			text += line + "\r\n"
+		}
+		return []byte(text + "\r\n")
 	}
-	return &Connections{notice: []byte(notice + "\r\n"), limits: Limits{}.withDefaults(), linger: lingerTimeout, open: map[*conn]struct{}{}}
+	return &Connections{notice: notice(statusTimeout), headTooLong: notice(statusHeadTooLong), limits: Limits{}.withDefaults(), linger: lingerTimeout,
+		open: map[*conn]struct{}{}}
 }
 
 // Limit sets limits, before the first connection is accepted.
@@ -132,6 +145,7 @@
 	switch s {
 	case http.StateActive:
 		c.setState(k, stateServing)
+		k.endHead()
 	case http.StateIdle:
 		k.account.Close()
 		c.setState(k, stateIdle)
@@ -171,6 +185,7 @@
 		return false
 	case stateIdle:
 		c.setState(k, stateReading)
+		k.beginHead(c.limits.Head())
 	}
 	return true
 }
@@ -183,7 +198,27 @@
 	}
 	c.setState(k, stateClosing)
 	c.notified++
-	go k.closeWriteSide(true)
+	go k.closeWriteSide(c.notice)
+}
+
+// turnAway closes a connection whose head is not complete, with the notice.
+func (c *Connections) turnAway(k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.load() == stateReading {
+		c.notify(k)
+	}
+}
+
+// rejectHead begins to close a connection whose head is not read to its end. It reports false if that has begun already.
+func (c *Connections) rejectHead(k *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.load() == stateClosing {
+		return false
+	}
+	c.setState(k, stateClosing)
+	return true
 }
 
 // startClosing moves a connection to stateClosing. It reports whether to wait for the caller to see the close, which is
@@ -297,7 +332,7 @@
 func (c *Connections) waitClosed(ctx context.Context) {
 	poll := time.NewTicker(drainPollInterval)
 	defer poll.Stop()
-	for c.openCount() > 0 && ctx.Err() == nil {
+	for c.Open() > 0 && ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-poll.C:
@@ -316,7 +351,8 @@
 	}
 }
 
-func (c *Connections) openCount() int {
+// Open returns the number of open connections.
+func (c *Connections) Open() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return len(c.open)
@@ -330,7 +366,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := range c.open {
-		if k.load() == stateIdle && !k.idleSince.IsZero() && now.Sub(k.idleSince) > time.Duration(idleSlack*float64(limit)) {
+		if k.load() == stateIdle && now.Sub(k.idleFrom()) > time.Duration(idleSlack*float64(limit)) {
 			c.notify(k)
 		}
 	}
--- a/internal/ingress/connections_test.go
+++ b/internal/ingress/connections_test.go
@@ -267,7 +267,7 @@
 	h.blockReads()
 	unread := h.caller()
 	require.NoError(t, unread.send())
-	require.Eventually(t, func() bool { return h.c.openCount() == 2 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return h.c.Open() == 2 }, testTimeout, time.Millisecond)
 	require.True(t, h.c.tryStop(time.Now().Add(firstRequestTimeout)))
 	time.AfterFunc(50*time.Millisecond, h.allowReads)
 	require.Zero(t, h.c.Close(timeoutContext(t, testTimeout)))
@@ -363,7 +363,7 @@
 	h := newHost(t)
 	h.idleCaller()
 	h.c.Expire(time.Now().Add(time.Hour), time.Minute)
-	require.Eventually(t, func() bool { return h.c.openCount() == 0 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return h.c.Open() == 0 }, testTimeout, time.Millisecond)
 }
 
 // Guards against a connection that gets the notice twice, first for its idle limit and then at the end of its host.
--- /dev/null
+++ b/internal/ingress/limits_test.go
@@ -0,0 +1,129 @@
+package ingress
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyshift/internal/membudget"
+)
+
+// counts records the events of a host.
+type counts struct {
+	mu     sync.Mutex
+	events map[string]int64
+}
+
+func (c *counts) count(name string, n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events[name] += n
+}
+
+func (c *counts) of(name string) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.events[name]
+}
+
+// limited sets the limits of a host.
+func limited(l Limits) (*counts, func(*testHost)) {
+	c := &counts{events: map[string]int64{}}
+	l.Count = c.count
+	return c, func(h *testHost) { h.c.Limit(l) }
+}
+
+func heads(bytes int, time time.Duration) func() HeadLimits {
+	return func() HeadLimits { return HeadLimits{bytes, time} }
+}
+
+func (c *testCaller) write(t *testing.T, text string) {
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+// Guards against heads and empty lines over the limit, and against ones inside it that are refused.
+func TestHeadsAreLimited(t *testing.T) {
+	const limit = 8 << 10
+	for name, k := range map[string]struct {
+		begin, piece string
+		bytes        int
+		status       int
+	}{
+		"inside the limit":                  {"GET / HTTP/1.1\r\nHost: x\r\n", "h: x\r\n", limit, http.StatusOK},
+		"over the limit":                    {"GET / HTTP/1.1\r\nHost: x\r\n", "h: x\r\n", limit + 2*readAhead, http.StatusRequestHeaderFieldsTooLarge},
+		"empty lines inside the limit":      {"", "\r\n", limit, http.StatusOK},
+		"empty lines over the limit":        {"", "\r\n", limit + 2*readAhead, http.StatusRequestHeaderFieldsTooLarge},
+		"bare line feeds inside the limit":  {"", "\n", 100, http.StatusOK},
+		"one line without end over the one": {"GET /", strings.Repeat("x", 64), limit + 2*readAhead, http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			counted, set := limited(Limits{Head: heads(limit, testTimeout)})
+			c := newHost(t, set).caller()
+			text := k.begin
+			for len(text)+len(k.piece) <= k.bytes-64 {
+				text += k.piece
+			}
+			if k.begin == "" {
+				text += "GET / HTTP/1.1\r\nHost: x\r\n"
+			}
+			c.write(t, text+"\r\n")
+			require.Equal(t, k.status, c.status(t))
+			if k.status != http.StatusOK {
+				require.EqualValues(t, 1, counted.of(countHeadTooLong))
+			}
+		})
+	}
+}
+
+// Guards against limits that apply to the first head of a connection only, or to bodies.
+func TestEachHeadHasTheWholeLimit(t *testing.T) {
+	_, set := limited(Limits{Head: heads(2<<10, 100*time.Millisecond)})
+	h := newHost(t, set)
+	c := h.caller()
+	for range 10 {
+		c.write(t, "\r\nPOST / HTTP/1.1\r\nHost: x\r\nh: "+strings.Repeat("x", 1500)+"\r\nContent-Length: 100000\r\n\r\n")
+		time.Sleep(30 * time.Millisecond)
+		c.write(t, strings.Repeat("b", 100_000))
+		require.Equal(t, http.StatusOK, c.status(t))
+	}
+	c.write(t, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n")
+	time.Sleep(200 * time.Millisecond)
+	c.write(t, "body")
+	require.Equal(t, http.StatusOK, c.status(t), "a body that takes longer than a head may")
+}
+
+// Guards against a head, or empty lines, that keep a connection and a stopping host.
+func TestUnfinishedHeadsGetTheNotice(t *testing.T) {
+	for _, text := range []string{"G", "GET / HTTP/1.1\r\nHost: x\r\n", "\r\n"} {
+		counted, set := limited(Limits{Head: heads(0, 50*time.Millisecond)})
+		h := newHost(t, set)
+		c := h.idleCaller()
+		c.write(t, text)
+		require.Equal(t, http.StatusRequestTimeout, c.status(t))
+		require.EqualValues(t, 1, counted.of(countHeadTimeout))
+		require.Zero(t, h.c.InUse())
+	}
+}
+
+// Guards against short lines that take many times their length in memory.
+func TestHeadLinesCountForTheBudget(t *testing.T) {
+	b := membudget.New(1 << 20)
+	counted, set := limited(Limits{Head: heads(0, testTimeout), Budget: b})
+	h := newHost(t, set)
+	c := h.caller()
+	c.write(t, "GET / HTTP/1.1\r\n"+strings.Repeat("h:\r\n", 1000))
+	require.Eventually(t, func() bool { return b.Stats().Used > 1000*headLineCost }, testTimeout, time.Millisecond)
+	c.write(t, strings.Repeat("h:\r\n", 10_000))
+	require.Equal(t, http.StatusRequestTimeout, c.status(t))
+	require.EqualValues(t, 1, counted.of(countNoMemory))
+	require.NoError(t, c.Close())
+	require.Eventually(t, func() bool { return b.Stats().Used == 0 }, testTimeout, time.Millisecond)
+	require.NotNil(t, h.idleCaller())
+	require.Eventually(t, func() bool { return b.Stats().Used == 0 }, testTimeout, time.Millisecond, "an idle connection holds nothing")
+}
--- a/internal/ingress/tls_test.go
+++ b/internal/ingress/tls_test.go
@@ -36,10 +36,10 @@
 	kept := &testCaller{conn, bufio.NewReader(conn)}
 	require.NoError(t, kept.send())
 	require.Equal(t, http.StatusOK, kept.status(t))
-	require.Eventually(t, func() bool { return c.openCount() == 2 && c.InUse() == 0 }, testTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return c.Open() == 2 && c.InUse() == 0 }, testTimeout, time.Millisecond)
 	require.True(t, c.tryStop(time.Now().Add(firstRequestTimeout)))
 	require.Zero(t, c.Close(timeoutContext(t, testTimeout)))
-	require.Zero(t, c.openCount())
+	require.Zero(t, c.Open())
 	resp, err := http.ReadResponse(kept.r, nil)
 	require.NoError(t, err)
 	require.Equal(t, http.StatusRequestTimeout, resp.StatusCode)
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -1,5 +1,5 @@
-// Package membudget bounds the memory that callers make a host hold: bodies that are still arriving, and bodies kept for another backend
-// server.
+// Package membudget bounds the memory that callers make a host hold: heads and bodies that are still arriving, bodies kept for another
+// backend server, and answers that are not written yet.
 //
 // Each connection has an account. Memory is reserved as bytes arrive, not by declared lengths, so that a caller that sends nothing holds
 // nothing. When the budget runs out, callers that have sent nothing for a while are turned away, those without progress for the longest
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -10,6 +10,11 @@
 )
 
 const (
+	// defaultHeadBytes and defaultHeadTime limit heads until a configuration sets limits.
+	defaultHeadBytes = 64 << 10
+	defaultHeadTime  = 10 * time.Second
+	// maxConfiguredHeaderBytes is the highest limit of heads that a configuration can set.
+	maxConfiguredHeaderBytes = 1 << 20
 	// reportInterval is the least time between two log lines on callers that were turned away.
 	reportInterval = time.Second
 )
@@ -27,6 +32,22 @@
 	return l
 }
 
+// headLimits returns the limits of callers' heads: those of the configuration in force.
+func (n *Node) headLimits() ingress.HeadLimits {
+	l := ingress.HeadLimits{Bytes: defaultHeadBytes, Time: defaultHeadTime}
+	t := n.control.Table()
+	if t == nil {
+		return l
+	}
+	if c := t.Config.Limits; c.HeaderBytes > 0 {
+		l.Bytes = c.HeaderBytes
+	}
+	if c := t.Config.Limits; c.HeaderTimeout > 0 {
+		l.Time = c.HeaderTimeout
+	}
+	return l
+}
+
 // callerSocket sets options of the callers' listener, which its connections inherit.
 func callerSocket(network, addr string, c syscall.RawConn) error {
 	ingress.LimitBuffers(c)
@@ -35,8 +56,11 @@
 
 // turnedAwayCounts are the counters of what limits have done to callers and others, by their names in the log.
 var turnedAwayCounts = map[string]string{
-	"callers.stalled":    "stalled",
-	"requests.no_memory": "no_memory",
+	"callers.head_too_long":       "head_too_long",
+	"callers.head_timeout":        "head_timeout",
+	"callers.head_without_memory": "head_without_memory",
+	"callers.stalled":             "stalled",
+	"requests.no_memory":          "no_memory",
 }
 
 // reportTurnedAway logs in one line how many callers limits have turned away since the last one, by cause.
@@ -59,7 +83,7 @@
 		return
 	}
 	n.limits.reportedAt = now
-	line := n.log.Warn().Int64("memory", s.Used).Int64("memory_limit", s.Capacity)
+	line := n.log.Warn().Int64("memory", s.Used).Int64("memory_limit", s.Capacity).Int("connections", n.connections.Open())
 	for field, count := range more {
 		line = line.Int64(field, count)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,9 +32,6 @@
 )
 
 const (
-	// headerTimeout and headerBytes limit request headers.
-	headerTimeout = 10 * time.Second
-	headerBytes   = 64 << 10
 	// memoryLimitRatio is the Go runtime's soft memory limit as a share of the host's memory. The rest is for stacks and
 	// for data in the kernel's socket buffers.
 	memoryLimitRatio = 0.7
@@ -155,10 +152,11 @@
 		},
 	}
 	n.gateway = gateway.New(n.control, deps.HeaderCodec, n.pool, telemetry.ComponentLogger(n.root, "gateway"), n.metrics)
-	n.callers = &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: headerBytes,
+	// The limits of heads are those of n.connections.
+	n.callers = &http.Server{Handler: n.gateway, MaxHeaderBytes: maxConfiguredHeaderBytes,
 		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" in place of a backend server
 		ErrorLog:                     stdlog.New(httpErrorLog{n.log}, "", 0)}
-	n.connections.Limit(ingress.Limits{Budget: n.limits.budget})
+	n.connections.Limit(ingress.Limits{Head: n.headLimits, Budget: n.limits.budget, Count: n.metrics.Count})
 	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.RejectShutdown))
 	if err := n.listen(g, n.callers, n.set.Callers, callerSocket, n.connections.Listener); err != nil {
 		return err
@@ -205,7 +203,7 @@
 }
 
 func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeadTime}
 	n.auxServers = append(n.auxServers, s)
 	return n.listen(g, s, addr, upstream.SetIdleSilence, func(l net.Listener) net.Listener { return l })
 }
