Long bodies: one that stops holds no place that others need

Callers saw: 503 for ordinary requests until the deadline of a crowd's requests, as these held all places at the backend servers.

Cause: a body of more than 512 KB is dispatched while it still comes. If it stops short of its end, the call goes on until its deadline.

Change: when a request is refused as overloaded or queued, all callers on this host whose bodies have stopped for half a second and hold a place are turned away. The time in which the backend server does not read does not count as theirs. The caller gets a 504, as a part was sent and may have run, or 503 if nothing was. The call ends as one whose caller has left: it counts for nothing against the server, the request or the path. In calm a pause of any length is served as before.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -52,7 +52,7 @@
 	}
 	a.body = body
 	if !whole {
-		a.bodyRest = &trackedBody{src: a.r.Body}
+		a.bodyRest = &trackedBody{src: a.r.Body, account: a.account}
 		// Otherwise net/http discards a part of the body before it writes an answer, which a backend server may begin early.
 		_ = rc.EnableFullDuplex() // HTTP/1 only; others need no permission
 		return true
@@ -90,15 +90,44 @@
 	a.refuse(status, cause, retryAfter)
 }
 
+// refuseStalledBody ends a request whose body stopped short of its end. Once a part of it was sent, a backend server may have begun to
+// run it.
+func (a *activeRequest) refuseStalledBody() {
+	switch {
+	case a.headWritten:
+		a.logEnd(causeSlowBody, 0)
+		panic(http.ErrAbortHandler)
+	case a.mayHaveRun:
+		a.refuseBody(http.StatusGatewayTimeout, causeSlowBody, 0)
+	default:
+		a.refuseBody(http.StatusServiceUnavailable, causeNoMemory, noMemoryRetryAfter)
+	}
+}
+
+// freePlaces turns callers away whose bodies have stopped short of their end and which hold places at backend servers, as other requests
+// find none.
+func (g *Gateway) freePlaces() {
+	if g.budget == nil {
+		return
+	}
+	if n := g.budget.FreePlaces(); n > 0 {
+		g.metrics.Count("callers.stalled_places", int64(n))
+	}
+}
+
 // trackedBody is the rest of a long body. It records whether reading failed because the caller's body is too large.
 type trackedBody struct {
 	src      io.Reader
+	account  *membudget.Account
 	tooLarge atomic.Bool
 }
 
 // Read implements io.Reader.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	b.account.Resume()
 	n, err := b.src.Read(p)
+	b.account.Progress(n)
+	b.account.Pause() // the backend server may take its time to read
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		b.tooLarge.Store(true)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"fireflyshift/internal/ingress"
+	"fireflyshift/internal/membudget"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/telemetry"
@@ -64,6 +65,8 @@
 	metrics   telemetry.Metrics
 	lastID    atomic.Uint64
 	histories *histories
+	// budget is the memory of all callers; nil if it is not limited.
+	budget *membudget.Budget
 	// ending is canceled at the end of the host's grace period, while requests may still be in progress.
 	ending context.Context
 	end    context.CancelFunc
@@ -75,6 +78,9 @@
 	return &Gateway{control: c, codec: codec, pool: p, log: log, metrics: m, histories: newHistories(), ending: ending, end: end}
 }
 
+// UseBudget sets the memory of all callers, before the first request. Requests have accounts of it in their contexts.
+func (g *Gateway) UseBudget(b *membudget.Budget) { g.budget = b }
+
 // Shutdown abandons the requests in progress: callers that have no status yet get one.
 func (g *Gateway) Shutdown() { g.end() }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -125,6 +125,7 @@
 		}
 		switch e := next.(type) {
 		case router.Queued:
+			a.g.freePlaces()
 			left = a.r.Context().Done()
 			a.enterQueue(e)
 		case router.Dispatch:
@@ -148,6 +149,9 @@
 			}
 		case router.Refuse:
 			a.finished = true
+			if e.Cause == router.Overloaded {
+				a.g.freePlaces()
+			}
 			a.basis = e.Basis
 			a.refusedByQueue(e)
 			a.refuseByCause(e)
@@ -174,6 +178,8 @@
 // canceled ends a request whose caller has closed the connection, or whose host ends.
 func (a *activeRequest) canceled() {
 	switch {
+	case a.account.TurnedAway():
+		a.refuseStalledBody()
 	case a.r.Context().Err() != nil || !a.g.ended():
 		a.logEnd("caller_left", 0)
 		panic(http.ErrAbortHandler)
@@ -363,8 +369,8 @@
 // classifyFailure returns the outcome of a call that brought no complete answer.
 func (a *activeRequest) classifyFailure(sent bool, err error) router.DispatchEnded {
 	switch {
-	case a.r.Context().Err() != nil || a.g.ended():
-		return router.DispatchEnded{Outcome: router.Canceled}
+	case a.r.Context().Err() != nil || a.g.ended() || a.account.TurnedAway():
+		return router.DispatchEnded{Outcome: router.Canceled} // no fault of the backend server
 	case !sent && !time.Now().Before(a.deadline):
 		return router.DispatchEnded{Outcome: router.NotSent}
 	case errors.Is(err, upstream.ErrNotPermitted):
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -12,6 +12,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -50,6 +51,8 @@
 	capacity int64
 	used     int64
 	accounts map[*Account]struct{}
+	// places is the number of accounts that hold a place at a backend server.
+	places atomic.Int64
 	// leaving is what accounts hold that have been turned away and are not closed yet.
 	leaving int64
 	// scanAfter is when it may be of use to look for callers without progress again.
@@ -102,6 +105,11 @@
 // TurnAwayStalled turns all callers away that have made no progress for StallTime. It returns their number.
 func (b *Budget) TurnAwayStalled() int { return b.turnAwayAll(func(*Account) bool { return true }) }
 
+// FreePlaces turns those of them away whose requests hold a place at a backend server.
+func (b *Budget) FreePlaces() int {
+	return b.turnAwayAll(func(a *Account) bool { return a.holdsPlace })
+}
+
 func (b *Budget) turnAwayAll(match func(*Account) bool) int {
 	b.mu.Lock()
 	callbacks := b.mark(b.stalled(match))
@@ -166,9 +174,11 @@
 	receiving  bool
 	turnAway   func()
 	turnedAway bool
-	// progressAt is when progress was made last, and sinceProgress are the bytes since then.
-	progressAt    time.Time
-	sinceProgress int
+	// holdsPlace is set if the request is at a backend server already.
+	holdsPlace bool
+	// progressAt is when progress was made last, and sinceProgress are the bytes since then. pausedAt is when this host stopped reading.
+	progressAt, pausedAt time.Time
+	sinceProgress        int
 	// startedAt is when the head or body began to arrive.
 	startedAt time.Time
 }
@@ -202,10 +212,29 @@
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
-	a.receiving = false
+	a.receiving, a.pausedAt = false, a.budget.now()
 	return !a.turnedAway
 }
 
+// Resume goes on with the arrival of a body whose request holds a place at a backend server. The pause does not count as one of the
+// caller.
+func (a *Account) Resume() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if a.receiving {
+		return
+	}
+	a.receiving = true
+	a.progressAt = a.progressAt.Add(a.budget.now().Sub(a.pausedAt))
+	if !a.holdsPlace {
+		a.holdsPlace = true
+		a.budget.places.Add(1)
+	}
+}
+
 // forgive takes back that the caller was turned away. The caller holds the lock.
 func (a *Account) forgive() {
 	if a.turnedAway {
@@ -280,6 +309,9 @@
 	defer b.mu.Unlock()
 	a.forgive()
 	b.used -= a.held
-	a.held, a.receiving, a.turnAway = 0, false, nil
+	if a.holdsPlace {
+		b.places.Add(-1)
+	}
+	a.held, a.receiving, a.holdsPlace, a.turnAway = 0, false, false, nil
 	delete(b.accounts, a)
 }
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -42,12 +42,14 @@
 		require.NoError(t, a.Reserve(1000))
 		a.Progress(1000)
 		require.True(t, a.Pause())
-		a.Receive(func() {})
+		a.Resume()
+		require.Equal(t, int64(1), b.places.Load())
 		c.now = c.now.Add(2 * StallTime)
-		require.Equal(t, 1, b.TurnAwayStalled())
+		require.Equal(t, 1, b.FreePlaces())
 		a.Close()
 		require.Zero(t, b.Stats().Used)
 		require.Zero(t, b.leaving)
+		require.Zero(t, b.places.Load())
 		require.Empty(t, b.accounts)
 	}
 }
@@ -105,6 +107,20 @@
 	require.True(t, *gone)
 }
 
+// Guards against a caller that is turned away although this host does not read.
+func TestPausesOfTheHostAreNoPausesOfTheCaller(t *testing.T) {
+	b, c := newBudget()
+	a, gone := member(b)
+	require.True(t, a.Pause())
+	c.now = c.now.Add(10 * StallTime)
+	require.Zero(t, b.TurnAwayStalled())
+	a.Resume()
+	require.Zero(t, b.TurnAwayStalled())
+	c.now = c.now.Add(2 * StallTime)
+	require.Equal(t, 1, b.TurnAwayStalled())
+	require.True(t, *gone)
+}
+
 // Guards against large bodies that leave no memory for ordinary requests.
 func TestSmallRequestsHaveAReserve(t *testing.T) {
 	b, _ := newBudget()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -60,6 +60,7 @@
 	"callers.head_timeout":        "head_timeout",
 	"callers.head_without_memory": "head_without_memory",
 	"callers.stalled":             "stalled",
+	"callers.stalled_places":      "stalled_places",
 	"requests.no_memory":          "no_memory",
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,6 +152,7 @@
 		},
 	}
 	n.gateway = gateway.New(n.control, deps.HeaderCodec, n.pool, telemetry.ComponentLogger(n.root, "gateway"), n.metrics)
+	n.gateway.UseBudget(n.limits.budget)
 	// The limits of heads are those of n.connections.
 	n.callers = &http.Server{Handler: n.gateway, MaxHeaderBytes: maxConfiguredHeaderBytes,
 		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" in place of a backend server
