Connections: unused ones and callers that stall make room for others

Callers saw: no answer for as long as idle or half-finished connections held all descriptors. The balancer's probe got none either, which takes the host out.

Cause: the number of callers' connections had no limit. Without descriptors, Accept fails and waits for up to a second. A request that is refused by its head waited without a limit for a body that never came.

Change: five eighths of the descriptors beyond those for files are for callers. Beyond that a new connection closes one that has been answered, or the one that has been idle for the longest time, with a 408 as nothing of a request was read; else a caller without progress is turned away; else the new one is closed unread. A refused request waits half a second for its body.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -78,6 +78,7 @@
 // refuse returns an error of the gateway itself.
 func (a *activeRequest) refuse(status int, cause string, retryAfter time.Duration) {
 	a.closeIfDraining()
+	a.limitUnreadBody()
 	h := a.w.Header()
 	if retryAfter > 0 {
 		h.Set("Retry-After", a.g.codec.RetryAfter(retryAfter))
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -17,6 +17,9 @@
 // away.
 const noMemoryRetryAfter = 2 * membudget.StallTime
 
+// unreadBodyTimeout is how long net/http may wait for the rest of a body that nobody reads, before it writes the refusal.
+const unreadBodyTimeout = membudget.StallTime
+
 // Causes of refusals that are about the body.
 const (
 	causeBodyTooLarge = "body_too_large"
@@ -27,6 +30,7 @@
 // readBody reads up to maxBufferedBody of the body, within the request's deadline. It reports false if it has already
 // answered the request.
 func (a *activeRequest) readBody(limit int64) bool {
+	a.bodyHandled = true
 	if a.r.ContentLength == 0 {
 		return true
 	}
@@ -82,6 +86,13 @@
 	}
 }
 
+// limitUnreadBody bounds the wait for the body of a request that is refused by its head.
+func (a *activeRequest) limitUnreadBody() {
+	if a.r.ContentLength != 0 && !a.bodyHandled {
+		_ = http.NewResponseController(a.w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
+}
+
 // refuseBody closes the connection after the answer. The rest of the body is not waited for: net/http would read a part of it, which may
 // never arrive.
 func (a *activeRequest) refuseBody(status int, cause string, retryAfter time.Duration) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -37,6 +37,8 @@
 	// account is the memory that the request holds; nil if it is not limited.
 	account *membudget.Account
 	body    []byte
+	// bodyHandled is set once the body is being read, or is rejected.
+	bodyHandled bool
 	// bodyRest is what follows body, and can be read once. nil if there is nothing.
 	bodyRest *trackedBody
 	// headWritten is set once the caller has a status; lastEvent is the last event that the caller has.
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -39,6 +39,8 @@
 	acceptedAt time.Time
 	// idleSince is zero before the first request. It is guarded by the owner's lock.
 	idleSince time.Time
+	// closingSince is when the last answer was written; zero before. It is guarded by the owner's lock.
+	closingSince time.Time
 	// resetOnClose is set while an answer is in progress that only the end of the connection would mark as complete.
 	resetOnClose atomic.Bool
 	// peerClosed is set once the caller has closed its side, or the connection is broken.
@@ -61,6 +63,10 @@
 	headLineCost = 150
 	// maxDiscard is how many bytes are read of a request that was rejected, so that its caller sees the answer.
 	maxDiscard = 1 << 20
+	// answerTime is how long a closing connection stays open in any case, so that its caller can read the answer.
+	answerTime = 50 * time.Millisecond
+	// noticeTimeout is how long a write of the notice may block on a connection that is closed for others.
+	noticeTimeout = 5 * time.Millisecond
 )
 
 func (k *conn) load() connState { return connState(k.state.Load()) }
@@ -151,6 +157,15 @@
 	return k.idleSince
 }
 
+// unusedSince reports whether the connection serves no request and may be closed for others, and since when. The caller holds the owner's
+// lock.
+func (k *conn) unusedSince(now time.Time) (time.Time, bool) {
+	if k.load() == stateIdle {
+		return k.idleFrom(), true
+	}
+	return k.closingSince, !k.closingSince.IsZero() && now.Sub(k.closingSince) > answerTime
+}
+
 // SetReadDeadline implements net.Conn. The server's deadlines don't apply to a closing connection, nor to a head that has a limit of its
 // own.
 func (k *conn) SetReadDeadline(t time.Time) error {
@@ -167,6 +182,7 @@
 
 // CloseWrite lets http.Server close the write side first.
 func (k *conn) CloseWrite() error {
+	k.owner.noteClosing(k)
 	if w, ok := k.Conn.(closeWriter); ok {
 		return w.CloseWrite()
 	}
@@ -211,6 +227,15 @@
 	return k.Conn.Close()
 }
 
+// closeAtOnce sends the notice, if there is one, and closes without waiting for the caller.
+func (k *conn) closeAtOnce(notice []byte) {
+	if _, secure := k.Conn.(*tls.Conn); !secure && len(notice) > 0 { // TLS may have to shake hands first
+		_ = k.SetWriteDeadline(time.Now().Add(noticeTimeout))
+		_, _ = k.Write(notice)
+	}
+	_ = k.transport().Close()
+}
+
 // closeWriteSide sends the notice, if there is one, closes the write side and bounds further reading to the linger timeout. Errors are
 // ignored: they come from connections that have already ended.
 func (k *conn) closeWriteSide(notice []byte) {
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -113,14 +113,19 @@
 
 // Accept implements net.Listener.
 func (l listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if errors.Is(err, net.ErrClosed) {
-		return nil, http.ErrServerClosed
-	}
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil, http.ErrServerClosed
+		}
+		if err != nil {
+			return nil, err
+		}
+		if l.owner.makeRoom() {
+			return l.owner.add(nc), nil
+		}
+		_ = nc.Close()
 	}
-	return l.owner.add(nc), nil
 }
 
 func (c *Connections) add(nc net.Conn) *conn {
@@ -221,6 +226,15 @@
 	return true
 }
 
+// noteClosing records when the write side of a connection was closed.
+func (c *Connections) noteClosing(k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if k.closingSince.IsZero() {
+		k.closingSince = time.Now()
+	}
+}
+
 // startClosing moves a connection to stateClosing. It reports whether to wait for the caller to see the close, which is
 // not needed if that has started already, and whether to send the notice first, because no byte of a next request was
 // read.
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -127,3 +128,91 @@
 	require.NotNil(t, h.idleCaller())
 	require.Eventually(t, func() bool { return b.Stats().Used == 0 }, testTimeout, time.Millisecond, "an idle connection holds nothing")
 }
+
+// Guards against connections that serve no request and keep others out, and against one in use that is closed for others.
+func TestUnusedConnectionsMakeRoom(t *testing.T) {
+	counted, set := limited(Limits{Connections: 4})
+	h := newHost(t, set)
+	h.c.linger = testTimeout
+	busy := h.idleCaller()
+	busy.write(t, requestText[:len(requestText)-1])
+	require.Eventually(t, func() bool { return h.c.InUse() == 1 }, testTimeout, time.Millisecond)
+	first, second := h.idleBeside(1), h.caller()
+	for range 20 {
+		h.idleBeside(1)
+	}
+	require.Equal(t, http.StatusRequestTimeout, first.status(t), "the notice: no request was read")
+	require.Equal(t, http.StatusRequestTimeout, second.status(t), "also to one that has sent nothing")
+	require.LessOrEqual(t, h.c.Open(), 4)
+	require.GreaterOrEqual(t, counted.of(countClosedForOthers), int64(18))
+	busy.write(t, requestText[len(requestText)-1:])
+	require.Equal(t, http.StatusOK, busy.status(t))
+}
+
+// idleBeside returns a caller that has had an answer while a number of other connections are in use.
+func (h *testHost) idleBeside(inUse int) *testCaller {
+	c := h.caller()
+	require.NoError(h.t, c.send())
+	require.Equal(h.t, http.StatusOK, c.status(h.t))
+	require.Eventually(h.t, func() bool { return h.c.InUse() == inUse }, testTimeout, time.Millisecond)
+	return c
+}
+
+// Guards against callers that stop in the middle of a request and keep others out.
+func TestStalledCallersMakeRoom(t *testing.T) {
+	b := membudget.New(0)
+	_, set := limited(Limits{Connections: 4, Budget: b, Head: heads(0, testTimeout)})
+	h := newHost(t, set)
+	var stalled []*testCaller
+	for i := range 4 {
+		c := h.caller()
+		c.write(t, fmt.Sprintf("GET /%d HTTP/1.1\r\n", i))
+		stalled = append(stalled, c)
+	}
+	require.Eventually(t, func() bool { return h.c.InUse() == 4 }, testTimeout, time.Millisecond)
+	time.Sleep(membudget.StallTime)
+	require.Eventually(t, func() bool {
+		c := h.caller()
+		return c.send() == nil && c.answered()
+	}, testTimeout, 10*time.Millisecond)
+	closed := 0
+	for _, c := range stalled {
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Millisecond))
+		if c.answered() {
+			closed++
+		}
+	}
+	require.Positive(t, closed, "with the notice")
+}
+
+func (c *testCaller) answered() bool {
+	_, err := http.ReadResponse(c.r, nil)
+	return err == nil
+}
+
+// Guards against more connections than there are descriptors, if all of them are in use.
+func TestConnectionsInUseAreNotClosedForOthers(t *testing.T) {
+	counted, set := limited(Limits{Connections: 2})
+	h := newHost(t, set)
+	h.blockReads()
+	var busy []*testCaller
+	for range 2 {
+		c := h.caller()
+		c.write(t, requestText)
+		busy = append(busy, c)
+	}
+	h.allowReads()
+	for _, c := range busy {
+		require.Equal(t, http.StatusOK, c.status(t))
+		c.write(t, requestText[:len(requestText)-1])
+	}
+	require.Eventually(t, func() bool { return h.c.InUse() == 2 }, testTimeout, time.Millisecond)
+	refused := h.caller()
+	_, err := refused.r.ReadByte()
+	require.Error(t, err)
+	require.EqualValues(t, 1, counted.of(countConnectionRefused))
+	for _, c := range busy {
+		c.write(t, requestText[len(requestText)-1:])
+		require.Equal(t, http.StatusOK, c.status(t))
+	}
+}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -110,6 +110,25 @@
 	return b.turnAwayAll(func(a *Account) bool { return a.holdsPlace })
 }
 
+// TurnAwayOne turns the caller away that comes first in the order, if there is one without progress.
+func (b *Budget) TurnAwayOne() bool {
+	b.mu.Lock()
+	before := b.now().Add(-StallTime)
+	var first *Account
+	for a := range b.accounts {
+		if a.stalled(before) && (first == nil || b.order(a.view(), first.view()) < 0) {
+			first = a
+		}
+	}
+	var callbacks []func()
+	if first != nil {
+		callbacks = b.mark([]*Account{first})
+	}
+	b.mu.Unlock()
+	runAll(callbacks)
+	return first != nil
+}
+
 func (b *Budget) turnAwayAll(match func(*Account) bool) int {
 	b.mu.Lock()
 	callbacks := b.mark(b.stalled(match))
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -103,7 +103,7 @@
 		c.now = c.now.Add(StallTime / 5)
 		a.Progress(1)
 	}
-	require.Equal(t, 1, b.TurnAwayStalled())
+	require.True(t, b.TurnAwayOne())
 	require.True(t, *gone)
 }
 
@@ -152,8 +152,8 @@
 	a.Receive(func() {})
 	require.NoError(t, a.Reserve(1000))
 	c.now = c.now.Add(2 * StallTime)
-	require.Equal(t, 1, b.TurnAwayStalled())
-	require.Zero(t, b.TurnAwayStalled(), "once")
+	require.True(t, b.TurnAwayOne())
+	require.False(t, b.TurnAwayOne(), "once")
 	require.ErrorIs(t, a.Reserve(1), ErrExhausted)
 	require.False(t, a.Pause())
 	require.True(t, a.TurnedAway())
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -10,6 +10,12 @@
 )
 
 const (
+	// reservedFiles are the descriptors that no socket may take, and minSockets the sockets that a host has in any case.
+	reservedFiles = 200
+	minSockets    = 64
+	// callerFraction is the fraction of the sockets for callers. The rest is for backend servers, hosts, the store and operators.
+	callerFraction = 0.625
+
 	// defaultHeadBytes and defaultHeadTime limit heads until a configuration sets limits.
 	defaultHeadBytes = 64 << 10
 	defaultHeadTime  = 10 * time.Second
@@ -22,13 +28,21 @@
 // limits are a host's limits on what callers and others make it hold.
 type limits struct {
 	// budget is the memory for callers' requests.
-	budget     *membudget.Budget
+	budget *membudget.Budget
+	// callers is the number of callers' connections; zero stands for no limit.
+	callers int
+
 	reportedAt time.Time
 	reported   map[string]int64
 }
 
 func newLimits(set *Settings) limits {
 	l := limits{budget: membudget.ForHost(set.MemoryMB), reported: map[string]int64{}}
+	if set.MaxDescriptors == 0 {
+		return l
+	}
+	sockets := float64(max(minSockets, set.MaxDescriptors-reservedFiles))
+	l.callers = int(callerFraction * sockets)
 	return l
 }
 
@@ -59,6 +73,8 @@
 	"callers.head_too_long":       "head_too_long",
 	"callers.head_timeout":        "head_timeout",
 	"callers.head_without_memory": "head_without_memory",
+	"callers.closed_for_others":   "closed_for_others",
+	"callers.connection_refused":  "connection_refused",
 	"callers.stalled":             "stalled",
 	"callers.stalled_places":      "stalled_places",
 	"requests.no_memory":          "no_memory",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -157,7 +157,7 @@
 	n.callers = &http.Server{Handler: n.gateway, MaxHeaderBytes: maxConfiguredHeaderBytes,
 		DisableGeneralOptionsHandler: true, // it would answer "OPTIONS *" in place of a backend server
 		ErrorLog:                     stdlog.New(httpErrorLog{n.log}, "", 0)}
-	n.connections.Limit(ingress.Limits{Head: n.headLimits, Budget: n.limits.budget, Count: n.metrics.Count})
+	n.connections.Limit(ingress.Limits{Head: n.headLimits, Connections: n.limits.callers, Budget: n.limits.budget, Count: n.metrics.Count})
 	n.connections.Guard(n.callers, http.HandlerFunc(n.gateway.RejectShutdown))
 	if err := n.listen(g, n.callers, n.set.Callers, callerSocket, n.connections.Listener); err != nil {
 		return err
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -22,6 +22,8 @@
 	Seeds    []string
 	Store    string
 	MemoryMB int
+	// MaxDescriptors is the number of file descriptors that the process may have; zero if unknown.
+	MaxDescriptors int
 	// LinkMbps is the speed of the host's network link in Mbit/s; zero if unknown.
 	LinkMbps float64
 	Cores    int
