Other listeners: limits on heads, bodies and connections

Callers saw: no answer, and a host taken out by its balancer, because of connections and heads at the ports for readiness, control, metrics and hosts.

Cause: these servers had the library's head of 1 MB, no idle timeout and no limit on connections, and waited for bodies that their handlers never read.

Change: they use the same tracking of connections as callers' ports: heads of 16 KB and 10 s, a minute idle, a part of the descriptors each; unused connections make room. A request with a body is answered and closed. Tunnels of relays are handed over as they were.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -26,6 +26,8 @@
 	stateServing
 	// stateClosing: received bytes are discarded.
 	stateClosing
+	// stateHijacked: a handler has taken the connection over.
+	stateHijacked
 )
 
 func (s connState) inUse() bool { return s == stateReading || s == stateServing }
@@ -85,7 +87,10 @@
 			k.peerClosed.Store(err != nil && !errors.Is(err, os.ErrDeadlineExceeded))
 			return 0, err
 		}
-		if k.load() == stateServing {
+		switch k.load() {
+		case stateServing:
+			return n, err
+		case stateHijacked:
 			return n, err
 		}
 		if k.load() == stateReading || k.owner.startReading(k) {
@@ -201,6 +206,9 @@
 	}
 }
 
+// NetConn returns the connection that this one tracks.
+func (k *conn) NetConn() net.Conn { return k.Conn }
+
 // transport returns the connection below TLS, if there is any.
 func (k *conn) transport() net.Conn {
 	if secure, ok := k.Conn.(*tls.Conn); ok {
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -158,17 +158,21 @@
 		if c.closing {
 			c.notify(k)
 		}
-	case http.StateClosed, http.StateHijacked:
+	case http.StateHijacked:
+		k.account.Close()
+		c.setState(k, stateHijacked)
+		delete(c.open, k)
+	case http.StateClosed:
 		k.account.Close()
 		c.setState(k, stateClosing)
 		delete(c.open, k)
 	}
 }
 
-// setState changes a connection's state; stateClosing is final. The caller holds the lock.
+// setState changes a connection's state; stateClosing and stateHijacked are final. The caller holds the lock.
 func (c *Connections) setState(k *conn, s connState) {
 	previous := k.load()
-	if previous == stateClosing {
+	if previous == stateClosing || previous == stateHijacked {
 		return
 	}
 	if previous.inUse() {
@@ -243,7 +247,7 @@
 	defer c.mu.Unlock()
 	previous := k.load()
 	c.setState(k, stateClosing)
-	linger = previous != stateClosing && !c.noLinger && !k.peerClosed.Load()
+	linger = previous != stateClosing && previous != stateHijacked && !c.noLinger && !k.peerClosed.Load()
 	notice = linger && previous == stateIdle
 	if notice {
 		c.notified++
@@ -334,6 +338,13 @@
 	return c.inUse
 }
 
+// CutOff makes the http.Server.Close that follows close all connections without waiting for their callers.
+func (c *Connections) CutOff() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noLinger = true
+}
+
 func (c *Connections) closeListeners() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"net/http"
 	"syscall"
 	"time"
 
@@ -13,14 +14,24 @@
 	// reservedFiles are the descriptors that no socket may take, and minSockets the sockets that a host has in any case.
 	reservedFiles = 200
 	minSockets    = 64
-	// callerFraction is the fraction of the sockets for callers. The rest is for backend servers, hosts, the store and operators.
+	// Fractions of the sockets for callers, for other hosts, and for operators and load balancers each. The rest is for connections to
+	// backend servers, hosts and the store.
 	callerFraction = 0.625
+	peerFraction   = 0.125
+	auxFraction    = 1.0 / 32
+	// minAuxConnections is enough for a probe a second and some operators.
+	minAuxConnections = 8
 
 	// defaultHeadBytes and defaultHeadTime limit heads until a configuration sets limits.
 	defaultHeadBytes = 64 << 10
 	defaultHeadTime  = 10 * time.Second
 	// maxConfiguredHeaderBytes is the highest limit of heads that a configuration can set.
 	maxConfiguredHeaderBytes = 1 << 20
+	// auxHeaderBytes and auxHeadTime limit heads at the ports that are not for callers, and auxIdleTimeout closes unused connections there.
+	// Hosts, load balancers and operators send some hundred bytes at once.
+	auxHeaderBytes = 16 << 10
+	auxHeadTime    = 10 * time.Second
+	auxIdleTimeout = time.Minute
 	// reportInterval is the least time between two log lines on callers that were turned away.
 	reportInterval = time.Second
 )
@@ -29,8 +40,8 @@
 type limits struct {
 	// budget is the memory for callers' requests.
 	budget *membudget.Budget
-	// callers is the number of callers' connections; zero stands for no limit.
-	callers int
+	// Numbers of connections; zero stands for no limit.
+	callers, peers, operators, probes int
 
 	reportedAt time.Time
 	reported   map[string]int64
@@ -42,7 +53,9 @@
 		return l
 	}
 	sockets := float64(max(minSockets, set.MaxDescriptors-reservedFiles))
-	l.callers = int(callerFraction * sockets)
+	l.callers, l.peers = int(callerFraction*sockets), int(peerFraction*sockets)
+	l.operators = max(minAuxConnections, int(auxFraction*sockets))
+	l.probes = l.operators
 	return l
 }
 
@@ -62,12 +75,33 @@
 	return l
 }
 
+func auxHeadLimits() ingress.HeadLimits {
+	return ingress.HeadLimits{Bytes: auxHeaderBytes, Time: auxHeadTime}
+}
+
+// withoutBodies closes connections on which a body follows a request, instead of waiting for its end: h reads none.
+func withoutBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			w.Header().Set("Connection", "close")
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // callerSocket sets options of the callers' listener, which its connections inherit.
 func callerSocket(network, addr string, c syscall.RawConn) error {
 	ingress.LimitBuffers(c)
 	return upstream.SetCallerSilence(network, addr, c)
 }
 
+// auxSocket does so for the other listeners.
+func auxSocket(network, addr string, c syscall.RawConn) error {
+	ingress.LimitBuffers(c)
+	return upstream.SetIdleSilence(network, addr, c)
+}
+
 // turnedAwayCounts are the counters of what limits have done to callers and others, by their names in the log.
 var turnedAwayCounts = map[string]string{
 	"callers.head_too_long":       "head_too_long",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	callers        *http.Server
 	connections    *ingress.Connections
 	gateway        *gateway.Gateway
-	auxServers     []*http.Server
+	auxServers     []*auxServer
 	limits         limits
 }
 
@@ -162,7 +162,7 @@
 	if err := n.listen(g, n.callers, n.set.Callers, callerSocket, n.connections.Listener); err != nil {
 		return err
 	}
-	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready); err != nil {
+	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready, n.limits.probes); err != nil {
 		return err
 	}
 	ops := admin.Handler(adminSource{n, n.gateway.History}, &reducerMetrics{control: n.control, metrics: n.metrics})
@@ -170,11 +170,11 @@
 		if addr == "" {
 			continue
 		}
-		if err := n.serve(g, ops, addr); err != nil {
+		if err := n.serve(g, ops, addr, n.limits.operators); err != nil {
 			n.log.Error().Err(err).Msg("Admin listener not started. Status and metrics are unavailable; callers are served.")
 		}
 	}
-	if err := n.serve(g, n.relay.Handler(gossip.Handler(n.control)), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort))); err != nil {
+	if err := n.serve(g, n.relay.Handler(gossip.Handler(n.control)), net.JoinHostPort(n.set.IP, strconv.Itoa(n.set.PeerPort)), n.limits.peers); err != nil {
 		return err
 	}
 	g.Go(func() error { n.control.run(ctx); return nil })
@@ -203,10 +203,20 @@
 	n.relay = relay.NewServer(n.control.RelayPermission, dial, telemetry.ComponentLogger(n.root, "relay"), n.metrics)
 }
 
-func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeadTime}
+// auxServer is a server that is not for callers.
+type auxServer struct {
+	*http.Server
+	connections *ingress.Connections
+}
+
+// serve serves a handler at an address for up to a number of connections.
+func (n *Node) serve(g *errgroup.Group, h http.Handler, addr string, connections int) error {
+	h = withoutBodies(h)
+	s := &auxServer{&http.Server{Handler: h, MaxHeaderBytes: auxHeaderBytes}, ingress.New()}
+	s.connections.Limit(ingress.Limits{Head: auxHeadLimits, Connections: connections, Count: n.metrics.Count})
+	s.connections.Guard(s.Server, h)
 	n.auxServers = append(n.auxServers, s)
-	return n.listen(g, s, addr, upstream.SetIdleSilence, func(l net.Listener) net.Listener { return l })
+	return n.listen(g, s.Server, addr, auxSocket, s.connections.Listener)
 }
 
 // socketControl sets options of a socket, as net.ListenConfig.Control.
@@ -333,6 +343,9 @@
 			return
 		case now := <-t.C:
 			n.pool.Expire(now)
+			for _, s := range n.auxServers {
+				s.connections.Expire(now, auxIdleTimeout)
+			}
 			n.reportTurnedAway(now)
 			if t := n.control.Table(); t != nil {
 				n.connections.Expire(now, t.Config.Limits.IdleTimeout)
@@ -371,6 +384,7 @@
 	_ = n.callers.Close()
 	n.log.Info().Int("cut", cut).Int("notified", n.connections.Notified()).Msg("Connections closed.")
 	for _, s := range n.auxServers {
+		s.connections.CutOff()
 		_ = s.Close()
 	}
 	n.pool.Close()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -213,7 +213,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	tcp, ok := conn.(*net.TCPConn)
+	tcp, ok := tcpConn(conn)
 	if !ok {
 		_ = conn.Close()
 		return nil, trace.BadParameter("a tunnel needs a TCP connection, not %T", conn)
@@ -225,3 +225,12 @@
 	}
 	return t, nil
 }
+
+// tcpConn returns the TCP connection that a listener's connection is, or that it tracks.
+func tcpConn(c net.Conn) (*net.TCPConn, bool) {
+	if tracked, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = tracked.NetConn()
+	}
+	tcp, ok := c.(*net.TCPConn)
+	return tcp, ok
+}
