Processor: long bodies are read in turns

Callers saw: answers that took seconds beside a crowd that sends bodies or very small chunks.

Cause: a host has one processor, and each connection with unread bytes may keep it for 10 ms. A thousand of them leave an ordinary request 10 s a step.

Change: a connection that reads a body of more than 4 KB lets all others run first, and only one does so at a time. A crowd then takes as much of the processor as one connection; a body alone does not wait.

No test asserts times; the tests of bodies pass as before.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -48,10 +49,11 @@
 	// peerClosed is set once the caller has closed its side, or the connection is broken.
 	peerClosed atomic.Bool
 	account    *membudget.Account
-	// headLimits apply to the head that is being read, and headBytes are the bytes of it so far. Only the goroutine that reads
-	// uses them.
+	// headLimits apply to the head that is being read, and headBytes are the bytes of it so far. bodyBytes are those after it. Only the
+	// goroutine that reads uses them.
 	headLimits HeadLimits
 	headBytes  int
+	bodyBytes  int
 	// onlyEmptyLines is set while nothing else was read of the next request.
 	onlyEmptyLines bool
 }
@@ -63,6 +65,8 @@
 	// a map, and copied for a backend server.
 	headCost     = 2
 	headLineCost = 150
+	// bulkBytes is the size in bytes from which bodies are read in turns. Ordinary requests are smaller.
+	bulkBytes = 4 << 10
 	// maxDiscard is how many bytes are read of a request that was rejected, so that its caller sees the answer.
 	maxDiscard = 1 << 20
 	// answerTime is how long a closing connection stays open in any case, so that its caller can read the answer.
@@ -89,6 +93,7 @@
 		}
 		switch k.load() {
 		case stateServing:
+			k.takeTurn(n)
 			return n, err
 		case stateHijacked:
 			return n, err
@@ -116,6 +121,7 @@
 // endHead ends them, as the head is complete.
 func (k *conn) endHead() {
 	k.account.Pause()
+	k.bodyBytes = 0
 	if k.headLimits.Time > 0 {
 		_ = k.Conn.SetReadDeadline(time.Time{})
 	}
@@ -154,6 +160,17 @@
 	k.closeWriteSide(notice)
 }
 
+// takeTurn lets other goroutines run before n more bytes of a long body are processed. Connections with long bodies do so one after another,
+// so that many of them take no more of the processor than one.
+func (k *conn) takeTurn(n int) {
+	if k.bodyBytes += n; k.bodyBytes <= bulkBytes {
+		return
+	}
+	k.owner.bulk.Lock()
+	defer k.owner.bulk.Unlock()
+	runtime.Gosched()
+}
+
 // idleFrom is when the connection was used last; when it was accepted if it never was.
 func (k *conn) idleFrom() time.Time {
 	if k.idleSince.IsZero() {
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -69,6 +69,8 @@
 	awaitUntil time.Time
 	// notified is the number of connections that got the closing notice.
 	notified int
+	// bulk is held by the connection that takes its turn to read a long body.
+	bulk sync.Mutex
 }
 
 // New returns an empty set. headerLines, each "Name: value", are added to the closing notice.
