Stop: a crowd that stays does not hold a stopping host

Operators saw: a host that stops only as its grace period ends, and aborts answers then, because callers had not finished their requests.

Cause: a connection in the middle of a head or body counts as in use.

Those that go on sending are answered as before.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -72,6 +72,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		a.refuseBody(http.StatusRequestEntityTooLarge, causeBodyTooLarge, 0)
+	case a.account.TurnedAway() && a.g.control.Draining():
+		a.refuseBody(http.StatusRequestTimeout, string(router.ShutDown), router.DrainRetryAfter)
 	case errors.Is(err, membudget.ErrExhausted), errors.Is(err, os.ErrDeadlineExceeded) && a.account.TurnedAway():
 		a.account.Close()
 		a.refuseBody(http.StatusServiceUnavailable, causeNoMemory, noMemoryRetryAfter)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -364,6 +364,9 @@
 	idleSince := began
 	for time.Since(began) < n.set.Grace-shutdownMargin {
 		time.Sleep(drainPoll)
+		if time.Since(began) > n.set.BalancerDelay {
+			n.limits.budget.TurnAwayStalled() // they may not finish before the end of the grace period
+		}
 		if n.connections.InUse() > 0 || n.relay.InUse() > 0 {
 			idleSince = time.Now()
 		}
