Gateway: what is kept of answers and IDs has a bound

Callers saw nothing yet: found by asking what else callers can make a host hold.

Cause: logs and histories kept the caller's ID of an attempt, which may be as long as a head, for each of 2,048 requests and 4,096 lines; a part of it keeps all of the head's memory, also as a key that is written again. Buffered answers were not in the budget, and a caller that reads slowly kept one for good.

Change: 64 bytes of the ID, copied. Answers reserve their buffers; without room they are passed through as they come, like long ones. A caller has 30 s to read a buffered answer.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -45,7 +45,11 @@
 	}
 }
 
+// answerWriteTimeout is how long a caller may take to read a buffered answer, of at most answerBuffer.
+const answerWriteTimeout = 30 * time.Second
+
 func (a *activeRequest) writeAnswer(answer *bufferedAnswer) {
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(answerWriteTimeout))
 	a.writeHead(answer.status, answer.header, int64(len(answer.body)))
 	_, _ = a.w.Write(answer.body)
 }
@@ -130,12 +134,12 @@
 // logDispatch logs a dispatch to a backend server.
 func (a *activeRequest) logDispatch(d router.Dispatch) {
 	a.g.metrics.Count("requests.dispatched", 1)
-	a.g.histories.add(a.call.AttemptID, d.At, "sent to %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d, software version %s",
+	a.g.histories.add(a.logID(), d.At, "sent to %s (attempt %d): %d in flight of at most %d, view %s old, configuration version %d, software version %s",
 		d.Backend.ID, d.Attempt, d.Basis.InFlight, d.Basis.Limit, d.Basis.ViewAge, d.Basis.Version, d.Backend.Version)
 	if d.Attempt > 1 {
 		a.g.metrics.Count("requests.sent_again", 1)
 	}
-	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("backend", d.Backend.ID).Str("version", d.Backend.Version).Int("attempt", d.Attempt).
+	e := a.g.log.Info().Str("id", a.logID()).Str("route", a.route.Name).Str("backend", d.Backend.ID).Str("version", d.Backend.Version).Int("attempt", d.Attempt).
 		Int("in_flight", d.Basis.InFlight).Int("limit", d.Basis.Limit).Int64("belief_age_ms", d.Basis.ViewAge.Milliseconds()).
 		Int64("expect_ms", d.Basis.Wait.Milliseconds()).Uint64("config", d.Basis.Version).Uint64("era", d.Basis.Era).
 		Uint64("revision", d.Basis.Revision).Int64("store_age_ms", d.Basis.StoreAge.Milliseconds()).Str("owner", d.Basis.Owner)
@@ -152,7 +156,7 @@
 	if d.Binding.Version != "" {
 		a.g.metrics.Count("streams.bound_by."+string(d.Binding.Source), 1)
 		e = e.Str("bound_version", d.Binding.Version).Str("bound_by", string(d.Binding.Source)).Str("bound_from", d.Binding.From).Int64("bound_age_ms", d.Binding.Age.Milliseconds())
-		a.g.histories.add(a.call.AttemptID, d.At, "the stream is bound to version %s, known by %s %s for %s", d.Binding.Version, d.Binding.Source, d.Binding.From, d.Binding.Age)
+		a.g.histories.add(a.logID(), d.At, "the stream is bound to version %s, known by %s %s for %s", d.Binding.Version, d.Binding.Source, d.Binding.From, d.Binding.Age)
 	}
 	if limit := d.Basis.Rate; limit.PerSecond > 0 {
 		a.g.metrics.Count("requests.sent_rate_limited", 1)
@@ -165,14 +169,14 @@
 // logRejected logs a backend server's statement that it has not run the request.
 func (a *activeRequest) logRejected(status int, sentAt time.Time) {
 	a.g.metrics.Count("requests.rejected", 1)
-	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Int("status", status).
+	a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Int("status", status).
 		Int64("after_ms", time.Since(sentAt).Milliseconds()).Msg("Backend server rejected the request without running it.")
 }
 
 // logUnprovenRejection logs an answer whose status means that the request has not run, although the backend server does not state so.
 func (a *activeRequest) logUnprovenRejection(status int) {
 	a.g.metrics.Count("requests.unproven_rejections", 1)
-	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Int("status", status).
+	a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Int("status", status).
 		Msg("Answer withheld: its status means that the request has not run, which the backend server does not state.")
 }
 
@@ -180,7 +184,7 @@
 func (a *activeRequest) logBroken(err error) {
 	cause := upstream.CauseOf(err)
 	a.g.metrics.Count("backend.exchanges_broken."+string(cause), 1)
-	a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(cause)).
+	a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Err(err).Str("cause", string(cause)).
 		Int64("silent_ms", upstream.SilenceOf(err).Milliseconds()).Stringer("digest", a.digest()).Strs("parts", quarantine.Strings(a.parts)).Int64("last_event", a.lastEvent).Msg("Call broke off after the request was sent.")
 }
 
@@ -214,9 +218,9 @@
 	a.g.metrics.Count("requests."+outcome, 1)
 	a.leaveQueue(queueEnded, "")
 	took := time.Since(a.startedAt)
-	a.g.histories.add(a.call.AttemptID, a.startedOnControl+took, "ended: %s", outcome)
+	a.g.histories.add(a.logID(), a.startedOnControl+took, "ended: %s", outcome)
 	a.g.metrics.Timer("requests.time").Update(took)
-	e := a.g.log.Info().Str("id", a.call.AttemptID).Str("outcome", outcome).Int64("ms", took.Milliseconds())
+	e := a.g.log.Info().Str("id", a.logID()).Str("outcome", outcome).Int64("ms", took.Milliseconds())
 	if a.route != nil {
 		e = e.Str("route", a.route.Name).Float64("rank", a.rank).Int64("target_ms", a.route.Target.Milliseconds()).
 			Int64("allowed_ms", a.allowed.Milliseconds())
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,28 +16,39 @@
 // histories holds the steps of the latest requests, by the caller's attempt ID.
 type histories struct {
 	mu    sync.Mutex
-	byID  map[string][]core.TraceEvent
+	byID  map[string]*history
 	order []string
 }
 
-func newHistories() *histories { return &histories{byID: map[string][]core.TraceEvent{}} }
+// history holds the steps of one request.
+type history struct{ steps []core.TraceEvent }
+
+func newHistories() *histories { return &histories{byID: map[string]*history{}} }
 
 func (t *histories) add(id string, at time.Duration, format string, args ...any) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if _, ok := t.byID[id]; !ok {
+	h := t.byID[id]
+	if h == nil {
+		id = strings.Clone(id) // it may be a part of a long head
+		h = &history{}
+		t.byID[id] = h
 		t.order = append(t.order, id)
 		if len(t.order) > maxHistories {
 			delete(t.byID, t.order[0])
 			t.order = t.order[1:]
 		}
 	}
-	t.byID[id] = append(t.byID[id], core.TraceEvent{At: at, What: fmt.Sprintf(format, args...)})
+	h.steps = append(h.steps, core.TraceEvent{At: at, What: fmt.Sprintf(format, args...)})
 }
 
 // History returns the recorded steps of a request, or nil if none are kept.
 func (g *Gateway) History(id string) []core.TraceEvent {
 	g.histories.mu.Lock()
 	defer g.histories.mu.Unlock()
-	return append([]core.TraceEvent(nil), g.histories.byID[id]...)
+	h := g.histories.byID[truncate(id)]
+	if h == nil {
+		return nil
+	}
+	return slices.Clone(h.steps)
 }
--- a/internal/gateway/queued.go
+++ b/internal/gateway/queued.go
@@ -34,8 +34,8 @@
 	a.leaveQueue(queueMoved, "")
 	now := a.g.control.Now()
 	a.queue.waiting, a.queue.owner, a.queue.since = true, e.Owner, now
-	a.g.histories.add(a.call.AttemptID, now, "queued at owner %s: predicted wait %s, patience %s", e.Owner, e.Wait.Round(time.Millisecond), e.Patience.Round(time.Millisecond))
-	a.withWorkspace(a.g.log.Info().Str("id", a.call.AttemptID).Str("route", a.route.Name).Str("owner", e.Owner).
+	a.g.histories.add(a.logID(), now, "queued at owner %s: predicted wait %s, patience %s", e.Owner, e.Wait.Round(time.Millisecond), e.Patience.Round(time.Millisecond))
+	a.withWorkspace(a.g.log.Info().Str("id", a.logID()).Str("route", a.route.Name).Str("owner", e.Owner).
 		Int64("predicted_ms", e.Wait.Milliseconds()).Int64("patience_ms", e.Patience.Milliseconds())).Msg("Request queued.")
 }
 
@@ -55,8 +55,8 @@
 	if cause != "" {
 		because = fmt.Sprintf(" (%s)", cause)
 	}
-	a.g.histories.add(a.call.AttemptID, now, "left the queue at owner %s after %s: %s%s", a.queue.owner, waited.Round(time.Millisecond), outcome, because)
-	a.withWorkspace(a.g.log.Info().Str("id", a.call.AttemptID).Str("owner", a.queue.owner).Str("result", string(outcome)).Str("cause", string(cause)).
+	a.g.histories.add(a.logID(), now, "left the queue at owner %s after %s: %s%s", a.queue.owner, waited.Round(time.Millisecond), outcome, because)
+	a.withWorkspace(a.g.log.Info().Str("id", a.logID()).Str("owner", a.queue.owner).Str("result", string(outcome)).Str("cause", string(cause)).
 		Int64("waited_ms", waited.Milliseconds())).Msg("Request left the queue.")
 }
 
@@ -86,7 +86,7 @@
 	if e.RetryAfter > 0 {
 		what += fmt.Sprintf("; told to return after %s", e.RetryAfter.Round(time.Millisecond))
 	}
-	a.g.histories.add(a.call.AttemptID, a.g.control.Now(), "%s", what)
+	a.g.histories.add(a.logID(), a.g.control.Now(), "%s", what)
 }
 
 // queueOwner returns the owner that decided last, as far as it is known.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"math"
 	"net/http"
 	"time"
 
+	"fireflyshift/internal/membudget"
 	"fireflyshift/internal/router"
 	"fireflyshift/internal/routing"
 	"fireflyshift/internal/timing"
@@ -49,12 +51,12 @@
 	announcement := router.BackendAnnouncement{ID: d.Backend.ID, Start: d.Backend.Start, Leaving: info.Leaving, HoldOff: info.HoldOff}
 	if math.IsNaN(info.RateLimit) {
 		a.g.metrics.Count("backend.rate_limit.invalid", 1)
-		a.g.log.Warn().Str("id", a.call.AttemptID).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidRateLimit)).
+		a.g.log.Warn().Str("id", a.logID()).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidRateLimit)).
 			Msg("Rate limit of a backend server ignored: it is not a decimal number of zero or more.")
 	}
 	if math.IsNaN(info.BrittleLimit) {
 		a.g.metrics.Count("backend.brittle_limit.invalid", 1)
-		a.g.log.Warn().Str("id", a.call.AttemptID).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidBrittleLimit)).
+		a.g.log.Warn().Str("id", a.logID()).Str("backend", d.Backend.ID).Str("value", truncate(info.InvalidBrittleLimit)).
 			Msg("Limit on rejected requests of a backend server ignored: it is not a decimal number of zero or more.")
 	}
 	announcement.RateLimit = observation(d, info.RateLimit, d.ReportRate && info.Signed)
@@ -83,15 +85,15 @@
 // off within it never looks like a valid one.
 const answerBuffer = 256 << 10
 
-// relayWhole passes a plain answer on. Up to answerBuffer, it is passed on completely or not at all.
+// relayWhole passes a plain answer on. Up to answerBuffer, it is passed on completely or not at all, if there is memory for it.
 func (a *activeRequest) relayWhole(resp *upstream.Response, sentAt time.Time) router.DispatchEnded {
-	body, err := io.ReadAll(io.LimitReader(resp, answerBuffer))
-	if err != nil {
+	body, whole, err := a.account.ReadAll(resp, resp.Length, answerBuffer)
+	if err != nil && !errors.Is(err, membudget.ErrExhausted) {
 		return a.classifyFailure(true, err)
 	}
 	first := time.Since(sentAt)
 	a.firstByte = time.Since(a.startedAt)
-	if len(body) == answerBuffer {
+	if !whole {
 		return a.relayLong(resp, body, first)
 	}
 	if resp.Status >= http.StatusInternalServerError {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -66,6 +66,9 @@
 	retryAfter time.Duration
 }
 
+// logID is the beginning of the caller's ID of the attempt: logs and histories are kept, and the ID may be as long as a head.
+func (a *activeRequest) logID() string { return truncate(a.call.AttemptID) }
+
 // digest computes the digest on first use: most requests never need it.
 func (a *activeRequest) digest() quarantine.Digest {
 	if !a.cachedDigest.Zero() {
@@ -173,7 +176,7 @@
 		return
 	}
 	a.g.metrics.Count("requests.unfinished", 1)
-	a.g.log.Error().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Handler left the request without an outcome. Report this with the log.")
+	a.g.log.Error().Str("id", a.logID()).Str("backend", a.backend).Msg("Handler left the request without an outcome. Report this with the log.")
 	a.g.control.Post(router.CallerLeft{ID: a.id})
 }
 
@@ -334,7 +337,7 @@
 	a.g.control.Post(router.Stalled{ID: a.id})
 	v, ok := (<-a.effects).(router.StallDecision)
 	if ok && v.Reassign {
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Int64("last_event", a.lastEvent).Msg("No data within the stall timeout. Moving the request to another backend server.")
+		a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Int64("last_event", a.lastEvent).Msg("No data within the stall timeout. Moving the request to another backend server.")
 	}
 	return ok && v.Reassign
 }
@@ -376,13 +379,13 @@
 	case !sent && !time.Now().Before(a.deadline):
 		return router.DispatchEnded{Outcome: router.NotSent}
 	case errors.Is(err, upstream.ErrNotPermitted):
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Msg("Dispatch decision expired before the send.")
+		a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Msg("Dispatch decision expired before the send.")
 		return router.DispatchEnded{Outcome: router.NotSent} // no fault of the backend server
 	case errors.Is(err, upstream.ErrRelay), errors.Is(err, upstream.ErrUnknownAtRelay):
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Msg("Request not relayed to the backend server.")
+		a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Err(err).Msg("Request not relayed to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, RelayFault: errors.Is(err, upstream.ErrRelay)}
 	case !sent:
-		a.g.log.Info().Str("id", a.call.AttemptID).Str("backend", a.backend).Err(err).Str("cause", string(upstream.CauseOf(err))).
+		a.g.log.Info().Str("id", a.logID()).Str("backend", a.backend).Err(err).Str("cause", string(upstream.CauseOf(err))).
 			Msg("Request not sent to the backend server.")
 		return router.DispatchEnded{Outcome: router.NotSent, Fault: true}
 	case !time.Now().Before(a.deadline):
