Own interface: the same limits on memory and connections

Cause, as on the users' platform's path: 1 MB a body, held three times, for up to 10,000 requests, counted only once the body was read; any number of connections; the kernel's own buffers.

Change: the budget is a quarter of the machine's memory, or of [host] memory_mb; callers' connections are five eighths of the descriptors, or [limits] max_connections. A body reserves its copies. A caller without room, or turned away, gets overloaded (503, not run). The admin port has limits on heads, time and idle connections.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -23,6 +25,7 @@
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/ingress"
 	"fireflyshift/internal/member"
+	"fireflyshift/internal/membudget"
 	"fireflyshift/internal/peer"
 	"fireflyshift/internal/peer/peerpb"
 	"fireflyshift/internal/sched"
@@ -35,7 +38,9 @@
 	queryTimeout  = time.Second
 	headerTimeout = 5 * time.Second
 	idleTimeout   = 2 * time.Minute
-	drainPoll     = 20 * time.Millisecond
+	// memoryLimitRatio is the Go runtime's soft memory limit as a share of the host's memory.
+	memoryLimitRatio = 0.7
+	drainPoll        = 20 * time.Millisecond
 	// closeTimeout limits the closing of callers' connections, peerCloseTimeout after that the sending of queued messages to
 	// peers, and traceCloseTimeout at last the export of spans.
 	closeTimeout      = 1500 * time.Millisecond
@@ -55,10 +60,12 @@
 	callers *http.Server
 	// connections are those of callers.
 	connections *ingress.Connections
-	edge        *edge.Server
-	admin       *http.Server
-	reader      *toggle
-	engines     *engineWatch
+	// budget is the memory for callers' requests.
+	budget  *membudget.Budget
+	edge    *edge.Server
+	admin   *http.Server
+	reader  *toggle
+	engines *engineWatch
 }
 
 // Run serves until ctx is done, then shuts down gracefully. forced is done at a second signal, which ends the
@@ -67,6 +74,7 @@
 	if set.Host.Threads > 0 {
 		runtime.GOMAXPROCS(set.Host.Threads)
 	}
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(set.Host.MemoryMB) * (1 << 20)))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	d, err := build(work, set, log, m)
@@ -110,7 +118,7 @@
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.ComponentLogger(log, "control"))
 	d := &Daemon{set: set, log: telemetry.ComponentLogger(log, "daemon"), tracing: tracing, metrics: m, control: ctl,
-		connections: ingress.New(edge.NotRunHeader)}
+		connections: ingress.New(edge.NotRunHeader), budget: membudget.ForHost(set.Host.MemoryMB)}
 	d.sender = peer.NewSender(ctx, peer.Options{
 		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
 		Creds:  clientCreds,
@@ -148,8 +156,11 @@
 	}, d.control, d.tracing, d.metrics, telemetry.ComponentLogger(log, "edge"))
 	d.callers = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
 		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
+	head := ingress.HeadLimits{Bytes: d.set.Limits.MaxHeaderBytes, Time: headerTimeout}
+	d.connections.Limit(ingress.Limits{Head: func() ingress.HeadLimits { return head }, Connections: d.set.Limits.MaxConnections, Budget: d.budget, Count: d.metrics.Count})
 	d.connections.Guard(d.callers, http.HandlerFunc(d.edge.RejectShutdown))
-	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout}
+	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
 }
 
 type listeners struct{ callers, peers, admin net.Listener }
@@ -175,7 +186,11 @@
 }
 
 func (d *Daemon) listenOn(key, addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		ingress.LimitBuffers(c)
+		return nil
+	}}
+	l, err := lc.Listen(context.Background(), "tcp", addr)
 	if err != nil {
 		return nil, fault.Invalidf("[listen] "+key, "free the port or name another", "%v", err)
 	}
@@ -230,6 +245,7 @@
 func (d *Daemon) awaitRequests(forced context.Context) bool {
 	until := time.Now().Add(d.set.Drain.Limit)
 	for time.Now().Before(until) {
+		d.budget.TurnAwayStalled() // they may not finish before the drain limit
 		requests, known := query(d.control, queryTimeout, (*core.Core).Requests)
 		if known && requests == 0 && d.connections.TryStop() {
 			return true
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -12,8 +11,12 @@
 	"fireflyshift/internal/engine"
 	"fireflyshift/internal/fault"
 	"fireflyshift/internal/ingress"
+	"fireflyshift/internal/membudget"
 )
 
+// bodyCopies is how often a body is held beside the one that was read: decoded, and encoded for the engine.
+const bodyCopies = 2
+
 // defaultOutputTokens is assumed if a caller sets no max_tokens.
 const defaultOutputTokens = 256
 
@@ -22,14 +25,25 @@
 func (s *Server) readBody(w http.ResponseWriter, c *call) ([]byte, *fault.Error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(s.opt.BodyTimeout))
+	account := ingress.Account(c.Context())
+	account.Receive(func() { _ = rc.SetReadDeadline(time.Now()) })
 	stop := ingress.AbortReads(s.ending, rc)
-	data, err := io.ReadAll(http.MaxBytesReader(w, c.Body, s.opt.MaxBodyBytes))
+	data, _, err := account.ReadAll(http.MaxBytesReader(w, c.Body, s.opt.MaxBodyBytes), c.ContentLength, int(s.opt.MaxBodyBytes)+1)
 	stop()
+	if !account.Pause() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded)) {
+		err = membudget.ErrExhausted
+	}
+	if err == nil {
+		err = account.Reserve(bodyCopies * int64(len(data)))
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, fault.New(fault.BodyTooLarge, "the body has more than %d bytes", s.opt.MaxBodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded) && s.ending.Err() != nil:
+	case errors.Is(err, membudget.ErrExhausted) && s.ending.Err() == nil:
+		account.Close()
+		return nil, fault.New(fault.Overloaded, "the host has no memory for the body")
+	case errors.Is(err, membudget.ErrExhausted), errors.Is(err, os.ErrDeadlineExceeded) && s.ending.Err() != nil:
 		return nil, s.drainingFault()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, fault.New(fault.SlowBody, "the body did not arrive within %s", s.opt.BodyTimeout)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,8 @@
 	// Threads is the value of GOMAXPROCS; zero means all processors. On a large machine, few threads avoid
 	// the wake-ups of many idle ones.
 	Threads int
+	// MemoryMB is the memory of the process in MB; it defaults to that of the machine.
+	MemoryMB int
 }
 
 // Listen holds the listen addresses, each IP:PORT.
@@ -64,6 +66,8 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	MaxRequests    int
+	// MaxConnections is the number of callers' connections; it defaults to five eighths of the file descriptors beyond reservedFiles.
+	MaxConnections int
 	BodyTimeout    time.Duration
 	MaxAnswerBytes int64
 }
@@ -101,11 +105,11 @@
 
 // allowedKeys lists the keys of each section. Others are refused, since a misspelt key would be ignored otherwise.
 var allowedKeys = map[string][]string{
-	"host":     {"id", "zone", "threads"},
+	"host":     {"id", "zone", "threads", "memory_mb"},
 	"listen":   {"callers", "peers", "admin", "advertise_peers"},
 	"platform": {"url", "watch_wait"},
 	"peers":    {"seeds", "routes"},
-	"limits":   {"max_body_bytes", "max_header_bytes", "max_requests", "body_timeout", "max_answer_bytes"},
+	"limits":   {"max_body_bytes", "max_header_bytes", "max_requests", "max_connections", "body_timeout", "max_answer_bytes"},
 	"drain":    {"grace", "limit"},
 	"tls":      {"callers_cert", "callers_key", "peers_cert", "peers_key", "peers_root"},
 	"log":      {"level", "json"},
@@ -168,7 +172,8 @@
 
 func (r *parser) parse() *Settings {
 	s := &Settings{}
-	s.Host = Host{r.id("host", "id"), r.id("host", "zone"), int(r.integer("host", "threads", 0, 0, maxThreads))}
+	s.Host = Host{r.id("host", "id"), r.id("host", "zone"), int(r.integer("host", "threads", 0, 0, maxThreads)),
+		int(r.integer("host", "memory_mb", machineMemoryMB(), minMemoryMB, 1<<24))}
 	s.Listen = Listen{
 		Callers: r.addr("listen", "callers", ""),
 		Peers:   r.addr("listen", "peers", ""),
@@ -182,6 +187,7 @@
 		MaxBodyBytes:   r.integer("limits", "max_body_bytes", 1<<20, 1<<10, 64<<20),
 		MaxHeaderBytes: int(r.integer("limits", "max_header_bytes", 16<<10, 1<<10, 1<<20)),
 		MaxRequests:    int(r.integer("limits", "max_requests", 10_000, 1, 1_000_000)),
+		MaxConnections: int(r.integer("limits", "max_connections", defaultConnections(), 16, 10_000_000)),
 		BodyTimeout:    r.duration("limits", "body_timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute),
 		MaxAnswerBytes: r.integer("limits", "max_answer_bytes", 8<<20, 1<<10, 1<<30),
 	}
