Limits: one place derives connections from descriptors

The own interface had copies of the platform path's constants in its settings; settings hold what is set, and the daemon asks for the machine's values. No change of any number.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -74,7 +74,7 @@
 	if set.Host.Threads > 0 {
 		runtime.GOMAXPROCS(set.Host.Threads)
 	}
-	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(set.Host.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(memoryMB(set)) * (1 << 20)))
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	d, err := build(work, set, log, m)
@@ -118,7 +118,7 @@
 	c := core.New(core.Options{Self: self, Incarnation: incarnation, Sched: sched.DefaultOptions(), MaxRequests: set.Limits.MaxRequests})
 	ctl := newControl(c, m, telemetry.ComponentLogger(log, "control"))
 	d := &Daemon{set: set, log: telemetry.ComponentLogger(log, "daemon"), tracing: tracing, metrics: m, control: ctl,
-		connections: ingress.New(edge.NotRunHeader), budget: membudget.ForHost(set.Host.MemoryMB)}
+		connections: ingress.New(edge.NotRunHeader), budget: membudget.ForHost(memoryMB(set))}
 	d.sender = peer.NewSender(ctx, peer.Options{
 		Self:   &peerpb.Sender{Host: self.ID, Incarnation: incarnation, Zone: self.Zone, Addr: self.Addr},
 		Creds:  clientCreds,
@@ -157,7 +157,7 @@
 	d.callers = &http.Server{Handler: d.edge.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, DisableGeneralOptionsHandler: true,
 		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
 	head := ingress.HeadLimits{Bytes: d.set.Limits.MaxHeaderBytes, Time: headerTimeout}
-	d.connections.Limit(ingress.Limits{Head: func() ingress.HeadLimits { return head }, Connections: d.set.Limits.MaxConnections, Budget: d.budget, Count: d.metrics.Count})
+	d.connections.Limit(ingress.Limits{Head: func() ingress.HeadLimits { return head }, Connections: maxConnections(d.set), Budget: d.budget, Count: d.metrics.Count})
 	d.connections.Guard(d.callers, http.HandlerFunc(d.edge.RejectShutdown))
 	d.admin = &http.Server{Handler: admin.Handler(d, d.metrics), ReadHeaderTimeout: headerTimeout, ReadTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: d.set.Limits.MaxHeaderBytes}
--- a/internal/ingress/limits.go
+++ b/internal/ingress/limits.go
@@ -60,6 +60,22 @@
 	return nil
 }
 
+const (
+	// reservedFiles are the descriptors that no socket may take, and minSockets the sockets that a host has in any case.
+	reservedFiles = 200
+	minSockets    = 64
+	// callerFraction is the fraction of the sockets for callers. The rest is for backend servers, hosts, operators and load balancers.
+	callerFraction = 0.625
+)
+
+// Sockets returns how many of a process's descriptors may be sockets.
+func Sockets(descriptors int) int { return max(minSockets, descriptors-reservedFiles) }
+
+// CallerConnections returns the number of callers' connections of a process with a number of descriptors.
+func CallerConnections(descriptors int) int {
+	return int(callerFraction * float64(Sockets(descriptors)))
+}
+
 // spareFraction is the fraction of connections beyond the limit that may be open while callers that were turned away get their answers.
 const spareFraction = 0.125
 
--- a/internal/node/limits.go
+++ b/internal/node/limits.go
@@ -11,14 +11,9 @@
 )
 
 const (
-	// reservedFiles are the descriptors that no socket may take, and minSockets the sockets that a host has in any case.
-	reservedFiles = 200
-	minSockets    = 64
-	// Fractions of the sockets for callers, for other hosts, and for operators and load balancers each. The rest is for connections to
-	// backend servers, hosts and the store.
-	callerFraction = 0.625
-	peerFraction   = 0.125
-	auxFraction    = 1.0 / 32
+	// peerFraction is the fraction of the sockets for other hosts, and auxFraction that for each port of operators and load balancers.
+	peerFraction = 0.125
+	auxFraction  = 1.0 / 32
 	// minAuxConnections is enough for a probe a second and some operators.
 	minAuxConnections = 8
 
@@ -41,7 +36,7 @@
 	// budget is the memory for callers' requests.
 	budget *membudget.Budget
 	// Numbers of connections; zero stands for no limit.
-	callers, peers, operators, probes int
+	callers, peers, aux int
 
 	reportedAt time.Time
 	reported   map[string]int64
@@ -52,10 +47,8 @@
 	if set.MaxDescriptors == 0 {
 		return l
 	}
-	sockets := float64(max(minSockets, set.MaxDescriptors-reservedFiles))
-	l.callers, l.peers = int(callerFraction*sockets), int(peerFraction*sockets)
-	l.operators = max(minAuxConnections, int(auxFraction*sockets))
-	l.probes = l.operators
+	sockets := float64(ingress.Sockets(set.MaxDescriptors))
+	l.callers, l.peers, l.aux = ingress.CallerConnections(set.MaxDescriptors), int(peerFraction*sockets), max(minAuxConnections, int(auxFraction*sockets))
 	return l
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,7 +162,7 @@
 	if err := n.listen(g, n.callers, n.set.Callers, callerSocket, n.connections.Listener); err != nil {
 		return err
 	}
-	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready, n.limits.probes); err != nil {
+	if err := n.serve(g, http.HandlerFunc(n.readyz), n.set.Ready, n.limits.aux); err != nil {
 		return err
 	}
 	ops := admin.Handler(adminSource{n, n.gateway.History}, &reducerMetrics{control: n.control, metrics: n.metrics})
@@ -170,7 +170,7 @@
 		if addr == "" {
 			continue
 		}
-		if err := n.serve(g, ops, addr, n.limits.operators); err != nil {
+		if err := n.serve(g, ops, addr, n.limits.aux); err != nil {
 			n.log.Error().Err(err).Msg("Admin listener not started. Status and metrics are unavailable; callers are served.")
 		}
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,7 +41,7 @@
 	// Threads is the value of GOMAXPROCS; zero means all processors. On a large machine, few threads avoid
 	// the wake-ups of many idle ones.
 	Threads int
-	// MemoryMB is the memory of the process in MB; it defaults to that of the machine.
+	// MemoryMB is the memory of the process in MB; zero stands for that of the machine.
 	MemoryMB int
 }
 
@@ -66,7 +66,7 @@
 	MaxBodyBytes   int64
 	MaxHeaderBytes int
 	MaxRequests    int
-	// MaxConnections is the number of callers' connections; it defaults to five eighths of the file descriptors beyond reservedFiles.
+	// MaxConnections is the number of callers' connections; zero stands for what the file descriptors allow.
 	MaxConnections int
 	BodyTimeout    time.Duration
 	MaxAnswerBytes int64
@@ -99,7 +99,11 @@
 	Ratio    float64
 }
 
-const maxThreads = 1024
+const (
+	maxThreads = 1024
+	// minMemoryMB is what a host needs before it serves anybody.
+	minMemoryMB = 32
+)
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,31}$`)
 
@@ -173,7 +177,7 @@
 func (r *parser) parse() *Settings {
 	s := &Settings{}
 	s.Host = Host{r.id("host", "id"), r.id("host", "zone"), int(r.integer("host", "threads", 0, 0, maxThreads)),
-		int(r.integer("host", "memory_mb", machineMemoryMB(), minMemoryMB, 1<<24))}
+		int(r.integer("host", "memory_mb", 0, minMemoryMB, 1<<24))}
 	s.Listen = Listen{
 		Callers: r.addr("listen", "callers", ""),
 		Peers:   r.addr("listen", "peers", ""),
@@ -187,7 +191,7 @@
 		MaxBodyBytes:   r.integer("limits", "max_body_bytes", 1<<20, 1<<10, 64<<20),
 		MaxHeaderBytes: int(r.integer("limits", "max_header_bytes", 16<<10, 1<<10, 1<<20)),
 		MaxRequests:    int(r.integer("limits", "max_requests", 10_000, 1, 1_000_000)),
-		MaxConnections: int(r.integer("limits", "max_connections", defaultConnections(), 16, 10_000_000)),
+		MaxConnections: int(r.integer("limits", "max_connections", 0, 16, 10_000_000)),
 		BodyTimeout:    r.duration("limits", "body_timeout", 10*time.Second, 100*time.Millisecond, 5*time.Minute),
 		MaxAnswerBytes: r.integer("limits", "max_answer_bytes", 8<<20, 1<<10, 1<<30),
 	}
