Stop: callers without progress are turned away in the second half of the grace only

TestStopWaitsForARequestThatIsBeingRead and TestStopWaitsForARequestWhoseHeadIsBeingRead failed under the race detector: a caller that pauses for a second while its host stops got a 408 where it had been answered. A host has been asked to wait for requests that it has begun to read; only those that would hold it to the end of its grace period have to go. On the own interface the limits of heads and bodies are shorter than the drain limit, so that nobody is turned away there.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -245,7 +245,6 @@
 func (d *Daemon) awaitRequests(forced context.Context) bool {
 	until := time.Now().Add(d.set.Drain.Limit)
 	for time.Now().Before(until) {
-		d.budget.TurnAwayStalled() // they may not finish before the drain limit
 		requests, known := query(d.control, queryTimeout, (*core.Core).Requests)
 		if known && requests == 0 && d.connections.TryStop() {
 			return true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -364,8 +364,8 @@
 	idleSince := began
 	for time.Since(began) < n.set.Grace-shutdownMargin {
 		time.Sleep(drainPoll)
-		if time.Since(began) > n.set.BalancerDelay {
-			n.limits.budget.TurnAwayStalled() // they may not finish before the end of the grace period
+		if time.Since(began) > n.set.Grace/2 {
+			n.limits.budget.TurnAwayStalled() // they would hold the host until the end of the grace period
 		}
 		if n.connections.InUse() > 0 || n.relay.InUse() > 0 {
 			idleSince = time.Now()
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -344,7 +344,7 @@
 	{"connections-unused", "memory", "internal/ingress/limits.go", "	if c.closeLongestUnused(time.Now()) {\n", "	if false {\n", []string{"./internal/ingress"}},
 	{"history-ids", "memory", "internal/gateway/history.go", "		id = strings.Clone(id) // it may be a part of a long head\n", "		_ = strings.Clone\n", []string{"./test/crowds", "-run", "LongIDs"}},
 	{"stalled-places", "memory", "internal/gateway/body.go", "	b.account.Resume()\n", "", []string{"./test/crowds", "-run", "StalledBodies"}},
-	{"drain-stalled", "5", "internal/node/node.go", "			n.limits.budget.TurnAwayStalled() // they may not finish before the end of the grace period\n", "", []string{"./test/crowds", "-run", "StoppingHost"}},
+	{"drain-stalled", "5", "internal/node/node.go", "			n.limits.budget.TurnAwayStalled() // they would hold the host until the end of the grace period\n", "", []string{"./test/crowds", "-run", "StoppingHost"}},
 	{"ingress-notice", "5", "internal/ingress/conn.go", "	if len(notice) > 0 {\n		_, _ = k.Write(notice)\n	}\n", "", []string{"./internal/ingress"}},
 	{"ingress-tls", "5", "internal/ingress/conn.go", "k.Conn.SetDeadline(", "k.Conn.SetWriteDeadline(", []string{"./internal/ingress"}},
 	{"ingress-drops", "5", "internal/ingress/connections.go", "	case stateClosing:\n		return false\n", "", []string{"./internal/ingress"}},
