Connections: the rest of any legal body is read behind an early answer

Callers saw: a reset while they still sent a long body, and the answer lost.

Change: 8 MB behind an answer, 1 MB behind a head that was rejected, and both in turns with other bodies, so that a crowd of closing connections does not take the processor.

Test: TestAnswerBeforeTheEndOfALongBodyArrives fails with 1 MB.

--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"os"
-	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -67,8 +66,10 @@
 	headLineCost = 150
 	// bulkBytes is the size in bytes from which bodies are read in turns. Ordinary requests are smaller.
 	bulkBytes = 4 << 10
-	// maxDiscard is how many bytes are read of a request that was rejected, so that its caller sees the answer.
-	maxDiscard = 1 << 20
+	// maxDiscard is how many bytes are read behind the last answer of a connection, so that its caller sees it: more than the rest of
+	// any body that is allowed. maxDiscardHead is the same behind a head that was rejected.
+	maxDiscard     = 8 << 20
+	maxDiscardHead = 1 << 20
 	// answerTime is how long a closing connection stays open in any case, so that its caller can read the answer.
 	answerTime = 50 * time.Millisecond
 	// noticeTimeout is how long a write of the notice may block on a connection that is closed for others.
@@ -103,7 +104,7 @@
 				return n, err
 			}
 		}
-		if discarded += n; err != nil || discarded > maxDiscard {
+		if discarded += n; err != nil || discarded > maxDiscardHead {
 			return 0, cmp.Or(err, io.EOF)
 		}
 	}
@@ -160,15 +161,21 @@
 	k.closeWriteSide(notice)
 }
 
-// takeTurn lets other goroutines run before n more bytes of a long body are processed. Connections with long bodies do so one after another,
-// so that many of them take no more of the processor than one.
+// takeTurn lets other goroutines run before n more bytes of a body are processed, if it is long.
 func (k *conn) takeTurn(n int) {
-	if k.bodyBytes += n; k.bodyBytes <= bulkBytes {
-		return
+	if k.bodyBytes += n; k.bodyBytes > bulkBytes {
+		k.owner.yield()
 	}
-	k.owner.bulk.Lock()
-	defer k.owner.bulk.Unlock()
-	runtime.Gosched()
+}
+
+// discardReader reads what is discarded, in turns with other connections.
+type discardReader struct{ k *conn }
+
+// Read implements io.Reader.
+func (d discardReader) Read(p []byte) (int, error) {
+	n, err := d.k.Conn.Read(p)
+	d.k.owner.yield()
+	return n, err
 }
 
 // idleFrom is when the connection was used last; when it was accepted if it never was.
@@ -247,7 +254,7 @@
 			notice = k.owner.notice
 		}
 		k.closeWriteSide(notice)
-		_, _ = io.CopyN(io.Discard, k.Conn, maxDiscard)
+		_, _ = io.CopyN(io.Discard, discardReader{k}, maxDiscard)
 	}
 	return k.Conn.Close()
 }
--- a/internal/ingress/connections.go
+++ b/internal/ingress/connections.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -241,6 +242,14 @@
 	}
 }
 
+// yield lets other goroutines run. Connections with much to read do so one after another, so that many of them take no more of the
+// processor than one.
+func (c *Connections) yield() {
+	c.bulk.Lock()
+	defer c.bulk.Unlock()
+	runtime.Gosched()
+}
+
 // startClosing moves a connection to stateClosing. It reports whether to wait for the caller to see the close, which is
 // not needed if that has started already, and whether to send the notice first, because no byte of a next request was
 // read.
--- a/internal/ingress/limits_test.go
+++ b/internal/ingress/limits_test.go
@@ -218,3 +218,13 @@
 		require.Equal(t, http.StatusOK, c.status(t))
 	}
 }
+
+// Guards against a connection that is reset before its caller has sent the rest of a long body, so that the answer is lost.
+func TestAnswerBeforeTheEndOfALongBodyArrives(t *testing.T) {
+	for range 5 {
+		c := newHost(t, longLinger).caller()
+		c.write(t, "POST /unread HTTP/1.1\r\nHost: x\r\nContent-Length: 5000000\r\n\r\n")
+		c.write(t, strings.Repeat("b", 4_900_000))
+		require.Equal(t, http.StatusRequestTimeout, c.status(t))
+	}
+}
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -348,7 +348,7 @@
 	{"ingress-notice", "5", "internal/ingress/conn.go", "	if len(notice) > 0 {\n		_, _ = k.Write(notice)\n	}\n", "", []string{"./internal/ingress"}},
 	{"ingress-tls", "5", "internal/ingress/conn.go", "k.Conn.SetDeadline(", "k.Conn.SetWriteDeadline(", []string{"./internal/ingress"}},
 	{"ingress-drops", "5", "internal/ingress/connections.go", "	case stateClosing:\n		return false\n", "", []string{"./internal/ingress"}},
-	{"ingress-lingers", "5", "internal/ingress/conn.go", "		_, _ = io.CopyN(io.Discard, k.Conn, maxDiscard)\n", "		_ = io.Discard\n", []string{"./internal/ingress"}},
+	{"ingress-lingers", "5", "internal/ingress/conn.go", "		_, _ = io.CopyN(io.Discard, discardReader{k}, maxDiscard)\n", "		_ = io.Discard\n", []string{"./internal/ingress"}},
 	{"ingress-one-notice", "5", "internal/ingress/connections.go", "	if k.load() == stateClosing {\n		return\n	}\n	c.setState(k, stateClosing)\n", "	c.setState(k, stateClosing)\n", []string{"./internal/ingress"}},
 	{"ingress-gate-closing", "5", "internal/ingress/connections.go", "c.rejecting || (k != nil && k.load() == stateClosing)", "c.rejecting || (k != nil && false)", []string{"./internal/ingress"}},
 	{"gateway-end-unsent", "5", "internal/gateway/request.go", "	if a.g.ended() {\n		return router.DispatchEnded{Outcome: router.Canceled}\n	}\n", "", []string{"./internal/gateway"}},
