Gateway: the rest of a body behind an early answer is no request

Callers saw: a 400, or a 408, that answers nothing they sent, on a connection on which they still send a long body whose answer came early. A body that contains a request at the right place could have had it run.

Cause: the gateway replaced the body of net/http's request by one that limits it. net/http then does not see that the body was not read to its end, keeps the connection, and reads the rest as the next head.

Change: the limit is read through a reader of its own. net/http closes the connection.

Evidence: TestRestOfABodyIsNoRequest fails without the change.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -38,14 +38,16 @@
 		a.refuseBody(http.StatusRequestEntityTooLarge, causeBodyTooLarge, 0)
 		return false
 	}
+	// a.r.Body stays as it is: net/http looks there for whether the rest of a body follows, which would be taken for the next request.
+	src := io.Reader(a.r.Body)
 	if limit > 0 {
-		a.r.Body = http.MaxBytesReader(a.w, a.r.Body, limit)
+		src = http.MaxBytesReader(a.w, a.r.Body, limit)
 	}
 	rc := http.NewResponseController(a.w)
 	_ = rc.SetReadDeadline(a.deadline)
 	a.account.Receive(func() { _ = rc.SetReadDeadline(time.Now()) })
 	stop := ingress.AbortReads(a.g.ending, rc)
-	body, whole, err := a.account.ReadAll(a.r.Body, a.r.ContentLength, maxBufferedBody)
+	body, whole, err := a.account.ReadAll(src, a.r.ContentLength, maxBufferedBody)
 	stop()
 	if !a.account.Pause() && err == nil {
 		err = membudget.ErrExhausted
@@ -56,7 +58,7 @@
 	}
 	a.body = body
 	if !whole {
-		a.bodyRest = &trackedBody{src: a.r.Body, account: a.account}
+		a.bodyRest = &trackedBody{src: src, account: a.account}
 		// Otherwise net/http discards a part of the body before it writes an answer, which a backend server may begin early.
 		_ = rc.EnableFullDuplex() // HTTP/1 only; others need no permission
 		return true
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -329,6 +329,7 @@
 	{"ingress-await-ends", "5", "internal/ingress/connections.go", "	if now.After(c.awaitUntil) {\n		return false\n	}\n", "", []string{"./internal/ingress"}},
 	{"ingress-stops-listening", "5", "internal/ingress/connections.go", "	c.closeListeners()\n	c.waitClosed(ctx)\n", "	c.waitClosed(ctx)\n	c.closeListeners()\n", []string{"./internal/ingress"}},
 	{"ingress-accepts", "5", "internal/ingress/connections.go", "	case <-accepted.C:\n", "	default:\n", processTests("TestRequestsOnConnectionsThatWait")},
+	{"gateway-body-rest", "1", "internal/gateway/body.go", "		src = http.MaxBytesReader(a.w, a.r.Body, limit)\n", "		a.r.Body = http.MaxBytesReader(a.w, a.r.Body, limit)\n		src = a.r.Body\n", platformTests("RestOfABody")},
 	{"budget-stalled", "memory", "internal/membudget/membudget.go", " && a.progressAt.Before(since)\n", "\n", []string{"./internal/membudget"}},
 	{"budget-complete", "memory", "internal/membudget/membudget.go", "	a.receiving, a.pausedAt = false, a.budget.now()\n", "	a.pausedAt = a.budget.now()\n", []string{"./internal/membudget"}},
 	{"budget-reserve", "memory", "internal/membudget/membudget.go", "		limit -= int64(reserveFraction * float64(b.capacity))\n", "", []string{"./internal/membudget"}},
