Budget: a refusal looks for stalled bodies only if one holds a place

The number of places was counted and not used: each refused or queued request looked through all accounts under the budget's lock.

--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -107,6 +107,9 @@
 
 // FreePlaces turns those of them away whose requests hold a place at a backend server.
 func (b *Budget) FreePlaces() int {
+	if b.places.Load() == 0 {
+		return 0
+	}
 	return b.turnAwayAll(func(a *Account) bool { return a.holdsPlace })
 }
 
