Review case 7: a change of the configuration is late after lost answers of the store

The store loses the answers to the watches of all hosts on one change of the configuration, 3 of some 48 answers in 4.5 s, and is sound from then on. Hosts send requests to the service of the old version until 3.0 to 3.66 s after the acknowledgement, also when they are in touch again (CONFIG).

bash review/build-2.sh && review/7/run.sh

--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -16,7 +16,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken. trouble is false for the run without the disruption.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
-	"grace": playGrace,
+	"lost-answers": playLostAnswers,
+	"grace":        playGrace,
 }
 
 func main() { os.Exit(play()) }
