--- a/review/bed2/bed.go
+++ b/review/bed2/bed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -213,3 +214,21 @@
 	}
 	return nil
 }
+
+// service returns the service that stands in a server's entry in the store.
+func (b *bed) service(s *server) string {
+	rec := httptest.NewRecorder()
+	b.store.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/api/kv-range?prefix=servers/"+s.id, nil))
+	var page struct {
+		Items []struct {
+			Value []byte `json:"value"`
+		} `json:"items"`
+	}
+	var entry struct {
+		Service string `json:"service"`
+	}
+	if json.Unmarshal(rec.Body.Bytes(), &page) != nil || len(page.Items) != 1 || json.Unmarshal(page.Items[0].Value, &entry) != nil {
+		return "(none)"
+	}
+	return entry.Service
+}
--- a/review/bed2/client.go
+++ b/review/bed2/client.go
@@ -35,11 +35,15 @@
 	err error
 }
 
-// send sends a request with a short body.
-func (c *clientConn) send(method, path, attempt string, deadline time.Duration) error {
+// send sends a request with a short body and further header lines, each "Name: value".
+func (c *clientConn) send(method, path, attempt string, deadline time.Duration, lines ...string) error {
 	const body = "body"
-	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: %s\r\nX-Fireflyshift-Deadline-Ms: %d\r\nX-Fireflyshift-Credential: %s\r\nContent-Length: %d\r\n\r\n%s",
-		method, path, domain, attempt, deadline.Milliseconds(), apiKey, len(body), body)
+	more := ""
+	for _, line := range lines {
+		more += line + "\r\n"
+	}
+	_, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Fireflyshift-Attempt-Id: %s\r\nX-Fireflyshift-Deadline-Ms: %d\r\nX-Fireflyshift-Credential: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, path, domain, attempt, deadline.Milliseconds(), apiKey, more, len(body), body)
 	return err
 }
 
--- a/review/bed2/engine.go
+++ b/review/bed2/engine.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -14,9 +16,15 @@
 	work                    time.Duration
 	// events is the number of events of an answer, work the time before each; zero for a plain answer.
 	events int
-	bed    *bed
-	mu     sync.Mutex
-	runs   []run
+	// born is its start in Unix milliseconds; zero if it does not state it.
+	born int64
+	// version is that of its software.
+	version string
+	bed     *bed
+	mu      sync.Mutex
+	runs    []run
+	// foreign is set while another program's entry stands under its key.
+	foreign bool
 }
 
 // run is one request that a backend server has begun to work on.
@@ -27,25 +35,37 @@
 
 // addServer starts a backend server and registers it.
 func (b *bed) addServer(id, service, zone string, work time.Duration, events int) (*server, error) {
-	s := &server{id: id, service: service, zone: zone, work: work, events: events, bed: b}
+	s := &server{id: id, service: service, zone: zone, work: work, events: events}
+	return s, b.startServer(s)
+}
+
+// startServer does so for a server that is described already.
+func (b *bed) startServer(s *server) error {
 	var err error
+	s.bed = b
 	if s.addr, err = b.serve(200, s); err != nil {
-		return nil, err
+		return err
 	}
-	b.store.Put("servers/"+id, s.registration(0))
-	return s, nil
+	b.store.Put("servers/"+s.id, s.registration(0))
+	return nil
 }
 
 // registration returns the server's entry in the store.
 func (s *server) registration(coldLeftMS int) map[string]any {
-	r := map[string]any{"service": s.service, "address": s.addr, "zone": s.zone, "version": "v1", "slots": 40, "state": "ready",
+	r := map[string]any{"service": s.service, "address": s.addr, "zone": s.zone, "version": s.software(), "slots": 40, "state": "ready",
 		"cold-left-ms": coldLeftMS, "seq-no": time.Now().UnixMilli() % (1 << 30)}
+	if s.born > 0 {
+		r["born"] = s.born
+	}
 	if s.events > 0 {
 		r["stage"], r["models"] = "colocated", []map[string]any{{"name": "m", "version": 1, "adapters": []string{}}}
 	}
 	return r
 }
 
+// software returns the version of the server's software.
+func (s *server) software() string { return cmp.Or(s.version, "v1") }
+
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -73,12 +93,13 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := 1; i <= s.events; i++ {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // absent on a new stream
+	for i := last + 1; i <= s.events; i++ {
 		time.Sleep(s.work)
 		if r.Context().Err() != nil {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", i, i, s.software())
 		_ = http.NewResponseController(w).Flush()
 	}
 }
--- a/review/bed2/lostanswers.go
+++ b/review/bed2/lostanswers.go
@@ -71,10 +71,11 @@
 	attempt string
 	host    string
 	at      time.Time
+	answer  answer
 }
 
 // steadyTraffic sends a request to each host every few milliseconds until stop is closed.
-func steadyTraffic(b *bed, path string, stop <-chan struct{}) func() []sentRequest {
+func steadyTraffic(b *bed, path, name string, stop <-chan struct{}) func() []sentRequest {
 	const callersPerHost, pause = 4, 15 * time.Millisecond
 	var mu sync.Mutex
 	var all []sentRequest
@@ -97,13 +98,14 @@
 							continue
 						}
 					}
-					r := sentRequest{fmt.Sprintf("h%d-c%d-%d", i+1, k, n), h.ip, time.Now()}
+					r := sentRequest{fmt.Sprintf("%s-h%d-c%d-%d", name, i+1, k, n), h.ip, time.Now(), answer{}}
 					if c.send("GET", path, r.attempt, time.Second) != nil {
 						c = nil
 						continue
 					}
 					a := c.receive(1500 * time.Millisecond)
 					b.recordAt(r.at, "%s sent to %s, answered %d %s", r.attempt, h.ip, a.status, a.stamp)
+					r.answer = a
 					mu.Lock()
 					all = append(all, r)
 					mu.Unlock()
@@ -159,7 +161,7 @@
 		return false, err
 	}
 	stop := make(chan struct{})
-	traffic := steadyTraffic(b, "/check/x", stop)
+	traffic := steadyTraffic(b, "/check/x", "check", stop)
 	time.Sleep(contact + time.Second)
 	type round struct {
 		service   string // that the new version allows
