Review case 6: streams of two software versions after an upgrade in place

One of four servers ends and starts again under its ID, at its address, with the software version that the others have. It serves at once and writes its entry 1.0 s later. Callers whose streams its old version began take them up with Last-Event-Id and Resumes, and get the rest from the new version (ORDER).

--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
 	"lost-answers": playLostAnswers,
 	"grace":        playGrace,
+	"in-place":     playInPlace,
 }
 
 func main() { os.Exit(play()) }
