--- a/review/bed2/main.go
+++ b/review/bed2/main.go
@@ -17,6 +17,7 @@
 // cases are the cases by name. Each reports whether the rule was broken. trouble is false for the run without the disruption.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
 	"lost-answers": playLostAnswers,
+	"taken-up":     playTakenUp,
 	"foreign":      playForeign,
 	"grace":        playGrace,
 	"in-place":     playInPlace,
