--- a/review/bed2/inplace.go
+++ b/review/bed2/inplace.go
@@ -13,8 +13,8 @@
 const (
 	// restartPause is how long a server is down that starts again.
 	restartPause = 300 * time.Millisecond
-	// firstEntry is how long after its start a server writes its entry: within its first heartbeat.
-	firstEntry = time.Second
+	// firstEntry is how long after its start a server writes its entry: half a heartbeat.
+	firstEntry = 600 * time.Millisecond
 	// takeUpAfter is how long after the server serves again the callers take up their streams.
 	takeUpAfter = 200 * time.Millisecond
 	// allowedJoined is the number of streams that may hold events of two versions.
